--- /dev/null
+++ b/internal/model/duration.go
@@ -0,0 +1,49 @@
+package model
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// Duration is a time.Duration that JSON writes as a Go duration string ("1m30s").
+type Duration time.Duration
+
+// Std returns d as a time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// Millis returns d in whole milliseconds.
+func (d Duration) Millis() int64 { return time.Duration(d).Milliseconds() }
+
+// String formats d as a Go duration string.
+func (d Duration) String() string { return time.Duration(d).String() }
+
+// MarshalJSON writes d as a Go duration string.
+func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(d.String()) }
+
+// UnmarshalJSON reads a Go duration string.
+func (d *Duration) UnmarshalJSON(b []byte) error {
+	var s string
+	if err := json.Unmarshal(b, &s); err != nil {
+		return fmt.Errorf("duration must be a string such as \"30s\", got %s", b)
+	}
+	v, err := time.ParseDuration(s)
+	if err != nil {
+		return fmt.Errorf("duration %q is not of the form \"30s\", \"5m\" or \"1h30m\"", s)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Time is a point in time in milliseconds since the Unix epoch, as stamped by
+// the leader. Deterministic packages take it as an argument.
+type Time int64
+
+// TimeOf converts t.
+func TimeOf(t time.Time) Time { return Time(t.UnixMilli()) }
+
+// Add returns t + d.
+func (t Time) Add(d time.Duration) Time { return t + Time(d.Milliseconds()) }
+
+// Sub returns t - o.
+func (t Time) Sub(o Time) time.Duration { return time.Duration(t-o) * time.Millisecond }
--- /dev/null
+++ b/internal/model/resources.go
@@ -0,0 +1,53 @@
+// Package model holds the types that every other package shares: resources,
+// labels, workers, jobs, teams and queues. It has no behaviour beyond
+// arithmetic and validation, and imports no clock and no I/O.
+package model
+
+import "fmt"
+
+// Resources is an amount of the three things that a VM offers and a task takes.
+type Resources struct {
+	CPU          int64 `json:"cpu_milli" cbor:"1,keyasint,omitempty"`              // thousandths of a core
+	Memory       int64 `json:"memory_mib" cbor:"2,keyasint,omitempty"`             // MiB
+	Accelerators int64 `json:"accelerators,omitempty" cbor:"3,keyasint,omitempty"` // whole devices
+}
+
+// Add returns r + o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{r.CPU + o.CPU, r.Memory + o.Memory, r.Accelerators + o.Accelerators}
+}
+
+// Sub returns r - o. A component of the result may be negative.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{r.CPU - o.CPU, r.Memory - o.Memory, r.Accelerators - o.Accelerators}
+}
+
+// Mul returns r scaled by n.
+func (r Resources) Mul(n int64) Resources {
+	return Resources{r.CPU * n, r.Memory * n, r.Accelerators * n}
+}
+
+// Fits reports whether every component of r is at most that of free.
+func (r Resources) Fits(free Resources) bool {
+	return r.CPU <= free.CPU && r.Memory <= free.Memory && r.Accelerators <= free.Accelerators
+}
+
+// Max returns the larger of r and o, component by component.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{max(r.CPU, o.CPU), max(r.Memory, o.Memory), max(r.Accelerators, o.Accelerators)}
+}
+
+// IsZero reports whether every component is zero.
+func (r Resources) IsZero() bool { return r == Resources{} }
+
+// Negative reports whether any component is below zero.
+func (r Resources) Negative() bool { return r.CPU < 0 || r.Memory < 0 || r.Accelerators < 0 }
+
+// String formats r for people, for example "1500m cpu, 2048 MiB, 1 accelerator(s)".
+func (r Resources) String() string {
+	s := fmt.Sprintf("%dm cpu, %d MiB", r.CPU, r.Memory)
+	if r.Accelerators != 0 {
+		s += fmt.Sprintf(", %d accelerator(s)", r.Accelerators)
+	}
+	return s
+}
