--- /dev/null
+++ b/internal/api/api.go
@@ -0,0 +1,236 @@
+// Package api holds the JSON bodies and header names of the HTTP interface,
+// shared by the entry process, the command line and the stand-ins.
+package api
+
+import (
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// Headers of the interface.
+const (
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderRepeatable     = "Filbertmast-Repeatable" // "false" marks a request that must run at most once
+	HeaderDeadline       = "Filbertmast-Deadline"   // Go duration from receipt
+	HeaderPatience       = "Filbertmast-Patience"   // Go duration; more patient requests are shed first
+	HeaderRequestID      = "Filbertmast-Request-Id" // set on every answer and passed to executors
+	HeaderEpoch          = "Filbertmast-Epoch"      // passed to executors: the owner's lease epoch
+	HeaderRefused        = "Filbertmast-Refused"    // set by an executor on a 503 that proves that it ran nothing
+)
+
+// JobView is the answer about one job.
+type JobView struct {
+	ID       model.JobID   `json:"id"`
+	Spec     model.JobSpec `json:"spec"`
+	Phase    string        `json:"phase"` // waiting, running, succeeded, failed, cancelled
+	Counts   TaskCounts    `json:"counts"`
+	Reason   string        `json:"reason,omitempty"`
+	Why      []WhyNot      `json:"why,omitempty"` // what holds waiting work, with ?why=true
+	Tasks    []TaskView    `json:"tasks,omitempty"`
+	Price    int64         `json:"price_micro_units"`          // price of one core-second, fixed at submission
+	Charged  int64         `json:"charged_micro_units"`        // charges less refunds so far
+	Version  uint64        `json:"version"`                    // log index of the last change
+	Existing bool          `json:"existing,omitempty"`         // the submission was a resend
+	Deadline model.Time    `json:"start_by_unix_ms,omitempty"` // submission time plus patience
+	Created  model.Time    `json:"submitted_unix_ms,omitempty"`
+}
+
+// TaskCounts counts the tasks of a job by phase.
+type TaskCounts struct {
+	Pending   int32 `json:"pending"`
+	Starting  int32 `json:"starting"`
+	Running   int32 `json:"running"`
+	Stopping  int32 `json:"stopping"`
+	Succeeded int32 `json:"succeeded"`
+	Failed    int32 `json:"failed"`
+	Cancelled int32 `json:"cancelled"`
+}
+
+// TaskView is the answer about one task.
+type TaskView struct {
+	Index    int32          `json:"index"`
+	Phase    string         `json:"phase"`
+	Worker   model.WorkerID `json:"worker,omitempty"`
+	Fence    model.Fence    `json:"fence,omitzero"`
+	Restarts int32          `json:"restarts,omitempty"`
+	Reason   string         `json:"reason,omitempty"`
+}
+
+// WhyNot names one thing that holds waiting work.
+type WhyNot struct {
+	Reason string `json:"reason"` // share, limit, selector, size, reservation, queue, backoff
+	Count  int64  `json:"count"`  // workers ruled out, or tasks over the limit
+	Detail string `json:"detail,omitempty"`
+}
+
+// Quote is the answer to a submission with ?dry_run=true.
+type Quote struct {
+	Price     int64  `json:"price_micro_units"`     // of one core-second
+	Estimated int64  `json:"estimated_micro_units"` // of the whole job at its declared run time
+	Queue     string `json:"queue"`
+	Team      string `json:"team"` // the team charged
+}
+
+// AnnounceAnswer is the answer to POST /v1/workers.
+type AnnounceAnswer struct {
+	Session  uint64         `json:"session"`  // goes with every later call of this announcement
+	LeaseMS  int64          `json:"lease_ms"` // counted by the worker from when it sent the call
+	Commands []Command      `json:"commands,omitempty"`
+	Entries  []EntryAddress `json:"entries,omitempty"` // to fall back on
+}
+
+// EntryAddress is one entry process as workers and callers may reach it.
+type EntryAddress struct {
+	Address       string `json:"address"`
+	FailureDomain string `json:"failure_domain"`
+}
+
+// Heartbeat renews a worker's lease: POST /v1/workers/{id}/heartbeat.
+type Heartbeat struct {
+	Session uint64 `json:"session"`
+	Leaving bool   `json:"leaving,omitempty"` // the worker takes nothing new and ends its work
+	// Usage is the observed use of tasks since the last heartbeat.
+	Usage []TaskUsage `json:"usage,omitempty"`
+}
+
+// TaskUsage is the observed use of one running task, with a lag.
+type TaskUsage struct {
+	Task  model.TaskID    `json:"task"`
+	Fence model.Fence     `json:"fence"`
+	Used  model.Resources `json:"used"`
+}
+
+// HeartbeatAnswer carries the renewed lease.
+type HeartbeatAnswer struct {
+	LeaseMS int64 `json:"lease_ms"`
+}
+
+// CommandOp says what a worker is told to do.
+type CommandOp string
+
+// The commands of a worker.
+const (
+	CommandStart      CommandOp = "start"
+	CommandStop       CommandOp = "stop"
+	CommandCheckpoint CommandOp = "checkpoint" // save, then stop
+	CommandThrottle   CommandOp = "throttle"
+)
+
+// Command is one order to a worker. A worker drops a command whose fence is
+// older than one that it has seen for the task; a repeated command is idempotent.
+type Command struct {
+	Op      CommandOp       `json:"op"`
+	Task    model.TaskID    `json:"task"`
+	Fence   model.Fence     `json:"fence"`
+	Size    model.Resources `json:"size,omitzero"`
+	Service string          `json:"service,omitempty"`
+	Payload string          `json:"payload,omitempty"`
+	Reason  string          `json:"reason,omitempty"`
+}
+
+// Commands is the answer to GET /v1/workers/{id}/commands?session=N&wait=10s.
+// Commands are told again until a report confirms them.
+type Commands struct {
+	Commands []Command `json:"commands"`
+}
+
+// ReportState is what became of a task.
+type ReportState string
+
+// The reports of a worker.
+const (
+	ReportStarted   ReportState = "started"
+	ReportSucceeded ReportState = "succeeded"
+	ReportFailed    ReportState = "failed"
+	ReportStopped   ReportState = "stopped" // after a stop or checkpoint command, or a fence refused
+)
+
+// Report tells what became of one task. Doubled reports are harmless.
+type Report struct {
+	Task   model.TaskID    `json:"task"`
+	Fence  model.Fence     `json:"fence"`
+	State  ReportState     `json:"state"`
+	Reason string          `json:"reason,omitempty"`
+	Used   model.Resources `json:"used,omitzero"` // peak use
+	RanMS  int64           `json:"ran_ms,omitempty"`
+	// Executor is set with ReportStarted of a service's task that serves requests.
+	Executor *model.ExecutorSpec `json:"executor,omitempty"`
+}
+
+// Reports is the body of POST /v1/workers/{id}/reports.
+type Reports struct {
+	Session uint64   `json:"session"`
+	Reports []Report `json:"reports"`
+}
+
+// Apply is the body of PUT /v1/declarations.
+type Apply struct {
+	Base         uint64             `json:"base_version"` // the version that the operator has read
+	ApplyID      string             `json:"apply_id"`     // makes a resend safe
+	Declarations model.Declarations `json:"declarations"`
+}
+
+// Applied is the answer to an apply, a key grant or a key withdrawal.
+type Applied struct {
+	Version uint64 `json:"version"`
+	Digest  string `json:"digest"` // of the declarations in force
+}
+
+// DeclarationsView is the answer to GET /v1/declarations.
+type DeclarationsView struct {
+	Version      uint64             `json:"version"`
+	Digest       string             `json:"digest"`
+	Declarations model.Declarations `json:"declarations"`
+}
+
+// WorkerView is one row of GET /v1/workers.
+type WorkerView struct {
+	Spec     model.WorkerSpec `json:"spec"`
+	Mode     string           `json:"mode"`
+	Reserved model.Resources  `json:"reserved"`
+	Tasks    int32            `json:"tasks"`
+	Failing  bool             `json:"on_probation,omitempty"`
+}
+
+// Status is the answer to GET /v1/status.
+type Status struct {
+	Entry    string        `json:"entry"`
+	Leader   string        `json:"leader"`
+	Term     uint64        `json:"term"`
+	Index    uint64        `json:"index"`
+	Version  uint64        `json:"version"` // of the declarations, at the leader
+	Replicas []ReplicaView `json:"replicas"`
+	Entries  []EntryView   `json:"entries"`
+	Jobs     int64         `json:"jobs"`
+	Running  int64         `json:"running_tasks"`
+	Waiting  int64         `json:"waiting_tasks"`
+	Workers  int64         `json:"workers"`
+	Teams    []TeamView    `json:"teams"`
+}
+
+// ReplicaView is one replica of the durable state.
+type ReplicaView struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	Voter   bool   `json:"voter"`
+	Match   uint64 `json:"match_index"`
+}
+
+// EntryView is one entry process.
+type EntryView struct {
+	ID            string `json:"id"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failure_domain"`
+	Version       uint64 `json:"version"` // of the declarations in force there
+	AgeMS         int64  `json:"age_ms"`  // since it was last heard
+}
+
+// TeamView is one team's use.
+type TeamView struct {
+	Team      string          `json:"team"`
+	Running   int64           `json:"running"`
+	Limit     int64           `json:"max_running"`
+	Reserved  model.Resources `json:"reserved"`
+	Charged   int64           `json:"charged_micro_units"`
+	Refunded  int64           `json:"refunded_micro_units"`
+	Permitted int64           `json:"request_permits"`
+}
