--- a/internal/model/cell.go
+++ b/internal/model/cell.go
@@ -12,6 +12,10 @@
 	Rack          string         `json:"rack,omitempty" cbor:"5,keyasint,omitempty"`
 	Labels        Labels         `json:"labels,omitempty" cbor:"6,keyasint,omitempty"`
 	Executors     []ExecutorSpec `json:"executors,omitempty" cbor:"7,keyasint,omitempty"`
+	// Incarnation grows with each announcement of the same worker, for example
+	// the milliseconds since the epoch; with it a late or resent announcement is
+	// told from a new one. Zero: every announcement counts as new.
+	Incarnation uint64 `json:"incarnation,omitempty" cbor:"8,keyasint,omitempty"`
 }
 
 // ExecutorSpec is one target of requests.
--- /dev/null
+++ b/internal/model/validate.go
@@ -0,0 +1,105 @@
+package model
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Bounds of a job.
+const (
+	MaxTasks        = 100_000
+	MaxNameLength   = 128
+	MaxPayloadBytes = 16 << 10
+	MaxLabels       = 64
+	MaxRestartLimit = 10_000
+)
+
+// Validate returns every reason for which s cannot be a job, joined, or nil.
+func (s *JobSpec) Validate() error {
+	var errs []error
+	bad := func(format string, args ...any) { errs = append(errs, fmt.Errorf(format, args...)) }
+	if s.Name == "" || len(s.Name) > MaxNameLength {
+		bad("name must have 1 to %d characters", MaxNameLength)
+	}
+	switch s.Policy {
+	case PolicyBatch, PolicyGang, PolicyService:
+	default:
+		bad("policy %q is not batch, gang or service", s.Policy)
+	}
+	if s.Tasks < 1 || s.Tasks > MaxTasks {
+		bad("tasks must be 1 to %d, got %d", MaxTasks, s.Tasks)
+	}
+	if s.Size.Negative() || s.Size.IsZero() {
+		bad("size must be above zero and have no negative part, got %s", s.Size)
+	}
+	if s.RunTime < 0 || s.Patience < 0 {
+		bad("run_time and patience must not be negative")
+	}
+	if s.MaxRestarts < 0 || s.MaxRestarts > MaxRestartLimit {
+		bad("max_restarts must be 0 to %d, got %d", MaxRestartLimit, s.MaxRestarts)
+	}
+	if _, err := ParseSelector(s.Selector); err != nil {
+		errs = append(errs, err)
+	}
+	if len(s.Payload) > MaxPayloadBytes {
+		bad("payload must be at most %d bytes, got %d", MaxPayloadBytes, len(s.Payload))
+	}
+	if s.Service != "" && s.Policy != PolicyService {
+		bad("service %q needs policy service", s.Service)
+	}
+	errs = append(errs, s.Labels.validate())
+	return errors.Join(errs...)
+}
+
+// Validate returns every reason for which s cannot be a worker, joined, or nil.
+func (s *WorkerSpec) Validate() error {
+	var errs []error
+	bad := func(format string, args ...any) { errs = append(errs, fmt.Errorf(format, args...)) }
+	if s.ID == "" || len(s.ID) > MaxNameLength {
+		bad("id must have 1 to %d characters", MaxNameLength)
+	}
+	if s.Capacity.Negative() {
+		bad("capacity must not be negative, got %s", s.Capacity)
+	}
+	if s.Region == "" || s.FailureDomain == "" {
+		bad("region and failure_domain must be set")
+	}
+	errs = append(errs, s.Labels.validate())
+	for i := range s.Executors {
+		errs = append(errs, s.Executors[i].Validate())
+	}
+	return errors.Join(errs...)
+}
+
+// Validate returns every reason for which e cannot be an executor, joined, or nil.
+func (e *ExecutorSpec) Validate() error {
+	var errs []error
+	if e.ID == "" || len(e.ID) > MaxNameLength || e.Service == "" || e.Address == "" {
+		errs = append(errs, fmt.Errorf("an executor needs an id of 1 to %d characters, a service and an address", MaxNameLength))
+	}
+	if e.Slots < 1 || e.Connections < 1 {
+		errs = append(errs, fmt.Errorf("executor %q needs at least one slot and one connection", e.ID))
+	}
+	return errors.Join(errs...)
+}
+
+func (l Labels) validate() error {
+	if len(l) > MaxLabels {
+		return fmt.Errorf("at most %d labels, got %d", MaxLabels, len(l))
+	}
+	for k, v := range l {
+		if !isLabelText(k) || k == "" || !isLabelText(v) {
+			return fmt.Errorf("label %q=%q has characters outside letters, digits, - _ . and /", k, v)
+		}
+	}
+	return nil
+}
+
+func isLabelText(s string) bool {
+	for i := range len(s) {
+		if !isLabelByte(s[i]) {
+			return false
+		}
+	}
+	return len(s) <= MaxNameLength
+}
--- /dev/null
+++ b/internal/proto/proto.go
@@ -0,0 +1,145 @@
+// Package proto holds the messages between entry and control processes. They
+// travel through package wire as CBOR; a field is never given another meaning,
+// and new fields are optional.
+package proto
+
+import (
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/journal"
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// Empty is the answer of a call that has none.
+type Empty struct{}
+
+// Caller says on whose behalf an entry calls.
+type Caller struct {
+	Team     string `cbor:"1,keyasint"`
+	Operator bool   `cbor:"2,keyasint,omitempty"`
+}
+
+// Submit asks for a job.
+type Submit struct {
+	Spec           model.JobSpec `cbor:"1,keyasint"`
+	IdempotencyKey string        `cbor:"2,keyasint,omitempty"`
+	Digest         [32]byte      `cbor:"3,keyasint"`
+	DryRun         bool          `cbor:"4,keyasint,omitempty"`
+}
+
+// Submitted is the answer to Submit: a view of the job, or with DryRun its price.
+type Submitted struct {
+	Job   api.JobView `cbor:"1,keyasint"`
+	Quote *api.Quote  `cbor:"2,keyasint,omitempty"`
+}
+
+// GetJob reads one job. With Wait it answers once the job is newer than Since
+// or finished, or after Wait.
+type GetJob struct {
+	Caller Caller         `cbor:"1,keyasint"`
+	ID     model.JobID    `cbor:"2,keyasint"`
+	Why    bool           `cbor:"3,keyasint,omitempty"`
+	Since  uint64         `cbor:"4,keyasint,omitempty"`
+	Wait   model.Duration `cbor:"5,keyasint,omitempty"`
+}
+
+// ListJobs reads the jobs of the caller's team whose labels match.
+type ListJobs struct {
+	Caller   Caller `cbor:"1,keyasint"`
+	Selector string `cbor:"2,keyasint,omitempty"`
+	Limit    int    `cbor:"3,keyasint,omitempty"`
+}
+
+// Jobs is the answer to ListJobs.
+type Jobs struct {
+	Jobs []api.JobView `cbor:"1,keyasint"`
+}
+
+// Cancel ends one job, or those whose labels match.
+type Cancel struct {
+	Caller   Caller      `cbor:"1,keyasint"`
+	ID       model.JobID `cbor:"2,keyasint,omitempty"`
+	Selector string      `cbor:"3,keyasint,omitempty"`
+}
+
+// Cancelled is the answer to Cancel.
+type Cancelled struct {
+	Count int `cbor:"1,keyasint"`
+}
+
+// Declare applies a configuration.
+type Declare struct {
+	Apply api.Apply `cbor:"1,keyasint"`
+}
+
+// Key grants a key, or with Withdraw withdraws it.
+type Key struct {
+	Key      model.Key `cbor:"1,keyasint"`
+	Withdraw bool      `cbor:"2,keyasint,omitempty"`
+}
+
+// Workers is the answer to a KindWorkers call.
+type Workers struct {
+	Workers []api.WorkerView `cbor:"1,keyasint"`
+}
+
+// SetMode changes what a worker may be given.
+type SetMode struct {
+	Worker model.WorkerID   `cbor:"1,keyasint"`
+	Mode   model.WorkerMode `cbor:"2,keyasint"`
+}
+
+// Announce registers a worker through the calling entry.
+type Announce struct {
+	Spec model.WorkerSpec `cbor:"1,keyasint"`
+}
+
+// Announced is the answer to Announce.
+type Announced struct {
+	Session uint64         `cbor:"1,keyasint"`
+	Lease   model.Duration `cbor:"2,keyasint"`
+}
+
+// Reports carries worker reports; the answer comes after their commit.
+type Reports struct {
+	Worker  model.WorkerID `cbor:"1,keyasint"`
+	Session uint64         `cbor:"2,keyasint"`
+	Reports []api.Report   `cbor:"3,keyasint"`
+}
+
+// Commands carries orders for one worker session.
+type Commands struct {
+	Worker   model.WorkerID `cbor:"1,keyasint"`
+	Session  uint64         `cbor:"2,keyasint"`
+	Commands []api.Command  `cbor:"3,keyasint"`
+}
+
+// JournalStart starts the record of a request that must run at most once.
+type JournalStart struct {
+	Key      journal.Key `cbor:"1,keyasint"`
+	Digest   [32]byte    `cbor:"2,keyasint"`
+	Deadline model.Time  `cbor:"3,keyasint"`
+	Entry    string      `cbor:"4,keyasint"` // one try of one entry process
+}
+
+// JournalEnd finishes the record, or with no Answer abandons it.
+type JournalEnd struct {
+	Key    journal.Key     `cbor:"1,keyasint"`
+	Fence  model.Fence     `cbor:"2,keyasint"`
+	Answer *journal.Answer `cbor:"3,keyasint,omitempty"`
+	Ran    bool            `cbor:"4,keyasint,omitempty"`
+}
+
+// Probe is the answer to a KindProbe call.
+type Probe struct {
+	Term   uint64   `cbor:"1,keyasint"`
+	Leader string   `cbor:"2,keyasint,omitempty"` // inner address; empty where none is known
+	Ready  bool     `cbor:"3,keyasint,omitempty"` // the answering process leads and serves
+	Peers  []string `cbor:"4,keyasint,omitempty"` // inner addresses of all replicas
+}
+
+// Replace asks the leader to put the calling replica in the place of a dead one.
+type Replace struct {
+	Dead    uint64 `cbor:"1,keyasint"`
+	ID      uint64 `cbor:"2,keyasint"`
+	Address string `cbor:"3,keyasint"`
+}
--- /dev/null
+++ b/internal/state/config.go
@@ -0,0 +1,146 @@
+package state
+
+import (
+	"slices"
+
+	"github.com/filbertmast/filbertmast/internal/declare"
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// keptApplies bounds the applies whose resend is still answered as the first.
+const keptApplies = 1024
+
+// config is the configuration in force with the answers to recent applies.
+type config struct {
+	Version      uint64             `cbor:"1,keyasint"`
+	Digest       string             `cbor:"2,keyasint"`
+	Declarations model.Declarations `cbor:"3,keyasint"`
+	Applies      []applied          `cbor:"4,keyasint"` // oldest first
+	Withdrawn    []model.KeyDigest  `cbor:"5,keyasint"` // sorted
+}
+
+// applied remembers one accepted apply by its ID and content.
+type applied struct {
+	ID      string `cbor:"1,keyasint"`
+	Content string `cbor:"2,keyasint"` // digest of what was sent
+	Version uint64 `cbor:"3,keyasint"`
+	Digest  string `cbor:"4,keyasint"`
+}
+
+func newConfig() config {
+	return config{Digest: declare.Digest(&model.Declarations{})}
+}
+
+// Config returns the version, digest and content of the configuration in force.
+func (m *Machine) Config() (version uint64, digest string, d *model.Declarations) {
+	return m.config.Version, m.config.Digest, &m.config.Declarations
+}
+
+// Withdrawn reports whether the key was granted once and withdrawn since.
+func (m *Machine) Withdrawn(d model.KeyDigest) bool {
+	_, found := slices.BinarySearch(m.config.Withdrawn, d)
+	return found
+}
+
+// WithdrawnKeys returns the digests of withdrawn keys, sorted.
+func (m *Machine) WithdrawnKeys() []model.KeyDigest { return m.config.Withdrawn }
+
+func (m *Machine) declare(c *Declare) Result {
+	d := c.Declarations
+	declare.Normalize(&d)
+	content := declare.Digest(&d)
+	for _, a := range m.config.Applies {
+		if a.ID != c.ApplyID {
+			continue
+		}
+		if a.Content != content {
+			return Result{Err: errkind.New(errkind.IdempotencyConflict,
+				"apply ID %q was used for other content, accepted as version %d", c.ApplyID, a.Version)}
+		}
+		return Result{Version: a.Version, Digest: a.Digest, Existing: true}
+	}
+	if c.Base != m.config.Version {
+		return Result{Err: errkind.New(errkind.VersionConflict,
+			"base version is %d, but version %d is in force", c.Base, m.config.Version)}
+	}
+	if problems := declare.Validate(&d); len(problems) > 0 {
+		return Result{Err: errkind.New(errkind.BadDeclarations, "%s", problems.Error())}
+	}
+	for _, k := range d.Keys {
+		if m.Withdrawn(k.Digest) {
+			return Result{Err: errkind.New(errkind.KeyWithdrawn,
+				"key %.8s... of team %q has been withdrawn; remove it from the declarations", k.Digest, k.Team)}
+		}
+	}
+	withdrawn := removedKeys(m.config.Declarations.Keys, d.Keys)
+	m.install(d, withdrawn)
+	m.config.Applies = append(m.config.Applies, applied{c.ApplyID, content, m.config.Version, m.config.Digest})
+	if n := len(m.config.Applies) - keptApplies; n > 0 {
+		m.config.Applies = slices.Delete(m.config.Applies, 0, n)
+	}
+	return Result{Version: m.config.Version, Digest: m.config.Digest}
+}
+
+func (m *Machine) grantKey(c *GrantKey) Result {
+	keys := m.config.Declarations.Keys
+	if i := slices.IndexFunc(keys, func(k model.Key) bool { return k.Digest == c.Key.Digest }); i >= 0 {
+		if keys[i] == c.Key {
+			return Result{Version: m.config.Version, Digest: m.config.Digest, Existing: true}
+		}
+		return Result{Err: errkind.New(errkind.VersionConflict, "the key is already granted to team %q", keys[i].Team)}
+	}
+	if m.Withdrawn(c.Key.Digest) {
+		return Result{Err: errkind.New(errkind.KeyWithdrawn, "a withdrawn key is never granted again")}
+	}
+	d := m.config.Declarations
+	d.Keys = append(slices.Clone(keys), c.Key)
+	declare.Normalize(&d)
+	if problems := declare.Validate(&d); len(problems) > 0 {
+		return Result{Err: errkind.New(errkind.BadDeclarations, "%s", problems.Error())}
+	}
+	m.install(d, nil)
+	return Result{Version: m.config.Version, Digest: m.config.Digest}
+}
+
+func (m *Machine) withdrawKey(c *WithdrawKey) Result {
+	keys := m.config.Declarations.Keys
+	i := slices.IndexFunc(keys, func(k model.Key) bool { return k.Digest == c.Digest })
+	if i < 0 {
+		if m.Withdrawn(c.Digest) {
+			return Result{Version: m.config.Version, Digest: m.config.Digest, Existing: true}
+		}
+		return Result{Err: errkind.New(errkind.KeyUnknown, "no such key is granted")}
+	}
+	d := m.config.Declarations
+	d.Keys = slices.Delete(slices.Clone(keys), i, i+1)
+	m.install(d, []model.KeyDigest{c.Digest})
+	return Result{Version: m.config.Version, Digest: m.config.Digest}
+}
+
+// install puts d in force under the next version and remembers withdrawn keys.
+func (m *Machine) install(d model.Declarations, withdrawn []model.KeyDigest) {
+	for _, k := range withdrawn {
+		if i, found := slices.BinarySearch(m.config.Withdrawn, k); !found {
+			m.config.Withdrawn = slices.Insert(m.config.Withdrawn, i, k)
+		}
+	}
+	m.config.Declarations = d
+	m.config.Version++
+	m.config.Digest = declare.Digest(&d)
+	m.emit(ConfigChanged{Version: m.config.Version, Declarations: &m.config.Declarations})
+}
+
+func removedKeys(old, new []model.Key) []model.KeyDigest {
+	kept := make(map[model.KeyDigest]bool, len(new))
+	for _, k := range new {
+		kept[k.Digest] = true
+	}
+	var out []model.KeyDigest
+	for _, k := range old {
+		if !kept[k.Digest] {
+			out = append(out, k.Digest)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/state/event.go
@@ -0,0 +1,101 @@
+package state
+
+import (
+	"time"
+
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// Event is one change that a command made, told to the leader's control
+// goroutine so that the scheduler and the lease tables follow the state.
+type Event interface{ isEvent() }
+
+// ConfigChanged tells that a new configuration is in force.
+type ConfigChanged struct {
+	Version      uint64
+	Declarations *model.Declarations // shared; not to be changed
+}
+
+// WorkerChanged tells a worker's specification, mode or session.
+type WorkerChanged struct {
+	Spec    model.WorkerSpec
+	Mode    model.WorkerMode
+	Session uint64
+	At      model.Time
+}
+
+// JobSubmitted tells a new job.
+type JobSubmitted struct {
+	Job *Job // owned by the machine; read it in the same goroutine only
+}
+
+// JobsCancelled tells jobs whose waiting tasks are cancelled.
+type JobsCancelled struct {
+	IDs []model.JobID
+}
+
+// JobFinished tells a job all of whose tasks are done.
+type JobFinished struct {
+	ID model.JobID
+	At model.Time
+}
+
+// JobForgotten tells a finished job that is no longer kept.
+type JobForgotten struct {
+	ID model.JobID
+}
+
+// TaskChanged tells that a task went from one phase to another.
+type TaskChanged struct {
+	Task    model.TaskID
+	From    model.TaskPhase
+	To      model.TaskPhase
+	Worker  model.WorkerID // where it is or was held
+	Fence   model.Fence
+	Size    model.Resources
+	Outcome model.Outcome   // when To no longer holds resources
+	RanFor  time.Duration   // when To no longer holds resources
+	Used    model.Resources // peak use, where reported
+	At      model.Time
+}
+
+// PlacementRefused tells a placement that the state did not admit.
+type PlacementRefused struct {
+	Task   model.TaskID
+	Worker model.WorkerID
+	Reason RefusalReason
+	At     model.Time
+}
+
+// ExecutorChanged tells an executor that serves, or no longer does.
+type ExecutorChanged struct {
+	Spec    model.ExecutorSpec
+	Region  string
+	Leaving bool // serves what it has, takes nothing new
+	Gone    bool
+}
+
+func (ConfigChanged) isEvent()    {}
+func (WorkerChanged) isEvent()    {}
+func (JobSubmitted) isEvent()     {}
+func (JobsCancelled) isEvent()    {}
+func (JobFinished) isEvent()      {}
+func (JobForgotten) isEvent()     {}
+func (TaskChanged) isEvent()      {}
+func (PlacementRefused) isEvent() {}
+func (ExecutorChanged) isEvent()  {}
+
+// RefusalReason says why a placement was not admitted.
+type RefusalReason string
+
+// The reasons for which a placement is refused.
+const (
+	RefusedTaskNotPending  RefusalReason = "task_not_pending"
+	RefusedWorkerUnknown   RefusalReason = "worker_unknown"
+	RefusedWorkerNotOpen   RefusalReason = "worker_not_open"
+	RefusedNoRoom          RefusalReason = "no_room"
+	RefusedTeamLimit       RefusalReason = "team_limit"
+	RefusedGangIncomplete  RefusalReason = "gang_incomplete"
+	RefusedBelowDeclared   RefusalReason = "below_declared_size"
+	RefusedNotDistinctHost RefusalReason = "not_distinct_worker"
+)
--- /dev/null
+++ b/internal/state/job.go
@@ -0,0 +1,227 @@
+package state
+
+import (
+	"github.com/filbertmast/filbertmast/internal/ledger"
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// noWorker stands for no worker in Task.Worker.
+const noWorker int32 = -1
+
+// Job is one job and its tasks.
+type Job struct {
+	ID        model.JobID   `cbor:"1,keyasint"`
+	Spec      model.JobSpec `cbor:"2,keyasint"`
+	Team      string        `cbor:"3,keyasint"` // charged; may differ from Spec.Team in an open queue
+	Submitted model.Time    `cbor:"4,keyasint"`
+	StartBy   model.Time    `cbor:"5,keyasint"` // submission plus patience
+	Price     int64         `cbor:"6,keyasint"` // micro-units a core-second, fixed at submission
+	Cheapest  int64         `cbor:"7,keyasint"` // the price that a missed promise is charged at
+	Missed    bool          `cbor:"8,keyasint,omitempty"`
+	Cancelled bool          `cbor:"9,keyasint,omitempty"`
+	Reason    string        `cbor:"10,keyasint,omitempty"`
+	Charged   int64         `cbor:"11,keyasint,omitempty"` // micro-units
+	Refunded  int64         `cbor:"12,keyasint,omitempty"` // micro-units
+	Finished  model.Time    `cbor:"13,keyasint,omitempty"`
+	Version   uint64        `cbor:"14,keyasint"` // log index of the last change
+	Tasks     []Task        `cbor:"15,keyasint"`
+	// Reasons tells why tasks failed, latest last, at most maxReasons.
+	Reasons []TaskReason `cbor:"16,keyasint,omitempty"`
+	// SentKey and SentDigest recognise a resent submission.
+	SentKey    string   `cbor:"17,keyasint,omitempty"`
+	SentDigest [32]byte `cbor:"18,keyasint"`
+
+	counts [model.TaskCancelled + 1]int32
+}
+
+// TaskReason is the reason that a worker or the leader gave for one task.
+type TaskReason struct {
+	Index  int32  `cbor:"1,keyasint"`
+	Reason string `cbor:"2,keyasint"`
+}
+
+// maxReasons bounds the reasons kept a job.
+const maxReasons = 32
+
+// Task is one task of a job. Its fields are small: a cell holds hundreds of thousands.
+type Task struct {
+	Size     model.Resources `cbor:"1,keyasint"` // reserved, while held
+	Fence    model.Fence     `cbor:"2,keyasint"` // of the last attempt
+	Since    model.Time      `cbor:"3,keyasint"` // start of the running attempt
+	Worker   int32           `cbor:"4,keyasint"` // number in the worker table, or noWorker
+	Restarts uint16          `cbor:"5,keyasint"` // after failures
+	Losses   uint16          `cbor:"6,keyasint"` // after lost workers
+	Phase    model.TaskPhase `cbor:"7,keyasint"`
+	Stop     StopCause       `cbor:"8,keyasint"`
+}
+
+// Count returns how many tasks of j are in phase p.
+func (j *Job) Count(p model.TaskPhase) int32 { return j.counts[p] }
+
+// recount rebuilds the counts after a restore.
+func (j *Job) recount() {
+	j.counts = [model.TaskCancelled + 1]int32{}
+	for i := range j.Tasks {
+		j.counts[j.Tasks[i].Phase]++
+	}
+}
+
+// Phase names where the whole job stands, as the API shows it.
+func (j *Job) Phase() string {
+	switch {
+	case j.Finished == 0 && j.held() > 0:
+		return "running"
+	case j.Finished == 0:
+		return "waiting"
+	case j.counts[model.TaskFailed] > 0:
+		return "failed"
+	case j.Cancelled:
+		return "cancelled"
+	default:
+		return "succeeded"
+	}
+}
+
+func (j *Job) held() int32 {
+	return j.counts[model.TaskStarting] + j.counts[model.TaskRunning] + j.counts[model.TaskStopping]
+}
+
+func (j *Job) note(index int32, reason string) {
+	if reason == "" {
+		return
+	}
+	if len(j.Reasons) >= maxReasons {
+		j.Reasons = append(j.Reasons[:0], j.Reasons[1:]...)
+	}
+	j.Reasons = append(j.Reasons, TaskReason{Index: index, Reason: reason})
+}
+
+// ReasonOf returns the last reason told for the task index, or "".
+func (j *Job) ReasonOf(index int32) string {
+	for i := len(j.Reasons) - 1; i >= 0; i-- {
+		if j.Reasons[i].Index == index {
+			return j.Reasons[i].Reason
+		}
+	}
+	return ""
+}
+
+// teamUse is what a team's tasks hold now.
+type teamUse struct {
+	held     int64
+	reserved model.Resources
+}
+
+func (m *Machine) team(name string) *teamUse {
+	t, ok := m.teams[name]
+	if !ok {
+		t = &teamUse{}
+		m.teams[name] = t
+	}
+	return t
+}
+
+// TeamHeld returns how many tasks of the team hold resources, and how much.
+func (m *Machine) TeamHeld(name string) (int64, model.Resources) {
+	if t, ok := m.teams[name]; ok {
+		return t.held, t.reserved
+	}
+	return 0, model.Resources{}
+}
+
+// Account returns the team's account, which is zero where nothing was charged.
+func (m *Machine) Account(team string) ledger.Account {
+	if a, ok := m.accounts[team]; ok {
+		return *a
+	}
+	return ledger.Account{}
+}
+
+// workerID returns the ID of the worker that t names, or "".
+func (m *Machine) workerID(t *Task) model.WorkerID {
+	if t.Worker == noWorker {
+		return ""
+	}
+	return m.workers.list[t.Worker].Spec.ID
+}
+
+// TaskWorker returns the worker of a task's current or last attempt.
+func (m *Machine) TaskWorker(t *Task) model.WorkerID { return m.workerID(t) }
+
+// taskEvent fills the fields of an event about t that do not depend on the change.
+func (m *Machine) taskEvent(id model.TaskID, t *Task) TaskChanged {
+	return TaskChanged{
+		Task:   id,
+		From:   t.Phase,
+		Worker: m.workerID(t),
+		Fence:  t.Fence,
+		Size:   t.Size,
+		At:     m.now,
+	}
+}
+
+// setPhase moves a task between phases and keeps every count and sum in step.
+func (m *Machine) setPhase(j *Job, id model.TaskID, to model.TaskPhase) {
+	t := &j.Tasks[id.Index]
+	from := t.Phase
+	j.counts[from]--
+	j.counts[to]++
+	t.Phase = to
+	j.Version = m.index
+	switch {
+	case !from.Holds() && to.Holds():
+		m.hold(j, id, t)
+	case from.Holds() && !to.Holds():
+		m.release(j, id, t)
+	}
+	if to.Done() && j.Finished == 0 && j.done() {
+		m.finish(j)
+	}
+}
+
+func (j *Job) done() bool {
+	return j.counts[model.TaskPending] == 0 && j.held() == 0
+}
+
+func (m *Machine) hold(j *Job, id model.TaskID, t *Task) {
+	w := m.workers.list[t.Worker]
+	w.Held = append(w.Held, id)
+	w.Reserved = w.Reserved.Add(t.Size)
+	team := m.team(j.Team)
+	team.held++
+	team.reserved = team.reserved.Add(t.Size)
+}
+
+func (m *Machine) release(j *Job, id model.TaskID, t *Task) {
+	w := m.workers.list[t.Worker]
+	for i, held := range w.Held {
+		if held == id {
+			last := len(w.Held) - 1
+			w.Held[i] = w.Held[last]
+			w.Held = w.Held[:last]
+			break
+		}
+	}
+	w.Reserved = w.Reserved.Sub(t.Size)
+	m.endServed(w, id, true)
+	team := m.team(j.Team)
+	team.held--
+	team.reserved = team.reserved.Sub(t.Size)
+}
+
+func (m *Machine) finish(j *Job) {
+	j.Finished = m.now
+	m.finished = append(m.finished, j.ID)
+	m.emit(JobFinished{ID: j.ID, At: m.now})
+}
+
+func outcomeOfPhase(p model.TaskPhase) model.Outcome {
+	switch p {
+	case model.TaskSucceeded:
+		return model.OutcomeSucceeded
+	case model.TaskCancelled:
+		return model.OutcomeStopped
+	default:
+		return model.OutcomeFailed
+	}
+}
--- /dev/null
+++ b/internal/state/journal.go
@@ -0,0 +1,27 @@
+package state
+
+import (
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/journal"
+)
+
+// journalStart records the start of a request before anything is sent.
+func (m *Machine) journalStart(c *JournalStart) Result {
+	r := m.journal.Start(c.Key, c.Digest, m.fence(), c.Entry, m.now, c.Deadline)
+	return Result{Journal: r, Fence: m.fence()}
+}
+
+// journalEnd closes the attempt that holds the fence.
+func (m *Machine) journalEnd(c *JournalEnd) Result {
+	if c.Answer == nil {
+		m.journal.Abandon(c.Key, c.Fence, c.Ran)
+		return Result{}
+	}
+	if !m.journal.Finish(c.Key, c.Fence, c.Answer, m.now) {
+		return Result{Err: errkind.New(errkind.StaleFence, "the request has a newer record")}
+	}
+	return Result{}
+}
+
+// Journal gives read access to the journal of requests.
+func (m *Machine) Journal() *journal.Journal { return m.journal }
--- /dev/null
+++ b/internal/state/machine.go
@@ -0,0 +1,184 @@
+// Package state is the deterministic machine that the replicated log drives:
+// configuration, workers, jobs, the ledger and the journal of requests. The
+// same log gives the same bytes on every replica; the package has no clock, no
+// random numbers and no I/O, and its results never depend on map order.
+//
+// A Machine belongs to one goroutine.
+package state
+
+import (
+	"time"
+
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/journal"
+	"github.com/filbertmast/filbertmast/internal/ledger"
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// Options are the bounds of what a machine keeps. They must be equal on every replica.
+type Options struct {
+	KeepFinished model.Duration // how long a finished job can be read
+	Journal      journal.Options
+}
+
+// DefaultKeepFinished is how long a finished job can be read.
+const DefaultKeepFinished = model.Duration(time.Hour)
+
+// Machine is the replicated state of one cell.
+type Machine struct {
+	opts  Options
+	index uint64     // of the last command applied
+	term  uint64     // of the last command applied
+	now   model.Time // latest stamp seen; never goes back
+
+	config   config
+	workers  workerTable
+	jobs     map[model.JobID]*Job
+	finished []model.JobID // in order of finishing, to be forgotten from the front
+	sent     map[submissionKey]model.JobID
+	teams    map[string]*teamUse
+	accounts map[string]*ledger.Account
+	journal  *journal.Journal
+
+	events []Event // of the command being applied
+}
+
+// New returns an empty machine.
+func New(o Options) *Machine {
+	if o.KeepFinished == 0 {
+		o.KeepFinished = DefaultKeepFinished
+	}
+	return &Machine{
+		opts:     o,
+		config:   newConfig(),
+		workers:  newWorkerTable(),
+		jobs:     make(map[model.JobID]*Job),
+		sent:     make(map[submissionKey]model.JobID),
+		teams:    make(map[string]*teamUse),
+		accounts: make(map[string]*ledger.Account),
+		journal:  journal.New(o.Journal),
+	}
+}
+
+// Result is what a command gives back to its proposer.
+type Result struct {
+	Err      error // an errkind; the command changed nothing
+	Job      model.JobID
+	Existing bool   // the command was a resend
+	Version  uint64 // of the configuration
+	Digest   string // of the configuration
+	Session  uint64
+	Count    int // jobs cancelled, or reports taken
+	Fence    model.Fence
+	Journal  journal.StartResult
+}
+
+// Apply runs one command. Index and term are those of its log entry. The
+// events are valid until the next call.
+func (m *Machine) Apply(index, term uint64, c *Command) (Result, []Event) {
+	m.index, m.term = index, term
+	m.now = max(m.now, c.At)
+	m.events = m.events[:0]
+	r := m.dispatch(c)
+	return r, m.events
+}
+
+func (m *Machine) dispatch(c *Command) Result {
+	switch {
+	case c.Place != nil:
+		return m.place(c.Place)
+	case c.Report != nil:
+		return m.report(c.Report)
+	case c.Submit != nil:
+		return m.submit(c.Submit)
+	case c.Cancel != nil:
+		return m.cancel(c.Cancel)
+	case c.Stop != nil:
+		return m.stop(c.Stop)
+	case c.JournalStart != nil:
+		return m.journalStart(c.JournalStart)
+	case c.JournalEnd != nil:
+		return m.journalEnd(c.JournalEnd)
+	case c.Announce != nil:
+		return m.announce(c.Announce)
+	case c.SetMode != nil:
+		return m.setMode(c.SetMode)
+	case c.LoseWorkers != nil:
+		return m.loseWorkers(c.LoseWorkers)
+	case c.Declare != nil:
+		return m.declare(c.Declare)
+	case c.GrantKey != nil:
+		return m.grantKey(c.GrantKey)
+	case c.WithdrawKey != nil:
+		return m.withdrawKey(c.WithdrawKey)
+	case c.Fail != nil:
+		return m.fail(c.Fail)
+	case c.Refund != nil:
+		return m.refund(c.Refund)
+	case c.Expire != nil:
+		return m.expire()
+	}
+	return Result{Err: errkind.New(errkind.BadRequest, "empty command")}
+}
+
+// Index returns the log index of the last command applied.
+func (m *Machine) Index() uint64 { return m.index }
+
+// Now returns the latest time that a command was stamped with.
+func (m *Machine) Now() model.Time { return m.now }
+
+// Job returns the job id, or nil. The caller must not change it.
+func (m *Machine) Job(id model.JobID) *Job { return m.jobs[id] }
+
+// JobIDs returns the IDs of all kept jobs in ascending order.
+func (m *Machine) JobIDs() []model.JobID {
+	return sortedKeys(m.jobs)
+}
+
+func (m *Machine) emit(e Event) { m.events = append(m.events, e) }
+
+func (m *Machine) fence() model.Fence { return model.Fence{Term: m.term, Index: m.index} }
+
+// Replay emits the events that bring an empty scheduler and empty tables to
+// the machine's state, in a fixed order.
+func (m *Machine) Replay(fn func(Event)) {
+	fn(ConfigChanged{Version: m.config.Version, Declarations: &m.config.Declarations})
+	for _, w := range m.workers.list {
+		fn(WorkerChanged{Spec: w.Spec, Mode: w.Mode, Session: w.Session, At: m.now})
+		m.replayExecutors(w, fn)
+	}
+	for _, id := range m.JobIDs() {
+		m.replayJob(m.jobs[id], fn)
+	}
+}
+
+func (m *Machine) replayJob(j *Job, fn func(Event)) {
+	if j.Finished != 0 {
+		return
+	}
+	fn(JobSubmitted{Job: j})
+	for i := range j.Tasks {
+		t := &j.Tasks[i]
+		id := model.TaskID{Job: j.ID, Index: int32(i)}
+		if t.Phase == model.TaskPending {
+			continue
+		}
+		ev := m.taskEvent(id, t)
+		ev.From = model.TaskPending
+		if t.Phase.Done() {
+			ev.To = t.Phase
+			ev.Outcome = outcomeOfPhase(t.Phase)
+			fn(ev)
+			continue
+		}
+		ev.To = model.TaskStarting
+		fn(ev)
+		if t.Phase != model.TaskStarting {
+			ev.From, ev.To = model.TaskStarting, t.Phase
+			fn(ev)
+		}
+	}
+	if j.Cancelled {
+		fn(JobsCancelled{IDs: []model.JobID{j.ID}})
+	}
+}
--- /dev/null
+++ b/internal/state/place.go
@@ -0,0 +1,155 @@
+package state
+
+import "github.com/filbertmast/filbertmast/internal/model"
+
+// place checks every placement against the newest state and starts those that
+// hold. It is the last guard against overcommitment and over a team's limit,
+// whatever the plan was made from.
+func (m *Machine) place(c *Place) Result {
+	placed := 0
+	for rest := c.Placements; len(rest) > 0; {
+		group := rest[:1]
+		if j := m.jobs[rest[0].Task.Job]; j != nil && j.Spec.Policy == model.PolicyGang {
+			group = sameJob(rest)
+		}
+		rest = rest[len(group):]
+		placed += m.placeGroup(group)
+	}
+	return Result{Count: placed, Fence: m.fence()}
+}
+
+// sameJob returns the leading placements that belong to one job.
+func sameJob(ps []Placement) []Placement {
+	n := 1
+	for n < len(ps) && ps[n].Task.Job == ps[0].Task.Job {
+		n++
+	}
+	return ps[:n]
+}
+
+// placeGroup starts all placements of group or none.
+func (m *Machine) placeGroup(group []Placement) int {
+	for i := range group {
+		if reason := m.admit(&group[i]); reason != "" {
+			m.undo(group[:i])
+			m.refuse(group, i, reason)
+			return 0
+		}
+		m.startTask(&group[i])
+	}
+	if reason := m.incomplete(group); reason != "" {
+		m.undo(group)
+		m.refuse(group, len(group), reason)
+		return 0
+	}
+	for i := range group {
+		p := &group[i]
+		j := m.jobs[p.Task.Job]
+		ev := m.taskEvent(p.Task, &j.Tasks[p.Task.Index])
+		ev.From, ev.To = model.TaskPending, model.TaskStarting
+		m.emit(ev)
+	}
+	return len(group)
+}
+
+// admit returns why p cannot be started, or "".
+func (m *Machine) admit(p *Placement) RefusalReason {
+	j := m.jobs[p.Task.Job]
+	if j == nil || p.Task.Index < 0 || int(p.Task.Index) >= len(j.Tasks) ||
+		j.Tasks[p.Task.Index].Phase != model.TaskPending {
+		return RefusedTaskNotPending
+	}
+	w, n := m.workers.get(p.Worker)
+	switch {
+	case w == nil:
+		return RefusedWorkerUnknown
+	case w.Mode != model.WorkerOpen:
+		return RefusedWorkerNotOpen
+	case !j.Spec.Size.Fits(p.Size):
+		return RefusedBelowDeclared
+	case !w.Reserved.Add(p.Size).Fits(w.Spec.Capacity):
+		return RefusedNoRoom
+	case j.Spec.Exclusive && m.holdsJob(w, n, j):
+		return RefusedNotDistinctHost
+	case !m.withinLimit(j.Team, p.Size):
+		return RefusedTeamLimit
+	}
+	return ""
+}
+
+func (m *Machine) holdsJob(w *Worker, n int32, j *Job) bool {
+	for _, id := range w.Held {
+		if id.Job == j.ID && j.Tasks[id.Index].Worker == n {
+			return true
+		}
+	}
+	return false
+}
+
+// withinLimit reports whether the team may hold one more task of the given
+// size. Request permits are counted by the leader, which asks for no more.
+func (m *Machine) withinLimit(name string, size model.Resources) bool {
+	limit := m.Team(name)
+	if limit == nil {
+		return false
+	}
+	use := m.team(name)
+	if use.held+1 > limit.MaxRunning {
+		return false
+	}
+	after := use.reserved.Add(size)
+	bound := limit.MaxResources
+	return (bound.CPU == 0 || after.CPU <= bound.CPU) &&
+		(bound.Memory == 0 || after.Memory <= bound.Memory) &&
+		(bound.Accelerators == 0 || after.Accelerators <= bound.Accelerators)
+}
+
+// Team returns the declared team, or nil.
+func (m *Machine) Team(name string) *model.Team {
+	for i := range m.config.Declarations.Teams {
+		if t := &m.config.Declarations.Teams[i]; t.Name == name {
+			return t
+		}
+	}
+	return nil
+}
+
+func (m *Machine) startTask(p *Placement) {
+	j := m.jobs[p.Task.Job]
+	t := &j.Tasks[p.Task.Index]
+	_, t.Worker = m.workers.get(p.Worker)
+	t.Size = p.Size
+	t.Fence = m.fence()
+	t.Since = m.now
+	t.Stop = StopNone
+	m.setPhase(j, p.Task, model.TaskStarting)
+}
+
+// incomplete returns why a gang may not start in part: every task of it must
+// be held or done once the group is placed.
+func (m *Machine) incomplete(group []Placement) RefusalReason {
+	j := m.jobs[group[0].Task.Job]
+	if j.Spec.Policy == model.PolicyGang && j.Count(model.TaskPending) > 0 {
+		return RefusedGangIncomplete
+	}
+	return ""
+}
+
+func (m *Machine) undo(started []Placement) {
+	for i := range started {
+		j := m.jobs[started[i].Task.Job]
+		m.setPhase(j, started[i].Task, model.TaskPending)
+	}
+}
+
+// refuse tells the scheduler that nothing of group has started. The reason
+// belongs to the placement at failed; the others fell with it.
+func (m *Machine) refuse(group []Placement, failed int, reason RefusalReason) {
+	for i := range group {
+		r := RefusedGangIncomplete
+		if i == failed || failed == len(group) {
+			r = reason
+		}
+		m.emit(PlacementRefused{Task: group[i].Task, Worker: group[i].Worker, Reason: r, At: m.now})
+	}
+}
--- /dev/null
+++ b/internal/state/report.go
@@ -0,0 +1,213 @@
+package state
+
+import (
+	"math"
+	"time"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/ledger"
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// report takes in what workers said. A report counts once: it must carry the
+// fence of the task's current attempt and come under the worker's session.
+func (m *Machine) report(c *Report) Result {
+	taken := 0
+	for i := range c.Reports {
+		r := &c.Reports[i]
+		w, n := m.workers.get(r.Worker)
+		if w == nil || w.Session != r.Session {
+			continue
+		}
+		for k := range r.Reports {
+			if m.takeReport(w, n, &r.Reports[k]) {
+				taken++
+			}
+		}
+	}
+	return Result{Count: taken}
+}
+
+func (m *Machine) takeReport(w *Worker, n int32, r *api.Report) bool {
+	j := m.jobs[r.Task.Job]
+	if j == nil || r.Task.Index < 0 || int(r.Task.Index) >= len(j.Tasks) {
+		return false
+	}
+	t := &j.Tasks[r.Task.Index]
+	if !t.Phase.Holds() || t.Worker != n || t.Fence != r.Fence {
+		return false
+	}
+	switch r.State {
+	case api.ReportStarted:
+		return m.started(w, j, r)
+	case api.ReportSucceeded:
+		m.end(j, r.Task, model.TaskSucceeded, model.OutcomeSucceeded, r)
+	case api.ReportFailed:
+		m.failed(j, r)
+	case api.ReportStopped:
+		m.stopped(j, r)
+	default:
+		return false
+	}
+	return true
+}
+
+func (m *Machine) started(w *Worker, j *Job, r *api.Report) bool {
+	t := &j.Tasks[r.Task.Index]
+	if t.Phase != model.TaskStarting {
+		return false
+	}
+	ev := m.taskEvent(r.Task, t)
+	t.Since = m.now
+	m.setPhase(j, r.Task, model.TaskRunning)
+	ev.To = model.TaskRunning
+	m.emit(ev)
+	if r.Executor != nil && j.Spec.Service != "" {
+		spec := *r.Executor
+		spec.Service = j.Spec.Service
+		m.addServed(w, r.Task, spec)
+	}
+	return true
+}
+
+// failed starts a task over while its restart budget lasts.
+func (m *Machine) failed(j *Job, r *api.Report) {
+	t := &j.Tasks[r.Task.Index]
+	j.note(r.Task.Index, r.Reason)
+	if j.Cancelled || t.Stop == StopFailed || j.Spec.NotRepeatable || !m.mayRestart(j, t) {
+		m.end(j, r.Task, model.TaskFailed, model.OutcomeFailed, r)
+		return
+	}
+	t.Restarts = addSaturating(t.Restarts)
+	m.end(j, r.Task, model.TaskPending, model.OutcomeFailed, r)
+}
+
+// mayRestart reports whether the budget allows one more start after a failure.
+// A service has no budget: it is kept up, with the scheduler's backoff.
+func (m *Machine) mayRestart(j *Job, t *Task) bool {
+	return j.Spec.Policy == model.PolicyService || int32(t.Restarts) < j.Spec.MaxRestarts
+}
+
+// stopped takes in a confirmed stop, whose cause says what becomes of the task.
+func (m *Machine) stopped(j *Job, r *api.Report) {
+	t := &j.Tasks[r.Task.Index]
+	j.note(r.Task.Index, r.Reason)
+	switch {
+	case j.Cancelled:
+		m.end(j, r.Task, model.TaskCancelled, model.OutcomeStopped, r)
+	case t.Stop == StopPreempted || t.Stop == StopDrained:
+		m.end(j, r.Task, model.TaskPending, model.OutcomePreempted, r)
+	case t.Stop == StopNone && t.Phase == model.TaskStarting:
+		m.end(j, r.Task, model.TaskPending, model.OutcomeNotStarted, r)
+	default:
+		m.end(j, r.Task, model.TaskFailed, model.OutcomeFailed, r)
+	}
+}
+
+// lose ends an attempt whose worker is gone.
+func (m *Machine) lose(id model.TaskID, reason string) {
+	j := m.jobs[id.Job]
+	t := &j.Tasks[id.Index]
+	t.Losses = addSaturating(t.Losses)
+	to, outcome := model.TaskPending, model.OutcomeLost
+	switch {
+	case j.Cancelled:
+		to = model.TaskCancelled
+	case t.Stop == StopFailed:
+		to = model.TaskFailed
+	case j.Spec.NotRepeatable:
+		// The attempt may have run, even if its start was never confirmed.
+		to = model.TaskFailed
+		reason += "; the task may have run and is not repeatable"
+	}
+	j.note(id.Index, reason)
+	m.end(j, id, to, outcome, &api.Report{Task: id})
+}
+
+// end takes a held task to a phase that holds nothing and charges its run.
+func (m *Machine) end(j *Job, id model.TaskID, to model.TaskPhase, outcome model.Outcome, r *api.Report) {
+	t := &j.Tasks[id.Index]
+	ev := m.taskEvent(id, t)
+	ev.To = to
+	ev.Outcome = outcome
+	ev.Used = r.Used
+	if t.Phase != model.TaskStarting {
+		ev.RanFor = m.now.Sub(t.Since)
+		m.charge(j, t, ev.RanFor)
+	}
+	t.Stop = StopNone
+	m.setPhase(j, id, to)
+	m.emit(ev)
+}
+
+// charge books one run at the job's price. A job whose promise was missed gets
+// back the difference to the cheapest price.
+func (m *Machine) charge(j *Job, t *Task, ran time.Duration) {
+	amount := ledger.Charge(j.Price, t.Size, ran)
+	refund := int64(0)
+	if j.Missed {
+		refund = amount - ledger.Charge(j.Cheapest, t.Size, ran)
+	}
+	a, ok := m.accounts[j.Team]
+	if !ok {
+		a = &ledger.Account{}
+		m.accounts[j.Team] = a
+	}
+	a.Charge(amount)
+	a.Refund(refund)
+	j.Charged += amount
+	j.Refunded += refund
+}
+
+// stop tells held tasks to stop. A task that is not held is left alone.
+func (m *Machine) stop(c *Stop) Result {
+	n := 0
+	for _, s := range c.Tasks {
+		j := m.jobs[s.Task.Job]
+		if j == nil || s.Task.Index < 0 || int(s.Task.Index) >= len(j.Tasks) {
+			continue
+		}
+		if m.stopTask(j, s.Task, s.Cause, s.Reason) {
+			n++
+		}
+	}
+	return Result{Count: n}
+}
+
+func (m *Machine) stopTask(j *Job, id model.TaskID, cause StopCause, reason string) bool {
+	t := &j.Tasks[id.Index]
+	if t.Phase != model.TaskStarting && t.Phase != model.TaskRunning {
+		if t.Phase == model.TaskStopping && (cause == StopCancelled || cause == StopFailed) {
+			t.Stop = cause // a final cause overrides one after which the task would wait again
+		}
+		return false
+	}
+	ev := m.taskEvent(id, t)
+	if t.Phase == model.TaskStarting {
+		t.Since = m.now // an unconfirmed start is charged from its stop on
+	}
+	t.Stop = cause
+	j.note(id.Index, reason)
+	m.setPhase(j, id, model.TaskStopping)
+	m.endServed(m.workers.list[t.Worker], id, false)
+	ev.To = model.TaskStopping
+	m.emit(ev)
+	return true
+}
+
+// SessionOf returns the current session of a worker that is not lost, or an error.
+func (m *Machine) SessionOf(id model.WorkerID) (uint64, error) {
+	w, _ := m.workers.get(id)
+	if w == nil || w.Mode == model.WorkerLost {
+		return 0, errkind.New(errkind.UnknownWorker, "worker %q is not known or its lease has expired", id)
+	}
+	return w.Session, nil
+}
+
+func addSaturating(n uint16) uint16 {
+	if n == math.MaxUint16 {
+		return n
+	}
+	return n + 1
+}
--- /dev/null
+++ b/internal/state/snapshot.go
@@ -0,0 +1,132 @@
+package state
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/journal"
+	"github.com/filbertmast/filbertmast/internal/ledger"
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// snapshotVersion is the version of the snapshot format.
+const snapshotVersion = 1
+
+// snapshotHead is the first record of a snapshot; Jobs job records follow it.
+type snapshotHead struct {
+	Version  int              `cbor:"1,keyasint"`
+	Index    uint64           `cbor:"2,keyasint"`
+	Term     uint64           `cbor:"3,keyasint"`
+	Now      model.Time       `cbor:"4,keyasint"`
+	Config   config           `cbor:"5,keyasint"`
+	Workers  []*Worker        `cbor:"6,keyasint"`
+	Finished []model.JobID    `cbor:"7,keyasint"`
+	Accounts []accountRecord  `cbor:"8,keyasint"`
+	Journal  journal.Snapshot `cbor:"9,keyasint"`
+	Jobs     int              `cbor:"10,keyasint"`
+}
+
+// accountRecord is one team's account in a snapshot.
+type accountRecord struct {
+	Team    string         `cbor:"1,keyasint"`
+	Account ledger.Account `cbor:"2,keyasint"`
+}
+
+// WriteSnapshot writes the whole state. Equal states write equal bytes.
+func (m *Machine) WriteSnapshot(w io.Writer) error {
+	enc := encMode.NewEncoder(w)
+	ids := m.JobIDs()
+	head := snapshotHead{
+		Version:  snapshotVersion,
+		Index:    m.index,
+		Term:     m.term,
+		Now:      m.now,
+		Config:   m.config,
+		Workers:  m.workers.list,
+		Finished: m.finished,
+		Accounts: m.accountRecords(),
+		Journal:  m.journal.Snapshot(),
+		Jobs:     len(ids),
+	}
+	if err := enc.Encode(&head); err != nil {
+		return errkind.Wrap(errkind.Internal, err, "write snapshot head")
+	}
+	for _, id := range ids {
+		if err := enc.Encode(m.jobs[id]); err != nil {
+			return errkind.Wrap(errkind.Internal, err, "write snapshot job")
+		}
+	}
+	return nil
+}
+
+func (m *Machine) accountRecords() []accountRecord {
+	out := make([]accountRecord, 0, len(m.accounts))
+	for _, team := range sortedKeys(m.accounts) {
+		out = append(out, accountRecord{Team: team, Account: *m.accounts[team]})
+	}
+	return out
+}
+
+// ReadSnapshot returns a machine in the state that r holds.
+func ReadSnapshot(o Options, r io.Reader) (*Machine, error) {
+	dec := decMode.NewDecoder(r)
+	var head snapshotHead
+	if err := dec.Decode(&head); err != nil {
+		return nil, errkind.Wrap(errkind.Internal, err, "read snapshot head")
+	}
+	if head.Version != snapshotVersion {
+		return nil, errkind.New(errkind.Internal, "snapshot format %d is not supported, want %d", head.Version, snapshotVersion)
+	}
+	m := New(o)
+	m.index, m.term, m.now = head.Index, head.Term, head.Now
+	m.config = head.Config
+	m.finished = head.Finished
+	m.journal.Restore(head.Journal)
+	for i := range head.Accounts {
+		m.accounts[head.Accounts[i].Team] = &head.Accounts[i].Account
+	}
+	for n, w := range head.Workers {
+		m.workers.list = append(m.workers.list, w)
+		m.workers.index[w.Spec.ID] = int32(n)
+	}
+	for range head.Jobs {
+		if err := m.readJob(dec); err != nil {
+			return nil, err
+		}
+	}
+	return m, nil
+}
+
+func (m *Machine) readJob(dec *cbor.Decoder) error {
+	j := &Job{}
+	if err := dec.Decode(j); err != nil {
+		return errkind.Wrap(errkind.Internal, err, "read snapshot job")
+	}
+	j.recount()
+	m.jobs[j.ID] = j
+	if j.SentKey != "" {
+		m.sent[submissionKey{j.Spec.Team, j.SentKey}] = j.ID
+	}
+	team := m.team(j.Team)
+	for i := range j.Tasks {
+		if t := &j.Tasks[i]; t.Phase.Holds() {
+			team.held++
+			team.reserved = team.reserved.Add(t.Size)
+		}
+	}
+	return nil
+}
+
+// Digest returns the hex digest of the whole state, equal on every replica
+// that has applied the same log.
+func (m *Machine) Digest() (string, error) {
+	h := sha256.New()
+	if err := m.WriteSnapshot(h); err != nil {
+		return "", err
+	}
+	return hex.EncodeToString(h.Sum(nil)), nil
+}
--- /dev/null
+++ b/internal/state/worker.go
@@ -0,0 +1,204 @@
+package state
+
+import (
+	"slices"
+
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// Worker is one worker and what it holds.
+type Worker struct {
+	Spec    model.WorkerSpec `cbor:"1,keyasint"`
+	Mode    model.WorkerMode `cbor:"2,keyasint"`
+	Session uint64           `cbor:"3,keyasint"` // log index of its last announcement
+	// Held lists the tasks with resources on the worker, in placing order but
+	// for removals, which move the last into the gap.
+	Held []model.TaskID `cbor:"4,keyasint,omitempty"`
+	// Reserved is the sum of the sizes of Held. It never exceeds Spec.Capacity
+	// unless a worker that holds tasks announces a smaller capacity.
+	Reserved model.Resources `cbor:"5,keyasint"`
+	// Served lists the executors that its service tasks opened.
+	Served []servedExecutor `cbor:"6,keyasint,omitempty"`
+	LostAt model.Time       `cbor:"7,keyasint,omitempty"`
+}
+
+// servedExecutor is an executor that lives as long as a task.
+type servedExecutor struct {
+	Task model.TaskID       `cbor:"1,keyasint"`
+	Spec model.ExecutorSpec `cbor:"2,keyasint"`
+}
+
+// workerTable keeps workers in order of their first announcement, so that a
+// task names its worker by a small number.
+type workerTable struct {
+	list  []*Worker
+	index map[model.WorkerID]int32
+}
+
+func newWorkerTable() workerTable {
+	return workerTable{index: make(map[model.WorkerID]int32)}
+}
+
+// get returns the worker id and its number, or nil and -1.
+func (t *workerTable) get(id model.WorkerID) (*Worker, int32) {
+	n, ok := t.index[id]
+	if !ok {
+		return nil, noWorker
+	}
+	return t.list[n], n
+}
+
+// add returns the worker id, adding it where it is not known.
+func (t *workerTable) add(id model.WorkerID) (*Worker, int32) {
+	if w, n := t.get(id); w != nil {
+		return w, n
+	}
+	n := int32(len(t.list))
+	w := &Worker{}
+	t.list = append(t.list, w)
+	t.index[id] = n
+	return w, n
+}
+
+// Worker returns the worker id, or nil. The caller must not change it.
+func (m *Machine) Worker(id model.WorkerID) *Worker {
+	w, _ := m.workers.get(id)
+	return w
+}
+
+// Workers returns all known workers in order of their first announcement.
+// The caller must not change them.
+func (m *Machine) Workers() []*Worker { return m.workers.list }
+
+// announce registers a worker under a new session. Since an announcing worker
+// runs nothing, tasks of its earlier session are lost. A resent announcement
+// with the same incarnation keeps the session; an older one is refused.
+func (m *Machine) announce(c *Announce) Result {
+	w, _ := m.workers.add(c.Spec.ID)
+	known := w.Session != 0
+	if known && c.Spec.Incarnation != 0 && w.Mode != model.WorkerLost {
+		if c.Spec.Incarnation == w.Spec.Incarnation {
+			return Result{Session: w.Session, Existing: true}
+		}
+		if c.Spec.Incarnation < w.Spec.Incarnation {
+			return Result{Err: errkind.New(errkind.StaleLease, "worker %s has announced itself again since", c.Spec.ID)}
+		}
+	}
+	m.dropHeld(w, "the worker started again")
+	m.goneExecutors(w)
+	mode := model.WorkerOpen
+	if w.Mode == model.WorkerCordoned || w.Mode == model.WorkerDraining {
+		mode = w.Mode // an operator's word outlives a restart of the worker
+	}
+	w.Spec = c.Spec
+	w.Mode = mode
+	w.Session = m.index
+	w.LostAt = 0
+	m.emit(WorkerChanged{Spec: w.Spec, Mode: w.Mode, Session: w.Session, At: m.now})
+	for _, e := range w.Spec.Executors {
+		m.emit(ExecutorChanged{Spec: e, Region: w.Spec.Region, Leaving: mode != model.WorkerOpen})
+	}
+	return Result{Session: w.Session}
+}
+
+func (m *Machine) setMode(c *SetMode) Result {
+	w, _ := m.workers.get(c.Worker)
+	if w == nil {
+		return Result{Err: errkind.New(errkind.UnknownWorker, "worker %q is not known", c.Worker)}
+	}
+	if c.Session != 0 && c.Session != w.Session {
+		return Result{Err: errkind.New(errkind.StaleLease, "worker %s has a newer session", c.Worker)}
+	}
+	if w.Mode == model.WorkerLost {
+		return Result{Err: errkind.New(errkind.UnknownWorker, "worker %q is lost and must announce itself", c.Worker)}
+	}
+	if w.Mode == c.Mode {
+		return Result{Existing: true}
+	}
+	w.Mode = c.Mode
+	m.emit(WorkerChanged{Spec: w.Spec, Mode: w.Mode, Session: w.Session, At: m.now})
+	m.markExecutors(w, c.Mode != model.WorkerOpen)
+	return Result{}
+}
+
+// loseWorkers takes in that the leases of workers have expired, which proves
+// that they have stopped all tasks by their own clock.
+func (m *Machine) loseWorkers(c *LoseWorkers) Result {
+	n := 0
+	for _, lost := range c.Workers {
+		w, _ := m.workers.get(lost.ID)
+		if w == nil || w.Session != lost.Session || w.Mode == model.WorkerLost {
+			continue
+		}
+		n++
+		m.dropHeld(w, "the worker was lost")
+		m.goneExecutors(w)
+		w.Mode = model.WorkerLost
+		w.LostAt = m.now
+		m.emit(WorkerChanged{Spec: w.Spec, Mode: w.Mode, Session: w.Session, At: m.now})
+	}
+	return Result{Count: n}
+}
+
+// dropHeld ends all attempts on w as lost.
+func (m *Machine) dropHeld(w *Worker, reason string) {
+	for _, id := range slices.Clone(w.Held) {
+		m.lose(id, reason)
+	}
+}
+
+func (m *Machine) markExecutors(w *Worker, leaving bool) {
+	for _, e := range w.Spec.Executors {
+		m.emit(ExecutorChanged{Spec: e, Region: w.Spec.Region, Leaving: leaving})
+	}
+	for _, s := range w.Served {
+		m.emit(ExecutorChanged{Spec: s.Spec, Region: w.Spec.Region, Leaving: leaving})
+	}
+}
+
+func (m *Machine) goneExecutors(w *Worker) {
+	if w.Mode != model.WorkerLost {
+		for _, e := range w.Spec.Executors {
+			m.emit(ExecutorChanged{Spec: e, Region: w.Spec.Region, Gone: true})
+		}
+	}
+	for _, s := range w.Served {
+		m.emit(ExecutorChanged{Spec: s.Spec, Region: w.Spec.Region, Gone: true})
+	}
+	w.Served = nil
+}
+
+func (m *Machine) replayExecutors(w *Worker, fn func(Event)) {
+	if w.Mode == model.WorkerLost {
+		return
+	}
+	leaving := w.Mode != model.WorkerOpen
+	for _, e := range w.Spec.Executors {
+		fn(ExecutorChanged{Spec: e, Region: w.Spec.Region, Leaving: leaving})
+	}
+	for _, s := range w.Served {
+		fn(ExecutorChanged{Spec: s.Spec, Region: w.Spec.Region, Leaving: leaving})
+	}
+}
+
+// addServed records the executor that a service task opened.
+func (m *Machine) addServed(w *Worker, id model.TaskID, spec model.ExecutorSpec) {
+	if slices.ContainsFunc(w.Served, func(s servedExecutor) bool { return s.Task == id }) {
+		return
+	}
+	w.Served = append(w.Served, servedExecutor{Task: id, Spec: spec})
+	m.emit(ExecutorChanged{Spec: spec, Region: w.Spec.Region, Leaving: w.Mode != model.WorkerOpen})
+}
+
+// endServed withdraws the executor of a task that ends or is told to stop.
+func (m *Machine) endServed(w *Worker, id model.TaskID, gone bool) {
+	i := slices.IndexFunc(w.Served, func(s servedExecutor) bool { return s.Task == id })
+	if i < 0 {
+		return
+	}
+	m.emit(ExecutorChanged{Spec: w.Served[i].Spec, Region: w.Spec.Region, Leaving: true, Gone: gone})
+	if gone {
+		w.Served = slices.Delete(w.Served, i, i+1)
+	}
+}
--- a/internal/wire/kinds.go
+++ b/internal/wire/kinds.go
@@ -9,16 +9,28 @@
 const (
 	KindReplica      Kind = 1  // one-way: replica.Message batches
 	KindSnapshot     Kind = 2  // one-way: snapshot chunks
-	KindRegister     Kind = 10 // entry to leader: register, renew, fetch configuration
-	KindSubmit       Kind = 11 // entry to leader: any caller or operator call
-	KindWorker       Kind = 12 // entry to leader: announce, batched renewals, reports
-	KindCommands     Kind = 13 // leader to entry, one-way: commands for worker sessions
-	KindPermits      Kind = 14 // entry to leader: ask for and return request permits
-	KindOwners       Kind = 15 // entry to leader: acquire, renew and release executors
-	KindJournal      Kind = 16 // entry to leader: start or finish a journaled request
-	KindForward      Kind = 20 // entry to owner: one request, with body streams
-	KindOwnerChanged Kind = 21 // entry to entry, one-way: directory updates
-	KindProbe        Kind = 22 // liveness of a peer
+	KindRegister     Kind = 10 // entry to leader: renew, fetch configuration and directory
+	KindSubmit       Kind = 11 // entry to leader: submit a job
+	KindGetJob       Kind = 12 // entry to leader: read or await a job
+	KindListJobs     Kind = 13 // entry to leader: jobs by selector
+	KindCancel       Kind = 14 // entry to leader: cancel jobs
+	KindDeclare      Kind = 15 // entry to leader: apply a configuration
+	KindDeclarations Kind = 16 // entry to leader: read the configuration
+	KindKey          Kind = 17 // entry to leader: grant or withdraw a key
+	KindWorkers      Kind = 18 // entry to leader: list workers
+	KindSetMode      Kind = 19 // entry to leader: cordon, drain or open a worker
+	KindStatus       Kind = 20 // entry to leader: status of the cell
+	KindAnnounce     Kind = 21 // entry to leader: a worker announces itself
+	KindRenew        Kind = 22 // entry to leader: batched renewals of worker leases
+	KindReports      Kind = 23 // entry to leader: batched reports of workers
+	KindCommands     Kind = 24 // leader to entry, one-way: commands for worker sessions
+	KindPermits      Kind = 25 // entry to leader: ask for and return request permits
+	KindOwners       Kind = 26 // entry to leader: acquire, renew and release executors
+	KindJournalStart Kind = 27 // entry to leader: start a journaled request
+	KindJournalEnd   Kind = 28 // entry to leader: finish or abandon a journaled request
+	KindForward      Kind = 29 // entry to owner: one request, with body streams
+	KindProbe        Kind = 30 // entry to control: who leads
+	KindReplace      Kind = 31 // control to leader: take the place of a dead replica
 )
 
 // Class groups kinds for counters and for the budget of the link between regions.
