Add strict JSON decoding that reports all problems with their path

Settings and declarations need each problem with its file, JSON path, value and rule, all in one run. encoding/json stops at the first and matches names loosely, so the tokens are walked here. Adds model.ValidName and model.ValidLabel, which both users of it need.

--- /dev/null
+++ b/internal/model/name.go
@@ -0,0 +1,47 @@
+package model
+
+// maxNameLength bounds the names of teams, queues, services, regions and processes, in bytes.
+const maxNameLength = 63
+
+// ValidName reports whether s may name a team, queue, service, region or
+// process: 1 to 63 ASCII letters, digits, '-', '_' or '.', beginning with a
+// letter or digit.
+func ValidName(s string) bool {
+	if s == "" || len(s) > maxNameLength {
+		return false
+	}
+	for i := range len(s) {
+		c := s[i]
+		if !isLabelByte(c) || c == '/' {
+			return false
+		}
+		if i == 0 && (c == '-' || c == '_' || c == '.') {
+			return false
+		}
+	}
+	return true
+}
+
+// Bounds of labels, in bytes.
+const (
+	maxLabelKeyLength   = 253
+	maxLabelValueLength = 63
+)
+
+// ValidLabel reports whether key=value may be a label: both made of the
+// characters that selectors can name, the key not empty.
+func ValidLabel(key, value string) bool {
+	if key == "" || len(key) > maxLabelKeyLength || len(value) > maxLabelValueLength {
+		return false
+	}
+	return labelBytes(key) && labelBytes(value)
+}
+
+func labelBytes(s string) bool {
+	for i := range len(s) {
+		if !isLabelByte(s[i]) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/strict/decode.go
@@ -0,0 +1,180 @@
+package strict
+
+import (
+	"encoding/json"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Decode fills out, a pointer to a struct, from the JSON text in data. Fields
+// that the text lacks keep their value. Unknown and doubled fields, wrong
+// types, numbers out of range and malformed durations are all reported. Field
+// names are matched exactly. Below a field tagged secret:"true" no problem shows
+// a value.
+func Decode(file string, data []byte, out any) Problems {
+	root, problems := parse(file, data)
+	if root == nil {
+		return problems
+	}
+	d := decoder{file: file, problems: problems}
+	d.value(root, reflect.ValueOf(out).Elem())
+	return d.problems
+}
+
+// decoder assigns nodes to Go values.
+type decoder struct {
+	file     string
+	hide     bool // inside a secret field
+	problems Problems
+}
+
+func (d *decoder) fail(n *node, format string, args ...any) {
+	if d.hide {
+		d.problems.Add(d.file, n.path, nil, format, args...)
+		return
+	}
+	d.problems.Add(d.file, n.path, n.show(), format, args...)
+}
+
+func (d *decoder) want(n *node, k kind) bool {
+	if n.kind == k {
+		return true
+	}
+	article := "a "
+	if k == kindObject || k == kindArray {
+		article = "an "
+	}
+	d.fail(n, "must be %s", article+string(k))
+	return false
+}
+
+func (d *decoder) value(n *node, v reflect.Value) {
+	if u, ok := v.Addr().Interface().(json.Unmarshaler); ok {
+		d.custom(n, u)
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		d.object(n, v)
+	case reflect.Slice:
+		d.slice(n, v)
+	case reflect.Map:
+		d.stringMap(n, v)
+	case reflect.String:
+		if d.want(n, kindString) {
+			v.SetString(n.text)
+		}
+	case reflect.Bool:
+		if d.want(n, kindBool) {
+			v.SetBool(n.text == "true")
+		}
+	case reflect.Int, reflect.Int32, reflect.Int64:
+		d.integer(n, v)
+	default:
+		panic("strict: unsupported type " + v.Type().String())
+	}
+}
+
+func (d *decoder) custom(n *node, u json.Unmarshaler) {
+	if !d.want(n, kindString) {
+		return
+	}
+	text, err := json.Marshal(n.text)
+	if err == nil {
+		err = u.UnmarshalJSON(text)
+	}
+	if err != nil {
+		d.fail(n, "%s", err.Error())
+	}
+}
+
+func (d *decoder) integer(n *node, v reflect.Value) {
+	if !d.want(n, kindNumber) {
+		return
+	}
+	i, err := strconv.ParseInt(n.text, 10, v.Type().Bits())
+	if err != nil {
+		d.fail(n, "must be a whole number of at most %d bits", v.Type().Bits())
+		return
+	}
+	v.SetInt(i)
+}
+
+func (d *decoder) object(n *node, v reflect.Value) {
+	if !d.want(n, kindObject) {
+		return
+	}
+	fields := fieldsOf(v.Type())
+	for _, m := range n.members {
+		i := slices.IndexFunc(fields, func(f field) bool { return f.name == m.name })
+		if i < 0 {
+			d.problems.Add(d.file, m.value.path, nil, "unknown field%s", suggestion(m.name, fields))
+			continue
+		}
+		d.field(m.value, v, fields[i])
+	}
+}
+
+func (d *decoder) field(n *node, v reflect.Value, f field) {
+	hidden := d.hide
+	d.hide = hidden || f.secret
+	d.value(n, v.Field(f.index))
+	d.hide = hidden
+}
+
+func (d *decoder) slice(n *node, v reflect.Value) {
+	if !d.want(n, kindArray) {
+		return
+	}
+	out := reflect.MakeSlice(v.Type(), len(n.elements), len(n.elements))
+	for i, e := range n.elements {
+		d.value(e, out.Index(i))
+	}
+	v.Set(out)
+}
+
+func (d *decoder) stringMap(n *node, v reflect.Value) {
+	if !d.want(n, kindObject) {
+		return
+	}
+	out := reflect.MakeMapWithSize(v.Type(), len(n.members))
+	for _, m := range n.members {
+		if d.want(m.value, kindString) {
+			out.SetMapIndex(reflect.ValueOf(m.name), reflect.ValueOf(m.value.text))
+		}
+	}
+	v.Set(out)
+}
+
+// field is one JSON field of a struct.
+type field struct {
+	name   string
+	index  int
+	secret bool
+}
+
+// fieldsOf lists the JSON fields of a struct type in order.
+func fieldsOf(t reflect.Type) []field {
+	var out []field
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		if name != "" && name != "-" {
+			out = append(out, field{name, i, t.Field(i).Tag.Get("secret") == "true"})
+		}
+	}
+	return out
+}
+
+// suggestion names the known fields, or the one that differs only in case.
+func suggestion(name string, fields []field) string {
+	names := make([]string, len(fields))
+	for i, f := range fields {
+		if strings.EqualFold(f.name, name) {
+			return "; did you mean " + f.name + "?"
+		}
+		names[i] = f.name
+	}
+	return "; known here: " + strings.Join(names, ", ")
+}
--- /dev/null
+++ b/internal/strict/problem.go
@@ -0,0 +1,95 @@
+// Package strict decodes JSON documents into Go structs without leniency and
+// reports every problem in one run, each with its file, JSON path, value and
+// the rule broken. It does no I/O.
+package strict
+
+import (
+	"fmt"
+	"strings"
+)
+
+// maxValueLength bounds the quoted value of a problem, in bytes.
+const maxValueLength = 80
+
+// Problem is one rule broken by one value.
+type Problem struct {
+	File  string `json:"file,omitempty"`
+	Path  string `json:"path"` // JSON path, such as $.inner.address
+	Value string `json:"value,omitempty"`
+	Rule  string `json:"rule"`
+}
+
+// String formats p as one line.
+func (p Problem) String() string {
+	var b strings.Builder
+	if p.File != "" {
+		b.WriteString(p.File + ": ")
+	}
+	b.WriteString(p.Path + ": ")
+	if p.Value != "" {
+		b.WriteString("got " + p.Value + ": ")
+	}
+	b.WriteString(p.Rule)
+	return b.String()
+}
+
+// Problems is a list of problems. It implements error; use Err to get a nil
+// error from an empty list.
+type Problems []Problem
+
+// Error implements error with one problem a line.
+func (ps Problems) Error() string {
+	lines := make([]string, len(ps))
+	for i, p := range ps {
+		lines[i] = p.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns ps as an error, or nil when ps is empty.
+func (ps Problems) Err() error {
+	if len(ps) == 0 {
+		return nil
+	}
+	return ps
+}
+
+// Add appends one problem. A nil value is left out of the text.
+func (ps *Problems) Add(file, path string, value any, format string, args ...any) {
+	p := Problem{File: file, Path: path, Rule: fmt.Sprintf(format, args...)}
+	if value != nil {
+		p.Value = Show(value)
+	}
+	*ps = append(*ps, p)
+}
+
+// Cover reports whether ps already has a problem at path of file, or above it.
+func (ps Problems) Cover(file, path string) bool {
+	for _, p := range ps {
+		if p.File != file || !strings.HasPrefix(path, p.Path) {
+			continue
+		}
+		rest := path[len(p.Path):]
+		if rest == "" || rest[0] == '.' || rest[0] == '[' {
+			return true
+		}
+	}
+	return false
+}
+
+// Show formats value for a problem: strings quoted, long values cut.
+func Show(value any) string {
+	var s string
+	switch v := value.(type) {
+	case string:
+		s = fmt.Sprintf("%q", v)
+	case fmt.Stringer:
+		s = v.String()
+	default:
+		s = fmt.Sprintf("%v", v)
+	}
+	if len(s) <= maxValueLength {
+		return s
+	}
+	return strings.ToValidUTF8(s[:maxValueLength], "") + "..."
+}
