--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,244 @@
+package settings
+
+import (
+	"encoding/hex"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/strict"
+)
+
+const (
+	maxNameLength = 63
+	maxFounders   = 7
+	digestBytes   = 32
+)
+
+// bounds is an inclusive range of durations.
+type bounds struct{ low, high time.Duration }
+
+// checker collects the rules that a set of settings breaks.
+type checker struct {
+	file     string
+	given    Problems // of decoding; a path that has one is not reported again
+	problems Problems
+}
+
+func (c *checker) fail(path string, value any, format string, args ...any) {
+	if c.given.Cover(c.file, path) {
+		return
+	}
+	c.problems.Add(c.file, path, value, format, args...)
+}
+
+func (c *checker) settings(s *Settings) {
+	c.name("$.name", s.Name)
+	c.name("$.region", s.Region)
+	c.name("$.failure_domain", s.FailureDomain)
+	c.roles(s.Roles)
+	c.inner(s.Inner)
+	c.outer(s)
+	c.data(s)
+	c.control(s)
+	c.addresses("$.entries", s.Entries)
+	c.limits(s.Limits)
+	c.log(s.Log)
+	c.bootstrap(s.Bootstrap)
+}
+
+func (c *checker) name(path, name string) {
+	if name == "" {
+		c.fail(path, nil, "is required")
+		return
+	}
+	if !model.ValidName(name) {
+		c.fail(path, name, "must be 1 to %d letters, digits, '-', '_' or '.', and begin with a letter or digit", maxNameLength)
+	}
+}
+
+func (c *checker) roles(roles []Role) {
+	if len(roles) == 0 {
+		c.fail("$.roles", nil, "must name at least one of entry, control")
+	}
+	for i, r := range roles {
+		path := strict.Index("$.roles", i)
+		if r != RoleEntry && r != RoleControl {
+			c.fail(path, string(r), "must be entry or control")
+		}
+		if slices.Index(roles, r) < i {
+			c.fail(path, string(r), "is listed twice")
+		}
+	}
+}
+
+func (c *checker) inner(in Inner) {
+	c.reachable("$.inner.address", in.Address)
+	c.required("$.inner.certificate", in.Certificate)
+	c.required("$.inner.key", in.Key)
+	c.required("$.inner.ca", in.CA)
+}
+
+func (c *checker) required(path, value string) {
+	if value == "" {
+		c.fail(path, nil, "is required")
+	}
+}
+
+// address checks the form of an IP:port and reports whether it holds.
+func (c *checker) address(path, address string) (netip.AddrPort, bool) {
+	if address == "" {
+		c.fail(path, nil, "is required")
+		return netip.AddrPort{}, false
+	}
+	a, err := netip.ParseAddrPort(address)
+	if err != nil || a.Port() == 0 {
+		c.fail(path, address, "must be an IP number and a port from 1 to 65535, such as 10.0.0.1:7000")
+		return a, false
+	}
+	return a, true
+}
+
+// reachable checks an address that other processes are told.
+func (c *checker) reachable(path, address string) {
+	a, ok := c.address(path, address)
+	if ok && a.Addr().IsUnspecified() {
+		c.fail(path, address, "must be an address that other processes can reach")
+	}
+}
+
+func (c *checker) outer(s *Settings) {
+	o := s.Outer
+	if !s.Has(RoleEntry) && o.Address == "" {
+		return
+	}
+	a, ok := c.address("$.outer.address", o.Address)
+	if o.Advertise != "" {
+		c.reachable("$.outer.advertise", o.Advertise)
+	}
+	if ok && a.Addr().IsUnspecified() && o.Advertise == "" {
+		c.fail("$.outer.advertise", nil, "is required when outer.address listens on every interface")
+	}
+	if ok && o.Address == s.Inner.Address {
+		c.fail("$.outer.address", o.Address, "must differ from inner.address")
+	}
+	if (o.Certificate == "") != (o.Key == "") {
+		c.fail("$.outer.certificate", nil, "certificate and key go together: give both or none")
+	}
+	c.outerBounds(o)
+}
+
+func (c *checker) outerBounds(o Outer) {
+	c.between("$.outer.max_body_bytes", o.MaxBodyBytes, 1<<10, 1<<30)
+	c.between("$.outer.max_header_bytes", int64(o.MaxHeaderBytes), 1<<10, 1<<20)
+	c.between("$.outer.max_connections", int64(o.MaxConnections), 1, 1<<20)
+	timeout := bounds{100 * time.Millisecond, time.Hour}
+	c.duration("$.outer.read_header_timeout", o.ReadHeaderTimeout, timeout)
+	c.duration("$.outer.read_timeout", o.ReadTimeout, timeout)
+	c.duration("$.outer.write_timeout", o.WriteTimeout, timeout)
+	c.duration("$.outer.idle_timeout", o.IdleTimeout, timeout)
+}
+
+func (c *checker) between(path string, v, low, high int64) {
+	if v < low || v > high {
+		c.fail(path, v, "must be from %d to %d", low, high)
+	}
+}
+
+func (c *checker) duration(path string, d model.Duration, b bounds) {
+	if d.Std() < b.low || d.Std() > b.high {
+		c.fail(path, d, "must be from %s to %s", b.low, b.high)
+	}
+}
+
+func (c *checker) data(s *Settings) {
+	if !s.Has(RoleControl) {
+		return
+	}
+	c.required("$.data.dir", s.Data.Dir)
+	c.between("$.data.snapshot_entries", int64(s.Data.SnapshotEntries), 100, 10_000_000)
+}
+
+func (c *checker) control(s *Settings) {
+	founders := s.Control.Founders
+	if n := len(founders); n%2 == 0 || n > maxFounders {
+		c.fail("$.control.founders", n, "must list an odd number of addresses, from 1 to %d", maxFounders)
+	}
+	c.addresses("$.control.founders", founders)
+	member := slices.Contains(founders, s.Inner.Address)
+	if s.Has(RoleControl) && !s.Control.Join && !member && s.Inner.Address != "" {
+		c.fail("$.control.founders", nil, "must contain inner.address %s of this control process, or control.join must be true", s.Inner.Address)
+	}
+	if !s.Has(RoleControl) && s.Control.Join {
+		c.fail("$.control.join", true, "needs the control role")
+	}
+	if !s.Has(RoleControl) && member {
+		c.fail("$.control.founders", s.Inner.Address, "lists this process, which has no control role")
+	}
+}
+
+// addresses checks a list of reachable addresses without duplicates.
+func (c *checker) addresses(path string, list []string) {
+	for i, a := range list {
+		at := strict.Index(path, i)
+		c.reachable(at, a)
+		if first := slices.Index(list, a); first < i {
+			c.fail(at, a, "duplicate of %s", strict.Index(path, first))
+		}
+	}
+}
+
+func (c *checker) limits(l Limits) {
+	c.duration("$.limits.worker_lease", l.WorkerLease, bounds{time.Second, 10 * time.Minute})
+	c.duration("$.limits.request_lease", l.RequestLease, bounds{500 * time.Millisecond, time.Minute})
+	c.duration("$.limits.freshness", l.Freshness, bounds{200 * time.Millisecond, 10 * time.Second})
+	c.duration("$.limits.request_timeout", l.RequestTimeout, bounds{10 * time.Millisecond, time.Hour})
+	c.duration("$.limits.drain_timeout", l.DrainTimeout, bounds{0, 24 * time.Hour})
+	c.duration("$.limits.shutdown_delay", l.ShutdownDelay, bounds{0, 5 * time.Minute})
+	c.duration("$.limits.shutdown_grace", l.ShutdownGrace, bounds{0, time.Hour})
+	c.duration("$.limits.journal_keep", l.JournalKeep, bounds{time.Second, 24 * time.Hour})
+	c.between("$.limits.journal_bytes", l.JournalBytes, 1<<20, 1<<30)
+	c.between("$.limits.answer_bytes", l.AnswerBytes, 0, 1<<20)
+	c.links(l.Links)
+}
+
+func (c *checker) links(links []Link) {
+	for i, l := range links {
+		path := strict.Index("$.limits.links", i)
+		c.name(path+".from", l.From)
+		c.name(path+".to", l.To)
+		if l.From == l.To && l.From != "" {
+			c.fail(path+".to", l.To, "must be another region than from")
+		}
+		c.between(path+".bytes_per_second", l.BytesPerSecond, 10_000, 100_000_000_000)
+		first := slices.IndexFunc(links, func(o Link) bool { return o.From == l.From && o.To == l.To })
+		if first < i {
+			c.fail(path, nil, "duplicate of %s: the same regions", strict.Index("$.limits.links", first))
+		}
+	}
+}
+
+func (c *checker) log(l Log) {
+	c.oneOf("$.log.level", l.Level, "debug", "info", "warn", "error")
+	c.oneOf("$.log.format", l.Format, "text", "json", "logfmt")
+}
+
+func (c *checker) oneOf(path, value string, allowed ...string) {
+	if !slices.Contains(allowed, value) {
+		c.fail(path, value, "must be one of %s", strings.Join(allowed, ", "))
+	}
+}
+
+func (c *checker) bootstrap(b Bootstrap) {
+	d := b.OperatorKeyDigest
+	if d == "" {
+		return
+	}
+	raw, err := hex.DecodeString(d)
+	if err != nil || len(raw) != digestBytes || d != strings.ToLower(d) {
+		// The value is left out: a key pasted here by mistake must not reach a log.
+		c.fail("$.bootstrap.operator_key_digest", nil, "must be a SHA-256 digest of 64 lower-case hex digits, as printed by keys new")
+	}
+}
