--- /dev/null
+++ b/internal/declare/validate.go
@@ -0,0 +1,250 @@
+package declare
+
+import (
+	"cmp"
+	"errors"
+	"slices"
+	"strconv"
+
+	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/strict"
+)
+
+// Bounds of declared numbers.
+const (
+	maxShare    = 1_000_000_000
+	maxCount    = 1_000_000_000
+	maxCPU      = 1_000_000_000_000 // thousandths of a core
+	maxMemory   = 1_000_000_000_000 // MiB
+	maxBodySize = 1 << 30           // bytes
+)
+
+// Lists of the declarations, as their JSON fields are named.
+const (
+	listTeams    = "teams"
+	listKeys     = "keys"
+	listQueues   = "queues"
+	listPrices   = "prices"
+	listServices = "services"
+)
+
+// origin is where one declared item was read.
+type origin struct{ file, path string }
+
+// locator returns the origin of item i of a list.
+type locator func(list string, i int) origin
+
+// inMemory locates items of a set that comes from no file.
+func inMemory(list string, i int) origin {
+	return origin{path: strict.Index("$."+list, i)}
+}
+
+// Validate reports every rule that d breaks. It does not need d to be normalized.
+func Validate(d *model.Declarations) Problems {
+	return validate(d, inMemory, nil)
+}
+
+// validate leaves out what given, the problems of decoding, covers already.
+func validate(d *model.Declarations, at locator, given Problems) Problems {
+	v := &validator{teams: make(map[string]bool, len(d.Teams)), given: given}
+	for _, t := range d.Teams {
+		v.teams[t.Name] = true
+	}
+	v.checkTeams(d.Teams, at)
+	v.checkKeys(d.Keys, at)
+	v.checkQueues(d.Queues, at)
+	v.checkPrices(d.Prices, at)
+	v.checkServices(d.Services, at)
+	return v.problems
+}
+
+// validator collects problems; where is the item being checked.
+type validator struct {
+	teams    map[string]bool
+	given    Problems
+	where    origin
+	problems Problems
+}
+
+func (v *validator) fail(field string, value any, format string, args ...any) {
+	path := v.where.path
+	if field != "" {
+		path += "." + field
+	}
+	if v.given.Cover(v.where.file, path) {
+		return
+	}
+	v.problems.Add(v.where.file, path, value, format, args...)
+}
+
+// unique reports item i when its name was seen before.
+func (v *validator) unique(seen map[string]origin, name, field string) {
+	first, ok := seen[name]
+	if !ok {
+		seen[name] = v.where
+		return
+	}
+	place := first.path
+	if first.file != "" {
+		place = first.file + ": " + first.path
+	}
+	v.fail(field, name, "duplicate of %s", place)
+}
+
+func (v *validator) name(field, name string) {
+	if name == "" {
+		v.fail(field, nil, "is required")
+		return
+	}
+	if !model.ValidName(name) {
+		v.fail(field, name, "must be 1 to 63 letters, digits, '-', '_' or '.', and begin with a letter or digit")
+	}
+}
+
+func (v *validator) between(field string, n, low, high int64) {
+	if n < low || n > high {
+		v.fail(field, n, "must be from %d to %d", low, high)
+	}
+}
+
+func (v *validator) labels(labels model.Labels) {
+	keys := make([]string, 0, len(labels))
+	for k := range labels {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	for _, k := range keys {
+		if !model.ValidLabel(k, labels[k]) {
+			v.fail("labels["+strconv.Quote(k)+"]", labels[k], "labels are made of letters, digits, '-', '_', '.' and '/', the value of at most 63")
+		}
+	}
+}
+
+// team checks a reference to a team.
+func (v *validator) team(field, name string) {
+	if !v.teams[name] {
+		v.fail(field, name, "no such team is declared")
+	}
+}
+
+// admitted checks a list of teams.
+func (v *validator) admitted(teams []string) {
+	for i, t := range teams {
+		field := strict.Index(listTeams, i)
+		v.team(field, t)
+		if slices.Index(teams, t) < i {
+			v.fail(field, t, "is listed twice")
+		}
+	}
+}
+
+func (v *validator) selector(field, text string) {
+	_, err := model.ParseSelector(text)
+	var bad *model.SelectorError
+	if errors.As(err, &bad) {
+		v.fail(field, text, "position %d: %s", bad.Offset+1, bad.Reason)
+	}
+}
+
+func (v *validator) checkTeams(teams []model.Team, at locator) {
+	seen := make(map[string]origin, len(teams))
+	for i, t := range teams {
+		v.where = at(listTeams, i)
+		v.name("name", t.Name)
+		v.unique(seen, t.Name, "name")
+		v.between("share", t.Share, 1, maxShare)
+		v.between("max_running", t.MaxRunning, 0, maxCount)
+		v.between("max_resources.cpu_milli", t.MaxResources.CPU, 0, maxCPU)
+		v.between("max_resources.memory_mib", t.MaxResources.Memory, 0, maxMemory)
+		v.between("max_resources.accelerators", t.MaxResources.Accelerators, 0, maxCount)
+		v.labels(t.Labels)
+	}
+}
+
+func (v *validator) checkKeys(keys []model.Key, at locator) {
+	seen := make(map[string]origin, len(keys))
+	for i, k := range keys {
+		v.where = at(listKeys, i)
+		if !ValidDigest(k.Digest) {
+			// The value is left out: it may be the key itself.
+			v.fail("digest", nil, "must be a SHA-256 digest of 64 lower-case hex digits, as printed by keys new")
+		} else {
+			v.uniqueKey(seen, k.Digest)
+		}
+		switch {
+		case k.Team != "":
+			v.team("team", k.Team)
+		case !k.Operator && !k.Worker:
+			v.fail("team", nil, "is required for a key that is neither an operator's nor a worker's")
+		}
+	}
+}
+
+// uniqueKey is unique with a shortened digest.
+func (v *validator) uniqueKey(seen map[string]origin, d model.KeyDigest) {
+	before := len(v.problems)
+	v.unique(seen, string(d), "digest")
+	if len(v.problems) > before {
+		v.problems[before].Value = strict.Show(ShortDigest(d))
+	}
+}
+
+func (v *validator) checkQueues(queues []model.Queue, at locator) {
+	seen := make(map[string]origin, len(queues))
+	for i, q := range queues {
+		v.where = at(listQueues, i)
+		v.name("name", q.Name)
+		v.unique(seen, q.Name, "name")
+		v.name("workspace", q.Workspace)
+		v.team("team", q.Team)
+		v.admitted(q.Teams)
+		if q.Open && len(q.Teams) > 0 {
+			v.fail("teams", nil, "an open queue names no teams")
+		}
+		v.selector("selector", q.Selector)
+		v.labels(q.Labels)
+		v.between("max_pending", q.MaxPending, 0, maxCount)
+	}
+}
+
+func (v *validator) checkServices(services []model.Service, at locator) {
+	seen := make(map[string]origin, len(services))
+	for i, s := range services {
+		v.where = at(listServices, i)
+		v.name("name", s.Name)
+		v.unique(seen, s.Name, "name")
+		v.name("workspace", s.Workspace)
+		v.admitted(s.Teams)
+		v.between("max_queue", int64(s.MaxQueue), 0, maxCount)
+		v.between("max_request_bytes", s.MaxRequest, 0, maxBodySize)
+		v.between("max_answer_bytes", s.MaxAnswer, 0, maxBodySize)
+		if s.Deadline < 0 {
+			v.fail("deadline", s.Deadline, "must not be negative")
+		}
+	}
+}
+
+// checkPrices requires one price for every patience: a first step at zero, and
+// a price that falls with each longer patience.
+func (v *validator) checkPrices(prices []model.PricePoint, at locator) {
+	order := make([]int, len(prices))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(prices[a].Patience, prices[b].Patience) })
+	for n, i := range order {
+		v.where = at(listPrices, i)
+		p := prices[i]
+		v.between("micro_units", p.MicroUnits, 0, maxCount)
+		switch {
+		case p.Patience < 0:
+			v.fail("patience", p.Patience, "must not be negative")
+		case n == 0 && p.Patience != 0:
+			v.fail("patience", p.Patience, "the least patient step must be at 0s, so that all work has a price")
+		case n > 0 && prices[order[n-1]].Patience == p.Patience:
+			v.fail("patience", p.Patience, "another step has the same patience")
+		case n > 0 && prices[order[n-1]].MicroUnits <= p.MicroUnits:
+			v.fail("micro_units", p.MicroUnits, "must be below the %d of the less patient step at %s", prices[order[n-1]].MicroUnits, prices[order[n-1]].Patience)
+		}
+	}
+}
