--- /dev/null
+++ b/internal/obs/metrics.go
@@ -0,0 +1,61 @@
+package obs
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"github.com/filbertmast/filbertmast/internal/errkind"
+)
+
+// Namespace begins the name of every metric of the project.
+const Namespace = "filbertmast"
+
+// reasonLabel is the label of counters by reason.
+const reasonLabel = "reason"
+
+// NewRegistry returns a registry with the collectors of the Go runtime and of
+// the process.
+func NewRegistry() *prometheus.Registry {
+	r := prometheus.NewRegistry()
+	r.MustRegister(collectors.NewGoCollector())
+	r.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return r
+}
+
+// KindCounter counts events by error kind.
+type KindCounter struct {
+	counters map[errkind.Kind]prometheus.Counter
+}
+
+// NewKindCounter registers filbertmast_<name> with one series for every error
+// kind, so that a reason that has not occurred yet reads as zero. The name
+// ends in _total.
+func NewKindCounter(reg prometheus.Registerer, name, help string) *KindCounter {
+	vec := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: Namespace,
+		Name:      name,
+		Help:      help,
+	}, []string{reasonLabel})
+	reg.MustRegister(vec)
+	c := &KindCounter{counters: make(map[errkind.Kind]prometheus.Counter)}
+	for _, k := range errkind.Kinds() {
+		c.counters[k] = vec.WithLabelValues(string(k))
+	}
+	return c
+}
+
+// Inc counts one event of kind k. A kind that is not in the list counts as internal.
+func (c *KindCounter) Inc(k errkind.Kind) {
+	counter, ok := c.counters[k]
+	if !ok {
+		counter = c.counters[errkind.Internal]
+	}
+	counter.Inc()
+}
+
+// Count counts err by its kind; nil is not counted.
+func (c *KindCounter) Count(err error) {
+	if err != nil {
+		c.Inc(errkind.Of(err))
+	}
+}
