--- /dev/null
+++ b/internal/control/commands.go
@@ -0,0 +1,87 @@
+package control
+
+import (
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/proto"
+	"github.com/filbertmast/filbertmast/internal/schedule"
+	"github.com/filbertmast/filbertmast/internal/state"
+	"github.com/filbertmast/filbertmast/internal/wire"
+)
+
+// sendChange tells a worker of a start or a stop, after its commit.
+func (l *leader) sendChange(e *state.TaskChanged) {
+	if e.To != model.TaskStarting && e.To != model.TaskStopping {
+		return
+	}
+	if cmd, ok := l.commandFor(e.Task); ok {
+		l.send(e.Worker, []api.Command{cmd})
+	}
+}
+
+// commandFor returns the order that a task's phase calls for.
+func (l *leader) commandFor(id model.TaskID) (api.Command, bool) {
+	j := l.c.machine.Job(id.Job)
+	if j == nil {
+		return api.Command{}, false
+	}
+	t := &j.Tasks[id.Index]
+	switch t.Phase {
+	case model.TaskStarting:
+		return api.Command{
+			Op:      api.CommandStart,
+			Task:    id,
+			Fence:   t.Fence,
+			Size:    t.Size,
+			Service: j.Spec.Service,
+			Payload: j.Spec.Payload,
+		}, true
+	case model.TaskStopping:
+		return api.Command{Op: stopOp(j, t), Task: id, Fence: t.Fence, Reason: t.Stop.String()}, true
+	}
+	return api.Command{}, false
+}
+
+func stopOp(j *state.Job, t *state.Task) api.CommandOp {
+	if j.Spec.Checkpointable && (t.Stop == state.StopPreempted || t.Stop == state.StopDrained) {
+		return api.CommandCheckpoint
+	}
+	return api.CommandStop
+}
+
+// send passes orders to the entry that holds the worker's session. Orders that
+// get lost are sent again with a later renewal.
+func (l *leader) send(id model.WorkerID, cmds []api.Command) {
+	at, ok := l.sessions[id]
+	if !ok || at.entry == "" {
+		return
+	}
+	msg := &proto.Commands{Worker: id, Session: at.session, Commands: cmds}
+	if err := wire.Post(l.c.s.opts.Endpoint, at.entry, wire.KindCommands, msg); err != nil {
+		l.c.log.Debug("Commands not sent, a renewal will repeat them.", "worker", id, "err", err)
+	}
+}
+
+// resend sends every order of a worker that no report has confirmed.
+func (l *leader) resend(w *state.Worker) {
+	var cmds []api.Command
+	for _, id := range w.Held {
+		if cmd, ok := l.commandFor(id); ok {
+			cmds = append(cmds, cmd)
+		}
+	}
+	if len(cmds) > 0 {
+		l.send(w.Spec.ID, cmds)
+	}
+}
+
+func (l *leader) sendThrottles(throttles []schedule.Throttle) {
+	for _, t := range throttles {
+		j := l.c.machine.Job(t.Task.Job)
+		if j == nil {
+			continue
+		}
+		fence := j.Tasks[t.Task.Index].Fence
+		l.send(t.Worker, []api.Command{{Op: api.CommandThrottle, Task: t.Task, Fence: fence, Size: t.Size}})
+	}
+}
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -3,11 +3,12 @@
 import (
 	"bytes"
 	"io"
+	"maps"
+	"slices"
 
 	"github.com/charmbracelet/log"
 
 	"github.com/filbertmast/filbertmast/internal/errkind"
-	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/replica"
 	"github.com/filbertmast/filbertmast/internal/state"
 )
@@ -28,7 +29,7 @@
 		s:       s,
 		log:     s.log,
 		machine: state.New(s.opts.State),
-		pending: newPendingCalls(uint64(s.opts.Log.Status().ID)),
+		pending: newPendingCalls(uint64(s.opts.Log.Status().ID), uint64(s.start.UnixNano())),
 	}
 }
 
@@ -168,8 +169,10 @@
 	waiting map[uint64]func(state.Result, error)
 }
 
-func newPendingCalls(id uint64) pendingCalls {
-	return pendingCalls{replica: id, waiting: make(map[uint64]func(state.Result, error))}
+// newPendingCalls numbers the proposals from start on. It must be beyond every
+// number of an earlier run of this replica, whose commands may still commit.
+func newPendingCalls(id, start uint64) pendingCalls {
+	return pendingCalls{replica: id, seq: start, waiting: make(map[uint64]func(state.Result, error))}
 }
 
 func (p *pendingCalls) next() state.ProposalID {
@@ -195,10 +198,8 @@
 func (p *pendingCalls) failAll(err error) {
 	waiting := p.waiting
 	p.waiting = make(map[uint64]func(state.Result, error))
-	for seq := range p.seq + 1 {
-		if then, ok := waiting[seq]; ok {
-			then(state.Result{}, err)
-		}
+	for _, seq := range slices.Sorted(maps.Keys(waiting)) {
+		waiting[seq](state.Result{}, err)
 	}
 }
 
@@ -208,6 +209,3 @@
 	}
 	return 0
 }
-
-// modelTimeZero is the time that stands for never.
-const modelTimeZero model.Time = 0
--- /dev/null
+++ b/internal/control/handlers.go
@@ -0,0 +1,98 @@
+package control
+
+import (
+	"context"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/proto"
+	"github.com/filbertmast/filbertmast/internal/replica"
+	"github.com/filbertmast/filbertmast/internal/wire"
+)
+
+// handlerOf is a call that the leader answers from the control goroutine.
+type handlerOf[Req, Resp any] func(l *leader, from wire.Peer, req *Req, done reply[Resp])
+
+// onLeader registers a call that only a leader with a live quorum answers.
+func onLeader[Req, Resp any](s *Server, k wire.Kind, fn handlerOf[Req, Resp]) {
+	wire.Handle(s.opts.Endpoint, k, func(ctx context.Context, from wire.Peer, req *Req) (*Resp, error) {
+		resp, err := ask(ctx, s, func(c *core, done reply[Resp]) {
+			l, err := c.leading()
+			if err != nil {
+				done(nil, err)
+				return
+			}
+			fn(l, from, req, done)
+		})
+		if err != nil {
+			s.metrics.refused(errkind.Of(err))
+		}
+		return resp, err
+	})
+}
+
+// register binds every call of the inner protocol.
+func (s *Server) register() {
+	onLeader(s, wire.KindSubmit, (*leader).submit)
+	onLeader(s, wire.KindGetJob, (*leader).getJob)
+	onLeader(s, wire.KindListJobs, (*leader).listJobs)
+	onLeader(s, wire.KindCancel, (*leader).cancel)
+	onLeader(s, wire.KindDeclare, (*leader).declare)
+	onLeader(s, wire.KindDeclarations, (*leader).declarations)
+	onLeader(s, wire.KindKey, (*leader).key)
+	onLeader(s, wire.KindWorkers, (*leader).workers)
+	onLeader(s, wire.KindSetMode, (*leader).setMode)
+	onLeader(s, wire.KindStatus, (*leader).status)
+	onLeader(s, wire.KindRegister, (*leader).register)
+	onLeader(s, wire.KindAnnounce, (*leader).announce)
+	onLeader(s, wire.KindRenew, (*leader).renew)
+	onLeader(s, wire.KindReports, (*leader).reports)
+	onLeader(s, wire.KindPermits, (*leader).permitsAsked)
+	onLeader(s, wire.KindOwners, (*leader).ownersAsked)
+	onLeader(s, wire.KindJournalStart, (*leader).journalStart)
+	onLeader(s, wire.KindJournalEnd, (*leader).journalEnd)
+	wire.Handle(s.opts.Endpoint, wire.KindProbe, s.probe)
+	wire.Handle(s.opts.Endpoint, wire.KindReplace, s.replace)
+}
+
+// probe tells who leads. Any control process answers, without its control goroutine.
+func (s *Server) probe(context.Context, wire.Peer, *proto.Empty) (*proto.Probe, error) {
+	st := s.opts.Log.Status()
+	p := &proto.Probe{Term: st.Term, Leader: st.LeaderAddress}
+	p.Ready = st.Role == replica.Leader && s.opts.Log.LeaseValid()
+	for _, m := range st.Members {
+		p.Peers = append(p.Peers, m.Address)
+	}
+	return p, nil
+}
+
+// replace puts a new replica in the place of a dead one. It takes as long as
+// the catching up, and runs outside the control goroutine.
+func (s *Server) replace(ctx context.Context, _ wire.Peer, req *proto.Replace) (*proto.Empty, error) {
+	err := s.opts.Log.Replace(ctx, replica.ID(req.Dead), replica.ID(req.ID), req.Address)
+	return &proto.Empty{}, err
+}
+
+// statusOf counts what the scheduler holds.
+func (l *leader) statusOf() api.Status {
+	st := l.c.s.opts.Log.Status()
+	stats := l.sched.Stats()
+	version, _, _ := l.c.machine.Config()
+	out := api.Status{
+		Leader:  st.LeaderAddress,
+		Term:    l.term,
+		Index:   l.c.machine.Index(),
+		Version: version,
+		Jobs:    int64(l.c.machine.JobCount()),
+		Running: int64(stats.Running),
+		Waiting: int64(stats.Waiting),
+		Workers: int64(stats.Workers),
+	}
+	for _, m := range st.Members {
+		out.Replicas = append(out.Replicas, api.ReplicaView{
+			ID: m.ID.String(), Address: m.Address, Voter: m.Voter, Match: m.Match})
+	}
+	out.Entries = l.entryViews()
+	out.Teams = l.teamViews()
+	return out
+}
--- /dev/null
+++ b/internal/control/jobs.go
@@ -0,0 +1,222 @@
+package control
+
+import (
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/ledger"
+	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/proto"
+	"github.com/filbertmast/filbertmast/internal/state"
+	"github.com/filbertmast/filbertmast/internal/wire"
+)
+
+const (
+	maxTasksShown = 1000 // tasks listed in the view of one job
+	maxJobsListed = 1000 // jobs in one listing
+)
+
+func (l *leader) submit(_ wire.Peer, req *proto.Submit, done reply[proto.Submitted]) {
+	spec := req.Spec
+	q, err := l.queueFor(&spec)
+	if err != nil {
+		done(nil, err)
+		return
+	}
+	if err := l.admit(&spec, q, req); err != nil {
+		done(nil, err)
+		return
+	}
+	if req.DryRun {
+		confirmed(l.c, done, &proto.Submitted{Quote: l.quote(&spec, q)})
+		return
+	}
+	cmd := &state.Submit{Spec: spec, IdempotencyKey: req.IdempotencyKey, Digest: req.Digest}
+	l.c.propose(&state.Command{Submit: cmd}, func(r state.Result, err error) {
+		if err != nil {
+			done(nil, err)
+			return
+		}
+		view := l.viewOf(l.c.machine.Job(r.Job), false)
+		view.Existing = r.Existing
+		done(&proto.Submitted{Job: view}, nil)
+	})
+}
+
+// queueFor finds the queue of a submission and fills in the default.
+func (l *leader) queueFor(spec *model.JobSpec) (*model.Queue, error) {
+	q := l.c.machine.Queue(spec.Queue)
+	if spec.Queue == "" {
+		q = l.c.machine.DefaultQueue(spec.Team)
+	}
+	if q == nil {
+		return nil, errkind.New(errkind.UnknownQueue, "queue %q is not declared", spec.Queue)
+	}
+	if !q.Admits(spec.Team) {
+		return nil, errkind.New(errkind.QueueClosed, "queue %q does not admit team %q", q.Name, spec.Team)
+	}
+	spec.Queue = q.Name
+	return q, nil
+}
+
+// admit refuses work that cannot run or that the queue has no room for. A
+// resend of an accepted submission is let through, to be answered as the first.
+func (l *leader) admit(spec *model.JobSpec, q *model.Queue, req *proto.Submit) error {
+	if req.IdempotencyKey != "" && l.c.machine.Known(spec.Team, req.IdempotencyKey) {
+		return nil
+	}
+	if err := l.sched.Check(spec, q); err != nil {
+		return err
+	}
+	if q.MaxPending > 0 && l.c.machine.PendingJobs(q.Name) >= q.MaxPending {
+		return errkind.New(errkind.QueueFull, "queue %q holds %d waiting jobs", q.Name, q.MaxPending)
+	}
+	return nil
+}
+
+func (l *leader) quote(spec *model.JobSpec, q *model.Queue) *api.Quote {
+	price := l.sched.PriceFor(spec.Patience)
+	return &api.Quote{
+		Price:     price,
+		Estimated: ledger.Estimate(price, spec),
+		Queue:     q.Name,
+		Team:      q.ChargedTeam(spec.Team),
+	}
+}
+
+func (l *leader) getJob(_ wire.Peer, req *proto.GetJob, done reply[api.JobView]) {
+	j, err := l.visible(req.Caller, req.ID)
+	if err != nil {
+		done(nil, err)
+		return
+	}
+	answer := func(j *state.Job) {
+		view := l.viewOf(j, req.Why)
+		confirmed(l.c, done, &view)
+	}
+	if req.Wait <= 0 || settled(j, req) {
+		answer(j)
+		return
+	}
+	l.waits.add(j.ID, &jobWait{
+		req:   req,
+		until: l.c.s.now().Add(req.Wait.Std()),
+		done:  answer,
+		fail:  func(err error) { done(nil, err) },
+	})
+}
+
+// visible returns a job that the caller may see. A foreign job looks unknown.
+func (l *leader) visible(caller proto.Caller, id model.JobID) (*state.Job, error) {
+	j := l.c.machine.Job(id)
+	if j == nil || (!caller.Operator && j.Spec.Team != caller.Team && j.Team != caller.Team) {
+		return nil, errkind.New(errkind.UnknownJob, "job %s is not known to team %q", id, caller.Team)
+	}
+	return j, nil
+}
+
+func (l *leader) listJobs(_ wire.Peer, req *proto.ListJobs, done reply[proto.Jobs]) {
+	jobs, err := l.matching(req.Caller, req.Selector)
+	if err != nil {
+		done(nil, err)
+		return
+	}
+	limit := maxJobsListed
+	if req.Limit > 0 {
+		limit = min(limit, req.Limit)
+	}
+	out := &proto.Jobs{}
+	for _, j := range jobs[:min(limit, len(jobs))] {
+		view := l.viewOf(j, false)
+		view.Tasks = nil
+		out.Jobs = append(out.Jobs, view)
+	}
+	confirmed(l.c, done, out)
+}
+
+// matching returns the caller's jobs whose labels match, oldest first.
+func (l *leader) matching(caller proto.Caller, selector string) ([]*state.Job, error) {
+	sel, err := model.ParseSelector(selector)
+	if err != nil {
+		return nil, errkind.Wrap(errkind.BadRequest, err, "selector")
+	}
+	var out []*state.Job
+	for _, id := range l.c.machine.JobIDs() {
+		j, err := l.visible(caller, id)
+		if err == nil && sel.Matches(j.Spec.Labels) {
+			out = append(out, j)
+		}
+	}
+	return out, nil
+}
+
+func (l *leader) cancel(_ wire.Peer, req *proto.Cancel, done reply[proto.Cancelled]) {
+	cmd := &state.Cancel{}
+	if !req.Caller.Operator {
+		cmd.Team = req.Caller.Team
+	}
+	if req.ID != 0 {
+		j, err := l.visible(req.Caller, req.ID)
+		if err != nil {
+			done(nil, err)
+			return
+		}
+		cmd.Jobs = []model.JobID{j.ID}
+	} else {
+		jobs, err := l.matching(req.Caller, req.Selector)
+		if err != nil {
+			done(nil, err)
+			return
+		}
+		for _, j := range jobs {
+			if j.Finished == 0 && !j.Cancelled {
+				cmd.Jobs = append(cmd.Jobs, j.ID)
+			}
+		}
+	}
+	l.c.propose(&state.Command{Cancel: cmd}, func(r state.Result, err error) {
+		done(&proto.Cancelled{Count: r.Count}, err)
+	})
+}
+
+// viewOf is the answer about one job.
+func (l *leader) viewOf(j *state.Job, why bool) api.JobView {
+	v := api.JobView{
+		ID:       j.ID,
+		Spec:     j.Spec,
+		Phase:    j.Phase(),
+		Counts:   countsOf(j),
+		Reason:   j.Reason,
+		Price:    j.Price,
+		Charged:  j.Charged - j.Refunded,
+		Version:  j.Version,
+		Deadline: j.StartBy,
+		Created:  j.Submitted,
+	}
+	if why && j.Finished == 0 {
+		v.Why = l.sched.Why(j.ID, l.c.s.now())
+	}
+	for i := range j.Tasks[:min(maxTasksShown, len(j.Tasks))] {
+		t := &j.Tasks[i]
+		v.Tasks = append(v.Tasks, api.TaskView{
+			Index:    int32(i),
+			Phase:    t.Phase.String(),
+			Worker:   l.c.machine.TaskWorker(t),
+			Fence:    t.Fence,
+			Restarts: int32(t.Restarts),
+			Reason:   j.ReasonOf(int32(i)),
+		})
+	}
+	return v
+}
+
+func countsOf(j *state.Job) api.TaskCounts {
+	return api.TaskCounts{
+		Pending:   j.Count(model.TaskPending),
+		Starting:  j.Count(model.TaskStarting),
+		Running:   j.Count(model.TaskRunning),
+		Stopping:  j.Count(model.TaskStopping),
+		Succeeded: j.Count(model.TaskSucceeded),
+		Failed:    j.Count(model.TaskFailed),
+		Cancelled: j.Count(model.TaskCancelled),
+	}
+}
--- /dev/null
+++ b/internal/control/leader.go
@@ -0,0 +1,155 @@
+package control
+
+import (
+	"time"
+
+	"github.com/filbertmast/filbertmast/internal/lease"
+	"github.com/filbertmast/filbertmast/internal/limit"
+	"github.com/filbertmast/filbertmast/internal/member"
+	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/owner"
+	"github.com/filbertmast/filbertmast/internal/schedule"
+	"github.com/filbertmast/filbertmast/internal/state"
+)
+
+// leader is what exists only while this process leads. It is rebuilt from the
+// state at the start of a term, and from what entries tell when they renew.
+type leader struct {
+	c        *core
+	term     uint64
+	sched    *schedule.Scheduler
+	leases   *lease.Table
+	permits  *limit.Granter
+	owners   *owner.Table
+	members  *member.Table
+	sessions map[model.WorkerID]attachment
+	waits    jobWaits
+	dirty    bool // something changed since the last plan
+	wake     model.Time
+	inFlight int // placement commands proposed and not yet committed
+	expireAt model.Time
+	touched  map[string]struct{} // teams whose tasks changed since the last look at the limits
+}
+
+// attachment says through which entry a worker's session is reached.
+type attachment struct {
+	session uint64
+	entry   string // inner address
+}
+
+// newLeader builds the leader of a term. Every worker that the state knows
+// keeps its tasks until the longest lease that the earlier leader may have
+// granted is over.
+func newLeader(c *core, term uint64) *leader {
+	t := c.s.opts.Times
+	now := c.s.now()
+	l := &leader{
+		c:        c,
+		term:     term,
+		sched:    schedule.New(schedule.Options{Seed: c.s.opts.Seed}),
+		leases:   lease.New(lease.Options{Lease: t.WorkerLease, Drift: t.Drift}),
+		permits:  limit.NewGranter(limit.Options{Lease: t.RequestLease, Margin: t.Drift}),
+		owners:   owner.NewTable(owner.Options{Lease: t.RequestLease, Margin: t.Drift}),
+		members:  member.New(member.Options{Lease: t.RequestLease, Drift: t.Drift}),
+		sessions: make(map[model.WorkerID]attachment),
+		waits:    newJobWaits(),
+		dirty:    true,
+		touched:  make(map[string]struct{}),
+	}
+	l.permits.NewTerm(now, t.RequestLease+t.LongestHold+t.Drift)
+	l.owners.NewTerm(now, t.RequestLease+t.Drift)
+	var held []lease.Holder
+	c.machine.Replay(func(ev state.Event) {
+		l.feed(ev)
+		if w, ok := ev.(state.WorkerChanged); ok && w.Mode != model.WorkerLost {
+			held = append(held, lease.Holder{Worker: w.Spec.ID, Session: w.Session})
+		}
+	})
+	l.leases.NewTerm(held, now)
+	return l
+}
+
+// stop releases what waits for this leader.
+func (l *leader) stop() { l.waits.failAll() }
+
+// follow takes in the events of one committed command.
+func (l *leader) follow(events []state.Event) {
+	for _, ev := range events {
+		l.feed(ev)
+		l.act(ev)
+	}
+}
+
+// act does what only a live change calls for, not a replay.
+func (l *leader) act(ev state.Event) {
+	switch e := ev.(type) {
+	case state.WorkerChanged:
+		l.workerChanged(&e)
+	case state.TaskChanged:
+		l.sendChange(&e)
+		l.waits.changed(l.c, e.Task.Job)
+		if e.To == model.TaskStarting {
+			l.c.s.metrics.placements.Inc()
+		}
+	case state.PlacementRefused:
+		l.c.s.metrics.notAdmitted(e.Reason)
+		l.c.log.Warn("Placement refused by the state.", "task", e.Task, "worker", e.Worker, "reason", e.Reason)
+	case state.JobsCancelled:
+		for _, id := range e.IDs {
+			l.waits.changed(l.c, id)
+		}
+	case state.JobFinished:
+		l.waits.changed(l.c, e.ID)
+	}
+}
+
+func (l *leader) workerChanged(e *state.WorkerChanged) {
+	if e.Mode == model.WorkerLost {
+		l.leases.Drop(e.Spec.ID)
+		delete(l.sessions, e.Spec.ID)
+	}
+}
+
+const expireEvery = 10 * time.Second
+
+// tick looks at the lease tables.
+func (l *leader) tick(now model.Time) {
+	if _, err := l.c.leading(); err != nil {
+		return
+	}
+	l.loseExpired(now)
+	for _, m := range l.members.Expired(now) {
+		l.permits.Lost(m.Name, now)
+		l.owners.Lost(m.Name, now)
+		l.c.log.Warn("Entry lost.", "entry", m.Name)
+	}
+	l.permits.Tick(now)
+	l.owners.Tick(now)
+	l.waits.expire(l.c, now)
+	if now >= l.expireAt {
+		l.expireAt = now.Add(expireEvery)
+		if l.c.machine.ExpireDue(now) {
+			l.c.propose(&state.Command{Expire: &state.Expire{}}, func(state.Result, error) {})
+		}
+	}
+}
+
+// loseExpired proposes the loss of workers whose leases have run out. The
+// lease stays expired until the commit, so nothing is granted in between.
+func (l *leader) loseExpired(now model.Time) {
+	expired := l.leases.Expired(now)
+	if len(expired) == 0 {
+		return
+	}
+	cmd := &state.LoseWorkers{}
+	for _, h := range expired {
+		cmd.Workers = append(cmd.Workers, state.LostWorker{ID: h.Worker, Session: h.Session})
+	}
+	l.c.s.metrics.lost.Add(float64(len(expired)))
+	l.c.log.Warn("Worker leases expired.", "workers", len(expired))
+	l.c.propose(&state.Command{LoseWorkers: cmd}, func(_ state.Result, err error) {
+		if err != nil && l.c.lead == l {
+			l.leases.Retry(expired, l.c.s.now())
+		}
+	})
+}
--- /dev/null
+++ b/internal/control/operate.go
@@ -0,0 +1,105 @@
+package control
+
+import (
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/proto"
+	"github.com/filbertmast/filbertmast/internal/state"
+	"github.com/filbertmast/filbertmast/internal/wire"
+)
+
+func (l *leader) declare(_ wire.Peer, req *proto.Declare, done reply[api.Applied]) {
+	cmd := &state.Declare{Base: req.Apply.Base, ApplyID: req.Apply.ApplyID, Declarations: req.Apply.Declarations}
+	l.c.propose(&state.Command{Declare: cmd}, appliedReply(done))
+}
+
+func (l *leader) key(_ wire.Peer, req *proto.Key, done reply[api.Applied]) {
+	cmd := &state.Command{GrantKey: &state.GrantKey{Key: req.Key}}
+	if req.Withdraw {
+		cmd = &state.Command{WithdrawKey: &state.WithdrawKey{Digest: req.Key.Digest}}
+	}
+	l.c.propose(cmd, appliedReply(done))
+}
+
+func appliedReply(done reply[api.Applied]) func(state.Result, error) {
+	return func(r state.Result, err error) {
+		if err != nil {
+			done(nil, err)
+			return
+		}
+		done(&api.Applied{Version: r.Version, Digest: r.Digest}, nil)
+	}
+}
+
+func (l *leader) declarations(_ wire.Peer, _ *proto.Empty, done reply[api.DeclarationsView]) {
+	version, digest, d := l.c.machine.Config()
+	confirmed(l.c, done, &api.DeclarationsView{Version: version, Digest: digest, Declarations: *d})
+}
+
+func (l *leader) workers(_ wire.Peer, _ *proto.Empty, done reply[proto.Workers]) {
+	out := &proto.Workers{}
+	for _, w := range l.c.machine.Workers() {
+		_, _, probation, _ := l.sched.Worker(w.Spec.ID)
+		out.Workers = append(out.Workers, api.WorkerView{
+			Spec:     w.Spec,
+			Mode:     w.Mode.String(),
+			Reserved: w.Reserved,
+			Tasks:    int32(len(w.Held)),
+			Failing:  probation,
+		})
+	}
+	confirmed(l.c, done, out)
+}
+
+func (l *leader) setMode(_ wire.Peer, req *proto.SetMode, done reply[proto.Empty]) {
+	cmd := &state.SetMode{Worker: req.Worker, Mode: req.Mode}
+	l.c.propose(&state.Command{SetMode: cmd}, func(_ state.Result, err error) {
+		done(&proto.Empty{}, err)
+	})
+}
+
+func (l *leader) status(_ wire.Peer, _ *proto.Empty, done reply[api.Status]) {
+	st := l.statusOf()
+	confirmed(l.c, done, &st)
+}
+
+func (l *leader) teamViews() []api.TeamView {
+	_, _, d := l.c.machine.Config()
+	out := make([]api.TeamView, 0, len(d.Teams))
+	for i := range d.Teams {
+		t := &d.Teams[i]
+		held, reserved := l.c.machine.TeamHeld(t.Name)
+		account := l.c.machine.Account(t.Name)
+		out = append(out, api.TeamView{
+			Team:      t.Name,
+			Running:   held,
+			Limit:     t.MaxRunning,
+			Reserved:  reserved,
+			Charged:   account.Charged,
+			Refunded:  account.Refunded,
+			Permitted: l.permits.Outstanding(t.Name),
+		})
+	}
+	return out
+}
+
+func (l *leader) journalStart(_ wire.Peer, req *proto.JournalStart, done reply[proto.JournalStarted]) {
+	cmd := &state.JournalStart{Key: req.Key, Digest: req.Digest, Entry: req.Entry, Deadline: req.Deadline}
+	l.c.propose(&state.Command{JournalStart: cmd}, func(r state.Result, err error) {
+		if err != nil {
+			done(nil, err)
+			return
+		}
+		done(&proto.JournalStarted{Result: r.Journal}, nil)
+	})
+}
+
+func (l *leader) journalEnd(_ wire.Peer, req *proto.JournalEnd, done reply[proto.Empty]) {
+	cmd := &state.JournalEnd{Key: req.Key, Fence: req.Fence, Answer: req.Answer, Ran: req.Ran}
+	l.c.propose(&state.Command{JournalEnd: cmd}, func(_ state.Result, err error) {
+		if errkind.Is(err, errkind.StaleFence) {
+			err = nil // a newer record stands; there is nothing left to close
+		}
+		done(&proto.Empty{}, err)
+	})
+}
--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -143,3 +143,8 @@
 	ID      uint64 `cbor:"2,keyasint"`
 	Address string `cbor:"3,keyasint"`
 }
+
+// JournalStarted is the answer to JournalStart.
+type JournalStarted struct {
+	Result journal.StartResult `cbor:"1,keyasint"`
+}
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -187,6 +187,18 @@
 // Expire drops what has been kept long enough, by the command's own time.
 type Expire struct{}
 
+// Join registers an entry process before it is granted anything, so that a new
+// leader knows which entries may hold grants of an earlier one.
+type Join struct {
+	Member Member `cbor:"1,keyasint"`
+}
+
+// Leave forgets an entry process that can hold no grant any more.
+type Leave struct {
+	Name        string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+}
+
 // encMode writes the same bytes for the same command on every process.
 var encMode = func() cbor.EncMode {
 	m, err := cbor.CoreDetEncOptions().EncMode()
--- a/internal/state/job.go
+++ b/internal/state/job.go
@@ -164,8 +164,10 @@
 func (m *Machine) setPhase(j *Job, id model.TaskID, to model.TaskPhase) {
 	t := &j.Tasks[id.Index]
 	from := t.Phase
+	waited := j.counts[model.TaskPending] > 0
 	j.counts[from]--
 	j.counts[to]++
+	m.countPending(j, waited)
 	t.Phase = to
 	j.Version = m.index
 	switch {
@@ -179,6 +181,17 @@
 	}
 }
 
+// countPending follows a job in or out of the waiting jobs of its queue.
+func (m *Machine) countPending(j *Job, waited bool) {
+	waits := j.counts[model.TaskPending] > 0
+	if waits && !waited {
+		m.pending[j.Spec.Queue]++
+	}
+	if !waits && waited {
+		m.pending[j.Spec.Queue]--
+	}
+}
+
 func (j *Job) done() bool {
 	return j.counts[model.TaskPending] == 0 && j.held() == 0
 }
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -39,6 +39,8 @@
 	teams    map[string]*teamUse
 	accounts map[string]*ledger.Account
 	journal  *journal.Journal
+	members  []Member         // sorted by name
+	pending  map[string]int64 // jobs with waiting tasks, by queue
 
 	events []Event // of the command being applied
 }
@@ -57,6 +59,7 @@
 		teams:    make(map[string]*teamUse),
 		accounts: make(map[string]*ledger.Account),
 		journal:  journal.New(o.Journal),
+		pending:  make(map[string]int64),
 	}
 }
 
@@ -117,6 +120,10 @@
 		return m.refund(c.Refund)
 	case c.Expire != nil:
 		return m.expire()
+	case c.Join != nil:
+		return m.join(c.Join)
+	case c.Leave != nil:
+		return m.leave(c.Leave)
 	}
 	return Result{Err: errkind.New(errkind.BadRequest, "empty command")}
 }
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -28,6 +28,7 @@
 	Accounts []accountRecord  `cbor:"8,keyasint"`
 	Journal  journal.Snapshot `cbor:"9,keyasint"`
 	Jobs     int              `cbor:"10,keyasint"`
+	Members  []Member         `cbor:"11,keyasint"`
 }
 
 // accountRecord is one team's account in a snapshot.
@@ -51,6 +52,7 @@
 		Accounts: m.accountRecords(),
 		Journal:  m.journal.Snapshot(),
 		Jobs:     len(ids),
+		Members:  m.members,
 	}
 	if err := enc.Encode(&head); err != nil {
 		return errkind.Wrap(errkind.Internal, err, "write snapshot head")
@@ -85,6 +87,7 @@
 	m.index, m.term, m.now = head.Index, head.Term, head.Now
 	m.config = head.Config
 	m.finished = head.Finished
+	m.members = head.Members
 	m.journal.Restore(head.Journal)
 	for i := range head.Accounts {
 		m.accounts[head.Accounts[i].Team] = &head.Accounts[i].Account
@@ -107,6 +110,7 @@
 		return errkind.Wrap(errkind.Internal, err, "read snapshot job")
 	}
 	j.recount()
+	m.countPending(j, false)
 	m.jobs[j.ID] = j
 	if j.SentKey != "" {
 		m.sent[submissionKey{j.Spec.Team, j.SentKey}] = j.ID
--- a/internal/state/submit.go
+++ b/internal/state/submit.go
@@ -94,6 +94,7 @@
 		j.Tasks[i].Worker = noWorker
 	}
 	j.counts[model.TaskPending] = c.Spec.Tasks
+	m.countPending(j, false)
 	return j
 }
 
@@ -207,3 +208,15 @@
 func (m *Machine) ExpireDue(now model.Time) bool {
 	return len(m.finished) > 0 && m.jobs[m.finished[0]].Finished <= now.Add(-m.opts.KeepFinished.Std())
 }
+
+// Known reports whether a submission under the idempotency key was accepted.
+func (m *Machine) Known(team, idempotencyKey string) bool {
+	_, ok := m.sent[submissionKey{team, idempotencyKey}]
+	return ok
+}
+
+// JobCount returns how many jobs are kept, finished ones included.
+func (m *Machine) JobCount() int { return len(m.jobs) }
+
+// PendingJobs returns how many jobs of the queue have waiting tasks.
+func (m *Machine) PendingJobs(queue string) int64 { return m.pending[queue] }
