Add the inner protocol: typed calls, one-way messages and exchanges over QUIC

Each call has a stream of its own, so that a slow one holds back no other. One-way messages have one ordered stream a peer and kind behind a bounded queue. Bodies are cut into chunks with an explicit end marker and total length, so that a cut off body can't pass for a short one.

--- /dev/null
+++ b/internal/wire/body.go
@@ -0,0 +1,143 @@
+package wire
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+
+	"github.com/filbertmast/filbertmast/internal/errkind"
+)
+
+const (
+	chunkHeader = 4        // bytes of length before each chunk of a body
+	chunkSize   = 32 << 10 // most bytes of body in one chunk
+	endLength   = 8        // bytes of total length after the end marker
+)
+
+// bodyWriter cuts a body into chunks. The end is told by an empty chunk and the
+// total length, so that a lost tail cannot look like an end.
+type bodyWriter struct {
+	w     io.Writer
+	admit func(n int) error
+	count func(n int)
+	buf   []byte
+	total uint64
+}
+
+// Write implements io.Writer.
+func (w *bodyWriter) Write(p []byte) (int, error) {
+	done := 0
+	for done < len(p) {
+		n := min(len(p)-done, chunkSize)
+		if err := w.chunk(p[done : done+n]); err != nil {
+			return done, err
+		}
+		done += n
+	}
+	return done, nil
+}
+
+func (w *bodyWriter) chunk(p []byte) error {
+	w.buf = binary.BigEndian.AppendUint32(w.buf[:0], uint32(len(p)))
+	w.buf = append(w.buf, p...)
+	w.total += uint64(len(p))
+	return w.flush()
+}
+
+// end writes the end marker.
+func (w *bodyWriter) end() error {
+	w.buf = binary.BigEndian.AppendUint32(w.buf[:0], 0)
+	w.buf = binary.BigEndian.AppendUint64(w.buf, w.total)
+	return w.flush()
+}
+
+func (w *bodyWriter) flush() error {
+	if err := w.admit(len(w.buf)); err != nil {
+		return err
+	}
+	if _, err := w.w.Write(w.buf); err != nil {
+		return err
+	}
+	w.count(len(w.buf))
+	return nil
+}
+
+// bodyReader reads what bodyWriter wrote. It returns io.EOF only after an end
+// marker with the right total; an earlier end is AnswerCutOff.
+type bodyReader struct {
+	r     io.Reader
+	count func(n int)
+	left  uint32
+	total uint64
+	err   error
+}
+
+// Read implements io.Reader.
+func (r *bodyReader) Read(p []byte) (int, error) {
+	if r.err != nil {
+		return 0, r.err
+	}
+	if len(p) == 0 {
+		return 0, nil
+	}
+	if r.left == 0 {
+		if r.err = r.next(); r.err != nil {
+			return 0, r.err
+		}
+	}
+	n, err := r.r.Read(p[:min(len(p), int(r.left))])
+	r.left -= uint32(n)
+	r.total += uint64(n)
+	r.count(n)
+	if err != nil && (r.left > 0 || err != io.EOF) {
+		r.err = cutOff(err)
+		return n, r.err
+	}
+	return n, nil
+}
+
+// next reads the header of a chunk.
+func (r *bodyReader) next() error {
+	var h [chunkHeader]byte
+	if _, err := io.ReadFull(r.r, h[:]); err != nil {
+		return cutOff(err)
+	}
+	r.count(chunkHeader)
+	r.left = binary.BigEndian.Uint32(h[:])
+	if r.left > chunkSize {
+		return errkind.New(errkind.AnswerCutOff, "chunk of %d bytes is over the limit of %d", r.left, chunkSize)
+	}
+	if r.left > 0 {
+		return nil
+	}
+	return r.end()
+}
+
+func (r *bodyReader) end() error {
+	var b [endLength]byte
+	if _, err := io.ReadFull(r.r, b[:]); err != nil {
+		return cutOff(err)
+	}
+	r.count(endLength)
+	if want := binary.BigEndian.Uint64(b[:]); want != r.total {
+		return errkind.New(errkind.AnswerCutOff, "body has %d of %d bytes", r.total, want)
+	}
+	return io.EOF
+}
+
+func cutOff(err error) error {
+	return errkind.Wrap(errkind.AnswerCutOff, noEOF(err), "body ended early")
+}
+
+// admitter returns the budget check for further bytes of one exchange.
+func (c *conn) admitter(ctx context.Context, k Kind) func(n int) error {
+	return func(n int) error { return c.e.admitMore(ctx, ClassOf(k), c.remote, n) }
+}
+
+func (c *conn) sentCounter(k Kind) func(n int) {
+	return func(n int) { c.meter.countSent(ClassOf(k), n) }
+}
+
+func (c *conn) receivedCounter(k Kind) func(n int) {
+	return func(n int) { c.meter.countReceived(ClassOf(k), n) }
+}
--- /dev/null
+++ b/internal/wire/codec.go
@@ -0,0 +1,151 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/filbertmast/filbertmast/internal/errkind"
+)
+
+const (
+	maxListLength  = 1 << 20
+	maxNesting     = 32
+	frameHeader    = 4 // bytes of length before each frame
+	readStep       = 64 << 10
+	statusAnswer   = 0
+	statusError    = 1
+	prefaceLength  = 8
+	prefaceVersion = 1
+)
+
+var (
+	encMode = mustEncMode()
+	decMode = mustDecMode()
+)
+
+func mustEncMode() cbor.EncMode {
+	m, err := cbor.EncOptions{}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+// mustDecMode bounds what a peer can make this process allocate. Unknown fields
+// are ignored, so that a newer peer may add some.
+func mustDecMode() cbor.DecMode {
+	m, err := cbor.DecOptions{
+		MaxArrayElements: maxListLength,
+		MaxMapPairs:      maxListLength,
+		MaxNestedLevels:  maxNesting,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+// mode says what a stream carries.
+type mode uint8
+
+const (
+	modeControl mode = iota + 1
+	modeCall
+	modePost
+	modeExchange
+)
+
+// preface starts every stream.
+type preface struct {
+	mode      mode
+	kind      Kind
+	timeoutMS uint32 // left for the whole call; zero for no deadline
+}
+
+func (p preface) append(b []byte) []byte {
+	b = append(b, prefaceVersion, byte(p.mode))
+	b = binary.BigEndian.AppendUint16(b, uint16(p.kind))
+	return binary.BigEndian.AppendUint32(b, p.timeoutMS)
+}
+
+func readPreface(r io.Reader) (preface, error) {
+	var b [prefaceLength]byte
+	if _, err := io.ReadFull(r, b[:]); err != nil {
+		return preface{}, err
+	}
+	if b[0] != prefaceVersion {
+		return preface{}, errkind.New(errkind.BadRequest, "stream version %d is not spoken here", b[0])
+	}
+	return preface{
+		mode:      mode(b[1]),
+		kind:      Kind(binary.BigEndian.Uint16(b[2:])),
+		timeoutMS: binary.BigEndian.Uint32(b[4:]),
+	}, nil
+}
+
+// appendFrame appends the length and the encoding of v to b.
+func appendFrame(b []byte, v any) ([]byte, error) {
+	start := len(b)
+	buf := bytes.NewBuffer(append(b, make([]byte, frameHeader)...))
+	if err := encMode.NewEncoder(buf).Encode(v); err != nil {
+		return nil, errkind.Wrap(errkind.Internal, err, "message cannot be encoded")
+	}
+	b = buf.Bytes()
+	n := len(b) - start - frameHeader
+	if n > MaxFrame {
+		return nil, errkind.New(errkind.BodyTooLarge, "message of %d bytes is over the limit of %d", n, MaxFrame)
+	}
+	binary.BigEndian.PutUint32(b[start:], uint32(n))
+	return b, nil
+}
+
+// readFrame reads one frame. Memory grows with what arrives, not with what the
+// length claims.
+func readFrame(r io.Reader) ([]byte, error) {
+	var h [frameHeader]byte
+	if _, err := io.ReadFull(r, h[:]); err != nil {
+		return nil, err
+	}
+	n := int(binary.BigEndian.Uint32(h[:]))
+	if n > MaxFrame {
+		return nil, errkind.New(errkind.BodyTooLarge, "frame of %d bytes is over the limit of %d", n, MaxFrame)
+	}
+	if n <= readStep {
+		b := make([]byte, n)
+		_, err := io.ReadFull(r, b)
+		return b, noEOF(err)
+	}
+	var buf bytes.Buffer
+	m, err := io.CopyN(&buf, r, int64(n))
+	if m < int64(n) {
+		return nil, noEOF(err)
+	}
+	return buf.Bytes(), nil
+}
+
+// noEOF turns an end inside a frame into an error that no reader takes for a clean end.
+func noEOF(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+func decode[T any](b []byte) (*T, error) {
+	v := new(T)
+	if err := decMode.Unmarshal(b, v); err != nil {
+		return nil, errkind.Wrap(errkind.BadRequest, err, "message cannot be decoded")
+	}
+	return v, nil
+}
+
+// splitFrame cuts the first frame off a batch that this process has encoded.
+func splitFrame(batch []byte) (frame, rest []byte) {
+	n := frameHeader + int(binary.BigEndian.Uint32(batch))
+	return batch[frameHeader:n], batch[n:]
+}
--- /dev/null
+++ b/internal/wire/conn.go
@@ -0,0 +1,162 @@
+package wire
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+)
+
+// Codes that close a connection.
+const (
+	codeClosed  quic.ApplicationErrorCode = 0
+	codeIdle    quic.ApplicationErrorCode = 1
+	codeNoHello quic.ApplicationErrorCode = 2
+)
+
+// Codes that reset a stream.
+const (
+	streamDone     quic.StreamErrorCode = 0 // no more is wanted
+	streamRefused  quic.StreamErrorCode = 1 // nothing of the stream was acted on
+	streamGone     quic.StreamErrorCode = 2 // the caller has left
+	streamAborted  quic.StreamErrorCode = 3 // the sender could not go on
+	streamProtocol quic.StreamErrorCode = 4 // the content was not understood
+)
+
+// conn is one connection after its hello. Either end may open streams on it.
+type conn struct {
+	e       *Endpoint
+	qc      *quic.Conn
+	control *quic.Stream
+	remote  Peer
+	dialled bool
+	meter   *meter
+	lastUse atomic.Int64 // Unix nanoseconds of the last stream
+	calls   atomic.Int64 // calls and exchanges that this end has open
+	retired atomic.Bool  // this end opens no more streams
+
+	mu       sync.Mutex
+	saidBye  bool
+	saidDone bool
+	gotDone  bool
+	packets  packetCount
+}
+
+// packetCount is what has been added to the packet counters so far.
+type packetCount struct{ sent, received uint64 }
+
+func newConn(e *Endpoint, qc *quic.Conn, control *quic.Stream, remote Peer, dialled bool) *conn {
+	c := &conn{e: e, qc: qc, control: control, remote: remote, dialled: dialled}
+	c.meter = e.metrics.meterFor(e.self, remote)
+	c.touch()
+	return c
+}
+
+func (c *conn) touch() { c.lastUse.Store(time.Now().UnixNano()) }
+
+func (c *conn) unusedFor(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, c.lastUse.Load()))
+}
+
+// usable reports whether new streams may be opened.
+func (c *conn) usable() bool { return !c.retired.Load() && c.qc.Context().Err() == nil }
+
+func (c *conn) close(code quic.ApplicationErrorCode, why string) {
+	c.qc.CloseWithError(code, why)
+}
+
+// serve takes the peer's streams until the connection ends.
+func (c *conn) serve() {
+	defer c.e.wg.Done()
+	defer c.e.forget(c)
+	var wg sync.WaitGroup
+	wg.Add(3)
+	go c.acceptStreams(&wg)
+	go c.acceptPosts(&wg)
+	go c.readControl(&wg)
+	<-c.qc.Context().Done()
+	wg.Wait()
+	c.countPackets()
+	c.logEnd()
+}
+
+func (c *conn) acceptStreams(wg *sync.WaitGroup) {
+	defer wg.Done()
+	for {
+		s, err := c.qc.AcceptStream(c.e.ctx)
+		if err != nil {
+			return
+		}
+		c.touch()
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c.serveStream(s)
+		}()
+	}
+}
+
+func (c *conn) acceptPosts(wg *sync.WaitGroup) {
+	defer wg.Done()
+	for {
+		s, err := c.qc.AcceptUniStream(c.e.ctx)
+		if err != nil {
+			return
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c.servePosts(s)
+		}()
+	}
+}
+
+func (c *conn) serveStream(s *quic.Stream) {
+	s.SetReadDeadline(time.Now().Add(handshakeTimeout))
+	p, err := readPreface(s)
+	if err != nil {
+		c.refuse(s, reasonUndecodable)
+		return
+	}
+	s.SetReadDeadline(time.Time{})
+	c.meter.countReceived(ClassOf(p.kind), prefaceLength)
+	switch p.mode {
+	case modeCall:
+		c.serveCall(s, p)
+	case modeExchange:
+		c.serveExchange(s, p)
+	default:
+		c.refuse(s, reasonUnknownMode)
+	}
+}
+
+// refuse resets a stream of which nothing was acted on.
+func (c *conn) refuse(s *quic.Stream, reason string) {
+	c.e.metrics.refuse(reason)
+	s.CancelRead(streamRefused)
+	s.CancelWrite(streamRefused)
+}
+
+// countPackets adds to the packet counters what has passed since the last call.
+func (c *conn) countPackets() {
+	st := c.qc.ConnectionStats()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	from, to := c.e.metrics.regions.of(c.e.self.Region), c.e.metrics.regions.of(c.remote.Region)
+	v := c.e.metrics.packetBytes
+	v.WithLabelValues(sent, from, to).Add(float64(st.BytesSent - c.packets.sent))
+	v.WithLabelValues(received, from, to).Add(float64(st.BytesReceived - c.packets.received))
+	c.packets = packetCount{sent: st.BytesSent, received: st.BytesReceived}
+}
+
+func (c *conn) logEnd() {
+	cause := context.Cause(c.qc.Context())
+	var app *quic.ApplicationError
+	if errors.As(cause, &app) && (app.ErrorCode == codeIdle || app.ErrorCode == codeClosed) {
+		return
+	}
+	c.e.log.Warn("Connection lost.", "peer", c.remote.Name, "address", c.remote.Address, "cause", cause)
+}
--- /dev/null
+++ b/internal/wire/endpoint.go
@@ -0,0 +1,229 @@
+package wire
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/quic-go/quic-go"
+
+	"github.com/filbertmast/filbertmast/internal/errkind"
+)
+
+// Endpoint is this process's end of the inner protocol: it listens on one UDP
+// address, and dials its peers from the same one. It is safe for concurrent use.
+type Endpoint struct {
+	self      Peer
+	budget    Shaper
+	log       *log.Logger
+	metrics   *metrics
+	tls       *tls.Config // for dialling
+	quic      *quic.Config
+	socket    net.PacketConn
+	transport *quic.Transport
+	listener  *quic.Listener
+	handlers  handlers
+	ctx       context.Context
+	cancel    context.CancelFunc
+	draining  atomic.Bool
+	wg        sync.WaitGroup
+
+	mu    sync.Mutex
+	peers map[string]*peer // by listening address
+	conns map[*conn]struct{}
+}
+
+// Listen opens an endpoint and begins to accept connections.
+func Listen(o Options) (*Endpoint, error) {
+	base := o.TLS
+	if base == nil {
+		local, err := localTLS()
+		if err != nil {
+			return nil, errkind.Wrap(errkind.Internal, err, "certificate cannot be made")
+		}
+		base = local
+	}
+	socket, address, err := openSocket(o)
+	if err != nil {
+		return nil, err
+	}
+	e := newEndpoint(o, base, socket, address)
+	e.listener, err = e.transport.Listen(serverTLS(base), e.quic)
+	if err != nil {
+		socket.Close()
+		return nil, errkind.Wrap(errkind.Internal, err, "cannot listen on "+o.Address)
+	}
+	e.wg.Add(2)
+	go e.acceptLoop()
+	go e.reapLoop()
+	return e, nil
+}
+
+func openSocket(o Options) (net.PacketConn, string, error) {
+	addr, err := net.ResolveUDPAddr("udp", o.Address)
+	if err != nil {
+		return nil, "", errkind.Wrap(errkind.BadRequest, err, "inner address is not of the form IP:port")
+	}
+	udp, err := net.ListenUDP("udp", addr)
+	if err != nil {
+		return nil, "", errkind.Wrap(errkind.Internal, err, "cannot listen on "+o.Address)
+	}
+	address := udp.LocalAddr().String()
+	if o.Faults != nil {
+		return &faultyConn{PacketConn: udp, faults: o.Faults}, address, nil
+	}
+	return udp, address, nil
+}
+
+func newEndpoint(o Options, base *tls.Config, socket net.PacketConn, address string) *Endpoint {
+	logger := o.Logger
+	if logger == nil {
+		logger = log.Default()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Endpoint{
+		self:      Peer{Name: o.Name, Address: address, Region: o.Region, FailureDomain: o.FailureDomain},
+		budget:    o.Budget,
+		log:       logger.WithPrefix("wire"),
+		metrics:   newMetrics(o.Registerer),
+		tls:       clientTLS(base),
+		quic:      quicConfig(),
+		socket:    socket,
+		transport: &quic.Transport{Conn: socket, StatelessResetKey: resetKey(base, address)},
+		ctx:       ctx,
+		cancel:    cancel,
+		peers:     make(map[string]*peer),
+		conns:     make(map[*conn]struct{}),
+	}
+}
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:  handshakeTimeout,
+		MaxIdleTimeout:        idleTimeout,
+		KeepAlivePeriod:       keepAlivePeriod,
+		MaxIncomingStreams:    maxStreams,
+		MaxIncomingUniStreams: maxPostStreams,
+	}
+}
+
+// Address returns the address that the endpoint listens on.
+func (e *Endpoint) Address() string { return e.self.Address }
+
+// Self returns what peers are told of this endpoint.
+func (e *Endpoint) Self() Peer { return e.self }
+
+// Close ends every connection at once. Use Drain first to let calls end.
+func (e *Endpoint) Close() error {
+	e.draining.Store(true)
+	e.cancel()
+	for _, c := range e.allConns() {
+		c.close(codeClosed, "endpoint closed")
+	}
+	e.listener.Close()
+	err := e.transport.Close()
+	e.socket.Close()
+	e.wg.Wait()
+	return err
+}
+
+func (e *Endpoint) acceptLoop() {
+	defer e.wg.Done()
+	for {
+		qc, err := e.listener.Accept(e.ctx)
+		if err != nil {
+			return
+		}
+		e.wg.Add(1)
+		go func() {
+			defer e.wg.Done()
+			e.welcome(qc)
+		}()
+	}
+}
+
+// welcome takes the hello of an accepted connection and serves it.
+func (e *Endpoint) welcome(qc *quic.Conn) {
+	ctx, cancel := context.WithTimeout(e.ctx, handshakeTimeout)
+	defer cancel()
+	c, err := e.acceptHello(ctx, qc)
+	if err != nil {
+		e.metrics.refuse(reasonNoHello)
+		qc.CloseWithError(codeNoHello, "no hello")
+		return
+	}
+	if e.draining.Load() {
+		e.metrics.refuse(reasonDraining)
+		qc.CloseWithError(codeClosed, "draining")
+		return
+	}
+	e.adopt(c)
+	e.peer(c.remote.Address).offer(c)
+}
+
+// adopt starts to serve c. It reports false when the endpoint is closed.
+func (e *Endpoint) adopt(c *conn) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ctx.Err() != nil {
+		go c.close(codeClosed, "endpoint closed")
+		return false
+	}
+	e.conns[c] = struct{}{}
+	e.metrics.connections.Inc()
+	e.wg.Add(1)
+	go c.serve()
+	return true
+}
+
+func (e *Endpoint) forget(c *conn) {
+	e.mu.Lock()
+	delete(e.conns, c)
+	e.mu.Unlock()
+	e.metrics.connections.Dec()
+}
+
+func (e *Endpoint) allConns() []*conn {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make([]*conn, 0, len(e.conns))
+	for c := range e.conns {
+		out = append(out, c)
+	}
+	return out
+}
+
+func (e *Endpoint) peer(address string) *peer {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.peers[address]
+	if p == nil {
+		p = &peer{e: e, address: address, lanes: make(map[Kind]*lane)}
+		e.peers[address] = p
+	}
+	p.lastUse = time.Now()
+	return p
+}
+
+// crosses reports whether traffic with a peer passes the link between regions.
+func (e *Endpoint) crosses(p Peer) bool {
+	return e.budget != nil && p.Region != e.self.Region
+}
+
+func (e *Endpoint) admit(ctx context.Context, c Class, to Peer, n int) error {
+	if !e.crosses(to) {
+		return nil
+	}
+	return e.budget.Admit(ctx, c, to.Region, n)
+}
+
+func (e *Endpoint) admitMore(ctx context.Context, c Class, to Peer, n int) error {
+	if !e.crosses(to) {
+		return nil
+	}
+	return e.budget.Continue(ctx, c, to.Region, n)
+}
--- /dev/null
+++ b/internal/wire/localtls.go
@@ -0,0 +1,121 @@
+package wire
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"math/big"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/filbertmast/filbertmast/internal/errkind"
+)
+
+const localCertificateLife = 10 * 365 * 24 * time.Hour
+
+// localTLS returns a configuration whose authority exists only in the memory
+// of this process.
+var localTLS = sync.OnceValues(makeLocalTLS)
+
+func makeLocalTLS() (*tls.Config, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	template := &x509.Certificate{
+		SerialNumber:          big.NewInt(1),
+		Subject:               pkix.Name{CommonName: "filbertmast in one process"},
+		NotBefore:             time.Now().Add(-time.Hour),
+		NotAfter:              time.Now().Add(localCertificateLife),
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		KeyUsage:              x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		ExtKeyUsage:           []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	if err != nil {
+		return nil, err
+	}
+	leaf, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(leaf)
+	return &tls.Config{
+		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key, Leaf: leaf}},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+	}, nil
+}
+
+// serverTLS returns the configuration for accepted connections: a peer without
+// a certificate of a known authority is turned away in the handshake.
+func serverTLS(base *tls.Config) *tls.Config {
+	c := base.Clone()
+	c.MinVersion = tls.VersionTLS13
+	c.NextProtos = []string{protocolName}
+	c.ClientAuth = tls.RequireAndVerifyClientCert
+	if c.ClientCAs == nil {
+		c.ClientCAs = c.RootCAs
+	}
+	return c
+}
+
+// clientTLS returns the configuration for dialled connections. Peers are dialled
+// by IP address; without a ServerName the chain alone is checked.
+func clientTLS(base *tls.Config) *tls.Config {
+	c := base.Clone()
+	c.MinVersion = tls.VersionTLS13
+	c.NextProtos = []string{protocolName}
+	if c.RootCAs == nil {
+		c.RootCAs = c.ClientCAs
+	}
+	if c.ServerName != "" {
+		return c
+	}
+	roots := c.RootCAs
+	c.InsecureSkipVerify = true // replaced by VerifyConnection
+	c.VerifyConnection = func(s tls.ConnectionState) error { return verifyChain(roots, s) }
+	return c
+}
+
+func verifyChain(roots *x509.CertPool, s tls.ConnectionState) error {
+	if len(s.PeerCertificates) == 0 {
+		return errkind.New(errkind.Unreachable, "peer shows no certificate")
+	}
+	middle := x509.NewCertPool()
+	for _, c := range s.PeerCertificates[1:] {
+		middle.AddCert(c)
+	}
+	_, err := s.PeerCertificates[0].Verify(x509.VerifyOptions{
+		Roots:         roots,
+		Intermediates: middle,
+		KeyUsages:     []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth},
+	})
+	return err
+}
+
+// resetKey derives the key of stateless resets from the private key and the
+// address, so that peers of a restarted process learn of the restart from its
+// first packet and need not wait for the idle timeout.
+func resetKey(c *tls.Config, address string) *quic.StatelessResetKey {
+	if len(c.Certificates) == 0 {
+		return nil
+	}
+	der, err := x509.MarshalPKCS8PrivateKey(c.Certificates[0].PrivateKey)
+	if err != nil {
+		return nil
+	}
+	h := sha256.New()
+	h.Write([]byte("filbertmast stateless reset"))
+	h.Write(der)
+	h.Write([]byte(address))
+	return (*quic.StatelessResetKey)(h.Sum(nil))
+}
--- /dev/null
+++ b/internal/wire/peer.go
@@ -0,0 +1,168 @@
+package wire
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/filbertmast/filbertmast/internal/errkind"
+)
+
+// peer is one remote address: its connection, or the state of dialling it, and
+// the one-way messages that wait for it.
+type peer struct {
+	e       *Endpoint
+	address string
+	lastUse time.Time // guarded by Endpoint.mu
+
+	mu       sync.Mutex
+	conn     *conn
+	dialling *dial
+	failures int
+	nextDial time.Time
+	lanes    map[Kind]*lane
+	queued   queueUse
+}
+
+// dial is one attempt, shared by all who wait for the connection.
+type dial struct {
+	done chan struct{}
+	conn *conn
+	err  error
+}
+
+// begin returns a connection on which one call may be opened. The caller must
+// call callEnded on it afterwards. Errors are of kind Unreachable.
+func (p *peer) begin(ctx context.Context) (*conn, error) {
+	for {
+		c, err := p.get(ctx)
+		if err != nil {
+			return nil, err
+		}
+		c.calls.Add(1)
+		if c.usable() {
+			c.touch()
+			return c, nil
+		}
+		c.callEnded()
+		p.drop(c)
+	}
+}
+
+// get returns the cached connection, or dials. During a backoff it fails at once.
+func (p *peer) get(ctx context.Context) (*conn, error) {
+	c, d, err := p.cachedOrDial()
+	if c != nil || err != nil {
+		return c, err
+	}
+	select {
+	case <-d.done:
+		return d.conn, d.err
+	case <-ctx.Done():
+		return nil, errkind.Wrap(errkind.Unreachable, ctx.Err(), "no connection to "+p.address+" in time")
+	}
+}
+
+func (p *peer) cachedOrDial() (*conn, *dial, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn != nil && p.conn.usable() {
+		return p.conn, nil, nil
+	}
+	p.conn = nil
+	if p.dialling != nil {
+		return nil, p.dialling, nil
+	}
+	if p.e.draining.Load() {
+		return nil, nil, errkind.New(errkind.Unreachable, "this process is shutting down")
+	}
+	if left := time.Until(p.nextDial); left > 0 {
+		p.e.metrics.dials.WithLabelValues(reasonBackingOff).Inc()
+		err := errkind.New(errkind.Unreachable, "no connection to %s; the next attempt is in %s", p.address, left.Round(time.Millisecond))
+		return nil, nil, errkind.WithRetryAfter(err, left)
+	}
+	p.dialling = &dial{done: make(chan struct{})}
+	go p.dial(p.dialling)
+	return nil, p.dialling, nil
+}
+
+// dial makes one attempt, bounded by handshakeTimeout and not by any one waiter.
+func (p *peer) dial(d *dial) {
+	ctx, cancel := context.WithTimeout(p.e.ctx, handshakeTimeout)
+	defer cancel()
+	d.conn, d.err = p.e.connect(ctx, p.address)
+	p.settleDial(d)
+	close(d.done)
+}
+
+func (p *peer) settleDial(d *dial) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dialling = nil
+	if d.err != nil {
+		p.e.metrics.dials.WithLabelValues(reasonDialFailed).Inc()
+		p.failures++
+		p.nextDial = time.Now().Add(redialDelay(p.failures))
+		return
+	}
+	p.e.metrics.dials.WithLabelValues("ok").Inc()
+	p.failures = 0
+	p.nextDial = time.Time{}
+	p.conn = d.conn
+}
+
+// redialDelay doubles with each failure up to redialMax, with full jitter in its
+// upper half so that peers of a returning process do not dial in step.
+func redialDelay(failures int) time.Duration {
+	d := redialMax
+	if shift := failures - 1; shift < 10 {
+		d = min(redialMax, redialBase<<shift)
+	}
+	return d/2 + rand.N(d/2)
+}
+
+func (e *Endpoint) connect(ctx context.Context, address string) (*conn, error) {
+	addr, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, errkind.Wrap(errkind.Unreachable, err, "peer address is not of the form IP:port")
+	}
+	qc, err := e.transport.Dial(ctx, addr, e.tls, e.quic)
+	if err != nil {
+		return nil, errkind.Wrap(errkind.Unreachable, err, "no connection to "+address)
+	}
+	c, err := e.greet(ctx, qc)
+	if err != nil {
+		qc.CloseWithError(codeNoHello, "no hello")
+		return nil, errkind.Wrap(errkind.Unreachable, err, "no hello from "+address)
+	}
+	if !e.adopt(c) {
+		return nil, errkind.New(errkind.Unreachable, "this endpoint is closed")
+	}
+	return c, nil
+}
+
+// offer makes an accepted connection the one to use. The peer dialled it, so it
+// held no older one, or has restarted since.
+func (p *peer) offer(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conn = c
+	p.failures = 0
+	p.nextDial = time.Time{}
+}
+
+func (p *peer) drop(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn == c {
+		p.conn = nil
+	}
+}
+
+func (p *peer) idle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conn == nil && p.dialling == nil && p.queued.count == 0
+}
--- /dev/null
+++ b/internal/wire/post.go
@@ -0,0 +1,223 @@
+package wire
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/filbertmast/filbertmast/internal/errkind"
+)
+
+// queueUse is what waits in the lanes of one peer.
+type queueUse struct{ bytes, count int }
+
+// lane is the queue of one peer and kind. A goroutine runs while it holds
+// messages, and owns stream and conn.
+type lane struct {
+	p       *peer
+	kind    Kind
+	queue   [][]byte // guarded by peer.mu, as is running
+	running bool
+	conn    *conn
+	stream  *quic.SendStream
+}
+
+// Post queues a one-way message and returns without waiting. Messages for one
+// peer and kind arrive in order, each at most once; those that wait while the
+// peer cannot be reached are lost and counted. A message that finds the peer's
+// queue full is dropped, and Post returns Overloaded.
+func Post[T any](e *Endpoint, to string, k Kind, msg *T) error {
+	b, err := appendFrame(nil, msg)
+	if err != nil {
+		return err
+	}
+	return e.peer(to).post(k, b)
+}
+
+func (p *peer) post(k Kind, b []byte) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.hasRoom(ClassOf(k), len(b)) {
+		p.e.metrics.drop(ClassOf(k), reasonQueueFull, 1)
+		return errkind.New(errkind.Overloaded, "the queue for %s is full", p.address)
+	}
+	l := p.lanes[k]
+	if l == nil {
+		l = &lane{p: p, kind: k}
+		p.lanes[k] = l
+	}
+	l.queue = append(l.queue, b)
+	p.queued.bytes += len(b)
+	p.queued.count++
+	if !l.running {
+		l.running = true
+		go l.run()
+	}
+	return nil
+}
+
+// hasRoom bounds the queue; copies may take half of it, so that a snapshot does
+// not crowd out consensus.
+func (p *peer) hasRoom(c Class, n int) bool {
+	maxBytes, maxCount := maxQueuedBytes, maxQueuedMessages
+	if c == ClassCopy {
+		maxBytes, maxCount = maxBytes/2, maxCount/2
+	}
+	return p.queued.bytes+n <= maxBytes && p.queued.count < maxCount
+}
+
+func (l *lane) run() {
+	for {
+		batch, n := l.take()
+		if n == 0 {
+			return
+		}
+		if err := l.send(batch); err != nil {
+			l.p.e.metrics.drop(ClassOf(l.kind), dropReason(err), n)
+			l.reset()
+		}
+	}
+}
+
+// take joins waiting messages up to postBatchBytes. It ends the lane's run when
+// nothing waits.
+func (l *lane) take() (batch []byte, n int) {
+	l.p.mu.Lock()
+	defer l.p.mu.Unlock()
+	if len(l.queue) == 0 {
+		l.queue = nil
+		l.running = false
+		return nil, 0
+	}
+	batch = l.queue[0]
+	for n = 1; n < len(l.queue) && len(batch)+len(l.queue[n]) <= postBatchBytes; n++ {
+		batch = append(batch, l.queue[n]...)
+	}
+	clear(l.queue[:n])
+	l.queue = l.queue[n:]
+	l.p.queued.bytes -= len(batch)
+	l.p.queued.count -= n
+	return batch, n
+}
+
+func dropReason(err error) string {
+	if errkind.Is(err, errkind.Unreachable) {
+		return reasonUnreachable
+	}
+	return reasonWriteFailed
+}
+
+func (l *lane) send(batch []byte) error {
+	e := l.p.e
+	if l.p.address == e.self.Address {
+		return e.postSelf(l.kind, batch)
+	}
+	ctx, cancel := context.WithTimeout(e.ctx, handshakeTimeout+postWriteTimeout)
+	defer cancel()
+	if err := l.ready(ctx); err != nil {
+		return err
+	}
+	if err := e.admitMore(e.ctx, ClassOf(l.kind), l.conn.remote, len(batch)); err != nil {
+		return err
+	}
+	l.conn.touch()
+	l.stream.SetWriteDeadline(time.Now().Add(postWriteTimeout))
+	if _, err := l.stream.Write(batch); err != nil {
+		return err
+	}
+	l.conn.meter.countSent(ClassOf(l.kind), len(batch))
+	return nil
+}
+
+// ready opens the lane's stream where there is none on a usable connection.
+func (l *lane) ready(ctx context.Context) error {
+	if l.stream != nil && l.conn.usable() {
+		return nil
+	}
+	l.finish()
+	c, err := l.p.get(ctx)
+	if err != nil {
+		return err
+	}
+	s, err := c.qc.OpenUniStreamSync(ctx)
+	if err != nil {
+		l.p.drop(c)
+		return errkind.Wrap(errkind.Unreachable, err, "no stream to "+l.p.address)
+	}
+	if _, err := s.Write(preface{mode: modePost, kind: l.kind}.append(nil)); err != nil {
+		return err
+	}
+	c.meter.countSent(ClassOf(l.kind), prefaceLength)
+	l.conn, l.stream = c, s
+	return nil
+}
+
+// finish ends the stream, letting what was written arrive.
+func (l *lane) finish() {
+	if l.stream != nil {
+		l.stream.Close()
+	}
+	l.conn, l.stream = nil, nil
+}
+
+// reset gives up the stream after a failed write.
+func (l *lane) reset() {
+	if l.stream != nil {
+		l.stream.CancelWrite(streamAborted)
+	}
+	l.conn, l.stream = nil, nil
+}
+
+// servePosts delivers the messages of one stream in order.
+func (c *conn) servePosts(s *quic.ReceiveStream) {
+	p, err := readPreface(s)
+	if err != nil || p.mode != modePost {
+		c.e.metrics.refuse(reasonUnknownMode)
+		s.CancelRead(streamProtocol)
+		return
+	}
+	h := c.e.handlers.post(p.kind)
+	if h == nil {
+		c.e.metrics.refuse(reasonUnknownKind)
+		s.CancelRead(streamRefused)
+		return
+	}
+	for {
+		b, err := readFrame(s)
+		if err == io.EOF {
+			return
+		}
+		if err != nil {
+			s.CancelRead(streamProtocol)
+			return
+		}
+		c.touch()
+		c.meter.countReceived(ClassOf(p.kind), frameHeader+len(b))
+		c.e.runPost(h, c.remote, b)
+	}
+}
+
+// runPost drops a message that cannot be decoded and goes on with the next.
+func (e *Endpoint) runPost(h postHandler, from Peer, b []byte) {
+	var err error
+	defer e.recovered(&err)
+	if err = h(from, b); err != nil {
+		e.metrics.refuse(reasonUndecodable)
+	}
+}
+
+func (e *Endpoint) postSelf(k Kind, batch []byte) error {
+	h := e.handlers.post(k)
+	if h == nil {
+		e.metrics.refuse(reasonUnknownKind)
+		return unknownKind(k)
+	}
+	for len(batch) > 0 {
+		b, rest := splitFrame(batch)
+		e.runPost(h, e.self, b)
+		batch = rest
+	}
+	return nil
+}
