--- /dev/null
+++ b/internal/standin/client.go
@@ -0,0 +1,149 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/errkind"
+)
+
+const (
+	callTimeout = 5 * time.Second
+	maxAnswer   = 8 << 20 // bytes
+)
+
+// client calls one entry at a time and moves to the next when it fails.
+type client struct {
+	http *http.Client
+	key  string
+
+	mu      sync.Mutex
+	entries []string // base URLs
+	current int
+	moved   chan struct{} // closed and replaced at each move
+}
+
+func newClient(entries []string, key string) (*client, error) {
+	if len(entries) == 0 {
+		return nil, fmt.Errorf("no entry is named")
+	}
+	c := &client{http: &http.Client{}, key: key, moved: make(chan struct{})}
+	for _, e := range entries {
+		c.entries = append(c.entries, strings.TrimSuffix(e, "/"))
+	}
+	return c, nil
+}
+
+// learn adds entries that an answer named to fall back on.
+func (c *client) learn(entries []api.EntryAddress) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := make(map[string]bool)
+	for _, e := range c.entries {
+		known[e] = true
+	}
+	for _, e := range entries {
+		url := "http://" + e.Address
+		if e.Address != "" && !known[url] {
+			known[url] = true
+			c.entries = append(c.entries, url)
+		}
+	}
+}
+
+func (c *client) entry() (string, int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.entries[c.current], c.current
+}
+
+// leave moves away from entry i, unless another call has done so already.
+func (c *client) leave(i int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current != i {
+		return
+	}
+	c.current = (i + 1) % len(c.entries)
+	close(c.moved)
+	c.moved = make(chan struct{})
+}
+
+// onMove returns a channel that is closed at the next move.
+func (c *client) onMove() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.moved
+}
+
+// call makes one attempt at the current entry, bounded by timeout. When the
+// entry cannot serve, the next call goes to another.
+func (c *client) call(ctx context.Context, timeout time.Duration, method, path string, in, out any) error {
+	bounded, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	base, i := c.entry()
+	err := c.send(bounded, method, base+path, in, out)
+	if movesOn(err) && ctx.Err() == nil {
+		c.leave(i)
+	}
+	return err
+}
+
+// movesOn reports whether another entry may do better.
+func movesOn(err error) bool {
+	switch errkind.Of(err) {
+	case errkind.Unreachable, errkind.SettingsStale, errkind.Draining, errkind.Internal,
+		errkind.NoLeader, errkind.OutcomeUnknown:
+		return true
+	}
+	return false
+}
+
+func (c *client) send(ctx context.Context, method, url string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return err
+		}
+		body = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return errkind.Wrap(errkind.Unreachable, err, "entry")
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return errkind.Wrap(errkind.Unreachable, err, "answer of the entry")
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return errorOf(resp.StatusCode, b)
+	}
+	if out == nil || len(b) == 0 {
+		return nil
+	}
+	return json.Unmarshal(b, out)
+}
+
+func errorOf(status int, b []byte) error {
+	var body errkind.Body
+	if err := json.Unmarshal(b, &body); err != nil || body.Kind == "" {
+		return errkind.New(errkind.Internal, "status %d", status)
+	}
+	return body.Err()
+}
--- /dev/null
+++ b/internal/standin/executor.go
@@ -0,0 +1,48 @@
+package standin
+
+import (
+	"context"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// ExecutorOptions configures RunExecutor.
+type ExecutorOptions struct {
+	Entries     []string // base URLs, such as http://10.0.0.1:7400
+	Key         string   // must have the right to announce workers
+	Worker      model.WorkerSpec
+	Listen      string // IP:port for requests; port 0 takes a free one
+	Service     string
+	Slots       int32  // zero: 8
+	Connections int32  // zero: 60
+	Behave      string // one of the behaviors
+	HistoryFile string
+	Logger      *log.Logger
+}
+
+// RunExecutor serves requests on one listener and announces it through a
+// worker, which may have no capacity for tasks. It returns once ctx has ended
+// and the requests that ran then are answered.
+func RunExecutor(ctx context.Context, o ExecutorOptions) error {
+	b := Behavior(o.Behave)
+	if err := b.valid(); err != nil {
+		return err
+	}
+	h, err := openHistory(o.HistoryFile)
+	if err != nil {
+		return err
+	}
+	defer h.close()
+	p := payload{behave: b, slots: o.Slots, connections: o.Connections}
+	x, err := startExecutor(string(o.Worker.ID)+"-x", o.Service, o.Listen, p, h)
+	if err != nil {
+		return err
+	}
+	spec := o.Worker
+	spec.Executors = append(spec.Executors[:len(spec.Executors):len(spec.Executors)], x.spec)
+	err = RunWorker(ctx, WorkerOptions{Entries: o.Entries, Key: o.Key, Spec: spec, Logger: o.Logger, lingers: true})
+	x.stop(stopGrace)
+	return err
+}
--- /dev/null
+++ b/internal/standin/loops.go
@@ -0,0 +1,79 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/errkind"
+)
+
+// commands polls for orders until the session ends.
+func (w *worker) commands(ctx context.Context, _ context.CancelFunc) {
+	for attempt := 0; ctx.Err() == nil; {
+		err := w.poll(ctx)
+		if err == nil {
+			attempt = 0
+			continue
+		}
+		w.log.Debug("Poll for commands failed.", "err", err)
+		if pause(ctx, backoff(attempt, nil)) != nil {
+			return
+		}
+		attempt++
+	}
+}
+
+func (w *worker) poll(ctx context.Context) error {
+	session, _, ok := w.held()
+	if !ok {
+		return errkind.New(errkind.StaleLease, "the lease has ended")
+	}
+	path := w.path(fmt.Sprintf("commands?session=%d&wait=%s", session, commandWait))
+	var a api.Commands
+	if err := w.client.call(ctx, commandWait+callTimeout, http.MethodGet, path, nil, &a); err != nil {
+		return err
+	}
+	fresh := w.tasks.take(a.Commands)
+	if fresh == 0 && len(a.Commands) > 0 {
+		// All were told before: they are told again until the reports arrive.
+		return pause(ctx, retryPause)
+	}
+	return nil
+}
+
+// reports sends what became of tasks, again and again until it is acknowledged.
+func (w *worker) reports(ctx context.Context, _ context.CancelFunc) {
+	for attempt := 0; ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.tasks.ready:
+		}
+		if err := w.report(ctx); err != nil {
+			w.log.Debug("Report failed.", "err", err)
+			if pause(ctx, backoff(attempt, nil)) != nil {
+				return
+			}
+			attempt++
+			w.tasks.signal()
+			continue
+		}
+		attempt = 0
+	}
+}
+
+func (w *worker) report(ctx context.Context) error {
+	pending := w.tasks.pending()
+	if len(pending) == 0 || w.o.Behavior == BehaveNeverAnswer {
+		return nil
+	}
+	session, _, _ := w.held()
+	body := api.Reports{Session: session, Reports: pending}
+	if err := w.client.call(ctx, callTimeout, http.MethodPost, w.path("reports"), &body, nil); err != nil {
+		return err
+	}
+	w.tasks.acknowledged(pending)
+	return nil
+}
--- /dev/null
+++ b/internal/standin/tasks.go
@@ -0,0 +1,359 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// attempt is the newest attempt of one task that the worker was told of. It is
+// kept after its end, so that a repeated command gets the same report.
+type attempt struct {
+	cmd      api.Command
+	plan     payload
+	last     api.Report // the newest report; State is empty before the start
+	began    time.Time
+	timer    *time.Timer
+	executor *executorServer
+	running  bool
+	stopping bool
+	throttle bool
+}
+
+// reportKey tells reports apart: each state of an attempt is reported once.
+type reportKey struct {
+	task  model.TaskID
+	fence model.Fence
+	state api.ReportState
+}
+
+func keyOf(r api.Report) reportKey { return reportKey{r.Task, r.Fence, r.State} }
+
+// tasks holds the attempts of a worker and the reports that wait.
+type tasks struct {
+	w     *worker
+	ready chan struct{} // holds a token while reports wait
+
+	mu       sync.Mutex
+	attempts map[model.TaskID]*attempt
+	outbox   []api.Report
+	idle     chan struct{} // closed and replaced at each change
+}
+
+func newTasks(w *worker) *tasks {
+	return &tasks{w: w, ready: make(chan struct{}, 1), attempts: make(map[model.TaskID]*attempt), idle: make(chan struct{})}
+}
+
+func (t *tasks) signal() {
+	select {
+	case t.ready <- struct{}{}:
+	default:
+	}
+}
+
+// take acts on commands and returns how many were new.
+func (t *tasks) take(commands []api.Command) (fresh int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range commands {
+		if t.takeOne(c) {
+			fresh++
+		}
+	}
+	return fresh
+}
+
+func (t *tasks) takeOne(c api.Command) bool {
+	a := t.attempts[c.Task]
+	if a != nil && c.Fence.Less(a.cmd.Fence) {
+		t.queue(api.Report{Task: c.Task, Fence: c.Fence, State: api.ReportStopped, Reason: "a newer attempt is known"})
+		return false
+	}
+	switch c.Op {
+	case api.CommandStart:
+		return t.start(a, c)
+	case api.CommandStop, api.CommandCheckpoint:
+		return t.stop(a, c)
+	case api.CommandThrottle:
+		if a != nil {
+			a.throttle = true
+		}
+	}
+	return false
+}
+
+// start begins an attempt. A repeated start gets its newest report again.
+func (t *tasks) start(a *attempt, c api.Command) bool {
+	if a != nil && a.cmd.Fence == c.Fence {
+		if a.last.State != "" {
+			t.queue(a.last)
+		}
+		return false
+	}
+	if a != nil {
+		t.finish(a, api.ReportStopped, "a newer attempt began", time.Now())
+	}
+	a = &attempt{cmd: c}
+	a.plan = parsePayload(c.Payload, payload{run: t.w.o.TaskTime, usage: defaultUsage, behave: t.w.o.Behavior})
+	t.attempts[c.Task] = a
+	if _, _, ok := t.w.held(); !ok {
+		t.settle(a, api.ReportStopped, "the lease has ended")
+		return true
+	}
+	if a.plan.behave == BehaveRefuse {
+		t.settle(a, api.ReportFailed, "refused")
+		return true
+	}
+	if a.plan.behave == BehaveSlow {
+		a.timer = time.AfterFunc(slowTime, func() { t.locked(func() { t.run(a) }) })
+		return true
+	}
+	t.run(a)
+	return true
+}
+
+func (t *tasks) locked(fn func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	fn()
+}
+
+// run begins the work of an attempt, unless it was stopped before.
+func (t *tasks) run(a *attempt) {
+	if a.last.State != "" || a.stopping {
+		return
+	}
+	if _, until, ok := t.w.held(); !ok {
+		t.finish(a, api.ReportStopped, "the lease has ended", until)
+		return
+	}
+	started := api.Report{Task: a.cmd.Task, Fence: a.cmd.Fence, State: api.ReportStarted}
+	if err := t.openExecutor(a, &started); err != nil {
+		t.settle(a, api.ReportFailed, err.Error())
+		return
+	}
+	a.running = true
+	a.began = time.Now()
+	t.w.history.add(t.event(EventStart, a, a.began))
+	a.last = started
+	t.queue(started)
+	if a.cmd.Service == "" {
+		a.timer = time.AfterFunc(a.plan.run, func() { t.locked(func() { t.end(a) }) })
+	}
+}
+
+func (t *tasks) openExecutor(a *attempt, r *api.Report) error {
+	if a.cmd.Service == "" || t.w.o.ExecutorAddress == "" {
+		return nil
+	}
+	id := fmt.Sprintf("%s-%s-%d.%d", t.w.o.Spec.ID, a.cmd.Task, a.cmd.Fence.Term, a.cmd.Fence.Index)
+	p := a.plan
+	p.run = 0 // the task's own run time is not that of its requests
+	x, err := startExecutor(id, a.cmd.Service, t.w.o.ExecutorAddress+":0", p, t.w.history)
+	if err != nil {
+		return err
+	}
+	a.executor = x
+	r.Executor = &x.spec
+	return nil
+}
+
+// end is the end of a task by itself.
+func (t *tasks) end(a *attempt) {
+	if !a.running || a.stopping {
+		return
+	}
+	if _, until, ok := t.w.held(); !ok {
+		t.finish(a, api.ReportStopped, "the lease has ended", until)
+		return
+	}
+	state, reason := api.ReportSucceeded, ""
+	if chance(a.cmd) < a.plan.behave.failure(a.plan.fail) {
+		state, reason = api.ReportFailed, "asked to fail"
+	}
+	t.finish(a, state, reason, time.Now())
+}
+
+// chance is a number from 0 to 1 that depends only on the attempt, so that
+// histories repeat.
+func chance(c api.Command) float64 { return chanceOf(fmt.Sprint(c.Task, c.Fence)) }
+
+func chanceOf(s string) float64 {
+	const steps = 1000
+	h := fnv.New64a()
+	h.Write([]byte(s))
+	return float64(h.Sum64()%steps) / steps
+}
+
+// stop ends an attempt on command. One that never ran is confirmed as stopped.
+func (t *tasks) stop(a *attempt, c api.Command) bool {
+	if a == nil || a.cmd.Fence.Less(c.Fence) {
+		if a != nil {
+			t.finish(a, api.ReportStopped, c.Reason, time.Now())
+		}
+		a = &attempt{cmd: c}
+		t.attempts[c.Task] = a
+		t.settle(a, api.ReportStopped, c.Reason)
+		return true
+	}
+	if !a.running && a.last.State != "" {
+		t.queue(a.last)
+		return false
+	}
+	if a.stopping {
+		return false
+	}
+	if a.executor == nil {
+		t.finish(a, api.ReportStopped, c.Reason, time.Now())
+		return true
+	}
+	a.stopping = true
+	go func() {
+		a.executor.stop(stopGrace)
+		t.locked(func() { t.finish(a, api.ReportStopped, c.Reason, time.Now()) })
+	}()
+	return true
+}
+
+// finish ends a running attempt at the given time, and reports it.
+func (t *tasks) finish(a *attempt, state api.ReportState, reason string, at time.Time) {
+	if a.timer != nil {
+		a.timer.Stop()
+	}
+	if !a.running {
+		if a.last.State == "" {
+			t.settle(a, state, reason)
+		}
+		return
+	}
+	a.running = false
+	if a.executor != nil && !a.stopping {
+		go a.executor.stop(stopGrace)
+	}
+	kind := EventEnd
+	if state == api.ReportStopped {
+		kind = EventStop
+	}
+	t.w.history.add(t.event(kind, a, at))
+	t.settle(a, state, reason)
+}
+
+func (t *tasks) settle(a *attempt, state api.ReportState, reason string) {
+	r := api.Report{Task: a.cmd.Task, Fence: a.cmd.Fence, State: state, Reason: reason, Used: used(a)}
+	if !a.began.IsZero() {
+		r.RanMS = time.Since(a.began).Milliseconds()
+	}
+	a.last = r
+	t.queue(r)
+}
+
+func used(a *attempt) model.Resources {
+	part := func(n int64) int64 { return int64(float64(n) * a.plan.usage) }
+	s := a.cmd.Size
+	return model.Resources{CPU: part(s.CPU), Memory: part(s.Memory), Accelerators: s.Accelerators}
+}
+
+func (t *tasks) event(k EventKind, a *attempt, at time.Time) Event {
+	return Event{At: at.UnixNano(), Kind: k, Worker: string(t.w.o.Spec.ID), Task: a.cmd.Task, Fence: a.cmd.Fence}
+}
+
+// queue adds a report to the outbox, once.
+func (t *tasks) queue(r api.Report) {
+	close(t.idle)
+	t.idle = make(chan struct{})
+	for _, o := range t.outbox {
+		if keyOf(o) == keyOf(r) {
+			t.signal()
+			return
+		}
+	}
+	t.outbox = append(t.outbox, r)
+	t.signal()
+}
+
+func (t *tasks) pending() []api.Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.outbox)
+}
+
+func (t *tasks) acknowledged(sent []api.Report) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	gone := make(map[reportKey]bool, len(sent))
+	for _, r := range sent {
+		gone[keyOf(r)] = true
+	}
+	t.outbox = slices.DeleteFunc(t.outbox, func(r api.Report) bool { return gone[keyOf(r)] })
+	close(t.idle)
+	t.idle = make(chan struct{})
+}
+
+func (t *tasks) usage() []api.TaskUsage {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []api.TaskUsage
+	for _, a := range t.attempts {
+		if a.running {
+			out = append(out, api.TaskUsage{Task: a.cmd.Task, Fence: a.cmd.Fence, Used: used(a)})
+		}
+	}
+	return out
+}
+
+// stopAll stops what runs. What could not be reported before stays in the outbox.
+func (t *tasks) stopAll(reason string) {
+	t.endAll(reason, time.Now())
+}
+
+// expire stops what runs because the lease ended at until. A worker that was
+// frozen past the end has run nothing since.
+func (t *tasks) expire(until time.Time) {
+	t.endAll("the lease has ended", until)
+}
+
+func (t *tasks) endAll(reason string, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, a := range t.attempts {
+		t.finish(a, api.ReportStopped, reason, at)
+	}
+}
+
+func (t *tasks) waitIdle(ctx context.Context) {
+	t.wait(ctx, func() bool {
+		for _, a := range t.attempts {
+			if a.running || a.last.State == "" {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (t *tasks) waitReported(ctx context.Context) {
+	t.wait(ctx, func() bool { return len(t.outbox) == 0 })
+}
+
+// wait returns once cond holds under the lock, or ctx ends.
+func (t *tasks) wait(ctx context.Context, cond func() bool) {
+	for {
+		t.mu.Lock()
+		ok, changed := cond(), t.idle
+		t.mu.Unlock()
+		if ok {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,281 @@
+package standin
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+const (
+	commandWait       = 10 * time.Second // longest poll for commands
+	heartbeatsInLease = 3
+	lingerTime        = 2 * time.Second // between saying that it leaves and closing, for executors
+)
+
+// WorkerOptions configures RunWorker.
+type WorkerOptions struct {
+	Entries     []string // base URLs, such as http://10.0.0.1:7400
+	Key         string   // must have the right to announce workers
+	Spec        model.WorkerSpec
+	TaskTime    time.Duration // run time of a task whose payload names none; zero: 1 s
+	HistoryFile string        // empty: none is kept
+	// ExecutorAddress is the IP on which the tasks of services serve requests;
+	// empty: they serve none.
+	ExecutorAddress string
+	Behavior        Behavior
+	LeaveTimeout    time.Duration // how long running tasks may go on after ctx ends; zero: 30 s
+	Logger          *log.Logger
+
+	lingers bool // stays for lingerTime after saying that it leaves
+}
+
+// worker is one stand-in worker. Its tasks run under the lease of its session.
+type worker struct {
+	o       WorkerOptions
+	client  *client
+	history *history
+	log     *log.Logger
+	tasks   *tasks
+
+	mu         sync.Mutex
+	session    uint64
+	leaseUntil time.Time
+	lease      time.Duration
+	leaving    bool
+	beat       chan struct{} // asks for a heartbeat now
+}
+
+// RunWorker announces a worker, keeps its lease and does what it is told. When
+// the lease ends it stops every task and announces again. When ctx ends it says
+// that it leaves, lets running tasks end within LeaveTimeout, and returns nil.
+func RunWorker(ctx context.Context, o WorkerOptions) error {
+	if err := o.Behavior.valid(); err != nil {
+		return err
+	}
+	c, err := newClient(o.Entries, o.Key)
+	if err != nil {
+		return err
+	}
+	h, err := openHistory(o.HistoryFile)
+	if err != nil {
+		return err
+	}
+	defer h.close()
+	w := newWorker(o, c, h)
+	h.add(Event{At: now(), Kind: EventBoot, Worker: string(o.Spec.ID)})
+	for ctx.Err() == nil {
+		if err := w.announce(ctx); err != nil {
+			return nil // ctx has ended; nothing runs
+		}
+		w.serve(ctx)
+	}
+	return nil
+}
+
+func newWorker(o WorkerOptions, c *client, h *history) *worker {
+	if o.TaskTime == 0 {
+		o.TaskTime = defaultTask
+	}
+	if o.LeaveTimeout == 0 {
+		o.LeaveTimeout = leaveTimeout
+	}
+	if o.Logger == nil {
+		o.Logger = log.Default()
+	}
+	w := &worker{o: o, client: c, history: h, log: o.Logger.WithPrefix("standin").With("worker", o.Spec.ID)}
+	w.beat = make(chan struct{}, 1)
+	w.tasks = newTasks(w)
+	return w
+}
+
+// announce retries until an entry takes the worker or ctx ends.
+func (w *worker) announce(ctx context.Context) error {
+	for attempt := 0; ; attempt++ {
+		sentAt := time.Now()
+		var a api.AnnounceAnswer
+		err := w.client.call(ctx, callTimeout, http.MethodPost, "/v1/workers", &w.o.Spec, &a)
+		if err == nil {
+			w.client.learn(a.Entries)
+			w.begin(a, sentAt)
+			return nil
+		}
+		w.log.Debug("Announcement refused.", "err", err)
+		if err := pause(ctx, backoff(attempt, err)); err != nil {
+			return err
+		}
+	}
+}
+
+// backoff doubles with each attempt, heeds the entry's advice, and has jitter
+// so that a returning failure domain does not call in step.
+func backoff(attempt int, err error) time.Duration {
+	d := min(retryPause<<min(attempt, 10), maxRetryPause)
+	d = max(d, errkind.RetryAfter(err))
+	return d/2 + rand.N(d)
+}
+
+func (w *worker) begin(a api.AnnounceAnswer, sentAt time.Time) {
+	w.mu.Lock()
+	w.session = a.Session
+	w.mu.Unlock()
+	w.extend(sentAt, a.LeaseMS)
+	w.tasks.take(a.Commands)
+	w.tasks.signal() // for reports of an earlier session
+	w.log.Info("Announced.", "session", a.Session, "lease_ms", a.LeaseMS)
+}
+
+// extend renews the lease, counted from when the call for it was sent.
+func (w *worker) extend(sentAt time.Time, leaseMS int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lease = time.Duration(leaseMS) * time.Millisecond
+	until := sentAt.Add(w.lease)
+	if until.After(w.leaseUntil) {
+		w.leaseUntil = until
+	}
+	w.history.add(Event{At: now(), Kind: EventLease, Worker: string(w.o.Spec.ID), Until: w.leaseUntil.UnixNano()})
+}
+
+// held returns the session and the end of its lease; ok is false once it has passed.
+func (w *worker) held() (session uint64, until time.Time, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.session, w.leaseUntil, time.Now().Before(w.leaseUntil)
+}
+
+// serve runs one session. It returns when the session is over: its lease ended,
+// the system no longer knows it, or the worker has left.
+func (w *worker) serve(ctx context.Context) {
+	session, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	var wg sync.WaitGroup
+	for _, loop := range []func(context.Context, context.CancelFunc){w.heartbeats, w.commands, w.reports, w.watchLease} {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			loop(session, end)
+		}()
+	}
+	select {
+	case <-session.Done():
+	case <-ctx.Done():
+		w.leave(session)
+	}
+	w.tasks.stopAll("session over")
+	end()
+	wg.Wait()
+	w.mu.Lock()
+	w.leaseUntil = time.Time{}
+	w.mu.Unlock()
+}
+
+// leave says so at once, then waits until nothing runs and all is reported.
+func (w *worker) leave(session context.Context) {
+	w.mu.Lock()
+	w.leaving = true
+	w.mu.Unlock()
+	w.heartbeatNow()
+	ctx, cancel := context.WithTimeout(session, w.o.LeaveTimeout)
+	defer cancel()
+	if w.o.lingers {
+		pause(ctx, lingerTime)
+	}
+	w.tasks.waitIdle(ctx)
+	w.tasks.stopAll("worker leaves")
+	flush, cancelFlush := context.WithTimeout(session, stopGrace)
+	defer cancelFlush()
+	w.tasks.waitReported(flush)
+}
+
+func (w *worker) heartbeatNow() {
+	select {
+	case w.beat <- struct{}{}:
+	default:
+	}
+}
+
+func (w *worker) heartbeats(ctx context.Context, end context.CancelFunc) {
+	wait := w.interval()
+	for attempt := 0; w.waitBeat(ctx, wait); {
+		err := w.heartbeat(ctx)
+		wait = w.interval()
+		switch {
+		case err == nil:
+			attempt = 0
+		case errkind.Is(err, errkind.StaleLease), errkind.Is(err, errkind.UnknownWorker):
+			w.log.Warn("Session is over.", "err", err)
+			end()
+			return
+		default:
+			wait = min(wait, backoff(attempt, nil))
+			attempt++
+		}
+	}
+}
+
+func (w *worker) interval() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	d := w.lease / heartbeatsInLease
+	return d - rand.N(d/10+1)
+}
+
+func (w *worker) waitBeat(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+	case <-w.beat:
+	case <-w.client.onMove(): // attach at the new entry
+	}
+	return true
+}
+
+func (w *worker) heartbeat(ctx context.Context) error {
+	session, until, _ := w.held()
+	w.mu.Lock()
+	leaving := w.leaving
+	w.mu.Unlock()
+	beat := api.Heartbeat{Session: session, Leaving: leaving, Usage: w.tasks.usage()}
+	sentAt := time.Now()
+	timeout := min(callTimeout, max(time.Until(until), retryPause))
+	var a api.HeartbeatAnswer
+	err := w.client.call(ctx, timeout, http.MethodPost, w.path("heartbeat"), &beat, &a)
+	if err != nil {
+		w.log.Debug("Heartbeat failed.", "err", err)
+		return err
+	}
+	w.extend(sentAt, a.LeaseMS)
+	return nil
+}
+
+func (w *worker) path(last string) string {
+	return "/v1/workers/" + url.PathEscape(string(w.o.Spec.ID)) + "/" + last
+}
+
+// watchLease ends the session when the lease ends, also after a freeze.
+func (w *worker) watchLease(ctx context.Context, end context.CancelFunc) {
+	for {
+		_, until, ok := w.held()
+		if !ok {
+			w.log.Warn("Lease ended.")
+			w.tasks.expire(until)
+			end()
+			return
+		}
+		if pause(ctx, time.Until(until)) != nil {
+			return
+		}
+	}
+}
