--- /dev/null
+++ b/internal/schedule/apply.go
@@ -0,0 +1,284 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// Apply brings one event into the picture.
+func (s *Scheduler) Apply(ev Event) {
+	switch e := ev.(type) {
+	case ConfigChanged:
+		s.configure(e)
+	case WorkerUp:
+		s.workerUp(e)
+	case WorkerModeChanged:
+		s.workerMode(e)
+	case WorkersGone:
+		s.workersGone(e.Workers)
+	case JobSubmitted:
+		s.submit(e)
+	case JobsCancelled:
+		s.cancel(e.IDs)
+	case TaskPlaced:
+		s.taskPlaced(e)
+	case TaskRunning:
+		s.taskRunning(e)
+	case TaskStopping:
+		s.taskStopping(e.Task)
+	case TaskEnded:
+		s.taskEnded(e)
+	case TaskUsed:
+		s.taskUsed(e)
+	case RequestsHeld:
+		s.team(e.Team).permits = e.Permits
+	}
+}
+
+func (s *Scheduler) submit(e JobSubmitted) {
+	if s.jobs[e.ID] != nil || e.Spec.Tasks <= 0 {
+		return
+	}
+	g := s.groupFor(&e)
+	j := &job{
+		id:          e.ID,
+		group:       g,
+		at:          e.At,
+		startBy:     e.StartBy,
+		tasks:       make([]task, e.Spec.Tasks),
+		maxRestarts: e.Spec.MaxRestarts,
+	}
+	s.jobs[e.ID] = j
+	g.members++
+	g.add(j)
+	s.addReady(j, e.Spec.Tasks)
+}
+
+// cancel drops the pending tasks of each job in constant time.
+func (s *Scheduler) cancel(ids []model.JobID) {
+	for _, id := range ids {
+		j := s.jobs[id]
+		if j == nil || j.cancelled {
+			continue
+		}
+		j.cancelled = true
+		s.addReady(j, -j.ready)
+		s.waitingTasks -= int64(j.waiting)
+		j.waiting = 0
+		s.forgetIfOver(j)
+	}
+}
+
+func (s *Scheduler) taskPlaced(e TaskPlaced) {
+	j, t := s.find(e.Task)
+	w, known := s.workerByID[e.Worker]
+	if t == nil || !known || j.cancelled || t.state.holds() || t.state == taskDone {
+		return
+	}
+	s.reserve(j, e.Task.Index, w, e.Size, e.At)
+	j.started = true
+}
+
+func (s *Scheduler) taskRunning(e TaskRunning) {
+	j, t := s.find(e.Task)
+	if t == nil || t.state != taskPlaced {
+		return
+	}
+	t.state = taskRunning
+	t.since = e.At
+	j.running++
+}
+
+func (s *Scheduler) taskStopping(id model.TaskID) {
+	j, t := s.find(id)
+	if t == nil || !t.state.holds() || t.state == taskStopping {
+		return
+	}
+	s.stopping(j, t)
+}
+
+func (s *Scheduler) taskEnded(e TaskEnded) {
+	j, t := s.find(e.Task)
+	if t == nil || t.state == taskDone {
+		return
+	}
+	if !t.state.holds() {
+		if e.Final {
+			s.finish(j, e.Task.Index)
+		}
+		return
+	}
+	s.learnEnd(j, t, &e)
+	s.release(j, e.Task.Index)
+	if e.Final || j.cancelled {
+		s.finish(j, e.Task.Index)
+		return
+	}
+	s.restart(j, e.Task.Index, e.Outcome, e.At)
+}
+
+// learnEnd takes what an ended attempt tells about its class, worker and job.
+func (s *Scheduler) learnEnd(j *job, t *task, e *TaskEnded) {
+}
+
+func (s *Scheduler) taskUsed(e TaskUsed) {
+}
+
+// finish marks a task that does not hold as done.
+func (s *Scheduler) finish(j *job, index int32) {
+	t := &j.tasks[index]
+	switch {
+	case j.cancelled:
+	case t.state == taskReady:
+		s.addReady(j, -1)
+	case t.state == taskWaiting:
+		j.waiting--
+		s.waitingTasks--
+	}
+	t.state = taskDone
+	j.done++
+	s.forgetIfOver(j)
+}
+
+// restart makes a released task pending again, after a backoff if the task or
+// the worker was at fault.
+func (s *Scheduler) restart(j *job, index int32, outcome Outcome, at model.Time) {
+	t := &j.tasks[index]
+	if outcome == Failed && t.restarts < maxRestartCount {
+		t.restarts++
+	}
+	if outcome != Failed && outcome != NotStarted {
+		return
+	}
+	s.addReady(j, -1)
+	t.state = taskWaiting
+	j.waiting++
+	s.waitingTasks++
+	t.since = at.Add(s.backoff(j, index))
+	s.timers.push(timer{at: t.since, job: j, index: index})
+}
+
+// maxRestartCount is the largest number of failures that a task counts.
+const maxRestartCount = 1<<16 - 1
+
+// backoff returns the time before the next attempt: it doubles with each
+// failure up to the cap, and a jitter takes off up to half.
+func (s *Scheduler) backoff(j *job, index int32) time.Duration {
+	n := min(max(int(j.tasks[index].restarts), 1)-1, maxDoublings)
+	d := min(s.opts.BackoffBase<<n, s.opts.BackoffCap)
+	h := s.hash(uint64(j.id), uint64(index), uint64(j.tasks[index].restarts))
+	return d - time.Duration(h%uint64(d/2+1))
+}
+
+// maxDoublings keeps the shift of the backoff in range.
+const maxDoublings = 20
+
+// reserve moves a pending task to a worker.
+func (s *Scheduler) reserve(j *job, index, slot int32, size model.Resources, at model.Time) {
+	t := &j.tasks[index]
+	if t.state == taskReady {
+		s.addReady(j, -1)
+	} else {
+		j.waiting--
+		s.waitingTasks--
+	}
+	t.state = taskPlaced
+	t.over = overNot
+	t.worker = slot
+	t.size = size
+	t.since = at
+	j.held++
+	s.heldTasks++
+	tm := s.teams[j.group.team]
+	tm.running++
+	tm.reserved = tm.reserved.Add(size)
+	w := &s.workers[slot]
+	w.tasks = append(w.tasks, taskRef{j, index})
+	s.setFree(slot, w.free.Sub(size))
+	s.reserved = s.reserved.Add(size)
+}
+
+// release frees what a held task holds and makes it ready.
+func (s *Scheduler) release(j *job, index int32) {
+	t := &j.tasks[index]
+	if t.state == taskRunning {
+		j.running--
+	}
+	t.state = taskReady
+	j.held--
+	s.heldTasks--
+	tm := s.teams[j.group.team]
+	tm.running--
+	tm.reserved = tm.reserved.Sub(t.size)
+	w := &s.workers[t.worker]
+	w.removeTask(j, index)
+	s.setFree(t.worker, w.free.Add(t.size))
+	s.reserved = s.reserved.Sub(t.size)
+	if j.cancelled {
+		return
+	}
+	j.next = min(j.next, index)
+	j.group.add(j)
+	s.addReady(j, 1)
+}
+
+func (s *Scheduler) stopping(j *job, t *task) {
+	if t.state == taskRunning {
+		j.running--
+	}
+	t.state = taskStopping
+}
+
+// addReady changes the number of ready tasks of j and keeps the lists of
+// waiting groups in step.
+func (s *Scheduler) addReady(j *job, n int32) {
+	before := j.ready
+	j.ready += n
+	s.readyTasks += int64(n)
+	switch {
+	case before == 0 && j.ready > 0:
+		s.groupLive(j.group, 1)
+	case before > 0 && j.ready == 0:
+		s.groupLive(j.group, -1)
+	}
+}
+
+func (s *Scheduler) groupLive(g *group, n int32) {
+	g.live += n
+	t := s.teams[g.team]
+	switch {
+	case g.live > 0 && g.slot < 0:
+		g.slot = int32(len(t.groups))
+		t.groups = append(t.groups, g)
+	case g.live == 0 && g.slot >= 0:
+		last := t.groups[len(t.groups)-1]
+		t.groups[g.slot] = last
+		last.slot = g.slot
+		t.groups[len(t.groups)-1] = nil
+		t.groups = t.groups[:len(t.groups)-1]
+		g.slot = -1
+	}
+}
+
+// find returns a job and one of its tasks; nil when unknown.
+func (s *Scheduler) find(id model.TaskID) (*job, *task) {
+	j := s.jobs[id.Job]
+	if j == nil || id.Index < 0 || int(id.Index) >= len(j.tasks) {
+		return nil, nil
+	}
+	return j, &j.tasks[id.Index]
+}
+
+// forgetIfOver drops j once nothing of it is pending or held.
+func (s *Scheduler) forgetIfOver(j *job) {
+	if !j.over() {
+		return
+	}
+	delete(s.jobs, j.id)
+	j.group.members--
+	if j.group.members == 0 {
+		delete(s.groups, j.group.groupKey)
+		s.selectors.drop(j.group.selector)
+	}
+}
--- /dev/null
+++ b/internal/schedule/cell.go
@@ -0,0 +1,185 @@
+package schedule
+
+import (
+	"strings"
+
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// maxSeparateClasses is the number of label classes up to which each has bins
+// of its own. Beyond it, classes share bins and searches filter by class.
+const maxSeparateClasses = 64
+
+// sharedClass stands for all classes from maxSeparateClasses on.
+const sharedClass = maxSeparateClasses
+
+// binKey names a bin of the index of free capacity.
+type binKey struct{ class, domain int32 }
+
+// bins numbers the bins.
+type bins struct {
+	ids     map[binKey]int32
+	keys    []binKey  // by bin
+	byClass [][]int32 // bins of each class, ascending
+}
+
+func (b *bins) of(class, domain int32) int32 {
+	key := binKey{min(class, sharedClass), domain}
+	if id, ok := b.ids[key]; ok {
+		return id
+	}
+	if b.ids == nil {
+		b.ids = map[binKey]int32{}
+	}
+	id := int32(len(b.keys))
+	b.ids[key] = id
+	b.keys = append(b.keys, key)
+	for int(key.class) >= len(b.byClass) {
+		b.byClass = append(b.byClass, nil)
+	}
+	b.byClass[key.class] = append(b.byClass[key.class], id)
+	return id
+}
+
+// shape is a class of labels with a capacity. A cell has few.
+type shape struct {
+	class    int32
+	capacity model.Resources
+}
+
+// mayRun reports whether w could take work sooner or later: it counts when a
+// job is told that it never fits.
+func (w *worker) mayRun() bool {
+	return w.known && (w.mode == model.WorkerOpen || w.mode == model.WorkerCordoned)
+}
+
+func (s *Scheduler) countShape(w *worker, n int64) {
+	if !w.mayRun() {
+		return
+	}
+	k := shape{w.class, w.capacity}
+	s.shapes[k] += n
+	if s.shapes[k] == 0 {
+		delete(s.shapes, k)
+	}
+}
+
+func (s *Scheduler) workerUp(e WorkerUp) {
+	slot, ok := s.workerByID[e.Spec.ID]
+	if !ok {
+		slot = s.newSlot(e.Spec.ID)
+	}
+	w := &s.workers[slot]
+	s.uncount(w)
+	held := w.capacity.Sub(w.free)
+	w.capacity = e.Spec.Capacity
+	w.free = w.capacity.Sub(held)
+	w.labels = e.Spec.Labels
+	w.class = s.labels.classOf(w.labels)
+	w.domain = s.domains.intern(e.Spec.FailureDomain)
+	w.rack = s.racks.intern(e.Spec.FailureDomain + "/" + e.Spec.Rack)
+	w.region = s.regions.intern(e.Spec.Region)
+	w.mode = e.Mode
+	s.count(w)
+	s.index(slot)
+}
+
+func (s *Scheduler) newSlot(id model.WorkerID) int32 {
+	id = model.WorkerID(strings.Clone(string(id)))
+	var slot int32
+	if n := len(s.unused); n > 0 {
+		slot = s.unused[n-1]
+		s.unused = s.unused[:n-1]
+	} else {
+		slot = int32(len(s.workers))
+		s.workers = append(s.workers, worker{})
+	}
+	s.workers[slot] = worker{id: id, known: true, mode: model.WorkerLost, tie: s.hashString(string(id))}
+	s.workerByID[id] = slot
+	return slot
+}
+
+// count adds a worker to the totals of the cell; uncount takes it out.
+func (s *Scheduler) count(w *worker) { s.countBy(w, 1) }
+
+func (s *Scheduler) uncount(w *worker) { s.countBy(w, -1) }
+
+func (s *Scheduler) countBy(w *worker, n int64) {
+	s.change++
+	s.countShape(w, n)
+	if w.mode != model.WorkerLost {
+		s.total = s.total.Add(w.capacity.Mul(n))
+		s.workerCount += n
+	}
+}
+
+func (s *Scheduler) workerMode(e WorkerModeChanged) {
+	slot, ok := s.workerByID[e.Worker]
+	if !ok {
+		return
+	}
+	w := &s.workers[slot]
+	if w.mode == e.Mode {
+		return
+	}
+	s.uncount(w)
+	w.mode = e.Mode
+	s.count(w)
+	s.index(slot)
+}
+
+// workersGone forgets a batch of workers.
+func (s *Scheduler) workersGone(ids []model.WorkerID) {
+	for _, id := range ids {
+		slot, ok := s.workerByID[id]
+		if !ok {
+			continue
+		}
+		w := &s.workers[slot]
+		for len(w.tasks) > 0 {
+			r := w.tasks[len(w.tasks)-1]
+			s.release(r.job, r.index)
+			if r.job.cancelled {
+				s.finish(r.job, r.index)
+			}
+		}
+		s.uncount(w)
+		s.free.Remove(slot)
+		delete(s.workerByID, id)
+		s.workers[slot] = worker{}
+		s.unused = append(s.unused, slot)
+	}
+}
+
+// setFree changes what a worker has free.
+func (s *Scheduler) setFree(slot int32, free model.Resources) {
+	s.workers[slot].free = free
+	s.index(slot)
+}
+
+// index brings the index of free capacity in step with a worker.
+func (s *Scheduler) index(slot int32) {
+	w := &s.workers[slot]
+	if !w.open() {
+		s.free.Remove(slot)
+		return
+	}
+	s.free.Put(slot, s.bins.of(w.class, w.domain), w.free, w.tie)
+}
+
+// binsFor appends the bins whose workers a selector may match, and reports
+// whether each of their workers does.
+func (s *Scheduler) binsFor(out []int32, selector int32) (found []int32, exact bool) {
+	exact = true
+	last := int32(-1)
+	for _, class := range s.matching(selector) {
+		class = min(class, sharedClass)
+		if class == last || int(class) >= len(s.bins.byClass) {
+			continue
+		}
+		last = class
+		exact = exact && class != sharedClass
+		out = append(out, s.bins.byClass[class]...)
+	}
+	return out, exact
+}
--- /dev/null
+++ b/internal/schedule/check.go
@@ -0,0 +1,99 @@
+package schedule
+
+import (
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// Check reports whether a job could ever run on the workers known now. The
+// error has kind NoMatchingWorker or NeverFits and names the closest worker and
+// the missing amount. It is nil while no worker is known. q may be nil.
+func (s *Scheduler) Check(spec *model.JobSpec, q *model.Queue) error {
+	queue := ""
+	if q != nil {
+		queue = q.Selector
+	}
+	id := s.selector(queue, spec.Selector)
+	m := s.misfit(id, spec.Size, gangTasks(spec), spec.Exclusive)
+	s.selectors.dropUnused(id)
+	return m.Err
+}
+
+func gangTasks(spec *model.JobSpec) int64 {
+	if spec.Policy == model.PolicyGang {
+		return int64(spec.Tasks)
+	}
+	return 1
+}
+
+// misfit returns why n tasks at once can run nowhere; its Err is nil when they can.
+func (s *Scheduler) misfit(selector int32, size model.Resources, n int64, exclusive bool) Misfit {
+	if s.workerCount == 0 {
+		return Misfit{}
+	}
+	if s.slotsFor(selector, size, exclusive) >= n {
+		return Misfit{}
+	}
+	closest, matched := s.closest(selector, size)
+	if matched == 0 {
+		return Misfit{Err: errkind.New(errkind.NoMatchingWorker, "no worker matches the selector")}
+	}
+	w := &s.workers[closest]
+	missing := size.Sub(w.capacity).Max(model.Resources{})
+	m := Misfit{Closest: w.id, Missing: missing}
+	if missing.IsZero() {
+		m.Missing = size.Mul(n - s.slotsFor(selector, size, exclusive))
+		m.Err = errkind.New(errkind.NeverFits, "%d tasks at once do not fit on the %d matching workers; missing %s", n, matched, m.Missing)
+		return m
+	}
+	m.Err = errkind.New(errkind.NeverFits, "no worker is large enough: the closest, %s, lacks %s", w.id, missing)
+	return m
+}
+
+// slotsFor returns how many tasks the matching workers would hold if empty.
+func (s *Scheduler) slotsFor(selector int32, size model.Resources, exclusive bool) int64 {
+	var n int64
+	for k, count := range s.shapes {
+		if !size.Fits(k.capacity) || !s.matches(selector, k.class) {
+			continue
+		}
+		if exclusive {
+			n += count
+		} else {
+			n += count * copies(size, k.capacity)
+		}
+	}
+	return n
+}
+
+// closest returns the matching worker whose capacity lacks least, and how many match.
+func (s *Scheduler) closest(selector int32, size model.Resources) (slot int32, matched int64) {
+	slot = noSlot
+	var least int64
+	for i := range s.workers {
+		w := &s.workers[i]
+		if !w.mayRun() || !s.matches(selector, w.class) {
+			continue
+		}
+		matched++
+		lack := dominant(size.Sub(w.capacity).Max(model.Resources{}), size)
+		if slot == noSlot || lack < least || lack == least && w.id < s.workers[slot].id {
+			slot, least = int32(i), lack
+		}
+	}
+	return slot, matched
+}
+
+// Why names what holds the waiting tasks of a job at now.
+func (s *Scheduler) Why(id model.JobID, now model.Time) []api.WhyNot {
+	j := s.jobs[id]
+	if j == nil || j.ready+j.waiting == 0 {
+		return nil
+	}
+	var out []api.WhyNot
+	if j.waiting > 0 {
+		out = append(out, api.WhyNot{Reason: "backoff", Count: int64(j.waiting)})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/schedule/event.go
@@ -0,0 +1,127 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// Event is one change of the cell. Events may be told again: one that brings
+// nothing new, or that names an unknown job or worker, is ignored.
+type Event interface{ isEvent() }
+
+// ConfigChanged replaces the teams, the queues and the prices as a whole.
+type ConfigChanged struct {
+	Teams  []model.Team
+	Queues []model.Queue
+	Prices []model.PricePoint
+}
+
+// WorkerUp announces a worker that is new or has changed.
+type WorkerUp struct {
+	Spec model.WorkerSpec
+	Mode model.WorkerMode
+}
+
+// WorkerModeChanged changes what a worker may be given. The tasks of a lost
+// worker are told separately by TaskEnded with Lost.
+type WorkerModeChanged struct {
+	Worker model.WorkerID
+	Mode   model.WorkerMode
+	At     model.Time
+}
+
+// WorkersGone forgets workers. A task that is still held there is released as lost.
+type WorkersGone struct{ Workers []model.WorkerID }
+
+// JobSubmitted adds a job whose tasks are all pending.
+type JobSubmitted struct {
+	ID      model.JobID
+	Spec    model.JobSpec
+	Team    string // the team charged
+	At      model.Time
+	StartBy model.Time // submission time plus patience
+	Price   int64      // micro-units a core-second
+}
+
+// JobsCancelled removes the pending tasks of jobs. Held tasks are told by
+// TaskStopping and TaskEnded.
+type JobsCancelled struct{ IDs []model.JobID }
+
+// TaskPlaced reserves Size on a worker.
+type TaskPlaced struct {
+	Task   model.TaskID
+	Worker model.WorkerID
+	Size   model.Resources
+	At     model.Time
+}
+
+// TaskRunning confirms the start of a placed task.
+type TaskRunning struct {
+	Task model.TaskID
+	At   model.Time
+}
+
+// TaskStopping says that a task was told to stop. It still holds its reservation.
+type TaskStopping struct{ Task model.TaskID }
+
+// TaskEnded releases the reservation of a task. A task that is not held, and
+// whose end is final, is taken out of the pending ones.
+type TaskEnded struct {
+	Task    model.TaskID
+	Outcome Outcome
+	RanFor  time.Duration
+	Used    model.Resources // peak use; zero when unknown
+	At      model.Time
+	Final   bool // false: pending again, after a backoff where the outcome calls for one
+}
+
+// TaskUsed reports the lagging use of a running task.
+type TaskUsed struct {
+	Task model.TaskID
+	Used model.Resources
+	At   model.Time
+}
+
+// RequestsHeld sets the number of outstanding request permits of a team. They
+// count against its MaxRunning.
+type RequestsHeld struct {
+	Team    string
+	Permits int64
+}
+
+func (ConfigChanged) isEvent()     {}
+func (WorkerUp) isEvent()          {}
+func (WorkerModeChanged) isEvent() {}
+func (WorkersGone) isEvent()       {}
+func (JobSubmitted) isEvent()      {}
+func (JobsCancelled) isEvent()     {}
+func (TaskPlaced) isEvent()        {}
+func (TaskRunning) isEvent()       {}
+func (TaskStopping) isEvent()      {}
+func (TaskEnded) isEvent()         {}
+func (TaskUsed) isEvent()          {}
+func (RequestsHeld) isEvent()      {}
+
+// Outcome is how an attempt at a task ended.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Succeeded  Outcome = iota
+	Failed             // the task ended in error
+	Lost               // the lease of its worker expired
+	Preempted          // stopped to make room, or to empty a worker
+	Stopped            // cancelled, or stopped for being over its size
+	NotStarted         // the worker refused the start
+)
+
+var outcomeNames = [...]string{"succeeded", "failed", "lost", "preempted", "stopped", "not_started"}
+
+// String returns the name of o as logs show it.
+func (o Outcome) String() string {
+	if int(o) >= len(outcomeNames) {
+		return "unknown"
+	}
+	return outcomeNames[o]
+}
--- /dev/null
+++ b/internal/schedule/group.go
@@ -0,0 +1,96 @@
+package schedule
+
+import (
+	"slices"
+
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// groupKey is all that decides where a task of a job may go. Jobs with equal
+// keys wait in one group: when the first finds no room, neither do the others.
+type groupKey struct {
+	team       int32
+	selector   int32
+	class      uint64 // learned together
+	gang       int32  // tasks of a gang; zero for other policies
+	policy     policy
+	exclusive  bool
+	repeatable bool
+	checkpoint bool
+	size       model.Resources // declared
+}
+
+// policy is the compact form of model.Policy.
+type policy uint8
+
+const (
+	batch policy = iota
+	gang
+	service
+)
+
+func policyOf(p model.Policy) policy {
+	switch p {
+	case model.PolicyGang:
+		return gang
+	case model.PolicyService:
+		return service
+	}
+	return batch
+}
+
+// group is a set of jobs with equal keys.
+type group struct {
+	groupKey
+	jobs    []*job // waiting, ordered by job.less; those without a ready task are skipped
+	live    int32  // jobs that are queued and have a ready task
+	members int32  // jobs not done, waiting or not
+	slot    int32  // position in team.groups; -1 when no job is live
+	cursor  int    // of the plan being made: first job not yet dealt with
+	blocked bool   // in the plan being made
+}
+
+// add queues j.
+func (g *group) add(j *job) {
+	if j.queued {
+		return
+	}
+	j.queued = true
+	at, _ := slices.BinarySearchFunc(g.jobs, j, compareJobs)
+	g.jobs = slices.Insert(g.jobs, at, j)
+}
+
+func compareJobs(a, b *job) int {
+	switch {
+	case a.less(b):
+		return -1
+	case b.less(a):
+		return 1
+	}
+	return 0
+}
+
+// compactSlack is how many dead entries a queue may hold beyond its live ones.
+const compactSlack = 16
+
+// compact drops jobs without a ready task once they outnumber the others.
+func (g *group) compact() {
+	if len(g.jobs) <= 2*int(g.live)+compactSlack {
+		return
+	}
+	g.jobs = slices.DeleteFunc(g.jobs, func(j *job) bool {
+		j.queued = j.ready > 0
+		return !j.queued
+	})
+}
+
+// head returns the first waiting job from the cursor on, or nil.
+func (g *group) head() *job {
+	for g.cursor < len(g.jobs) {
+		if j := g.jobs[g.cursor]; j.ready > 0 {
+			return j
+		}
+		g.cursor++
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/schedule/job.go
@@ -0,0 +1,84 @@
+package schedule
+
+import (
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// taskState is where the scheduler has one task.
+type taskState uint8
+
+const (
+	taskReady    taskState = iota // pending, may be placed
+	taskWaiting                   // pending, in backoff
+	taskPlaced                    // holds, start not confirmed
+	taskRunning                   // holds, start confirmed
+	taskStopping                  // holds, told to stop
+	taskDone
+)
+
+func (t taskState) holds() bool { return t >= taskPlaced && t <= taskStopping }
+
+// task is kept small: there are hundreds of thousands.
+type task struct {
+	size     model.Resources // reserved, while it holds
+	since    model.Time      // of the placement, then of the confirmed start
+	worker   int32           // slot, while it holds
+	restarts uint16          // failures so far
+	state    taskState
+	over     overState
+}
+
+// overState is how far a task over its size has been dealt with.
+type overState uint8
+
+const (
+	overNot overState = iota
+	overThrottled
+	overStopped
+)
+
+// job is one job that is not done yet.
+type job struct {
+	id      model.JobID
+	group   *group
+	at      model.Time
+	startBy model.Time
+	tasks   []task
+
+	ready       int32 // tasks that may be placed
+	waiting     int32 // tasks in backoff
+	held        int32
+	running     int32 // confirmed, not stopping
+	done        int32
+	next        int32 // no ready task is below this position
+	maxRestarts int32
+
+	queued    bool // in group.jobs
+	cancelled bool
+	started   bool // a task has been placed, or the missed promise was told
+}
+
+func (j *job) patience() model.Time { return j.startBy - j.at }
+
+// less is the order within a team: by promised start, then by submission.
+func (j *job) less(o *job) bool {
+	if j.startBy != o.startBy {
+		return j.startBy < o.startBy
+	}
+	return j.id < o.id
+}
+
+// nextReady returns the lowest position of a ready task from position i on; -1 for none.
+func (j *job) nextReady(i int32) int32 {
+	for ; int(i) < len(j.tasks); i++ {
+		if j.tasks[i].state == taskReady {
+			return i
+		}
+	}
+	return -1
+}
+
+// over reports whether nothing of the job is pending or held.
+func (j *job) over() bool {
+	return j.held == 0 && (j.cancelled || int(j.done) == len(j.tasks))
+}
--- /dev/null
+++ b/internal/schedule/options.go
@@ -0,0 +1,60 @@
+package schedule
+
+import "time"
+
+// Options tune a Scheduler. A zero field takes its default.
+type Options struct {
+	Seed uint64 // of the tie-breaks between equal workers and of the backoff jitter
+
+	PressingSlack  time.Duration // a job with less slack may reserve and preempt
+	AgeingSpan     time.Duration // lateness worth one whole share in the order between teams
+	BackoffBase    time.Duration // before the first restart
+	BackoffCap     time.Duration // longest time between restarts
+	EarlyFailure   time.Duration // a failure sooner than this counts against the worker
+	ProbationJobs  int           // different jobs that must fail early in a row
+	ProbeEvery     time.Duration // between probes of a worker on probation
+	BlameWorkers   int           // good workers on which a job must fail to be blamed
+	ThrottleGrace  time.Duration // from throttle to stop for a task over its size
+	MaxDownPermill int32         // of a service's tasks, down at once in a drain
+	MaxHolds       int           // reservations for blocked jobs at once
+	MaxClasses     int           // job classes learned at once
+}
+
+// Defaults of Options.
+const (
+	DefaultPressingSlack  = 5 * time.Second
+	DefaultAgeingSpan     = 10 * time.Minute
+	DefaultBackoffBase    = time.Second
+	DefaultBackoffCap     = 5 * time.Minute
+	DefaultEarlyFailure   = 30 * time.Second
+	DefaultProbationJobs  = 3
+	DefaultProbeEvery     = 30 * time.Second
+	DefaultBlameWorkers   = 5
+	DefaultThrottleGrace  = 30 * time.Second
+	DefaultMaxDownPermill = 100
+	DefaultMaxHolds       = 8
+	DefaultMaxClasses     = 8192
+)
+
+func (o Options) withDefaults() Options {
+	orDefault(&o.PressingSlack, DefaultPressingSlack)
+	orDefault(&o.AgeingSpan, DefaultAgeingSpan)
+	orDefault(&o.BackoffBase, DefaultBackoffBase)
+	orDefault(&o.BackoffCap, DefaultBackoffCap)
+	orDefault(&o.EarlyFailure, DefaultEarlyFailure)
+	orDefault(&o.ProbationJobs, DefaultProbationJobs)
+	orDefault(&o.ProbeEvery, DefaultProbeEvery)
+	orDefault(&o.BlameWorkers, DefaultBlameWorkers)
+	orDefault(&o.ThrottleGrace, DefaultThrottleGrace)
+	orDefault(&o.MaxDownPermill, DefaultMaxDownPermill)
+	orDefault(&o.MaxHolds, DefaultMaxHolds)
+	orDefault(&o.MaxClasses, DefaultMaxClasses)
+	return o
+}
+
+func orDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
--- /dev/null
+++ b/internal/schedule/planner.go
@@ -0,0 +1,182 @@
+package schedule
+
+import (
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// planner makes one plan. It applies each placement to the Scheduler as it goes
+// and takes all of them back at the end.
+type planner struct {
+	s      *Scheduler
+	now    model.Time
+	max    int
+	plan   Plan
+	spread spread
+	bins   []int32 // scratch
+	refs   []taskRef
+	full   bool // the plan has no room for the next gang
+}
+
+// Plan returns what should be done at now, with at most max placements, except
+// that a gang larger than max is placed alone. It leaves reservations as they are.
+func (s *Scheduler) Plan(now model.Time, max int) Plan {
+	s.wake(now)
+	p := planner{s: s, now: now, max: max}
+	p.place()
+	p.undo()
+	p.plan.NextWake = s.timers.next()
+	return p.plan
+}
+
+// place hands out room, one task or one gang at a time, to the team that comes first.
+func (p *planner) place() {
+	p.begin()
+	for len(p.plan.Placements) < p.max && !p.full {
+		g := p.nextGroup()
+		if g == nil {
+			return
+		}
+		p.try(g)
+	}
+}
+
+func (p *planner) begin() {
+	for _, t := range p.s.teams {
+		t.blocked = false
+		for _, g := range t.groups {
+			g.compact()
+			g.cursor = 0
+			g.blocked = false
+		}
+	}
+}
+
+// nextGroup returns the group whose head comes first: that of the team with the
+// least precedence key, and in the team the one that promised the earliest start.
+func (p *planner) nextGroup() *group {
+	var best *group
+	var bestKey int64
+	for _, t := range p.s.teams {
+		g := p.headOf(t)
+		if g == nil {
+			continue
+		}
+		j := g.head()
+		key := p.key(t, j)
+		if best == nil || key < bestKey || key == bestKey && j.less(best.head()) {
+			best, bestKey = g, key
+		}
+	}
+	return best
+}
+
+// headOf returns the group of t whose head comes first, or nil.
+func (p *planner) headOf(t *team) *group {
+	if t.blocked {
+		return nil
+	}
+	var best *group
+	for _, g := range t.groups {
+		if g.blocked {
+			continue
+		}
+		j := g.head()
+		if j != nil && (best == nil || j.less(best.head())) {
+			best = g
+		}
+	}
+	return best
+}
+
+// key is the precedence of a team with j at its head: its load relative to its
+// share, less what the lateness of j is worth. Lateness grows without bound and
+// load does not, so that each job comes first in the end.
+func (p *planner) key(t *team, j *job) int64 {
+	load := p.s.load(t, model.Resources{})
+	late := p.now - j.startBy + model.Time(p.s.opts.PressingSlack.Milliseconds())
+	if late <= 0 {
+		return load
+	}
+	return load - mulDiv(int64(late), ppm, p.s.opts.AgeingSpan.Milliseconds())
+}
+
+// try places the next task of the head of g, or the whole gang. When there is
+// no room the group is left out of the rest of the plan.
+func (p *planner) try(g *group) {
+	j := g.head()
+	size := p.s.sizeFor(g)
+	if !p.withinLimits(g, j, size) {
+		return
+	}
+	placed := false
+	if g.policy == gang {
+		placed = p.placeGang(j, size)
+	} else {
+		placed = p.placeOne(j, size)
+	}
+	if !placed {
+		g.blocked = true
+	}
+}
+
+// withinLimits reports whether the team may start the head of g. When it may
+// not, it takes the group, or the whole team, out of the rest of the plan.
+func (p *planner) withinLimits(g *group, j *job, size model.Resources) bool {
+	t := p.s.teams[g.team]
+	n := int64(1)
+	if g.policy == gang {
+		n = int64(j.ready)
+	}
+	if t.room() < n {
+		t.blocked = n == 1 || p.pressing(j)
+		g.blocked = true
+		return false
+	}
+	if !t.withinBound(size.Mul(n)) {
+		t.blocked = p.pressing(j)
+		g.blocked = true
+		return false
+	}
+	return true
+}
+
+// pressing reports whether j has waited so long that others of its team no
+// longer pass it by.
+func (p *planner) pressing(j *job) bool {
+	return p.now >= j.startBy-max(j.patience()/2, model.Time(p.s.opts.PressingSlack.Milliseconds()))
+}
+
+func (p *planner) placeOne(j *job, size model.Resources) bool {
+	index := j.nextReady(j.next)
+	var slot int32
+	if j.group.policy == service {
+		slot = p.findSpread(j, size)
+	} else {
+		slot = p.findBest(j, size)
+	}
+	if slot == noSlot {
+		return false
+	}
+	p.put(j, index, slot, size)
+	return true
+}
+
+// put applies one placement and notes it in the plan.
+func (p *planner) put(j *job, index, slot int32, size model.Resources) {
+	p.s.reserve(j, index, slot, size, p.now)
+	p.spread.placed(p.s, j, slot)
+	p.refs = append(p.refs, taskRef{j, index})
+	p.plan.Placements = append(p.plan.Placements, Placement{
+		Task:   model.TaskID{Job: j.id, Index: index},
+		Worker: p.s.workers[slot].id,
+		Size:   size,
+	})
+}
+
+// undo takes back what put applied.
+func (p *planner) undo() {
+	for i := len(p.refs) - 1; i >= 0; i-- {
+		p.s.release(p.refs[i].job, p.refs[i].index)
+	}
+	p.spread.clear()
+}
--- /dev/null
+++ b/internal/schedule/scheduler.go
@@ -0,0 +1,221 @@
+package schedule
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/filbertmast/filbertmast/internal/ledger"
+	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/schedule/capacity"
+)
+
+// Scheduler holds the picture of the cell from which plans are made.
+type Scheduler struct {
+	opts Options
+
+	teams      []*team
+	teamByName map[string]int32
+	shares     int64 // sum over the declared teams
+	queues     map[string]string
+	prices     []model.PricePoint
+
+	workers     []worker
+	workerByID  map[model.WorkerID]int32
+	unused      []int32 // slots of forgotten workers
+	regions     names
+	domains     names
+	racks       names
+	labels      labelClasses
+	bins        bins
+	shapes      map[shape]int64 // workers by class and capacity
+	change      uint64          // grows with each change of what workers could take
+	selectors   selectors
+	free        capacity.Index
+	total       model.Resources // of workers that are not lost
+	reserved    model.Resources
+	workerCount int64
+
+	jobs         map[model.JobID]*job
+	groups       map[groupKey]*group
+	timers       timers
+	readyTasks   int64
+	waitingTasks int64
+	heldTasks    int64
+}
+
+// Stats counts what the scheduler holds.
+type Stats struct {
+	Running  int64 // tasks that hold a reservation
+	Waiting  int64 // tasks that are pending, with those in backoff
+	Jobs     int64
+	Workers  int64 // known and not lost
+	Reserved model.Resources
+	Total    model.Resources // of the workers that are not lost
+}
+
+// New returns a Scheduler of an empty cell.
+func New(o Options) *Scheduler {
+	return &Scheduler{
+		opts:       o.withDefaults(),
+		teamByName: map[string]int32{},
+		queues:     map[string]string{},
+		workerByID: map[model.WorkerID]int32{},
+		jobs:       map[model.JobID]*job{},
+		groups:     map[groupKey]*group{},
+		shapes:     map[shape]int64{},
+	}
+}
+
+// Stats returns the counts of now.
+func (s *Scheduler) Stats() Stats {
+	return Stats{
+		Running:  s.heldTasks,
+		Waiting:  s.readyTasks + s.waitingTasks,
+		Jobs:     int64(len(s.jobs)),
+		Workers:  s.workerCount,
+		Reserved: s.reserved,
+		Total:    s.total,
+	}
+}
+
+// PriceFor returns the price of one core-second, in micro-units, for work that
+// can wait patience.
+func (s *Scheduler) PriceFor(patience model.Duration) int64 {
+	return ledger.PriceFor(s.prices, patience)
+}
+
+// Team returns what the named team holds; false for a team never heard of.
+func (s *Scheduler) Team(name string) (TeamUse, bool) {
+	i, ok := s.teamByName[name]
+	if !ok {
+		return TeamUse{}, false
+	}
+	t := s.teams[i]
+	return TeamUse{Running: t.running, Reserved: t.reserved, RequestPermits: t.permits}, true
+}
+
+// Worker returns what is reserved on a worker, by how many tasks, and whether
+// it is on probation; false for a worker that is not known.
+func (s *Scheduler) Worker(id model.WorkerID) (reserved model.Resources, tasks int32, probation, ok bool) {
+	slot, ok := s.workerByID[id]
+	if !ok {
+		return model.Resources{}, 0, false, false
+	}
+	w := &s.workers[slot]
+	return w.capacity.Sub(w.free), int32(len(w.tasks)), false, true
+}
+
+func (s *Scheduler) configure(e ConfigChanged) {
+	for _, t := range s.teams {
+		t.declared = false
+		t.share, t.maxRunning, t.maxResources = 0, 0, model.Resources{}
+	}
+	s.shares = 0
+	for i := range e.Teams {
+		d := &e.Teams[i]
+		t := s.team(d.Name)
+		t.declared = true
+		t.share, t.maxRunning, t.maxResources = d.Share, d.MaxRunning, d.MaxResources
+		s.shares += max(d.Share, 0)
+	}
+	s.queues = make(map[string]string, len(e.Queues))
+	for i := range e.Queues {
+		s.queues[e.Queues[i].Name] = e.Queues[i].Selector
+	}
+	s.prices = slices.Clone(e.Prices)
+	slices.SortFunc(s.prices, func(a, b model.PricePoint) int { return cmp.Compare(a.Patience, b.Patience) })
+}
+
+func (s *Scheduler) team(name string) *team { return s.teams[s.teamIndex(name)] }
+
+func (s *Scheduler) teamIndex(name string) int32 {
+	i, ok := s.teamByName[name]
+	if !ok {
+		name = strings.Clone(name)
+		i = int32(len(s.teams))
+		s.teams = append(s.teams, &team{name: name})
+		s.teamByName[name] = i
+	}
+	return i
+}
+
+// groupFor returns the group of a submitted job. The selector of its queue and
+// its own must both match; a malformed selector matches nothing.
+func (s *Scheduler) groupFor(e *JobSubmitted) *group {
+	spec := &e.Spec
+	team := s.teamIndex(e.Team)
+	key := groupKey{
+		team:       team,
+		selector:   s.selector(s.queues[spec.Queue], spec.Selector),
+		class:      s.classOf(e.Team, spec),
+		policy:     policyOf(spec.Policy),
+		exclusive:  spec.Exclusive,
+		repeatable: !spec.NotRepeatable,
+		checkpoint: spec.Checkpointable,
+		size:       spec.Size,
+	}
+	if key.policy == gang {
+		key.gang = spec.Tasks
+	}
+	g := s.groups[key]
+	if g == nil {
+		g = &group{groupKey: key, slot: -1}
+		s.groups[key] = g
+		s.selectors.all[key.selector].uses++
+	}
+	return g
+}
+
+// classOf returns the number under which the sizes and run times of a job are learned.
+func (s *Scheduler) classOf(team string, spec *model.JobSpec) uint64 {
+	class := spec.Class
+	if class == "" {
+		class = spec.Name
+	}
+	var d xxhash.Digest
+	d.ResetWithSeed(s.opts.Seed)
+	_, _ = d.WriteString(team)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(class)
+	return d.Sum64()
+}
+
+// hash mixes the seed with the given values.
+func (s *Scheduler) hash(values ...uint64) uint64 {
+	var d xxhash.Digest
+	d.ResetWithSeed(s.opts.Seed)
+	var b [8]byte
+	for _, v := range values {
+		binary.LittleEndian.PutUint64(b[:], v)
+		_, _ = d.Write(b[:])
+	}
+	return d.Sum64()
+}
+
+func (s *Scheduler) hashString(v string) uint64 {
+	var d xxhash.Digest
+	d.ResetWithSeed(s.opts.Seed)
+	_, _ = d.WriteString(v)
+	return d.Sum64()
+}
+
+// names gives strings dense numbers.
+type names struct {
+	byName map[string]int32
+}
+
+func (n *names) intern(name string) int32 {
+	if i, ok := n.byName[name]; ok {
+		return i
+	}
+	if n.byName == nil {
+		n.byName = map[string]int32{}
+	}
+	i := int32(len(n.byName))
+	n.byName[strings.Clone(name)] = i
+	return i
+}
--- /dev/null
+++ b/internal/schedule/team.go
@@ -0,0 +1,89 @@
+package schedule
+
+import (
+	"math/bits"
+
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// team is one payer. A team that is not declared has no share and starts nothing.
+type team struct {
+	name         string
+	declared     bool
+	share        int64
+	maxRunning   int64
+	maxResources model.Resources
+
+	running  int64 // tasks that hold
+	permits  int64 // request permits outstanding
+	reserved model.Resources
+
+	groups  []*group // with a live job
+	blocked bool     // in the plan being made
+}
+
+// TeamUse is what a team holds now.
+type TeamUse struct {
+	Running        int64
+	Reserved       model.Resources
+	RequestPermits int64
+}
+
+// room returns how many more tasks the team may run.
+func (t *team) room() int64 { return t.maxRunning - t.running - t.permits }
+
+// withinBound reports whether size more may be reserved by the team.
+func (t *team) withinBound(size model.Resources) bool {
+	use := t.reserved.Add(size)
+	b := t.maxResources
+	return (b.CPU == 0 || use.CPU <= b.CPU) &&
+		(b.Memory == 0 || use.Memory <= b.Memory) &&
+		(b.Accelerators == 0 || use.Accelerators <= b.Accelerators)
+}
+
+// ppm is the unit of shares: a million is the whole cell.
+const ppm = 1_000_000
+
+// dominant returns the largest fraction of total that use takes, in ppm.
+func dominant(use, total model.Resources) int64 {
+	return max(
+		fraction(use.CPU, total.CPU),
+		fraction(use.Memory, total.Memory),
+		fraction(use.Accelerators, total.Accelerators),
+	)
+}
+
+func fraction(part, whole int64) int64 {
+	if part <= 0 {
+		return 0
+	}
+	if whole <= 0 {
+		return ppm
+	}
+	return mulDiv(part, ppm, whole)
+}
+
+// mulDiv returns a*b/c rounded down, for values above zero; at most the largest int64.
+func mulDiv(a, b, c int64) int64 {
+	hi, lo := bits.Mul64(uint64(a), uint64(b))
+	if hi >= uint64(c) {
+		return maxInt64
+	}
+	quo, _ := bits.Div64(hi, lo, uint64(c))
+	return int64(min(quo, maxInt64))
+}
+
+const maxInt64 = 1<<63 - 1
+
+// load returns the dominant share of the team with size more, relative to its
+// entitlement, in ppm: a million is exactly its share of the cell.
+func (s *Scheduler) load(t *team, more model.Resources) int64 {
+	d := dominant(t.reserved.Add(more), s.total)
+	if d == 0 {
+		return 0
+	}
+	if t.share <= 0 || s.shares <= 0 {
+		return maxInt64
+	}
+	return mulDiv(d, s.shares, t.share)
+}
--- /dev/null
+++ b/internal/schedule/worker.go
@@ -0,0 +1,39 @@
+package schedule
+
+import (
+	"slices"
+
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// taskRef points at one task.
+type taskRef struct {
+	job   *job
+	index int32
+}
+
+// worker is one slot of the dense list of workers.
+type worker struct {
+	id       model.WorkerID
+	labels   model.Labels
+	capacity model.Resources
+	free     model.Resources // capacity less reservations; below zero if the capacity was cut
+	tie      uint64          // orders workers that are equal otherwise
+	tasks    []taskRef
+	class    int32 // of labels
+	domain   int32
+	rack     int32
+	region   int32
+	mode     model.WorkerMode
+	known    bool
+}
+
+func (w *worker) open() bool { return w.known && w.mode == model.WorkerOpen }
+
+func (w *worker) removeTask(j *job, index int32) {
+	i := slices.Index(w.tasks, taskRef{j, index})
+	last := len(w.tasks) - 1
+	w.tasks[i] = w.tasks[last]
+	w.tasks[last] = taskRef{}
+	w.tasks = w.tasks[:last]
+}
