Learn sizes and run times of job classes

Cause: declared sizes and run times are off by large factors. Ruled out: means and maxima, which one outlier moves; a sketch of all history, which is slow to follow a change of the program. Change: package learn keeps the latest 32 observations of each quantity on a logarithmic scale and answers with a high quantile; classes are bounded in number, the one not observed for longest makes room.

--- /dev/null
+++ b/internal/schedule/learn/learn_test.go
@@ -0,0 +1,86 @@
+package learn
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+var declared = model.Resources{CPU: 1000, Memory: 1024, Accelerators: 1}
+
+func TestCodeRoundsUpByAtMostAThirtySecond(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := rapid.Int64Range(1, 1<<50).Draw(t, "v")
+		got := encode(v).value()
+		assert.Assert(t, got >= v && got <= v+v/32+1, "%d became %d", v, got)
+	})
+}
+
+func TestCodeKeepsTheOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := rapid.Int64Range(0, 1<<50).Draw(t, "a")
+		b := rapid.Int64Range(a, 1<<50).Draw(t, "b")
+		assert.Assert(t, encode(a) <= encode(b))
+	})
+}
+
+func TestSize(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		used []int64 // milli-cores
+		want int64
+	}{
+		{"too few observations change nothing", []int64{4000, 4000, 4000, 4000}, 1000},
+		{"use below the declared size lowers nothing", []int64{10, 10, 10, 10, 10, 10}, 1000},
+		{"use a little above the declared size raises nothing", []int64{1050, 1050, 1050, 1050, 1050}, 1000},
+		{"four times the declared size is reserved", []int64{4000, 4000, 4000, 4000, 4000}, 4032},
+		{"one outlier of five has no say", []int64{900, 900, 900, 900, 64000}, 1000},
+		{"a raise is bounded", []int64{64000, 64000, 64000, 64000, 64000}, 8000},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			table := New(1)
+			for _, cpu := range row.used {
+				table.ObserveSize(1, model.Resources{CPU: cpu, Memory: 1})
+			}
+			want := declared
+			want.CPU = row.want
+			assert.Equal(t, table.Class(1).Size(declared), want)
+		})
+	}
+}
+
+func TestRunIsTrustedOnlyAfterEnoughTasksAndIgnoresTheLargestTenth(t *testing.T) {
+	const usual = 32768 * time.Millisecond // exact on the scale
+	table := New(1)
+	for range 7 {
+		table.ObserveRun(1, usual)
+	}
+	_, ok := table.Class(1).Run()
+	assert.Assert(t, !ok)
+	table.ObserveRun(1, 10*time.Hour)
+	run, ok := table.Class(1).Run()
+	assert.Assert(t, ok)
+	assert.Equal(t, run, usual)
+}
+
+func TestTableForgetsTheClassNotObservedForLongest(t *testing.T) {
+	table := New(2)
+	table.ObserveRun(1, time.Second)
+	table.ObserveRun(2, time.Second)
+	table.ObserveRun(1, time.Second)
+	table.ObserveRun(3, time.Second)
+	assert.Equal(t, table.Len(), 2)
+	assert.Assert(t, table.Class(2) == nil)
+	assert.Assert(t, table.Class(1) != nil)
+}
