--- /dev/null
+++ b/internal/certs/certs_test.go
@@ -0,0 +1,135 @@
+package certs
+
+import (
+	"crypto/tls"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var loopback = net.IPv4(127, 0, 0, 1)
+
+func makeSet(t *testing.T, names ...string) string {
+	t.Helper()
+	dir := filepath.Join(t.TempDir(), "certs")
+	for _, n := range names {
+		assert.NilError(t, WriteSet(dir, Member{Name: n, IPs: []net.IP{loopback}}))
+	}
+	return dir
+}
+
+func load(t *testing.T, dir, name string) *tls.Config {
+	t.Helper()
+	config, err := LoadTLS(filepath.Join(dir, CertificateFile(name)), filepath.Join(dir, KeyFile(name)), filepath.Join(dir, CAFile))
+	assert.NilError(t, err)
+	return config
+}
+
+// handshake connects client to server over loopback. It returns the name that
+// the server saw, and the first error of either side.
+func handshake(t *testing.T, server, client *tls.Config) (string, error) {
+	t.Helper()
+	l, err := tls.Listen("tcp", "127.0.0.1:0", server)
+	assert.NilError(t, err)
+	defer l.Close()
+	type result struct {
+		name string
+		err  error
+	}
+	done := make(chan result, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			done <- result{err: err}
+			return
+		}
+		defer c.Close()
+		conn := c.(*tls.Conn)
+		err = conn.Handshake()
+		done <- result{PeerName(conn.ConnectionState()), err}
+	}()
+	c, err := tls.Dial("tcp", l.Addr().String(), client)
+	if err == nil {
+		defer c.Close()
+	}
+	r := <-done
+	if err == nil {
+		err = r.err
+	}
+	return r.name, err
+}
+
+func TestMembersOfOneSetTrustEachOther(t *testing.T) {
+	dir := makeSet(t, "selfoss-1", "akureyri-1")
+	name, err := handshake(t, load(t, dir, "selfoss-1"), load(t, dir, "akureyri-1"))
+	assert.NilError(t, err)
+	assert.Equal(t, name, "akureyri-1")
+}
+
+func TestAMemberOfAnotherSetIsRefused(t *testing.T) {
+	a, b := makeSet(t, "a"), makeSet(t, "b")
+	_, err := handshake(t, load(t, a, "a"), load(t, b, "b"))
+	assert.Assert(t, err != nil)
+	_, err = LoadTLS(filepath.Join(a, CertificateFile("a")), filepath.Join(a, KeyFile("a")), filepath.Join(b, CAFile))
+	assert.ErrorContains(t, err, "is not signed by an authority in")
+}
+
+func TestACallerWithoutACertificateIsRefused(t *testing.T) {
+	dir := makeSet(t, "a")
+	client := load(t, dir, "a").Clone()
+	client.GetClientCertificate = nil
+	_, err := handshake(t, load(t, dir, "a"), client)
+	assert.Assert(t, err != nil)
+}
+
+func TestSelfSignedTrustsItself(t *testing.T) {
+	config, err := SelfSigned()
+	assert.NilError(t, err)
+	_, err = handshake(t, config, config.Clone())
+	assert.NilError(t, err)
+}
+
+func TestPrivateKeysAreReadableByTheOwnerOnly(t *testing.T) {
+	dir := makeSet(t, "a")
+	for _, name := range []string{CAKeyFile, KeyFile("a")} {
+		info, err := os.Stat(filepath.Join(dir, name))
+		assert.NilError(t, err)
+		assert.Equal(t, info.Mode().Perm(), os.FileMode(0o600))
+	}
+	assert.Assert(t, WriteSet(dir, Member{Name: "a"}) != nil, "an existing key is not overwritten")
+}
+
+func TestAnExpiredCertificateIsRefusedWithItsDate(t *testing.T) {
+	dir := makeSet(t, "a")
+	s, err := newSource(filepath.Join(dir, CertificateFile("a")), filepath.Join(dir, KeyFile("a")))
+	assert.NilError(t, err)
+	s.now = func() time.Time { return time.Now().Add(certLifetime + time.Hour) }
+	_, err = s.load()
+	assert.ErrorContains(t, err, "expired on")
+	s.now = func() time.Time { return time.Now().Add(-time.Hour) }
+	_, err = s.load()
+	assert.ErrorContains(t, err, "is not valid before")
+}
+
+func TestAChangedCertificateIsTakenUpAndABrokenOneIsNot(t *testing.T) {
+	dir := makeSet(t, "a", "b")
+	certFile, keyFile := filepath.Join(dir, CertificateFile("a")), filepath.Join(dir, KeyFile("a"))
+	s, err := newSource(certFile, keyFile)
+	assert.NilError(t, err)
+	now := time.Now()
+	s.now = func() time.Time { return now }
+	first := s.get()
+
+	assert.NilError(t, os.Rename(filepath.Join(dir, CertificateFile("b")), certFile))
+	now = now.Add(recheckInterval)
+	assert.Assert(t, s.get() == first, "a certificate that does not match its key is not used")
+
+	assert.NilError(t, os.Rename(filepath.Join(dir, KeyFile("b")), keyFile))
+	assert.Assert(t, s.get() == first, "files are not looked at again before the interval")
+	now = now.Add(recheckInterval)
+	assert.Equal(t, s.get().Leaf.Subject.CommonName, "b")
+}
--- a/internal/obs/doc.go
+++ b/internal/obs/doc.go
@@ -16,7 +16,7 @@
 }
 
 // docRow matches "| `filbertmast_x` | counter | `a`, `b` | meaning |".
-var docRow = regexp.MustCompile("^\\| `(" + Namespace + "_[a-z0-9_]+)` \\| (counter|gauge|histogram|summary) \\| ([^|]*) \\|")
+var docRow = regexp.MustCompile("^\\| `(" + Namespace + "_[a-z0-9_]+)` \\| (counter|gauge|histogram|summary) \\|([^|]*)\\|")
 
 var docLabel = regexp.MustCompile("`([a-z_]+)`")
 
--- a/internal/strict/decode.go
+++ b/internal/strict/decode.go
@@ -11,7 +11,7 @@
 // Decode fills out, a pointer to a struct, from the JSON text in data. Fields
 // that the text lacks keep their value. Unknown and doubled fields, wrong
 // types, numbers out of range and malformed durations are all reported. Field
-// names are matched exactly. Below a field tagged secret:"true" no problem shows
+// names are matched exactly; null stands for an empty list or map only. Below a field tagged secret:"true" no problem shows
 // a value.
 func Decode(file string, data []byte, out any) Problems {
 	root, problems := parse(file, data)
@@ -125,6 +125,9 @@
 }
 
 func (d *decoder) slice(n *node, v reflect.Value) {
+	if n.kind == kindNull {
+		return
+	}
 	if !d.want(n, kindArray) {
 		return
 	}
@@ -136,6 +139,9 @@
 }
 
 func (d *decoder) stringMap(n *node, v reflect.Value) {
+	if n.kind == kindNull {
+		return
+	}
 	if !d.want(n, kindObject) {
 		return
 	}
--- a/internal/strict/parse.go
+++ b/internal/strict/parse.go
@@ -47,6 +47,8 @@
 		return n.text
 	case kindNumber, kindBool:
 		return raw(n.text)
+	case kindNull:
+		return raw("null")
 	}
 	return raw("an " + string(n.kind))
 }
