--- /dev/null
+++ b/internal/entry/config.go
@@ -0,0 +1,159 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/filbertmast/filbertmast/internal/declare"
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/proto"
+)
+
+// configCopy is this entry's copy of the configuration. It only moves to
+// higher versions, and serves only while a leader with a live quorum has
+// confirmed it within the freshness bound.
+type configCopy struct {
+	freshness time.Duration
+	bootstrap model.KeyDigest
+
+	mu        sync.RWMutex
+	version   uint64
+	digest    string
+	decl      model.Declarations
+	keys      map[model.KeyDigest]model.Key
+	services  map[string]*model.Service
+	withdrawn map[model.KeyDigest]bool
+	confirmed time.Time // when the last confirmation was asked for
+}
+
+func newConfigCopy(freshness time.Duration, bootstrap model.KeyDigest) *configCopy {
+	c := &configCopy{
+		freshness: freshness,
+		bootstrap: bootstrap,
+		withdrawn: make(map[model.KeyDigest]bool),
+	}
+	c.index()
+	c.digest = declare.Digest(&c.decl)
+	return c
+}
+
+// take brings the copy to what a leader answered to a call sent at sent.
+func (c *configCopy) take(a *proto.Registered, sent time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a.ConfigVersion < c.version {
+		return errkind.New(errkind.Internal, "the leader holds version %d, this entry %d", a.ConfigVersion, c.version)
+	}
+	if a.ConfigVersion > c.version {
+		if err := c.replace(a); err != nil {
+			return err
+		}
+	}
+	if sent.After(c.confirmed) {
+		c.confirmed = sent
+	}
+	return nil
+}
+
+// replace installs a whole copy or applies a delta, and checks the digest.
+func (c *configCopy) replace(a *proto.Registered) error {
+	next := model.Declarations{}
+	switch {
+	case a.Whole != nil:
+		next = *a.Whole
+	case a.Delta != nil:
+		d, err := declare.Apply(&c.decl, *a.Delta)
+		if err != nil {
+			return errkind.Wrap(errkind.Internal, err, "delta of the configuration")
+		}
+		next = d
+	}
+	if got := declare.Digest(&next); got != a.ConfigDigest {
+		return errkind.New(errkind.Internal, "configuration version %d has digest %.12s, want %.12s", a.ConfigVersion, got, a.ConfigDigest)
+	}
+	for digest := range c.keys {
+		c.withdrawn[digest] = true
+	}
+	c.decl, c.version, c.digest = next, a.ConfigVersion, a.ConfigDigest
+	c.index()
+	for digest := range c.keys {
+		delete(c.withdrawn, digest)
+	}
+	return nil
+}
+
+func (c *configCopy) index() {
+	c.keys = make(map[model.KeyDigest]model.Key, len(c.decl.Keys))
+	for _, k := range c.decl.Keys {
+		c.keys[k.Digest] = k
+	}
+	c.services = make(map[string]*model.Service, len(c.decl.Services))
+	for i := range c.decl.Services {
+		c.services[c.decl.Services[i].Name] = &c.decl.Services[i]
+	}
+}
+
+// current returns the version and digest that are in force here.
+func (c *configCopy) current() (uint64, string) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.version, c.digest
+}
+
+// fresh returns SettingsStale where no leader has confirmed the copy lately.
+func (c *configCopy) fresh() error {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.freshLocked()
+}
+
+func (c *configCopy) freshLocked() error {
+	if c.confirmed.IsZero() || time.Since(c.confirmed) > c.freshness {
+		return errkind.New(errkind.SettingsStale, "no leader has confirmed the configuration for more than %s", c.freshness)
+	}
+	return nil
+}
+
+// authenticate returns the rights of a key. The bootstrap key is in force only
+// while no operator key is declared.
+func (c *configCopy) authenticate(digest model.KeyDigest) (model.Key, error) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if err := c.freshLocked(); err != nil {
+		return model.Key{}, err
+	}
+	if k, ok := c.keys[digest]; ok && declare.SameDigest(k.Digest, digest) {
+		return k, nil
+	}
+	if c.bootstrap != "" && declare.SameDigest(c.bootstrap, digest) && !c.hasOperator() {
+		return model.Key{Digest: digest, Operator: true, Worker: true}, nil
+	}
+	if c.withdrawn[digest] {
+		return model.Key{}, errkind.New(errkind.KeyWithdrawn, "the key has been withdrawn")
+	}
+	return model.Key{}, errkind.New(errkind.KeyUnknown, "the key is not granted")
+}
+
+func (c *configCopy) hasOperator() bool {
+	for _, k := range c.keys {
+		if k.Operator {
+			return true
+		}
+	}
+	return false
+}
+
+// service returns the declared service if team may send requests to it.
+func (c *configCopy) service(name, team string) (*model.Service, error) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	s, ok := c.services[name]
+	if !ok {
+		return nil, errkind.New(errkind.UnknownService, "service %q is not declared", name)
+	}
+	if !s.Admits(team) {
+		return nil, errkind.New(errkind.ForeignTeam, "service %q does not admit team %q", name, team)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,107 @@
+// Package entry is the entry process: it serves callers, operators and targets
+// over HTTP, follows the configuration, holds worker sessions, owns executors
+// and carries requests. Any entry serves any of them.
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/filbertmast/filbertmast/internal/limit"
+	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/obs"
+	"github.com/filbertmast/filbertmast/internal/owner"
+	"github.com/filbertmast/filbertmast/internal/route"
+	"github.com/filbertmast/filbertmast/internal/session"
+	"github.com/filbertmast/filbertmast/internal/settings"
+	"github.com/filbertmast/filbertmast/internal/state"
+	"github.com/filbertmast/filbertmast/internal/wire"
+)
+
+// Options configures a Server.
+type Options struct {
+	Settings   *settings.Settings
+	Endpoint   *wire.Endpoint
+	Logger     *log.Logger
+	Registerer prometheus.Registerer
+	Gatherer   prometheus.Gatherer
+}
+
+// Server is one entry process.
+type Server struct {
+	opts     Options
+	set      *settings.Settings
+	log      *log.Logger
+	metrics  *metrics
+	self     state.Member
+	leader   *leaderClient
+	config   *configCopy
+	sessions *session.Manager
+	permits  *limit.Pool
+	leases   *owner.Leases
+	owner    *route.Owner
+	router   *route.Router
+	dir      *directory
+	echo     *echo.Echo
+	ready    atomic.Bool
+	draining atomic.Bool
+}
+
+// NewServer returns a Server whose handlers of the inner protocol are
+// registered. Run must be called for it to serve.
+func NewServer(o Options) *Server {
+	set := o.Settings
+	s := &Server{
+		opts:    o,
+		set:     set,
+		log:     o.Logger.WithPrefix(obs.PrefixEntry),
+		metrics: newMetrics(o.Registerer),
+		self: state.Member{
+			Name:          set.Name,
+			Inner:         set.Inner.Address,
+			Outer:         set.AdvertisedAddress(),
+			Region:        set.Region,
+			FailureDomain: set.FailureDomain,
+			Incarnation:   uint64(time.Now().UnixNano()),
+		},
+		config: newConfigCopy(set.Limits.Freshness.Std(), model.KeyDigest(set.Bootstrap.OperatorKeyDigest)),
+		dir:    newDirectory(),
+	}
+	s.leader = newLeaderClient(o.Endpoint, set.Control.Founders, s.metrics)
+	s.buildSessions()
+	s.buildRequests()
+	s.buildHTTP()
+	return s
+}
+
+// Handler returns the HTTP interface, for serving and for tests.
+func (s *Server) Handler() http.Handler { return s.echo }
+
+// Run keeps up leases and copies until ctx ends.
+func (s *Server) Run(ctx context.Context) {
+	go s.permits.Run(ctx)
+	go s.sessions.Run(ctx)
+	go s.renewOwners(ctx)
+	s.follow(ctx)
+}
+
+// Drain takes this entry out of service in order: not ready to the balancer,
+// nothing new, then the end of what runs. It returns the request IDs that were
+// still running when ctx ended.
+func (s *Server) Drain(ctx context.Context) []string {
+	s.ready.Store(false)
+	s.draining.Store(true)
+	s.log.Info("Draining.")
+	sleep(ctx, s.set.Limits.ShutdownDelay.Std())
+	cut := s.router.Drain(ctx)
+	s.leases.Leave()
+	cut = append(cut, s.owner.Drain(ctx)...)
+	s.sessions.Drain(ctx)
+	return cut
+}
--- /dev/null
+++ b/internal/entry/follow.go
@@ -0,0 +1,97 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/filbertmast/filbertmast/internal/proto"
+	"github.com/filbertmast/filbertmast/internal/route"
+	"github.com/filbertmast/filbertmast/internal/state"
+	"github.com/filbertmast/filbertmast/internal/wire"
+)
+
+// followsPerFreshness is how many renewals fall into one freshness bound, so
+// that one lost renewal does not make the entry refuse callers.
+const followsPerFreshness = 6
+
+// directory is this entry's copy of who owns which executor, and of the other entries.
+type directory struct {
+	routes *route.Directory
+
+	mu      sync.RWMutex
+	term    uint64
+	version uint64
+	entries []state.Member
+}
+
+func newDirectory() *directory {
+	return &directory{routes: route.NewDirectory()}
+}
+
+func (d *directory) current() (term, version uint64) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.term, d.version
+}
+
+func (d *directory) members() []state.Member {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.entries
+}
+
+func (d *directory) take(a *proto.Registered) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.entries = a.Entries
+	if a.Term == d.term && a.DirectoryVersion == d.version {
+		return
+	}
+	if a.Term < d.term {
+		return
+	}
+	d.term, d.version = a.Term, a.DirectoryVersion
+	d.routes.Update(a.DirectoryVersion, a.Directory)
+}
+
+// follow renews the registration, and with it the configuration and the directory.
+func (s *Server) follow(ctx context.Context) {
+	period := s.set.Limits.Freshness.Std() / followsPerFreshness
+	for {
+		if err := s.followOnce(ctx); err != nil && ctx.Err() == nil {
+			s.log.Warn("The leader did not confirm the configuration.", "err", err)
+		}
+		if !sleep(ctx, jitter(period)) {
+			return
+		}
+	}
+}
+
+func (s *Server) followOnce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, s.set.Limits.Freshness.Std())
+	defer cancel()
+	version, digest := s.config.current()
+	term, dirVersion := s.dir.current()
+	req := &proto.Register{
+		Member:           s.self,
+		ConfigVersion:    version,
+		ConfigDigest:     digest,
+		DirectoryTerm:    term,
+		DirectoryVersion: dirVersion,
+		Leaving:          s.draining.Load(),
+	}
+	sent := time.Now()
+	resp, err := tryLeader[proto.Register, proto.Registered](ctx, s.leader, wire.KindRegister, req, 0)
+	if err != nil {
+		return err
+	}
+	if err := s.config.take(resp, sent); err != nil {
+		return err
+	}
+	s.dir.take(resp)
+	if !s.draining.Load() {
+		s.ready.Store(true)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/leader.go
@@ -0,0 +1,181 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/proto"
+	"github.com/filbertmast/filbertmast/internal/wire"
+)
+
+const (
+	attemptTimeout = 1500 * time.Millisecond // of one try of a call that does not wait
+	probeTimeout   = 500 * time.Millisecond
+	retryMin       = 20 * time.Millisecond
+	retryMax       = 400 * time.Millisecond
+)
+
+// leaderClient finds the leading control process and calls it. Every call that
+// it carries is idempotent at the leader, so that it may be sent again.
+type leaderClient struct {
+	endpoint *wire.Endpoint
+	metrics  *metrics
+
+	mu      sync.Mutex
+	control []string // inner addresses of control processes
+	leader  string   // "" where not known
+}
+
+func newLeaderClient(e *wire.Endpoint, founders []string, m *metrics) *leaderClient {
+	return &leaderClient{endpoint: e, control: founders, metrics: m}
+}
+
+// callLeader sends req to the leader, and again to a new one, until it is
+// answered or ctx ends. Wait is how long the leader itself may hold the answer
+// back. Where no try can have arrived, the error is NoLeader.
+func callLeader[Req, Resp any](ctx context.Context, l *leaderClient, k wire.Kind, req *Req, wait time.Duration) (*Resp, error) {
+	arrived := false
+	for pause := retryMin; ; pause = min(2*pause, retryMax) {
+		resp, err := tryLeader[Req, Resp](ctx, l, k, req, wait)
+		if err == nil || !retryable(errkind.Of(err)) {
+			return resp, err
+		}
+		arrived = arrived || !errkind.RowOf(errkind.Of(err)).NotRun
+		l.metrics.retried(errkind.Of(err))
+		if !sleep(ctx, jitter(pause)) {
+			return nil, givenUp(err, arrived)
+		}
+	}
+}
+
+func tryLeader[Req, Resp any](ctx context.Context, l *leaderClient, k wire.Kind, req *Req, wait time.Duration) (*Resp, error) {
+	addr, err := l.find(ctx)
+	if err != nil {
+		return nil, err
+	}
+	tryCtx, cancel := context.WithTimeout(ctx, attemptTimeout+wait)
+	defer cancel()
+	resp, err := wire.Call[Req, Resp](tryCtx, l.endpoint, addr, k, req)
+	if err != nil && retryable(errkind.Of(err)) {
+		l.forget(addr)
+	}
+	return resp, err
+}
+
+// retryable reports whether another try of an idempotent call may help.
+func retryable(k errkind.Kind) bool {
+	switch k {
+	case errkind.NotLeader, errkind.NoLeader, errkind.Unreachable, errkind.Overloaded,
+		errkind.OutcomeUnknown, errkind.DeadlineExceeded:
+		return true
+	}
+	return false
+}
+
+func givenUp(last error, arrived bool) error {
+	if arrived {
+		return errkind.Wrap(errkind.OutcomeUnknown, last, "no leader confirmed the call in time")
+	}
+	return errkind.Wrap(errkind.NoLeader, last, "no leader answered in time")
+}
+
+// find returns the leader's address, asking every control process where it is not known.
+func (l *leaderClient) find(ctx context.Context) (string, error) {
+	l.mu.Lock()
+	leader, control := l.leader, l.control
+	l.mu.Unlock()
+	if leader != "" {
+		return leader, nil
+	}
+	probes := l.probeAll(ctx, control)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range probes {
+		l.learn(p.Peers)
+	}
+	best := newest(probes)
+	if best == "" {
+		return "", errkind.New(errkind.NoLeader, "no control process names a leader")
+	}
+	l.leader = best
+	return best, nil
+}
+
+// newest returns the leader named by the answer of the highest term.
+func newest(probes []*proto.Probe) string {
+	var term uint64
+	leader := ""
+	for _, p := range probes {
+		if p.Leader != "" && p.Term >= term {
+			term, leader = p.Term, p.Leader
+		}
+	}
+	return leader
+}
+
+func (l *leaderClient) probeAll(ctx context.Context, control []string) []*proto.Probe {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	answers := make(chan *proto.Probe, len(control))
+	for _, addr := range control {
+		go func() {
+			p, err := wire.Call[proto.Empty, proto.Probe](ctx, l.endpoint, addr, wire.KindProbe, &proto.Empty{})
+			if err != nil {
+				p = nil
+			}
+			answers <- p
+		}()
+	}
+	var out []*proto.Probe
+	for range control {
+		if p := <-answers; p != nil {
+			out = append(out, p)
+			if p.Ready {
+				break
+			}
+		}
+	}
+	return out
+}
+
+// learn adds control processes that have joined since the settings were
+// written. The founders are kept: they may be all that is reachable later.
+func (l *leaderClient) learn(peers []string) {
+	known := make(map[string]bool, len(l.control))
+	for _, a := range l.control {
+		known[a] = true
+	}
+	for _, a := range peers {
+		if !known[a] {
+			l.control = append(l.control[:len(l.control):len(l.control)], a)
+		}
+	}
+}
+
+func (l *leaderClient) forget(addr string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.leader == addr {
+		l.leader = ""
+	}
+}
+
+// jitter spreads d over half to one and a half of it.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d)
+}
+
+// sleep waits for d and reports whether ctx is still live.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/entry/operate.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/declare"
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/proto"
+	"github.com/filbertmast/filbertmast/internal/wire"
+)
+
+// operate sends one operator call to the leader and answers with what it returns.
+func operate[Req, Resp any](s *Server, c echo.Context, k wire.Kind, req *Req) error {
+	ctx, cancel := bounded(c, 0)
+	defer cancel()
+	resp, err := callLeader[Req, Resp](ctx, s.leader, k, req, 0)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, resp)
+}
+
+func (s *Server) applyDeclarations(c echo.Context, caller proto.Caller) error {
+	req := &proto.Declare{Caller: caller}
+	if _, err := s.readJSON(c, &req.Apply); err != nil {
+		return err
+	}
+	if req.Apply.ApplyID == "" {
+		return errkind.New(errkind.BadRequest, "apply_id must be set, so that a resend is recognised")
+	}
+	if problems := declare.Validate(&req.Apply.Declarations); len(problems) > 0 {
+		return errkind.New(errkind.BadDeclarations, "%s", problems.Error())
+	}
+	return operate[proto.Declare, api.Applied](s, c, wire.KindDeclare, req)
+}
+
+func (s *Server) getDeclarations(c echo.Context, _ proto.Caller) error {
+	return operate[proto.Empty, api.DeclarationsView](s, c, wire.KindDeclarations, &proto.Empty{})
+}
+
+func (s *Server) grantKey(c echo.Context, caller proto.Caller) error {
+	req := &proto.Key{Caller: caller}
+	if _, err := s.readJSON(c, &req.Key); err != nil {
+		return err
+	}
+	return operate[proto.Key, api.Applied](s, c, wire.KindKey, req)
+}
+
+func (s *Server) withdrawKey(c echo.Context, caller proto.Caller) error {
+	req := &proto.Key{Caller: caller, Key: model.Key{Digest: model.KeyDigest(c.Param("digest"))}, Withdraw: true}
+	if !declare.ValidDigest(req.Key.Digest) {
+		return errkind.New(errkind.BadRequest, "the digest must have 64 hex digits")
+	}
+	return operate[proto.Key, api.Applied](s, c, wire.KindKey, req)
+}
+
+func (s *Server) listWorkers(c echo.Context, _ proto.Caller) error {
+	ctx, cancel := bounded(c, 0)
+	defer cancel()
+	resp, err := callLeader[proto.Empty, proto.Workers](ctx, s.leader, wire.KindWorkers, &proto.Empty{}, 0)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, resp.Workers)
+}
+
+func (s *Server) setMode(mode model.WorkerMode) handler {
+	return func(c echo.Context, caller proto.Caller) error {
+		req := &proto.SetMode{Caller: caller, Worker: model.WorkerID(c.Param("id")), Mode: mode}
+		return operate[proto.SetMode, proto.Empty](s, c, wire.KindSetMode, req)
+	}
+}
+
+func (s *Server) getStatus(c echo.Context, _ proto.Caller) error {
+	ctx, cancel := bounded(c, 0)
+	defer cancel()
+	st, err := callLeader[proto.Empty, api.Status](ctx, s.leader, wire.KindStatus, &proto.Empty{}, 0)
+	if err != nil {
+		return err
+	}
+	st.Entry = s.self.Name
+	return c.JSON(http.StatusOK, st)
+}
--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -5,8 +5,12 @@
 
 import (
 	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/declare"
 	"github.com/filbertmast/filbertmast/internal/journal"
+	"github.com/filbertmast/filbertmast/internal/limit"
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/owner"
+	"github.com/filbertmast/filbertmast/internal/state"
 )
 
 // Empty is the answer of a call that has none.
@@ -16,10 +20,14 @@
 type Caller struct {
 	Team     string `cbor:"1,keyasint"`
 	Operator bool   `cbor:"2,keyasint,omitempty"`
+	// Key is the digest of the key that came with the call. The leader checks
+	// it again, so that a key cannot outlive its withdrawal in an entry that was frozen.
+	Key model.KeyDigest `cbor:"3,keyasint"`
 }
 
 // Submit asks for a job.
 type Submit struct {
+	Caller         Caller        `cbor:"5,keyasint"`
 	Spec           model.JobSpec `cbor:"1,keyasint"`
 	IdempotencyKey string        `cbor:"2,keyasint,omitempty"`
 	Digest         [32]byte      `cbor:"3,keyasint"`
@@ -68,11 +76,13 @@
 
 // Declare applies a configuration.
 type Declare struct {
-	Apply api.Apply `cbor:"1,keyasint"`
+	Caller Caller    `cbor:"2,keyasint"`
+	Apply  api.Apply `cbor:"1,keyasint"`
 }
 
 // Key grants a key, or with Withdraw withdraws it.
 type Key struct {
+	Caller   Caller    `cbor:"3,keyasint"`
 	Key      model.Key `cbor:"1,keyasint"`
 	Withdraw bool      `cbor:"2,keyasint,omitempty"`
 }
@@ -84,6 +94,7 @@
 
 // SetMode changes what a worker may be given.
 type SetMode struct {
+	Caller Caller           `cbor:"3,keyasint"`
 	Worker model.WorkerID   `cbor:"1,keyasint"`
 	Mode   model.WorkerMode `cbor:"2,keyasint"`
 }
@@ -148,3 +159,38 @@
 type JournalStarted struct {
 	Result journal.StartResult `cbor:"1,keyasint"`
 }
+
+// Register renews an entry's registration and asks for what is newer than it holds.
+type Register struct {
+	Member           state.Member `cbor:"1,keyasint"`
+	ConfigVersion    uint64       `cbor:"2,keyasint"`
+	ConfigDigest     string       `cbor:"3,keyasint"`
+	DirectoryVersion uint64       `cbor:"4,keyasint"`
+	DirectoryTerm    uint64       `cbor:"5,keyasint"`
+	Leaving          bool         `cbor:"6,keyasint,omitempty"`
+}
+
+// Registered is the answer to Register. It confirms the configuration as
+// current at some time after the call was sent.
+type Registered struct {
+	Term             uint64               `cbor:"1,keyasint"`
+	ConfigVersion    uint64               `cbor:"2,keyasint"`
+	ConfigDigest     string               `cbor:"3,keyasint"`
+	Whole            *model.Declarations  `cbor:"4,keyasint,omitempty"`
+	Delta            *declare.Delta       `cbor:"5,keyasint,omitempty"`
+	DirectoryVersion uint64               `cbor:"6,keyasint"`
+	Directory        []owner.DirectoryRow `cbor:"7,keyasint,omitempty"` // set where the version differs
+	Entries          []state.Member       `cbor:"8,keyasint,omitempty"`
+}
+
+// Permits asks for request permits on behalf of an entry.
+type Permits struct {
+	Entry       string         `cbor:"1,keyasint"`
+	Incarnation uint64         `cbor:"2,keyasint"`
+	Demands     []limit.Demand `cbor:"3,keyasint"`
+}
+
+// Granted is the answer to Permits.
+type Granted struct {
+	Grants []limit.Grant `cbor:"1,keyasint"`
+}
