Add request permits under leases

The leader's Granter counts an upper bound of what each entry may be using; the entry's Pool starts nothing beyond what it has told. Demands are numbered, so that a late ask cannot undo a later one.

--- /dev/null
+++ b/internal/limit/granter.go
@@ -0,0 +1,244 @@
+package limit
+
+import (
+	"time"
+
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// Options sets the times of a Granter.
+type Options struct {
+	Lease time.Duration // of a grant
+	// Margin is added to leases and deadlines for the drift between two clocks.
+	Margin time.Duration
+	// Turn is how long a holder keeps a permit that others wait for.
+	Turn time.Duration
+}
+
+// Defaults of Options.
+const (
+	DefaultLease  = 3 * time.Second
+	DefaultMargin = 600 * time.Millisecond
+	DefaultTurn   = 100 * time.Millisecond
+)
+
+func (o Options) withDefaults() Options {
+	if o.Lease == 0 {
+		o.Lease = DefaultLease
+	}
+	if o.Margin == 0 {
+		o.Margin = DefaultMargin
+	}
+	if o.Turn == 0 {
+		o.Turn = DefaultTurn
+	}
+	return o
+}
+
+// team is the account of one team.
+type team struct {
+	limit    int64
+	tasks    int64
+	counted  int64 // sum over holdings
+	holdings map[holder]*holding
+}
+
+// free returns the permits that nobody can be using.
+func (t *team) free() int64 { return t.limit - t.tasks - t.counted }
+
+// Granter is the leader's account of permits. One goroutine owns it.
+type Granter struct {
+	opts       Options
+	teams      map[string]*team
+	epochs     map[string]uint64 // latest incarnation of each entry
+	quietUntil model.Time
+	expected   map[string]bool // entries that have not asked in this term
+}
+
+// NewGranter returns a Granter without teams. A team without a limit gets nothing.
+func NewGranter(opts Options) *Granter {
+	return &Granter{
+		opts:   opts.withDefaults(),
+		teams:  make(map[string]*team),
+		epochs: make(map[string]uint64),
+	}
+}
+
+func (g *Granter) team(name string) *team {
+	t, ok := g.teams[name]
+	if !ok {
+		t = &team{holdings: make(map[holder]*holding)}
+		g.teams[name] = t
+	}
+	return t
+}
+
+// SetLimit sets the upper limit of a team. Permits over a lowered limit are
+// called back with the holders' next asks.
+func (g *Granter) SetLimit(name string, limit int64) { g.team(name).limit = max(limit, 0) }
+
+// SetTasks sets how many tasks of the team hold resources.
+func (g *Granter) SetTasks(name string, running int64) { g.team(name).tasks = running }
+
+// TakeForTasks counts n further tasks of the team against its limit. It
+// reports false, and counts nothing, where the limit leaves no room.
+func (g *Granter) TakeForTasks(name string, n int64) bool {
+	t := g.team(name)
+	if g.quiet() || t.free() < n {
+		return false
+	}
+	t.tasks += n
+	return true
+}
+
+// Outstanding returns the permits of the team that may be in use.
+func (g *Granter) Outstanding(name string) int64 { return g.team(name).counted }
+
+// Headroom returns how many more tasks of the team may start.
+func (g *Granter) Headroom(name string) int64 {
+	if g.quiet() {
+		return 0
+	}
+	return max(g.team(name).free(), 0)
+}
+
+// Ask takes the demands of an entry and returns its grants. Demands that are
+// older than one seen before, or of an earlier incarnation, get no grant.
+func (g *Granter) Ask(entry string, epoch uint64, demands []Demand, now model.Time) []Grant {
+	if epoch < g.epochs[entry] {
+		return nil
+	}
+	if epoch > g.epochs[entry] {
+		g.lose(entry)
+		g.epochs[entry] = epoch
+	}
+	g.heard(entry)
+	g.endQuiet(now)
+	grants := make([]Grant, 0, len(demands))
+	for i := range demands {
+		d := &demands[i]
+		permits, ok := g.ask(holder{entry, epoch}, d, now)
+		if !ok {
+			continue
+		}
+		grants = append(grants, Grant{
+			Team:    d.Team,
+			Seq:     d.Seq,
+			Permits: permits,
+			LeaseMS: g.opts.Lease.Milliseconds(),
+		})
+	}
+	g.endQuietIfHeard()
+	return grants
+}
+
+func (g *Granter) ask(id holder, d *Demand, now model.Time) (int64, bool) {
+	t := g.team(d.Team)
+	h, ok := t.holdings[id]
+	if !ok {
+		h = &holding{}
+		t.holdings[id] = h
+	}
+	if d.Seq <= h.seq {
+		return 0, false
+	}
+	g.confirm(t, h, d, now)
+	permits := g.decide(t, h, now)
+	if permits > h.counted {
+		t.counted += permits - h.counted
+		h.counted = permits
+	}
+	return permits, true
+}
+
+// confirm books what the holder says that it holds.
+func (g *Granter) confirm(t *team, h *holding, d *Demand, now model.Time) {
+	held := max(d.Held, d.InUse, 0)
+	t.counted += held - h.counted
+	h.counted = held
+	h.seq = d.Seq
+	h.inUse = max(d.InUse, 0)
+	h.want = max(d.Want, 0)
+	h.spare = max(d.Spare, 0)
+	h.lost = false
+	h.leaseEnd = now.Add(g.opts.Lease + g.opts.Margin)
+	h.lastEnd = now.Add(time.Duration(d.DeadlineMS)*time.Millisecond + g.opts.Margin)
+}
+
+// Lost notes that an entry is gone. Its permits stay counted until its leases
+// are over and the last request that it could have sent is past its deadline.
+func (g *Granter) Lost(entry string, now model.Time) {
+	g.lose(entry)
+	g.Tick(now)
+}
+
+func (g *Granter) lose(entry string) {
+	for _, t := range g.teams {
+		for id, h := range t.holdings {
+			if id.entry == entry {
+				h.lost = true
+			}
+		}
+	}
+}
+
+// Tick returns the permits of holders that cannot be using them any more.
+func (g *Granter) Tick(now model.Time) {
+	g.endQuiet(now)
+	for _, t := range g.teams {
+		for id, h := range t.holdings {
+			if now >= h.leaseEnd {
+				h.lost = true
+			}
+			if h.over(now) {
+				t.counted -= h.counted
+				delete(t.holdings, id)
+			}
+		}
+	}
+}
+
+// NewTerm starts the account of a new leader, which does not know the permits
+// that the old one granted. Entries keep what they hold, and nothing is granted
+// beyond that until longest has passed: the longest time for which a permit of
+// the old leader may be in use, leases and deadlines included.
+func (g *Granter) NewTerm(now model.Time, longest time.Duration) {
+	for _, t := range g.teams {
+		t.counted = 0
+		t.holdings = make(map[holder]*holding)
+	}
+	g.epochs = make(map[string]uint64)
+	g.expected = nil
+	g.quietUntil = now.Add(longest + g.opts.Margin)
+}
+
+// Expect ends the wait of a new term early: entries are all that may hold
+// permits, and once each of them has asked, every permit is counted.
+func (g *Granter) Expect(entries []string) {
+	g.expected = make(map[string]bool, len(entries))
+	for _, e := range entries {
+		g.expected[e] = true
+	}
+	g.endQuietIfHeard()
+}
+
+func (g *Granter) heard(entry string) {
+	if g.expected == nil {
+		return
+	}
+	delete(g.expected, entry)
+}
+
+func (g *Granter) quiet() bool { return g.quietUntil > 0 }
+
+func (g *Granter) endQuiet(now model.Time) {
+	if now >= g.quietUntil {
+		g.quietUntil = 0
+	}
+}
+
+func (g *Granter) endQuietIfHeard() {
+	if g.expected != nil && len(g.expected) == 0 {
+		g.quietUntil = 0
+	}
+}
--- /dev/null
+++ b/internal/limit/pool.go
@@ -0,0 +1,264 @@
+package limit
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/filbertmast/filbertmast/internal/errkind"
+)
+
+// Upstream carries asks to the leader. Ask returns an error of kind NoLeader or
+// NotLeader when no leader answered.
+type Upstream interface {
+	Ask(ctx context.Context, demands []Demand) ([]Grant, error)
+}
+
+// PoolOptions sets up a Pool. Zero times take defaults.
+type PoolOptions struct {
+	Upstream Upstream
+	Period   time.Duration // between asks when nobody waits
+	Poll     time.Duration // between asks while requests wait
+	Timeout  time.Duration // of one ask
+	Now      func() time.Time
+	Metrics  prometheus.Registerer // may be nil
+	Log      *log.Logger           // may be nil
+}
+
+// Defaults of PoolOptions.
+const (
+	DefaultPeriod  = DefaultLease / 3
+	DefaultPoll    = 20 * time.Millisecond
+	DefaultTimeout = DefaultLease / 3
+)
+
+func (o PoolOptions) withDefaults() PoolOptions {
+	if o.Period == 0 {
+		o.Period = DefaultPeriod
+	}
+	if o.Poll == 0 {
+		o.Poll = DefaultPoll
+	}
+	if o.Timeout == 0 {
+		o.Timeout = DefaultTimeout
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Log == nil {
+		o.Log = log.Default()
+	}
+	o.Log = o.Log.WithPrefix("limit")
+	return o
+}
+
+// Pool is an entry's share of the permits of every team. It is safe for
+// concurrent use. Run must be running for permits to arrive.
+type Pool struct {
+	opts    PoolOptions
+	metrics *poolMetrics
+	kick    chan struct{}
+
+	mu     sync.Mutex
+	teams  map[string]*account
+	seq    uint64
+	silent bool // the last ask got no answer
+}
+
+// NewPool returns a Pool without permits.
+func NewPool(opts PoolOptions) *Pool {
+	opts = opts.withDefaults()
+	return &Pool{
+		opts:    opts,
+		metrics: newPoolMetrics(opts.Metrics),
+		kick:    make(chan struct{}, 1),
+		teams:   make(map[string]*account),
+	}
+}
+
+// Permit lets one request run. Release returns it.
+type Permit struct {
+	pool *Pool
+	team string
+	once sync.Once
+}
+
+// Release returns the permit. Further calls do nothing.
+func (p *Permit) Release() {
+	p.once.Do(func() { p.pool.release(p.team) })
+}
+
+// Acquire returns a permit for a request of team that ends by deadline. It
+// waits until ctx ends. The error is of kind LimitReached when the leader had
+// none to give, NoLeader when the leader did not answer; nothing has run.
+func (p *Pool) Acquire(ctx context.Context, team string, deadline time.Time) (*Permit, error) {
+	w, granted := p.enter(team, deadline)
+	if granted {
+		p.metrics.acquired.Inc()
+		return &Permit{pool: p, team: team}, nil
+	}
+	p.metrics.waited.Inc()
+	p.wake()
+	select {
+	case <-w.ready:
+		p.metrics.acquired.Inc()
+		return &Permit{pool: p, team: team}, nil
+	case <-ctx.Done():
+		return p.leave(team, w)
+	}
+}
+
+// enter takes a permit at once or queues a waiter.
+func (p *Pool) enter(team string, deadline time.Time) (*waiter, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a, ok := p.teams[team]
+	if !ok {
+		a = &account{}
+		p.teams[team] = a
+	}
+	now := p.opts.Now()
+	a.noteLife(deadline.Sub(now))
+	if len(a.waiters) == 0 && a.covers(deadline, now) {
+		a.take(deadline)
+		return nil, true
+	}
+	w := &waiter{deadline: deadline, ready: make(chan struct{})}
+	a.waiters = append(a.waiters, w)
+	return w, false
+}
+
+// leave gives up waiting, unless a permit came in the same moment.
+func (p *Pool) leave(team string, w *waiter) (*Permit, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a := p.teams[team]
+	if a == nil || !a.drop(w) {
+		p.metrics.acquired.Inc()
+		return &Permit{pool: p, team: team}, nil
+	}
+	if p.silent || p.opts.Now().After(a.leaseEnd) {
+		p.metrics.refused.WithLabelValues(string(errkind.NoLeader)).Inc()
+		return nil, errkind.New(errkind.NoLeader, "no leader has granted request permits")
+	}
+	p.metrics.refused.WithLabelValues(string(errkind.LimitReached)).Inc()
+	return nil, errkind.New(errkind.LimitReached, "the upper limit of team %s is in use", team)
+}
+
+func (p *Pool) release(team string) {
+	p.mu.Lock()
+	a := p.teams[team]
+	a.inUse--
+	a.serve(p.opts.Now())
+	returned := a.inUse >= a.permits
+	p.mu.Unlock()
+	if returned {
+		p.wake()
+	}
+}
+
+// wake makes Run ask soon.
+func (p *Pool) wake() {
+	select {
+	case p.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Run asks the leader for permits until ctx ends.
+func (p *Pool) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-p.kick:
+		}
+		timer.Reset(p.round(ctx))
+	}
+}
+
+// round asks once and returns the time until the next ask.
+func (p *Pool) round(ctx context.Context) time.Duration {
+	sent := p.opts.Now()
+	demands := p.demands(sent)
+	if len(demands) == 0 {
+		return p.opts.Period
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.opts.Timeout)
+	defer cancel()
+	grants, err := p.opts.Upstream.Ask(ctx, demands)
+	if p.apply(sent, demands, grants, err) {
+		return p.opts.Poll
+	}
+	return p.opts.Period
+}
+
+// demands states what is held and wanted of every team in use.
+func (p *Pool) demands(now time.Time) []Demand {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]Demand, 0, len(p.teams))
+	for name, a := range p.teams {
+		p.seq++
+		a.decay(now, p.opts.Period)
+		out = append(out, a.demand(name, p.seq, now, p.opts.Period))
+	}
+	return out
+}
+
+// apply takes the answer to an ask and reports whether requests still wait.
+func (p *Pool) apply(sent time.Time, demands []Demand, grants []Grant, err error) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.opts.Now()
+	p.noteResult(err)
+	asked := make(map[string]*Demand, len(demands))
+	for i := range demands {
+		asked[demands[i].Team] = &demands[i]
+	}
+	for _, g := range grants {
+		a, d := p.teams[g.Team], asked[g.Team]
+		if err != nil || a == nil || d == nil || d.Seq != g.Seq {
+			continue
+		}
+		a.grant(sent, d, g, now)
+		if a.idle() && d.Held == 0 {
+			delete(p.teams, g.Team)
+		}
+	}
+	waiting := false
+	for _, a := range p.teams {
+		waiting = waiting || len(a.waiters) > 0 || a.inUse > a.permits
+	}
+	return waiting
+}
+
+func (p *Pool) noteResult(err error) {
+	if err == nil {
+		p.metrics.asks.WithLabelValues("answered").Inc()
+		p.silent = false
+		return
+	}
+	p.metrics.asks.WithLabelValues("failed").Inc()
+	if !p.silent {
+		p.opts.Log.Warn("Leader did not answer", "err", err)
+	}
+	p.silent = true
+}
+
+// Held returns the permits of team that this entry may use, and those in use.
+func (p *Pool) Held(team string) (permits, inUse int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a := p.teams[team]
+	if a == nil {
+		return 0, 0
+	}
+	return a.permits, a.inUse
+}
