Add executor ownership with leases and epochs

An executor moves only after its release, or after the lease and the deadlines of what its owner may have sent.

--- /dev/null
+++ b/internal/owner/table.go
@@ -0,0 +1,329 @@
+package owner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// Options sets the times of a Table.
+type Options struct {
+	Lease time.Duration // of an ownership
+	// Margin is added to leases and deadlines for the drift between two clocks.
+	Margin time.Duration
+	// MaxMoves bounds how many executors of one region are asked back at once.
+	MaxMoves int
+}
+
+// Defaults of Options.
+const (
+	DefaultLease    = 3 * time.Second
+	DefaultMargin   = 600 * time.Millisecond
+	DefaultMaxMoves = 4
+)
+
+func (o Options) withDefaults() Options {
+	if o.Lease == 0 {
+		o.Lease = DefaultLease
+	}
+	if o.Margin == 0 {
+		o.Margin = DefaultMargin
+	}
+	if o.MaxMoves == 0 {
+		o.MaxMoves = DefaultMaxMoves
+	}
+	return o
+}
+
+// executor is one row of the table.
+type executor struct {
+	spec      model.ExecutorSpec
+	region    string
+	leaving   bool
+	withdrawn bool
+	owner     string // entry that may be sending; "" for none
+	epoch     uint64
+	release   bool // asked back from its owner
+	// freeAt is set when the owner can no longer renew: the time after which
+	// it surely sends nothing and nothing that it sent is still running.
+	freeAt model.Time
+}
+
+// orphan reports whether the owner of e has lost it but may still be sending.
+func (e *executor) orphan() bool { return e.freeAt != 0 }
+
+// entry is one entry process.
+type entry struct {
+	id       string
+	address  string
+	region   string
+	load     float64
+	process  uint64
+	seq      uint64
+	leaving  bool
+	told     bool // has told what it holds to this leader
+	leaseEnd model.Time
+	lastEnd  model.Time // when the last request that it sent is surely over
+	version  uint64     // of the set that it owns
+	owned    int
+	services map[string]int // owned executors by service
+}
+
+// open reports whether n may be given executors.
+func (n *entry) open() bool { return !n.leaving && n.told }
+
+// Table is the leader's account of ownership. One goroutine owns it.
+type Table struct {
+	opts       Options
+	term       uint64
+	counter    uint64
+	version    uint64
+	executors  map[string]*executor
+	entries    map[string]*entry
+	quietUntil model.Time
+	expected   map[string]bool
+}
+
+// NewTable returns an empty table. Call NewTerm before it is used.
+func NewTable(opts Options) *Table {
+	return &Table{
+		opts:      opts.withDefaults(),
+		executors: make(map[string]*executor),
+		entries:   make(map[string]*entry),
+	}
+}
+
+// termShift leaves the low bits of epochs and versions to a counter within one term.
+const termShift = 40
+
+// NewTerm starts the account of a new leader. Executors stay known; who owns
+// them is told by the entries. Nothing is given anew until longest has passed:
+// the longest time for which an owner from an earlier term may be sending, or
+// something that it sent may run.
+func (t *Table) NewTerm(term uint64, now model.Time, longest time.Duration) {
+	t.term = term
+	t.counter = 0
+	t.entries = make(map[string]*entry)
+	t.expected = nil
+	t.quietUntil = now.Add(longest + t.opts.Margin)
+	for id, e := range t.executors {
+		if e.withdrawn {
+			delete(t.executors, id)
+			continue
+		}
+		e.owner, e.epoch, e.release, e.freeAt = "", 0, false, 0
+	}
+	t.version = term << termShift
+}
+
+// Expect ends the wait of a new term early: entries are all that may own
+// executors, and once each has told what it holds, every owner is known.
+func (t *Table) Expect(entries []string) {
+	t.expected = make(map[string]bool, len(entries))
+	for _, e := range entries {
+		t.expected[e] = true
+	}
+	t.endQuietIfTold()
+}
+
+// Announce makes an executor known, or updates it.
+func (t *Table) Announce(spec model.ExecutorSpec, region string, leaving bool) {
+	e, ok := t.executors[spec.ID]
+	if !ok {
+		e = &executor{}
+		t.executors[spec.ID] = e
+	}
+	if ok && !e.withdrawn && e.spec == spec && e.region == region && e.leaving == leaving {
+		return
+	}
+	if ok && e.owner != "" && e.spec.Service != spec.Service {
+		t.recount(e, spec.Service)
+	}
+	e.spec, e.region, e.leaving, e.withdrawn = spec, region, leaving, false
+	t.changed(e)
+}
+
+func (t *Table) recount(e *executor, service string) {
+	if n := t.entries[e.owner]; n != nil && !e.orphan() {
+		n.services[e.spec.Service]--
+		n.services[service]++
+	}
+}
+
+// Withdraw makes an executor unknown. It stays on the account until its owner
+// surely sends it nothing, in case that it is announced again.
+func (t *Table) Withdraw(id string) {
+	e, ok := t.executors[id]
+	if !ok {
+		return
+	}
+	e.withdrawn = true
+	t.changed(e)
+	if e.owner == "" {
+		delete(t.executors, id)
+	}
+}
+
+// Renew takes an entry's renewal and returns what it owns. Renewals that are
+// older than one seen before get false.
+func (t *Table) Renew(r *Renewal, now model.Time) (Renewed, bool) {
+	n, ok := t.entry(r, now)
+	if !ok {
+		return Renewed{}, false
+	}
+	n.leaseEnd = now.Add(t.opts.Lease + t.opts.Margin)
+	n.lastEnd = now.Add(time.Duration(r.DeadlineMS)*time.Millisecond + t.opts.Margin)
+	if r.Full {
+		t.takeHeld(n, r.Held)
+	}
+	t.takeReleased(n, r.Released)
+	t.Tick(now)
+	return t.answer(n, r), true
+}
+
+// entry finds or makes the account of the entry that sent r.
+func (t *Table) entry(r *Renewal, now model.Time) (*entry, bool) {
+	n, ok := t.entries[r.Entry]
+	if ok && (r.Process < n.process || (r.Process == n.process && r.Seq <= n.seq)) {
+		return nil, false
+	}
+	if ok && r.Process > n.process {
+		t.drop(n, now)
+		ok = false
+	}
+	if !ok {
+		n = &entry{id: r.Entry, process: r.Process, services: make(map[string]int)}
+		t.entries[r.Entry] = n
+		t.touch(n)
+	}
+	if n.address != r.Address || n.leaving != r.Leaving {
+		t.version++
+	}
+	n.address, n.region, n.load = r.Address, r.Region, r.Load
+	n.seq, n.leaving = r.Seq, r.Leaving
+	return n, true
+}
+
+// takeHeld books what an entry owns since an earlier term.
+func (t *Table) takeHeld(n *entry, held []Claim) {
+	if n.told {
+		return
+	}
+	n.told = true
+	for _, c := range held {
+		e, ok := t.executors[c.Executor]
+		if !ok || c.Epoch <= e.epoch || e.orphan() {
+			continue
+		}
+		// The later epoch is the true owner: the other claim was under way
+		// when its lease ended.
+		if e.owner != "" {
+			t.free(e)
+		}
+		t.give(e, n, c.Epoch)
+	}
+	delete(t.expected, n.id)
+	t.endQuietIfTold()
+}
+
+func (t *Table) takeReleased(n *entry, released []Claim) {
+	for _, c := range released {
+		e, ok := t.executors[c.Executor]
+		if ok && e.owner == n.id && e.epoch == c.Epoch && !e.orphan() {
+			t.free(e)
+		}
+	}
+}
+
+// Release notes that entry sends nothing more to an executor and that nothing
+// that it sent is running there.
+func (t *Table) Release(entryID, executorID string) {
+	e, ok := t.executors[executorID]
+	if ok && e.owner == entryID && !e.orphan() {
+		t.free(e)
+	}
+}
+
+func (t *Table) answer(n *entry, r *Renewal) Renewed {
+	if !n.told {
+		return Renewed{Seq: r.Seq, TellHeld: true}
+	}
+	out := Renewed{Seq: r.Seq, LeaseMS: t.opts.Lease.Milliseconds(), Version: n.version}
+	if r.Known != n.version {
+		out.Changed = true
+		out.Owned = t.ownedBy(n)
+	}
+	return out
+}
+
+func (t *Table) ownedBy(n *entry) []Ownership {
+	out := make([]Ownership, 0, n.owned)
+	for _, e := range t.executors {
+		if e.owner != n.id || e.orphan() {
+			continue
+		}
+		out = append(out, Ownership{
+			Executor: e.spec,
+			Epoch:    e.epoch,
+			Leaving:  e.leaving || e.withdrawn,
+			Release:  e.release,
+		})
+	}
+	slices.SortFunc(out, func(a, b Ownership) int { return cmp.Compare(a.Executor.ID, b.Executor.ID) })
+	return out
+}
+
+// Lost notes that an entry is gone. Its executors are given to others only once
+// its leases and the deadlines of its requests are over.
+func (t *Table) Lost(entryID string, now model.Time) {
+	if n, ok := t.entries[entryID]; ok {
+		t.drop(n, now)
+	}
+	t.Tick(now)
+}
+
+// drop makes the executors of n wait for the end of its leases and requests.
+func (t *Table) drop(n *entry, now model.Time) {
+	freeAt := max(n.leaseEnd, n.lastEnd, now)
+	for _, e := range t.executors {
+		if e.owner == n.id && !e.orphan() {
+			e.freeAt = freeAt
+			n.owned--
+			n.services[e.spec.Service]--
+		}
+	}
+	delete(t.entries, n.id)
+	t.version++
+}
+
+// Directory returns the rows of all executors, sorted by ID, and the version
+// of the directory, which rises with every change.
+func (t *Table) Directory() (uint64, []DirectoryRow) {
+	rows := make([]DirectoryRow, 0, len(t.executors))
+	for _, e := range t.executors {
+		if e.withdrawn {
+			continue
+		}
+		rows = append(rows, t.row(e))
+	}
+	slices.SortFunc(rows, func(a, b DirectoryRow) int { return cmp.Compare(a.Executor, b.Executor) })
+	return t.version, rows
+}
+
+func (t *Table) row(e *executor) DirectoryRow {
+	row := DirectoryRow{
+		Executor: e.spec.ID,
+		Service:  e.spec.Service,
+		Region:   e.region,
+		Slots:    e.spec.Slots,
+		Leaving:  e.leaving,
+	}
+	if n := t.entries[e.owner]; n != nil && !e.orphan() {
+		row.Owner = n.id
+		row.Address = n.address
+		row.Epoch = e.epoch
+	}
+	return row
+}
