Add the request path: router, owner and executor connections

The router takes a permit, journals what is not repeatable, picks an owner and retries by reason within deadline and budget. The owner queues by slack, takes a slot and sends. A slot is held until the executor is done, also when the caller has gone: a half-closed connection tells the executor, and its end is the proof.

--- /dev/null
+++ b/internal/route/directory.go
@@ -0,0 +1,141 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/filbertmast/filbertmast/internal/owner"
+)
+
+// candidate is one entry that owns executors of a service.
+type candidate struct {
+	owner  string
+	region string
+	slots  int64
+	load   *load
+}
+
+// load is what this entry has seen of one owner's executors of one service.
+type load struct {
+	inFlight atomic.Int64
+	meanNS   atomic.Int64 // moving average of the time to an answer
+}
+
+// note adds one answer time to the average.
+func (l *load) note(d time.Duration) {
+	old := l.meanNS.Load()
+	if old == 0 {
+		l.meanNS.Store(int64(d))
+		return
+	}
+	l.meanNS.Store(old + (int64(d)-old)/8)
+}
+
+// wait estimates how long a further request would wait and run.
+func (c *candidate) wait() float64 {
+	mean := float64(max(c.load.meanNS.Load(), int64(time.Millisecond)))
+	return mean * (1 + float64(c.load.inFlight.Load())/float64(max(c.slots, 1)))
+}
+
+// Directory is an entry's view of who owns which executors. It is safe for
+// concurrent use; lookups take no lock.
+type Directory struct {
+	mu      sync.Mutex
+	loads   map[loadKey]*load
+	current atomic.Pointer[view]
+}
+
+type loadKey struct{ service, owner string }
+
+// view is one version of the directory.
+type view struct {
+	version  uint64
+	services map[string][]candidate
+	changed  chan struct{} // closed when a later view is in place
+}
+
+// NewDirectory returns an empty directory.
+func NewDirectory() *Directory {
+	d := &Directory{loads: make(map[loadKey]*load)}
+	d.current.Store(&view{changed: make(chan struct{})})
+	return d
+}
+
+// Version returns the version of the rows in place.
+func (d *Directory) Version() uint64 { return d.current.Load().version }
+
+// Update puts rows in place unless version is older than the one in place. It
+// reports whether it did.
+func (d *Directory) Update(version uint64, rows []owner.DirectoryRow) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.current.Load()
+	if version < old.version {
+		return false
+	}
+	v := &view{version: version, services: make(map[string][]candidate), changed: make(chan struct{})}
+	for i := range rows {
+		d.add(v, &rows[i])
+	}
+	for _, list := range v.services {
+		slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.owner, b.owner) })
+	}
+	d.current.Store(v)
+	close(old.changed)
+	return true
+}
+
+func (d *Directory) add(v *view, row *owner.DirectoryRow) {
+	if row.Owner == "" || row.Leaving {
+		return
+	}
+	list := v.services[row.Service]
+	for i := range list {
+		if list[i].owner == row.Owner && list[i].region == row.Region {
+			list[i].slots += int64(row.Slots)
+			return
+		}
+	}
+	key := loadKey{row.Service, row.Owner}
+	l, ok := d.loads[key]
+	if !ok {
+		l = &load{}
+		d.loads[key] = l
+	}
+	v.services[row.Service] = append(list, candidate{
+		owner:  row.Owner,
+		region: row.Region,
+		slots:  int64(row.Slots),
+		load:   l,
+	})
+}
+
+// choose returns the owner with the least expected wait, of the region first,
+// leaving out those in tried.
+func (v *view) choose(service, region string, tried []string) (candidate, bool) {
+	best := -1
+	list := v.services[service]
+	for i := range list {
+		if slices.Contains(tried, list[i].owner) {
+			continue
+		}
+		if best < 0 || precedes(&list[i], &list[best], region) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return candidate{}, false
+	}
+	return list[best], true
+}
+
+func precedes(a, b *candidate, region string) bool {
+	aNear, bNear := a.region == region, b.region == region
+	if aNear != bNear {
+		return aNear
+	}
+	return a.wait() < b.wait()
+}
--- /dev/null
+++ b/internal/route/executor.go
@@ -0,0 +1,182 @@
+package route
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// executor is one target that this entry owns. The fields below transport are
+// guarded by the lock of its pool.
+type executor struct {
+	spec      model.ExecutorSpec
+	epoch     uint64
+	transport *http.Transport
+
+	inUse   int32
+	closed  bool // leaving, asked back or no longer owned: nothing new
+	release bool // tell the leader once nothing runs
+	health  health
+	echoes  bool // answers carry the request ID, so that connections may be reused
+}
+
+// transportTimes sets the times of connections to executors.
+type transportTimes struct {
+	connect time.Duration
+	idle    time.Duration
+}
+
+func newExecutor(spec model.ExecutorSpec, epoch uint64, times transportTimes) *executor {
+	return &executor{
+		spec:  spec,
+		epoch: epoch,
+		transport: &http.Transport{
+			DialContext:         dialTracked(times.connect),
+			MaxConnsPerHost:     int(spec.Connections),
+			MaxIdleConnsPerHost: int(spec.Slots),
+			IdleConnTimeout:     times.idle,
+			DisableCompression:  true,
+		},
+	}
+}
+
+// capacity returns how many requests the executor may be given at once.
+func (x *executor) capacity() int32 {
+	n := x.spec.Slots
+	if x.spec.Connections > 0 {
+		n = min(n, x.spec.Connections)
+	}
+	if x.health.trial {
+		n = min(n, 1)
+	}
+	return n
+}
+
+// exchange is one request to an executor and its answer.
+type exchange struct {
+	executor *executor
+	cancel   context.CancelFunc
+	notAfter time.Time // nothing may be sent later
+
+	mu        sync.Mutex
+	conn      *trackedConn
+	before    int64 // bytes written on conn for earlier requests
+	abandoned bool
+}
+
+// abandon tells the executor that nobody waits for its answer. An exchange that
+// has no connection yet is cancelled.
+func (e *exchange) abandon() {
+	e.mu.Lock()
+	e.abandoned = true
+	c := e.conn
+	e.mu.Unlock()
+	if c == nil {
+		e.cancel()
+		return
+	}
+	c.halfClose()
+}
+
+// sent reports whether a byte of the request may have reached the executor.
+func (e *exchange) sent() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.conn != nil && e.conn.written.Load() > e.before
+}
+
+// roundTrip sends the request and waits for the head of the answer.
+func (e *exchange) roundTrip(ctx context.Context, h *ForwardHeader, body io.Reader, reuse bool) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{GotConn: e.gotConn}
+	url := "http://" + e.executor.spec.Address + "/" + h.Path
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, url, onlyReader(body, h.Size))
+	if err != nil {
+		return nil, errkind.Wrap(errkind.BadRequest, err, "the request cannot be sent")
+	}
+	req.GetBody = nil
+	req.ContentLength = h.Size
+	req.Close = !reuse
+	e.setHeader(req.Header, h)
+	resp, err := e.executor.transport.RoundTrip(req)
+	if err != nil {
+		return nil, e.transportError(err)
+	}
+	return resp, nil
+}
+
+// onlyReader hides every method of body but Read, so that the transport keeps
+// nothing with which it could send the body again.
+func onlyReader(body io.Reader, size int64) io.Reader {
+	if body == nil || size == 0 {
+		return http.NoBody
+	}
+	return struct{ io.Reader }{body}
+}
+
+func (e *exchange) gotConn(info httptrace.GotConnInfo) {
+	c, ok := info.Conn.(*trackedConn)
+	if !ok {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.before = c.written.Load()
+	e.conn = c
+	c.notAfter.Store(&e.notAfter)
+	if e.abandoned {
+		c.halfClose()
+	}
+}
+
+func (e *exchange) setHeader(header http.Header, h *ForwardHeader) {
+	for _, kv := range h.Header {
+		header.Add(kv[0], kv[1])
+	}
+	// The HTTP transport takes this header as leave to send again by itself.
+	header.Del(api.HeaderIdempotencyKey)
+	header.Set(api.HeaderRequestID, h.RequestID)
+	header.Set(api.HeaderEpoch, strconv.FormatUint(e.executor.epoch, 10))
+	header.Set(api.HeaderDeadline, (time.Duration(h.DeadlineMS) * time.Millisecond).String())
+}
+
+// transportError gives an error of the transport its kind.
+func (e *exchange) transportError(err error) error {
+	if !e.sent() {
+		return errkind.Wrap(errkind.Unreachable, err, "the executor could not be reached")
+	}
+	return errkind.Wrap(errkind.OutcomeUnknown, err, "the connection to the executor broke")
+}
+
+// checkHead makes sure that the answer belongs to the request, can be read to a
+// known end, and is not the executor's refusal.
+func checkHead(resp *http.Response, requestID string, echoes bool) error {
+	got := resp.Header.Get(api.HeaderRequestID)
+	if got != requestID && (got != "" || echoes) {
+		return errkind.New(errkind.OutcomeUnknown, "the executor answered for another request")
+	}
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(api.HeaderRefused) != "" {
+		return errkind.New(errkind.ExecutorRefused, "the executor refused the request")
+	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return errkind.New(errkind.AnswerCutOff, "the end of the answer cannot be told")
+	}
+	if resp.StatusCode < http.StatusOK {
+		return errkind.New(errkind.OutcomeUnknown, "the executor answered with status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+// failed reports whether an answer counts against the executor's health.
+func failed(status int) bool { return status >= http.StatusInternalServerError }
+
+// String names the executor in logs.
+func (x *executor) String() string { return fmt.Sprintf("%s@%d", x.spec.ID, x.epoch) }
--- /dev/null
+++ b/internal/route/executor_test.go
@@ -0,0 +1,107 @@
+package route
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// run is one execution that a stand-in executor has on record.
+type run struct {
+	request  string
+	executor string
+	epoch    string
+	start    time.Time
+	end      time.Time
+}
+
+// history is what all stand-in executors really ran.
+type history struct {
+	mu   sync.Mutex
+	runs []*run
+	most map[string]int // most runs at once by executor
+	now  map[string]int
+}
+
+func newHistory() *history {
+	return &history{most: make(map[string]int), now: make(map[string]int)}
+}
+
+func (h *history) begin(executor, request, epoch string) *run {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r := &run{request: request, executor: executor, epoch: epoch, start: time.Now()}
+	h.runs = append(h.runs, r)
+	h.now[executor]++
+	h.most[executor] = max(h.most[executor], h.now[executor])
+	return r
+}
+
+func (h *history) finish(r *run) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r.end = time.Now()
+	h.now[r.executor]--
+}
+
+// count returns how often a request ran.
+func (h *history) count(request string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, r := range h.runs {
+		if r.request == request {
+			n++
+		}
+	}
+	return n
+}
+
+// standIn is an executor for tests. By default it answers with the request's
+// ID and the number of bytes that it got.
+type standIn struct {
+	id      string
+	history *history
+	server  *httptest.Server
+	handle  http.HandlerFunc // in place of the default
+	noEcho  bool
+}
+
+func newStandIn(t testing.TB, h *history, id string, handle http.HandlerFunc) *standIn {
+	t.Helper()
+	s := &standIn{id: id, history: h, handle: handle}
+	s.server = httptest.NewServer(http.HandlerFunc(s.serve))
+	t.Cleanup(s.server.Close)
+	return s
+}
+
+func (s *standIn) serve(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(api.HeaderRequestID)
+	run := s.history.begin(s.id, id, r.Header.Get(api.HeaderEpoch))
+	defer s.history.finish(run)
+	if !s.noEcho {
+		w.Header().Set(api.HeaderRequestID, id)
+	}
+	if s.handle != nil {
+		s.handle(w, r)
+		return
+	}
+	fmt.Fprintf(w, "answer to %s", id)
+}
+
+func (s *standIn) spec(service string, slots, connections int32) model.ExecutorSpec {
+	return model.ExecutorSpec{
+		ID:          s.id,
+		Service:     service,
+		Address:     strings.TrimPrefix(s.server.URL, "http://"),
+		Slots:       slots,
+		Connections: connections,
+	}
+}
--- /dev/null
+++ b/internal/route/header.go
@@ -0,0 +1,56 @@
+package route
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"slices"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+)
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// ownHeaders are the caller's words to this system, not to the executor.
+var ownHeaders = []string{
+	"Authorization", "Content-Length", "Expect", "Host",
+	api.HeaderIdempotencyKey, api.HeaderRepeatable, api.HeaderDeadline, api.HeaderPatience,
+	api.HeaderRequestID, api.HeaderEpoch, api.HeaderRefused,
+}
+
+// forwarded returns the headers of a request that go to the executor, sorted.
+func forwarded(header http.Header) [][2]string {
+	out := make([][2]string, 0, len(header))
+	for name, values := range header {
+		if slices.Contains(hopHeaders, name) || slices.Contains(ownHeaders, name) {
+			continue
+		}
+		for _, v := range values {
+			out = append(out, [2]string{name, v})
+		}
+	}
+	slices.SortStableFunc(out, func(a, b [2]string) int { return compareStrings(a[0], b[0]) })
+	return out
+}
+
+func compareStrings(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// headed returns a body that begins with head, which was read from rest.
+func headed(head []byte, rest *wholeBody) io.ReadCloser {
+	return struct {
+		io.Reader
+		io.Closer
+	}{io.MultiReader(bytes.NewReader(head), rest), rest}
+}
--- /dev/null
+++ b/internal/route/metrics.go
@@ -0,0 +1,92 @@
+package route
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/filbertmast/filbertmast/internal/errkind"
+)
+
+// routerMetrics counts what a Router does.
+type routerMetrics struct {
+	requests *prometheus.CounterVec // by result: "ok" or an error kind
+	retries  *prometheus.CounterVec // by reason
+	stopped  *prometheus.CounterVec // retries that were wanted and not made, by reason
+	journal  *prometheus.CounterVec // by step and result
+	seconds  prometheus.Histogram
+}
+
+func newRouterMetrics(reg prometheus.Registerer) *routerMetrics {
+	m := &routerMetrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertmast_requests_total",
+			Help: "Requests of callers, by result.",
+		}, []string{"result"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertmast_request_retries_total",
+			Help: "Further tries of a request, by the kind of the error before.",
+		}, []string{"reason"}),
+		stopped: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertmast_request_retries_stopped_total",
+			Help: "Tries that were not made, by what stopped them.",
+		}, []string{"reason"}),
+		journal: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertmast_request_journal_total",
+			Help: "Calls to the journal, by step and result.",
+		}, []string{"step", "result"}),
+		seconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "filbertmast_request_seconds",
+			Help:    "Time from a request's arrival to the head of its answer.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 16),
+		}),
+	}
+	if reg != nil {
+		reg.MustRegister(m.requests, m.retries, m.stopped, m.journal, m.seconds)
+	}
+	return m
+}
+
+// ownerMetrics counts what an Owner does.
+type ownerMetrics struct {
+	requests *prometheus.CounterVec // by result: "ok" or an error kind
+	sends    *prometheus.CounterVec // by result
+	ejected  prometheus.Counter
+	spared   prometheus.Counter
+	lingered *prometheus.CounterVec // by end
+}
+
+func newOwnerMetrics(reg prometheus.Registerer) *ownerMetrics {
+	m := &ownerMetrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertmast_owner_requests_total",
+			Help: "Requests at the owner of their executor, by result.",
+		}, []string{"result"}),
+		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertmast_executor_sends_total",
+			Help: "Requests sent to executors, by result.",
+		}, []string{"result"}),
+		ejected: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "filbertmast_executor_ejections_total",
+			Help: "Executors that were left out for a time because they failed.",
+		}),
+		spared: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "filbertmast_executor_ejections_spared_total",
+			Help: "Ejections not made because too many executors were out.",
+		}),
+		lingered: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertmast_executor_lingering_total",
+			Help: "Abandoned requests whose slot was kept, by how they ended.",
+		}, []string{"end"}),
+	}
+	if reg != nil {
+		reg.MustRegister(m.requests, m.sends, m.ejected, m.spared, m.lingered)
+	}
+	return m
+}
+
+// resultLabel returns "ok" or the kind of err.
+func resultLabel(err error) string {
+	if err == nil {
+		return "ok"
+	}
+	return string(errkind.Of(err))
+}
--- /dev/null
+++ b/internal/route/owner.go
@@ -0,0 +1,223 @@
+package route
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/owner"
+)
+
+// OwnerOptions sets up an Owner. Zero values take defaults.
+type OwnerOptions struct {
+	Leases *owner.Leases
+	// Service returns the declaration of a service, for its bounds.
+	Service func(name string) (model.Service, bool)
+	// Linger is how long past its deadline an abandoned request may hold its
+	// slot while the executor does not confirm its end.
+	Linger  time.Duration
+	Connect time.Duration // bound on making a connection
+	Idle    time.Duration // how long an unused connection is kept; executors must keep theirs longer
+	MaxSkew time.Duration // between the clocks of two entries
+	Now     func() time.Time
+	Metrics prometheus.Registerer
+	Log     *log.Logger
+}
+
+// Defaults of OwnerOptions and of a service's bounds.
+const (
+	DefaultLinger    = time.Second
+	DefaultConnect   = time.Second
+	DefaultIdle      = 4 * time.Second
+	DefaultMaxSkew   = 500 * time.Millisecond
+	DefaultMaxQueue  = 256
+	DefaultMaxAnswer = 64 << 20 // bytes
+	replayBytes      = 256 << 10
+	localTries       = 3 // executors tried for one request at its owner
+)
+
+func (o OwnerOptions) withDefaults() OwnerOptions {
+	o.Linger = defaultTo(o.Linger, DefaultLinger)
+	o.Connect = defaultTo(o.Connect, DefaultConnect)
+	o.Idle = defaultTo(o.Idle, DefaultIdle)
+	o.MaxSkew = defaultTo(o.MaxSkew, DefaultMaxSkew)
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Log == nil {
+		o.Log = log.Default()
+	}
+	o.Log = o.Log.WithPrefix("route")
+	return o
+}
+
+func defaultTo[T comparable](v, def T) T {
+	var zero T
+	if v == zero {
+		return def
+	}
+	return v
+}
+
+// Owner sends requests to the executors that this entry owns. It is safe for
+// concurrent use.
+type Owner struct {
+	opts    OwnerOptions
+	metrics *ownerMetrics
+	budget  *Budget
+	running tracker
+
+	mu    sync.Mutex
+	pools map[string]*pool
+	life  time.Duration // longest time to a deadline seen of late
+}
+
+// NewOwner returns an Owner without executors. Call Update after each change
+// of the leases.
+func NewOwner(opts OwnerOptions) *Owner {
+	opts = opts.withDefaults()
+	return &Owner{
+		opts:    opts,
+		metrics: newOwnerMetrics(opts.Metrics),
+		budget:  NewBudget(DefaultRetryShare, DefaultRetrySaved),
+		running: newTracker(),
+		pools:   make(map[string]*pool),
+	}
+}
+
+// Handle sends the request to an executor and returns its answer. Errors are of
+// the closed list; the body of the answer ends without an error only when whole.
+func (o *Owner) Handle(ctx context.Context, h *ForwardHeader, body io.Reader) (*Answer, error) {
+	ans, err := o.handle(ctx, h, body)
+	o.metrics.requests.WithLabelValues(resultLabel(err)).Inc()
+	return ans, err
+}
+
+func (o *Owner) handle(ctx context.Context, h *ForwardHeader, body io.Reader) (*Answer, error) {
+	deadline := o.deadline(h)
+	if !o.opts.Now().Before(deadline) {
+		return nil, errkind.New(errkind.DeadlineBeforeStart, "the deadline passed on the way")
+	}
+	o.noteLife(time.Duration(h.DeadlineMS) * time.Millisecond)
+	p := o.pool(h.Service)
+	if p == nil {
+		return nil, errkind.New(errkind.OwnerMoved, "no executor of %s is owned here", h.Service)
+	}
+	rb, err := newReplayBody(body, h.Size, replayBytes)
+	if err != nil {
+		return nil, err
+	}
+	done, ok := o.running.begin(h.RequestID)
+	if !ok {
+		return nil, errkind.New(errkind.Draining, "the owner is shutting down")
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	s := &send{owner: o, pool: p, header: h, body: rb, deadline: deadline, finish: func() { cancel(); done() }}
+	return s.run(ctx)
+}
+
+// deadline returns the local deadline of a forwarded request.
+func (o *Owner) deadline(h *ForwardHeader) time.Time {
+	d := o.opts.Now().Add(time.Duration(h.DeadlineMS) * time.Millisecond)
+	if h.DeadlineUnixMS == 0 {
+		return d
+	}
+	latest := time.UnixMilli(h.DeadlineUnixMS).Add(o.opts.MaxSkew)
+	if latest.Before(d) {
+		return latest
+	}
+	return d
+}
+
+func (o *Owner) pool(service string) *pool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.pools[service]
+}
+
+func (o *Owner) noteLife(d time.Duration) {
+	o.mu.Lock()
+	o.life = max(o.life, d)
+	o.mu.Unlock()
+}
+
+// Life returns how long the requests at this owner last at most, for the next
+// renewal of its leases, and forgets a part of the past.
+func (o *Owner) Life() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	life := o.life
+	o.life -= o.life / 8
+	return life
+}
+
+// Load returns the share of slots in use, 0 to 1.
+func (o *Owner) Load() float64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var inUse, slots int32
+	for _, p := range o.pools {
+		u, s := p.load()
+		inUse += u
+		slots += s
+	}
+	return float64(inUse) / float64(max(slots, 1))
+}
+
+// Update brings the executors in line with the leases and serves waiting
+// requests that may now go.
+func (o *Owner) Update() {
+	byService := make(map[string][]owner.Owned)
+	for _, own := range o.opts.Leases.Owned() {
+		byService[own.Executor.Service] = append(byService[own.Executor.Service], own)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for name := range byService {
+		if o.pools[name] == nil {
+			o.pools[name] = o.newPool(name)
+		}
+	}
+	for name, p := range o.pools {
+		if p.update(byService[name], transportTimes{o.opts.Connect, o.opts.Idle}) == 0 {
+			delete(o.pools, name)
+		}
+	}
+}
+
+func (o *Owner) newPool(service string) *pool {
+	maxQueue := DefaultMaxQueue
+	if s, ok := o.service(service); ok && s.MaxQueue > 0 {
+		maxQueue = int(s.MaxQueue)
+	}
+	return &pool{
+		service:  service,
+		maxQueue: maxQueue,
+		now:      o.opts.Now,
+		metrics:  o.metrics,
+		owns: func(x *executor, now, deadline time.Time) bool {
+			return o.opts.Leases.Owns(x.spec.ID, x.epoch, now, deadline)
+		},
+		onIdle: func(x *executor) { o.opts.Leases.Released(x.spec.ID, x.epoch) },
+	}
+}
+
+func (o *Owner) service(name string) (model.Service, bool) {
+	if o.opts.Service == nil {
+		return model.Service{}, false
+	}
+	return o.opts.Service(name)
+}
+
+func (o *Owner) maxAnswer(service string) int64 {
+	if s, ok := o.service(service); ok && s.MaxAnswer > 0 {
+		return s.MaxAnswer
+	}
+	return DefaultMaxAnswer
+}
--- /dev/null
+++ b/internal/route/update.go
@@ -0,0 +1,61 @@
+package route
+
+import (
+	"slices"
+
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/owner"
+)
+
+// update brings the executors in line with what is owned and returns how many
+// are left. An executor that is not owned any more stays until nothing runs.
+func (p *pool) update(owned []owner.Owned, times transportTimes) int {
+	p.mu.Lock()
+	var idle []*executor
+	for _, x := range p.executors {
+		i := slices.IndexFunc(owned, func(o owner.Owned) bool { return o.Executor.ID == x.spec.ID && o.Epoch == x.epoch })
+		x.closed = i < 0 || owned[i].Leaving || owned[i].Release
+		x.release = i >= 0 && owned[i].Release
+		if i >= 0 {
+			x.spec.Slots = owned[i].Executor.Slots
+		}
+		if x.release && x.inUse == 0 {
+			idle = append(idle, x)
+		}
+	}
+	p.executors = slices.DeleteFunc(p.executors, func(x *executor) bool {
+		gone := x.closed && x.inUse == 0 && !x.release
+		if gone {
+			x.transport.CloseIdleConnections()
+		}
+		return gone
+	})
+	for _, o := range owned {
+		if !o.Leaving && !o.Release && !p.has(o) {
+			p.executors = append(p.executors, newExecutor(o.Executor, o.Epoch, times))
+		}
+	}
+	if p.usable() == 0 {
+		p.refuseAll(errkind.New(errkind.OwnerMoved, "the executors of %s have another owner", p.service))
+	}
+	p.dispatch()
+	n := len(p.executors)
+	p.mu.Unlock()
+	for _, x := range idle {
+		p.onIdle(x)
+	}
+	return n
+}
+
+func (p *pool) has(o owner.Owned) bool {
+	return slices.ContainsFunc(p.executors, func(x *executor) bool {
+		return x.spec.ID == o.Executor.ID && x.epoch == o.Epoch
+	})
+}
+
+// refuseAll ends the wait of every queued request. The lock is held.
+func (p *pool) refuseAll(err error) {
+	for p.queue.len() > 0 {
+		p.queue.pop().ready <- placed{err: err}
+	}
+}
