--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -12,6 +12,7 @@
 	switch e := ev.(type) {
 	case state.ConfigChanged:
 		l.feedConfig(e.Declarations)
+		l.remember(e.Version)
 	case state.WorkerChanged:
 		l.feedWorker(&e)
 	case state.JobSubmitted:
--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/declare"
 	"github.com/filbertmast/filbertmast/internal/errkind"
 	"github.com/filbertmast/filbertmast/internal/proto"
 	"github.com/filbertmast/filbertmast/internal/replica"
@@ -22,6 +23,10 @@
 				done(nil, err)
 				return
 			}
+			if err := l.checkCaller(req); err != nil {
+				done(nil, err)
+				return
+			}
 			fn(l, from, req, done)
 		})
 		if err != nil {
@@ -96,3 +101,34 @@
 	out.Teams = l.teamViews()
 	return out
 }
+
+// called is a request on behalf of the holder of a key.
+type called interface{ From() proto.Caller }
+
+// checkCaller checks the key of a call against the newest configuration, since
+// the entry that checked it first may have been frozen in between.
+func (l *leader) checkCaller(req any) error {
+	r, ok := req.(called)
+	if !ok {
+		return nil
+	}
+	caller := r.From()
+	_, _, d := l.c.machine.Config()
+	operators := 0
+	for i := range d.Keys {
+		k := &d.Keys[i]
+		if k.Digest == caller.Key && k.Team == caller.Team && (k.Operator || !caller.Operator) {
+			return nil
+		}
+		if k.Operator {
+			operators++
+		}
+	}
+	if operators == 0 && caller.Operator && l.c.s.opts.Bootstrap != "" && declare.SameDigest(caller.Key, l.c.s.opts.Bootstrap) {
+		return nil
+	}
+	if l.c.machine.Withdrawn(caller.Key) {
+		return errkind.New(errkind.KeyWithdrawn, "the key has been withdrawn")
+	}
+	return errkind.New(errkind.KeyUnknown, "the key is not granted")
+}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -5,7 +5,6 @@
 
 	"github.com/filbertmast/filbertmast/internal/lease"
 	"github.com/filbertmast/filbertmast/internal/limit"
-	"github.com/filbertmast/filbertmast/internal/member"
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/owner"
 	"github.com/filbertmast/filbertmast/internal/schedule"
@@ -21,7 +20,9 @@
 	leases   *lease.Table
 	permits  *limit.Granter
 	owners   *owner.Table
-	members  *member.Table
+	entries  map[string]*entryState // by name
+	past     []pastConfig           // oldest first
+	losing   []lease.Claim          // expired, their loss not yet committed
 	sessions map[model.WorkerID]attachment
 	waits    jobWaits
 	dirty    bool // something changed since the last plan
@@ -47,28 +48,37 @@
 		c:        c,
 		term:     term,
 		sched:    schedule.New(schedule.Options{Seed: c.s.opts.Seed}),
-		leases:   lease.New(lease.Options{Lease: t.WorkerLease, Drift: t.Drift}),
+		leases:   lease.New(lease.Options{Length: t.WorkerLease, Drift: t.Drift}),
 		permits:  limit.NewGranter(limit.Options{Lease: t.RequestLease, Margin: t.Drift}),
 		owners:   owner.NewTable(owner.Options{Lease: t.RequestLease, Margin: t.Drift}),
-		members:  member.New(member.Options{Lease: t.RequestLease, Drift: t.Drift}),
+		entries:  make(map[string]*entryState),
 		sessions: make(map[model.WorkerID]attachment),
 		waits:    newJobWaits(),
 		dirty:    true,
 		touched:  make(map[string]struct{}),
 	}
 	l.permits.NewTerm(now, t.RequestLease+t.LongestHold+t.Drift)
-	l.owners.NewTerm(now, t.RequestLease+t.Drift)
-	var held []lease.Holder
+	l.owners.NewTerm(term, now, t.RequestLease+t.LongestHold+t.Drift)
+	l.permits.Expect(memberNames(c.machine.Members()))
+	var held []lease.Claim
 	c.machine.Replay(func(ev state.Event) {
 		l.feed(ev)
 		if w, ok := ev.(state.WorkerChanged); ok && w.Mode != model.WorkerLost {
-			held = append(held, lease.Holder{Worker: w.Spec.ID, Session: w.Session})
+			held = append(held, lease.Claim{Worker: w.Spec.ID, Session: w.Session})
 		}
 	})
-	l.leases.NewTerm(held, now)
+	l.leases.Begin(now, held)
 	return l
 }
 
+func memberNames(members []state.Member) []string {
+	out := make([]string, len(members))
+	for i := range members {
+		out[i] = members[i].Name
+	}
+	return out
+}
+
 // stop releases what waits for this leader.
 func (l *leader) stop() { l.waits.failAll() }
 
@@ -105,7 +115,7 @@
 
 func (l *leader) workerChanged(e *state.WorkerChanged) {
 	if e.Mode == model.WorkerLost {
-		l.leases.Drop(e.Spec.ID)
+		l.leases.Release(lease.Claim{Worker: e.Spec.ID, Session: e.Session})
 		delete(l.sessions, e.Spec.ID)
 	}
 }
@@ -118,11 +128,7 @@
 		return
 	}
 	l.loseExpired(now)
-	for _, m := range l.members.Expired(now) {
-		l.permits.Lost(m.Name, now)
-		l.owners.Lost(m.Name, now)
-		l.c.log.Warn("Entry lost.", "entry", m.Name)
-	}
+	l.loseEntries(now)
 	l.permits.Tick(now)
 	l.owners.Tick(now)
 	l.waits.expire(l.c, now)
@@ -134,22 +140,25 @@
 	}
 }
 
-// loseExpired proposes the loss of workers whose leases have run out. The
-// lease stays expired until the commit, so nothing is granted in between.
+// loseExpired proposes the loss of workers whose leases have run out. A claim
+// stays on the list until its loss is committed; nothing renews it meanwhile.
 func (l *leader) loseExpired(now model.Time) {
-	expired := l.leases.Expired(now)
-	if len(expired) == 0 {
+	l.losing = append(l.losing, l.leases.Expired(now)...)
+	if len(l.losing) == 0 {
 		return
 	}
+	claims := l.losing
+	l.losing = nil
 	cmd := &state.LoseWorkers{}
-	for _, h := range expired {
+	for _, h := range claims {
 		cmd.Workers = append(cmd.Workers, state.LostWorker{ID: h.Worker, Session: h.Session})
 	}
-	l.c.s.metrics.lost.Add(float64(len(expired)))
-	l.c.log.Warn("Worker leases expired.", "workers", len(expired))
-	l.c.propose(&state.Command{LoseWorkers: cmd}, func(_ state.Result, err error) {
-		if err != nil && l.c.lead == l {
-			l.leases.Retry(expired, l.c.s.now())
+	l.c.log.Warn("Worker leases expired.", "workers", len(claims))
+	l.c.propose(&state.Command{LoseWorkers: cmd}, func(r state.Result, err error) {
+		if err != nil {
+			l.losing = append(l.losing, claims...)
+			return
 		}
+		l.c.s.metrics.lost.Add(float64(r.Count))
 	})
 }
--- /dev/null
+++ b/internal/control/workers.go
@@ -0,0 +1,101 @@
+package control
+
+import (
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/lease"
+	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/proto"
+	"github.com/filbertmast/filbertmast/internal/schedule"
+	"github.com/filbertmast/filbertmast/internal/state"
+	"github.com/filbertmast/filbertmast/internal/wire"
+)
+
+// announce commits a worker's announcement and grants its first lease.
+func (l *leader) announce(from wire.Peer, req *proto.Announce, done reply[proto.Announced]) {
+	if err := l.leases.Admit(l.c.s.now()); err != nil {
+		done(nil, err)
+		return
+	}
+	l.c.propose(&state.Command{Announce: &state.Announce{Spec: req.Spec}}, func(r state.Result, err error) {
+		if err != nil {
+			done(nil, err)
+			return
+		}
+		claim := lease.Claim{Worker: req.Spec.ID, Session: r.Session}
+		if err := l.leases.Grant(claim, l.c.s.now()); err != nil {
+			done(nil, err)
+			return
+		}
+		l.sessions[req.Spec.ID] = attachment{session: r.Session, entry: from.Address}
+		length := model.Duration(l.leases.Length())
+		confirmed(l.c, done, &proto.Announced{Session: r.Session, Lease: length})
+	})
+}
+
+// renew extends the leases of a batch of workers that one entry holds.
+func (l *leader) renew(from wire.Peer, req *proto.Renewals, done reply[proto.Renewed]) {
+	now := l.c.s.now()
+	out := &proto.Renewed{Results: make([]proto.RenewResult, len(req.Renewals))}
+	for i := range req.Renewals {
+		r := &req.Renewals[i]
+		claim := lease.Claim{Worker: r.Worker, Session: r.Session}
+		if err := l.leases.Renew(claim, now); err != nil {
+			body := errkind.BodyOf(err, "")
+			out.Results[i].Err = &body
+			continue
+		}
+		out.Results[i].Lease = model.Duration(l.leases.Length())
+		l.renewed(from, r)
+	}
+	confirmed(l.c, done, out)
+}
+
+// renewed follows what a renewal tells besides: where the session is reached,
+// that the worker leaves, and what its tasks use.
+func (l *leader) renewed(from wire.Peer, r *proto.Renewal) {
+	w := l.c.machine.Worker(r.Worker)
+	if w == nil {
+		return
+	}
+	l.sessions[r.Worker] = attachment{session: r.Session, entry: from.Address}
+	l.resend(w)
+	for _, u := range r.Usage {
+		l.used(w, &u)
+	}
+	if r.Leaving && w.Mode != model.WorkerLeaving {
+		cmd := &state.SetMode{Worker: r.Worker, Mode: model.WorkerLeaving, Session: r.Session}
+		l.c.propose(&state.Command{SetMode: cmd}, func(state.Result, error) {})
+	}
+}
+
+// used tells the scheduler what a task of the worker uses, where the report is
+// about its current attempt.
+func (l *leader) used(w *state.Worker, u *api.TaskUsage) {
+	j := l.c.machine.Job(u.Task.Job)
+	if j == nil || u.Task.Index < 0 || int(u.Task.Index) >= len(j.Tasks) {
+		return
+	}
+	t := &j.Tasks[u.Task.Index]
+	if t.Phase != model.TaskRunning || t.Fence != u.Fence || l.c.machine.TaskWorker(t) != w.Spec.ID {
+		return
+	}
+	l.dirty = true
+	l.sched.Apply(schedule.TaskUsed{Task: u.Task, Used: u.Used, At: l.c.s.now()})
+}
+
+// reports commits what a worker said of its tasks.
+func (l *leader) reports(_ wire.Peer, req *proto.Reports, done reply[proto.Empty]) {
+	session, err := l.c.machine.SessionOf(req.Worker)
+	if err == nil && session != req.Session {
+		err = errkind.New(errkind.StaleLease, "worker %q has a newer session", req.Worker)
+	}
+	if err != nil {
+		done(nil, err)
+		return
+	}
+	cmd := &state.Report{Reports: []state.WorkerReport{{Worker: req.Worker, Session: req.Session, Reports: req.Reports}}}
+	l.c.propose(&state.Command{Report: cmd}, func(_ state.Result, err error) {
+		done(&proto.Empty{}, err)
+	})
+}
--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -6,6 +6,7 @@
 import (
 	"github.com/filbertmast/filbertmast/internal/api"
 	"github.com/filbertmast/filbertmast/internal/declare"
+	"github.com/filbertmast/filbertmast/internal/errkind"
 	"github.com/filbertmast/filbertmast/internal/journal"
 	"github.com/filbertmast/filbertmast/internal/limit"
 	"github.com/filbertmast/filbertmast/internal/model"
@@ -194,3 +195,48 @@
 type Granted struct {
 	Grants []limit.Grant `cbor:"1,keyasint"`
 }
+
+// Renewals extends the leases of workers whose sessions the calling entry holds.
+type Renewals struct {
+	Renewals []Renewal `cbor:"1,keyasint"`
+}
+
+// Renewal extends the lease of one worker.
+type Renewal struct {
+	Worker  model.WorkerID  `cbor:"1,keyasint"`
+	Session uint64          `cbor:"2,keyasint"`
+	Leaving bool            `cbor:"3,keyasint,omitempty"`
+	Usage   []api.TaskUsage `cbor:"4,keyasint,omitempty"`
+}
+
+// Renewed is the answer to Renewals, in their order.
+type Renewed struct {
+	Results []RenewResult `cbor:"1,keyasint"`
+}
+
+// RenewResult is the renewed lease of one worker, or why it is not renewed.
+type RenewResult struct {
+	Lease model.Duration `cbor:"1,keyasint,omitempty"`
+	Err   *errkind.Body  `cbor:"2,keyasint,omitempty"`
+}
+
+// From returns on whose behalf the call is made.
+func (r *Submit) From() Caller { return r.Caller }
+
+// From returns on whose behalf the call is made.
+func (r *GetJob) From() Caller { return r.Caller }
+
+// From returns on whose behalf the call is made.
+func (r *ListJobs) From() Caller { return r.Caller }
+
+// From returns on whose behalf the call is made.
+func (r *Cancel) From() Caller { return r.Caller }
+
+// From returns on whose behalf the call is made.
+func (r *Declare) From() Caller { return r.Caller }
+
+// From returns on whose behalf the call is made.
+func (r *Key) From() Caller { return r.Caller }
+
+// From returns on whose behalf the call is made.
+func (r *SetMode) From() Caller { return r.Caller }
