--- /dev/null
+++ b/internal/storage/log.go
@@ -0,0 +1,294 @@
+package storage
+
+import (
+	"errors"
+	"fmt"
+	"path/filepath"
+	"sync"
+)
+
+// FormatVersion is the format version of log segments.
+const FormatVersion = 1
+
+const (
+	defaultSegmentBytes = 16 << 20
+	defaultCacheBytes   = 4 << 20
+)
+
+// ErrCompacted says that entries are asked for which the log no longer holds.
+var ErrCompacted = errors.New("storage: entries are compacted")
+
+// LogOptions says where a log lives and whose it is.
+type LogOptions struct {
+	Dir string
+	FS  FS // nil: the operating system's
+	// Owner is the identity of the replica. Segments of another owner are refused.
+	Owner uint64
+	// SegmentBytes is the size at which a new segment is begun. Zero: 16 MiB.
+	SegmentBytes int64
+	// CacheBytes bounds the entries that are kept in memory for reads. Zero: 4 MiB.
+	CacheBytes int
+}
+
+// Batch is what one Append makes durable, in this order.
+type Batch struct {
+	Reset   *Position // the log is emptied and starts after this position
+	Entries []Entry   // an index that is held already cuts the log before it
+	State   []byte    // replaces the state of the owner; nil keeps it
+}
+
+// location is where an entry's item lies.
+type location struct {
+	segment uint32
+	offset  uint32 // of the item header
+	size    uint32 // of the body
+}
+
+// Log is a segmented write-ahead log. Append and Compact may be called from
+// one goroutine each, reads from any.
+type Log struct {
+	opts  LogOptions
+	write sync.Mutex // held by Append and Compact
+
+	mu        sync.RWMutex // guards what follows
+	segments  []*segment
+	start     Position // the position before the first entry held
+	terms     []Position
+	locations []location
+	state     []byte
+	cache     entryCache
+
+	seq uint64 // of the last frame; guarded by write
+	buf []byte
+}
+
+// OpenLog reads the log in opts.Dir, cuts a torn last frame and refuses
+// anything else that fails its checksum with a *CorruptError.
+func OpenLog(opts LogOptions) (*Log, error) {
+	if opts.FS == nil {
+		opts.FS = OS{}
+	}
+	if opts.SegmentBytes == 0 {
+		opts.SegmentBytes = defaultSegmentBytes
+	}
+	if opts.CacheBytes == 0 {
+		opts.CacheBytes = defaultCacheBytes
+	}
+	l := &Log{opts: opts, cache: entryCache{limit: opts.CacheBytes}}
+	if err := l.replay(); err != nil {
+		_ = l.Close()
+		return nil, err
+	}
+	if len(l.segments) == 0 {
+		if err := l.roll(); err != nil {
+			return nil, err
+		}
+	}
+	return l, nil
+}
+
+// Append writes b as one frame and syncs it. Where IsFull reports true of the
+// error nothing was written, and the call may be repeated. Any other error
+// leaves the log unusable.
+func (l *Log) Append(b Batch) error {
+	l.write.Lock()
+	defer l.write.Unlock()
+	seg := l.segments[len(l.segments)-1]
+	if seg.size >= l.opts.SegmentBytes {
+		if err := l.roll(); err != nil {
+			return err
+		}
+		seg = l.segments[len(l.segments)-1]
+	}
+	l.buf = startFrame(l.buf[:0])
+	if b.Reset != nil {
+		l.buf = appendPosition(l.buf, *b.Reset)
+	}
+	offsets := make([]uint32, len(b.Entries))
+	for i, e := range b.Entries {
+		offsets[i] = uint32(seg.size) + uint32(len(l.buf))
+		l.buf = appendEntry(l.buf, e)
+	}
+	if b.State != nil {
+		l.buf = appendItem(l.buf, itemState, b.State)
+	}
+	finishFrame(l.buf, 0, l.opts.Owner, l.seq+1)
+	if err := seg.append(l.buf); err != nil {
+		return err
+	}
+	l.seq++
+	l.publish(b, seg, offsets)
+	l.shrinkBuffer()
+	return nil
+}
+
+// shrinkBuffer gives back the buffer of an unusually large batch.
+func (l *Log) shrinkBuffer() {
+	const keep = 1 << 20
+	if cap(l.buf) > keep {
+		l.buf = nil
+	}
+}
+
+// publish makes the batch visible to readers.
+func (l *Log) publish(b Batch, seg *segment, offsets []uint32) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if b.Reset != nil {
+		l.reset(*b.Reset)
+	}
+	for i, e := range b.Entries {
+		size := uint32(entryPrefixSize + len(e.Data))
+		l.note(e, location{segment: seg.header.number, offset: offsets[i], size: size})
+		seg.maxIndex = max(seg.maxIndex, e.Index)
+		l.cache.add(e)
+	}
+	if b.State != nil {
+		l.state = append([]byte(nil), b.State...)
+	}
+}
+
+func (l *Log) reset(p Position) {
+	l.start = p
+	l.terms = nil
+	l.locations = nil
+	l.cache.clear()
+}
+
+// note records where e lies and cuts what it replaces.
+func (l *Log) note(e Entry, at location) {
+	if e.Index <= l.start.Index {
+		// An entry below the start was compacted since; only its term may matter.
+		l.locations = nil
+		l.terms = nil
+		if e.Index == l.start.Index {
+			l.start.Term = e.Term
+		}
+		return
+	}
+	keep := e.Index - l.start.Index - 1
+	l.locations = append(l.locations[:keep], at)
+	for len(l.terms) > 0 && l.terms[len(l.terms)-1].Index >= e.Index {
+		l.terms = l.terms[:len(l.terms)-1]
+	}
+	if len(l.terms) == 0 || l.terms[len(l.terms)-1].Term != e.Term {
+		l.terms = append(l.terms, Position{Index: e.Index, Term: e.Term})
+	}
+}
+
+// Compact drops whole segments that hold only entries up to index, and returns
+// the position after which the log now starts.
+func (l *Log) Compact(index uint64) (Position, error) {
+	l.write.Lock()
+	defer l.write.Unlock()
+	n := 0
+	for n < len(l.segments)-1 && l.segments[n].maxIndex <= index && l.segments[n+1].header.last.Index <= index {
+		n++
+	}
+	if n == 0 {
+		return l.Start(), nil
+	}
+	dropped := l.dropSegments(n)
+	for _, s := range dropped {
+		if err := s.f.Close(); err != nil {
+			return l.Start(), fmt.Errorf("storage: close %s: %w", s.path, err)
+		}
+		if err := l.opts.FS.Remove(s.path); err != nil {
+			return l.Start(), fmt.Errorf("storage: remove %s: %w", s.path, err)
+		}
+	}
+	if err := l.opts.FS.SyncDir(l.opts.Dir); err != nil {
+		return l.Start(), &SyncError{File: l.opts.Dir, Err: err}
+	}
+	return l.Start(), nil
+}
+
+func (l *Log) dropSegments(n int) []*segment {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	dropped := l.segments[:n]
+	l.segments = append([]*segment(nil), l.segments[n:]...)
+	at := l.segments[0].header.last.Index
+	if at <= l.start.Index {
+		return dropped
+	}
+	at = min(at, l.lastIndex())
+	term := l.termAt(at)
+	l.locations = append([]location(nil), l.locations[at-l.start.Index:]...)
+	l.start = Position{Index: at, Term: term}
+	l.dropTerms()
+	return dropped
+}
+
+// dropTerms forgets the terms of entries up to the start.
+func (l *Log) dropTerms() {
+	n := 0
+	for n+1 < len(l.terms) && l.terms[n+1].Index <= l.start.Index+1 {
+		n++
+	}
+	if len(l.locations) == 0 {
+		l.terms = nil
+		return
+	}
+	l.terms = append([]Position(nil), l.terms[n:]...)
+	l.terms[0].Index = max(l.terms[0].Index, l.start.Index+1)
+}
+
+// Start returns the position before the first entry held.
+func (l *Log) Start() Position {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.start
+}
+
+// Last returns the position of the last entry, or the start of an empty log.
+func (l *Log) Last() Position {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	last := l.lastIndex()
+	return Position{Index: last, Term: l.termAt(last)}
+}
+
+// Terms returns, for each run of entries with one term, its first position.
+func (l *Log) Terms() []Position {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return append([]Position(nil), l.terms...)
+}
+
+// State returns the state of the owner, nil where none was written.
+func (l *Log) State() []byte {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.state
+}
+
+func (l *Log) lastIndex() uint64 { return l.start.Index + uint64(len(l.locations)) }
+
+func (l *Log) termAt(index uint64) uint64 {
+	if index == l.start.Index {
+		return l.start.Term
+	}
+	for i := len(l.terms) - 1; i >= 0; i-- {
+		if l.terms[i].Index <= index {
+			return l.terms[i].Term
+		}
+	}
+	return 0
+}
+
+// Close closes the files. It syncs nothing: Append has done so.
+func (l *Log) Close() error {
+	l.write.Lock()
+	defer l.write.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var first error
+	for _, s := range l.segments {
+		if err := s.f.Close(); err != nil && first == nil {
+			first = fmt.Errorf("storage: close %s: %w", filepath.Base(s.path), err)
+		}
+	}
+	l.segments = nil
+	return first
+}
--- /dev/null
+++ b/internal/storage/receive.go
@@ -0,0 +1,78 @@
+package storage
+
+import (
+	"fmt"
+	"io"
+	"path/filepath"
+)
+
+// Receiver collects the raw bytes of a snapshot that is sent by another replica.
+type Receiver struct {
+	s      *Snapshots
+	f      File
+	index  uint64
+	offset int64
+}
+
+// Receive begins a file for the snapshot at index.
+func (s *Snapshots) Receive(index uint64) (*Receiver, error) {
+	f, err := s.fs.Create(s.receivePath(index))
+	if err != nil {
+		return nil, fmt.Errorf("storage: create snapshot: %w", err)
+	}
+	return &Receiver{s: s, f: f, index: index}, nil
+}
+
+func (s *Snapshots) receivePath(index uint64) string {
+	return filepath.Join(s.dir, fmt.Sprintf("%s%016x", receivePrefix, index))
+}
+
+// Offset returns how many bytes were written.
+func (r *Receiver) Offset() int64 { return r.offset }
+
+// Write adds p at the end.
+func (r *Receiver) Write(p []byte) (int, error) {
+	n, err := r.f.WriteAt(p, r.offset)
+	if err != nil {
+		return n, fmt.Errorf("storage: write snapshot: %w", err)
+	}
+	r.offset += int64(n)
+	return n, nil
+}
+
+// Abort drops what was received.
+func (r *Receiver) Abort() {
+	_ = r.f.Close()
+	_ = r.s.fs.Remove(r.s.receivePath(r.index))
+}
+
+// Commit checks the whole file and makes it the newest snapshot.
+func (r *Receiver) Commit() (SnapshotMeta, error) {
+	from := r.s.receivePath(r.index)
+	meta, err := verify(r.s.fs, from)
+	if err != nil {
+		r.Abort()
+		return SnapshotMeta{}, err
+	}
+	if meta.Index != r.index {
+		r.Abort()
+		return SnapshotMeta{}, fmt.Errorf("storage: snapshot is at %d, not %d", meta.Index, r.index)
+	}
+	to := filepath.Join(r.s.dir, snapshotName(meta.Index))
+	if err := commitFile(r.s.fs, r.f, from, to); err != nil {
+		return SnapshotMeta{}, err
+	}
+	return meta, r.s.prune(meta.Index)
+}
+
+func verify(fsys FS, path string) (SnapshotMeta, error) {
+	r, err := openSnapshot(fsys, path)
+	if err != nil {
+		return SnapshotMeta{}, err
+	}
+	defer func() { _ = r.Close() }()
+	if _, err := io.Copy(io.Discard, r); err != nil {
+		return SnapshotMeta{}, err
+	}
+	return r.Meta, nil
+}
--- /dev/null
+++ b/internal/storage/replay.go
@@ -0,0 +1,185 @@
+package storage
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+)
+
+// maxSegmentBytes bounds a segment that is read: the roll size and one frame.
+const maxSegmentBytes = 1 << 30
+
+// replay reads all segments in order.
+func (l *Log) replay() error {
+	numbers, err := l.segmentNumbers()
+	if err != nil {
+		return err
+	}
+	for i, n := range numbers {
+		if i > 0 && n != numbers[i-1]+1 {
+			return l.corrupt(segmentName(numbers[i-1]+1), 0, "segment is missing")
+		}
+		if err := l.replaySegment(n, i == len(numbers)-1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *Log) corrupt(name string, offset int64, format string, args ...any) error {
+	return &CorruptError{
+		File:   filepath.Join(l.opts.Dir, name),
+		Offset: offset,
+		Reason: fmt.Sprintf(format, args...),
+	}
+}
+
+// segmentNumbers lists the segments and removes those never renamed into place.
+func (l *Log) segmentNumbers() ([]uint32, error) {
+	names, err := l.opts.FS.List(l.opts.Dir)
+	if err != nil {
+		return nil, fmt.Errorf("storage: list: %w", err)
+	}
+	var numbers []uint32
+	for _, name := range names {
+		if strings.HasPrefix(name, segmentPrefix) && strings.HasSuffix(name, tempSuffix) {
+			if err := l.opts.FS.Remove(filepath.Join(l.opts.Dir, name)); err != nil {
+				return nil, fmt.Errorf("storage: remove %s: %w", name, err)
+			}
+			continue
+		}
+		if n, ok := parseSegmentName(name); ok {
+			numbers = append(numbers, n)
+		}
+	}
+	return numbers, nil
+}
+
+func (l *Log) replaySegment(number uint32, last bool) error {
+	name := segmentName(number)
+	path := filepath.Join(l.opts.Dir, name)
+	f, err := l.opts.FS.Open(path)
+	if err != nil {
+		return fmt.Errorf("storage: open %s: %w", name, err)
+	}
+	s := &segment{path: path, f: f}
+	l.segments = append(l.segments, s)
+	data, err := readAll(f, maxSegmentBytes)
+	if err != nil {
+		return fmt.Errorf("storage: read %s: %w", name, err)
+	}
+	for {
+		fr, st := readFrame(data[s.size:], l.opts.Owner)
+		if st == frameEnd {
+			break
+		}
+		if st != frameOK {
+			return l.cutTail(s, data, st, last)
+		}
+		if err := l.replayFrame(s, fr, number); err != nil {
+			return err
+		}
+		s.size += int64(fr.size)
+	}
+	if s.size == 0 {
+		return l.corrupt(name, 0, "segment is empty")
+	}
+	return nil
+}
+
+// cutTail removes a torn last frame; anything else is corruption.
+func (l *Log) cutTail(s *segment, data []byte, st frameState, last bool) error {
+	name := filepath.Base(s.path)
+	if s.size == 0 {
+		return l.corrupt(name, 0, "segment header fails its checksum")
+	}
+	if !last {
+		return l.corrupt(name, s.size, "frame fails its checksum before the last segment")
+	}
+	if at := laterFrame(data[s.size:], l.opts.Owner); at >= 0 {
+		return l.corrupt(name, s.size, "frame fails its checksum and a whole one follows at %d", s.size+int64(at))
+	}
+	if err := s.f.Truncate(s.size); err != nil {
+		return fmt.Errorf("storage: cut %s: %w", name, err)
+	}
+	if err := s.f.Sync(); err != nil {
+		return &SyncError{File: s.path, Err: err}
+	}
+	return nil
+}
+
+func (l *Log) replayFrame(s *segment, fr frame, number uint32) error {
+	name := filepath.Base(s.path)
+	first := s.size == 0
+	if l.seq != 0 && fr.seq != l.seq+1 {
+		return l.corrupt(name, s.size, "frame %d follows frame %d", fr.seq, l.seq)
+	}
+	l.seq = fr.seq
+	for offset := 0; offset < len(fr.payload); {
+		it, next, ok := readItem(fr.payload, offset)
+		if !ok {
+			return l.corrupt(name, s.size, "item at %d is damaged", offset)
+		}
+		if first != (it.kind == itemSegment) && offset == 0 {
+			return l.corrupt(name, s.size, "segment header is out of place")
+		}
+		at := s.size + frameHeaderSize + int64(offset)
+		if err := l.replayItem(s, it, number, at); err != nil {
+			return err
+		}
+		offset = next
+	}
+	return nil
+}
+
+func (l *Log) replayItem(s *segment, it item, number uint32, at int64) error {
+	name := filepath.Base(s.path)
+	switch it.kind {
+	case itemSegment:
+		h, ok := decodeSegmentHeader(it.body)
+		if !ok {
+			return l.corrupt(name, at, "segment header is damaged")
+		}
+		s.header = h
+		return l.checkHeader(h, name, number)
+	case itemEntry:
+		e, ok := decodeEntry(it.body)
+		if !ok {
+			return l.corrupt(name, at, "entry is damaged")
+		}
+		if e.Index > l.lastIndex()+1 {
+			return l.corrupt(name, at, "entry %d follows entry %d", e.Index, l.lastIndex())
+		}
+		l.note(e, location{segment: number, offset: uint32(at), size: uint32(len(it.body))})
+		s.maxIndex = max(s.maxIndex, e.Index)
+	case itemState:
+		l.state = append([]byte(nil), it.body...)
+	case itemReset:
+		p, ok := decodePosition(it.body)
+		if !ok {
+			return l.corrupt(name, at, "position is damaged")
+		}
+		l.reset(p)
+	default:
+		return l.corrupt(name, at, "unknown item kind %d", it.kind)
+	}
+	return nil
+}
+
+func (l *Log) checkHeader(h segmentHeader, name string, number uint32) error {
+	if h.version != FormatVersion {
+		return l.corrupt(name, 0, "unknown format version %d", h.version)
+	}
+	if h.number != number || h.owner != l.opts.Owner {
+		return l.corrupt(name, 0, "segment belongs to another log")
+	}
+	if len(l.segments) == 1 {
+		l.start = h.last
+		return nil
+	}
+	prev := l.segments[len(l.segments)-2]
+	if int64(h.prevSize) != prev.size {
+		return l.corrupt(filepath.Base(prev.path), prev.size, "segment was %d bytes long", h.prevSize)
+	}
+	return nil
+}
