--- /dev/null
+++ b/internal/replica/founding.go
@@ -0,0 +1,157 @@
+package replica
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/replica/raft"
+)
+
+// foundingTicks is the time between announcements of an empty founder.
+const foundingTicks = 2
+
+// founding is the agreement of empty founders on the first membership. Each
+// learns the identities of all, durably agrees to the one membership that they
+// make, and begins its log once all others have agreed to the same. So a group
+// forms only out of all founders, all of them empty: replicas that lost their
+// disks can never form a second group beside one that holds data.
+type founding struct {
+	address   string
+	addresses []string
+	peers     map[string]founder // by address
+}
+
+type founder struct {
+	id     ID
+	agreed *raft.Config
+}
+
+func newFounding(o Options) (*founding, error) {
+	f := &founding{address: o.Address, peers: map[string]founder{}}
+	for _, p := range o.Founders {
+		f.addresses = append(f.addresses, p.Address)
+	}
+	slices.Sort(f.addresses)
+	if len(slices.Compact(slices.Clone(f.addresses))) != len(f.addresses) {
+		return nil, errkind.New(errkind.BadRequest, "an address is listed twice among the founders")
+	}
+	if !slices.Contains(f.addresses, o.Address) {
+		return nil, errkind.New(errkind.BadRequest, "%s is not among the founders: join the group instead", o.Address)
+	}
+	return f, nil
+}
+
+// tickFounding announces this replica while the group is not formed.
+func (n *Node) tickFounding() {
+	if n.founding == nil || n.ticks%foundingTicks != 0 {
+		return
+	}
+	for _, address := range n.founding.addresses {
+		if address != n.opts.Address {
+			n.sendFounding(address)
+		}
+	}
+	n.tryForm()
+}
+
+func (n *Node) sendFounding(address string) {
+	m := Message{
+		Kind: raft.Found,
+		From: n.identity.ID,
+		Founding: &raft.Founding{
+			Address: n.opts.Address,
+			Agreed:  n.identity.Agreed,
+			Formed:  n.founding == nil,
+		},
+	}
+	if n.founding != nil {
+		m.Founding.Addresses = n.founding.addresses
+	}
+	n.opts.Transport.Send(address, []Message{m})
+}
+
+func (n *Node) receiveFounding(r received) {
+	f := r.msg.Founding
+	if f == nil || r.msg.From == n.identity.ID || r.msg.From == raft.None {
+		return
+	}
+	switch {
+	case n.founding == nil:
+		if !f.Formed && n.core.Last().Index > 0 {
+			n.sendFounding(f.Address)
+		}
+	case f.Formed:
+		n.joinFormed(f)
+	case !slices.Equal(f.Addresses, n.founding.addresses):
+		n.logger.Error("founders are listed differently", "peer", f.Address, "there", f.Addresses, "here", n.founding.addresses)
+	default:
+		n.founding.peers[f.Address] = founder{id: r.msg.From, agreed: f.Agreed}
+		n.tryAgree()
+		n.tryForm()
+	}
+}
+
+// joinFormed is told of a group that exists. This replica is part of it only
+// where it has itself agreed to its membership.
+func (n *Node) joinFormed(f *raft.Founding) {
+	if sameConfig(n.identity.Agreed, f.Agreed) {
+		n.form()
+		return
+	}
+	n.fail(fmt.Errorf("replica: the group exists already and this data folder is empty: " +
+		"join it as the replacement of a lost replica"))
+}
+
+// tryAgree agrees to the membership of all founders once their identities are known.
+func (n *Node) tryAgree() {
+	if n.identity.Agreed != nil {
+		return
+	}
+	var peers []raft.Peer
+	for _, address := range n.founding.addresses {
+		id := n.founding.peers[address].id
+		if address == n.opts.Address {
+			id = n.identity.ID
+		}
+		if id == raft.None {
+			return
+		}
+		peers = append(peers, raft.Peer{ID: id, Address: address, Voter: true})
+	}
+	if err := n.identity.agree(raft.NewConfig(peers)); err != nil {
+		n.fail(err)
+	}
+}
+
+// tryForm begins the log once all founders have agreed to the same membership.
+func (n *Node) tryForm() {
+	if n.founding == nil {
+		return
+	}
+	n.tryAgree()
+	if n.identity.Agreed == nil {
+		return
+	}
+	for _, address := range n.founding.addresses {
+		if address == n.opts.Address {
+			continue
+		}
+		if !sameConfig(n.identity.Agreed, n.founding.peers[address].agreed) {
+			return
+		}
+	}
+	n.form()
+}
+
+func (n *Node) form() {
+	n.founding = nil
+	n.core.Found(*n.identity.Agreed)
+	n.core.Campaign()
+	n.logger.Info("group formed", "id", n.identity.ID, "voters", n.identity.Agreed.Voters())
+}
+
+func sameConfig(a, b *raft.Config) bool {
+	return a != nil && b != nil && bytes.Equal(a.Encode(), b.Encode())
+}
--- /dev/null
+++ b/internal/replica/identity.go
@@ -0,0 +1,106 @@
+package replica
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"path/filepath"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/filbertmast/filbertmast/internal/replica/raft"
+	"github.com/filbertmast/filbertmast/internal/storage"
+)
+
+const (
+	identityName = "identity"
+	lockName     = "lock"
+)
+
+func lockPath(dir string) string { return filepath.Join(dir, lockName) }
+
+// identity is what makes a data folder one replica, for good.
+type identity struct {
+	ID ID `cbor:"1,keyasint"`
+	// Agreed is the founding membership that this replica has agreed to. It
+	// never agrees to another.
+	Agreed *raft.Config `cbor:"2,keyasint,omitempty"`
+	// Formed says that the log has begun: from here on an empty log is a loss.
+	Formed bool `cbor:"3,keyasint,omitempty"`
+}
+
+// identityFile is the identity and where it is stored.
+type identityFile struct {
+	identity
+	fs  storage.FS
+	dir string
+}
+
+// openIdentity reads the identity, or makes a new one in an empty folder.
+func openIdentity(fsys storage.FS, dir string) (*identityFile, error) {
+	f := &identityFile{fs: fsys, dir: dir}
+	data, ok, err := storage.ReadFile(fsys, dir, identityName)
+	if err != nil {
+		return nil, err
+	}
+	if ok {
+		if err := cbor.Unmarshal(data, &f.identity); err != nil {
+			return nil, fmt.Errorf("replica: decode identity: %w", err)
+		}
+		return f, nil
+	}
+	if err := refuseStrayFiles(fsys, dir); err != nil {
+		return nil, err
+	}
+	f.ID = newID()
+	return f, f.save()
+}
+
+// refuseStrayFiles returns an error where dir holds a log or a snapshot without
+// an identity.
+func refuseStrayFiles(fsys storage.FS, dir string) error {
+	names, err := fsys.List(dir)
+	if err != nil {
+		return fmt.Errorf("replica: list data folder: %w", err)
+	}
+	for _, name := range names {
+		if !storage.IsSegment(name) && !storage.IsSnapshot(name) {
+			continue
+		}
+		return &storage.CorruptError{
+			File:   filepath.Join(dir, identityName),
+			Reason: fmt.Sprintf("is missing, though %s is there", name),
+		}
+	}
+	return nil
+}
+
+func newID() ID {
+	var b [8]byte
+	for {
+		if _, err := rand.Read(b[:]); err != nil {
+			panic(err) // crypto/rand does not fail on Linux
+		}
+		if id := binary.LittleEndian.Uint64(b[:]); id != uint64(raft.None) {
+			return ID(id)
+		}
+	}
+}
+
+func (f *identityFile) save() error {
+	data, err := cbor.Marshal(f.identity)
+	if err != nil {
+		return fmt.Errorf("replica: encode identity: %w", err)
+	}
+	return storage.WriteFile(f.fs, f.dir, identityName, data)
+}
+
+func (f *identityFile) agree(config raft.Config) error {
+	f.Agreed = &config
+	return f.save()
+}
+
+func (f *identityFile) form() error {
+	f.Formed = true
+	return f.save()
+}
--- /dev/null
+++ b/internal/replica/inbox.go
@@ -0,0 +1,159 @@
+package replica
+
+import (
+	"sync"
+
+	"github.com/filbertmast/filbertmast/internal/replica/raft"
+)
+
+type proposal struct {
+	data []byte
+	term uint64 // zero: any
+}
+
+// received is a message and the address that it came from.
+type received struct {
+	from string
+	msg  Message
+}
+
+// batch is what the loop takes from the inbox at once.
+type batch struct {
+	messages  []received
+	chunks    []receivedChunk
+	proposals []proposal
+	marks     []raft.Mark
+	calls     []func()
+}
+
+// inbox collects the loop's input, within bounds.
+type inbox struct {
+	wake chan struct{}
+
+	mu            sync.Mutex
+	next          batch
+	messageBytes  int
+	proposalBytes int
+}
+
+func (b *inbox) signal() {
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (b *inbox) take() batch {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := b.next
+	b.next = batch{}
+	b.messageBytes = 0
+	b.proposalBytes = 0
+	return out
+}
+
+// messageSize is about the memory of m in bytes.
+func messageSize(m Message) int {
+	const overhead = 160
+	size := overhead
+	for _, e := range m.Entries {
+		size += overhead/2 + len(e.Data)
+	}
+	return size
+}
+
+// addMessages returns how many messages there was no room for.
+func (b *inbox) addMessages(from string, msgs []Message) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	defer b.signal()
+	for i, m := range msgs {
+		size := messageSize(m)
+		if b.messageBytes+size > maxInboxBytes {
+			return len(msgs) - i
+		}
+		b.messageBytes += size
+		b.next.messages = append(b.next.messages, received{from: from, msg: m})
+	}
+	return 0
+}
+
+func (b *inbox) addChunk(from string, c SnapshotChunk) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	size := len(c.Data)
+	if b.messageBytes+size > maxInboxBytes {
+		return false
+	}
+	b.messageBytes += size
+	b.next.chunks = append(b.next.chunks, receivedChunk{from: from, chunk: c})
+	b.signal()
+	return true
+}
+
+// addProposal reports false where too much waits; uncommitted is what the core
+// held when it was last looked at, in bytes.
+func (b *inbox) addProposal(p proposal, uncommitted int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.proposalBytes+uncommitted > maxUncommittedBytes {
+		return false
+	}
+	b.proposalBytes += len(p.data)
+	b.next.proposals = append(b.next.proposals, p)
+	b.signal()
+	return true
+}
+
+func (b *inbox) addMark(m raft.Mark) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.next.marks = append(b.next.marks, m)
+	b.signal()
+}
+
+// addCall runs f on the loop.
+func (b *inbox) addCall(f func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.next.calls = append(b.next.calls, f)
+	b.signal()
+}
+
+// addressBook knows where each replica is reached.
+type addressBook struct {
+	mu      sync.Mutex
+	config  raft.Config
+	learned map[ID]string
+}
+
+func (a *addressBook) setConfig(c raft.Config) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.config = c
+}
+
+// learn notes the address of a replica that is not in the membership known here.
+func (a *addressBook) learn(id ID, address string) {
+	const maxLearned = 64
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, known := a.config.Find(id); known || address == "" {
+		return
+	}
+	if len(a.learned) >= maxLearned {
+		clear(a.learned)
+	}
+	a.learned[id] = address
+}
+
+func (a *addressBook) find(id ID) (string, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if p, ok := a.config.Find(id); ok {
+		return p.Address, true
+	}
+	address, ok := a.learned[id]
+	return address, ok
+}
--- /dev/null
+++ b/internal/replica/member.go
@@ -0,0 +1,92 @@
+package replica
+
+import (
+	"context"
+	"errors"
+
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/replica/raft"
+)
+
+// AddLearner adds the replica id at addr, which gets the log and has no vote. It
+// returns once the change is committed. Calling it again is harmless.
+func (n *Node) AddLearner(ctx context.Context, id ID, addr string) error {
+	return n.change(ctx, func() error { return n.core.AddLearner(id, addr) })
+}
+
+// Promote makes a learner a voter. It waits until the learner holds every
+// committed entry, and returns once the change is committed.
+func (n *Node) Promote(ctx context.Context, id ID) error {
+	return n.change(ctx, func() error { return n.core.Promote(id) })
+}
+
+// Remove takes a replica out of the group. A leader does not remove itself: it
+// returns BadRequest, and leadership is handed over first.
+func (n *Node) Remove(ctx context.Context, id ID) error {
+	return n.change(ctx, func() error { return n.core.Remove(id) })
+}
+
+// Replace puts the replica id at addr in the place of dead: it is added as a
+// learner, caught up, made a voter, and only then is dead removed. Each step is
+// one committed change. After an error the call may be repeated, also on
+// another leader.
+func (n *Node) Replace(ctx context.Context, dead, id ID, addr string) error {
+	if err := n.AddLearner(ctx, id, addr); err != nil {
+		return err
+	}
+	if err := n.Promote(ctx, id); err != nil {
+		return err
+	}
+	return n.Remove(ctx, dead)
+}
+
+// change tries until the core takes the change, and waits for its commit.
+func (n *Node) change(ctx context.Context, try func() error) error {
+	term := uint64(0)
+	return n.poll(ctx, func() (bool, error) {
+		if n.core.Role() != raft.Leader || term != 0 && n.core.Term() != term {
+			return false, notLeader()
+		}
+		if term == 0 {
+			switch err := try(); {
+			case err == nil:
+				term = n.core.Term()
+			case errors.Is(err, raft.ErrChangeOpen), errors.Is(err, raft.ErrNotCaughtUp):
+				return false, nil
+			default:
+				return false, changeError(err)
+			}
+		}
+		return !n.core.ChangeOpen(), nil
+	})
+}
+
+func changeError(err error) error {
+	if errors.Is(err, raft.ErrSelf) || errors.Is(err, raft.ErrNoSuchPeer) {
+		return errkind.Wrap(errkind.BadRequest, err, "replica")
+	}
+	return errkind.Wrap(errkind.NotLeader, err, "replica")
+}
+
+// TransferLeadership hands leadership to the live voter that is furthest ahead.
+// It returns once this replica no longer leads. Where the other does not take
+// over within an election timeout, this replica steps down all the same.
+func (n *Node) TransferLeadership(ctx context.Context) error {
+	begun := false
+	return n.poll(ctx, func() (bool, error) {
+		if n.core.Role() != raft.Leader {
+			if !begun {
+				return false, notLeader()
+			}
+			return true, nil
+		}
+		if begun {
+			return false, nil
+		}
+		if err := n.core.Transfer(); err != nil {
+			return false, changeError(err)
+		}
+		begun = true
+		return false, nil
+	})
+}
--- /dev/null
+++ b/internal/replica/raft/election.go
@@ -0,0 +1,168 @@
+package raft
+
+// Tick tells the core that one tick has passed.
+func (c *Core) Tick() {
+	if c.role == Leader {
+		c.tickLeader()
+		return
+	}
+	c.leaderSilence++
+	c.electionElapsed++
+	if c.electionElapsed < c.electionTimeout {
+		return
+	}
+	c.resetElection()
+	if c.leaderSilence >= c.opts.ElectionTicks {
+		c.leader = None
+	}
+	c.campaign()
+}
+
+// Campaign starts an election at once, where this replica is the only voter.
+// Others wait for their timeout.
+func (c *Core) Campaign() {
+	if c.soleVoter() && c.role != Leader {
+		c.campaign()
+	}
+}
+
+func (c *Core) campaign() {
+	switch {
+	case !c.isVoter():
+	case c.soleVoter(), c.opts.unsafe.noPreVote:
+		c.becomeCandidate(false)
+	default:
+		c.becomePreCandidate()
+	}
+}
+
+func (c *Core) resetElection() {
+	c.electionElapsed = 0
+	c.electionTimeout = c.opts.ElectionTicks + c.rng.IntN(c.opts.ElectionTicks)
+}
+
+// StepDown makes a leader a follower of the same term. The owner calls it where
+// its clock shows that no quorum has answered for an election timeout, which
+// ticks alone do not show after the process was frozen.
+func (c *Core) StepDown() {
+	if c.role == Leader {
+		c.becomeFollower(c.term, None)
+	}
+}
+
+func (c *Core) becomeFollower(term uint64, leader ID) {
+	if term != c.term {
+		c.vote = None
+	}
+	c.role = Follower
+	c.term = term
+	c.leader = leader
+	c.votes = nil
+	c.progress = nil
+	c.transferee = None
+	c.resetElection()
+}
+
+func (c *Core) becomePreCandidate() {
+	c.role = PreCandidate
+	c.leader = None
+	c.votes = map[ID]bool{c.opts.ID: true}
+	c.askVotes(PreVote, c.term+1, false)
+}
+
+func (c *Core) becomeCandidate(transfer bool) {
+	c.role = Candidate
+	c.leader = None
+	c.term++
+	c.vote = c.opts.ID
+	c.votes = map[ID]bool{}
+	c.resetElection()
+	c.askVotes(Vote, c.term, transfer)
+}
+
+// askVotes asks the other voters. A vote request waits for the disk: a candidate
+// that forgot its term in a crash could ask twice in one term, with two logs.
+func (c *Core) askVotes(kind MessageKind, term uint64, transfer bool) {
+	for _, p := range c.Config().Peers {
+		if !p.Voter || p.ID == c.opts.ID {
+			continue
+		}
+		m := Message{Kind: kind, To: p.ID, Term: term, Prev: c.log.lastPosition(), Transfer: transfer}
+		if kind == PreVote {
+			c.send(m)
+		} else {
+			c.sendDurable(m)
+		}
+	}
+}
+
+// sticky reports whether a live leader may be counting on this replica. Leases
+// rest on it: while it is true, no vote is granted to anybody else.
+func (c *Core) sticky() bool {
+	if c.opts.unsafe.noStickiness {
+		return false
+	}
+	return c.role == Leader || c.leaderSilence < c.opts.ElectionTicks
+}
+
+// upToDate reports whether a candidate's log holds all that this one does.
+func (c *Core) upToDate(p Position) bool {
+	last := c.log.lastPosition()
+	return p.Term > last.Term || p.Term == last.Term && p.Index >= last.Index
+}
+
+func (c *Core) stepPreVote(m Message) {
+	reply := Message{Kind: PreVoteReply, To: m.From, Term: m.Term}
+	switch {
+	case m.Term <= c.term:
+		reply.Term = c.term
+		reply.Reject = true
+	case c.sticky() || !c.upToDate(m.Prev):
+		reply.Term = c.term
+		reply.Reject = true
+	}
+	c.send(reply)
+}
+
+func (c *Core) stepVote(m Message) {
+	if c.sticky() && !m.Transfer {
+		// The term may have been raised by another message of the candidate.
+		return
+	}
+	reply := Message{Kind: VoteReply, To: m.From, Term: c.term}
+	free := c.vote == None && c.leader == None || c.vote == m.From
+	if free && c.upToDate(m.Prev) {
+		c.vote = m.From
+		c.resetElection()
+	} else {
+		reply.Reject = true
+	}
+	c.sendDurable(reply)
+}
+
+func (c *Core) countVote(from ID, granted bool) {
+	if p, ok := c.Config().Find(from); !ok || !p.Voter {
+		return
+	}
+	if _, seen := c.votes[from]; seen {
+		return
+	}
+	c.votes[from] = granted
+	yes, no := 0, 0
+	for _, g := range c.votes {
+		if g {
+			yes++
+		} else {
+			no++
+		}
+	}
+	quorum := c.Config().Quorum()
+	switch {
+	case yes >= quorum && c.role == PreCandidate:
+		c.becomeCandidate(false)
+	case yes >= quorum:
+		c.becomeLeader()
+	case no >= quorum:
+		c.becomeFollower(c.term, None)
+	}
+}
--- /dev/null
+++ b/internal/replica/raft/leader.go
@@ -0,0 +1,265 @@
+package raft
+
+import "slices"
+
+func (c *Core) becomeLeader() {
+	c.role = Leader
+	c.leader = c.opts.ID
+	c.progress = map[ID]*progress{}
+	c.heartbeatElapsed = 0
+	c.seq++
+	c.transferee = None
+	c.syncProgress()
+	self := c.progress[c.opts.ID]
+	self.match = c.log.persisted
+	c.termStart = c.log.last + 1
+	c.appendEntries([]Entry{{Index: c.termStart, Term: c.term, Kind: EntryEmpty}})
+	c.broadcastHeartbeat()
+}
+
+func (c *Core) tickLeader() {
+	for _, p := range c.progress {
+		p.silence++
+	}
+	if !c.quorumHeard() && !c.opts.unsafe.noCheckQuorum {
+		c.StepDown()
+		return
+	}
+	if c.transferee != None {
+		c.transferElapsed++
+		if c.transferElapsed >= c.opts.ElectionTicks {
+			// The target may still act on a late TimeoutNow, which ends the
+			// stickiness that the lease rests on: only a new term restores it.
+			c.StepDown()
+			return
+		}
+	}
+	c.heartbeatElapsed++
+	if c.heartbeatElapsed >= c.opts.HeartbeatTicks {
+		c.heartbeatElapsed = 0
+		c.seq++
+		c.broadcastHeartbeat()
+	}
+}
+
+// quorumHeard reports whether a majority of the voters was heard within an
+// election timeout.
+func (c *Core) quorumHeard() bool {
+	n := 0
+	for _, peer := range c.Config().Peers {
+		if !peer.Voter {
+			continue
+		}
+		p := c.progress[peer.ID]
+		if peer.ID == c.opts.ID || p != nil && p.silence <= c.opts.ElectionTicks {
+			n++
+		}
+	}
+	return n >= c.Config().Quorum()
+}
+
+func (c *Core) broadcastHeartbeat() {
+	for _, peer := range c.Config().Peers {
+		p := c.progress[peer.ID]
+		if peer.ID == c.opts.ID || p == nil {
+			continue
+		}
+		c.send(Message{
+			Kind:   Heartbeat,
+			To:     peer.ID,
+			Term:   c.term,
+			Seq:    c.seq,
+			Commit: min(c.log.committed, p.match),
+		})
+	}
+}
+
+// Seq returns the number of the last heartbeat round.
+func (c *Core) Seq() uint64 { return c.seq }
+
+// QuorumSeq returns the highest heartbeat round that a quorum has answered; the
+// owner derives the leader lease from the time at which that round was sent.
+func (c *Core) QuorumSeq() uint64 {
+	if c.role != Leader {
+		return 0
+	}
+	return c.quorumValue(func(p *progress) uint64 { return p.ackSeq }, c.seq)
+}
+
+// quorumValue returns the highest value that a majority of the voters has
+// reached; own is this replica's.
+func (c *Core) quorumValue(of func(*progress) uint64, own uint64) uint64 {
+	var values []uint64
+	for _, peer := range c.Config().Peers {
+		if !peer.Voter {
+			continue
+		}
+		switch p := c.progress[peer.ID]; {
+		case peer.ID == c.opts.ID:
+			values = append(values, own)
+		case p != nil:
+			values = append(values, of(p))
+		}
+	}
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[len(values)-c.Config().Quorum()]
+}
+
+func (c *Core) advanceCommit() {
+	own := c.log.persisted
+	if c.opts.unsafe.noPersistWait {
+		own = c.log.last
+	}
+	index := c.quorumValue(func(p *progress) uint64 { return p.match }, own)
+	if index <= c.log.committed {
+		return
+	}
+	// An entry of an earlier term may yet be replaced, though a majority holds
+	// it; it is committed with the first entry of this term.
+	if term, _ := c.log.term(index); term != c.term && !c.opts.unsafe.noTermCheck {
+		return
+	}
+	c.commitTo(index)
+	c.leaveIfRemoved()
+}
+
+// leaveIfRemoved steps down once the change that removes this leader, or makes
+// it a learner, is committed.
+func (c *Core) leaveIfRemoved() {
+	if !c.isVoter() && c.configIndex() <= c.log.committed {
+		c.StepDown()
+	}
+}
+
+func (c *Core) stepAppendReply(p *progress, m Message) {
+	if m.Reject {
+		if m.Rejected <= p.match || p.state == snapshotting {
+			return // late
+		}
+		if p.state == probing && m.Rejected != p.next-1 {
+			return // late
+		}
+		p.probe(min(m.Index+1, m.Rejected))
+		return
+	}
+	if m.Index > c.log.last {
+		return
+	}
+	before := p.match
+	p.acked(m.Index)
+	switch {
+	case p.state == snapshotting && p.match >= c.log.start.Index:
+		p.probe(p.match + 1)
+	case p.state == probing && (p.match > before || m.Index+1 >= p.next):
+		p.replicate()
+	}
+	c.advanceCommit()
+	c.sendTimeoutNow()
+}
+
+func (c *Core) stepHeartbeatReply(p *progress, m Message) {
+	p.ackSeq = max(p.ackSeq, min(m.Seq, c.seq))
+	switch p.state {
+	case probing:
+		p.paused = false
+	case replicating:
+		// A round sent after the last Append shows what of it never arrived.
+		if m.Seq > p.sentSeq && m.Index+1 < p.next {
+			p.probe(m.Index + 1)
+		}
+	}
+}
+
+// flushAppends sends each peer what it is still to get.
+func (c *Core) flushAppends() {
+	if c.role != Leader {
+		return
+	}
+	for _, peer := range c.Config().Peers {
+		p := c.progress[peer.ID]
+		if peer.ID == c.opts.ID || p == nil {
+			continue
+		}
+		for c.sendAppend(peer.ID, p) {
+		}
+	}
+}
+
+// sendAppend sends one Append where there is something to send and room for it,
+// and reports whether another may follow.
+func (c *Core) sendAppend(id ID, p *progress) bool {
+	if p.reading || p.paused || p.state == snapshotting || p.next > c.log.last {
+		return false
+	}
+	if p.inflightBytes >= c.opts.MaxInflightBytes {
+		return false
+	}
+	prev := p.next - 1
+	term, ok := c.log.term(prev)
+	if !ok {
+		p.state = snapshotting
+		p.clearInflight()
+		c.out.Snapshots = append(c.out.Snapshots, id)
+		return false
+	}
+	entries, ok := c.log.slice(p.next, c.opts.MaxAppendBytes)
+	if !ok {
+		p.reading = true
+		c.out.Reads = append(c.out.Reads, ReadRequest{
+			Peer: id, First: p.next, Last: c.log.last, Bytes: c.opts.MaxAppendBytes,
+		})
+		return false
+	}
+	c.sendEntries(id, p, Position{Index: prev, Term: term}, entries)
+	return p.state == replicating
+}
+
+func (c *Core) sendEntries(id ID, p *progress, prev Position, entries []Entry) {
+	bytes := 0
+	for _, e := range entries {
+		bytes += entryCost(e)
+	}
+	c.send(Message{
+		Kind: Append, To: id, Term: c.term,
+		Prev: prev, Entries: entries, Commit: c.log.committed,
+	})
+	p.sent(prev.Index+uint64(len(entries)), bytes, c.seq)
+}
+
+// ReadDone answers a ReadRequest. No entries mean that the log no longer holds
+// them.
+func (c *Core) ReadDone(r ReadRequest, entries []Entry) {
+	p := c.progress[r.Peer]
+	if p == nil || !p.reading {
+		return
+	}
+	p.reading = false
+	if c.role != Leader || p.next != r.First || p.paused || p.state == snapshotting {
+		return
+	}
+	prev := r.First - 1
+	term, ok := c.log.term(prev)
+	if !ok || len(entries) == 0 || !c.log.matches(positionOf(entries[len(entries)-1])) {
+		return
+	}
+	c.sendEntries(r.Peer, p, Position{Index: prev, Term: term}, entries)
+}
+
+func positionOf(e Entry) Position { return Position{Index: e.Index, Term: e.Term} }
+
+// SnapshotDone tells the core that the transfer of a snapshot has ended, well
+// or not; the peer is probed from what it has acknowledged.
+func (c *Core) SnapshotDone(id ID, index uint64, ok bool) {
+	p := c.progress[id]
+	if p == nil || c.role != Leader || p.state != snapshotting {
+		return
+	}
+	if ok {
+		p.probe(index + 1)
+		return
+	}
+	p.probe(p.match + 1)
+}
--- /dev/null
+++ b/internal/replica/raft/step.go
@@ -0,0 +1,178 @@
+package raft
+
+// Step takes a message from another replica. Messages may be lost, late,
+// doubled and out of order.
+func (c *Core) Step(m Message) {
+	if m.To != c.opts.ID || m.From == c.opts.ID || m.From == None {
+		return
+	}
+	switch {
+	case m.Term > c.term:
+		if !c.raiseTerm(m) {
+			return
+		}
+	case m.Term < c.term:
+		c.answerStale(m)
+		return
+	}
+	c.dispatch(m)
+}
+
+// raiseTerm handles a message of a later term; false drops it.
+func (c *Core) raiseTerm(m Message) bool {
+	switch m.Kind {
+	case PreVote:
+		return true
+	case PreVoteReply:
+		if !m.Reject {
+			return true
+		}
+		c.becomeFollower(m.Term, None)
+		return false
+	case Vote:
+		if c.sticky() && !m.Transfer {
+			return false
+		}
+		c.becomeFollower(m.Term, None)
+	case Append, Heartbeat:
+		c.becomeFollower(m.Term, m.From)
+	default:
+		c.becomeFollower(m.Term, None)
+	}
+	return true
+}
+
+// answerStale tells the sender of an earlier term about the current one, so that
+// a leader that was cut off steps down and a lagging candidate catches up.
+func (c *Core) answerStale(m Message) {
+	switch m.Kind {
+	case PreVote:
+		c.send(Message{Kind: PreVoteReply, To: m.From, Term: c.term, Reject: true})
+	case Append, Heartbeat:
+		c.sendDurable(Message{Kind: HeartbeatReply, To: m.From, Term: c.term})
+	}
+}
+
+func (c *Core) dispatch(m Message) {
+	switch m.Kind {
+	case PreVote:
+		c.stepPreVote(m)
+	case PreVoteReply:
+		if c.role == PreCandidate && (m.Reject || m.Term == c.term+1) {
+			c.countVote(m.From, !m.Reject)
+		}
+	case Vote:
+		c.stepVote(m)
+	case VoteReply:
+		if c.role == Candidate {
+			c.countVote(m.From, !m.Reject)
+		}
+	case Append:
+		if c.follow(m.From) {
+			c.stepAppend(m)
+		}
+	case Heartbeat:
+		if c.follow(m.From) {
+			c.stepHeartbeat(m)
+		}
+	case AppendReply:
+		if p := c.heard(m.From); p != nil {
+			c.stepAppendReply(p, m)
+		}
+	case HeartbeatReply:
+		if p := c.heard(m.From); p != nil {
+			c.stepHeartbeatReply(p, m)
+		}
+	case TimeoutNow:
+		if c.role == Follower && m.From == c.leader && c.isVoter() {
+			c.becomeCandidate(true)
+		}
+	}
+}
+
+// follow notes that the leader of the current term was heard.
+func (c *Core) follow(leader ID) bool {
+	if c.role == Leader {
+		return false
+	}
+	if c.role != Follower {
+		c.becomeFollower(c.term, leader)
+	}
+	c.leader = leader
+	c.leaderSilence = 0
+	c.resetElection()
+	return true
+}
+
+// heard returns the row of a peer that answered this leader.
+func (c *Core) heard(from ID) *progress {
+	if c.role != Leader {
+		return nil
+	}
+	p := c.progress[from]
+	if p != nil {
+		p.silence = 0
+	}
+	return p
+}
+
+func (c *Core) stepAppend(m Message) {
+	reply := Message{Kind: AppendReply, To: m.From, Term: c.term}
+	if m.Prev.Index < c.log.committed {
+		// What is committed matches already; take what goes beyond it.
+		m = m.after(c.log.committed)
+		if m.Prev.Index < c.log.committed {
+			reply.Index = c.log.committed
+			c.sendDurable(reply)
+			return
+		}
+	}
+	if m.Prev.Index != c.log.committed && !c.log.matches(m.Prev) {
+		reply.Reject = true
+		reply.Rejected = m.Prev.Index
+		reply.Index = c.retryIndex(m.Prev.Index)
+		c.sendDurable(reply)
+		return
+	}
+	last := m.Prev.Index + uint64(len(m.Entries))
+	c.appendEntries(c.fresh(m.Entries))
+	c.commitTo(min(m.Commit, last))
+	reply.Index = last
+	c.sendDurable(reply)
+}
+
+// after returns m without the entries up to index, where it reaches that far.
+func (m Message) after(index uint64) Message {
+	skip := index - m.Prev.Index
+	if skip > uint64(len(m.Entries)) {
+		return m
+	}
+	last := m.Entries[skip-1]
+	m.Prev = Position{Index: last.Index, Term: last.Term}
+	m.Entries = m.Entries[skip:]
+	return m
+}
+
+// fresh returns the entries from the first on that the log does not hold.
+func (c *Core) fresh(entries []Entry) []Entry {
+	for i, e := range entries {
+		if !c.log.matches(Position{Index: e.Index, Term: e.Term}) {
+			return entries[i:]
+		}
+	}
+	return nil
+}
+
+// retryIndex returns the highest index before rejected at which the logs may
+// still agree: the whole run of a conflicting term is skipped.
+func (c *Core) retryIndex(rejected uint64) uint64 {
+	if rejected > c.log.last {
+		return c.log.last
+	}
+	return max(c.log.firstOfTerm(rejected)-1, c.log.committed)
+}
+
+func (c *Core) stepHeartbeat(m Message) {
+	c.commitTo(m.Commit)
+	c.send(Message{Kind: HeartbeatReply, To: m.From, Term: c.term, Seq: m.Seq, Index: c.log.last})
+}
--- /dev/null
+++ b/internal/replica/restore.go
@@ -0,0 +1,156 @@
+package replica
+
+import (
+	"fmt"
+	"math"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/filbertmast/filbertmast/internal/replica/raft"
+	"github.com/filbertmast/filbertmast/internal/storage"
+)
+
+// restore opens the log and builds the core from what the disk holds.
+func (n *Node) restore() error {
+	var err error
+	if n.identity.Formed {
+		if err := n.refuseMissingLog(); err != nil {
+			return err
+		}
+	}
+	n.log, err = storage.OpenLog(storage.LogOptions{
+		Dir:          n.opts.Dir,
+		FS:           n.opts.FS,
+		Owner:        uint64(n.identity.ID),
+		SegmentBytes: n.opts.SegmentBytes,
+	})
+	if err != nil {
+		return err
+	}
+	r, err := n.restored()
+	if err != nil {
+		return err
+	}
+	if n.identity.Formed && n.log.Last().Index == 0 {
+		return &storage.CorruptError{File: n.opts.Dir, Reason: "the log has lost all its entries"}
+	}
+	n.core = raft.New(raft.Options{ID: n.identity.ID, Seed: n.opts.Seed}, r)
+	n.formed.Store(n.identity.Formed)
+	if !n.identity.Formed && r.Last == 0 && !n.opts.Join {
+		n.founding, err = newFounding(n.opts)
+	}
+	return err
+}
+
+func (n *Node) refuseMissingLog() error {
+	names, err := n.opts.FS.List(n.opts.Dir)
+	if err != nil {
+		return fmt.Errorf("replica: list data folder: %w", err)
+	}
+	for _, name := range names {
+		if storage.IsSegment(name) {
+			return nil
+		}
+	}
+	return &storage.CorruptError{File: n.opts.Dir, Reason: "the log is missing"}
+}
+
+// restored reads the snapshot's position, the state and the log's outline.
+func (n *Node) restored() (raft.Restored, error) {
+	var r raft.Restored
+	snap, config, err := n.newestSnapshot()
+	if err != nil {
+		return r, err
+	}
+	if err := n.alignLog(snap); err != nil {
+		return r, err
+	}
+	if state := n.log.State(); state != nil {
+		if err := cbor.Unmarshal(state, &r.State); err != nil {
+			return r, fmt.Errorf("replica: decode state: %w", err)
+		}
+	}
+	r.Snapshot = snap
+	r.Start = raft.Position(n.log.Start())
+	for _, t := range n.log.Terms() {
+		r.Terms = append(r.Terms, raft.Position(t))
+	}
+	r.Last = n.log.Last().Index
+	if config != nil {
+		r.Configs = append(r.Configs, raft.IndexedConfig{Index: snap.Index, Config: *config})
+	}
+	commit := max(min(r.State.Commit, r.Last), snap.Index)
+	return r, n.scanLog(&r, commit)
+}
+
+func (n *Node) newestSnapshot() (raft.Position, *raft.Config, error) {
+	reader, ok, err := n.snaps.Newest()
+	if err != nil || !ok {
+		return raft.Position{}, nil, err
+	}
+	defer func() { _ = reader.Close() }()
+	config, err := raft.DecodeConfig(reader.Meta.Config)
+	if err != nil {
+		return raft.Position{}, nil, fmt.Errorf("replica: decode snapshot membership: %w", err)
+	}
+	return raft.Position{Index: reader.Meta.Index, Term: reader.Meta.Term}, &config, nil
+}
+
+// alignLog starts the log anew after a snapshot that a leader has sent and that
+// the log does not lead up to. A crash may have come between the two writes.
+func (n *Node) alignLog(snap raft.Position) error {
+	start := n.log.Start()
+	if snap.Index < start.Index {
+		return &storage.CorruptError{
+			File:   n.opts.Dir,
+			Reason: fmt.Sprintf("the log starts after %d but the newest snapshot is at %d", start.Index, snap.Index),
+		}
+	}
+	if term, ok := n.log.Term(snap.Index); ok && term == snap.Term {
+		return nil
+	}
+	at := storage.Position(snap)
+	return n.log.Append(storage.Batch{Reset: &at})
+}
+
+// scanLog reads the entries after the snapshot for memberships, and keeps those
+// after commit.
+func (n *Node) scanLog(r *raft.Restored, commit uint64) error {
+	const batchBytes = 1 << 20
+	next := r.Snapshot.Index + 1
+	for next <= r.Last {
+		entries, err := n.log.Read(next, math.MaxUint64, batchBytes)
+		if err != nil {
+			return err
+		}
+		for _, e := range entries {
+			if err := scanEntry(r, fromStored(e), commit); err != nil {
+				return err
+			}
+		}
+		next += uint64(len(entries))
+	}
+	return nil
+}
+
+func scanEntry(r *raft.Restored, e raft.Entry, commit uint64) error {
+	if e.Kind == raft.EntryConfig {
+		config, err := raft.DecodeConfig(e.Data)
+		if err != nil {
+			return fmt.Errorf("replica: decode membership at %d: %w", e.Index, err)
+		}
+		r.Configs = append(r.Configs, raft.IndexedConfig{Index: e.Index, Config: config})
+	}
+	if e.Index > commit {
+		r.Tail = append(r.Tail, e)
+	}
+	return nil
+}
+
+func fromStored(e storage.Entry) raft.Entry {
+	return raft.Entry{Index: e.Index, Term: e.Term, Kind: raft.EntryKind(e.Kind), Data: e.Data}
+}
+
+func toStored(e raft.Entry) storage.Entry {
+	return storage.Entry{Index: e.Index, Term: e.Term, Kind: uint8(e.Kind), Data: e.Data}
+}
--- /dev/null
+++ b/internal/replica/transfer.go
@@ -0,0 +1,263 @@
+package replica
+
+import (
+	"errors"
+
+	"github.com/filbertmast/filbertmast/internal/replica/raft"
+	"github.com/filbertmast/filbertmast/internal/storage"
+)
+
+const (
+	// chunkBytes is the data of one chunk of a snapshot.
+	chunkBytes = 64 << 10
+	// windowChunks may be on their way to one replica.
+	windowChunks = 16
+	// resendTicks without an acknowledgement bring the window back to what was
+	// acknowledged last.
+	resendTicks = 10
+	// maxResends without progress end the transfer.
+	maxResends = 20
+)
+
+// SnapshotChunk is a piece of a snapshot file.
+type SnapshotChunk struct {
+	From   ID     `cbor:"1,keyasint"`
+	To     ID     `cbor:"2,keyasint"`
+	Term   uint64 `cbor:"3,keyasint"` // of the leader
+	Index  uint64 `cbor:"4,keyasint"` // of the snapshot
+	Offset int64  `cbor:"5,keyasint,omitempty"`
+	Total  int64  `cbor:"6,keyasint"` // length of the file in bytes
+	Data   []byte `cbor:"7,keyasint,omitempty"`
+}
+
+type receivedChunk struct {
+	from  string
+	chunk SnapshotChunk
+}
+
+// snapshotSender sends one snapshot to one replica, within a window.
+type snapshotSender struct {
+	to      ID
+	file    *storage.SnapshotReader
+	acked   int64
+	lastAck int64 // the newest acknowledgement, also where it went back
+	next    int64
+	quiet   int // ticks without progress
+	resends int
+}
+
+func (n *Node) startSender(id ID) {
+	if n.senders[id] != nil {
+		return
+	}
+	file, ok, err := n.snaps.Newest()
+	if err != nil {
+		n.fail(err)
+		return
+	}
+	if !ok {
+		n.core.SnapshotDone(id, 0, false)
+		return
+	}
+	s := &snapshotSender{to: id, file: file}
+	n.senders[id] = s
+	n.logger.Info("sending a snapshot", "to", id, "index", file.Meta.Index, "bytes", file.RawSize())
+	n.pump(s)
+}
+
+// pump sends chunks up to the window.
+func (n *Node) pump(s *snapshotSender) {
+	total := s.file.RawSize()
+	for s.next < total && s.next < s.acked+windowChunks*chunkBytes {
+		size := min(chunkBytes, total-s.next)
+		if !n.sendChunk(s, s.next, size) {
+			return
+		}
+		s.next += size
+	}
+}
+
+// sendChunk reads and sends one chunk on the reader's goroutine.
+func (n *Node) sendChunk(s *snapshotSender, offset, size int64) bool {
+	address, ok := n.addrs.find(s.to)
+	if !ok {
+		return false
+	}
+	c := SnapshotChunk{
+		From:   n.identity.ID,
+		To:     s.to,
+		Term:   n.core.Term(),
+		Index:  s.file.Meta.Index,
+		Offset: offset,
+		Total:  s.file.RawSize(),
+	}
+	return n.reader.add(func() error {
+		c.Data = make([]byte, size)
+		if _, err := s.file.RawAt(c.Data, offset); err != nil {
+			return ignoreClosed(err)
+		}
+		n.metrics.snapshotBytes.Add(float64(size))
+		n.opts.Transport.SendSnapshot(address, c)
+		return nil
+	})
+}
+
+// receiveSnapshotAck moves the window.
+func (n *Node) receiveSnapshotAck(m Message) {
+	s := n.senders[m.From]
+	if s == nil || m.Index != s.file.Meta.Index || m.Offset > s.file.RawSize() {
+		return
+	}
+	s.lastAck = m.Offset
+	if m.Offset <= s.acked {
+		return
+	}
+	s.acked = m.Offset
+	s.next = max(s.next, s.acked)
+	s.quiet = 0
+	s.resends = 0
+	if s.acked == s.file.RawSize() {
+		n.endSender(s, true)
+		return
+	}
+	n.pump(s)
+}
+
+func (n *Node) tickSenders() {
+	for id, s := range n.senders {
+		if _, member := n.core.Config().Find(id); !member || n.core.Role() != raft.Leader {
+			n.endSender(s, false)
+			continue
+		}
+		s.quiet++
+		if s.quiet < resendTicks {
+			continue
+		}
+		s.quiet = 0
+		s.resends++
+		if s.resends > maxResends {
+			n.endSender(s, false)
+			continue
+		}
+		s.acked = s.lastAck
+		s.next = s.acked
+		n.pump(s)
+	}
+}
+
+func (n *Node) endSender(s *snapshotSender, ok bool) {
+	delete(n.senders, s.to)
+	// Reads that wait use the file; it is closed after them.
+	if !n.reader.add(func() error { return ignoreClosed(s.file.Close()) }) {
+		_ = s.file.Close()
+	}
+	n.core.SnapshotDone(s.to, s.file.Meta.Index, ok)
+}
+
+// ReceiveSnapshot takes a chunk from the replica at address from.
+func (n *Node) ReceiveSnapshot(from string, c SnapshotChunk) {
+	if !n.inbox.addChunk(from, c) {
+		n.metrics.dropped.Inc()
+	}
+}
+
+// receiveChunk hands a chunk of the current leader to the writer.
+func (n *Node) receiveChunk(r receivedChunk) {
+	c := r.chunk
+	if c.To != n.identity.ID || c.Term < n.core.Term() || c.Total <= 0 {
+		n.metrics.misaddressed.Inc()
+		return
+	}
+	n.addrs.learn(c.From, r.from)
+	if c.Index <= n.core.Commit() {
+		n.ackChunk(c, c.Total)
+		return
+	}
+	n.writer.add(job{step: func() error { return n.writer.receive(c) }})
+}
+
+func (n *Node) ackChunk(c SnapshotChunk, offset int64) {
+	n.sendAll([]Message{{
+		Kind:   raft.SnapshotAck,
+		From:   n.identity.ID,
+		To:     c.From,
+		Term:   c.Term,
+		Index:  c.Index,
+		Offset: offset,
+	}})
+}
+
+// incoming is the snapshot that is being received.
+type incoming struct {
+	index uint64
+	total int64
+	file  *storage.Receiver
+}
+
+// receive writes a chunk that comes next and acknowledges what is held. After
+// the last one the snapshot is put in place and handed to the core.
+func (w *writer) receive(c SnapshotChunk) error {
+	if w.in != nil && (w.in.index != c.Index || w.in.total != c.Total) {
+		w.in.file.Abort()
+		w.in = nil
+	}
+	if w.in == nil {
+		if c.Offset != 0 {
+			w.n.ackChunk(c, 0)
+			return nil
+		}
+		file, err := w.n.snaps.Receive(c.Index)
+		if err != nil {
+			return w.dropIncoming(err)
+		}
+		w.in = &incoming{index: c.Index, total: c.Total, file: file}
+	}
+	if c.Offset == w.in.file.Offset() {
+		if _, err := w.in.file.Write(c.Data); err != nil {
+			return w.dropIncoming(err)
+		}
+	}
+	if w.in.file.Offset() < w.in.total {
+		w.n.ackChunk(c, w.in.file.Offset())
+		return nil
+	}
+	return w.install(c)
+}
+
+func (w *writer) install(c SnapshotChunk) error {
+	meta, err := w.in.file.Commit()
+	w.in = nil
+	if err != nil {
+		return w.dropIncoming(err)
+	}
+	config, err := raft.DecodeConfig(meta.Config)
+	if err != nil {
+		return err
+	}
+	at := raft.Position{Index: meta.Index, Term: meta.Term}
+	w.n.inbox.addCall(func() {
+		w.n.core.Restore(at, config)
+		w.n.logger.Info("snapshot received", "index", at.Index)
+		w.n.ackChunk(c, c.Total)
+	})
+	return nil
+}
+
+// dropIncoming ends a transfer that failed. A full disk or damage on the way is
+// met again by the next try; anything else is fatal.
+func (w *writer) dropIncoming(err error) error {
+	if w.in != nil {
+		w.in.file.Abort()
+		w.in = nil
+	}
+	var corrupt *storage.CorruptError
+	switch {
+	case storage.IsFull(err):
+		w.n.logger.Warn("no room for a snapshot", "err", err)
+	case errors.As(err, &corrupt):
+		w.n.logger.Warn("received snapshot is damaged", "err", err)
+	default:
+		return err
+	}
+	return nil
+}
