--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -1,7 +1,7 @@
 package control
 
 import (
-	"bytes"
+	"bufio"
 	"io"
 	"maps"
 	"slices"
@@ -48,7 +48,8 @@
 }
 
 func (c *core) restore(snap *replica.Snapshot) {
-	m, err := state.ReadSnapshot(c.s.opts.State, bytes.NewReader(snap.Data))
+	defer snap.Data.Close()
+	m, err := state.ReadSnapshot(c.s.opts.State, bufio.NewReader(snap.Data))
 	if err != nil {
 		// The log verified the bytes, so this process cannot hold the state.
 		c.log.Fatal("Snapshot cannot be read.", "index", snap.Index, "err", err)
@@ -123,6 +124,10 @@
 // its commit, or with an error; an error other than OutcomeUnknown means that
 // the command will not take effect.
 func (c *core) propose(cmd *state.Command, then func(state.Result, error)) {
+	if c.lead == nil {
+		then(state.Result{}, errkind.New(errkind.NotLeader, "this process does not lead"))
+		return
+	}
 	cmd.At = c.s.now()
 	cmd.ID = c.pending.next()
 	data, err := cmd.Encode()
@@ -130,7 +135,7 @@
 		then(state.Result{}, errkind.Wrap(errkind.Internal, err, "encode command"))
 		return
 	}
-	if err := c.s.opts.Log.Propose(data); err != nil {
+	if err := c.s.opts.Log.ProposeIn(c.lead.term, data); err != nil {
 		c.s.metrics.refused(errkind.Of(err))
 		then(state.Result{}, err)
 		return
--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -113,18 +113,11 @@
 		return nil
 	}
 	caller := r.From()
-	_, _, d := l.c.machine.Config()
-	operators := 0
-	for i := range d.Keys {
-		k := &d.Keys[i]
-		if k.Digest == caller.Key && k.Team == caller.Team && (k.Operator || !caller.Operator) {
-			return nil
-		}
-		if k.Operator {
-			operators++
-		}
+	k, granted := l.c.machine.Key(caller.Key)
+	if granted && k.Team == caller.Team && (k.Operator || !caller.Operator) {
+		return nil
 	}
-	if operators == 0 && caller.Operator && l.c.s.opts.Bootstrap != "" && declare.SameDigest(caller.Key, l.c.s.opts.Bootstrap) {
+	if l.bootstrapped(caller) {
 		return nil
 	}
 	if l.c.machine.Withdrawn(caller.Key) {
@@ -132,3 +125,10 @@
 	}
 	return errkind.New(errkind.KeyUnknown, "the key is not granted")
 }
+
+// bootstrapped reports whether the call comes with the first operator's key,
+// which is in force while no operator key is granted.
+func (l *leader) bootstrapped(caller proto.Caller) bool {
+	first := l.c.s.opts.Bootstrap
+	return caller.Operator && first != "" && !l.c.machine.HasOperator() && declare.SameDigest(caller.Key, first)
+}
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -36,6 +36,8 @@
 	JournalStart *JournalStart `cbor:"23,keyasint,omitempty"`
 	JournalEnd   *JournalEnd   `cbor:"24,keyasint,omitempty"`
 	Expire       *Expire       `cbor:"25,keyasint,omitempty"`
+	Join         *Join         `cbor:"26,keyasint,omitempty"`
+	Leave        *Leave        `cbor:"27,keyasint,omitempty"`
 }
 
 // Declare replaces the whole configuration if Base is the version in force.
--- a/internal/state/config.go
+++ b/internal/state/config.go
@@ -18,6 +18,9 @@
 	Declarations model.Declarations `cbor:"3,keyasint"`
 	Applies      []applied          `cbor:"4,keyasint"` // oldest first
 	Withdrawn    []model.KeyDigest  `cbor:"5,keyasint"` // sorted
+
+	keys      map[model.KeyDigest]model.Key // index of Declarations.Keys
+	operators int                           // keys with the right of an operator
 }
 
 // applied remembers one accepted apply by its ID and content.
@@ -37,6 +40,27 @@
 	return m.config.Version, m.config.Digest, &m.config.Declarations
 }
 
+// Key returns the granted key with the digest.
+func (m *Machine) Key(d model.KeyDigest) (model.Key, bool) {
+	k, ok := m.config.keys[d]
+	return k, ok
+}
+
+// HasOperator reports whether any operator key is granted.
+func (m *Machine) HasOperator() bool { return m.config.operators > 0 }
+
+// index rebuilds what is derived from the declarations.
+func (c *config) index() {
+	c.keys = make(map[model.KeyDigest]model.Key, len(c.Declarations.Keys))
+	c.operators = 0
+	for _, k := range c.Declarations.Keys {
+		c.keys[k.Digest] = k
+		if k.Operator {
+			c.operators++
+		}
+	}
+}
+
 // Withdrawn reports whether the key was granted once and withdrawn since.
 func (m *Machine) Withdrawn(d model.KeyDigest) bool {
 	_, found := slices.BinarySearch(m.config.Withdrawn, d)
@@ -126,6 +150,7 @@
 		}
 	}
 	m.config.Declarations = d
+	m.config.index()
 	m.config.Version++
 	m.config.Digest = declare.Digest(&d)
 	m.emit(ConfigChanged{Version: m.config.Version, Declarations: &m.config.Declarations})
--- a/internal/state/journal.go
+++ b/internal/state/journal.go
@@ -14,7 +14,7 @@
 // journalEnd closes the attempt that holds the fence.
 func (m *Machine) journalEnd(c *JournalEnd) Result {
 	if c.Answer == nil {
-		m.journal.Abandon(c.Key, c.Fence, c.Ran)
+		m.journal.Abandon(c.Key, c.Fence, c.Ran, m.now)
 		return Result{}
 	}
 	if !m.journal.Finish(c.Key, c.Fence, c.Answer, m.now) {
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -86,6 +86,7 @@
 	m := New(o)
 	m.index, m.term, m.now = head.Index, head.Term, head.Now
 	m.config = head.Config
+	m.config.index()
 	m.finished = head.Finished
 	m.members = head.Members
 	m.journal.Restore(head.Journal)
