Give the worker messages of the API short CBOR keys

Heartbeats, commands and reports travel between processes as well as over HTTP; with field names as keys most of their bytes would be names.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -72,36 +72,36 @@
 
 // AnnounceAnswer is the answer to POST /v1/workers.
 type AnnounceAnswer struct {
-	Session  uint64         `json:"session"`  // goes with every later call of this announcement
-	LeaseMS  int64          `json:"lease_ms"` // counted by the worker from when it sent the call
-	Commands []Command      `json:"commands,omitempty"`
-	Entries  []EntryAddress `json:"entries,omitempty"` // to fall back on
+	Session  uint64         `json:"session" cbor:"1,keyasint"`  // goes with every later call of this announcement
+	LeaseMS  int64          `json:"lease_ms" cbor:"2,keyasint"` // counted by the worker from when it sent the call
+	Commands []Command      `json:"commands,omitempty" cbor:"3,keyasint,omitempty"`
+	Entries  []EntryAddress `json:"entries,omitempty" cbor:"4,keyasint,omitempty"` // to fall back on
 }
 
 // EntryAddress is one entry process as workers and callers may reach it.
 type EntryAddress struct {
-	Address       string `json:"address"`
-	FailureDomain string `json:"failure_domain"`
+	Address       string `json:"address" cbor:"1,keyasint"`
+	FailureDomain string `json:"failure_domain" cbor:"2,keyasint"`
 }
 
 // Heartbeat renews a worker's lease: POST /v1/workers/{id}/heartbeat.
 type Heartbeat struct {
-	Session uint64 `json:"session"`
-	Leaving bool   `json:"leaving,omitempty"` // the worker takes nothing new and ends its work
+	Session uint64 `json:"session" cbor:"1,keyasint"`
+	Leaving bool   `json:"leaving,omitempty" cbor:"2,keyasint,omitempty"` // the worker takes nothing new and ends its work
 	// Usage is the observed use of tasks since the last heartbeat.
-	Usage []TaskUsage `json:"usage,omitempty"`
+	Usage []TaskUsage `json:"usage,omitempty" cbor:"3,keyasint,omitempty"`
 }
 
 // TaskUsage is the observed use of one running task, with a lag.
 type TaskUsage struct {
-	Task  model.TaskID    `json:"task"`
-	Fence model.Fence     `json:"fence"`
-	Used  model.Resources `json:"used"`
+	Task  model.TaskID    `json:"task" cbor:"1,keyasint"`
+	Fence model.Fence     `json:"fence" cbor:"2,keyasint"`
+	Used  model.Resources `json:"used" cbor:"3,keyasint"`
 }
 
 // HeartbeatAnswer carries the renewed lease.
 type HeartbeatAnswer struct {
-	LeaseMS int64 `json:"lease_ms"`
+	LeaseMS int64 `json:"lease_ms" cbor:"1,keyasint"`
 }
 
 // CommandOp says what a worker is told to do.
@@ -118,19 +118,19 @@
 // Command is one order to a worker. A worker drops a command whose fence is
 // older than one that it has seen for the task; a repeated command is idempotent.
 type Command struct {
-	Op      CommandOp       `json:"op"`
-	Task    model.TaskID    `json:"task"`
-	Fence   model.Fence     `json:"fence"`
-	Size    model.Resources `json:"size,omitzero"`
-	Service string          `json:"service,omitempty"`
-	Payload string          `json:"payload,omitempty"`
-	Reason  string          `json:"reason,omitempty"`
+	Op      CommandOp       `json:"op" cbor:"1,keyasint"`
+	Task    model.TaskID    `json:"task" cbor:"2,keyasint"`
+	Fence   model.Fence     `json:"fence" cbor:"3,keyasint"`
+	Size    model.Resources `json:"size,omitzero" cbor:"4,keyasint,omitempty"`
+	Service string          `json:"service,omitempty" cbor:"5,keyasint,omitempty"`
+	Payload string          `json:"payload,omitempty" cbor:"6,keyasint,omitempty"`
+	Reason  string          `json:"reason,omitempty" cbor:"7,keyasint,omitempty"`
 }
 
 // Commands is the answer to GET /v1/workers/{id}/commands?session=N&wait=10s.
 // Commands are told again until a report confirms them.
 type Commands struct {
-	Commands []Command `json:"commands"`
+	Commands []Command `json:"commands" cbor:"1,keyasint"`
 }
 
 // ReportState is what became of a task.
@@ -146,20 +146,20 @@
 
 // Report tells what became of one task. Doubled reports are harmless.
 type Report struct {
-	Task   model.TaskID    `json:"task"`
-	Fence  model.Fence     `json:"fence"`
-	State  ReportState     `json:"state"`
-	Reason string          `json:"reason,omitempty"`
-	Used   model.Resources `json:"used,omitzero"` // peak use
-	RanMS  int64           `json:"ran_ms,omitempty"`
+	Task   model.TaskID    `json:"task" cbor:"1,keyasint"`
+	Fence  model.Fence     `json:"fence" cbor:"2,keyasint"`
+	State  ReportState     `json:"state" cbor:"3,keyasint"`
+	Reason string          `json:"reason,omitempty" cbor:"4,keyasint,omitempty"`
+	Used   model.Resources `json:"used,omitzero" cbor:"5,keyasint,omitempty"` // peak use
+	RanMS  int64           `json:"ran_ms,omitempty" cbor:"6,keyasint,omitempty"`
 	// Executor is set with ReportStarted of a service's task that serves requests.
-	Executor *model.ExecutorSpec `json:"executor,omitempty"`
+	Executor *model.ExecutorSpec `json:"executor,omitempty" cbor:"7,keyasint,omitempty"`
 }
 
 // Reports is the body of POST /v1/workers/{id}/reports.
 type Reports struct {
-	Session uint64   `json:"session"`
-	Reports []Report `json:"reports"`
+	Session uint64   `json:"session" cbor:"1,keyasint"`
+	Reports []Report `json:"reports" cbor:"2,keyasint"`
 }
 
 // Apply is the body of PUT /v1/declarations.
