--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -10,6 +10,7 @@
 
 	"github.com/filbertmast/filbertmast/internal/errkind"
 	"github.com/filbertmast/filbertmast/internal/replica"
+	"github.com/filbertmast/filbertmast/internal/replica/raft"
 	"github.com/filbertmast/filbertmast/internal/state"
 )
 
@@ -77,7 +78,7 @@
 // entry of earlier terms has been applied here.
 func (c *core) leadership(l replica.Leadership) {
 	c.role = l
-	leads := l.Role == replica.Leader && l.Ready
+	leads := l.Role == raft.Leader && l.Ready
 	if c.lead != nil && (!leads || c.lead.term != l.Term) {
 		c.stepDown("leadership has moved")
 	}
--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -8,6 +8,7 @@
 	"github.com/filbertmast/filbertmast/internal/errkind"
 	"github.com/filbertmast/filbertmast/internal/proto"
 	"github.com/filbertmast/filbertmast/internal/replica"
+	"github.com/filbertmast/filbertmast/internal/replica/raft"
 	"github.com/filbertmast/filbertmast/internal/wire"
 )
 
@@ -64,7 +65,7 @@
 func (s *Server) probe(context.Context, wire.Peer, *proto.Empty) (*proto.Probe, error) {
 	st := s.opts.Log.Status()
 	p := &proto.Probe{Term: st.Term, Leader: st.LeaderAddress}
-	p.Ready = st.Role == replica.Leader && s.opts.Log.LeaseValid()
+	p.Ready = st.Role == raft.Leader && s.opts.Log.LeaseValid()
 	for _, m := range st.Members {
 		p.Peers = append(p.Peers, m.Address)
 	}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,238 @@
+// Package server joins the parts of one process: it opens the inner endpoint,
+// starts the roles that the settings name, serves HTTP and shuts down in order.
+package server
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/net/netutil"
+
+	"github.com/filbertmast/filbertmast/internal/certs"
+	"github.com/filbertmast/filbertmast/internal/control"
+	"github.com/filbertmast/filbertmast/internal/entry"
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/journal"
+	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/obs"
+	"github.com/filbertmast/filbertmast/internal/replica"
+	"github.com/filbertmast/filbertmast/internal/settings"
+	"github.com/filbertmast/filbertmast/internal/state"
+	"github.com/filbertmast/filbertmast/internal/wire"
+)
+
+// Options are what Run takes beside the settings.
+type Options struct {
+	TLS *tls.Config // of the inner endpoint; nil: from the settings
+	Log io.Writer   // nil: standard error
+}
+
+// Process is one running process.
+type Process struct {
+	set      *settings.Settings
+	log      *log.Logger
+	registry *prometheus.Registry
+	endpoint *wire.Endpoint
+	node     *replica.Node
+	control  *control.Server
+	entry    *entry.Server
+	http     *http.Server
+	outer    net.Listener
+	failed   chan error
+	running  sync.WaitGroup
+	stop     context.CancelFunc
+}
+
+// Run starts the process of the settings and serves until ctx ends or the
+// process is told to terminate; then it shuts down gracefully.
+func Run(ctx context.Context, set *settings.Settings) error {
+	ctx, cancel := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	p, err := Start(set, Options{})
+	if err != nil {
+		return err
+	}
+	return p.Wait(ctx)
+}
+
+// Start opens the endpoint and the data folder and begins to serve.
+func Start(set *settings.Settings, o Options) (*Process, error) {
+	if o.Log == nil {
+		o.Log = os.Stderr
+	}
+	p := &Process{
+		set:      set,
+		log:      obs.NewLogger(o.Log, set.Log.Level, set.Log.Format),
+		registry: obs.NewRegistry(),
+		failed:   make(chan error, 4),
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	p.stop = stop
+	steps := []func(context.Context, Options) error{p.openEndpoint, p.startControl, p.startEntry, p.startHTTP}
+	for _, step := range steps {
+		if err := step(ctx, o); err != nil {
+			p.close()
+			return nil, err
+		}
+	}
+	p.log.WithPrefix(obs.PrefixServer).Info("Process started.", "name", set.Name, "inner", set.Inner.Address, "outer", set.Outer.Address)
+	return p, nil
+}
+
+func (p *Process) openEndpoint(_ context.Context, o Options) error {
+	conf := o.TLS
+	if conf == nil {
+		var err error
+		conf, err = certs.LoadTLS(p.set.Inner.Certificate, p.set.Inner.Key, p.set.Inner.CA)
+		if err != nil {
+			return err
+		}
+	}
+	e, err := wire.Listen(wire.Options{
+		Address:       p.set.Inner.Address,
+		Name:          p.set.Name,
+		Region:        p.set.Region,
+		FailureDomain: p.set.FailureDomain,
+		TLS:           conf,
+		Logger:        p.log,
+		Registerer:    p.registry,
+	})
+	p.endpoint = e
+	return err
+}
+
+func (p *Process) startControl(ctx context.Context, _ Options) error {
+	if !p.set.Has(settings.RoleControl) {
+		return nil
+	}
+	founders := make([]replica.Founder, len(p.set.Control.Founders))
+	for i, a := range p.set.Control.Founders {
+		founders[i] = replica.Founder{Address: a}
+	}
+	node, err := replica.Start(replica.Options{
+		Dir:        p.set.Data.Dir,
+		Address:    p.set.Inner.Address,
+		Founders:   founders,
+		Join:       p.set.Control.Join,
+		Transport:  replicaTransport{p.endpoint},
+		Logger:     p.log,
+		Registerer: p.registry,
+		Seed:       uint64(time.Now().UnixNano()),
+	})
+	if err != nil {
+		return err
+	}
+	p.node = node
+	receiveReplica(p.endpoint, node)
+	p.control = control.NewServer(control.Options{
+		Log:             node,
+		Endpoint:        p.endpoint,
+		State:           stateOptions(p.set),
+		Logger:          p.log,
+		Registerer:      p.registry,
+		Bootstrap:       model.KeyDigest(p.set.Bootstrap.OperatorKeyDigest),
+		SnapshotEntries: uint64(p.set.Data.SnapshotEntries),
+		Times:           controlTimes(p.set),
+		Seed:            1,
+	})
+	p.spawn(func() { p.control.Run(ctx) })
+	p.spawn(func() {
+		select {
+		case err := <-node.Fatal():
+			p.failed <- err
+		case <-ctx.Done():
+		}
+	})
+	return nil
+}
+
+func stateOptions(set *settings.Settings) state.Options {
+	return state.Options{Journal: journal.Options{
+		Keep:       set.Limits.JournalKeep.Std(),
+		KeepBytes:  int(set.Limits.AnswerBytes),
+		MaxBytes:   int(set.Limits.JournalBytes),
+		MaxRecords: maxJournalRecords,
+	}}
+}
+
+// maxJournalRecords bounds the requests in the journal of one cell.
+const maxJournalRecords = 1_000_000
+
+func controlTimes(set *settings.Settings) control.Times {
+	t := control.DefaultTimes()
+	t.WorkerLease = set.Limits.WorkerLease.Std()
+	t.RequestLease = set.Limits.RequestLease.Std()
+	t.LongestHold = entry.LongestDeadline
+	return t
+}
+
+func (p *Process) startEntry(ctx context.Context, _ Options) error {
+	if !p.set.Has(settings.RoleEntry) {
+		return nil
+	}
+	p.entry = entry.NewServer(entry.Options{
+		Settings:   p.set,
+		Endpoint:   p.endpoint,
+		Logger:     p.log,
+		Registerer: p.registry,
+		Gatherer:   p.registry,
+	})
+	p.spawn(func() { p.entry.Run(ctx) })
+	return nil
+}
+
+func (p *Process) startHTTP(context.Context, Options) error {
+	o := &p.set.Outer
+	if o.Address == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", o.Address)
+	if err != nil {
+		return errkind.Wrap(errkind.Internal, err, "outer address")
+	}
+	p.outer = listener
+	limited := netutil.LimitListener(listener, o.MaxConnections)
+	p.http = &http.Server{
+		Handler:           p.handler(),
+		ReadHeaderTimeout: o.ReadHeaderTimeout.Std(),
+		ReadTimeout:       o.ReadTimeout.Std(),
+		WriteTimeout:      o.WriteTimeout.Std(),
+		IdleTimeout:       o.IdleTimeout.Std(),
+		MaxHeaderBytes:    o.MaxHeaderBytes,
+		ErrorLog:          p.log.WithPrefix(obs.PrefixServer).StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+	}
+	serve := func() error { return p.http.Serve(limited) }
+	if o.TLS() {
+		conf, err := certs.LoadServerTLS(o.Certificate, o.Key)
+		if err != nil {
+			return err
+		}
+		p.http.TLSConfig = conf
+		serve = func() error { return p.http.ServeTLS(limited, "", "") }
+	}
+	p.spawn(func() {
+		if err := serve(); !errors.Is(err, http.ErrServerClosed) {
+			p.failed <- err
+		}
+	})
+	return nil
+}
+
+func (p *Process) spawn(fn func()) {
+	p.running.Add(1)
+	go func() {
+		defer p.running.Done()
+		fn()
+	}()
+}
--- /dev/null
+++ b/internal/server/transport.go
@@ -0,0 +1,52 @@
+package server
+
+import (
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/filbertmast/filbertmast/internal/replica"
+	"github.com/filbertmast/filbertmast/internal/wire"
+)
+
+// replicaMessages is a batch of messages between replicas.
+type replicaMessages struct {
+	Messages []replica.Message `cbor:"1,keyasint"`
+}
+
+// replicaTransport carries the messages of replicas over the inner endpoint.
+type replicaTransport struct{ endpoint *wire.Endpoint }
+
+// Send implements replica.Transport. A message that does not fit is dropped
+// and counted by the endpoint; the replica sends again.
+func (t replicaTransport) Send(to string, msgs []replica.Message) {
+	_ = wire.Post(t.endpoint, to, wire.KindReplica, &replicaMessages{Messages: msgs})
+}
+
+// SendSnapshot implements replica.Transport.
+func (t replicaTransport) SendSnapshot(to string, chunk replica.SnapshotChunk) {
+	_ = wire.Post(t.endpoint, to, wire.KindSnapshot, &chunk)
+}
+
+func receiveReplica(e *wire.Endpoint, node *replica.Node) {
+	wire.HandlePost(e, wire.KindReplica, func(from wire.Peer, m *replicaMessages) {
+		node.Receive(from.Address, m.Messages)
+	})
+	wire.HandlePost(e, wire.KindSnapshot, func(from wire.Peer, c *replica.SnapshotChunk) {
+		node.ReceiveSnapshot(from.Address, *c)
+	})
+}
+
+// handler is the HTTP interface: that of the entry, or for a process without
+// one only health and metrics.
+func (p *Process) handler() http.Handler {
+	if p.entry != nil {
+		return p.entry.Handler()
+	}
+	e := echo.New()
+	e.HideBanner = true
+	e.GET("/healthz", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
+	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{})))
+	return e
+}
--- /dev/null
+++ b/internal/state/machine_test.go
@@ -0,0 +1,352 @@
+package state
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/journal"
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		if err := flag.Set("rapid.seed", "1"); err != nil {
+			panic(err)
+		}
+	}
+	fmt.Println("rapid seed:", flag.Lookup("rapid.seed").Value)
+	os.Exit(m.Run())
+}
+
+func testOptions() Options {
+	return Options{
+		KeepFinished: model.Duration(time.Minute),
+		Journal:      journal.Options{Keep: time.Minute, KeepBytes: 1024, MaxRecords: 100},
+	}
+}
+
+// script applies commands under rising indexes.
+type script struct {
+	m     *Machine
+	index uint64
+	at    model.Time
+}
+
+func newScript() *script { return &script{m: New(testOptions()), at: 1000} }
+
+func (s *script) apply(c *Command) Result {
+	r, _ := s.applyEvents(c)
+	return r
+}
+
+func (s *script) applyEvents(c *Command) (Result, []Event) {
+	s.index++
+	s.at += 10
+	c.At = s.at
+	return s.m.Apply(s.index, 1, c)
+}
+
+func testDeclarations() model.Declarations {
+	return model.Declarations{
+		Teams: []model.Team{
+			{Name: "guards", Share: 1, MaxRunning: 4},
+			{Name: "stands", Share: 2, MaxRunning: 100, MaxResources: model.Resources{CPU: 20_000}},
+		},
+		Queues: []model.Queue{
+			{Name: "chairs", Workspace: "rota", Team: "guards"},
+			{Name: "rows", Workspace: "plans", Team: "stands", Open: true},
+		},
+		Prices: []model.PricePoint{{Patience: 0, MicroUnits: 100}, {Patience: model.Duration(time.Hour), MicroUnits: 10}},
+	}
+}
+
+func started(t *testing.T) *script {
+	t.Helper()
+	s := newScript()
+	r := s.apply(&Command{Declare: &Declare{ApplyID: "first", Declarations: testDeclarations()}})
+	assert.NilError(t, r.Err)
+	s.apply(announceOf("w1", 8000))
+	s.apply(announceOf("w2", 8000))
+	return s
+}
+
+func announceOf(id model.WorkerID, cpu int64) *Command {
+	return &Command{Announce: &Announce{Spec: model.WorkerSpec{
+		ID: id, Capacity: model.Resources{CPU: cpu, Memory: 1 << 14}, Region: "south", FailureDomain: "selfoss"}}}
+}
+
+func submitOf(team, queue string, policy model.Policy, tasks int32, cpu int64) *Command {
+	return &Command{Submit: &Submit{Spec: model.JobSpec{
+		Name: "job", Team: team, Queue: queue, Policy: policy, Tasks: tasks, Size: model.Resources{CPU: cpu}}}}
+}
+
+func placeOf(job model.JobID, index int32, worker model.WorkerID, cpu int64) Placement {
+	return Placement{Task: model.TaskID{Job: job, Index: index}, Worker: worker, Size: model.Resources{CPU: cpu}}
+}
+
+func TestPlaceIsCheckedAgainstTheNewestState(t *testing.T) {
+	tests := []struct {
+		name   string
+		policy model.Policy
+		team   string
+		tasks  int32
+		place  []Placement
+		want   int
+	}{
+		{"a placement with room starts", model.PolicyBatch, "guards", 1, []Placement{placeOf(0, 0, "w1", 8000)}, 1},
+		{"a second one without room is refused", model.PolicyBatch, "guards", 2,
+			[]Placement{placeOf(0, 0, "w1", 8000), placeOf(0, 1, "w1", 1000)}, 1},
+		{"the same task is not placed twice", model.PolicyBatch, "guards", 1,
+			[]Placement{placeOf(0, 0, "w1", 1000), placeOf(0, 0, "w2", 1000)}, 1},
+		{"an unknown worker is refused", model.PolicyBatch, "guards", 1, []Placement{placeOf(0, 0, "w9", 1000)}, 0},
+		{"less than the declared size is refused", model.PolicyBatch, "guards", 1, []Placement{placeOf(0, 0, "w1", 999)}, 0},
+		{"a gang without room for all starts none", model.PolicyGang, "guards", 2,
+			[]Placement{placeOf(0, 0, "w1", 5000), placeOf(0, 1, "w1", 5000)}, 0},
+		{"a gang in part starts none", model.PolicyGang, "guards", 2, []Placement{placeOf(0, 0, "w1", 1000)}, 0},
+		{"the upper limit of tasks holds", model.PolicyBatch, "guards", 5, []Placement{
+			placeOf(0, 0, "w1", 1000), placeOf(0, 1, "w1", 1000), placeOf(0, 2, "w1", 1000),
+			placeOf(0, 3, "w1", 1000), placeOf(0, 4, "w1", 1000)}, 4},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := started(t)
+			queue := map[string]string{"guards": "chairs", "stands": "rows"}[tt.team]
+			id := s.apply(submitOf(tt.team, queue, tt.policy, tt.tasks, 1000)).Job
+			for i := range tt.place {
+				tt.place[i].Task.Job = id
+			}
+			r := s.apply(&Command{Place: &Place{Placements: tt.place}})
+			assert.Equal(t, r.Count, tt.want)
+			checkInvariants(t, s.m)
+		})
+	}
+}
+
+func TestAnApplyIsComparedAndIdempotent(t *testing.T) {
+	s := started(t)
+	d := testDeclarations()
+	d.Teams[0].MaxRunning = 7
+	first := s.apply(&Command{Declare: &Declare{Base: 1, ApplyID: "a", Declarations: d}})
+	assert.Equal(t, first.Version, uint64(2))
+	resent := s.apply(&Command{Declare: &Declare{Base: 1, ApplyID: "a", Declarations: d}})
+	assert.Assert(t, resent.Existing)
+	assert.Equal(t, resent.Version, first.Version)
+	rival := s.apply(&Command{Declare: &Declare{Base: 1, ApplyID: "b", Declarations: testDeclarations()}})
+	assert.Equal(t, errkind.Of(rival.Err), errkind.VersionConflict)
+	assert.ErrorContains(t, rival.Err, "version 2 is in force")
+	other := s.apply(&Command{Declare: &Declare{Base: 2, ApplyID: "a", Declarations: testDeclarations()}})
+	assert.Equal(t, errkind.Of(other.Err), errkind.IdempotencyConflict)
+}
+
+func TestAWithdrawnKeyNeverReturns(t *testing.T) {
+	s := started(t)
+	key := model.Key{Digest: model.KeyDigest(fmt.Sprintf("%064x", 1)), Team: "guards"}
+	assert.NilError(t, s.apply(&Command{GrantKey: &GrantKey{Key: key}}).Err)
+	_, granted := s.m.Key(key.Digest)
+	assert.Assert(t, granted)
+	assert.NilError(t, s.apply(&Command{WithdrawKey: &WithdrawKey{Digest: key.Digest}}).Err)
+	_, granted = s.m.Key(key.Digest)
+	assert.Assert(t, !granted)
+	assert.Equal(t, errkind.Of(s.apply(&Command{GrantKey: &GrantKey{Key: key}}).Err), errkind.KeyWithdrawn)
+	d := testDeclarations()
+	d.Keys = []model.Key{key}
+	r := s.apply(&Command{Declare: &Declare{Base: 3, ApplyID: "old set", Declarations: d}})
+	assert.Equal(t, errkind.Of(r.Err), errkind.KeyWithdrawn)
+}
+
+func TestAResentSubmissionFindsItsJob(t *testing.T) {
+	s := started(t)
+	c := submitOf("guards", "chairs", model.PolicyBatch, 1, 1000)
+	c.Submit.IdempotencyKey = "k"
+	first := s.apply(c)
+	again := s.apply(c)
+	assert.Equal(t, again.Job, first.Job)
+	assert.Assert(t, again.Existing)
+	other := submitOf("guards", "chairs", model.PolicyBatch, 2, 1000)
+	other.Submit.IdempotencyKey = "k"
+	other.Submit.Digest[0] = 1
+	assert.Equal(t, errkind.Of(s.apply(other).Err), errkind.IdempotencyConflict)
+	assert.Equal(t, s.m.JobCount(), 1)
+}
+
+func TestAReportCountsOnceAndOnlyUnderItsFence(t *testing.T) {
+	s := started(t)
+	id := s.apply(submitOf("guards", "chairs", model.PolicyBatch, 1, 1000)).Job
+	fence := s.apply(&Command{Place: &Place{Placements: []Placement{placeOf(id, 0, "w1", 1000)}}}).Fence
+	session := s.m.Worker("w1").Session
+	report := func(state api.ReportState, fence model.Fence, session uint64) int {
+		return s.apply(&Command{Report: &Report{Reports: []WorkerReport{{Worker: "w1", Session: session,
+			Reports: []api.Report{{Task: model.TaskID{Job: id}, Fence: fence, State: state}}}}}}).Count
+	}
+	assert.Equal(t, report(api.ReportSucceeded, model.Fence{Term: 1, Index: 1}, session), 0, "older fence")
+	assert.Equal(t, report(api.ReportSucceeded, fence, session+1), 0, "other session")
+	assert.Equal(t, report(api.ReportStarted, fence, session), 1)
+	assert.Equal(t, report(api.ReportStarted, fence, session), 0, "doubled")
+	assert.Equal(t, report(api.ReportSucceeded, fence, session), 1)
+	assert.Equal(t, report(api.ReportFailed, fence, session), 0, "late")
+	assert.Equal(t, s.m.Job(id).Phase(), "succeeded")
+}
+
+func TestATaskThatIsNotRepeatableIsNotPlacedAgainAfterALoss(t *testing.T) {
+	s := started(t)
+	c := submitOf("guards", "chairs", model.PolicyBatch, 1, 1000)
+	c.Submit.Spec.NotRepeatable = true
+	id := s.apply(c).Job
+	s.apply(&Command{Place: &Place{Placements: []Placement{placeOf(id, 0, "w1", 1000)}}})
+	s.apply(&Command{LoseWorkers: &LoseWorkers{Workers: []LostWorker{{ID: "w1", Session: s.m.Worker("w1").Session}}}})
+	assert.Equal(t, s.m.Job(id).Phase(), "failed")
+	assert.Assert(t, s.m.Worker("w1").Reserved.IsZero())
+}
+
+// checkInvariants recomputes every sum that the machine keeps.
+func checkInvariants(t assert.TestingT, m *Machine) {
+	held := make(map[string]int64)
+	reserved := make(map[string]model.Resources)
+	charged := make(map[string]int64)
+	for _, w := range m.Workers() {
+		sum := model.Resources{}
+		for _, id := range w.Held {
+			task := &m.Job(id.Job).Tasks[id.Index]
+			assert.Assert(t, task.Phase.Holds(), "%s is listed on %s", id, w.Spec.ID)
+			assert.Equal(t, m.TaskWorker(task), w.Spec.ID)
+			sum = sum.Add(task.Size)
+		}
+		assert.Equal(t, sum, w.Reserved, "worker %s", w.Spec.ID)
+		assert.Assert(t, w.Reserved.Fits(w.Spec.Capacity), "worker %s is overcommitted", w.Spec.ID)
+	}
+	for _, id := range m.JobIDs() {
+		j := m.Job(id)
+		phases := [model.TaskCancelled + 1]int32{}
+		for i := range j.Tasks {
+			phases[j.Tasks[i].Phase]++
+			if j.Tasks[i].Phase.Holds() {
+				held[j.Team]++
+				reserved[j.Team] = reserved[j.Team].Add(j.Tasks[i].Size)
+			}
+		}
+		assert.Equal(t, phases, j.counts)
+		charged[j.Team] += j.Charged - j.Refunded
+		if j.Spec.Policy == model.PolicyGang && j.Count(model.TaskStarting) > 0 {
+			assert.Equal(t, phases[model.TaskPending], int32(0), "gang %s started in part", id)
+		}
+	}
+	for _, team := range []string{"guards", "stands"} {
+		n, sum := m.TeamHeld(team)
+		assert.Equal(t, n, held[team])
+		assert.Equal(t, sum, reserved[team])
+		assert.Assert(t, n <= m.Team(team).MaxRunning, "team %s is over its limit", team)
+		account := m.Account(team)
+		assert.Equal(t, account.Charged-account.Refunded, charged[team], "team %s", team)
+	}
+}
+
+// drawCommand makes a command that may or may not be valid for the state.
+func drawCommand(t *rapid.T, m *Machine) *Command {
+	worker := rapid.SampledFrom([]model.WorkerID{"w1", "w2", "w3"}).Draw(t, "worker")
+	session := uint64(0)
+	if w := m.Worker(worker); w != nil {
+		session = w.Session
+	}
+	task := model.TaskID{}
+	if ids := m.JobIDs(); len(ids) > 0 {
+		task.Job = rapid.SampledFrom(ids).Draw(t, "job")
+		task.Index = rapid.Int32Range(0, int32(len(m.Job(task.Job).Tasks))-1).Draw(t, "task")
+	}
+	switch rapid.IntRange(0, 8).Draw(t, "command") {
+	case 0:
+		team := rapid.SampledFrom([]string{"guards", "stands"}).Draw(t, "team")
+		policy := rapid.SampledFrom([]model.Policy{model.PolicyBatch, model.PolicyGang, model.PolicyService}).Draw(t, "policy")
+		c := submitOf(team, "rows", policy, rapid.Int32Range(1, 4).Draw(t, "tasks"), rapid.Int64Range(1, 4000).Draw(t, "cpu"))
+		c.Submit.Spec.NotRepeatable = rapid.Bool().Draw(t, "not repeatable")
+		c.Submit.Spec.MaxRestarts = 1
+		return c
+	case 1:
+		return announceOf(worker, 8000)
+	case 2:
+		return &Command{LoseWorkers: &LoseWorkers{Workers: []LostWorker{{ID: worker, Session: session}}}}
+	case 3:
+		return &Command{Cancel: &Cancel{Jobs: []model.JobID{task.Job}}}
+	case 4:
+		cause := rapid.SampledFrom([]StopCause{StopPreempted, StopDrained, StopFailed}).Draw(t, "cause")
+		return &Command{Stop: &Stop{Tasks: []TaskStop{{Task: task, Cause: cause}}}}
+	case 5:
+		return &Command{Refund: &Refund{Jobs: []model.JobID{task.Job}}}
+	case 6, 7:
+		return drawReport(t, m, task)
+	}
+	j := m.Job(task.Job)
+	if j == nil {
+		return &Command{Expire: &Expire{}}
+	}
+	place := &Place{}
+	for i := range j.Tasks {
+		place.Placements = append(place.Placements, placeOf(j.ID, int32(i), worker, j.Spec.Size.CPU))
+	}
+	return &Command{Place: place}
+}
+
+func drawReport(t *rapid.T, m *Machine, task model.TaskID) *Command {
+	j := m.Job(task.Job)
+	if j == nil || j.Tasks[task.Index].Worker == noWorker {
+		return &Command{Expire: &Expire{}}
+	}
+	worker := m.TaskWorker(&j.Tasks[task.Index])
+	state := rapid.SampledFrom([]api.ReportState{
+		api.ReportStarted, api.ReportSucceeded, api.ReportFailed, api.ReportStopped}).Draw(t, "state")
+	return &Command{Report: &Report{Reports: []WorkerReport{{Worker: worker, Session: m.Worker(worker).Session,
+		Reports: []api.Report{{Task: task, Fence: j.Tasks[task.Index].Fence, State: state}}}}}}
+}
+
+// TestAnyLogKeepsTheSumsAndGivesTheSameBytes drives two machines with the same
+// log, one of them through a snapshot at every step.
+func TestAnyLogKeepsTheSumsAndGivesTheSameBytes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := newScript(), newScript()
+		first := &Command{Declare: &Declare{ApplyID: "first", Declarations: testDeclarations()}}
+		a.apply(first)
+		b.apply(first)
+		for range rapid.IntRange(1, 40).Draw(t, "length") {
+			c := drawCommand(t, a.m)
+			data, err := c.Encode()
+			assert.NilError(t, err)
+			decoded, err := Decode(data)
+			assert.NilError(t, err)
+			a.apply(c)
+			b.apply(decoded)
+			checkInvariants(t, a.m)
+			b.m = throughSnapshot(t, a.m, b.m)
+		}
+	})
+}
+
+// throughSnapshot returns b restored from its snapshot, which must equal that of a.
+func throughSnapshot(t *rapid.T, a, b *Machine) *Machine {
+	var want, got bytes.Buffer
+	assert.NilError(t, a.WriteSnapshot(&want))
+	assert.NilError(t, b.WriteSnapshot(&got))
+	assert.Assert(t, bytes.Equal(want.Bytes(), got.Bytes()), "snapshots differ at index %d", a.Index())
+	restored, err := ReadSnapshot(testOptions(), &got)
+	assert.NilError(t, err)
+	return restored
+}
+
+func FuzzDecodeNeverPanics(f *testing.F) {
+	data, err := announceOf("w1", 1).Encode()
+	assert.NilError(f, err)
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		if c, err := Decode(data); err == nil {
+			New(testOptions()).Apply(1, 1, c)
+		}
+	})
+}
