Reserve, preempt, drain, learn and judge in the scheduler

Cause: a full cell needs its shares taken back, gangs need room that small work would use up, drained workers must be emptied without taking services down, and bad workers and bad jobs must not burn the restarts of others. Ruled out: reservations worked out anew for each plan, since the chosen workers then wander and a gang may never get them; victims by lowest price, since price follows patience but not what a stop costs. Change: holds keep workers clear for a job that has used half of its patience, backfill there only by learned run times; preemption of the most patient restartable work for teams within their share; rolling drains; probation with one probe; blame; throttle, then stop; misfits, refunds and failures told once; Why. The first try at preemption claimed each worker once and so passed over patient work next to it; a claim now grows.

--- a/internal/schedule/apply.go
+++ b/internal/schedule/apply.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"container/heap"
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/model"
@@ -50,6 +51,7 @@
 		maxRestarts: e.Spec.MaxRestarts,
 	}
 	s.jobs[e.ID] = j
+	heap.Push(&s.deadlines, j)
 	g.members++
 	g.add(j)
 	s.addReady(j, e.Spec.Tasks)
@@ -62,14 +64,19 @@
 		if j == nil || j.cancelled {
 			continue
 		}
-		j.cancelled = true
-		s.addReady(j, -j.ready)
-		s.waitingTasks -= int64(j.waiting)
-		j.waiting = 0
-		s.forgetIfOver(j)
+		s.close(j)
 	}
 }
 
+// close drops all that is pending of a job.
+func (s *Scheduler) close(j *job) {
+	j.cancelled = true
+	s.addReady(j, -j.ready)
+	s.waitingTasks -= int64(j.waiting)
+	j.waiting = 0
+	s.forgetIfOver(j)
+}
+
 func (s *Scheduler) taskPlaced(e TaskPlaced) {
 	j, t := s.find(e.Task)
 	w, known := s.workerByID[e.Worker]
@@ -77,6 +84,7 @@
 		return
 	}
 	s.reserve(j, e.Task.Index, w, e.Size, e.At)
+	s.useClaim(j, w)
 	j.started = true
 }
 
@@ -109,20 +117,27 @@
 		}
 		return
 	}
-	s.learnEnd(j, t, &e)
+	s.judge(j, e.Task.Index, &e)
+	s.learnEnd(j, &e)
+	onProbation := s.workers[t.worker].onProbation()
 	s.release(j, e.Task.Index)
 	if e.Final || j.cancelled {
 		s.finish(j, e.Task.Index)
 		return
 	}
-	s.restart(j, e.Task.Index, e.Outcome, e.At)
+	s.restart(j, e.Task.Index, &e, onProbation)
 }
 
-// learnEnd takes what an ended attempt tells about its class, worker and job.
-func (s *Scheduler) learnEnd(j *job, t *task, e *TaskEnded) {
-}
-
-func (s *Scheduler) taskUsed(e TaskUsed) {
+// learnEnd takes in what an ended attempt used and how long it ran. Attempts
+// that were cut short tell nothing.
+func (s *Scheduler) learnEnd(j *job, e *TaskEnded) {
+	if e.Outcome != Succeeded {
+		return
+	}
+	s.learned.ObserveSize(j.group.class, e.Used)
+	if j.group.policy != service {
+		s.learned.ObserveRun(j.group.class, e.RanFor)
+	}
 }
 
 // finish marks a task that does not hold as done.
@@ -141,24 +156,39 @@
 	s.forgetIfOver(j)
 }
 
-// restart makes a released task pending again, after a backoff if the task or
-// the worker was at fault.
-func (s *Scheduler) restart(j *job, index int32, outcome Outcome, at model.Time) {
-	t := &j.tasks[index]
-	if outcome == Failed && t.restarts < maxRestartCount {
-		t.restarts++
-	}
-	if outcome != Failed && outcome != NotStarted {
+// restart keeps a released task back when the task or the worker was at fault:
+// for a backoff, or for good once its restart budget is used up. A failure on a
+// worker on probation does not count.
+func (s *Scheduler) restart(j *job, index int32, e *TaskEnded, onProbation bool) {
+	if e.Outcome != Failed && e.Outcome != NotStarted {
 		return
 	}
+	t := &j.tasks[index]
 	s.addReady(j, -1)
 	t.state = taskWaiting
+	t.since = 0
 	j.waiting++
 	s.waitingTasks++
-	t.since = at.Add(s.backoff(j, index))
+	if e.Outcome == Failed && !onProbation {
+		if j.budgetUsed(t) {
+			s.tells.fails = append(s.tells.fails, Failure{Job: j.id, Task: index, Reason: ReasonRestartBudget})
+			return
+		}
+		t.restarts++
+	}
+	t.since = e.At.Add(s.backoff(j, index))
 	s.timers.push(timer{at: t.since, job: j, index: index})
 }
 
+// budgetUsed reports whether t may not be started again after a failure. A
+// service without a declared budget is restarted for ever.
+func (j *job) budgetUsed(t *task) bool {
+	if j.group.policy == service && j.maxRestarts == 0 {
+		return false
+	}
+	return int32(t.restarts) >= min(j.maxRestarts, maxRestartCount)
+}
+
 // maxRestartCount is the largest number of failures that a task counts.
 const maxRestartCount = 1<<16 - 1
 
@@ -197,22 +227,38 @@
 	w.tasks = append(w.tasks, taskRef{j, index})
 	s.setFree(slot, w.free.Sub(size))
 	s.reserved = s.reserved.Add(size)
+	if j.held == 1 && j.group.repeatable {
+		tm.victims.ReplaceOrInsert(j)
+	}
+	if w.onProbation() && w.health.probe.job == nil {
+		w.health.probe = taskRef{j, index}
+	}
 }
 
 // release frees what a held task holds and makes it ready.
 func (s *Scheduler) release(j *job, index int32) {
 	t := &j.tasks[index]
-	if t.state == taskRunning {
+	s.endOver(taskRef{j, index})
+	tm := s.teams[j.group.team]
+	switch t.state {
+	case taskRunning:
 		j.running--
+	case taskStopping:
+		tm.stopping = tm.stopping.Sub(t.size)
 	}
 	t.state = taskReady
 	j.held--
 	s.heldTasks--
-	tm := s.teams[j.group.team]
+	if j.held == 0 {
+		tm.victims.Delete(j)
+	}
 	tm.running--
 	tm.reserved = tm.reserved.Sub(t.size)
 	w := &s.workers[t.worker]
 	w.removeTask(j, index)
+	if w.health != nil && w.health.probe == (taskRef{j, index}) {
+		w.health.probe = taskRef{}
+	}
 	s.setFree(t.worker, w.free.Add(t.size))
 	s.reserved = s.reserved.Sub(t.size)
 	if j.cancelled {
@@ -228,6 +274,8 @@
 		j.running--
 	}
 	t.state = taskStopping
+	tm := s.teams[j.group.team]
+	tm.stopping = tm.stopping.Add(t.size)
 }
 
 // addReady changes the number of ready tasks of j and keeps the lists of
--- a/internal/schedule/cell.go
+++ b/internal/schedule/cell.go
@@ -79,7 +79,8 @@
 	w.domain = s.domains.intern(e.Spec.FailureDomain)
 	w.rack = s.racks.intern(e.Spec.FailureDomain + "/" + e.Spec.Rack)
 	w.region = s.regions.intern(e.Spec.Region)
-	w.mode = e.Mode
+	s.addDomainTie(w.domain, e.Spec.FailureDomain)
+	s.setMode(slot, e.Mode)
 	s.count(w)
 	s.index(slot)
 }
@@ -123,11 +124,29 @@
 		return
 	}
 	s.uncount(w)
-	w.mode = e.Mode
+	s.setMode(slot, e.Mode)
 	s.count(w)
 	s.index(slot)
 }
 
+// setMode changes the mode of a worker. One that was lost starts with a clean slate.
+func (s *Scheduler) setMode(slot int32, mode model.WorkerMode) {
+	w := &s.workers[slot]
+	w.mode = mode
+	if mode == model.WorkerLost {
+		s.acquit(w)
+	}
+	if w.draining() {
+		s.draining = append(s.draining, slot)
+	}
+}
+
+func (s *Scheduler) addDomainTie(domain int32, name string) {
+	if int(domain) == len(s.domainTies) {
+		s.domainTies = append(s.domainTies, s.hashString(name))
+	}
+}
+
 // workersGone forgets a batch of workers.
 func (s *Scheduler) workersGone(ids []model.WorkerID) {
 	for _, id := range ids {
@@ -144,6 +163,10 @@
 			}
 		}
 		s.uncount(w)
+		s.acquit(w)
+		if w.hold != nil {
+			s.dropHold(w.hold)
+		}
 		s.free.Remove(slot)
 		delete(s.workerByID, id)
 		s.workers[slot] = worker{}
@@ -160,7 +183,7 @@
 // index brings the index of free capacity in step with a worker.
 func (s *Scheduler) index(slot int32) {
 	w := &s.workers[slot]
-	if !w.open() {
+	if !w.offered() {
 		s.free.Remove(slot)
 		return
 	}
--- a/internal/schedule/check.go
+++ b/internal/schedule/check.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"github.com/filbertmast/filbertmast/internal/api"
 	"github.com/filbertmast/filbertmast/internal/errkind"
 	"github.com/filbertmast/filbertmast/internal/model"
 )
@@ -84,16 +83,3 @@
 	}
 	return slot, matched
 }
-
-// Why names what holds the waiting tasks of a job at now.
-func (s *Scheduler) Why(id model.JobID, now model.Time) []api.WhyNot {
-	j := s.jobs[id]
-	if j == nil || j.ready+j.waiting == 0 {
-		return nil
-	}
-	var out []api.WhyNot
-	if j.waiting > 0 {
-		out = append(out, api.WhyNot{Reason: "backoff", Count: int64(j.waiting)})
-	}
-	return out
-}
--- /dev/null
+++ b/internal/schedule/drain.go
@@ -0,0 +1,116 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// draining reports whether the work of w is to be moved away.
+func (w *worker) draining() bool {
+	return w.known && (w.mode == model.WorkerDraining || w.mode == model.WorkerLeaving)
+}
+
+// drain moves work off the workers that are being emptied. Tasks of a service
+// go a few at a time, so that most of it stays up; tasks that may not run twice
+// are left to end.
+func (p *planner) drain() {
+	s := p.s
+	s.draining = slices.DeleteFunc(s.draining, func(slot int32) bool {
+		w := &s.workers[slot]
+		return !w.draining() || len(w.tasks) == 0
+	})
+	slices.SortFunc(s.draining, func(a, b int32) int {
+		return cmp.Compare(s.workers[a].tie, s.workers[b].tie)
+	})
+	s.draining = slices.Compact(s.draining)
+	for _, slot := range s.draining {
+		for _, r := range sortedTasks(s.workers[slot].tasks) {
+			if len(p.plan.Preemptions) >= p.max {
+				return
+			}
+			p.moveAway(r)
+		}
+	}
+}
+
+// sortedTasks returns a copy of refs in the order of job and position.
+func sortedTasks(refs []taskRef) []taskRef {
+	out := slices.Clone(refs)
+	slices.SortFunc(out, func(a, b taskRef) int {
+		return cmp.Or(cmp.Compare(a.job.id, b.job.id), cmp.Compare(a.index, b.index))
+	})
+	return out
+}
+
+func (p *planner) moveAway(r taskRef) {
+	j := r.job
+	if !j.group.repeatable || p.stopped(r) {
+		return
+	}
+	if j.group.policy == service && p.down(j) >= p.mayBeDown(j) {
+		return
+	}
+	p.preempt(r, 0, ReasonDrain)
+}
+
+// down returns how many tasks of a service are not up, or soon will not be.
+func (p *planner) down(j *job) int32 {
+	return int32(len(j.tasks)) - j.done - j.running + p.takenFrom[j]
+}
+
+func (p *planner) mayBeDown(j *job) int32 {
+	return max(1, int32(int64(len(j.tasks))*int64(p.s.opts.MaxDownPermill)/1000))
+}
+
+// stopped reports whether a held task is stopping already, or will by this plan.
+func (p *planner) stopped(r taskRef) bool {
+	return r.job.tasks[r.index].state == taskStopping || p.taken[r]
+}
+
+// preempt plans the stop of a task, and with it that of the rest of its gang.
+func (p *planner) preempt(r taskRef, forJob model.JobID, reason Reason) {
+	if r.job.group.policy != gang {
+		p.preemptOne(r, forJob, reason)
+		return
+	}
+	for i := range r.job.tasks {
+		member := taskRef{r.job, int32(i)}
+		if r.job.tasks[i].state.holds() && !p.stopped(member) {
+			p.preemptOne(member, forJob, reason)
+		}
+	}
+}
+
+func (p *planner) preemptOne(r taskRef, forJob model.JobID, reason Reason) {
+	if p.taken == nil {
+		p.taken = map[taskRef]bool{}
+		p.takenFrom = map[*job]int32{}
+	}
+	t := &r.job.tasks[r.index]
+	p.taken[r] = true
+	if t.state == taskRunning {
+		p.takenFrom[r.job]++
+	}
+	tm := p.s.teams[r.job.group.team]
+	tm.planned = tm.planned.Add(t.size)
+	p.plan.Preemptions = append(p.plan.Preemptions, Preemption{
+		Task:       model.TaskID{Job: r.job.id, Index: r.index},
+		Worker:     p.s.workers[t.worker].id,
+		For:        forJob,
+		Reason:     reason,
+		Checkpoint: r.job.group.checkpoint,
+		Lost:       p.lost(r),
+	})
+}
+
+// lost returns the run time that a stop of a task throws away.
+func (p *planner) lost(r taskRef) time.Duration {
+	t := &r.job.tasks[r.index]
+	if r.job.group.checkpoint || t.state != taskRunning || r.job.group.policy == service {
+		return 0
+	}
+	return max(p.now.Sub(t.since), 0)
+}
--- a/internal/schedule/find.go
+++ b/internal/schedule/find.go
@@ -8,8 +8,25 @@
 // noSlot stands for the absence of a worker.
 const noSlot int32 = -1
 
-// sizeFor returns what a task of g reserves.
-func (s *Scheduler) sizeFor(g *group) model.Resources { return g.size }
+// sizeFor returns what a task of g reserves: the declared size, raised to what
+// was learned if the workers known now can hold that.
+func (s *Scheduler) sizeFor(g *group) model.Resources {
+	c := s.learned.Class(g.class)
+	if g.sizedAt == s.change && g.sizedBy == c.Version() && g.sizedAt != 0 {
+		return g.sized
+	}
+	g.sizedAt, g.sizedBy = s.change, c.Version()
+	g.sized = c.Size(g.size)
+	if g.sized != g.size && !s.canHold(g, g.sized) {
+		g.sized = g.size
+	}
+	return g.sized
+}
+
+func (s *Scheduler) canHold(g *group, size model.Resources) bool {
+	n := int64(max(g.gang, 1))
+	return s.slotsFor(g.selector, size, g.exclusive) >= n && within(size.Mul(n), s.teams[g.team].maxResources)
+}
 
 // findBest returns the tightest worker into which a task of j fits.
 func (p *planner) findBest(j *job, size model.Resources) int32 {
--- a/internal/schedule/gang.go
+++ b/internal/schedule/gang.go
@@ -15,7 +15,6 @@
 
 // siteRack is a rack with room for some tasks of a gang.
 type siteRack struct {
-	rack   int32
 	domain int32
 	region int32
 	tasks  int64
@@ -53,27 +52,28 @@
 	accept := p.accept(j, exact)
 	var racks []siteRack
 	at := map[int32]int{}
+	add := func(slot int32, free model.Resources) {
+		if accept != nil && !accept(slot) {
+			return
+		}
+		w := &p.s.workers[slot]
+		i, ok := at[w.rack]
+		if !ok {
+			i = len(racks)
+			at[w.rack] = i
+			racks = append(racks, siteRack{domain: w.domain, region: w.region, tie: w.tie})
+		}
+		racks[i].add(site{slot, p.siteTasks(j, size, free)}, w.tie)
+	}
 	for _, bin := range bins {
-		p.s.free.Each(bin, size, func(slot int32, free model.Resources) {
-			if accept != nil && !accept(slot) {
-				return
-			}
-			n := copies(size, free)
-			if j.group.exclusive {
-				n = 1
-			}
-			w := &p.s.workers[slot]
-			i, ok := at[w.rack]
-			if !ok {
-				i = len(racks)
-				at[w.rack] = i
-				racks = append(racks, siteRack{rack: w.rack, domain: w.domain, region: w.region, tie: w.tie})
+		p.s.free.Each(bin, size, add)
+	}
+	if j.hold != nil {
+		for _, c := range j.hold.claims {
+			if p.usable(j, c.slot, size) {
+				add(c.slot, p.s.workers[c.slot].free)
 			}
-			r := &racks[i]
-			r.tasks += n
-			r.tie = min(r.tie, w.tie)
-			r.sites = append(r.sites, site{slot, n})
-		})
+		}
 	}
 	for i := range racks {
 		p.sortSites(racks[i].sites)
@@ -81,6 +81,20 @@
 	return racks
 }
 
+// siteTasks returns how many tasks of j fit into free.
+func (p *planner) siteTasks(j *job, size, free model.Resources) int64 {
+	if j.group.exclusive {
+		return 1
+	}
+	return copies(size, free)
+}
+
+func (r *siteRack) add(s site, tie uint64) {
+	r.tasks += s.tasks
+	r.tie = min(r.tie, tie)
+	r.sites = append(r.sites, s)
+}
+
 // sortSites orders sites from the tightest on.
 func (p *planner) sortSites(sites []site) {
 	slices.SortFunc(sites, func(a, b site) int {
--- a/internal/schedule/group.go
+++ b/internal/schedule/group.go
@@ -48,6 +48,16 @@
 	slot    int32  // position in team.groups; -1 when no job is live
 	cursor  int    // of the plan being made: first job not yet dealt with
 	blocked bool   // in the plan being made
+
+	misfit        Misfit // why nothing of the group can run; its Err is nil when it can
+	misfitVersion uint32
+	untold        bool   // a job may not know of misfit
+	judged        uint64 // change of the cell at which misfit was worked out
+	sized         model.Resources
+	sizedAt       uint64     // change of the cell at which sized was worked out
+	sizedBy       uint64     // version of what was learned then
+	searchAfter   model.Time // no search for work to preempt before this
+	holdAfter     model.Time // no reservation before this
 }
 
 // add queues j.
@@ -56,6 +66,7 @@
 		return
 	}
 	j.queued = true
+	g.untold = g.misfit.Err != nil
 	at, _ := slices.BinarySearchFunc(g.jobs, j, compareJobs)
 	g.jobs = slices.Insert(g.jobs, at, j)
 }
--- /dev/null
+++ b/internal/schedule/hold.go
@@ -0,0 +1,325 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// hold keeps workers clear for a job that waits for room there. New work goes
+// to a held worker only if it is known to end before the room is needed.
+type hold struct {
+	job    *job
+	claims []claim
+}
+
+// claim is the part of a hold on one worker.
+type claim struct {
+	slot  int32
+	tasks int64 // of the job that are to run there
+}
+
+// Bounds of a hold.
+const (
+	maxClaimTasks   = 8   // tasks of a job other than a gang held for at once
+	holdScanSpare   = 256 // workers looked at beyond the tasks of a gang
+	holdRetryMillis = 1000
+)
+
+// refreshHolds drops the holds whose job or workers are no longer there.
+func (s *Scheduler) refreshHolds() {
+	for _, h := range slices.Clone(s.holds) {
+		if !s.holdStands(h) {
+			s.dropHold(h)
+		}
+	}
+}
+
+func (s *Scheduler) holdStands(h *hold) bool {
+	if h.job.ready == 0 || len(h.claims) == 0 {
+		return false
+	}
+	for _, c := range h.claims {
+		w := &s.workers[c.slot]
+		if !w.open() || w.onProbation() || w.hold != h {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Scheduler) dropHold(h *hold) {
+	for _, c := range h.claims {
+		if w := &s.workers[c.slot]; w.hold == h {
+			w.hold = nil
+			s.index(c.slot)
+		}
+	}
+	h.claims = nil
+	h.job.hold = nil
+	s.holds = slices.DeleteFunc(s.holds, func(o *hold) bool { return o == h })
+}
+
+// claimed returns how many tasks of the job are to run on a worker.
+func (h *hold) claimed(slot int32) int64 {
+	if h == nil {
+		return 0
+	}
+	for _, c := range h.claims {
+		if c.slot == slot {
+			return c.tasks
+		}
+	}
+	return 0
+}
+
+// addClaim holds a worker for n more tasks of a job.
+func (s *Scheduler) addClaim(j *job, slot int32, n int64) {
+	h := j.hold
+	if h == nil {
+		h = &hold{job: j}
+		j.hold = h
+		s.holds = append(s.holds, h)
+	}
+	for i := range h.claims {
+		if h.claims[i].slot == slot {
+			h.claims[i].tasks += n
+			return
+		}
+	}
+	h.claims = append(h.claims, claim{slot, n})
+	s.workers[slot].hold = h
+	s.index(slot)
+}
+
+// useClaim counts a placement against the hold of its job.
+func (s *Scheduler) useClaim(j *job, slot int32) {
+	h := j.hold
+	if h == nil || s.workers[slot].hold != h {
+		return
+	}
+	i := slices.IndexFunc(h.claims, func(c claim) bool { return c.slot == slot })
+	h.claims[i].tasks--
+	if h.claims[i].tasks > 0 {
+		return
+	}
+	h.claims = slices.Delete(h.claims, i, i+1)
+	s.workers[slot].hold = nil
+	s.index(slot)
+	if len(h.claims) == 0 {
+		s.dropHold(h)
+	}
+}
+
+// findHeld returns the tightest worker held for j that has room, or noSlot.
+func (p *planner) findHeld(j *job, size model.Resources) int32 {
+	best := noSlot
+	if j.hold == nil {
+		return best
+	}
+	for _, c := range j.hold.claims {
+		if p.usable(j, c.slot, size) && (best == noSlot || p.compareTight(c.slot, best) < 0) {
+			best = c.slot
+		}
+	}
+	return best
+}
+
+// findBackfill returns the tightest worker that is held for another job and on
+// which a task of j would end before the room is needed, or noSlot. It goes by
+// learned run times only.
+func (p *planner) findBackfill(j *job, size model.Resources) int32 {
+	run, ok := p.s.learned.Class(j.group.class).Run()
+	if !ok || j.group.policy != batch {
+		return noSlot
+	}
+	best := noSlot
+	for _, h := range p.s.holds {
+		if h.job == j {
+			continue
+		}
+		if start := p.holdStart(h); start == 0 || p.now.Add(run) > start {
+			continue
+		}
+		for _, c := range h.claims {
+			if p.usable(j, c.slot, size) && (best == noSlot || p.compareTight(c.slot, best) < 0) {
+				best = c.slot
+			}
+		}
+	}
+	return best
+}
+
+// holdStart returns when all claims of h are expected to have room, by learned
+// run times; zero when that is not known. It is worked out once a plan, before
+// any backfill, so that backfill cannot put it off.
+func (p *planner) holdStart(h *hold) model.Time {
+	if at, ok := p.holdStarts[h]; ok {
+		return at
+	}
+	if p.holdStarts == nil {
+		p.holdStarts = map[*hold]model.Time{}
+	}
+	start := p.now
+	size := p.s.sizeFor(h.job.group)
+	for _, c := range h.claims {
+		at := p.s.roomAt(c.slot, size.Mul(c.tasks), p.now)
+		if at == 0 {
+			start = 0
+			break
+		}
+		start = max(start, at)
+	}
+	p.holdStarts[h] = start
+	return start
+}
+
+// roomAt returns when a worker is expected to have need free; zero when not known.
+func (s *Scheduler) roomAt(slot int32, need model.Resources, now model.Time) model.Time {
+	w := &s.workers[slot]
+	free := w.free
+	if need.Fits(free) {
+		return now
+	}
+	ends := s.ends(w, now)
+	for _, e := range ends {
+		free = free.Add(e.size)
+		if need.Fits(free) {
+			return e.at
+		}
+	}
+	return 0
+}
+
+// end is when a held task is expected to end.
+type end struct {
+	at   model.Time
+	size model.Resources
+}
+
+// ends returns the expected ends of the tasks of w in order. Tasks of services
+// and of classes not learned yet, and those that run longer than learned, are left out.
+func (s *Scheduler) ends(w *worker, now model.Time) []end {
+	var out []end
+	for _, r := range w.tasks {
+		t := &r.job.tasks[r.index]
+		run, ok := s.learned.Class(r.job.group.class).Run()
+		at := t.since.Add(run)
+		if ok && r.job.group.policy != service && at >= now {
+			out = append(out, end{at, t.size})
+		}
+	}
+	slices.SortFunc(out, func(a, b end) int { return cmp.Compare(a.at, b.at) })
+	return out
+}
+
+// reserveAhead holds workers for j, which found no room and has waited long.
+func (p *planner) reserveAhead(j *job, size model.Resources) {
+	s := p.s
+	if j.hold != nil || len(s.holds) >= s.opts.MaxHolds || p.now < j.group.holdAfter {
+		return
+	}
+	need := p.claimTasks(j)
+	claims := p.pickClaims(j, size, need)
+	if claims == nil {
+		j.group.holdAfter = p.now + holdRetryMillis
+		p.wakeAt(j.group.holdAfter)
+		return
+	}
+	for _, c := range claims {
+		s.addClaim(j, c.slot, c.tasks)
+	}
+}
+
+// claimTasks returns how many tasks of j are held for at once.
+func (p *planner) claimTasks(j *job) int64 {
+	if j.group.policy == gang {
+		return int64(j.ready)
+	}
+	return int64(min(j.ready, maxClaimTasks))
+}
+
+// pickClaims chooses workers that could hold need tasks of j once their batch
+// work has ended: the emptiest ones of one failure domain if that is enough,
+// else of all. It returns nil when they are not enough.
+func (p *planner) pickClaims(j *job, size model.Resources, need int64) []claim {
+	bins, exact := p.s.binsFor(nil, j.group.selector)
+	accept := p.accept(j, exact)
+	found := p.emptiest(bins, int(need)+holdScanSpare, accept)
+	byDomain := slices.Clone(found)
+	slices.SortStableFunc(byDomain, func(a, b int32) int {
+		return cmp.Compare(p.s.domainTie(a), p.s.domainTie(b))
+	})
+	for len(byDomain) > 0 {
+		n := p.sameDomain(byDomain)
+		if claims := p.cover(j, byDomain[:n], size, need); claims != nil {
+			return claims
+		}
+		byDomain = byDomain[n:]
+	}
+	return p.cover(j, found, size, need)
+}
+
+func (s *Scheduler) domainTie(slot int32) uint64 { return s.domainTies[s.workers[slot].domain] }
+
+// sameDomain returns how many of the first slots are in one failure domain.
+func (p *planner) sameDomain(slots []int32) int {
+	first := p.s.workers[slots[0]].domain
+	n := slices.IndexFunc(slots, func(slot int32) bool { return p.s.workers[slot].domain != first })
+	if n < 0 {
+		return len(slots)
+	}
+	return n
+}
+
+// emptiest returns up to n workers of bins that accept does not refuse, the
+// emptiest first.
+func (p *planner) emptiest(bins []int32, n int, accept func(int32) bool) []int32 {
+	var out []int32
+	for _, bin := range bins {
+		left := n
+		p.s.free.Descend(bin, func(slot int32, _ model.Resources) bool {
+			if accept == nil || accept(slot) {
+				out = append(out, slot)
+				left--
+			}
+			return left > 0
+		})
+	}
+	slices.SortFunc(out, func(a, b int32) int { return p.compareTight(b, a) })
+	return out[:min(n, len(out))]
+}
+
+// cover claims workers in order until need tasks have a place; nil if they never have.
+func (p *planner) cover(j *job, slots []int32, size model.Resources, need int64) []claim {
+	var out []claim
+	for _, slot := range slots {
+		n := copies(size, p.s.lasting(slot))
+		if j.group.exclusive {
+			n = min(n, 1)
+		}
+		n = min(n, need)
+		if n <= 0 {
+			continue
+		}
+		out = append(out, claim{slot, n})
+		need -= n
+		if need == 0 {
+			return out
+		}
+	}
+	return nil
+}
+
+// lasting returns what a worker has free once its batch work and gangs have ended.
+func (s *Scheduler) lasting(slot int32) model.Resources {
+	w := &s.workers[slot]
+	free := w.capacity
+	for _, r := range w.tasks {
+		if r.job.group.policy == service {
+			free = free.Sub(r.job.tasks[r.index].size)
+		}
+	}
+	return free
+}
--- a/internal/schedule/job.go
+++ b/internal/schedule/job.go
@@ -44,6 +44,8 @@
 	at      model.Time
 	startBy model.Time
 	tasks   []task
+	faults  *faults // nil until a task fails
+	hold    *hold   // workers kept clear for it, or nil
 
 	ready       int32 // tasks that may be placed
 	waiting     int32 // tasks in backoff
@@ -52,10 +54,12 @@
 	done        int32
 	next        int32 // no ready task is below this position
 	maxRestarts int32
+	toldMisfit  uint32 // version of the group's misfit that was told
 
 	queued    bool // in group.jobs
-	cancelled bool
+	cancelled bool // closed: nothing pending is left
 	started   bool // a task has been placed, or the missed promise was told
+	succeeded bool // a task has
 }
 
 func (j *job) patience() model.Time { return j.startBy - j.at }
--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -20,9 +20,11 @@
 )
 
 // Plan is what should be done next. Applied whole, it overcommits no worker and
-// passes no limit. Nothing in a plan changes the Scheduler: the caller applies
-// TaskPlaced and TaskStopping for what it proposes. Everything except
-// Placements and Preemptions is told once.
+// passes no limit. Nothing in a plan changes what is reserved: the caller
+// applies TaskPlaced and TaskStopping for what it proposes. Placements, and
+// preemptions after a short time, are proposed again until they are applied;
+// the rest is told once. A new Scheduler that was told the events of an old one
+// tells it again, so a caller must book a refund or a failure once a job.
 type Plan struct {
 	Placements  []Placement // those of a gang are contiguous and complete
 	Preemptions []Preemption
--- a/internal/schedule/planner.go
+++ b/internal/schedule/planner.go
@@ -12,25 +12,51 @@
 	max    int
 	plan   Plan
 	spread spread
-	bins   []int32 // scratch
-	refs   []taskRef
-	full   bool // the plan has no room for the next gang
+	bins   []int32   // scratch
+	refs   []taskRef // placed by the plan
+	full   bool      // the plan has no room for the next gang
+
+	taken      map[taskRef]bool // to be stopped by the plan
+	takenFrom  map[*job]int32   // running tasks to be stopped
+	searches   int
+	holdStarts map[*hold]model.Time
+	wake       model.Time // when something changes without an event
 }
 
 // Plan returns what should be done at now, with at most max placements, except
 // that a gang larger than max is placed alone. It leaves reservations as they are.
 func (s *Scheduler) Plan(now model.Time, max int) Plan {
 	s.wake(now)
+	s.passProbes(now)
+	s.refreshHolds()
 	p := planner{s: s, now: now, max: max}
+	p.begin()
+	p.tell()
+	p.drain()
 	p.place()
 	p.undo()
-	p.plan.NextWake = s.timers.next()
+	p.plan.NextWake = p.nextWake()
 	return p.plan
 }
 
+// wakeAt asks for a plan at a time, or after it.
+func (p *planner) wakeAt(at model.Time) { p.wake = sooner(p.wake, max(at, p.now+1)) }
+
+// nextWake returns when to plan again without a new event; zero for never.
+func (p *planner) nextWake() model.Time {
+	if len(p.plan.Placements) >= p.max || p.full {
+		p.wakeAt(p.now)
+	}
+	next := sooner(p.wake, p.s.timers.next())
+	next = sooner(next, p.s.nextProbe())
+	if d := p.s.deadlines; len(d) > 0 {
+		next = sooner(next, max(d[0].startBy, p.now)+1)
+	}
+	return next
+}
+
 // place hands out room, one task or one gang at a time, to the team that comes first.
 func (p *planner) place() {
-	p.begin()
 	for len(p.plan.Placements) < p.max && !p.full {
 		g := p.nextGroup()
 		if g == nil {
@@ -43,6 +69,7 @@
 func (p *planner) begin() {
 	for _, t := range p.s.teams {
 		t.blocked = false
+		t.planned = model.Resources{}
 		for _, g := range t.groups {
 			g.compact()
 			g.cursor = 0
@@ -114,8 +141,25 @@
 	} else {
 		placed = p.placeOne(j, size)
 	}
-	if !placed {
+	if !placed && !p.full {
 		g.blocked = true
+		p.noRoom(j, size)
+	}
+}
+
+// noRoom sees to it that a job that has waited long gets room: by stopping
+// work that may give way, else by holding workers until their work has ended.
+func (p *planner) noRoom(j *job, size model.Resources) {
+	if !p.pressing(j) {
+		p.wakeAt(p.pressingFrom(j))
+		return
+	}
+	if p.makeRoom(j, size) {
+		return
+	}
+	p.reserveAhead(j, size)
+	if j.hold != nil && j.group.policy == gang {
+		p.pursueClaims(j, size)
 	}
 }
 
@@ -142,17 +186,24 @@
 
 // pressing reports whether j has waited so long that others of its team no
 // longer pass it by.
-func (p *planner) pressing(j *job) bool {
-	return p.now >= j.startBy-max(j.patience()/2, model.Time(p.s.opts.PressingSlack.Milliseconds()))
+func (p *planner) pressing(j *job) bool { return p.now >= p.pressingFrom(j) }
+
+// pressingFrom returns when half of the patience of j is used up, or little of it is left.
+func (p *planner) pressingFrom(j *job) model.Time {
+	return j.startBy - max(j.patience()/2, model.Time(p.s.opts.PressingSlack.Milliseconds()))
 }
 
 func (p *planner) placeOne(j *job, size model.Resources) bool {
 	index := j.nextReady(j.next)
-	var slot int32
-	if j.group.policy == service {
-		slot = p.findSpread(j, size)
-	} else {
-		slot = p.findBest(j, size)
+	slot := p.findProbe(j, index, size)
+	if slot == noSlot {
+		slot = p.findOffered(j, size)
+	}
+	if slot == noSlot {
+		slot = p.findHeld(j, size)
+	}
+	if slot == noSlot {
+		slot = p.findBackfill(j, size)
 	}
 	if slot == noSlot {
 		return false
@@ -161,6 +212,14 @@
 	return true
 }
 
+// findOffered searches the workers that are open to all work.
+func (p *planner) findOffered(j *job, size model.Resources) int32 {
+	if j.group.policy == service {
+		return p.findSpread(j, size)
+	}
+	return p.findBest(j, size)
+}
+
 // put applies one placement and notes it in the plan.
 func (p *planner) put(j *job, index, slot int32, size model.Resources) {
 	p.s.reserve(j, index, slot, size, p.now)
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -11,6 +11,7 @@
 	"github.com/filbertmast/filbertmast/internal/ledger"
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/schedule/capacity"
+	"github.com/filbertmast/filbertmast/internal/schedule/learn"
 )
 
 // Scheduler holds the picture of the cell from which plans are made.
@@ -28,6 +29,7 @@
 	unused      []int32 // slots of forgotten workers
 	regions     names
 	domains     names
+	domainTies  []uint64 // by failure domain
 	racks       names
 	labels      labelClasses
 	bins        bins
@@ -42,6 +44,13 @@
 	jobs         map[model.JobID]*job
 	groups       map[groupKey]*group
 	timers       timers
+	deadlines    deadlines
+	holds        []*hold
+	learned      *learn.Table
+	over         map[taskRef]overUse
+	probation    []int32 // slots
+	draining     []int32 // slots
+	tells        tells
 	readyTasks   int64
 	waitingTasks int64
 	heldTasks    int64
@@ -59,14 +68,17 @@
 
 // New returns a Scheduler of an empty cell.
 func New(o Options) *Scheduler {
+	o = o.withDefaults()
 	return &Scheduler{
-		opts:       o.withDefaults(),
+		opts:       o,
 		teamByName: map[string]int32{},
 		queues:     map[string]string{},
 		workerByID: map[model.WorkerID]int32{},
 		jobs:       map[model.JobID]*job{},
 		groups:     map[groupKey]*group{},
 		shapes:     map[shape]int64{},
+		learned:    learn.New(o.MaxClasses),
+		over:       map[taskRef]overUse{},
 	}
 }
 
@@ -106,7 +118,7 @@
 		return model.Resources{}, 0, false, false
 	}
 	w := &s.workers[slot]
-	return w.capacity.Sub(w.free), int32(len(w.tasks)), false, true
+	return w.capacity.Sub(w.free), int32(len(w.tasks)), w.onProbation(), true
 }
 
 func (s *Scheduler) configure(e ConfigChanged) {
@@ -115,6 +127,7 @@
 		t.share, t.maxRunning, t.maxResources = 0, 0, model.Resources{}
 	}
 	s.shares = 0
+	s.change++
 	for i := range e.Teams {
 		d := &e.Teams[i]
 		t := s.team(d.Name)
@@ -137,7 +150,7 @@
 	if !ok {
 		name = strings.Clone(name)
 		i = int32(len(s.teams))
-		s.teams = append(s.teams, &team{name: name})
+		s.teams = append(s.teams, &team{name: name, victims: newVictims()})
 		s.teamByName[name] = i
 	}
 	return i
--- a/internal/schedule/team.go
+++ b/internal/schedule/team.go
@@ -3,6 +3,8 @@
 import (
 	"math/bits"
 
+	"github.com/google/btree"
+
 	"github.com/filbertmast/filbertmast/internal/model"
 )
 
@@ -17,9 +19,12 @@
 	running  int64 // tasks that hold
 	permits  int64 // request permits outstanding
 	reserved model.Resources
+	stopping model.Resources // of reserved, by tasks told to stop
+	planned  model.Resources // of reserved, by tasks that the plan being made stops
 
-	groups  []*group // with a live job
-	blocked bool     // in the plan being made
+	groups  []*group            // with a live job
+	victims *btree.BTreeG[*job] // that hold and may be stopped and run again
+	blocked bool                // in the plan being made
 }
 
 // TeamUse is what a team holds now.
@@ -34,8 +39,11 @@
 
 // withinBound reports whether size more may be reserved by the team.
 func (t *team) withinBound(size model.Resources) bool {
-	use := t.reserved.Add(size)
-	b := t.maxResources
+	return within(t.reserved.Add(size), t.maxResources)
+}
+
+// within reports whether use stays in bound, of which zero components bound nothing.
+func within(use, b model.Resources) bool {
 	return (b.CPU == 0 || use.CPU <= b.CPU) &&
 		(b.Memory == 0 || use.Memory <= b.Memory) &&
 		(b.Accelerators == 0 || use.Accelerators <= b.Accelerators)
--- a/internal/schedule/worker.go
+++ b/internal/schedule/worker.go
@@ -26,8 +26,15 @@
 	region   int32
 	mode     model.WorkerMode
 	known    bool
+	health   *health // nil without early failures
+	hold     *hold   // the reservation that keeps it clear, or nil
 }
 
+// offered reports whether w is in the index of free capacity.
+func (w *worker) offered() bool { return w.open() && w.hold == nil && !w.onProbation() }
+
+func (w *worker) onProbation() bool { return w.health != nil && w.health.probation }
+
 func (w *worker) open() bool { return w.known && w.mode == model.WorkerOpen }
 
 func (w *worker) removeTask(j *job, index int32) {
