Add the Go client of the HTTP interface

Every call is a read, names a whole state, or carries an idempotency key, so each may be sent again after a lost connection; an error that the system tells is retried only when it says not run and advises a retry. An answer that breaks off is an error, never a short success.

--- a/internal/api/lists.go
+++ b/internal/api/lists.go
@@ -1,7 +1,5 @@
 package api
 
-import "github.com/filbertmast/filbertmast/internal/model"
-
 // HeaderError is set, to the error's kind, on every error answer that the
 // system itself makes. An error status without it was passed through from an
 // executor, or comes from something in between.
--- /dev/null
+++ b/internal/client/call.go
@@ -0,0 +1,204 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/errkind"
+)
+
+// call is one call. All of them are safe to send again: reads by nature, the
+// rest because they name a whole state or carry an idempotency key.
+type call struct {
+	method string
+	path   string // from the base URL, escaped
+	query  url.Values
+	header http.Header
+	body   []byte
+	read   bool // changes nothing
+	// passThrough calls may bring an executor's own error status.
+	passThrough bool
+}
+
+// Answer is the whole answer to a call.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// do sends c until it is answered, refused for good, or out of attempts.
+func (c *Client) do(ctx context.Context, call call) (*Answer, error) {
+	wait := c.backoff
+	for attempt := 1; ; attempt++ {
+		at := c.current.Load()
+		answer, failed := c.send(ctx, call, c.base(at))
+		if failed == nil {
+			return answer, nil
+		}
+		c.current.CompareAndSwap(at, at+1)
+		if !failed.retry || attempt >= c.attempts {
+			return nil, failed.err
+		}
+		pause := max(c.jitter(wait), errkind.RetryAfter(failed.err))
+		if !c.pause(ctx, failed.err, pause) {
+			return nil, failed.err
+		}
+		wait = min(2*wait, maxBackoff)
+	}
+}
+
+// pause waits before a retry. It reports false when ctx would end first.
+func (c *Client) pause(ctx context.Context, err error, wait time.Duration) bool {
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= wait {
+		return false
+	}
+	if c.onRetry != nil {
+		c.onRetry(Retry{Err: err, Wait: wait, Address: c.base(c.current.Load()).String()})
+	}
+	return c.sleep(ctx, wait) == nil
+}
+
+func (c *Client) base(at int64) *url.URL { return c.bases[at%int64(len(c.bases))] }
+
+// send sends call once.
+func (c *Client) send(ctx context.Context, call call, base *url.URL) (*Answer, *failure) {
+	req, err := c.request(ctx, call, base)
+	if err != nil {
+		return nil, &failure{err: errkind.Wrap(errkind.BadRequest, err, "the call cannot be made")}
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, sendFailure(ctx, err, call.read)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err != nil {
+		return nil, readFailure(ctx, err, call.read)
+	}
+	if len(body) > maxAnswerBytes {
+		return nil, &failure{err: errkind.New(errkind.AnswerTooLarge, "the answer has more than %d bytes", maxAnswerBytes)}
+	}
+	answer := &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}
+	if err := answerError(answer, call); err != nil {
+		return nil, refusal(err)
+	}
+	return answer, nil
+}
+
+func (c *Client) request(ctx context.Context, call call, base *url.URL) (*http.Request, error) {
+	target := base.String() + call.path
+	if len(call.query) > 0 {
+		target += "?" + call.query.Encode()
+	}
+	req, err := http.NewRequestWithContext(ctx, call.method, target, bytes.NewReader(call.body))
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range call.header {
+		req.Header[name] = values
+	}
+	if c.key != "" {
+		req.Header.Set("Authorization", "Bearer "+c.key)
+	}
+	// net/http sends again by itself what it takes for idempotent. The client
+	// decides that here, so bodies are given without a way to rewind them.
+	req.GetBody = nil
+	return req, nil
+}
+
+// answerError returns the error that an answer tells, or nil.
+func answerError(a *Answer, call call) error {
+	if a.Status < http.StatusMultipleChoices {
+		return nil
+	}
+	kind := a.Header.Get(api.HeaderError)
+	if call.passThrough && kind == "" {
+		return nil
+	}
+	var body errkind.Body
+	if err := json.Unmarshal(a.Body, &body); err == nil && body.Kind != "" {
+		if body.RequestID == "" {
+			body.RequestID = a.Header.Get(api.HeaderRequestID)
+		}
+		return &RemoteError{Body: body, err: body.Err()}
+	}
+	return strangeAnswer(a, call)
+}
+
+// strangeAnswer is the error for a status that did not come from an entry
+// process, such as one of a balancer.
+func strangeAnswer(a *Answer, call call) error {
+	k := errkind.OutcomeUnknown
+	if call.read {
+		k = errkind.Unreachable
+	}
+	return errkind.New(k, "answer with status %d that is not from an entry process", a.Status)
+}
+
+// RemoteError is an error told by the system, with its whole body.
+type RemoteError struct {
+	Body errkind.Body
+	err  error
+}
+
+// Error implements error.
+func (e *RemoteError) Error() string { return e.Body.Message }
+
+// Unwrap returns the error that carries the kind.
+func (e *RemoteError) Unwrap() error { return e.err }
+
+// BodyOf returns the error body that err carries, made from its kind where the
+// system has told none.
+func BodyOf(err error) errkind.Body {
+	var remote *RemoteError
+	if errors.As(err, &remote) {
+		return remote.Body
+	}
+	body := errkind.BodyOf(err, "")
+	if body.Kind == errkind.Internal {
+		// Made on this side: there is nothing to hide from the user.
+		body.Message = err.Error()
+	}
+	return body
+}
+
+// call sends a call with a JSON body, if in is not nil, and reads the JSON
+// answer into out, if that is not nil.
+func (c *Client) call(ctx context.Context, call call, in, out any) error {
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return errkind.Wrap(errkind.BadRequest, err, "the body cannot be written")
+		}
+		call.body = data
+		call.header = withHeader(call.header, "Content-Type", "application/json")
+	}
+	answer, err := c.do(ctx, call)
+	if err != nil {
+		return err
+	}
+	if out == nil || len(answer.Body) == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(answer.Body, out); err != nil {
+		return fmt.Errorf("the answer is not the JSON that was expected: %w", err)
+	}
+	return nil
+}
+
+func withHeader(h http.Header, name, value string) http.Header {
+	if h == nil {
+		h = make(http.Header)
+	}
+	h.Set(name, value)
+	return h
+}
--- /dev/null
+++ b/internal/client/client_test.go
@@ -0,0 +1,258 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// entry is a fake entry process that answers by script and notes what it got.
+type entry struct {
+	*httptest.Server
+	mu    sync.Mutex
+	got   []*http.Request
+	steps []http.HandlerFunc // the last one answers all further calls
+}
+
+func newEntry(t *testing.T, steps ...http.HandlerFunc) *entry {
+	t.Helper()
+	e := &entry{steps: steps}
+	e.Server = httptest.NewServer(http.HandlerFunc(e.serve))
+	t.Cleanup(e.Close)
+	return e
+}
+
+func (e *entry) serve(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	r.Body = io.NopCloser(strings.NewReader(string(body)))
+	e.mu.Lock()
+	step := e.steps[min(len(e.got), len(e.steps)-1)]
+	e.got = append(e.got, r)
+	e.mu.Unlock()
+	step(w, r)
+}
+
+func (e *entry) calls() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.got)
+}
+
+func answer(v any) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(v) }
+}
+
+func refuse(k errkind.Kind) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(api.HeaderError, string(k))
+		w.WriteHeader(errkind.RowOf(k).Status)
+		_ = json.NewEncoder(w).Encode(errkind.BodyOf(errkind.New(k, "refused"), "r-1"))
+	}
+}
+
+// hangUp closes the connection after the request has been read.
+func hangUp(w http.ResponseWriter, _ *http.Request) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		_ = conn.Close()
+	}
+}
+
+// cutOff promises more than it sends.
+func cutOff(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Length", "100")
+	_, _ = io.WriteString(w, `{"id":`)
+}
+
+// newClient returns a client whose waits are noted and pass at once.
+func newClient(t *testing.T, waits *[]time.Duration, addresses ...string) *Client {
+	t.Helper()
+	c, err := New(Options{Addresses: addresses, Key: "fmk_secret"})
+	assert.NilError(t, err)
+	c.jitter = func(d time.Duration) time.Duration { return d }
+	c.sleep = func(ctx context.Context, d time.Duration) error {
+		if waits != nil {
+			*waits = append(*waits, d)
+		}
+		return ctx.Err()
+	}
+	return c
+}
+
+func TestOnlyKindsThatSayNotRunWithAdviceAreSentAgain(t *testing.T) {
+	for _, k := range errkind.Kinds() {
+		row := errkind.RowOf(k)
+		e := newEntry(t, refuse(k), answer(api.JobView{ID: 7}))
+		view, err := newClient(t, nil, e.URL).Submit(t.Context(), model.JobSpec{Name: "a"}, "")
+		if row.NotRun && row.RetryAfter > 0 {
+			assert.NilError(t, err, "kind %s", k)
+			assert.Equal(t, view.ID, model.JobID(7))
+			assert.Equal(t, e.calls(), 2, "kind %s", k)
+			continue
+		}
+		assert.Equal(t, errkind.Of(err), k)
+		assert.Equal(t, e.calls(), 1, "kind %s", k)
+	}
+}
+
+func TestARetryKeepsTheIdempotencyKeyAndTheBody(t *testing.T) {
+	e := newEntry(t, hangUp, cutOff, refuse(errkind.NoLeader), answer(api.JobView{ID: 7}))
+	_, err := newClient(t, nil, e.URL).Submit(t.Context(), model.JobSpec{Name: "rows"}, "")
+	assert.NilError(t, err)
+	assert.Equal(t, e.calls(), 4)
+	key := e.got[0].Header.Get(api.HeaderIdempotencyKey)
+	assert.Assert(t, key != "")
+	for _, r := range e.got {
+		assert.Equal(t, r.Header.Get(api.HeaderIdempotencyKey), key)
+		assert.Equal(t, r.Header.Get("Authorization"), "Bearer fmk_secret")
+		var spec model.JobSpec
+		assert.NilError(t, json.NewDecoder(r.Body).Decode(&spec))
+		assert.Equal(t, spec.Name, "rows")
+	}
+}
+
+func TestEachSubmissionHasItsOwnIdempotencyKey(t *testing.T) {
+	e := newEntry(t, answer(api.JobView{}))
+	c := newClient(t, nil, e.URL)
+	for range 2 {
+		_, err := c.Submit(t.Context(), model.JobSpec{}, "")
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, e.got[0].Header.Get(api.HeaderIdempotencyKey) != e.got[1].Header.Get(api.HeaderIdempotencyKey))
+}
+
+func TestWaitsDoubleAndFollowTheAdvice(t *testing.T) {
+	var waits []time.Duration
+	e := newEntry(t, hangUp)
+	_, err := newClient(t, &waits, e.URL).Status(t.Context())
+	assert.Equal(t, errkind.Of(err), errkind.Unreachable)
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	assert.DeepEqual(t, waits, []time.Duration{ms(200), ms(200), ms(400), ms(800), ms(1600)})
+
+	waits = nil
+	e = newEntry(t, refuse(errkind.Overloaded), answer(api.Status{}))
+	_, err = newClient(t, &waits, e.URL).Status(t.Context())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, waits, []time.Duration{2 * time.Second})
+}
+
+func TestACallFailsOverAndStaysWithTheAddressThatAnswers(t *testing.T) {
+	dead := httptest.NewServer(http.NotFoundHandler())
+	dead.Close()
+	draining := newEntry(t, refuse(errkind.Draining))
+	good := newEntry(t, answer(api.Status{Entry: "good"}))
+	c := newClient(t, nil, dead.URL, draining.URL, good.URL)
+	for range 3 {
+		status, err := c.Status(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, status.Entry, "good")
+	}
+	assert.Equal(t, draining.calls(), 1)
+	assert.Equal(t, good.calls(), 3)
+}
+
+func TestAnUnknownOutcomeIsSaidSo(t *testing.T) {
+	rows := []struct {
+		name string
+		step http.HandlerFunc
+		want errkind.Kind
+	}{
+		{"a connection lost after the send may have submitted", hangUp, errkind.OutcomeUnknown},
+		{"an answer cut off is not a short success", cutOff, errkind.AnswerCutOff},
+		{"a status of a balancer may have submitted", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(502) }, errkind.OutcomeUnknown},
+		{"a redirect is not followed", func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/", 307) }, errkind.OutcomeUnknown},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			e := newEntry(t, row.step)
+			_, err := newClient(t, nil, e.URL).Submit(t.Context(), model.JobSpec{}, "")
+			assert.Equal(t, errkind.Of(err), row.want)
+			assert.Equal(t, BodyOf(err).NotRun, false)
+			assert.Assert(t, !strings.Contains(err.Error(), "fmk_secret"))
+		})
+	}
+}
+
+func TestNoConnectionMeansNotRun(t *testing.T) {
+	dead := httptest.NewServer(http.NotFoundHandler())
+	dead.Close()
+	_, err := newClient(t, nil, dead.URL).Submit(t.Context(), model.JobSpec{}, "")
+	assert.Equal(t, errkind.Of(err), errkind.Unreachable)
+	assert.Equal(t, BodyOf(err).NotRun, true)
+}
+
+func TestContextEndsACall(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	e := newEntry(t, func(_ http.ResponseWriter, r *http.Request) {
+		cancel()
+		<-r.Context().Done()
+	})
+	_, err := newClient(t, nil, e.URL).Submit(ctx, model.JobSpec{}, "")
+	assert.Equal(t, errkind.Of(err), errkind.CallerGone)
+	assert.Equal(t, e.calls(), 1)
+}
+
+func TestARetryThatCannotEndInTimeIsNotMade(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	e := newEntry(t, refuse(errkind.Overloaded)) // advises 2 s
+	_, err := newClient(t, nil, e.URL).Status(ctx)
+	assert.Equal(t, errkind.Of(err), errkind.Overloaded)
+	assert.Equal(t, e.calls(), 1)
+}
+
+func TestAnExecutorsOwnErrorStatusIsPassedThrough(t *testing.T) {
+	e := newEntry(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(503)
+		_, _ = io.WriteString(w, `{"kind":"overloaded"}`)
+	})
+	a, err := newClient(t, nil, e.URL).Request(t.Context(), "lookup", RequestOptions{Body: []byte("row 7")})
+	assert.NilError(t, err)
+	assert.Equal(t, a.Status, 503)
+	assert.Equal(t, string(a.Body), `{"kind":"overloaded"}`)
+	assert.Equal(t, e.calls(), 1)
+}
+
+func TestARequestThatMayRunOnceCarriesItsKeyThroughRetries(t *testing.T) {
+	e := newEntry(t, hangUp, answer("done"))
+	_, err := newClient(t, nil, e.URL).Request(t.Context(), "a/b", RequestOptions{NotRepeatable: true, Deadline: model.Duration(2 * time.Second)})
+	assert.NilError(t, err)
+	first, second := e.got[0], e.got[1]
+	assert.Equal(t, first.URL.EscapedPath(), "/v1/services/a%2Fb/requests")
+	assert.Equal(t, first.Header.Get(api.HeaderRepeatable), "false")
+	assert.Equal(t, first.Header.Get(api.HeaderDeadline), "2s")
+	assert.Assert(t, first.Header.Get(api.HeaderIdempotencyKey) != "")
+	assert.Equal(t, first.Header.Get(api.HeaderIdempotencyKey), second.Header.Get(api.HeaderIdempotencyKey))
+}
+
+func TestJobsReadsAllPages(t *testing.T) {
+	e := newEntry(t,
+		answer(api.JobList{Jobs: []api.JobView{{ID: 1}}, Next: "j-1"}),
+		answer(api.JobList{Jobs: []api.JobView{{ID: 2}}}))
+	jobs, err := newClient(t, nil, e.URL).Jobs(t.Context(), "a=b")
+	assert.NilError(t, err)
+	assert.Equal(t, len(jobs), 2)
+	assert.Equal(t, e.got[1].URL.Query().Get("after"), "j-1")
+	assert.Equal(t, e.got[1].URL.Query().Get("selector"), "a=b")
+}
+
+func TestMalformedAddressesAreRefused(t *testing.T) {
+	for _, a := range []string{"", "ftp://x", "http://", "http://u:p@h", "http://h?x=1", "http://[::1"} {
+		_, err := New(Options{Addresses: []string{a}})
+		assert.Assert(t, err != nil, "%q", a)
+	}
+	_, err := New(Options{})
+	assert.ErrorContains(t, err, "no address")
+}
--- /dev/null
+++ b/internal/client/jobs.go
@@ -0,0 +1,104 @@
+package client
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/google/uuid"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// NewIdempotencyKey returns a key under which one submission or request may be
+// sent again.
+func NewIdempotencyKey() string { return uuid.NewString() }
+
+// Submit submits a job under an idempotency key, which is made when empty.
+func (c *Client) Submit(ctx context.Context, spec model.JobSpec, idempotencyKey string) (api.JobView, error) {
+	if idempotencyKey == "" {
+		idempotencyKey = NewIdempotencyKey()
+	}
+	var view api.JobView
+	err := c.call(ctx, call{
+		method: http.MethodPost,
+		path:   "/v1/jobs",
+		header: http.Header{api.HeaderIdempotencyKey: {idempotencyKey}},
+	}, spec, &view)
+	return view, err
+}
+
+// Quote asks what a job would cost and whether it could run, without submitting it.
+func (c *Client) Quote(ctx context.Context, spec model.JobSpec) (api.Quote, error) {
+	var quote api.Quote
+	err := c.call(ctx, call{
+		method: http.MethodPost,
+		path:   "/v1/jobs",
+		query:  url.Values{"dry_run": {"true"}},
+		read:   true,
+	}, spec, &quote)
+	return quote, err
+}
+
+// JobQuery says what to be told about a job.
+type JobQuery struct {
+	Wait model.Duration // how long the answer may wait for the job's end
+	Why  bool           // tell what holds waiting tasks
+}
+
+// Job returns one job, at once or when it has ended.
+func (c *Client) Job(ctx context.Context, id model.JobID, q JobQuery) (api.JobView, error) {
+	query := make(url.Values)
+	if q.Wait > 0 {
+		query.Set("wait", q.Wait.String())
+	}
+	if q.Why {
+		query.Set("why", "true")
+	}
+	var view api.JobView
+	err := c.call(ctx, call{method: http.MethodGet, path: "/v1/jobs/" + id.String(), query: query, read: true}, nil, &view)
+	return view, err
+}
+
+// jobsPage is how many jobs one call asks for.
+const jobsPage = 1000
+
+// Jobs returns all jobs of the key's team whose labels match selector.
+func (c *Client) Jobs(ctx context.Context, selector string) ([]api.JobView, error) {
+	query := url.Values{"limit": {strconv.Itoa(jobsPage)}}
+	if selector != "" {
+		query.Set("selector", selector)
+	}
+	var jobs []api.JobView
+	for {
+		var page api.JobList
+		if err := c.call(ctx, call{method: http.MethodGet, path: "/v1/jobs", query: query, read: true}, nil, &page); err != nil {
+			return nil, err
+		}
+		jobs = append(jobs, page.Jobs...)
+		if page.Next == "" || page.Next == query.Get("after") {
+			return jobs, nil
+		}
+		query.Set("after", page.Next)
+	}
+}
+
+// Cancel cancels one job. A job that has ended stays as it is.
+func (c *Client) Cancel(ctx context.Context, id model.JobID) (api.JobView, error) {
+	var view api.JobView
+	err := c.call(ctx, call{method: http.MethodDelete, path: "/v1/jobs/" + id.String()}, nil, &view)
+	return view, err
+}
+
+// CancelMatching cancels all jobs of the key's team whose labels match selector.
+func (c *Client) CancelMatching(ctx context.Context, selector string) (api.Cancelled, error) {
+	var out api.Cancelled
+	err := c.call(ctx, call{
+		method: http.MethodDelete,
+		path:   "/v1/jobs",
+		query:  url.Values{"selector": {selector}},
+	}, nil, &out)
+	return out, err
+}
--- /dev/null
+++ b/internal/client/operator.go
@@ -0,0 +1,79 @@
+package client
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// Declarations returns the declarations in force with their version.
+func (c *Client) Declarations(ctx context.Context) (api.DeclarationsView, error) {
+	var view api.DeclarationsView
+	err := c.call(ctx, call{method: http.MethodGet, path: "/v1/declarations", read: true}, nil, &view)
+	return view, err
+}
+
+// Apply puts a whole set of declarations in force, on top of the base version
+// that it names. Its apply ID, made when empty, makes it safe to send again.
+func (c *Client) Apply(ctx context.Context, a api.Apply) (api.Applied, error) {
+	if a.ApplyID == "" {
+		a.ApplyID = NewIdempotencyKey()
+	}
+	var out api.Applied
+	err := c.call(ctx, call{method: http.MethodPut, path: "/v1/declarations"}, a, &out)
+	return out, err
+}
+
+// Status returns the state of the deployment as one entry process sees it.
+func (c *Client) Status(ctx context.Context) (api.Status, error) {
+	var status api.Status
+	err := c.call(ctx, call{method: http.MethodGet, path: "/v1/status", read: true}, nil, &status)
+	return status, err
+}
+
+// GrantKey puts one key in force. Granting it again changes nothing.
+func (c *Client) GrantKey(ctx context.Context, key model.Key) (api.Applied, error) {
+	var out api.Applied
+	err := c.call(ctx, call{method: http.MethodPost, path: "/v1/keys"}, key, &out)
+	return out, err
+}
+
+// WithdrawKey takes one key out of force.
+func (c *Client) WithdrawKey(ctx context.Context, digest model.KeyDigest) (api.Applied, error) {
+	var out api.Applied
+	path := "/v1/keys/" + url.PathEscape(string(digest))
+	err := c.call(ctx, call{method: http.MethodDelete, path: path}, nil, &out)
+	return out, err
+}
+
+// Workers returns the workers whose labels match selector.
+func (c *Client) Workers(ctx context.Context, selector string) ([]api.WorkerView, error) {
+	query := make(url.Values)
+	if selector != "" {
+		query.Set("selector", selector)
+	}
+	var list api.WorkerList
+	err := c.call(ctx, call{method: http.MethodGet, path: "/v1/workers", query: query, read: true}, nil, &list)
+	return list.Workers, err
+}
+
+// WorkerAction is what an operator does to a worker.
+type WorkerAction string
+
+// The actions.
+const (
+	Cordon WorkerAction = "cordon" // no new work
+	Drain  WorkerAction = "drain"  // no new work, and its work is moved away
+	Open   WorkerAction = "open"   // new work again
+)
+
+// SetWorker applies an action to a worker. Applying it again changes nothing.
+func (c *Client) SetWorker(ctx context.Context, id model.WorkerID, action WorkerAction) (api.WorkerView, error) {
+	var view api.WorkerView
+	path := "/v1/workers/" + url.PathEscape(string(id)) + "/" + string(action)
+	err := c.call(ctx, call{method: http.MethodPost, path: path}, nil, &view)
+	return view, err
+}
