Add the command line

One file a subcommand, by go-arg. Keys come from the environment or a file, never from an argument that a process list would show. Exit codes follow the table of error kinds, which a test walks through HTTP. check compares the settings of several processes with each other.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -86,7 +86,7 @@
 		c.backoff = defaultBackoff
 	}
 	if c.http == nil {
-		c.http = newHTTP()
+		c.http = NewHTTP(nil)
 	}
 	return c, nil
 }
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -171,8 +171,8 @@
 	}{
 		{"a connection lost after the send may have submitted", hangUp, errkind.OutcomeUnknown},
 		{"an answer cut off is not a short success", cutOff, errkind.AnswerCutOff},
-		{"a status of a balancer may have submitted", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(502) }, errkind.OutcomeUnknown},
-		{"a redirect is not followed", func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/", 307) }, errkind.OutcomeUnknown},
+		{"a status of a balancer may have submitted", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) }, errkind.OutcomeUnknown},
+		{"a redirect is not followed", func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/", http.StatusTemporaryRedirect) }, errkind.OutcomeUnknown},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
@@ -215,12 +215,12 @@
 
 func TestAnExecutorsOwnErrorStatusIsPassedThrough(t *testing.T) {
 	e := newEntry(t, func(w http.ResponseWriter, _ *http.Request) {
-		w.WriteHeader(503)
+		w.WriteHeader(http.StatusServiceUnavailable)
 		_, _ = io.WriteString(w, `{"kind":"overloaded"}`)
 	})
 	a, err := newClient(t, nil, e.URL).Request(t.Context(), "lookup", RequestOptions{Body: []byte("row 7")})
 	assert.NilError(t, err)
-	assert.Equal(t, a.Status, 503)
+	assert.Equal(t, a.Status, http.StatusServiceUnavailable)
 	assert.Equal(t, string(a.Body), `{"kind":"overloaded"}`)
 	assert.Equal(t, e.calls(), 1)
 }
--- a/internal/client/transport.go
+++ b/internal/client/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -9,13 +10,15 @@
 	"github.com/filbertmast/filbertmast/internal/errkind"
 )
 
-// newHTTP returns an HTTP client without an overall timeout: calls end by
+// NewHTTP returns an HTTP client without an overall timeout: calls end by
 // their context. Redirects are refused, since they would carry the key away.
-func newHTTP() *http.Client {
+// A nil config trusts the authorities of the system.
+func NewHTTP(config *tls.Config) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext:         dialer.DialContext,
+			TLSClientConfig:     config,
 			TLSHandshakeTimeout: dialTimeout,
 			MaxIdleConnsPerHost: 64,
 			ForceAttemptHTTP2:   true,
--- /dev/null
+++ b/internal/command/check.go
@@ -0,0 +1,90 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/filbertmast/filbertmast/internal/declare"
+	"github.com/filbertmast/filbertmast/internal/settings"
+	"github.com/filbertmast/filbertmast/internal/strict"
+)
+
+// checkCommand checks settings and declarations.
+type checkCommand struct {
+	Settings     []string `arg:"-s,--settings,separate" placeholder:"FILE" help:"settings of one process; may be repeated"`
+	Declarations string   `arg:"-f,--declarations" placeholder:"DIR" help:"folder of declarations"`
+	NoFiles      bool     `arg:"--no-files" help:"do not look for the certificates and folders that settings name"`
+	output
+}
+
+func (*checkCommand) describe() string {
+	return `Checks settings and declarations without calling anything. Every problem is told
+at once, with its file, JSON path, value and the rule broken. Settings that are
+checked together must also agree with each other: one name and one set of
+addresses for each process, the same founders.
+`
+}
+
+func (c *checkCommand) run(_ context.Context, a *app) error {
+	a.json = c.JSON
+	if len(c.Settings) == 0 && c.Declarations == "" {
+		return usageErrorf("nothing to check: give --settings FILE, --declarations DIR or both")
+	}
+	problems := c.checkSettings()
+	if c.Declarations != "" {
+		_, found := declare.LoadDir(c.Declarations)
+		problems = append(problems, found...)
+	}
+	if err := problems.Err(); err != nil {
+		return err
+	}
+	return c.tell(a)
+}
+
+func (c *checkCommand) checkSettings() strict.Problems {
+	var problems strict.Problems
+	files := make([]settings.File, 0, len(c.Settings))
+	for _, name := range c.Settings {
+		data, err := os.ReadFile(name)
+		if err != nil {
+			problems.Add(name, "$", nil, "the file cannot be read: %v", err)
+			continue
+		}
+		s, found := settings.Parse(name, data)
+		problems = append(problems, found...)
+		if !c.NoFiles {
+			problems = append(problems, s.CheckFiles(name)...)
+		}
+		files = append(files, settings.File{Name: name, Settings: s})
+	}
+	return append(problems, settings.CheckTogether(files)...)
+}
+
+// checked is the answer of a check without problems.
+type checked struct {
+	Settings     int  `json:"settings"` // files
+	Declarations bool `json:"declarations"`
+}
+
+func (c *checkCommand) tell(a *app) error {
+	if a.json {
+		return a.writeJSON(checked{Settings: len(c.Settings), Declarations: c.Declarations != ""})
+	}
+	if len(c.Settings) > 0 {
+		a.printf("settings: %d file(s) without problems\n", len(c.Settings))
+	}
+	if c.Declarations != "" {
+		d, _ := declare.LoadDir(c.Declarations)
+		a.printf("declarations: %s, digest %.12s\n", countOf(d), declare.Digest(&d))
+	}
+	return nil
+}
+
+// plural formats a count of things.
+func plural(n int, thing string) string {
+	if n == 1 {
+		return fmt.Sprintf("1 %s", thing)
+	}
+	return fmt.Sprintf("%d %ss", n, thing)
+}
--- /dev/null
+++ b/internal/command/fake_test.go
@@ -0,0 +1,75 @@
+package command
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/errkind"
+)
+
+const testKey = "fmk_of-the-caller"
+
+// fake is an entry process with one handler a path.
+type fake struct {
+	*http.ServeMux
+	server *httptest.Server
+}
+
+func newFake(t *testing.T) *fake {
+	t.Helper()
+	f := &fake{ServeMux: http.NewServeMux()}
+	f.server = httptest.NewServer(f)
+	t.Cleanup(f.server.Close)
+	t.Setenv("FILBERTMAST_ADDRESS", f.server.URL)
+	t.Setenv("FILBERTMAST_KEY", testKey)
+	return f
+}
+
+// answers makes a path answer with v.
+func (f *fake) answers(pattern string, v any) {
+	f.HandleFunc(pattern, func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(v) })
+}
+
+// refuses makes a path answer with an error of kind k.
+func (f *fake) refuses(pattern string, k errkind.Kind) {
+	f.HandleFunc(pattern, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(api.HeaderError, string(k))
+		w.WriteHeader(errkind.RowOf(k).Status)
+		_ = json.NewEncoder(w).Encode(errkind.BodyOf(errkind.New(k, "refused for a reason"), "r-9"))
+	})
+}
+
+// result is what one command line did.
+type result struct {
+	code     int
+	out, err string
+}
+
+func run(t *testing.T, args ...string) result {
+	t.Helper()
+	return runWith(t, "", false, args...)
+}
+
+func runWith(t *testing.T, stdin string, terminal bool, args ...string) result {
+	t.Helper()
+	var out, errOut bytes.Buffer
+	code := Run(t.Context(), args, Streams{In: strings.NewReader(stdin), Out: &out, Err: &errOut, Terminal: terminal})
+	assert.Assert(t, !strings.Contains(out.String()+errOut.String(), testKey), "a key was written")
+	return result{code, out.String(), errOut.String()}
+}
+
+func writeFile(t *testing.T, name, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
--- /dev/null
+++ b/internal/command/status.go
@@ -0,0 +1,81 @@
+package command
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+)
+
+// statusCommand shows the state of a deployment.
+type statusCommand struct {
+	connection
+	output
+}
+
+func (*statusCommand) describe() string {
+	return `Shows the leader, the replicas, the entry processes with the configuration in
+force there, and what each team uses. Needs an operator's key.
+`
+}
+
+func (c *statusCommand) run(ctx context.Context, a *app) error {
+	ctx, cancel, cl, err := c.dial(ctx, a, c.output)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	status, err := cl.Status(ctx)
+	if err != nil {
+		return err
+	}
+	if a.json {
+		return a.writeJSON(status)
+	}
+	return a.tellStatus(status)
+}
+
+func (a *app) tellStatus(s api.Status) error {
+	a.printf("leader %s, term %d, index %d; seen from entry %s\n", s.Leader, s.Term, s.Index, s.Entry)
+	a.printf("declarations version %d\n", s.Version)
+	a.printf("%d jobs, %d tasks running, %d waiting, %d workers\n\n", s.Jobs, s.Running, s.Waiting, s.Workers)
+	if err := a.table([]string{"REPLICA", "ADDRESS", "VOTER", "MATCH"}, replicaRows(s.Replicas)); err != nil {
+		return err
+	}
+	a.printf("\n")
+	if err := a.table([]string{"ENTRY", "ADDRESS", "FAILURE DOMAIN", "VERSION", "HEARD"}, entryRows(s.Entries)); err != nil {
+		return err
+	}
+	a.printf("\n")
+	return a.table([]string{"TEAM", "RUNNING", "LIMIT", "PERMITS", "RESERVED", "CHARGED", "REFUNDED"}, teamRows(s.Teams))
+}
+
+func replicaRows(replicas []api.ReplicaView) [][]string {
+	rows := make([][]string, 0, len(replicas))
+	for _, r := range replicas {
+		rows = append(rows, []string{r.ID, r.Address, strconv.FormatBool(r.Voter), strconv.FormatUint(r.Match, 10)})
+	}
+	return rows
+}
+
+func entryRows(entries []api.EntryView) [][]string {
+	rows := make([][]string, 0, len(entries))
+	for _, e := range entries {
+		age := time.Duration(e.AgeMS) * time.Millisecond
+		rows = append(rows, []string{e.ID, e.Address, e.FailureDomain, strconv.FormatUint(e.Version, 10), age.String() + " ago"})
+	}
+	return rows
+}
+
+func teamRows(teams []api.TeamView) [][]string {
+	rows := make([][]string, 0, len(teams))
+	for _, t := range teams {
+		rows = append(rows, []string{
+			t.Team, number(t.Running), number(t.Limit), number(t.Permitted), t.Reserved.String(), number(t.Charged), number(t.Refunded),
+		})
+	}
+	return rows
+}
+
+func number(n int64) string { return strconv.FormatInt(n, 10) }
--- /dev/null
+++ b/internal/command/wait.go
@@ -0,0 +1,101 @@
+package command
+
+import (
+	"context"
+	"time"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/client"
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// waitStep is how long one call waits for the end of a job.
+const waitStep = 20 * time.Second
+
+// waitSlack is how much longer than its wait one call may take.
+const waitSlack = 15 * time.Second
+
+// waitPause is the least time between two calls, for entry processes that
+// answer before their wait is over.
+const waitPause = 500 * time.Millisecond
+
+// Phases of a job that are final.
+const (
+	phaseSucceeded = "succeeded"
+	phaseFailed    = "failed"
+	phaseCancelled = "cancelled"
+)
+
+// waitCommand waits for the end of a job.
+type waitCommand struct {
+	Job         string        `arg:"positional,required" placeholder:"JOB" help:"job ID such as j-12"`
+	WaitTimeout time.Duration `arg:"--wait-timeout" default:"24h" help:"how long to wait"`
+	connection
+	output
+}
+
+func (*waitCommand) describe() string {
+	return `Waits for the end of a job. Exit code 0 means that all its tasks succeeded, 7 that
+it failed or was cancelled, 6 that it was still running after --wait-timeout.
+`
+}
+
+func (c *waitCommand) run(ctx context.Context, a *app) error {
+	a.json = c.JSON
+	id, err := parseJob(c.Job)
+	if err != nil {
+		return err
+	}
+	cl, err := c.client(a)
+	if err != nil {
+		return err
+	}
+	return waitForJob(ctx, a, cl, id, c.WaitTimeout)
+}
+
+// waitForJob waits for the end of a job and tells it.
+func waitForJob(ctx context.Context, a *app, cl *client.Client, id model.JobID, timeout time.Duration) error {
+	until := time.Now().Add(timeout)
+	progress := a.newProgress()
+	defer progress.end()
+	ticker := time.NewTicker(waitPause)
+	defer ticker.Stop()
+	for {
+		step := min(waitStep, max(time.Until(until), 0))
+		view, err := jobWithin(ctx, cl, id, step)
+		if err != nil {
+			return err
+		}
+		progress.show("%s %s: %s", view.ID, view.Phase, progressOf(view))
+		if ended(view.Phase) {
+			progress.end()
+			return a.tellEnd(view)
+		}
+		if step == 0 {
+			return errkind.New(errkind.StillRunning, "job %s is still %s after %s", id, view.Phase, timeout)
+		}
+		<-ticker.C
+	}
+}
+
+// jobWithin asks for a job once, waiting up to wait for its end.
+func jobWithin(ctx context.Context, cl *client.Client, id model.JobID, wait time.Duration) (api.JobView, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+waitSlack)
+	defer cancel()
+	return cl.Job(ctx, id, client.JobQuery{Wait: model.Duration(wait)})
+}
+
+func ended(phase string) bool {
+	return phase == phaseSucceeded || phase == phaseFailed || phase == phaseCancelled
+}
+
+func (a *app) tellEnd(view api.JobView) error {
+	if err := a.tellJob(view); err != nil {
+		return err
+	}
+	if view.Phase != phaseSucceeded {
+		return &exitError{code: errkind.ExitJobFailed}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/command/workers.go
@@ -0,0 +1,75 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/client"
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// workersCommand lists workers.
+type workersCommand struct {
+	Selector string `arg:"-l,--selector" help:"list only workers whose labels match, such as zone in (a,b)"`
+	connection
+	output
+}
+
+func (*workersCommand) describe() string {
+	return `Lists workers with what they have, what is reserved on them and whether they take
+new work. Needs an operator's key.
+`
+}
+
+func (c *workersCommand) run(ctx context.Context, a *app) error {
+	if err := checkSelector(c.Selector); err != nil {
+		return err
+	}
+	ctx, cancel, cl, err := c.dial(ctx, a, c.output)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	workers, err := cl.Workers(ctx, c.Selector)
+	if err != nil {
+		return err
+	}
+	return a.tellWorkers(workers)
+}
+
+func (a *app) tellWorkers(workers []api.WorkerView) error {
+	if a.json {
+		return a.writeJSON(api.WorkerList{Workers: workers})
+	}
+	rows := make([][]string, 0, len(workers))
+	for _, w := range workers {
+		mode := w.Mode
+		if w.Failing {
+			mode += ", on probation"
+		}
+		rows = append(rows, []string{
+			string(w.Spec.ID), mode, w.Spec.FailureDomain, w.Spec.Rack,
+			used(w.Reserved.CPU, w.Spec.Capacity.CPU), used(w.Reserved.Memory, w.Spec.Capacity.Memory),
+			used(w.Reserved.Accelerators, w.Spec.Capacity.Accelerators), strconv.Itoa(int(w.Tasks)),
+		})
+	}
+	header := []string{"WORKER", "MODE", "FAILURE DOMAIN", "RACK", "CPU MILLI", "MEMORY MIB", "ACCELERATORS", "TASKS"}
+	return a.table(header, rows)
+}
+
+func used(reserved, capacity int64) string { return fmt.Sprintf("%d/%d", reserved, capacity) }
+
+// setWorkers applies one action to workers in turn and tells how they stand.
+func setWorkers(ctx context.Context, a *app, cl *client.Client, ids []string, action client.WorkerAction) error {
+	views := make([]api.WorkerView, 0, len(ids))
+	for _, id := range ids {
+		view, err := cl.SetWorker(ctx, model.WorkerID(id), action)
+		if err != nil {
+			return err
+		}
+		views = append(views, view)
+	}
+	return a.tellWorkers(views)
+}
--- /dev/null
+++ b/internal/settings/together.go
@@ -0,0 +1,67 @@
+package settings
+
+import (
+	"slices"
+
+	"github.com/filbertmast/filbertmast/internal/strict"
+)
+
+// File is the settings of one process with the name of their file.
+type File struct {
+	Name     string
+	Settings *Settings
+}
+
+// CheckTogether reports where the processes of one deployment clash: equal
+// names, equal addresses, and founders that differ.
+func CheckTogether(files []File) Problems {
+	c := together{names: make(map[string]string), inner: make(map[string]string), outer: make(map[string]string)}
+	for _, f := range files {
+		c.unique(c.names, f, "$.name", f.Settings.Name)
+		c.unique(c.inner, f, "$.inner.address", f.Settings.Inner.Address)
+		c.unique(c.outer, f, "$.outer.address", f.Settings.Outer.Address)
+		c.founders(files[0], f)
+	}
+	c.foundersExist(files)
+	return c.problems
+}
+
+// together collects clashes; its maps lead from a value to the file that had it first.
+type together struct {
+	names, inner, outer map[string]string
+	problems            Problems
+}
+
+func (c *together) unique(seen map[string]string, f File, path, value string) {
+	if value == "" {
+		return
+	}
+	if first, ok := seen[value]; ok {
+		c.problems.Add(f.Name, path, value, "duplicate of %s: %s", first, path)
+		return
+	}
+	seen[value] = f.Name
+}
+
+// founders compares the list with that of the first file, in any order.
+func (c *together) founders(first, f File) {
+	want := slices.Sorted(slices.Values(first.Settings.Control.Founders))
+	have := slices.Sorted(slices.Values(f.Settings.Control.Founders))
+	if !slices.Equal(want, have) {
+		c.problems.Add(f.Name, "$.control.founders", nil, "must list the same addresses as %s", first.Name)
+	}
+}
+
+// foundersExist looks for the process of each founder, once more than one
+// file is checked.
+func (c *together) foundersExist(files []File) {
+	if len(files) < 2 {
+		return
+	}
+	first := files[0]
+	for i, address := range first.Settings.Control.Founders {
+		if c.inner[address] == "" {
+			c.problems.Add(first.Name, strict.Index("$.control.founders", i), address, "is the inner.address of none of the files checked")
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/together_test.go
@@ -0,0 +1,37 @@
+package settings
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestCheckTogether(t *testing.T) {
+	file := func(name, process, inner, outer string, founders ...string) File {
+		s := Default()
+		s.Name, s.Inner.Address, s.Outer.Address, s.Control.Founders = process, inner, outer, founders
+		return File{name, s}
+	}
+	rows := []struct {
+		name  string
+		files []File
+		want  string
+	}{
+		{"no files have no clash", nil, ""},
+		{"one file may list founders that are not checked", []File{file("a", "a", "1", "8", "2")}, ""},
+		{"founders in another order agree", []File{file("a", "a", "1", "8", "1", "2"), file("b", "b", "2", "9", "2", "1")}, ""},
+		{"one name for two processes", []File{file("a", "x", "1", "8", "1"), file("b", "x", "2", "9", "1")},
+			`b: $.name: got "x": duplicate of a: $.name`},
+		{"one address for two processes", []File{file("a", "a", "1", "8", "1"), file("b", "b", "1", "8", "1")},
+			"b: $.inner.address: got \"1\": duplicate of a: $.inner.address\nb: $.outer.address: got \"8\": duplicate of a: $.outer.address"},
+		{"founders that differ", []File{file("a", "a", "1", "8", "1"), file("b", "b", "2", "9", "2")},
+			"b: $.control.founders: must list the same addresses as a"},
+		{"a founder that no file describes", []File{file("a", "a", "1", "8", "1", "3"), file("b", "b", "2", "9", "1", "3")},
+			`a: $.control.founders[1]: got "3": is the inner.address of none of the files checked`},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			assert.Equal(t, CheckTogether(row.files).Error(), row.want)
+		})
+	}
+}
