Run the whole path in one process

Cause: nothing joined the parts; measuring needs a path that exists. Change: server starts the endpoint, the replica, the control goroutine, the entry and HTTP from settings, and shuts down in order; dev runs them with a stand-in worker and an example job. Conclusion: the thin path runs in one process; separate processes are next.

--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -86,7 +86,7 @@
 		Entries:         strings.Split(c.Address, ","),
 		Key:             key,
 		Spec:            spec,
-		TaskTime:        model.Duration(c.TaskTime),
+		TaskTime:        c.TaskTime,
 		HistoryFile:     c.History,
 		ExecutorAddress: c.ExecutorIP,
 	})
@@ -99,7 +99,7 @@
 	Service     string `arg:"--service,required" help:"service that it belongs to"`
 	Slots       int32  `arg:"--slots" default:"8" help:"requests at once"`
 	Connections int32  `arg:"--connections" default:"60" help:"open connections at once"`
-	Behave      string `arg:"--behave" default:"echo" help:"echo, slow, fail, refuse or cut"`
+	Behave      string `arg:"--behave" default:"ok" help:"ok, slow, refuse, never-answer, cut, wrong-id, fail-some or fail-all"`
 	History     string `arg:"--history" placeholder:"FILE" help:"note every request in a file"`
 	connection
 }
--- a/internal/control/commands.go
+++ b/internal/control/commands.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"time"
+
 	"github.com/filbertmast/filbertmast/internal/api"
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/proto"
@@ -62,10 +64,20 @@
 	}
 }
 
-// resend sends every order of a worker that no report has confirmed.
-func (l *leader) resend(w *state.Worker) {
+// resendAfter is how old an unconfirmed start must be to be sent again over
+// the same entry, which may only be waiting for the worker's report.
+const resendAfter = time.Second
+
+// resend sends the orders of a worker that no report has confirmed: all of them
+// where its session has moved, else those that seem to have been lost.
+func (l *leader) resend(w *state.Worker, all bool) {
+	before := l.c.s.now().Add(-resendAfter)
 	var cmds []api.Command
 	for _, id := range w.Held {
+		t := &l.c.machine.Job(id.Job).Tasks[id.Index]
+		if !all && t.Since > before {
+			continue
+		}
 		if cmd, ok := l.commandFor(id); ok {
 			cmds = append(cmds, cmd)
 		}
--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -29,7 +29,7 @@
 	case state.TaskChanged:
 		l.feedTask(&e)
 	case state.PlacementRefused:
-		l.sched.Apply(schedule.TaskEnded{Task: e.Task, Outcome: model.OutcomeNotStarted, At: e.At})
+		l.sched.Apply(schedule.TaskEnded{Task: e.Task, Outcome: schedule.NotStarted, At: e.At})
 		l.touch(e.Task.Job)
 	case state.ExecutorChanged:
 		l.feedExecutor(&e)
@@ -62,7 +62,7 @@
 	default:
 		l.sched.Apply(schedule.TaskEnded{
 			Task:    e.Task,
-			Outcome: e.Outcome,
+			Outcome: schedule.Outcome(e.Outcome),
 			RanFor:  e.RanFor,
 			Used:    e.Used,
 			At:      e.At,
--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 
 	"github.com/filbertmast/filbertmast/internal/api"
 	"github.com/filbertmast/filbertmast/internal/declare"
@@ -96,7 +97,7 @@
 	}
 	for _, m := range st.Members {
 		out.Replicas = append(out.Replicas, api.ReplicaView{
-			ID: m.ID.String(), Address: m.Address, Voter: m.Voter, Match: m.Match})
+			ID: strconv.FormatUint(uint64(m.ID), 16), Address: m.Address, Voter: m.Voter, Match: m.Match})
 	}
 	out.Entries = l.entryViews()
 	out.Teams = l.teamViews()
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -125,7 +125,14 @@
 		limit = min(limit, req.Limit)
 	}
 	out := &proto.Jobs{}
-	for _, j := range jobs[:min(limit, len(jobs))] {
+	for _, j := range jobs {
+		if j.ID <= req.After {
+			continue
+		}
+		if len(out.Jobs) == limit {
+			out.Next = out.Jobs[limit-1].ID
+			break
+		}
 		view := l.viewOf(j, false)
 		view.Tasks = nil
 		out.Jobs = append(out.Jobs, view)
--- a/internal/control/operate.go
+++ b/internal/control/operate.go
@@ -39,22 +39,31 @@
 func (l *leader) workers(_ wire.Peer, _ *proto.Empty, done reply[proto.Workers]) {
 	out := &proto.Workers{}
 	for _, w := range l.c.machine.Workers() {
-		_, _, probation, _ := l.sched.Worker(w.Spec.ID)
-		out.Workers = append(out.Workers, api.WorkerView{
-			Spec:     w.Spec,
-			Mode:     w.Mode.String(),
-			Reserved: w.Reserved,
-			Tasks:    int32(len(w.Held)),
-			Failing:  probation,
-		})
+		out.Workers = append(out.Workers, l.workerView(w))
 	}
 	confirmed(l.c, done, out)
 }
 
-func (l *leader) setMode(_ wire.Peer, req *proto.SetMode, done reply[proto.Empty]) {
+func (l *leader) workerView(w *state.Worker) api.WorkerView {
+	_, _, probation, _ := l.sched.Worker(w.Spec.ID)
+	return api.WorkerView{
+		Spec:     w.Spec,
+		Mode:     w.Mode.String(),
+		Reserved: w.Reserved,
+		Tasks:    int32(len(w.Held)),
+		Failing:  probation,
+	}
+}
+
+func (l *leader) setMode(_ wire.Peer, req *proto.SetMode, done reply[api.WorkerView]) {
 	cmd := &state.SetMode{Worker: req.Worker, Mode: req.Mode}
 	l.c.propose(&state.Command{SetMode: cmd}, func(_ state.Result, err error) {
-		done(&proto.Empty{}, err)
+		if err != nil {
+			done(nil, err)
+			return
+		}
+		view := l.workerView(l.c.machine.Worker(req.Worker))
+		done(&view, nil)
 	})
 }
 
--- a/internal/control/workers.go
+++ b/internal/control/workers.go
@@ -58,8 +58,10 @@
 	if w == nil {
 		return
 	}
-	l.sessions[r.Worker] = attachment{session: r.Session, entry: from.Address}
-	l.resend(w)
+	at := attachment{session: r.Session, entry: from.Address}
+	moved := r.Attach || l.sessions[r.Worker] != at
+	l.sessions[r.Worker] = at
+	l.resend(w, moved)
 	for _, u := range r.Usage {
 		l.used(w, &u)
 	}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -41,6 +41,16 @@
 	return d.entries
 }
 
+// addressOf returns the inner address of an entry, or "" where it is not known.
+func (d *directory) addressOf(name string) string {
+	for _, m := range d.members() {
+		if m.Name == name {
+			return m.Inner
+		}
+	}
+	return ""
+}
+
 func (d *directory) take(a *proto.Registered) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -132,6 +132,7 @@
 	if c.Response().Committed {
 		return
 	}
+	c.Response().Header().Set(api.HeaderError, string(body.Kind))
 	if body.RetryAfterMS > 0 {
 		seconds := (body.RetryAfterMS + 999) / 1000
 		c.Response().Header().Set(echo.HeaderRetryAfter, strconv.FormatInt(seconds, 10))
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -104,13 +104,31 @@
 
 func (s *Server) listJobs(c echo.Context, caller proto.Caller) error {
 	req := &proto.ListJobs{Caller: caller, Selector: c.QueryParam("selector")}
+	if text := c.QueryParam("limit"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 {
+			return errkind.New(errkind.BadRequest, "limit %q is not a number above zero", text)
+		}
+		req.Limit = n
+	}
+	if text := c.QueryParam("after"); text != "" {
+		id, err := model.ParseJobID(text)
+		if err != nil {
+			return errkind.Wrap(errkind.BadRequest, err, "after")
+		}
+		req.After = id
+	}
 	ctx, cancel := bounded(c, 0)
 	defer cancel()
 	resp, err := callLeader[proto.ListJobs, proto.Jobs](ctx, s.leader, wire.KindListJobs, req, 0)
 	if err != nil {
 		return err
 	}
-	return c.JSON(http.StatusOK, resp.Jobs)
+	list := api.JobList{Jobs: resp.Jobs}
+	if resp.Next != 0 {
+		list.Next = resp.Next.String()
+	}
+	return c.JSON(http.StatusOK, list)
 }
 
 func (s *Server) cancelJob(c echo.Context, caller proto.Caller) error {
@@ -118,7 +136,16 @@
 	if err != nil {
 		return err
 	}
-	return s.cancel(c, &proto.Cancel{Caller: caller, ID: id})
+	if _, err := s.cancel(c, &proto.Cancel{Caller: caller, ID: id}); err != nil {
+		return err
+	}
+	ctx, cancel := bounded(c, 0)
+	defer cancel()
+	view, err := callLeader[proto.GetJob, api.JobView](ctx, s.leader, wire.KindGetJob, &proto.GetJob{Caller: caller, ID: id}, 0)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, view)
 }
 
 func (s *Server) cancelJobs(c echo.Context, caller proto.Caller) error {
@@ -126,15 +153,19 @@
 	if selector == "" {
 		return errkind.New(errkind.BadRequest, "a selector is needed to cancel jobs")
 	}
-	return s.cancel(c, &proto.Cancel{Caller: caller, Selector: selector})
+	n, err := s.cancel(c, &proto.Cancel{Caller: caller, Selector: selector})
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, api.Cancelled{Jobs: int64(n)})
 }
 
-func (s *Server) cancel(c echo.Context, req *proto.Cancel) error {
+func (s *Server) cancel(c echo.Context, req *proto.Cancel) (int, error) {
 	ctx, cancel := bounded(c, 0)
 	defer cancel()
 	resp, err := callLeader[proto.Cancel, proto.Cancelled](ctx, s.leader, wire.KindCancel, req, 0)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	return c.JSON(http.StatusOK, resp)
+	return resp.Count, nil
 }
--- a/internal/entry/operate.go
+++ b/internal/entry/operate.go
@@ -24,6 +24,21 @@
 	return c.JSON(http.StatusOK, resp)
 }
 
+// configure sends a change of the configuration to the leader and brings this
+// entry up to it, so that the operator's next call here finds it in force.
+func configure[Req any](s *Server, c echo.Context, k wire.Kind, req *Req) error {
+	ctx, cancel := bounded(c, 0)
+	defer cancel()
+	resp, err := callLeader[Req, api.Applied](ctx, s.leader, k, req, 0)
+	if err != nil {
+		return err
+	}
+	if err := s.followOnce(ctx); err != nil {
+		s.log.Debug("Change accepted, not yet in force here.", "version", resp.Version, "err", err)
+	}
+	return c.JSON(http.StatusOK, resp)
+}
+
 func (s *Server) applyDeclarations(c echo.Context, caller proto.Caller) error {
 	req := &proto.Declare{Caller: caller}
 	if _, err := s.readJSON(c, &req.Apply); err != nil {
@@ -35,7 +50,7 @@
 	if problems := declare.Validate(&req.Apply.Declarations); len(problems) > 0 {
 		return errkind.New(errkind.BadDeclarations, "%s", problems.Error())
 	}
-	return operate[proto.Declare, api.Applied](s, c, wire.KindDeclare, req)
+	return configure(s, c, wire.KindDeclare, req)
 }
 
 func (s *Server) getDeclarations(c echo.Context, _ proto.Caller) error {
@@ -47,7 +62,7 @@
 	if _, err := s.readJSON(c, &req.Key); err != nil {
 		return err
 	}
-	return operate[proto.Key, api.Applied](s, c, wire.KindKey, req)
+	return configure(s, c, wire.KindKey, req)
 }
 
 func (s *Server) withdrawKey(c echo.Context, caller proto.Caller) error {
@@ -55,23 +70,33 @@
 	if !declare.ValidDigest(req.Key.Digest) {
 		return errkind.New(errkind.BadRequest, "the digest must have 64 hex digits")
 	}
-	return operate[proto.Key, api.Applied](s, c, wire.KindKey, req)
+	return configure(s, c, wire.KindKey, req)
 }
 
 func (s *Server) listWorkers(c echo.Context, _ proto.Caller) error {
+	sel, err := model.ParseSelector(c.QueryParam("selector"))
+	if err != nil {
+		return errkind.Wrap(errkind.BadRequest, err, "query")
+	}
 	ctx, cancel := bounded(c, 0)
 	defer cancel()
 	resp, err := callLeader[proto.Empty, proto.Workers](ctx, s.leader, wire.KindWorkers, &proto.Empty{}, 0)
 	if err != nil {
 		return err
 	}
-	return c.JSON(http.StatusOK, resp.Workers)
+	list := api.WorkerList{Workers: []api.WorkerView{}}
+	for _, w := range resp.Workers {
+		if sel.Matches(w.Spec.Labels) {
+			list.Workers = append(list.Workers, w)
+		}
+	}
+	return c.JSON(http.StatusOK, list)
 }
 
 func (s *Server) setMode(mode model.WorkerMode) handler {
 	return func(c echo.Context, caller proto.Caller) error {
 		req := &proto.SetMode{Caller: caller, Worker: model.WorkerID(c.Param("id")), Mode: mode}
-		return operate[proto.SetMode, proto.Empty](s, c, wire.KindSetMode, req)
+		return operate[proto.SetMode, api.WorkerView](s, c, wire.KindSetMode, req)
 	}
 }
 
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -191,8 +191,12 @@
 // peers passes requests on to the entries that own executors.
 type peers struct{ s *Server }
 
-// Forward implements route.Peers. Owner is the peer's inner address.
-func (p peers) Forward(ctx context.Context, address string, h *route.ForwardHeader, body io.Reader) (*route.Answer, error) {
+// Forward implements route.Peers.
+func (p peers) Forward(ctx context.Context, name string, h *route.ForwardHeader, body io.Reader) (*route.Answer, error) {
+	address := p.s.dir.addressOf(name)
+	if address == "" {
+		return nil, errkind.New(errkind.Unreachable, "entry %q is not known here", name)
+	}
 	head, answer, err := wire.Open[route.ForwardHeader, forwardAnswer](ctx, p.s.opts.Endpoint, address, wire.KindForward, h, body)
 	if err != nil {
 		return nil, err
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -64,6 +64,10 @@
 	retryAfterKey
 )
 
+// Errors here are answers to callers, made at high rates; a stack trace each
+// would cost more than the answer and would flood the logs.
+func init() { merry.SetStackCaptureEnabled(false) }
+
 // New returns an error of kind k. The message is for the caller and must not hold keys.
 func New(k Kind, format string, args ...any) error {
 	return merry.Wrap(merry.Errorf(format, args...), merry.WithValue(kindKey, k))
--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -56,11 +56,14 @@
 	Caller   Caller `cbor:"1,keyasint"`
 	Selector string `cbor:"2,keyasint,omitempty"`
 	Limit    int    `cbor:"3,keyasint,omitempty"`
+	// After, where not zero, skips the jobs up to and including it.
+	After model.JobID `cbor:"4,keyasint,omitempty"`
 }
 
 // Jobs is the answer to ListJobs.
 type Jobs struct {
 	Jobs []api.JobView `cbor:"1,keyasint"`
+	Next model.JobID   `cbor:"2,keyasint,omitempty"` // read on after it; zero at the end
 }
 
 // Cancel ends one job, or those whose labels match.
@@ -207,6 +210,8 @@
 	Session uint64          `cbor:"2,keyasint"`
 	Leaving bool            `cbor:"3,keyasint,omitempty"`
 	Usage   []api.TaskUsage `cbor:"4,keyasint,omitempty"`
+	// Attach says that the session has come to this entry from another one.
+	Attach bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Renewed is the answer to Renewals, in their order.
--- /dev/null
+++ b/internal/server/dev.go
@@ -0,0 +1,217 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/certs"
+	"github.com/filbertmast/filbertmast/internal/client"
+	"github.com/filbertmast/filbertmast/internal/declare"
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/settings"
+	"github.com/filbertmast/filbertmast/internal/standin"
+)
+
+// DevOptions is what the embedded default can be told.
+type DevOptions struct {
+	DataDir string    // empty: a temporary folder, removed at the end
+	Address string    // of the HTTP listener, IP:port
+	Once    bool      // return after the example job
+	Out     io.Writer // what happens is told here
+}
+
+// devTimeout bounds each step of the example.
+const devTimeout = 30 * time.Second
+
+// dev is the embedded default while it runs.
+type dev struct {
+	opts     DevOptions
+	process  *Process
+	operator string // key
+	caller   string // key
+}
+
+// Dev runs one control and one entry role and a stand-in worker in this
+// process, runs an example job and goes on serving until ctx ends.
+func Dev(ctx context.Context, o DevOptions) error {
+	ctx, cancel := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	if o.DataDir == "" {
+		dir, err := os.MkdirTemp("", "filbertmast-dev-")
+		if err != nil {
+			return errkind.Wrap(errkind.Internal, err, "temporary data folder")
+		}
+		defer os.RemoveAll(dir)
+		o.DataDir = dir
+	}
+	d := &dev{opts: o}
+	if err := d.start(); err != nil {
+		return err
+	}
+	defer d.process.Shutdown()
+	workerDone := d.startWorker(ctx)
+	if err := d.example(ctx); err != nil {
+		return err
+	}
+	if !o.Once {
+		fmt.Fprintf(o.Out, "Serving on http://%s until interrupted.\n", d.address())
+		fmt.Fprintf(o.Out, "  export FILBERTMAST_ADDRESS=http://%s FILBERTMAST_KEY=%s\n", d.address(), d.caller)
+		<-ctx.Done()
+	}
+	cancel()
+	<-workerDone
+	return nil
+}
+
+func (d *dev) address() string { return d.process.OuterAddress() }
+
+// start runs the process. A data folder that is used again keeps its first key.
+func (d *dev) start() error {
+	var digest model.KeyDigest
+	d.operator, digest = declare.NewKey()
+	inner, err := freeUDP()
+	if err != nil {
+		return err
+	}
+	set := settings.Default()
+	set.Name = "dev"
+	set.Roles = []settings.Role{settings.RoleControl, settings.RoleEntry}
+	set.Region, set.FailureDomain = "local", "local"
+	set.Inner.Address = inner
+	set.Outer.Address = d.opts.Address
+	set.Data.Dir = filepath.Join(d.opts.DataDir, "state")
+	set.Control.Founders = []string{inner}
+	set.Limits.ShutdownDelay = 0
+	set.Log.Level = "warn"
+	set.Bootstrap.OperatorKeyDigest = string(digest)
+	conf, err := certs.SelfSigned(net.IPv4(127, 0, 0, 1))
+	if err != nil {
+		return err
+	}
+	d.process, err = Start(set, Options{TLS: conf})
+	return err
+}
+
+// freeUDP returns a free loopback address.
+func freeUDP() (string, error) {
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		return "", errkind.Wrap(errkind.Internal, err, "inner address")
+	}
+	defer c.Close()
+	return c.LocalAddr().String(), nil
+}
+
+// startWorker runs the stand-in worker until ctx ends.
+func (d *dev) startWorker(ctx context.Context) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		err := standin.RunWorker(ctx, standin.WorkerOptions{
+			Entries: []string{"http://" + d.address()},
+			Key:     d.operator,
+			Spec: model.WorkerSpec{
+				ID:            "dev-worker",
+				Capacity:      model.Resources{CPU: 4000, Memory: 8 << 10},
+				Region:        "local",
+				FailureDomain: "local",
+			},
+			TaskTime:        time.Second,
+			ExecutorAddress: "127.0.0.1",
+			LeaveTimeout:    time.Second,
+			Logger:          log.New(io.Discard),
+		})
+		if err != nil && ctx.Err() == nil {
+			fmt.Fprintln(d.opts.Out, "The stand-in worker failed:", err)
+		}
+	}()
+	return done
+}
+
+// example applies declarations and runs one job to its end.
+func (d *dev) example(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, devTimeout)
+	defer cancel()
+	out := d.opts.Out
+	fmt.Fprintln(out, "1. Started one control and entry process and a stand-in worker of 4 cores.")
+	if err := d.declare(ctx); err != nil {
+		return err
+	}
+	fmt.Fprintln(out, "2. Applied declarations: team \"example\", queue \"example\", service \"echo\".")
+	c, err := client.New(client.Options{Addresses: []string{"http://" + d.address()}, Key: d.caller})
+	if err != nil {
+		return err
+	}
+	job, err := d.submit(ctx, c)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "3. Submitted job %s: 3 tasks of one second, patient for a minute, at %d micro-units a core-second.\n", job.ID, job.Price)
+	for job.Phase == "waiting" || job.Phase == "running" {
+		if job, err = c.Job(ctx, job.ID, client.JobQuery{Wait: model.Duration(10 * time.Second)}); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintf(out, "4. Job %s %s: %d of %d tasks succeeded, charged %d micro-units.\n",
+		job.ID, job.Phase, job.Counts.Succeeded, job.Spec.Tasks, job.Charged)
+	for _, t := range job.Tasks {
+		fmt.Fprintf(out, "   task %d %s on %s\n", t.Index, t.Phase, t.Worker)
+	}
+	return nil
+}
+
+// submit hands in the example job.
+func (d *dev) submit(ctx context.Context, c *client.Client) (api.JobView, error) {
+	spec := model.JobSpec{
+		Name:     "example",
+		Policy:   model.PolicyBatch,
+		Tasks:    3,
+		Size:     model.Resources{CPU: 1000, Memory: 512},
+		RunTime:  model.Duration(time.Second),
+		Patience: model.Duration(time.Minute),
+	}
+	return c.Submit(ctx, spec, client.NewIdempotencyKey())
+}
+
+func (d *dev) declare(ctx context.Context) error {
+	var digest model.KeyDigest
+	d.caller, digest = declare.NewKey()
+	c, err := client.New(client.Options{Addresses: []string{"http://" + d.address()}, Key: d.operator})
+	if err != nil {
+		return err
+	}
+	current, err := c.Declarations(ctx)
+	if err != nil {
+		return err
+	}
+	_, err = c.Apply(ctx, api.Apply{
+		Base:    current.Version,
+		ApplyID: "dev-" + string(digest),
+		Declarations: model.Declarations{
+			Teams:  []model.Team{{Name: "example", Share: 1, MaxRunning: 100}},
+			Queues: []model.Queue{{Name: "example", Workspace: "example", Team: "example"}},
+			Keys: []model.Key{
+				{Digest: digest, Team: "example"},
+				{Digest: declare.DigestKey(d.operator), Team: "example", Operator: true, Worker: true},
+			},
+			Prices: []model.PricePoint{
+				{Patience: 0, MicroUnits: 100},
+				{Patience: model.Duration(time.Minute), MicroUnits: 40},
+				{Patience: model.Duration(time.Hour), MicroUnits: 10},
+			},
+			Services: []model.Service{{Name: "echo", Workspace: "example"}},
+		},
+	})
+	return err
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -236,3 +236,6 @@
 		fn()
 	}()
 }
+
+// OuterAddress returns the address on which HTTP is served.
+func (p *Process) OuterAddress() string { return p.outer.Addr().String() }
