--- a/internal/client/operator.go
+++ b/internal/client/operator.go
@@ -77,3 +77,8 @@
 	err := c.call(ctx, call{method: http.MethodPost, path: path}, nil, &view)
 	return view, err
 }
+
+// Ready reports whether the entry takes callers; the error says why it does not.
+func (c *Client) Ready(ctx context.Context) error {
+	return c.call(ctx, call{method: http.MethodGet, path: "/readyz"}, nil, nil)
+}
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"maps"
 	"slices"
@@ -23,6 +24,7 @@
 	lead    *leader // nil while this process does not lead
 	pending pendingCalls
 	saved   uint64 // index of the last snapshot
+	saving  bool   // a snapshot is being written
 }
 
 func newCore(s *Server) *core {
@@ -45,7 +47,7 @@
 	if u.Leadership != nil {
 		c.leadership(*u.Leadership)
 	}
-	c.snapshotIfDue(u.Index)
+	c.snapshotIfDue()
 }
 
 func (c *core) restore(snap *replica.Snapshot) {
@@ -144,16 +146,38 @@
 	c.pending.add(cmd.ID.Seq, then)
 }
 
-func (c *core) snapshotIfDue(index uint64) {
+// snapshotIfDue encodes the state here, since only this goroutine may read it,
+// and leaves the writing and syncing to another.
+func (c *core) snapshotIfDue() {
 	applied := c.machine.Index()
-	if applied < c.saved+c.s.opts.SnapshotEntries || applied > index {
+	if c.saving || applied < c.saved+c.s.opts.SnapshotEntries {
 		return
 	}
-	err := c.s.opts.Log.SaveSnapshot(applied, func(w io.Writer) error { return c.machine.WriteSnapshot(w) })
-	if err != nil {
-		c.log.Warn("Snapshot could not be saved.", "index", applied, "err", err)
+	var buf bytes.Buffer
+	if err := c.machine.WriteSnapshot(&buf); err != nil {
+		c.log.Error("Snapshot cannot be encoded.", "index", applied, "err", err)
+		return
 	}
+	c.saving = true
 	c.saved = applied
+	go func() {
+		err := c.s.opts.Log.SaveSnapshot(applied, func(w io.Writer) error {
+			_, err := w.Write(buf.Bytes())
+			return err
+		})
+		c.s.snapshotSaved(applied, err)
+	}()
+}
+
+// snapshotSaved tells the control goroutine that a snapshot is written.
+func (s *Server) snapshotSaved(index uint64, err error) {
+	if err != nil {
+		s.log.Warn("Snapshot could not be saved.", "index", index, "err", err)
+	}
+	select {
+	case s.calls <- func(c *core) { c.saving = false }:
+	case <-s.stopped:
+	}
 }
 
 func (c *core) tick() {
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -59,7 +59,9 @@
 	}
 	l.permits.NewTerm(now, t.RequestLease+t.LongestHold+t.Drift)
 	l.owners.NewTerm(term, now, t.RequestLease+t.LongestHold+t.Drift)
-	l.permits.Expect(memberNames(c.machine.Members()))
+	members := memberNames(c.machine.Members())
+	l.permits.Expect(members)
+	l.owners.Expect(members)
 	var held []lease.Claim
 	c.machine.Replay(func(ev state.Event) {
 		l.feed(ev)
