Add worker sessions at an entry

Heartbeats join the batch that is open when they arrive and none that has been sent, so that no grant is older than its heartbeat. A worker whose entry dies attaches elsewhere with its next heartbeat.

--- /dev/null
+++ b/internal/session/bench_test.go
@@ -0,0 +1,117 @@
+package session
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// tasksPerWorker is that of the target: 430,000 tasks on 22,000 workers.
+const tasksPerWorker = 20
+
+// countingLeader grants everything and counts the encoded bytes of renewals.
+type countingLeader struct {
+	fakeLeader
+	bytes int
+	calls int
+}
+
+// wireRenewal is a Renewal in the form in which it travels to the leader.
+type wireRenewal struct {
+	Worker  model.WorkerID  `cbor:"1,keyasint"`
+	Session uint64          `cbor:"2,keyasint"`
+	Leaving bool            `cbor:"3,keyasint,omitempty"`
+	Usage   []api.TaskUsage `cbor:"4,keyasint,omitempty"`
+}
+
+func (l *countingLeader) Renew(_ context.Context, batch []Renewal) ([]RenewalResult, error) {
+	msg := make([]wireRenewal, len(batch))
+	out := make([]RenewalResult, len(batch))
+	for i, r := range batch {
+		msg[i] = wireRenewal{r.Worker, r.Session, r.Leaving, r.Usage}
+		out[i].Lease = testLease
+	}
+	b, err := cbor.Marshal(msg)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.bytes += len(b)
+	l.calls++
+	return out, err
+}
+
+func heartbeatBody(usage int) []byte {
+	h := api.Heartbeat{Session: 123456}
+	for i := range usage {
+		h.Usage = append(h.Usage, api.TaskUsage{
+			Task: model.TaskID{Job: 1234567, Index: int32(i)}, Fence: model.Fence{Term: 12, Index: 12345678},
+			Used: model.Resources{CPU: 800, Memory: 1600},
+		})
+	}
+	b, err := json.Marshal(&h)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// BenchmarkHeartbeats sends one heartbeat of each worker, as JSON, through the
+// manager, in groups as large as a batch. One operation is one heartbeat.
+func BenchmarkHeartbeats(b *testing.B) {
+	for _, usage := range []int{0, tasksPerWorker} {
+		for _, workers := range []int{50, 200, 1000, 4000} {
+			b.Run(fmt.Sprintf("tasks=%d/workers=%d", usage, workers), func(b *testing.B) {
+				benchmarkHeartbeats(b, workers, usage)
+			})
+		}
+	}
+}
+
+func benchmarkHeartbeats(b *testing.B, workers, usage int) {
+	l := &countingLeader{}
+	m, _, _ := newManager(func(o *Options) {
+		o.Upstream = l
+		o.RenewEvery = testTimeout
+		o.MaxBatch = min(workers, DefaultMaxBatch)
+	})
+	body := heartbeatBody(usage)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for n := 0; n < b.N; n += workers {
+		var wg sync.WaitGroup
+		for i := range workers {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				beatOnce(b, m, model.WorkerID(fmt.Sprintf("worker-%05d", i)), body)
+			}()
+		}
+		wg.Wait()
+	}
+	beats := (b.N + workers - 1) / workers * workers
+	b.ReportMetric(float64(l.bytes)/float64(beats), "leader-B/heartbeat")
+	b.ReportMetric(float64(len(body)), "json-B/heartbeat")
+}
+
+func beatOnce(b *testing.B, m *Manager, id model.WorkerID, body []byte) {
+	var h api.Heartbeat
+	if err := json.NewDecoder(bytes.NewReader(body)).Decode(&h); err != nil {
+		b.Error(err)
+		return
+	}
+	a, err := m.Heartbeat(context.Background(), id, &h)
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	if _, err := json.Marshal(&a); err != nil {
+		b.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/session/renew.go
@@ -0,0 +1,176 @@
+package session
+
+import (
+	"context"
+	"time"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// batch gathers heartbeats for one call to the leader.
+type batch struct {
+	renewals []Renewal
+	index    map[model.WorkerID]int
+	timer    *time.Timer
+	done     chan struct{} // closed once results are set
+	results  []RenewalResult
+	err      error
+}
+
+// Heartbeat renews the lease of a worker. The answer rests on a grant that the
+// leader gave after the call arrived. It fails with StaleLease or UnknownWorker
+// when the session is over, and with a kind that may be retried, here or at
+// another entry, when the leader cannot be reached.
+func (m *Manager) Heartbeat(ctx context.Context, worker model.WorkerID, h *api.Heartbeat) (api.HeartbeatAnswer, error) {
+	b, i, err := m.join(worker, h)
+	if err != nil {
+		m.metrics.heartbeats.WithLabelValues(string(errkind.Of(err))).Inc()
+		return api.HeartbeatAnswer{}, err
+	}
+	select {
+	case <-b.done:
+	case <-ctx.Done():
+		m.metrics.heartbeats.WithLabelValues("caller_gone").Inc()
+		return api.HeartbeatAnswer{}, errkind.Wrap(errkind.DeadlineExceeded, ctx.Err(), "heartbeat")
+	}
+	r := b.result(i)
+	if r.Err != nil {
+		m.metrics.heartbeats.WithLabelValues(string(errkind.Of(r.Err))).Inc()
+		return api.HeartbeatAnswer{}, r.Err
+	}
+	m.metrics.heartbeats.WithLabelValues("granted").Inc()
+	return api.HeartbeatAnswer{LeaseMS: r.Lease.Milliseconds()}, nil
+}
+
+func (b *batch) result(i int) RenewalResult {
+	if b.err != nil {
+		return RenewalResult{Err: b.err}
+	}
+	return b.results[i]
+}
+
+// join adds a heartbeat to the batch that is open now. A batch takes nothing
+// more once it is sent, so that no grant is older than the heartbeat.
+func (m *Manager) join(worker model.WorkerID, h *api.Heartbeat) (*batch, int, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.draining {
+		return nil, 0, m.refuseDraining()
+	}
+	s, err := m.open(worker, h.Session)
+	if err != nil {
+		return nil, 0, err
+	}
+	if h.Session < s.number {
+		return nil, 0, m.refuse(reasonStaleSession, errkind.StaleLease, "session %d of worker %s is over", h.Session, worker)
+	}
+	if h.Session > s.number {
+		s.restart(h.Session)
+	}
+	leavesNow := h.Leaving && !s.leaving
+	s.leaving = s.leaving || h.Leaving
+	b := m.openBatch()
+	s.usage.prune(h.Usage)
+	changed := s.usage.changed(h.Usage)
+	i := b.add(Renewal{Worker: worker, Session: h.Session, Attach: !s.attached, Leaving: s.leaving, Usage: changed})
+	if leavesNow || len(b.renewals) >= m.o.MaxBatch {
+		m.flush()
+	}
+	return b, i, nil
+}
+
+func (m *Manager) openBatch() *batch {
+	if m.batch != nil {
+		return m.batch
+	}
+	b := &batch{index: make(map[model.WorkerID]int), done: make(chan struct{})}
+	b.timer = time.AfterFunc(m.o.RenewEvery, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if m.batch == b {
+			m.flush()
+		}
+	})
+	m.batch = b
+	return b
+}
+
+// add joins repeated heartbeats of one worker into one renewal.
+func (b *batch) add(r Renewal) int {
+	if i, ok := b.index[r.Worker]; ok {
+		r.Attach = r.Attach || b.renewals[i].Attach
+		b.renewals[i] = r
+		return i
+	}
+	i := len(b.renewals)
+	b.renewals = append(b.renewals, r)
+	b.index[r.Worker] = i
+	return i
+}
+
+// flush sends the open batch. Callers hold m.mu.
+func (m *Manager) flush() {
+	b := m.batch
+	if b == nil {
+		return
+	}
+	m.batch = nil
+	b.timer.Stop()
+	m.sending.Add(1)
+	go m.send(b)
+}
+
+// send asks the leader. The number of calls at once is bounded; batches that
+// wait for a slot are still later than their heartbeats.
+func (m *Manager) send(b *batch) {
+	defer m.sending.Done()
+	m.slots <- struct{}{}
+	defer func() { <-m.slots }()
+	ctx, cancel := context.WithTimeout(context.Background(), upstreamTimeout)
+	defer cancel()
+	m.metrics.batchSize.Observe(float64(len(b.renewals)))
+	b.results, b.err = m.o.Upstream.Renew(ctx, b.renewals)
+	if b.err == nil && len(b.results) != len(b.renewals) {
+		b.err = errkind.New(errkind.Internal, "%d results for %d renewals", len(b.results), len(b.renewals))
+	}
+	outcome := "ok"
+	if b.err != nil {
+		outcome = string(errkind.Of(b.err))
+		m.log.Warn("Renewals failed.", "renewals", len(b.renewals), "err", b.err)
+	}
+	m.metrics.batches.WithLabelValues(outcome).Inc()
+	m.settle(b)
+	close(b.done)
+}
+
+// settle takes the results into the sessions.
+func (m *Manager) settle(b *batch) {
+	now := m.o.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i, r := range b.renewals {
+		s := m.sessions[r.Worker]
+		if s == nil || s.number != r.Session {
+			continue
+		}
+		m.settleOne(s, r, b.result(i), now)
+	}
+}
+
+func (m *Manager) settleOne(s *session, r Renewal, res RenewalResult, now time.Time) {
+	switch {
+	case res.Err == nil:
+		if r.Attach && !s.attached {
+			m.metrics.moved.Inc()
+			s.orders.forgetTold()
+		}
+		s.granted(now, res.Lease)
+		s.usage.note(r.Usage)
+	case errkind.Is(res.Err, errkind.StaleLease), errkind.Is(res.Err, errkind.UnknownWorker):
+		if s.announcing == 0 {
+			m.forget(r.Worker)
+		}
+	}
+}
