--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,174 @@
+package link
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/wire"
+)
+
+const (
+	testRate    = 100_000 // bytes a second
+	burstBytes  = testRate / 4
+	testTimeout = 30 * time.Second
+	north       = "north"
+)
+
+// TestMain fixes the seed of the random tests, so that a run repeats.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	seed := flag.Lookup("rapid.seed")
+	if seed != nil && seed.Value.String() == "0" {
+		seed.Value.Set("1")
+		fmt.Println("rapid.seed", seed.Value)
+	}
+	os.Exit(m.Run())
+}
+
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time { return c.now }
+
+func newBudget() (*Budget, *clock) {
+	c := &clock{now: time.Unix(1_700_000_000, 0)}
+	return New(Options{Rate: testRate, Now: c.Now, Registerer: prometheus.NewRegistry()}), c
+}
+
+// tryCopy reports whether a copy would pass at once.
+func tryCopy(b *Budget, n int) bool { return b.tryWait(wire.ClassCopy, north, n) <= 0 }
+
+func tryRequest(b *Budget, n int) bool {
+	return b.Admit(context.Background(), wire.ClassRequest, north, n) == nil
+}
+
+func TestFullBudgetRefusesRequestsWithAdviceThatHolds(t *testing.T) {
+	b, c := newBudget()
+	assert.Assert(t, tryRequest(b, burstBytes+1000))
+	err := b.Admit(context.Background(), wire.ClassRequest, north, 1)
+	assert.Equal(t, errkind.Of(err), errkind.Overloaded)
+	assert.Assert(t, errkind.RowOf(errkind.Of(err)).NotRun)
+	c.now = c.now.Add(errkind.RetryAfter(err) - time.Millisecond)
+	assert.Assert(t, !tryRequest(b, 1))
+	c.now = c.now.Add(2 * time.Millisecond)
+	assert.Assert(t, tryRequest(b, 1))
+}
+
+func TestConsensusPassesAFullBudgetAndTheOthersPayForIt(t *testing.T) {
+	b, c := newBudget()
+	assert.Assert(t, tryRequest(b, burstBytes+1))
+	for range 10 {
+		assert.NilError(t, b.Admit(context.Background(), wire.ClassConsensus, north, testRate/10))
+		assert.NilError(t, b.Continue(context.Background(), wire.ClassConsensus, north, 0))
+	}
+	c.now = c.now.Add(999 * time.Millisecond)
+	assert.Assert(t, !tryRequest(b, 1))
+	c.now = c.now.Add(2 * time.Millisecond)
+	assert.Assert(t, tryRequest(b, 1))
+}
+
+func TestConsensusStormDelaysRequestsByABoundedTime(t *testing.T) {
+	b, c := newBudget()
+	assert.NilError(t, b.Admit(context.Background(), wire.ClassConsensus, north, 100*testRate))
+	c.now = c.now.Add(maxDebtTime + time.Millisecond)
+	assert.Assert(t, tryRequest(b, 1))
+}
+
+func TestCopiesTakeOnlyWhatTheOthersLeave(t *testing.T) {
+	b, c := newBudget()
+	assert.Assert(t, tryCopy(b, burstBytes/2))
+	assert.Assert(t, !tryCopy(b, 1))
+	assert.Assert(t, tryRequest(b, 1))
+	c.now = c.now.Add(burstTime)
+	assert.Assert(t, tryCopy(b, 1))
+}
+
+func TestCopyStandsBehindARequestThatWaits(t *testing.T) {
+	b, _ := newBudget()
+	leave := b.queue(wire.ClassRequest, north)
+	assert.Assert(t, !tryCopy(b, 1))
+	assert.Assert(t, !tryRequest(b, 1)) // a new request stands behind it too
+	leave()
+	assert.Assert(t, tryCopy(b, 1))
+}
+
+func TestCopyPassesOnceThereIsRoomAndGivesUpWithItsContext(t *testing.T) {
+	b := New(Options{Rate: testRate, Registerer: prometheus.NewRegistry()})
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	assert.Assert(t, tryRequest(b, burstBytes))
+	assert.NilError(t, b.Admit(ctx, wire.ClassCopy, north, 1))
+	assert.Assert(t, tryRequest(b, 100*testRate))
+	ended, end := context.WithCancel(ctx)
+	end()
+	err := b.Admit(ended, wire.ClassCopy, north, 1)
+	assert.Equal(t, errkind.Of(err), errkind.DeadlineExceeded)
+}
+
+func TestRegionsHaveBudgetsOfTheirOwn(t *testing.T) {
+	b, _ := newBudget()
+	assert.Assert(t, tryRequest(b, 2*burstBytes))
+	assert.Assert(t, !tryRequest(b, 1))
+	assert.NilError(t, b.Admit(context.Background(), wire.ClassRequest, "south", 1))
+}
+
+// TestBudgetHoldsOverAnyMixOfTraffic checks that requests and copies never take
+// more than the rate allows, that consensus is never held, and that a request is
+// refused only when the budget is spent.
+func TestBudgetHoldsOverAnyMixOfTraffic(t *testing.T) {
+	const maxMessage = 5000
+	rapid.Check(t, func(t *rapid.T) {
+		b, c := newBudget()
+		start := c.now
+		taken, consensus := 0, 0
+		t.Repeat(map[string]func(*rapid.T){
+			"wait": func(t *rapid.T) {
+				c.now = c.now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond)
+			},
+			"consensus": func(t *rapid.T) {
+				n := rapid.IntRange(1, maxMessage).Draw(t, "bytes")
+				if err := b.Admit(context.Background(), wire.ClassConsensus, north, n); err != nil {
+					t.Fatal(err)
+				}
+				consensus += n
+			},
+			"request": func(t *rapid.T) {
+				n := rapid.IntRange(1, maxMessage).Draw(t, "bytes")
+				if tryRequest(b, n) {
+					taken += n
+				}
+			},
+			"copy": func(t *rapid.T) {
+				n := rapid.IntRange(1, maxMessage).Draw(t, "bytes")
+				if tryCopy(b, n) {
+					taken += n
+				}
+			},
+			"": func(t *rapid.T) {
+				allowed := int(c.now.Sub(start).Seconds()*testRate) + burstBytes + maxMessage + 1
+				if taken > allowed {
+					t.Fatalf("%d bytes passed beside consensus, %d are allowed", taken, allowed)
+				}
+				if consensus == 0 && taken+maxMessage < int(c.now.Sub(start).Seconds()*testRate)/100 && !tryRequest(b, 1) {
+					t.Fatal("a request was refused with the budget unspent")
+				}
+			},
+		})
+	})
+}
+
+func TestUnusedTimeIsKeptOnlyForABurst(t *testing.T) {
+	b, c := newBudget()
+	assert.Assert(t, tryRequest(b, 1))
+	c.now = c.now.Add(time.Hour)
+	assert.Assert(t, tryRequest(b, burstBytes))
+	assert.Assert(t, !tryRequest(b, 1))
+}
