--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -259,13 +259,13 @@
 func (s *Server) renewOwnersOnce(ctx context.Context, period time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, period)
 	defer cancel()
-	req := s.leases.Renewal(time.Now(), s.owner.Load(), s.owner.Life())
+	life := max(s.owner.Life(), s.set.Limits.RequestTimeout.Std())
+	req := s.leases.Renewal(time.Now(), s.owner.Load(), life)
 	resp, err := tryLeader[owner.Renewal, owner.Renewed](ctx, s.leader, wire.KindOwners, req, 0)
 	if err != nil {
 		s.metrics.retried(errkind.Of(err))
 		return
 	}
-	if s.leases.Apply(resp) {
-		s.owner.Update()
-	}
+	s.leases.Apply(resp)
+	s.owner.Update() // also without a change: requests may wait for the longer lease
 }
