Compare plans with plain scans and check limits over generated histories

Cause: an index, cached queues and merged orders are easy to get subtly wrong. Change: a naive planner of plain scans whose plans must be equal, over histories of submissions, ends, waves of cancellations, lost and drained workers, limits and configurations; the history keeps its own record for overcommitment, limits, gangs and restarts; a recount of all derived state after each step; properties for order of telling and the starvation bound. Found: a plan could name a task to be stopped that it had only just placed; tasks of the plan in the making have a state of their own now.

--- a/internal/schedule/apply.go
+++ b/internal/schedule/apply.go
@@ -213,6 +213,9 @@
 		j.waiting--
 		s.waitingTasks--
 	}
+	if j.next == index {
+		j.next++
+	}
 	t.state = taskPlaced
 	t.over = overNot
 	t.worker = slot
--- a/internal/schedule/cell.go
+++ b/internal/schedule/cell.go
@@ -10,21 +10,19 @@
 // of its own. Beyond it, classes share bins and searches filter by class.
 const maxSeparateClasses = 64
 
-// sharedClass stands for all classes from maxSeparateClasses on.
-const sharedClass = maxSeparateClasses
-
 // binKey names a bin of the index of free capacity.
 type binKey struct{ class, domain int32 }
 
 // bins numbers the bins.
 type bins struct {
+	shared  int32 // stands for all classes from this one on
 	ids     map[binKey]int32
 	keys    []binKey  // by bin
 	byClass [][]int32 // bins of each class, ascending
 }
 
 func (b *bins) of(class, domain int32) int32 {
-	key := binKey{min(class, sharedClass), domain}
+	key := binKey{min(class, b.shared), domain}
 	if id, ok := b.ids[key]; ok {
 		return id
 	}
@@ -196,12 +194,12 @@
 	exact = true
 	last := int32(-1)
 	for _, class := range s.matching(selector) {
-		class = min(class, sharedClass)
+		class = min(class, s.bins.shared)
 		if class == last || int(class) >= len(s.bins.byClass) {
 			continue
 		}
 		last = class
-		exact = exact && class != sharedClass
+		exact = exact && class != s.bins.shared
 		out = append(out, s.bins.byClass[class]...)
 	}
 	return out, exact
--- /dev/null
+++ b/internal/schedule/differential_test.go
@@ -0,0 +1,341 @@
+package schedule
+
+import (
+	"cmp"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+// history drives a Scheduler and its naive twin through the same events, and
+// keeps a record of its own of what runs where.
+type history struct {
+	t       *rapid.T
+	now     model.Time
+	fast    *Scheduler
+	plain   *Scheduler
+	teams   []model.Team
+	permits map[string]int64
+	workers map[model.WorkerID]model.WorkerSpec
+	modes   map[model.WorkerID]model.WorkerMode
+	jobs    map[model.JobID]model.JobSpec
+	pending map[model.TaskID]bool
+	held    map[model.TaskID]Placement
+	moving  map[model.TaskID]bool
+	nextJob model.JobID
+}
+
+func newHistory(t *rapid.T) *history {
+	o := Options{Seed: 7, ProbationJobs: 2, MaxHolds: 3, BlameWorkers: 3, AgeingSpan: time.Minute, MaxClasses: 4}
+	h := &history{
+		t: t, now: 1_000_000, fast: New(o), plain: New(o),
+		permits: map[string]int64{},
+		workers: map[model.WorkerID]model.WorkerSpec{}, modes: map[model.WorkerID]model.WorkerMode{},
+		jobs: map[model.JobID]model.JobSpec{}, pending: map[model.TaskID]bool{},
+		held: map[model.TaskID]Placement{}, moving: map[model.TaskID]bool{},
+	}
+	h.fast.bins.shared = int32(pick(h, "separate", maxSeparateClasses, 1, 0))
+	h.configure()
+	for range rapid.IntRange(1, 10).Draw(t, "workers") {
+		h.workerUp()
+	}
+	return h
+}
+
+func (h *history) apply(ev Event) {
+	h.fast.Apply(ev)
+	h.plain.Apply(ev)
+}
+
+func (h *history) draw(what string, n int) int { return rapid.IntRange(0, n-1).Draw(h.t, what) }
+
+func pick[T any](h *history, what string, from ...T) T { return from[h.draw(what, len(from))] }
+
+func sortedKeys[K comparable, V any](m map[K]V, less func(a, b K) int) []K {
+	var keys []K
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, less)
+	return keys
+}
+
+func compareTasks(a, b model.TaskID) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index))
+}
+
+func (h *history) heldTask() (model.TaskID, bool) {
+	keys := sortedKeys(h.held, compareTasks)
+	if len(keys) == 0 {
+		return model.TaskID{}, false
+	}
+	return pick(h, "held", keys...), true
+}
+
+func (h *history) configure() {
+	h.teams = nil
+	for _, name := range []string{"a", "b", "c"} {
+		h.teams = append(h.teams, model.Team{
+			Name: name, Share: int64(pick(h, "share", 1, 2, 5)), MaxRunning: int64(pick(h, "limit", 3, 10, 100)),
+			MaxResources: pick(h, "bound", model.Resources{}, model.Resources{}, cores(9)),
+		})
+	}
+	h.apply(ConfigChanged{Teams: h.teams, Queues: []model.Queue{{Name: "fast", Selector: "disk=ssd"}}})
+}
+
+func (h *history) workerUp() {
+	id := model.WorkerID(fmt.Sprintf("w%d", h.draw("worker", 12)))
+	if mode, known := h.modes[id]; known && mode != model.WorkerLost {
+		return
+	}
+	d := h.draw("domain", 3)
+	spec := model.WorkerSpec{
+		ID: id, Capacity: pick(h, "capacity", cores(2), cores(4), cores(8), model.Resources{CPU: 4000, Memory: 2048, Accelerators: 2}),
+		Region: fmt.Sprint("g", d/2), FailureDomain: fmt.Sprint("d", d), Rack: fmt.Sprint("r", h.draw("rack", 2)),
+		Labels: pick(h, "labels", nil, model.Labels{"disk": "ssd"}, model.Labels{"disk": "hdd", "own": string(id)}),
+	}
+	h.workers[id], h.modes[id] = spec, model.WorkerOpen
+	h.apply(WorkerUp{Spec: spec})
+}
+
+func (h *history) workerMode() {
+	keys := sortedKeys(h.modes, cmp.Compare[model.WorkerID])
+	if len(keys) == 0 {
+		return
+	}
+	id := pick(h, "which", keys...)
+	mode := pick(h, "mode", model.WorkerOpen, model.WorkerOpen, model.WorkerCordoned, model.WorkerDraining, model.WorkerLost)
+	if h.modes[id] == model.WorkerLost {
+		return
+	}
+	h.modes[id] = mode
+	h.apply(WorkerModeChanged{Worker: id, Mode: mode, At: h.now})
+	if mode != model.WorkerLost {
+		return
+	}
+	for _, task := range sortedKeys(h.held, compareTasks) {
+		if h.held[task].Worker == id {
+			h.end(task, Lost)
+		}
+	}
+}
+
+func (h *history) submit() {
+	h.nextJob++
+	spec := model.JobSpec{
+		Name: pick(h, "name", "x", "x", "y"), Team: pick(h, "team", "a", "b", "c"),
+		Queue:  pick(h, "queue", "", "", "", "fast"),
+		Policy: pick(h, "policy", model.PolicyBatch, model.PolicyBatch, model.PolicyGang, model.PolicyService),
+		Tasks:  int32(1 + h.draw("tasks", 6)),
+		Size:   pick(h, "size", cores(1), cores(1), cores(2), cores(4), model.Resources{CPU: 500, Memory: 2048}, model.Resources{CPU: 1, Accelerators: 1}),
+
+		Patience:    model.Duration(pick(h, "patience", 0, time.Second, time.Minute, time.Hour)),
+		Selector:    pick(h, "selector", "", "", "", "disk!=hdd", "disk in (ssd,hdd)", "!own"),
+		Exclusive:   pick(h, "exclusive", false, false, true),
+		MaxRestarts: int32(h.draw("restarts", 3)), Checkpointable: pick(h, "checkpoint", false, true),
+		NotRepeatable: pick(h, "once", false, false, false, true),
+	}
+	h.jobs[h.nextJob] = spec
+	for i := range spec.Tasks {
+		h.pending[model.TaskID{Job: h.nextJob, Index: i}] = true
+	}
+	h.apply(JobSubmitted{ID: h.nextJob, Spec: spec, Team: spec.Team, At: h.now, StartBy: h.now.Add(spec.Patience.Std())})
+}
+
+func (h *history) cancel() {
+	var ids []model.JobID
+	for range 1 + h.draw("wave", 5) {
+		ids = append(ids, model.JobID(1+h.draw("job", int(h.nextJob)+1)))
+	}
+	for task := range h.pending {
+		if slices.Contains(ids, task.Job) {
+			delete(h.pending, task)
+		}
+	}
+	h.apply(JobsCancelled{IDs: ids})
+}
+
+func (h *history) end(task model.TaskID, o Outcome) {
+	p := h.held[task]
+	spec := h.jobs[task.Job]
+	ran := pick(h, "ran", time.Second, time.Second, time.Minute)
+	final := o == Succeeded || o == Stopped || spec.NotRepeatable
+	used := p.Size
+	used.CPU *= int64(pick(h, "used", 1, 1, 4))
+	delete(h.held, task)
+	delete(h.moving, task)
+	if !final {
+		h.pending[task] = true
+	}
+	h.apply(TaskEnded{Task: task, Outcome: o, RanFor: ran, Used: used, At: h.now, Final: final})
+}
+
+func (h *history) endSome() {
+	if task, ok := h.heldTask(); ok {
+		h.end(task, pick(h, "outcome", Succeeded, Succeeded, Succeeded, Failed, Failed, NotStarted, Lost))
+	}
+}
+
+func (h *history) endMany() {
+	outcome := pick(h, "outcome", Succeeded, Succeeded, Succeeded, Failed)
+	for i, task := range sortedKeys(h.held, compareTasks) {
+		if i%3 != 0 {
+			h.end(task, outcome)
+		}
+	}
+}
+
+func (h *history) workersGone() {
+	var ids []model.WorkerID
+	for _, id := range sortedKeys(h.modes, cmp.Compare[model.WorkerID]) {
+		if h.modes[id] == model.WorkerLost {
+			ids = append(ids, id)
+			delete(h.modes, id)
+		}
+	}
+	h.apply(WorkersGone{Workers: ids})
+}
+
+func (h *history) endMoving() {
+	for _, task := range sortedKeys(h.moving, compareTasks) {
+		h.end(task, Preempted)
+	}
+}
+
+func (h *history) use() {
+	if task, ok := h.heldTask(); ok {
+		h.apply(TaskUsed{Task: task, Used: h.held[task].Size.Mul(2), At: h.now})
+	}
+}
+
+func (h *history) permit() {
+	team := pick(h, "team", "a", "b", "c")
+	h.permits[team] = int64(h.draw("permits", 4))
+	h.apply(RequestsHeld{Team: team, Permits: h.permits[team]})
+}
+
+// plan compares the two plans, checks them and applies them whole.
+func (h *history) plan() {
+	max := pick(h, "max", 1, 3, 100)
+	got, want := h.fast.Plan(h.now, max), naivePlan(h.plain, h.now, max)
+	assert.Equal(h.t, fmt.Sprintf("%v", got), fmt.Sprintf("%v", want))
+	for _, e := range got.Preemptions {
+		h.checkPreemption(e)
+		h.moving[e.Task] = true
+		h.apply(TaskStopping{Task: e.Task})
+	}
+	before := h.running()
+	for _, e := range got.Placements {
+		h.checkPlacement(e)
+		h.held[e.Task] = e
+		delete(h.pending, e.Task)
+		h.apply(TaskPlaced{Task: e.Task, Worker: e.Worker, Size: e.Size, At: h.now})
+		if h.draw("starts", 4) > 0 {
+			h.apply(TaskRunning{Task: e.Task, At: h.now})
+		}
+	}
+	h.checkLimits(before)
+	h.checkGangs(got.Placements)
+	for _, f := range got.Fails {
+		h.fail(f)
+	}
+	assert.Equal(h.t, len(audit(h.fast)), 0, "%v", audit(h.fast))
+}
+
+func (h *history) fail(f Failure) {
+	for _, task := range sortedKeys(h.pending, compareTasks) {
+		if task.Job == f.Job && (f.Task == WholeJob || f.Task == task.Index) {
+			delete(h.pending, task)
+			h.apply(TaskEnded{Task: task, Outcome: Failed, At: h.now, Final: true})
+		}
+	}
+}
+
+func (h *history) checkPlacement(e Placement) {
+	assert.Assert(h.t, h.pending[e.Task], "%s is not pending", e.Task)
+	assert.Equal(h.t, h.modes[e.Worker], model.WorkerOpen)
+	spec := h.jobs[e.Task.Job]
+	assert.Assert(h.t, spec.Size.Fits(e.Size))
+	sel, err := model.ParseSelector(spec.Selector)
+	assert.NilError(h.t, err)
+	assert.Assert(h.t, sel.Matches(h.workers[e.Worker].Labels))
+	sum := e.Size
+	for task, o := range h.held {
+		if o.Worker == e.Worker {
+			sum = sum.Add(o.Size)
+			assert.Assert(h.t, !spec.Exclusive || task.Job != e.Task.Job, "two tasks of an exclusive job on %s", e.Worker)
+		}
+	}
+	assert.Assert(h.t, sum.Fits(h.workers[e.Worker].Capacity), "%s is overcommitted", e.Worker)
+}
+
+func (h *history) checkPreemption(e Preemption) {
+	assert.Equal(h.t, h.held[e.Task].Worker, e.Worker)
+	assert.Assert(h.t, !h.jobs[e.Task.Job].NotRepeatable, "%s may not run twice", e.Task)
+	assert.Assert(h.t, !h.moving[e.Task], "%s is stopping", e.Task)
+}
+
+func (h *history) running() map[string]int64 {
+	n := map[string]int64{}
+	for task := range h.held {
+		n[h.jobs[task.Job].Team]++
+	}
+	return n
+}
+
+// checkLimits checks the teams that the plan has given more.
+func (h *history) checkLimits(before map[string]int64) {
+	after := h.running()
+	for _, t := range h.teams {
+		if after[t.Name] == before[t.Name] {
+			continue
+		}
+		assert.Assert(h.t, after[t.Name]+h.permits[t.Name] <= t.MaxRunning, "team %s is over its limit", t.Name)
+		var use model.Resources
+		for task, p := range h.held {
+			if h.jobs[task.Job].Team == t.Name {
+				use = use.Add(p.Size)
+			}
+		}
+		assert.Assert(h.t, within(use, t.MaxResources), "team %s is over its bound", t.Name)
+	}
+}
+
+// checkGangs checks that no task of a gang is left pending beside a placed one.
+func (h *history) checkGangs(placed []Placement) {
+	for _, p := range placed {
+		spec := h.jobs[p.Task.Job]
+		if spec.Policy != model.PolicyGang {
+			continue
+		}
+		j := h.fast.jobs[p.Task.Job]
+		assert.Equal(h.t, j.ready, int32(0), "a part of gang %s waits", p.Task.Job)
+	}
+}
+
+func TestPlansEqualThoseOfPlainScansAndKeepEveryLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := newHistory(t)
+		for range rapid.IntRange(5, 150).Draw(t, "steps") {
+			step := pick(h, "step",
+				h.submit, h.submit, h.submit, h.endSome, h.endSome, h.endMany, h.endMoving, h.workersGone, h.workerUp,
+				h.workerMode, h.cancel, h.use, h.permit, h.configure, func() {})
+			step()
+			h.now = h.now.Add(pick(h, "passes", 0, 100*time.Millisecond, time.Second, time.Minute))
+			h.plan()
+		}
+	})
+}
--- a/internal/schedule/drain.go
+++ b/internal/schedule/drain.go
@@ -78,7 +78,7 @@
 	}
 	for i := range r.job.tasks {
 		member := taskRef{r.job, int32(i)}
-		if r.job.tasks[i].state.holds() && !p.stopped(member) {
+		if r.job.tasks[i].state.stoppable() && !p.stopped(member) {
 			p.preemptOne(member, forJob, reason)
 		}
 	}
--- a/internal/schedule/job.go
+++ b/internal/schedule/job.go
@@ -8,15 +8,19 @@
 type taskState uint8
 
 const (
-	taskReady    taskState = iota // pending, may be placed
-	taskWaiting                   // pending, in backoff
-	taskPlaced                    // holds, start not confirmed
-	taskRunning                   // holds, start confirmed
-	taskStopping                  // holds, told to stop
+	taskReady     taskState = iota // pending, may be placed
+	taskWaiting                    // pending, in backoff
+	taskTentative                  // holds within the plan being made
+	taskPlaced                     // holds, start not confirmed
+	taskRunning                    // holds, start confirmed
+	taskStopping                   // holds, told to stop
 	taskDone
 )
 
-func (t taskState) holds() bool { return t >= taskPlaced && t <= taskStopping }
+func (t taskState) holds() bool { return t >= taskTentative && t <= taskStopping }
+
+// stoppable reports whether a plan may name the task to be stopped.
+func (t taskState) stoppable() bool { return t == taskPlaced || t == taskRunning }
 
 // task is kept small: there are hundreds of thousands.
 type task struct {
--- /dev/null
+++ b/internal/schedule/naive_test.go
@@ -0,0 +1,459 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/schedule/capacity"
+)
+
+// naive makes plans by plain scans over all jobs, tasks and workers of a
+// Scheduler of its own. It reads no index, no queue of a group, no order of
+// victims, no cache and no running sum. Its plans must equal those of Plan.
+type naive struct {
+	planner
+	blockedGroup map[*group]bool
+	blockedTeam  map[int32]bool
+}
+
+func naivePlan(s *Scheduler, now model.Time, max int) Plan {
+	s.wake(now)
+	s.passProbes(now)
+	s.refreshHolds()
+	n := &naive{planner{s: s, now: now, max: max}, map[*group]bool{}, map[int32]bool{}}
+	for _, t := range s.teams {
+		t.planned = model.Resources{}
+	}
+	n.tell()
+	n.judge()
+	n.drain()
+	for len(n.plan.Placements) < max && !n.full {
+		j := n.first()
+		if j == nil {
+			break
+		}
+		n.try(j)
+	}
+	n.undo()
+	n.plan.NextWake = n.nextWake()
+	return n.plan
+}
+
+func (n *naive) jobs() []*job {
+	var out []*job
+	for _, j := range n.s.jobs {
+		out = append(out, j)
+	}
+	slices.SortFunc(out, func(a, b *job) int { return cmp.Compare(a.id, b.id) })
+	return out
+}
+
+func (n *naive) ready(j *job) (count int64) {
+	for i := range j.tasks {
+		if j.tasks[i].state == taskReady && !j.cancelled {
+			count++
+		}
+	}
+	return count
+}
+
+// judge blocks what never fits, from the capacities of all workers.
+func (n *naive) judge() {
+	for _, j := range n.jobs() {
+		g := j.group
+		tasks := int64(max(g.gang, 1))
+		t := n.s.teams[g.team]
+		over := tasks > t.maxRunning || !within(g.size.Mul(tasks), t.maxResources)
+		if over || n.s.workerCount > 0 && n.slots(g, g.size) < tasks {
+			n.blockedGroup[g] = true
+		}
+	}
+}
+
+func (n *naive) slots(g *group, size model.Resources) (count int64) {
+	for i := range n.s.workers {
+		w := &n.s.workers[i]
+		if !w.mayRun() || !n.matches(g, w) || !size.Fits(w.capacity) {
+			continue
+		}
+		if g.exclusive {
+			count++
+		} else {
+			count += copies(size, w.capacity)
+		}
+	}
+	return count
+}
+
+func (n *naive) matches(g *group, w *worker) bool {
+	r := &n.s.selectors.all[g.selector]
+	return !r.broken && r.terms.Matches(w.labels)
+}
+
+func (n *naive) size(g *group) model.Resources {
+	size := n.s.learned.Class(g.class).Size(g.size)
+	tasks := int64(max(g.gang, 1))
+	if n.slots(g, size) < tasks || !within(size.Mul(tasks), n.s.teams[g.team].maxResources) {
+		return g.size
+	}
+	return size
+}
+
+// use sums the reservations of a team and its running tasks.
+func (n *naive) use(team int32) (sum model.Resources, running int64) {
+	for _, j := range n.s.jobs {
+		for i := range j.tasks {
+			if j.group.team == team && j.tasks[i].state.holds() {
+				sum = sum.Add(j.tasks[i].size)
+				running++
+			}
+		}
+	}
+	return sum, running
+}
+
+// first returns the job that comes first: of the team with the least key, that
+// with the earliest promised start.
+func (n *naive) first() *job {
+	heads := map[int32]*job{}
+	for _, j := range n.jobs() {
+		team := j.group.team
+		if n.ready(j) == 0 || n.blockedGroup[j.group] || n.blockedTeam[team] {
+			continue
+		}
+		if heads[team] == nil || j.less(heads[team]) {
+			heads[team] = j
+		}
+	}
+	var best *job
+	for _, j := range heads {
+		if best == nil {
+			best = j
+			continue
+		}
+		a, b := n.key(n.s.teams[j.group.team], j), n.key(n.s.teams[best.group.team], best)
+		if a < b || a == b && j.less(best) {
+			best = j
+		}
+	}
+	return best
+}
+
+func (n *naive) try(j *job) {
+	g := j.group
+	size := n.size(g)
+	count := int64(1)
+	if g.policy == gang {
+		count = n.ready(j)
+	}
+	t := n.s.teams[g.team]
+	use, running := n.use(g.team)
+	if running+t.permits+count > t.maxRunning {
+		n.blockedTeam[g.team] = count == 1 || n.pressing(j)
+		n.blockedGroup[g] = true
+		return
+	}
+	if !within(use.Add(size.Mul(count)), t.maxResources) {
+		n.blockedTeam[g.team] = n.pressing(j)
+		n.blockedGroup[g] = true
+		return
+	}
+	if g.policy == gang && n.tryGang(j, size) || g.policy != gang && n.tryOne(j, size) || n.full {
+		return
+	}
+	n.blockedGroup[g] = true
+	n.noRoomFor(j, size)
+}
+
+// best returns the least of the workers that may be used.
+func (n *naive) best(may func(int32) bool, less func(a, b int32) bool) int32 {
+	best := noSlot
+	for i := range n.s.workers {
+		slot := int32(i)
+		if may(slot) && (best == noSlot || less(slot, best)) {
+			best = slot
+		}
+	}
+	return best
+}
+
+func (n *naive) tighter(a, b int32) bool { return n.compareTight(a, b) < 0 }
+
+// takes reports whether a task of j fits on a worker, whoever holds it.
+func (n *naive) takes(j *job, slot int32, size model.Resources) bool {
+	return n.mayUse(j, slot) && size.Fits(n.free(slot))
+}
+
+func (n *naive) mayUse(j *job, slot int32) bool {
+	w := &n.s.workers[slot]
+	if !w.open() || !n.matches(j.group, w) {
+		return false
+	}
+	return !j.group.exclusive || n.near(j, func(o *worker) bool { return o == w }) == 0
+}
+
+// free is the capacity less what all held tasks reserve.
+func (n *naive) free(slot int32) model.Resources {
+	free := n.s.workers[slot].capacity
+	for _, j := range n.s.jobs {
+		for i := range j.tasks {
+			if j.tasks[i].state.holds() && j.tasks[i].worker == slot {
+				free = free.Sub(j.tasks[i].size)
+			}
+		}
+	}
+	return free
+}
+
+// near counts the held tasks of j on workers that in holds for.
+func (n *naive) near(j *job, in func(*worker) bool) (count int) {
+	for i := range j.tasks {
+		if j.tasks[i].state.holds() && in(&n.s.workers[j.tasks[i].worker]) {
+			count++
+		}
+	}
+	return count
+}
+
+func (n *naive) spreadLess(j *job) func(a, b int32) bool {
+	rank := func(slot int32) (domain, rack int) {
+		w := &n.s.workers[slot]
+		domain = n.near(j, func(o *worker) bool { return o.domain == w.domain })
+		return domain, n.near(j, func(o *worker) bool { return o.rack == w.rack })
+	}
+	return func(a, b int32) bool {
+		da, ra := rank(a)
+		db, rb := rank(b)
+		return cmp.Or(cmp.Compare(da, db), cmp.Compare(ra, rb), n.compareTight(a, b)) < 0
+	}
+}
+
+func (n *naive) tryOne(j *job, size model.Resources) bool {
+	index := j.nextReady(0)
+	less := n.tighter
+	if j.group.policy == service {
+		less = n.spreadLess(j)
+	}
+	offered := func(slot int32) bool { return n.s.workers[slot].offered() && n.takes(j, slot, size) }
+	held := func(slot int32) bool {
+		w := &n.s.workers[slot]
+		return w.hold != nil && w.hold.job == j && n.takes(j, slot, size)
+	}
+	slot := n.findProbe(j, index, size)
+	if slot == noSlot {
+		slot = n.best(offered, less)
+	}
+	if slot == noSlot {
+		slot = n.best(held, n.tighter)
+	}
+	if slot == noSlot {
+		slot = n.backfill(j, size)
+	}
+	if slot == noSlot {
+		return false
+	}
+	n.put(j, index, slot, size)
+	return true
+}
+
+func (n *naive) backfill(j *job, size model.Resources) int32 {
+	run, ok := n.s.learned.Class(j.group.class).Run()
+	if !ok || j.group.policy != batch {
+		return noSlot
+	}
+	return n.best(func(slot int32) bool {
+		h := n.s.workers[slot].hold
+		if h == nil || h.job == j || !n.takes(j, slot, size) {
+			return false
+		}
+		start := n.holdStart(h)
+		return start != 0 && n.now.Add(run) <= start
+	}, n.tighter)
+}
+
+func (n *naive) tryGang(j *job, size model.Resources) bool {
+	if len(n.plan.Placements) > 0 && len(n.plan.Placements)+int(n.ready(j)) > n.max {
+		n.full = true
+		return false
+	}
+	byRack := map[int32]*siteRack{}
+	for i := range n.s.workers {
+		slot, w := int32(i), &n.s.workers[i]
+		mine := w.offered() || w.hold != nil && w.hold.job == j
+		if !mine || !n.takes(j, slot, size) {
+			continue
+		}
+		if byRack[w.rack] == nil {
+			byRack[w.rack] = &siteRack{domain: w.domain, region: w.region, tie: w.tie}
+		}
+		byRack[w.rack].add(site{slot, n.siteTasks(j, size, n.free(slot))}, w.tie)
+	}
+	var racks []siteRack
+	for _, r := range byRack {
+		n.sortSites(r.sites)
+		racks = append(racks, *r)
+	}
+	for _, r := range packRacks(racks, n.ready(j)) {
+		for _, at := range r.sites {
+			for k := at.tasks; k > 0 && n.ready(j) > 0; k-- {
+				n.put(j, j.nextReady(0), at.slot, size)
+			}
+		}
+	}
+	return n.ready(j) == 0
+}
+
+func (n *naive) noRoomFor(j *job, size model.Resources) {
+	g := j.group
+	if !n.pressing(j) {
+		n.wakeAt(n.pressingFrom(j))
+		return
+	}
+	if n.makeRoomFor(j, size) || j.hold != nil || len(n.s.holds) >= n.s.opts.MaxHolds || n.now < g.holdAfter {
+		return
+	}
+	claims := n.claims(j, size)
+	if claims == nil {
+		g.holdAfter = n.now + holdRetryMillis
+		n.wakeAt(g.holdAfter)
+		return
+	}
+	for _, c := range claims {
+		n.s.addClaim(j, c.slot, c.tasks)
+	}
+	if g.policy == gang {
+		n.pursueClaims(j, size)
+	}
+}
+
+// claims chooses workers to hold: the emptiest of one failure domain, else of all.
+func (n *naive) claims(j *job, size model.Resources) []claim {
+	need := n.claimTasks(j)
+	var slots []int32
+	for i := range n.s.workers {
+		w := &n.s.workers[i]
+		if w.offered() && n.mayUse(j, int32(i)) {
+			slots = append(slots, int32(i))
+		}
+	}
+	slices.SortFunc(slots, func(a, b int32) int { return n.compareTight(b, a) })
+	slots = slots[:min(len(slots), int(need)+holdScanSpare)]
+	ties := slices.Clone(n.s.domainTies)
+	slices.Sort(ties)
+	for _, tie := range ties {
+		in := slices.DeleteFunc(slices.Clone(slots), func(slot int32) bool { return n.s.domainTie(slot) != tie })
+		if claims := n.cover(j, in, size, need); claims != nil {
+			return claims
+		}
+	}
+	return n.cover(j, slots, size, need)
+}
+
+func (n *naive) makeRoomFor(j *job, size model.Resources) bool {
+	g := j.group
+	if n.now < g.searchAfter || n.searches >= maxSearches {
+		n.wakeAt(max(g.searchAfter, n.now))
+		return j.hold != nil
+	}
+	n.searches++
+	if j.hold != nil {
+		n.pursueClaims(j, size)
+		g.searchAfter = n.now + searchRetryMillis
+		n.wakeAt(g.searchAfter)
+		return true
+	}
+	if g.policy == gang {
+		return false
+	}
+	for range n.claimTasks(j) {
+		if j.hold == nil && len(n.s.holds) >= n.s.opts.MaxHolds || !n.claimNext(j, size) {
+			break
+		}
+	}
+	if j.hold == nil {
+		g.searchAfter = n.now + searchRetryMillis
+		n.wakeAt(g.searchAfter)
+	}
+	return j.hold != nil
+}
+
+// claimNext weighs the workers of the first victims and preempts where it costs least.
+func (n *naive) claimNext(j *job, size model.Resources) bool {
+	q := &search{&n.planner, j, size, n.entitled(j, size)}
+	var best *option
+	for _, slot := range n.victimWorkers(q) {
+		victims, ok := q.victimsOn(slot, size.Mul(j.hold.claimed(slot)+1))
+		if !ok {
+			continue
+		}
+		if o := q.weigh(slot, victims); best == nil || o.less(best) {
+			best = &o
+		}
+	}
+	if best == nil {
+		return false
+	}
+	n.s.addClaim(j, best.slot, 1)
+	q.stop(best.victims)
+	return true
+}
+
+func (n *naive) victimWorkers(q *search) (out []int32) {
+	jobs := slices.DeleteFunc(n.jobs(), func(v *job) bool { return !q.mayStop(v) })
+	slices.SortFunc(jobs, compareVictims)
+	seen := 0
+	for _, v := range jobs {
+		for i := range v.tasks {
+			if !v.tasks[i].state.stoppable() {
+				continue
+			}
+			seen++
+			slot := v.tasks[i].worker
+			if !slices.Contains(out, slot) && q.eligible(slot) {
+				out = append(out, slot)
+			}
+			if seen >= maxVictimsSeen || len(out) >= maxWorkersWeighed {
+				return out
+			}
+		}
+	}
+	return out
+}
+
+// audit compares every derived number of s with a count over its tasks and workers.
+func audit(s *Scheduler) (problems []string) {
+	n := &naive{planner: planner{s: s}}
+	var held, reserved = int64(0), model.Resources{}
+	check := func(ok bool, what string) {
+		if !ok {
+			problems = append(problems, what)
+		}
+	}
+	for i, t := range s.teams {
+		sum, running := n.use(int32(i))
+		held, reserved = held+running, reserved.Add(sum)
+		check(sum == t.reserved && running == t.running, "team "+t.name)
+	}
+	check(held == s.heldTasks && reserved == s.reserved, "sums of the cell")
+	for i := range s.workers {
+		w := &s.workers[i]
+		if !w.known {
+			continue
+		}
+		check(n.free(int32(i)) == w.free, "free of "+string(w.id))
+		slot, key, found := s.free.Best(s.bins.of(w.class, w.domain), w.free, func(o int32) bool { return o == int32(i) })
+		check(found == w.offered(), "index of "+string(w.id))
+		check(!found || slot == int32(i) && key == capacity.KeyOf(w.free, w.tie), "key of "+string(w.id))
+	}
+	var ready, waiting int64
+	for _, j := range s.jobs {
+		r := n.ready(j)
+		ready, waiting = ready+r, waiting+int64(j.waiting)
+		check(r == int64(j.ready), "ready of "+j.id.String())
+		check(r == 0 || slices.Contains(j.group.jobs, j) && slices.Contains(s.teams[j.group.team].groups, j.group), "queue of "+j.id.String())
+		check(s.teams[j.group.team].victims.Has(j) == (j.held > 0 && j.group.repeatable), "victims with "+j.id.String())
+	}
+	check(ready == s.readyTasks && waiting == s.waitingTasks, "pending tasks")
+	return problems
+}
--- a/internal/schedule/planner.go
+++ b/internal/schedule/planner.go
@@ -223,6 +223,7 @@
 // put applies one placement and notes it in the plan.
 func (p *planner) put(j *job, index, slot int32, size model.Resources) {
 	p.s.reserve(j, index, slot, size, p.now)
+	j.tasks[index].state = taskTentative
 	p.spread.placed(p.s, j, slot)
 	p.refs = append(p.refs, taskRef{j, index})
 	p.plan.Placements = append(p.plan.Placements, Placement{
--- a/internal/schedule/preempt.go
+++ b/internal/schedule/preempt.go
@@ -185,7 +185,7 @@
 	q.eachVictim(func(v *job) bool {
 		for i := range v.tasks {
 			t := &v.tasks[i]
-			if !t.state.holds() {
+			if !t.state.stoppable() {
 				continue
 			}
 			seen++
@@ -276,7 +276,7 @@
 		switch {
 		case q.p.stopped(r):
 			free = free.Add(r.job.tasks[r.index].size)
-		case q.mayStop(r.job):
+		case r.job.tasks[r.index].state.stoppable() && q.mayStop(r.job):
 			may = append(may, r)
 		}
 	}
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -77,6 +77,7 @@
 		jobs:       map[model.JobID]*job{},
 		groups:     map[groupKey]*group{},
 		shapes:     map[shape]int64{},
+		bins:       bins{shared: maxSeparateClasses},
 		learned:    learn.New(o.MaxClasses),
 		over:       map[taskRef]overUse{},
 	}
--- a/internal/schedule/selector.go
+++ b/internal/schedule/selector.go
@@ -156,7 +156,7 @@
 		s.selectors.all[i].classes = nil
 		s.selectors.all[i].seen = 0
 	}
-	s.bins = bins{}
+	s.bins = bins{shared: s.bins.shared}
 	s.free = capacity.Index{}
 	clear(s.shapes)
 	for slot := range s.workers {
