Follow the shapes of the entry's answers and the real stand-ins

Lists are JSON arrays, worker actions answer with nothing and a cancel with a count. Waiting names the version last seen, so that each change is shown. A drain that runs out of time says how many tasks are left instead of a call's timeout.

--- a/internal/client/jobs.go
+++ b/internal/client/jobs.go
@@ -44,16 +44,22 @@
 
 // JobQuery says what to be told about a job.
 type JobQuery struct {
-	Wait model.Duration // how long the answer may wait for the job's end
-	Why  bool           // tell what holds waiting tasks
+	// Wait is how long the answer may wait for the job's end, or for a version
+	// above Since.
+	Wait  model.Duration
+	Since uint64
+	Why   bool // tell what holds waiting tasks
 }
 
-// Job returns one job, at once or when it has ended.
+// Job returns one job, at once or after the wait that q asks for.
 func (c *Client) Job(ctx context.Context, id model.JobID, q JobQuery) (api.JobView, error) {
 	query := make(url.Values)
 	if q.Wait > 0 {
 		query.Set("wait", q.Wait.String())
 	}
+	if q.Since > 0 {
+		query.Set("since", strconv.FormatUint(q.Since, 10))
+	}
 	if q.Why {
 		query.Set("why", "true")
 	}
@@ -62,34 +68,23 @@
 	return view, err
 }
 
-// jobsPage is how many jobs one call asks for.
-const jobsPage = 1000
-
-// Jobs returns all jobs of the key's team whose labels match selector.
+// Jobs returns the jobs of the key's team whose labels match selector, in the
+// order of their IDs.
 func (c *Client) Jobs(ctx context.Context, selector string) ([]api.JobView, error) {
-	query := url.Values{"limit": {strconv.Itoa(jobsPage)}}
+	query := make(url.Values)
 	if selector != "" {
 		query.Set("selector", selector)
 	}
 	var jobs []api.JobView
-	for {
-		var page api.JobList
-		if err := c.call(ctx, call{method: http.MethodGet, path: "/v1/jobs", query: query, read: true}, nil, &page); err != nil {
-			return nil, err
-		}
-		jobs = append(jobs, page.Jobs...)
-		if page.Next == "" || page.Next == query.Get("after") {
-			return jobs, nil
-		}
-		query.Set("after", page.Next)
-	}
+	err := c.call(ctx, call{method: http.MethodGet, path: "/v1/jobs", query: query, read: true}, nil, &jobs)
+	return jobs, err
 }
 
 // Cancel cancels one job. A job that has ended stays as it is.
-func (c *Client) Cancel(ctx context.Context, id model.JobID) (api.JobView, error) {
-	var view api.JobView
-	err := c.call(ctx, call{method: http.MethodDelete, path: "/v1/jobs/" + id.String()}, nil, &view)
-	return view, err
+func (c *Client) Cancel(ctx context.Context, id model.JobID) (api.Cancelled, error) {
+	var out api.Cancelled
+	err := c.call(ctx, call{method: http.MethodDelete, path: "/v1/jobs/" + id.String()}, nil, &out)
+	return out, err
 }
 
 // CancelMatching cancels all jobs of the key's team whose labels match selector.
--- a/internal/command/cancel.go
+++ b/internal/command/cancel.go
@@ -45,10 +45,11 @@
 		if err != nil {
 			return err
 		}
-		if _, err := cl.Cancel(ctx, id); err != nil {
+		out, err := cl.Cancel(ctx, id)
+		if err != nil {
 			return err
 		}
-		done.Jobs++
+		done.Count += out.Count
 	}
 	return a.tellCancelled(done)
 }
@@ -57,6 +58,6 @@
 	if a.json {
 		return a.writeJSON(out)
 	}
-	a.printf("%s cancelled\n", plural(int(out.Jobs), "job"))
+	a.printf("%s cancelled\n", plural(out.Count, "job"))
 	return nil
 }
--- a/internal/command/drain.go
+++ b/internal/command/drain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/client"
@@ -37,9 +36,7 @@
 	if err := setWorkers(callCtx, a, cl, c.Workers, client.Drain); err != nil || !c.Wait {
 		return err
 	}
-	waitCtx, stop := context.WithTimeout(ctx, c.WaitTimeout)
-	defer stop()
-	return c.waitEmpty(waitCtx, a, cl)
+	return c.waitEmpty(ctx, a, cl)
 }
 
 func (c *drainCommand) waitEmpty(ctx context.Context, a *app, cl *client.Client) error {
@@ -47,6 +44,8 @@
 	defer progress.end()
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
+	until := time.NewTimer(c.WaitTimeout)
+	defer until.Stop()
 	for {
 		left, err := c.tasksLeft(ctx, cl)
 		if err != nil {
@@ -58,6 +57,8 @@
 		progress.show("%s left", plural(left, "task"))
 		select {
 		case <-ctx.Done():
+			return errkind.Wrap(errkind.CallerGone, ctx.Err(), "the wait was given up")
+		case <-until.C:
 			return errkind.New(errkind.StillRunning, "%s still on the workers after %s", plural(left, "task"), c.WaitTimeout)
 		case <-ticker.C:
 		}
@@ -65,15 +66,15 @@
 }
 
 func (c *drainCommand) tasksLeft(ctx context.Context, cl *client.Client) (int, error) {
-	workers, err := cl.Workers(ctx, "")
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	workers, err := namedWorkers(ctx, cl, c.Workers)
 	if err != nil {
 		return 0, err
 	}
 	left := 0
 	for _, w := range workers {
-		if slices.Contains(c.Workers, string(w.Spec.ID)) {
-			left += int(w.Tasks)
-		}
+		left += int(w.Tasks)
 	}
 	return left, nil
 }
--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/obs"
 	"github.com/filbertmast/filbertmast/internal/standin"
 )
 
@@ -68,11 +69,12 @@
 	Accelerators int64         `arg:"--accelerators" help:"whole devices"`
 	TaskTime     time.Duration `arg:"--task-time" default:"1s" help:"how long a task runs"`
 	ExecutorIP   string        `arg:"--executor-ip" default:"127.0.0.1" help:"IP number on which tasks of services listen"`
+	Behave       string        `arg:"--behave" default:"ok" help:"ok, slow, refuse, never-answer, cut, wrong-id, fail-some or fail-all"`
 	History      string        `arg:"--history" placeholder:"FILE" help:"note every start and end in a file"`
 	connection
 }
 
-func (c *standinWorkerCommand) run(ctx context.Context, _ *app) error {
+func (c *standinWorkerCommand) run(ctx context.Context, a *app) error {
 	spec, err := c.spec()
 	if err != nil {
 		return err
@@ -86,9 +88,11 @@
 		Entries:         strings.Split(c.Address, ","),
 		Key:             key,
 		Spec:            spec,
-		TaskTime:        model.Duration(c.TaskTime),
+		TaskTime:        c.TaskTime,
 		HistoryFile:     c.History,
 		ExecutorAddress: c.ExecutorIP,
+		Behavior:        standin.Behavior(c.Behave),
+		Logger:          obs.NewLogger(a.Err, "info", "text"),
 	})
 }
 
@@ -99,12 +103,12 @@
 	Service     string `arg:"--service,required" help:"service that it belongs to"`
 	Slots       int32  `arg:"--slots" default:"8" help:"requests at once"`
 	Connections int32  `arg:"--connections" default:"60" help:"open connections at once"`
-	Behave      string `arg:"--behave" default:"echo" help:"echo, slow, fail, refuse or cut"`
+	Behave      string `arg:"--behave" default:"ok" help:"ok, slow, refuse, never-answer, cut, wrong-id, fail-some or fail-all"`
 	History     string `arg:"--history" placeholder:"FILE" help:"note every request in a file"`
 	connection
 }
 
-func (c *standinExecutorCommand) run(ctx context.Context, _ *app) error {
+func (c *standinExecutorCommand) run(ctx context.Context, a *app) error {
 	spec, err := c.spec()
 	if err != nil {
 		return err
@@ -123,5 +127,6 @@
 		Connections: c.Connections,
 		Behave:      c.Behave,
 		HistoryFile: c.History,
+		Logger:      obs.NewLogger(a.Err, "info", "text"),
 	})
 }
--- a/internal/command/wait.go
+++ b/internal/command/wait.go
@@ -10,14 +10,13 @@
 	"github.com/filbertmast/filbertmast/internal/model"
 )
 
-// waitStep is how long one call waits for the end of a job.
+// waitStep is how long one call waits for a change of a job.
 const waitStep = 20 * time.Second
 
 // waitSlack is how much longer than its wait one call may take.
 const waitSlack = 15 * time.Second
 
-// waitPause is the least time between two calls, for entry processes that
-// answer before their wait is over.
+// waitPause is the least time between two calls, for jobs that change often.
 const waitPause = 500 * time.Millisecond
 
 // Phases of a job that are final.
@@ -61,9 +60,10 @@
 	defer progress.end()
 	ticker := time.NewTicker(waitPause)
 	defer ticker.Stop()
+	var since uint64
 	for {
 		step := min(waitStep, max(time.Until(until), 0))
-		view, err := jobWithin(ctx, cl, id, step)
+		view, err := jobWithin(ctx, cl, id, client.JobQuery{Wait: model.Duration(step), Since: since})
 		if err != nil {
 			return err
 		}
@@ -75,15 +75,16 @@
 		if step == 0 {
 			return errkind.New(errkind.StillRunning, "job %s is still %s after %s", id, view.Phase, timeout)
 		}
+		since = view.Version
 		<-ticker.C
 	}
 }
 
-// jobWithin asks for a job once, waiting up to wait for its end.
-func jobWithin(ctx context.Context, cl *client.Client, id model.JobID, wait time.Duration) (api.JobView, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+waitSlack)
+// jobWithin asks for a job once, with some time beyond the wait of the query.
+func jobWithin(ctx context.Context, cl *client.Client, id model.JobID, q client.JobQuery) (api.JobView, error) {
+	ctx, cancel := context.WithTimeout(ctx, q.Wait.Std()+waitSlack)
 	defer cancel()
-	return cl.Job(ctx, id, client.JobQuery{Wait: model.Duration(wait)})
+	return cl.Job(ctx, id, q)
 }
 
 func ended(phase string) bool {
--- a/internal/command/workers.go
+++ b/internal/command/workers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
 
 	"github.com/filbertmast/filbertmast/internal/api"
@@ -41,7 +42,7 @@
 
 func (a *app) tellWorkers(workers []api.WorkerView) error {
 	if a.json {
-		return a.writeJSON(api.WorkerList{Workers: workers})
+		return a.writeJSON(workers)
 	}
 	rows := make([][]string, 0, len(workers))
 	for _, w := range workers {
@@ -63,13 +64,25 @@
 
 // setWorkers applies one action to workers in turn and tells how they stand.
 func setWorkers(ctx context.Context, a *app, cl *client.Client, ids []string, action client.WorkerAction) error {
-	views := make([]api.WorkerView, 0, len(ids))
 	for _, id := range ids {
-		view, err := cl.SetWorker(ctx, model.WorkerID(id), action)
-		if err != nil {
+		if err := cl.SetWorker(ctx, model.WorkerID(id), action); err != nil {
 			return err
 		}
-		views = append(views, view)
 	}
-	return a.tellWorkers(views)
+	workers, err := namedWorkers(ctx, cl, ids)
+	if err != nil {
+		return err
+	}
+	return a.tellWorkers(workers)
+}
+
+// namedWorkers returns those of the workers called ids that are known.
+func namedWorkers(ctx context.Context, cl *client.Client, ids []string) ([]api.WorkerView, error) {
+	workers, err := cl.Workers(ctx, "")
+	if err != nil {
+		return nil, err
+	}
+	return slices.DeleteFunc(workers, func(w api.WorkerView) bool {
+		return !slices.Contains(ids, string(w.Spec.ID))
+	}), nil
 }
