Keep the paged lists and views that the entry now serves

The entry took over the first shapes of the list answers, so the client goes back to them and keeps the version that it waits from. NewKindCounter takes the whole name of its metric, as every other constructor does: with the namespace put before it the entry's counters were called filbertmast_filbertmast_entry.

--- a/internal/api/lists.go
+++ b/internal/api/lists.go
@@ -5,7 +5,18 @@
 // executor, or comes from something in between.
 const HeaderError = "Filbertmast-Error"
 
-// Cancelled is the answer to DELETE /v1/jobs/{id} and DELETE /v1/jobs?selector=.
+// JobList is the answer to GET /v1/jobs?selector=&limit=&after=, in the order of job IDs.
+type JobList struct {
+	Jobs []JobView `json:"jobs"`
+	Next string    `json:"next,omitempty"` // job ID for after= to read on; empty at the end
+}
+
+// WorkerList is the answer to GET /v1/workers?selector=.
+type WorkerList struct {
+	Workers []WorkerView `json:"workers"`
+}
+
+// Cancelled is the answer to DELETE /v1/jobs?selector=.
 type Cancelled struct {
-	Count int `json:"count"` // jobs that were told to stop
+	Jobs int64 `json:"jobs"` // jobs that were told to stop
 }
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -237,12 +237,15 @@
 	assert.Equal(t, first.Header.Get(api.HeaderIdempotencyKey), second.Header.Get(api.HeaderIdempotencyKey))
 }
 
-func TestJobsSendsTheSelector(t *testing.T) {
-	e := newEntry(t, answer([]api.JobView{{ID: 1}, {ID: 2}}))
+func TestJobsReadsAllPages(t *testing.T) {
+	e := newEntry(t,
+		answer(api.JobList{Jobs: []api.JobView{{ID: 1}}, Next: "j-1"}),
+		answer(api.JobList{Jobs: []api.JobView{{ID: 2}}}))
 	jobs, err := newClient(t, nil, e.URL).Jobs(t.Context(), "zone in (a,b)")
 	assert.NilError(t, err)
 	assert.Equal(t, len(jobs), 2)
-	assert.Equal(t, e.got[0].URL.Query().Get("selector"), "zone in (a,b)")
+	assert.Equal(t, e.got[1].URL.Query().Get("after"), "j-1")
+	assert.Equal(t, e.got[1].URL.Query().Get("selector"), "zone in (a,b)")
 }
 
 func TestMalformedAddressesAreRefused(t *testing.T) {
--- a/internal/client/jobs.go
+++ b/internal/client/jobs.go
@@ -68,23 +68,35 @@
 	return view, err
 }
 
-// Jobs returns the jobs of the key's team whose labels match selector, in the
+// jobsPage is how many jobs one call asks for.
+const jobsPage = 1000
+
+// Jobs returns all jobs of the key's team whose labels match selector, in the
 // order of their IDs.
 func (c *Client) Jobs(ctx context.Context, selector string) ([]api.JobView, error) {
-	query := make(url.Values)
+	query := url.Values{"limit": {strconv.Itoa(jobsPage)}}
 	if selector != "" {
 		query.Set("selector", selector)
 	}
 	var jobs []api.JobView
-	err := c.call(ctx, call{method: http.MethodGet, path: "/v1/jobs", query: query, read: true}, nil, &jobs)
-	return jobs, err
+	for {
+		var page api.JobList
+		if err := c.call(ctx, call{method: http.MethodGet, path: "/v1/jobs", query: query, read: true}, nil, &page); err != nil {
+			return nil, err
+		}
+		jobs = append(jobs, page.Jobs...)
+		if page.Next == "" || page.Next == query.Get("after") {
+			return jobs, nil
+		}
+		query.Set("after", page.Next)
+	}
 }
 
 // Cancel cancels one job. A job that has ended stays as it is.
-func (c *Client) Cancel(ctx context.Context, id model.JobID) (api.Cancelled, error) {
-	var out api.Cancelled
-	err := c.call(ctx, call{method: http.MethodDelete, path: "/v1/jobs/" + id.String()}, nil, &out)
-	return out, err
+func (c *Client) Cancel(ctx context.Context, id model.JobID) (api.JobView, error) {
+	var view api.JobView
+	err := c.call(ctx, call{method: http.MethodDelete, path: "/v1/jobs/" + id.String()}, nil, &view)
+	return view, err
 }
 
 // CancelMatching cancels all jobs of the key's team whose labels match selector.
--- a/internal/client/operator.go
+++ b/internal/client/operator.go
@@ -55,9 +55,9 @@
 	if selector != "" {
 		query.Set("selector", selector)
 	}
-	var workers []api.WorkerView
-	err := c.call(ctx, call{method: http.MethodGet, path: "/v1/workers", query: query, read: true}, nil, &workers)
-	return workers, err
+	var list api.WorkerList
+	err := c.call(ctx, call{method: http.MethodGet, path: "/v1/workers", query: query, read: true}, nil, &list)
+	return list.Workers, err
 }
 
 // WorkerAction is what an operator does to a worker.
@@ -71,7 +71,9 @@
 )
 
 // SetWorker applies an action to a worker. Applying it again changes nothing.
-func (c *Client) SetWorker(ctx context.Context, id model.WorkerID, action WorkerAction) error {
+func (c *Client) SetWorker(ctx context.Context, id model.WorkerID, action WorkerAction) (api.WorkerView, error) {
+	var view api.WorkerView
 	path := "/v1/workers/" + url.PathEscape(string(id)) + "/" + string(action)
-	return c.call(ctx, call{method: http.MethodPost, path: path}, nil, nil)
+	err := c.call(ctx, call{method: http.MethodPost, path: path}, nil, &view)
+	return view, err
 }
--- a/internal/command/cancel.go
+++ b/internal/command/cancel.go
@@ -45,11 +45,10 @@
 		if err != nil {
 			return err
 		}
-		out, err := cl.Cancel(ctx, id)
-		if err != nil {
+		if _, err := cl.Cancel(ctx, id); err != nil {
 			return err
 		}
-		done.Count += out.Count
+		done.Jobs++
 	}
 	return a.tellCancelled(done)
 }
@@ -58,6 +57,6 @@
 	if a.json {
 		return a.writeJSON(out)
 	}
-	a.printf("%s cancelled\n", plural(out.Count, "job"))
+	a.printf("%s cancelled\n", plural(int(out.Jobs), "job"))
 	return nil
 }
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -62,16 +62,16 @@
 func TestGetShowsWhatHoldsAJob(t *testing.T) {
 	f := newFake(t)
 	f.answers("GET /v1/jobs/j-12", jobView("running"))
-	f.answers("GET /v1/jobs", []api.JobView{jobView("running")})
+	f.answers("GET /v1/jobs", api.JobList{Jobs: []api.JobView{jobView("running")}})
 	r := run(t, "get", "j-12", "--why")
 	assert.Equal(t, r.code, 0, r.err)
 	assert.Assert(t, strings.Contains(r.out, "held by limit: 3 tasks over the limit"), r.out)
 	r = run(t, "get", "-l", "a=b")
 	assert.Assert(t, strings.Contains(r.out, "j-12  rows  plans  batch   running  1 running, 1 succeeded"), r.out)
 	r = run(t, "get", "--json")
-	var list []api.JobView
+	var list api.JobList
 	assert.NilError(t, json.Unmarshal([]byte(r.out), &list))
-	assert.Equal(t, list[0].ID, model.JobID(12))
+	assert.Equal(t, list.Jobs[0].ID, model.JobID(12))
 }
 
 func TestWaitEndsWithTheJob(t *testing.T) {
@@ -111,10 +111,10 @@
 
 func TestCancel(t *testing.T) {
 	f := newFake(t)
-	f.answers("DELETE /v1/jobs/j-1", api.Cancelled{Count: 1})
-	f.answers("DELETE /v1/jobs/j-2", api.Cancelled{Count: 0}) // has ended
-	f.answers("DELETE /v1/jobs", api.Cancelled{Count: 30})
-	assert.Equal(t, run(t, "cancel", "j-1", "j-2").out, "1 job cancelled\n")
+	f.answers("DELETE /v1/jobs/j-1", jobView("cancelled"))
+	f.answers("DELETE /v1/jobs/j-2", jobView("cancelled"))
+	f.answers("DELETE /v1/jobs", api.Cancelled{Jobs: 30})
+	assert.Equal(t, run(t, "cancel", "j-1", "j-2").out, "2 jobs cancelled\n")
 	assert.Equal(t, run(t, "cancel", "-l", "row=7").out, "30 jobs cancelled\n")
 }
 
@@ -141,12 +141,12 @@
 	f := newFake(t)
 	view := api.WorkerView{Spec: model.WorkerSpec{ID: "w-1", Capacity: model.Resources{CPU: 4000}}, Mode: "draining", Tasks: 2}
 	for _, action := range []string{"cordon", "drain", "open"} {
-		f.answers("POST /v1/workers/w-1/"+action, struct{}{})
+		f.answers("POST /v1/workers/w-1/"+action, view)
 	}
 	other := api.WorkerView{Spec: model.WorkerSpec{ID: "w-2"}, Tasks: 50}
 	emptied := false
 	f.HandleFunc("GET /v1/workers", func(w http.ResponseWriter, _ *http.Request) {
-		_ = json.NewEncoder(w).Encode([]api.WorkerView{view, other})
+		_ = json.NewEncoder(w).Encode(api.WorkerList{Workers: []api.WorkerView{view, other}})
 		if emptied {
 			view.Tasks = 0
 		}
--- a/internal/command/get.go
+++ b/internal/command/get.go
@@ -71,7 +71,7 @@
 		return err
 	}
 	if a.json {
-		return a.writeJSON(jobs)
+		return a.writeJSON(api.JobList{Jobs: jobs})
 	}
 	rows := make([][]string, 0, len(jobs))
 	for _, j := range jobs {
--- a/internal/command/workers.go
+++ b/internal/command/workers.go
@@ -42,7 +42,7 @@
 
 func (a *app) tellWorkers(workers []api.WorkerView) error {
 	if a.json {
-		return a.writeJSON(workers)
+		return a.writeJSON(api.WorkerList{Workers: workers})
 	}
 	rows := make([][]string, 0, len(workers))
 	for _, w := range workers {
@@ -64,16 +64,15 @@
 
 // setWorkers applies one action to workers in turn and tells how they stand.
 func setWorkers(ctx context.Context, a *app, cl *client.Client, ids []string, action client.WorkerAction) error {
+	views := make([]api.WorkerView, 0, len(ids))
 	for _, id := range ids {
-		if err := cl.SetWorker(ctx, model.WorkerID(id), action); err != nil {
+		view, err := cl.SetWorker(ctx, model.WorkerID(id), action)
+		if err != nil {
 			return err
 		}
+		views = append(views, view)
 	}
-	workers, err := namedWorkers(ctx, cl, ids)
-	if err != nil {
-		return err
-	}
-	return a.tellWorkers(workers)
+	return a.tellWorkers(views)
 }
 
 // namedWorkers returns those of the workers called ids that are known.
--- a/internal/obs/metrics.go
+++ b/internal/obs/metrics.go
@@ -27,14 +27,13 @@
 	counters map[errkind.Kind]prometheus.Counter
 }
 
-// NewKindCounter registers filbertmast_<name> with one series for every error
-// kind, so that a reason that has not occurred yet reads as zero. The name
-// ends in _total.
+// NewKindCounter registers a counter with one series for every error kind, so
+// that a reason that has not occurred yet reads as zero. The name is whole: it
+// begins with the namespace and ends in _total.
 func NewKindCounter(reg prometheus.Registerer, name, help string) *KindCounter {
 	vec := prometheus.NewCounterVec(prometheus.CounterOpts{
-		Namespace: Namespace,
-		Name:      name,
-		Help:      help,
+		Name: name,
+		Help: help,
 	}, []string{reasonLabel})
 	reg.MustRegister(vec)
 	c := &KindCounter{counters: make(map[errkind.Kind]prometheus.Counter)}
--- a/internal/obs/obs_test.go
+++ b/internal/obs/obs_test.go
@@ -23,7 +23,7 @@
 
 func TestKindCounterHasASeriesForEveryKind(t *testing.T) {
 	reg := prometheus.NewRegistry()
-	c := NewKindCounter(reg, "refusals_total", "Refusals by reason.")
+	c := NewKindCounter(reg, Namespace+"_refusals_total", "Refusals by reason.")
 	n, err := testutil.GatherAndCount(reg, "filbertmast_refusals_total")
 	assert.NilError(t, err)
 	assert.Equal(t, n, len(errkind.Kinds()))
@@ -37,7 +37,7 @@
 
 func TestCompareDoc(t *testing.T) {
 	reg := NewRegistry()
-	NewKindCounter(reg, "refusals_total", "Refusals by reason.")
+	NewKindCounter(reg, Namespace+"_refusals_total", "Refusals by reason.")
 	vec := prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: Namespace, Name: "depth", Help: "x"}, []string{"queue", "class"})
 	reg.MustRegister(vec)
 	const whole = "| `filbertmast_refusals_total` | counter | `reason` | Refusals. |\n" +
