--- /dev/null
+++ b/internal/settings/page_test.go
@@ -0,0 +1,47 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+	"regexp"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+var pageRow = regexp.MustCompile("(?m)^\\| `([a-z_.\\[\\]]+)` \\|([^|]*)\\| [^|]+ \\|$")
+
+// leaves lists the JSON paths of a struct with their default values.
+func leaves(v reflect.Value, path string, out map[string]string) {
+	for i := range v.NumField() {
+		name, _, _ := strings.Cut(v.Type().Field(i).Tag.Get("json"), ",")
+		at := strings.TrimPrefix(path+"."+name, ".")
+		f := v.Field(i)
+		switch {
+		case f.Kind() == reflect.Struct:
+			leaves(f, at, out)
+		case f.Kind() == reflect.Slice && f.Type().Elem().Kind() == reflect.Struct:
+			leaves(reflect.Zero(f.Type().Elem()), at+"[]", out)
+		case f.Kind() == reflect.Slice, f.Kind() == reflect.Int64 && strings.Contains(at, "[]"):
+			out[at] = ""
+		default:
+			out[at] = fmt.Sprint(f.Interface())
+		}
+	}
+}
+
+func TestPageListsEveryFieldWithItsDefault(t *testing.T) {
+	page, err := os.ReadFile("../../docs/SETTINGS.md")
+	assert.NilError(t, err)
+	got := make(map[string]string)
+	for _, m := range pageRow.FindAllStringSubmatch(string(page), -1) {
+		_, doubled := got[m[1]]
+		assert.Assert(t, !doubled, m[1])
+		got[m[1]] = strings.TrimSpace(m[2])
+	}
+	want := make(map[string]string)
+	leaves(reflect.ValueOf(*Default()), "", want)
+	assert.DeepEqual(t, got, want)
+}
