--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -17,7 +17,7 @@
 const description = `filbertmast is a cluster scheduler for unlike workloads: services, batch jobs,
 gangs and requests share one pool of workers, and work that can wait pays less.
 
-To try it, run "filbertmast dev" in one terminal and "filbertmast status" in another.
+To try it, run "filbertmast dev", which tells how to go on from a second terminal.
 `
 
 const epilogue = `Run "filbertmast COMMAND --help" for what one command does and takes.
