Cover the deadlines of waiting requests in the first ask for permits

Cause: the first ask of a team decayed the longest life seen of late before it was ever told, so that the grant did not cover a deadline of 20 s and the request waited until its deadline was within 19.5 s. Ruled out: the way to the leader (25 asks were each answered in under 1 ms) and the leader's choice of permits. Change: an ask promises at least the deadlines of those who wait; and an owner's renewal reaches beyond the next renewal.

--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -259,7 +259,9 @@
 func (s *Server) renewOwnersOnce(ctx context.Context, period time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, period)
 	defer cancel()
-	life := max(s.owner.Life(), s.set.Limits.RequestTimeout.Std())
+	// The horizon must still lie beyond the deadline of a request that comes
+	// just before the answer to the next renewal.
+	life := max(s.owner.Life(), s.set.Limits.RequestTimeout.Std()) + 3*period
 	req := s.leases.Renewal(time.Now(), s.owner.Load(), life)
 	resp, err := tryLeader[owner.Renewal, owner.Renewed](ctx, s.leader, wire.KindOwners, req, 0)
 	if err != nil {
--- a/internal/limit/account.go
+++ b/internal/limit/account.go
@@ -89,6 +89,9 @@
 	if a.life > 0 {
 		until = max(until, a.life+2*period)
 	}
+	for _, w := range a.waiters {
+		until = max(until, w.deadline.Sub(now)) // else it would wait until its deadline comes near
+	}
 	return until
 }
 
