Drive the core with adversarial schedules and mend what they found

After each step it checks one leader a term, leader completeness, equal committed entries, delivery only of durable ones, and no second leader within a lease.

Each protection was seen to matter: with the wait for the disk, the rule on earlier terms, stickiness, silence after a restart, the end of the lease on a transfer, one change at a time, pre-vote, check-quorum, the check before a promotion or the new identity of a lost disk off, the schedules break a promise; these runs stay as tests. Register histories with lease and quorum reads are checked by porcupine, which refuses histories of reads without a quorum.

--- a/internal/replica/raft/core.go
+++ b/internal/replica/raft/core.go
@@ -95,7 +95,8 @@
 	// Election state, in ticks.
 	electionElapsed int
 	electionTimeout int
-	leaderSilence   int // since a leader was last heard, or since the start
+	matched         uint64 // highest index known to agree with the leader of the term
+	leaderSilence   int    // since a leader was last heard, or since the start
 	votes           map[ID]bool
 
 	// Leader state.
@@ -108,6 +109,8 @@
 
 	out     Ready
 	durable HardState // the state handed out last
+	batch   uint64    // number of the next batch
+	cuts    []cut     // of batches that may not be durable yet
 }
 
 // New returns a core that starts from r. It is a follower, and grants no vote
@@ -235,6 +238,9 @@
 	for n := len(c.configs); n > 1 && c.configs[n-1].Index >= first; n-- {
 		c.configs = c.configs[:n-1]
 	}
+	if first <= c.log.last {
+		c.cuts = append(c.cuts, cut{batch: c.batch, index: first - 1})
+	}
 	c.log.append(entries)
 	c.out.append(entries)
 	for _, e := range entries {
@@ -271,6 +277,7 @@
 		c.replySnapshot()
 		return false
 	}
+	c.cuts = append(c.cuts, cut{batch: c.batch, index: c.log.committed})
 	c.log.reset(p)
 	c.configs = []IndexedConfig{{Index: p.Index, Config: config}}
 	c.out.Entries = nil
--- a/internal/replica/raft/election.go
+++ b/internal/replica/raft/election.go
@@ -53,6 +53,7 @@
 func (c *Core) becomeFollower(term uint64, leader ID) {
 	if term != c.term {
 		c.vote = None
+		c.matched = 0
 	}
 	c.role = Follower
 	c.term = term
@@ -74,6 +75,7 @@
 	c.role = Candidate
 	c.leader = None
 	c.term++
+	c.matched = 0
 	c.vote = c.opts.ID
 	c.votes = map[ID]bool{}
 	c.resetElection()
--- a/internal/replica/raft/leader.go
+++ b/internal/replica/raft/leader.go
@@ -145,15 +145,20 @@
 		p.probe(min(m.Index+1, m.Rejected))
 		return
 	}
-	if m.Index > c.log.last {
+	c.accept(p, m.Index)
+}
+
+// accept notes that a peer holds all entries up to index.
+func (c *Core) accept(p *progress, index uint64) {
+	if index > c.log.last {
 		return
 	}
 	before := p.match
-	p.acked(m.Index)
+	p.acked(index)
 	switch {
 	case p.state == snapshotting && p.match >= c.log.start.Index:
 		p.probe(p.match + 1)
-	case p.state == probing && (p.match > before || m.Index+1 >= p.next):
+	case p.state == probing && (p.match > before || index+1 >= p.next):
 		p.replicate()
 	}
 	c.advanceCommit()
@@ -162,6 +167,9 @@
 
 func (c *Core) stepHeartbeatReply(p *progress, m Message) {
 	p.ackSeq = max(p.ackSeq, min(m.Seq, c.seq))
+	if m.Durable > p.match {
+		c.accept(p, m.Durable)
+	}
 	switch p.state {
 	case probing:
 		p.paused = false
@@ -191,7 +199,11 @@
 // sendAppend sends one Append where there is something to send and room for it,
 // and reports whether another may follow.
 func (c *Core) sendAppend(id ID, p *progress) bool {
-	if p.reading || p.paused || p.state == snapshotting || p.next > c.log.last {
+	if p.reading || p.paused || p.state == snapshotting {
+		return false
+	}
+	// A peer whose log is not known yet is probed even with nothing new to send.
+	if p.next > c.log.last && (p.state != probing || p.match == c.log.last) {
 		return false
 	}
 	if p.inflightBytes >= c.opts.MaxInflightBytes {
--- a/internal/replica/raft/log.go
+++ b/internal/replica/raft/log.go
@@ -107,15 +107,16 @@
 	l.persisted = min(l.persisted, index)
 }
 
-// reset empties the log, which then starts after p.
+// reset empties the log, which then starts after p. Until that is durable
+// nothing more is: the disk may still hold other entries up to p.
 func (l *raftLog) reset(p Position) {
+	l.persisted = min(l.persisted, l.committed)
 	l.start = p
 	l.terms = nil
 	l.tail = nil
 	l.tailBytes = 0
 	l.uncommittedBytes = 0
 	l.last = p.Index
-	l.persisted = p.Index
 	l.committed = p.Index
 }
 
--- a/internal/replica/raft/message.go
+++ b/internal/replica/raft/message.go
@@ -34,7 +34,8 @@
 	Reject bool   `cbor:"9,keyasint,omitempty"`
 	// Index is, in an AppendReply, the highest index known to match, or where
 	// rejected the index at which to try again; in a HeartbeatReply, the
-	// follower's last index; in a SnapshotAck, the snapshot's index.
+	// highest index known to match, durable or not; in a SnapshotAck, the
+	// snapshot's index.
 	Index uint64 `cbor:"10,keyasint,omitempty"`
 	// Rejected is the Prev.Index that an AppendReply refuses.
 	Rejected uint64 `cbor:"11,keyasint,omitempty"`
@@ -43,6 +44,9 @@
 	// Offset is, in a SnapshotAck, the number of bytes held.
 	Offset   int64     `cbor:"13,keyasint,omitempty"`
 	Founding *Founding `cbor:"14,keyasint,omitempty"`
+	// Durable is, in a HeartbeatReply, the highest index known to match and to
+	// be durable, in case that AppendReplies were lost.
+	Durable uint64 `cbor:"15,keyasint,omitempty"`
 }
 
 // Founding is what an empty founder tells the others listed with it.
--- a/internal/replica/raft/ready.go
+++ b/internal/replica/raft/ready.go
@@ -46,9 +46,17 @@
 
 // Mark names what a batch makes durable.
 type Mark struct {
-	Last Position // of the last entry; zero where the batch has none
-	Term uint64
-	Vote ID
+	Batch uint64   // number of the batch
+	Last  Position // of the last entry, or of the reset; zero where there is none
+	Term  uint64
+	Vote  ID
+}
+
+// cut is a shortening of the log that goes to disk with a batch. What earlier
+// batches have written beyond it does not stay.
+type cut struct {
+	batch uint64
+	index uint64
 }
 
 // Ready takes the work that the steps since the last call have brought.
@@ -63,7 +71,11 @@
 		out.State = &state
 		c.durable = state
 	}
-	out.Mark = Mark{Term: c.term, Vote: c.vote}
+	out.Mark = Mark{Batch: c.batch, Term: c.term, Vote: c.vote}
+	c.batch++
+	if out.Reset != nil {
+		out.Mark.Last = *out.Reset
+	}
 	if n := len(out.Entries); n > 0 {
 		e := out.Entries[n-1]
 		out.Mark.Last = Position{Index: e.Index, Term: e.Term}
@@ -75,9 +87,7 @@
 // Persisted tells the core that the batch with mark m, and all before it, are
 // durable.
 func (c *Core) Persisted(m Mark) {
-	if m.Last.Index > c.log.persisted && c.log.matches(m.Last) {
-		c.log.persisted = m.Last.Index
-	}
+	c.notePersisted(m)
 	switch c.role {
 	case Candidate:
 		if m.Term == c.term && m.Vote == c.opts.ID {
@@ -91,6 +101,21 @@
 	}
 }
 
+func (c *Core) notePersisted(m Mark) {
+	index := m.Last.Index
+	kept := c.cuts[:0]
+	for _, cut := range c.cuts {
+		if cut.batch > m.Batch {
+			index = min(index, cut.index)
+			kept = append(kept, cut)
+		}
+	}
+	c.cuts = kept
+	if index > c.log.persisted && c.log.matches(m.Last) {
+		c.log.persisted = index
+	}
+}
+
 // send queues a message that rests on nothing that is still to be written.
 func (c *Core) send(m Message) {
 	m.From = c.opts.ID
--- /dev/null
+++ b/internal/replica/raft/safety_test.go
@@ -0,0 +1,147 @@
+package raft
+
+import (
+	"flag"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+const rapidSeed = "1"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	set := false
+	flag.Visit(func(f *flag.Flag) { set = set || f.Name == "rapid.seed" })
+	if !set {
+		_ = flag.Set("rapid.seed", rapidSeed)
+	}
+	os.Exit(m.Run())
+}
+
+// small keeps almost nothing in memory, so that reads from disk are common.
+var small = Options{MaxAppendBytes: 120, MaxInflightBytes: 400, MaxTailBytes: 100}
+
+func TestSafetyHoldsUnderAdversarialSchedules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		size := rapid.IntRange(1, 5).Draw(t, "size")
+		s := newSim(size, small, rand.New(rand.NewPCG(seed, 0)).IntN)
+		if err := s.run(3000); err != nil {
+			t.Fatalf("seed %d, size %d: %v", seed, size, err)
+		}
+	})
+}
+
+func TestSafetyHoldsUnderChosenSchedules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(3, small, func(n int) int {
+			return rapid.IntRange(0, n-1).Draw(t, "choice")
+		})
+		if err := s.run(200); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// search runs seeds until a promise breaks or max are used up.
+func search(t *testing.T, max, steps int, make func(seed uint64) *sim) error {
+	t.Helper()
+	for seed := range uint64(max) {
+		s := make(seed)
+		if err := s.run(steps); err != nil {
+			t.Logf("seed %d: %v", seed, err)
+			return err
+		}
+	}
+	return nil
+}
+
+// Each row turns one protection off; a schedule must then break a promise,
+// which shows that the checks above would notice its loss.
+func TestSchedulesBreakAPromiseOnceAProtectionIsOff(t *testing.T) {
+	rows := []struct {
+		name   string
+		unsafe unsafeOptions
+		setup  func(*sim)
+	}{
+		{name: "votes and acknowledgements do not wait for the disk", unsafe: unsafeOptions{noPersistWait: true}},
+		{name: "votes are granted while a leader is heard", unsafe: unsafeOptions{noStickiness: true}},
+		{name: "the lease outlives a transfer of leadership", unsafe: unsafeOptions{leaseAfterForward: true}},
+		{name: "membership changes overlap", unsafe: unsafeOptions{manyChanges: true}},
+		{name: "a lost disk comes back under its old identity", setup: func(s *sim) { s.sameIdentity = true }},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			err := search(t, 3000, 3000, func(seed uint64) *sim {
+				opts := small
+				opts.unsafe = row.unsafe
+				s := newSim(3+int(seed%3), opts, rand.New(rand.NewPCG(seed, 1)).IntN)
+				if row.setup != nil {
+					row.setup(s)
+				}
+				return s
+			})
+			assert.Assert(t, err != nil, "no schedule noticed that the protection is off")
+		})
+	}
+}
+
+func checkHistory(seed uint64, stale bool) (porcupine.CheckResult, int) {
+	s := newSim(3, small, rand.New(rand.NewPCG(seed, 2)).IntN)
+	s.history = newHistory(stale)
+	if err := s.run(2500); err != nil {
+		return porcupine.Illegal, 0
+	}
+	ops := s.finished()
+	return porcupine.CheckOperationsTimeout(registerModel, ops, time.Minute), len(ops)
+}
+
+func TestRegisterHistoriesAreLinearizable(t *testing.T) {
+	total := 0
+	for seed := range uint64(200) {
+		result, n := checkHistory(seed, false)
+		assert.Equal(t, result, porcupine.Ok, "seed %d", seed)
+		total += n
+	}
+	t.Logf("%d operations", total)
+	assert.Assert(t, total > 1000, "too few operations to mean anything: %d", total)
+}
+
+func TestHistoriesOfReadsWithoutAQuorumAreNotLinearizable(t *testing.T) {
+	for seed := range uint64(300) {
+		if result, _ := checkHistory(seed, true); result == porcupine.Illegal {
+			t.Logf("seed %d", seed)
+			return
+		}
+	}
+	t.Fatal("no history noticed the missing quorum")
+}
+
+// After any schedule that loses no disk, a group whose links and processes work
+// again elects a leader, commits a new entry and brings all replicas up to it.
+func TestAHealedGroupMakesProgress(t *testing.T) {
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		s := newSim(3+2*int(seed%2), small, rng.IntN)
+		s.keepDisks = true
+		assert.NilError(t, s.run(1500), "seed %d", seed)
+		h := &script{sim: s, t: t}
+		h.heal()
+		leader := h.onlyLeader()
+		assert.Assert(t, leader != nil, "seed %d: no leader", seed)
+		assert.NilError(t, leader.core.Propose([][]byte{[]byte("new")}), "seed %d", seed)
+		s.settle(leader)
+		h.heal()
+		for _, p := range leader.core.Config().Peers {
+			got := s.find(p.ID).core.Deliverable()
+			assert.Equal(t, got, leader.core.Last().Index, "seed %d: replica %d", seed, p.ID)
+		}
+		assert.NilError(t, s.broken, "seed %d", seed)
+	}
+}
--- /dev/null
+++ b/internal/replica/raft/scenario_test.go
@@ -0,0 +1,332 @@
+package raft
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// script is a sim whose schedule is written out: nodes are named by ID from 1.
+type script struct {
+	*sim
+	t    *testing.T
+	drop func(*Message) bool // may also shorten the message
+}
+
+func newScript(t *testing.T, size int, unsafe unsafeOptions) *script {
+	opts := Options{MaxAppendBytes: 1, unsafe: unsafe}
+	return &script{sim: newSim(size, opts, func(int) int { return 0 }), t: t}
+}
+
+// flush writes all that waits on the nodes.
+func (s *script) flush(ids ...ID) {
+	for _, id := range ids {
+		n := s.find(id)
+		for len(n.pending) > 0 || len(n.marks) > 0 {
+			s.write(n)
+			s.tellMark(n)
+		}
+	}
+}
+
+// exchange delivers messages among the nodes until none is left. Messages to
+// and from others are lost.
+func (s *script) exchange(ids ...ID) {
+	within := map[ID]bool{}
+	for _, id := range ids {
+		within[id] = true
+	}
+	for {
+		s.flush(ids...)
+		if len(s.pool) == 0 {
+			return
+		}
+		m := s.pool[0]
+		s.pool = s.pool[1:]
+		if n := s.live(m.To); n != nil && within[m.From] && within[m.To] && (s.drop == nil || !s.drop(&m)) {
+			n.core.Step(m)
+			s.settle(n)
+		}
+	}
+}
+
+// ticks lets time pass for the nodes alone, and loses what they send.
+func (s *script) ticks(n int, ids ...ID) {
+	for range n {
+		s.now++
+		for _, id := range ids {
+			s.find(id).core.Tick()
+			s.settle(s.find(id))
+		}
+	}
+}
+
+// elect makes id leader by votes of the nodes, which have all lost their leader.
+func (s *script) elect(id ID, voters ...ID) {
+	s.pool = nil
+	s.ticks(2*DefaultElectionTicks, voters...)
+	s.pool = nil
+	n := s.find(id)
+	const tries = 3 // the first may only tell it the current term
+	for range tries {
+		if n.core.Role() != Leader {
+			n.core.campaign()
+			s.settle(n)
+			s.exchange(voters...)
+		}
+	}
+	assert.Equal(s.t, n.core.Role(), Leader)
+}
+
+func (s *script) core(id ID) *Core { return s.find(id).core }
+
+// A leader that was cut off finds its old entry on a majority and may not count
+// it as committed, since node 5 can still be elected and replace it.
+func TestEntriesOfEarlierTermsAreCommittedOnlyWithOneOfThisTerm(t *testing.T) {
+	rows := []struct {
+		name   string
+		unsafe unsafeOptions
+		broken bool
+	}{
+		{name: "a count of replicas does not commit an earlier term"},
+		{name: "without the check a committed entry is replaced", unsafe: unsafeOptions{noTermCheck: true}, broken: true},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			s := newScript(t, 5, row.unsafe)
+			s.elect(1, 1, 2, 3, 4, 5)
+			s.propose(s.find(1))
+			s.exchange(1, 2)
+			s.drop = func(m *Message) bool { return m.Kind == Append }
+			s.elect(5, 3, 4, 5)
+			third := s.core(5).Term()
+			s.drop = func(m *Message) bool {
+				if len(m.Entries) > 0 && m.Entries[0].Term > third {
+					m.Entries = nil // as in a probe
+				}
+				return false
+			}
+			s.elect(1, 1, 2, 3, 4)
+			s.drop = nil
+			s.elect(5, 2, 3, 4, 5)
+			assert.Equal(t, s.broken != nil, row.broken, "%v", s.broken)
+		})
+	}
+}
+
+// Node 2 has just acknowledged the leader's lease when node 3, which has long
+// heard nobody, asks it for its vote.
+func TestNoLeaderIsElectedWithinTheLeaseOfAnother(t *testing.T) {
+	rows := []struct {
+		name    string
+		unsafe  unsafeOptions
+		restart bool
+		broken  bool
+	}{
+		{name: "a voter that hears the leader refuses its vote"},
+		{name: "a voter that has restarted refuses its vote for a while", restart: true},
+		{name: "without stickiness two lead at once", unsafe: unsafeOptions{noStickiness: true}, broken: true},
+		{name: "without silence after a restart two lead at once", unsafe: unsafeOptions{noBootSilence: true}, restart: true, broken: true},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			s := newScript(t, 3, row.unsafe)
+			s.elect(1, 1, 2, 3)
+			for range 3 * DefaultElectionTicks {
+				s.tick()
+				s.exchange(1, 2)
+			}
+			assert.Assert(t, s.find(1).lease > s.now)
+			if row.restart {
+				s.crash(s.find(2))
+				s.restart(s.find(2))
+			}
+			s.core(3).campaign()
+			s.settle(s.find(3))
+			s.exchange(2, 3)
+			assert.Equal(t, s.broken != nil, row.broken, "%v", s.broken)
+			assert.Equal(t, s.core(3).Role() == Leader, row.broken)
+		})
+	}
+}
+
+// The target of a transfer gets the order to campaign only long after.
+func TestALateOrderToCampaignDoesNotBreakALease(t *testing.T) {
+	rows := []struct {
+		name   string
+		unsafe unsafeOptions
+		broken bool
+	}{
+		{name: "a leader whose transfer failed steps down"},
+		{name: "a lease that outlives the transfer is broken", unsafe: unsafeOptions{leaseAfterForward: true}, broken: true},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			s := newScript(t, 3, row.unsafe)
+			s.elect(1, 1, 2, 3)
+			s.tick()
+			s.tick()
+			s.exchange(1, 2, 3)
+			assert.Assert(t, s.find(1).lease > s.now)
+			s.transfer(s.find(1))
+			late := s.pool[0]
+			assert.Equal(t, late.Kind, TimeoutNow)
+			s.pool = nil
+			for range DefaultElectionTicks - 1 {
+				s.tick()
+				s.exchange(1, 2, 3)
+			}
+			target := s.find(late.To)
+			target.core.Step(late)
+			s.settle(target)
+			s.exchange(2, 3)
+			assert.Equal(t, s.broken != nil, row.broken, "%v", s.broken)
+		})
+	}
+}
+
+// A replica that was cut off for long comes back and asks for votes.
+func TestAReplicaThatWasCutOffDoesNotUnseatTheLeader(t *testing.T) {
+	rows := []struct {
+		name   string
+		unsafe unsafeOptions
+		stays  bool
+	}{
+		{name: "with pre-vote its term has not grown", stays: true},
+		{name: "without pre-vote the leader is unseated", unsafe: unsafeOptions{noPreVote: true}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			s := newScript(t, 3, row.unsafe)
+			s.elect(1, 1, 2, 3)
+			term := s.core(1).Term()
+			for range 100 {
+				s.tick()
+				s.exchange(1, 2)
+			}
+			for range DefaultHeartbeatTicks + 1 {
+				s.tick()
+				s.exchange(1, 2, 3)
+			}
+			assert.Equal(t, s.core(1).Role() == Leader && s.core(1).Term() == term, row.stays)
+		})
+	}
+}
+
+// One-way cuts: the leader is heard and hears nobody, or the other way round.
+func TestALeaderThatHearsNoQuorumStepsDown(t *testing.T) {
+	rows := []struct {
+		name   string
+		unsafe unsafeOptions
+		steps  bool
+	}{
+		{name: "with check-quorum it steps down within an election timeout", steps: true},
+		{name: "without check-quorum it leads for ever and nobody can take over", unsafe: unsafeOptions{noCheckQuorum: true}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			s := newScript(t, 3, row.unsafe)
+			s.elect(1, 1, 2, 3)
+			s.drop = func(m *Message) bool { return m.To == 1 }
+			for range 4 * DefaultElectionTicks {
+				s.tick()
+				s.exchange(1, 2, 3)
+			}
+			assert.Equal(t, s.core(1).Role() != Leader, row.steps)
+			other := s.core(2).Role() == Leader || s.core(3).Role() == Leader
+			assert.Equal(t, other, row.steps)
+		})
+	}
+}
+
+// Five voters lose one disk, repair it, and lose a second at once.
+func TestASecondLossRightAfterARepairLosesNothing(t *testing.T) {
+	rows := []struct {
+		name    string
+		unsafe  unsafeOptions
+		refused bool
+	}{
+		{name: "a learner that is behind is not promoted", refused: true},
+		{name: "without the check it counts before it holds the log", unsafe: unsafeOptions{promoteUnready: true}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			s := newScript(t, 3, row.unsafe)
+			s.elect(1, 1, 2, 3)
+			for range 20 {
+				s.propose(s.find(1))
+			}
+			s.exchange(1, 2, 3)
+			s.crash(s.find(3))
+			s.nodes = append(s.nodes, s.boot(4, simDisk{}))
+			assert.NilError(t, s.core(1).AddLearner(4, "4"))
+			s.settle(s.find(1))
+			s.exchange(1, 2)
+			err := s.core(1).Promote(4)
+			assert.Equal(t, err != nil, row.refused)
+			if !row.refused {
+				return
+			}
+			for range 3 {
+				s.tick()
+				s.exchange(1, 2, 4)
+			}
+			assert.NilError(t, s.core(1).Promote(4))
+			s.settle(s.find(1))
+			s.exchange(1, 2, 4)
+			assert.NilError(t, s.core(1).Remove(3))
+			s.settle(s.find(1))
+			s.exchange(1, 2, 4)
+
+			s.crash(s.find(1))
+			s.elect(4, 2, 4)
+			assert.NilError(t, s.broken)
+			assert.Equal(t, s.core(4).Config().Voters(), 3)
+			assert.Assert(t, s.core(4).Commit() >= uint64(len(s.committed)))
+		})
+	}
+}
+
+// heal brings all nodes back and lets them exchange everything for a while.
+func (s *script) heal() {
+	var ids []ID
+	for _, n := range s.nodes {
+		n.frozen = 0
+		if n.down {
+			s.restart(n)
+		}
+		ids = append(ids, n.id)
+	}
+	for range 10 * DefaultElectionTicks {
+		s.tick()
+		s.exchange(ids...)
+		for range 4 {
+			s.deliverAllSnapshots()
+			for _, n := range s.nodes {
+				s.answerReads(n)
+			}
+			s.exchange(ids...)
+		}
+	}
+}
+
+func (s *script) deliverAllSnapshots() {
+	s.choose = func(n int) int { return n - 1 }
+	for len(s.snaps) > 0 {
+		s.deliverSnapshot()
+	}
+}
+
+// onlyLeader returns the leader of the highest term, which all others follow.
+func (s *script) onlyLeader() *simNode {
+	var leader *simNode
+	for _, n := range s.nodes {
+		if n.core.Role() == Leader {
+			if leader != nil {
+				return nil
+			}
+			leader = n
+		}
+	}
+	return leader
+}
--- /dev/null
+++ b/internal/replica/raft/simstep_test.go
@@ -0,0 +1,242 @@
+package raft
+
+import (
+	"fmt"
+	"slices"
+)
+
+// step makes one choice and carries it out.
+func (s *sim) step() {
+	n := s.nodes[s.choose(len(s.nodes))]
+	if n.down {
+		if s.choose(8) == 0 {
+			s.restart(n)
+		}
+		return
+	}
+	switch k := s.choose(1000); {
+	case k < 450:
+		s.deliver()
+	case k < 700:
+		if n.frozen == 0 {
+			s.write(n)
+			if s.choose(4) != 0 {
+				s.tellMark(n)
+			}
+		}
+	case k < 820:
+		s.tick()
+	case k < 890:
+		s.propose(s.leader(n))
+	case k < 920:
+		s.read(s.leader(n))
+	case k < 950:
+		s.snapshotOrRead(n)
+	case s.calm:
+	case k < 980:
+		s.change(s.leader(n))
+	case k < 984:
+		n.frozen = s.choose(2 * DefaultElectionTicks)
+	case k < 988:
+		s.transfer(s.leader(n))
+	case k < 998:
+		s.crash(n)
+	case !s.keepDisks && s.choose(10) == 0:
+		s.lose(n)
+	}
+}
+
+// leader returns a node that leads, or n.
+func (s *sim) leader(n *simNode) *simNode {
+	for _, m := range s.nodes {
+		if !m.down && m.core.Role() == Leader && (s.choose(2) == 0 || n.core.Role() != Leader) {
+			return m
+		}
+	}
+	return n
+}
+
+func (s *sim) run(steps int) error {
+	for range steps {
+		s.step()
+		if s.broken != nil {
+			return s.broken
+		}
+	}
+	return nil
+}
+
+// tick lets one tick pass for all but those that are frozen or down.
+func (s *sim) tick() {
+	s.now++
+	for _, n := range s.nodes {
+		switch {
+		case n.down:
+		case n.frozen > 0:
+			n.frozen--
+		default:
+			n.core.Tick()
+			s.settle(n)
+		}
+	}
+}
+
+func (s *sim) deliver() {
+	if s.choose(20) == 0 {
+		s.deliverSnapshot()
+		return
+	}
+	if len(s.pool) == 0 {
+		return
+	}
+	i := 0
+	if s.choose(3) == 0 {
+		i = s.choose(len(s.pool))
+	}
+	m := s.pool[i]
+	fate := s.choose(20)
+	if fate != 0 { // else it comes again later
+		s.pool = slices.Delete(s.pool, i, i+1)
+	}
+	if fate == 1 {
+		return // lost
+	}
+	if n := s.live(m.To); n != nil {
+		n.core.Step(m)
+		s.settle(n)
+	}
+}
+
+func (s *sim) deliverSnapshot() {
+	if len(s.snaps) == 0 {
+		return
+	}
+	i := s.choose(len(s.snaps))
+	snap := s.snaps[i]
+	s.snaps = slices.Delete(s.snaps, i, i+1)
+	to, from := s.live(snap.to), s.live(snap.from)
+	arrived := to != nil && s.choose(4) != 0
+	if arrived && snap.term >= to.core.Term() {
+		if snap.at.Index > to.core.Commit() {
+			to.disk.snap, to.disk.config = snap.at, snap.config
+			to.core.Restore(snap.at, snap.config)
+		}
+		s.settle(to)
+	}
+	if from != nil {
+		from.core.SnapshotDone(snap.to, snap.at.Index, arrived)
+		s.settle(from)
+	}
+}
+
+func (s *sim) propose(n *simNode) {
+	if n.down || n.frozen > 0 || n.core.Role() != Leader || !s.history.mayWrite() {
+		return
+	}
+	s.proposed++
+	value := fmt.Sprint(s.proposed)
+	if n.core.Propose([][]byte{[]byte(value)}) != nil {
+		return
+	}
+	if s.history != nil {
+		s.history.beginWrite(n.core.Last(), value)
+	}
+	s.settle(n)
+}
+
+// snapshotOrRead answers reads of old entries and takes snapshots.
+func (s *sim) snapshotOrRead(n *simNode) {
+	if n.down || n.frozen > 0 {
+		return
+	}
+	s.answerReads(n)
+	index := n.core.Deliverable()
+	if s.choose(3) != 0 || index <= n.disk.snap.Index || index <= n.disk.start.Index {
+		return
+	}
+	n.disk.snap = positionOf(n.disk.entry(index))
+	n.disk.config = n.core.ConfigAt(index)
+	keep := uint64(s.choose(4))
+	if index <= keep || index-keep <= n.disk.start.Index || len(n.pending) > 0 {
+		return
+	}
+	at := positionOf(n.disk.entry(index - keep))
+	n.disk.entries = slices.Clone(n.disk.entries[at.Index-n.disk.start.Index:])
+	n.disk.start = at
+	n.core.Compact(at)
+	s.settle(n)
+}
+
+// answerReads gives the core of n the old entries that it asked for.
+func (s *sim) answerReads(n *simNode) {
+	reads := n.reads
+	n.reads = nil
+	for _, q := range reads {
+		var entries []Entry
+		for i := q.First; i > n.disk.start.Index && i <= n.disk.last() && len(entries) < 3; i++ {
+			entries = append(entries, n.disk.entry(i))
+		}
+		n.core.ReadDone(q, entries)
+		s.settle(n)
+	}
+}
+
+// change proposes a change of membership.
+func (s *sim) change(n *simNode) {
+	if n.down || n.frozen > 0 || n.core.Role() != Leader {
+		return
+	}
+	target := s.nodes[s.choose(len(s.nodes))]
+	switch s.choose(3) {
+	case 0:
+		_ = n.core.AddLearner(target.id, fmt.Sprint(target.id))
+	case 1:
+		_ = n.core.Promote(target.id)
+	default:
+		if n.core.Config().Voters() > 1 {
+			_ = n.core.Remove(target.id)
+		}
+	}
+	s.settle(n)
+}
+
+func (s *sim) transfer(n *simNode) {
+	if !n.down && n.frozen == 0 {
+		_ = n.core.Transfer()
+		s.settle(n)
+	}
+}
+
+// crash stops n. Of the batches that were on their way to disk any number may
+// have arrived.
+func (s *sim) crash(n *simNode) {
+	n.down = true
+	n.waiting = nil
+	for range s.choose(len(n.pending) + 1) {
+		n.disk.apply(n.pending[0])
+		n.pending = n.pending[1:]
+	}
+}
+
+func (s *sim) restart(n *simNode) {
+	*n = *s.boot(n.id, n.disk)
+	s.settle(n)
+}
+
+// lose stops n and takes its disk. A replica with an empty disk comes up under
+// a new identity, and waits to be added.
+func (s *sim) lose(n *simNode) {
+	const maxNodes = 8
+	if len(s.nodes) >= maxNodes {
+		return
+	}
+	if s.sameIdentity {
+		*n = *s.boot(n.id, simDisk{})
+		s.settle(n)
+		return
+	}
+	s.crash(n)
+	s.nextID++
+	*n = *s.boot(s.nextID, simDisk{})
+	s.settle(n)
+}
--- a/internal/replica/raft/step.go
+++ b/internal/replica/raft/step.go
@@ -137,6 +137,7 @@
 	last := m.Prev.Index + uint64(len(m.Entries))
 	c.appendEntries(c.fresh(m.Entries))
 	c.commitTo(min(m.Commit, last))
+	c.matched = max(c.matched, last)
 	reply.Index = last
 	c.sendDurable(reply)
 }
@@ -174,5 +175,12 @@
 
 func (c *Core) stepHeartbeat(m Message) {
 	c.commitTo(m.Commit)
-	c.send(Message{Kind: HeartbeatReply, To: m.From, Term: c.term, Seq: m.Seq, Index: c.log.last})
+	c.send(Message{
+		Kind:    HeartbeatReply,
+		To:      m.From,
+		Term:    c.term,
+		Seq:     m.Seq,
+		Index:   c.matched,
+		Durable: min(c.matched, c.log.persisted),
+	})
 }
