Test the data folder against damage, crashes and a full disk

A file system in memory keeps after a crash what was synced and an arbitrary part of the rest, by sectors and by folder changes. A log is compared with a model across crashes; each damage at each offset of each segment is refused with file and offset or cuts only the end of the last segment. A segment that was shortened at a frame border is now named itself; before, the segment after it was blamed.

--- /dev/null
+++ b/internal/storage/faultfs/faultfs.go
@@ -0,0 +1,357 @@
+// Package faultfs is a file system in memory for tests. It can run full, fail
+// syncs and crash; a crash keeps what was synced and an arbitrary part of the
+// rest, in sectors.
+package faultfs
+
+import (
+	"errors"
+	"io"
+	"io/fs"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+
+	"github.com/filbertmast/filbertmast/internal/storage"
+)
+
+// sectorBytes is the unit in which a crash keeps or loses unsynced data.
+const sectorBytes = 512
+
+// ErrSync is what a failed sync returns.
+var ErrSync = errors.New("faultfs: sync failed")
+
+// inode is the content of a file.
+type inode struct {
+	data   []byte
+	synced []byte
+}
+
+// op is a change of a folder that is not synced yet.
+type op struct {
+	name string
+	node *inode // nil: removed
+}
+
+// FS is a file system in memory. All methods may be called from any goroutine.
+type FS struct {
+	mu       sync.Mutex
+	files    map[string]*inode
+	durable  map[string]*inode // files as of the last sync of their folder
+	ops      []op
+	locked   map[string]bool
+	capacity int // bytes; negative: unlimited
+	failSync bool
+	syncs    int
+}
+
+// New returns an empty file system without a limit.
+func New() *FS {
+	return &FS{
+		files:    map[string]*inode{},
+		durable:  map[string]*inode{},
+		locked:   map[string]bool{},
+		capacity: -1,
+	}
+}
+
+// SetCapacity limits all files together to n bytes; a negative n lifts the limit.
+func (f *FS) SetCapacity(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.capacity = n
+}
+
+// Used returns the bytes of all files together.
+func (f *FS) Used() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.used()
+}
+
+func (f *FS) used() int {
+	n := 0
+	for _, node := range f.files {
+		n += len(node.data)
+	}
+	return n
+}
+
+// FailSyncs makes all syncs fail from now on, or no longer.
+func (f *FS) FailSyncs(fail bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failSync = fail
+}
+
+// Syncs returns the number of syncs of files so far.
+func (f *FS) Syncs() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.syncs
+}
+
+// Crash returns what a new start finds. choose returns a number below n; it
+// decides what survives of that which was not synced.
+func (f *FS) Crash(choose func(n int) int) *FS {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	next := New()
+	names := map[string]*inode{}
+	for name, node := range f.durable {
+		names[name] = node
+	}
+	for _, o := range f.ops[:choose(len(f.ops)+1)] {
+		if o.node == nil {
+			delete(names, o.name)
+		} else {
+			names[o.name] = o.node
+		}
+	}
+	sorted := make([]string, 0, len(names))
+	for name := range names {
+		sorted = append(sorted, name)
+	}
+	slices.Sort(sorted)
+	for _, name := range sorted {
+		data := survive(names[name], choose)
+		node := &inode{data: data, synced: slices.Clone(data)}
+		next.files[name] = node
+		next.durable[name] = node
+	}
+	return next
+}
+
+// survive mixes synced and unsynced content by sectors.
+func survive(n *inode, choose func(int) int) []byte {
+	size := len(n.synced)
+	if d := len(n.data) - size; d > 0 {
+		size += choose(d + 1)
+	} else if d < 0 && choose(2) == 0 {
+		size = len(n.data)
+	}
+	out := make([]byte, size)
+	copy(out, n.synced)
+	for at := 0; at < size; at += sectorBytes {
+		end := min(at+sectorBytes, size)
+		if choose(2) == 0 && at < len(n.data) {
+			copy(out[at:end], n.data[at:min(end, len(n.data))])
+		}
+	}
+	return out
+}
+
+// Change edits the synced content of a file in place, as damage does.
+func (f *FS) Change(name string, edit func([]byte) []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	node := f.files[name]
+	node.data = edit(slices.Clone(node.data))
+	node.synced = slices.Clone(node.data)
+}
+
+// Content returns a copy of the content of a file.
+func (f *FS) Content(name string) []byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.files[name].data)
+}
+
+// Clone returns a copy of the file system as it is now, all of it synced.
+func (f *FS) Clone() *FS {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	next := New()
+	for name, node := range f.files {
+		c := &inode{data: slices.Clone(node.data), synced: slices.Clone(node.data)}
+		next.files[name] = c
+		next.durable[name] = c
+	}
+	return next
+}
+
+// MkdirAll does nothing: folders need not be made.
+func (f *FS) MkdirAll(string) error { return nil }
+
+// Create makes an empty file, or empties an existing one.
+func (f *FS) Create(name string) (storage.File, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	node := &inode{}
+	f.files[name] = node
+	f.ops = append(f.ops, op{name: name, node: node})
+	return &file{fs: f, node: node}, nil
+}
+
+// Open opens an existing file.
+func (f *FS) Open(name string) (storage.File, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	node := f.files[name]
+	if node == nil {
+		return nil, &fs.PathError{Op: "open", Path: name, Err: fs.ErrNotExist}
+	}
+	return &file{fs: f, node: node}, nil
+}
+
+// Rename moves a file.
+func (f *FS) Rename(from, to string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	node := f.files[from]
+	if node == nil {
+		return &fs.PathError{Op: "rename", Path: from, Err: fs.ErrNotExist}
+	}
+	delete(f.files, from)
+	f.files[to] = node
+	f.ops = append(f.ops, op{name: to, node: node}, op{name: from})
+	return nil
+}
+
+// Remove deletes a file.
+func (f *FS) Remove(name string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.files[name] == nil {
+		return &fs.PathError{Op: "remove", Path: name, Err: fs.ErrNotExist}
+	}
+	delete(f.files, name)
+	f.ops = append(f.ops, op{name: name})
+	return nil
+}
+
+// List returns the names of the files in dir, sorted.
+func (f *FS) List(dir string) ([]string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for name := range f.files {
+		if filepath.Dir(name) == filepath.Clean(dir) {
+			out = append(out, filepath.Base(name))
+		}
+	}
+	slices.Sort(out)
+	return out, nil
+}
+
+// SyncDir makes all changes of folders durable.
+func (f *FS) SyncDir(string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failSync {
+		return ErrSync
+	}
+	f.ops = nil
+	f.durable = map[string]*inode{}
+	for name, node := range f.files {
+		f.durable[name] = node
+	}
+	return nil
+}
+
+// Free returns the bytes that may still be written.
+func (f *FS) Free(string) (uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.capacity < 0 {
+		return 1 << 40, nil
+	}
+	return uint64(max(0, f.capacity-f.used())), nil
+}
+
+type lock struct {
+	fs   *FS
+	name string
+}
+
+// Close gives the lock back.
+func (l lock) Close() error {
+	l.fs.mu.Lock()
+	defer l.fs.mu.Unlock()
+	delete(l.fs.locked, l.name)
+	return nil
+}
+
+// Lock holds name until the result is closed.
+func (f *FS) Lock(name string) (io.Closer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.locked[name] {
+		return nil, syscall.EWOULDBLOCK
+	}
+	f.locked[name] = true
+	return lock{fs: f, name: name}, nil
+}
+
+// file is an open file.
+type file struct {
+	fs   *FS
+	node *inode
+}
+
+// ReadAt reads at offset.
+func (f *file) ReadAt(p []byte, offset int64) (int, error) {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	if offset >= int64(len(f.node.data)) {
+		return 0, io.EOF
+	}
+	n := copy(p, f.node.data[offset:])
+	if n < len(p) {
+		return n, io.EOF
+	}
+	return n, nil
+}
+
+// WriteAt writes at offset, and on a full disk only the part that has room.
+func (f *file) WriteAt(p []byte, offset int64) (int, error) {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	grow := int(offset) + len(p) - len(f.node.data)
+	if f.fs.capacity >= 0 && grow > 0 {
+		if room := f.fs.capacity - f.fs.used(); grow > room {
+			n := max(0, len(p)-(grow-max(0, room)))
+			f.put(p[:n], offset)
+			return n, syscall.ENOSPC
+		}
+	}
+	f.put(p, offset)
+	return len(p), nil
+}
+
+func (f *file) put(p []byte, offset int64) {
+	if need := int(offset) + len(p); need > len(f.node.data) {
+		f.node.data = append(f.node.data, make([]byte, need-len(f.node.data))...)
+	}
+	copy(f.node.data[offset:], p)
+}
+
+// Truncate cuts the file to size.
+func (f *file) Truncate(size int64) error {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	f.node.data = slices.Clone(f.node.data[:min(int(size), len(f.node.data))])
+	return nil
+}
+
+// Sync makes the content durable.
+func (f *file) Sync() error {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	f.fs.syncs++
+	if f.fs.failSync {
+		return ErrSync
+	}
+	f.node.synced = slices.Clone(f.node.data)
+	return nil
+}
+
+// Size returns the length in bytes.
+func (f *file) Size() (int64, error) {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	return int64(len(f.node.data)), nil
+}
+
+// Close does nothing.
+func (f *file) Close() error { return nil }
--- a/internal/storage/replay.go
+++ b/internal/storage/replay.go
@@ -111,9 +111,10 @@
 func (l *Log) replayFrame(s *segment, fr frame, number uint32) error {
 	name := filepath.Base(s.path)
 	first := s.size == 0
-	if l.seq != 0 && fr.seq != l.seq+1 {
+	if !first && fr.seq != l.seq+1 {
 		return l.corrupt(name, s.size, "frame %d follows frame %d", fr.seq, l.seq)
 	}
+	prev := l.seq
 	l.seq = fr.seq
 	for offset := 0; offset < len(fr.payload); {
 		it, next, ok := readItem(fr.payload, offset)
@@ -129,6 +130,9 @@
 		}
 		offset = next
 	}
+	if first && len(l.segments) > 1 && fr.seq != prev+1 {
+		return l.corrupt(name, s.size, "frame %d follows frame %d", fr.seq, prev)
+	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/storage/storage_test.go
@@ -0,0 +1,456 @@
+package storage_test
+
+import (
+	"bytes"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/filbertmast/filbertmast/internal/storage"
+	"github.com/filbertmast/filbertmast/internal/storage/faultfs"
+)
+
+const (
+	dir       = "/data"
+	owner     = 7
+	rapidSeed = "1"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	set := false
+	flag.Visit(func(f *flag.Flag) { set = set || f.Name == "rapid.seed" })
+	if !set {
+		_ = flag.Set("rapid.seed", rapidSeed)
+	}
+	os.Exit(m.Run())
+}
+
+func options(fsys storage.FS, segment int64) storage.LogOptions {
+	return storage.LogOptions{Dir: dir, FS: fsys, Owner: owner, SegmentBytes: segment, CacheBytes: 200}
+}
+
+func open(t testing.TB, fsys storage.FS, segment int64) *storage.Log {
+	t.Helper()
+	l, err := storage.OpenLog(options(fsys, segment))
+	assert.NilError(t, err)
+	return l
+}
+
+func entry(index, term uint64) storage.Entry {
+	return storage.Entry{Index: index, Term: term, Data: fmt.Appendf(nil, "entry %d of term %d", index, term)}
+}
+
+// fill appends n entries in batches of three.
+func fill(t testing.TB, l *storage.Log, n uint64) {
+	t.Helper()
+	for i := l.Last().Index + 1; i <= n; i += 3 {
+		var b storage.Batch
+		for j := i; j < min(i+3, n+1); j++ {
+			b.Entries = append(b.Entries, entry(j, 1+j/10))
+		}
+		b.State = fmt.Appendf(nil, "state %d", i)
+		assert.NilError(t, l.Append(b))
+	}
+}
+
+func readAll(l *storage.Log) ([]storage.Entry, error) {
+	return l.Read(l.Start().Index+1, math.MaxUint64, math.MaxInt)
+}
+
+func TestLogReopensWithTheSameEntriesAndState(t *testing.T) {
+	for _, segment := range []int64{100, 1 << 20} {
+		fsys := faultfs.New()
+		l := open(t, fsys, segment)
+		fill(t, l, 50)
+		want, err := readAll(l)
+		assert.NilError(t, err)
+		assert.Equal(t, len(want), 50)
+		l = open(t, fsys, segment)
+		got, err := readAll(l)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, want)
+		assert.Equal(t, string(l.State()), "state 49")
+	}
+}
+
+// damage is one change to the file of a segment.
+type damage struct {
+	name string
+	edit func([]byte, int) []byte
+}
+
+var damages = []damage{
+	{"cut short", func(b []byte, at int) []byte { return b[:at] }},
+	{"flipped", func(b []byte, at int) []byte { b[at%len(b)] ^= 0x10; return b }},
+	{"zeroed to the end", func(b []byte, at int) []byte { clear(b[at:]); return b }},
+	{"zeroed sector", func(b []byte, at int) []byte { clear(b[at:min(at+64, len(b))]); return b }},
+	{"bytes added", func(b []byte, at int) []byte { return append(b, b[:at%50]...) }},
+}
+
+// At every byte of every segment each damage is either refused with file and
+// offset, or only entries at the end of the last segment are gone, and none
+// that are left have changed.
+func TestDamageAtEveryOffsetIsRefusedOrCutsTheTail(t *testing.T) {
+	base := faultfs.New()
+	fill(t, open(t, base, 300), 30)
+	names, err := base.List(dir)
+	assert.NilError(t, err)
+	assert.Assert(t, len(names) > 2)
+	cuts, refusals := 0, 0
+	for i, name := range names {
+		path := filepath.Join(dir, name)
+		last := i == len(names)-1
+		for _, d := range damages {
+			for at := range base.Content(path) {
+				fsys := base.Clone()
+				fsys.Change(path, func(b []byte) []byte { return d.edit(b, at) })
+				kept, refused := reopenDamaged(t, fsys, path)
+				if refused {
+					refusals++
+					continue
+				}
+				cuts++
+				same := bytes.Equal(fsys.Content(path), base.Content(path))
+				assert.Assert(t, last || same, "%s %s at %d was accepted", name, d.name, at)
+				assert.Assert(t, kept <= 30)
+			}
+		}
+	}
+	t.Logf("%d refused, %d accepted", refusals, cuts)
+	assert.Assert(t, cuts > 0 && refusals > 0)
+}
+
+func reopenDamaged(t *testing.T, fsys *faultfs.FS, path string) (kept int, refused bool) {
+	t.Helper()
+	l, err := storage.OpenLog(options(fsys, 300))
+	var corrupt *storage.CorruptError
+	if errors.As(err, &corrupt) {
+		assert.Equal(t, corrupt.File, path)
+		return 0, true
+	}
+	assert.NilError(t, err)
+	got, err := readAll(l)
+	assert.NilError(t, err)
+	for i, e := range got {
+		assert.DeepEqual(t, e, entry(uint64(i+1), 1+uint64(i+1)/10))
+	}
+	fill(t, l, 40)
+	assert.Equal(t, open(t, fsys, 300).Last().Index, uint64(40))
+	return len(got), false
+}
+
+// A whole frame behind a damaged one shows that the damaged one was durable.
+func TestDamageBeforeTheLastFrameIsRefused(t *testing.T) {
+	base := faultfs.New()
+	l := open(t, base, 1<<20)
+	fill(t, l, 9)
+	before := base.Used()
+	fill(t, l, 12)
+	path := filepath.Join(dir, "log-00000001.wal")
+	for at := range before {
+		fsys := base.Clone()
+		fsys.Change(path, func(b []byte) []byte { b[at] ^= 0x10; return b })
+		_, err := storage.OpenLog(options(fsys, 1<<20))
+		var corrupt *storage.CorruptError
+		assert.Assert(t, errors.As(err, &corrupt), "flip at %d: %v", at, err)
+		assert.Assert(t, corrupt.Offset <= int64(at))
+	}
+}
+
+func TestDamageUnderAnOpenLogIsNoticedByTheRead(t *testing.T) {
+	fsys := faultfs.New()
+	l := open(t, fsys, 1<<20)
+	fill(t, l, 30)
+	path := filepath.Join(dir, "log-00000001.wal")
+	at := bytes.Index(fsys.Content(path), []byte("entry 4 of"))
+	fsys.Change(path, func(b []byte) []byte { b[at] ^= 0x10; return b })
+	_, err := l.Read(4, 4, 1)
+	var corrupt *storage.CorruptError
+	assert.Assert(t, errors.As(err, &corrupt), "%v", err)
+}
+
+func TestAMissingSegmentIsRefused(t *testing.T) {
+	fsys := faultfs.New()
+	fill(t, open(t, fsys, 300), 30)
+	names, _ := fsys.List(dir)
+	assert.NilError(t, fsys.Remove(filepath.Join(dir, names[1])))
+	_, err := storage.OpenLog(options(fsys, 300))
+	var corrupt *storage.CorruptError
+	assert.Assert(t, errors.As(err, &corrupt), "%v", err)
+}
+
+func TestTheLogOfAnotherOwnerIsRefused(t *testing.T) {
+	fsys := faultfs.New()
+	fill(t, open(t, fsys, 300), 30)
+	o := options(fsys, 300)
+	o.Owner++
+	_, err := storage.OpenLog(o)
+	var corrupt *storage.CorruptError
+	assert.Assert(t, errors.As(err, &corrupt), "%v", err)
+}
+
+func TestAFullDiskRefusesAndLaterTakesTheSameBatch(t *testing.T) {
+	for room := range 400 {
+		fsys := faultfs.New()
+		l := open(t, fsys, 300)
+		fill(t, l, 9)
+		fsys.SetCapacity(fsys.Used() + room)
+		b := storage.Batch{Entries: []storage.Entry{entry(10, 2), entry(11, 2)}}
+		if err := l.Append(b); err != nil {
+			assert.Assert(t, storage.IsFull(err), "%v", err)
+			got, err := readAll(l)
+			assert.NilError(t, err)
+			assert.Equal(t, len(got), 9)
+			assert.Equal(t, open(t, fsys.Clone(), 300).Last().Index, uint64(9))
+			fsys.SetCapacity(-1)
+			assert.NilError(t, l.Append(b))
+		}
+		assert.Equal(t, open(t, fsys.Clone(), 300).Last().Index, uint64(11))
+	}
+}
+
+func TestAFailedSyncIsNotAFullDisk(t *testing.T) {
+	fsys := faultfs.New()
+	l := open(t, fsys, 300)
+	fsys.FailSyncs(true)
+	err := l.Append(storage.Batch{Entries: []storage.Entry{entry(1, 1)}})
+	var sync *storage.SyncError
+	assert.Assert(t, errors.As(err, &sync), "%v", err)
+	assert.Assert(t, !storage.IsFull(err))
+	assert.Equal(t, l.Last().Index, uint64(0))
+}
+
+// model is what a log should hold.
+type model struct {
+	start   storage.Position
+	entries []storage.Entry
+	state   string
+}
+
+func (m *model) append(b storage.Batch) {
+	if b.Reset != nil {
+		m.start, m.entries = *b.Reset, nil
+	}
+	for _, e := range b.Entries {
+		m.entries = append(m.entries[:e.Index-m.start.Index-1:e.Index-m.start.Index-1], e)
+	}
+	if b.State != nil {
+		m.state = string(b.State)
+	}
+}
+
+func (m *model) last() uint64 { return m.start.Index + uint64(len(m.entries)) }
+
+// check compares a log with the model; the log may have dropped a prefix.
+func (m *model) check(l *storage.Log) error {
+	got, err := readAll(l)
+	if err != nil {
+		return err
+	}
+	if l.Last().Index != m.last() || string(l.State()) != m.state {
+		return fmt.Errorf("last %d, state %q; want %d, %q", l.Last().Index, l.State(), m.last(), m.state)
+	}
+	skip := l.Start().Index - m.start.Index
+	for i, e := range got {
+		want := m.entries[skip+uint64(i)]
+		if e.Index != want.Index || e.Term != want.Term || !bytes.Equal(e.Data, want.Data) {
+			return fmt.Errorf("entry %d differs", e.Index)
+		}
+		if term, ok := l.Term(e.Index); !ok || term != e.Term {
+			return fmt.Errorf("term of entry %d is %d", e.Index, term)
+		}
+	}
+	return nil
+}
+
+// A log that is crashed at any point comes back as the model, or as the model
+// with the batch that was being written; and it is never refused.
+func TestLogMatchesItsModelAcrossCrashes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		fsys := faultfs.New()
+		l, err := storage.OpenLog(options(fsys, 400))
+		assert.NilError(t, err)
+		var m model
+		for range 200 {
+			switch k := rng.IntN(20); {
+			case k < 15:
+				b := randomBatch(rng, &m)
+				if rng.IntN(10) == 0 {
+					// The sync fails, as if the power went during the write.
+					fsys.FailSyncs(true)
+					assert.Assert(t, l.Append(b) != nil)
+					fsys = fsys.Crash(rng.IntN)
+					l = reopen(t, fsys, &m, b)
+					continue
+				}
+				assert.NilError(t, l.Append(b))
+				m.append(b)
+			case k < 18:
+				// What is compacted is committed: it is never replaced.
+				_, err := l.Compact(m.start.Index + uint64(rng.IntN(max(1, len(m.entries)-3))))
+				assert.NilError(t, err)
+			default:
+				fsys = fsys.Crash(rng.IntN)
+				l = reopen(t, fsys, &m, storage.Batch{})
+			}
+			assert.NilError(t, m.check(l))
+		}
+	})
+}
+
+func reopen(t *rapid.T, fsys *faultfs.FS, m *model, b storage.Batch) *storage.Log {
+	l, err := storage.OpenLog(options(fsys, 400))
+	assert.NilError(t, err)
+	if m.check(l) == nil {
+		return l
+	}
+	m.append(b)
+	return l
+}
+
+func randomBatch(rng *rand.Rand, m *model) storage.Batch {
+	var b storage.Batch
+	next := m.last() + 1
+	if rng.IntN(30) == 0 {
+		b.Reset = &storage.Position{Index: m.last() + uint64(rng.IntN(5)), Term: 3}
+		next = b.Reset.Index + 1
+	} else if rng.IntN(5) == 0 && len(m.entries) > 0 {
+		next = m.last() - uint64(rng.IntN(min(3, len(m.entries))))
+	}
+	for i := range uint64(rng.IntN(4)) {
+		e := entry(next+i, 3+uint64(rng.IntN(2)))
+		e.Data = append(e.Data, make([]byte, rng.IntN(600))...)
+		b.Entries = append(b.Entries, e)
+	}
+	b.State = fmt.Appendf(nil, "state %d", rng.Uint32())
+	return b
+}
+
+func TestSnapshotsAreReadBackAndDamageIsRefused(t *testing.T) {
+	data := bytes.Repeat([]byte("state of the cell\n"), 9000)
+	fsys := faultfs.New()
+	s, err := storage.OpenSnapshots(fsys, dir)
+	assert.NilError(t, err)
+	meta := storage.SnapshotMeta{Index: 12, Term: 3, Config: []byte("members")}
+	save := func(w io.Writer) error { _, err := w.Write(data); return err }
+	assert.NilError(t, s.Save(meta, save))
+	got, err := readSnapshot(s)
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(got, data))
+
+	path := filepath.Join(dir, "snapshot-000000000000000c.snap")
+	size := len(fsys.Content(path))
+	for at := 0; at < size; at += 97 {
+		for _, d := range damages[:2] {
+			copied := fsys.Clone()
+			copied.Change(path, func(b []byte) []byte { return d.edit(b, at) })
+			s, err := storage.OpenSnapshots(copied, dir)
+			assert.NilError(t, err)
+			_, err = readSnapshot(s)
+			var corrupt *storage.CorruptError
+			assert.Assert(t, errors.As(err, &corrupt), "%s at %d: %v", d.name, at, err)
+		}
+	}
+}
+
+func readSnapshot(s *storage.Snapshots) ([]byte, error) {
+	r, ok, err := s.Newest()
+	if err != nil || !ok {
+		return nil, err
+	}
+	return io.ReadAll(r)
+}
+
+func TestAnUnfinishedSnapshotLeavesTheOneBeforeInPlace(t *testing.T) {
+	rows := []struct {
+		name  string
+		fault func(*faultfs.FS)
+	}{
+		{"the disk is full", func(f *faultfs.FS) { f.SetCapacity(f.Used() + 100) }},
+		{"the sync fails and the machine stops", func(f *faultfs.FS) { f.FailSyncs(true) }},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			fsys := faultfs.New()
+			s, err := storage.OpenSnapshots(fsys, dir)
+			assert.NilError(t, err)
+			write := func(text string) func(io.Writer) error {
+				return func(w io.Writer) error { _, err := io.WriteString(w, text); return err }
+			}
+			assert.NilError(t, s.Save(storage.SnapshotMeta{Index: 1, Term: 1}, write("old")))
+			row.fault(fsys)
+			assert.Assert(t, s.Save(storage.SnapshotMeta{Index: 2, Term: 1}, write(string(make([]byte, 5000)))) != nil)
+			rng := rand.New(rand.NewPCG(1, 1))
+			for range 50 {
+				s, err = storage.OpenSnapshots(fsys.Crash(rng.IntN), dir)
+				assert.NilError(t, err)
+				got, err := readSnapshot(s)
+				assert.NilError(t, err)
+				assert.Equal(t, string(got), "old")
+			}
+		})
+	}
+}
+
+func TestASmallFileIsOldOrNewAfterACrash(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 200 {
+		fsys := faultfs.New()
+		assert.NilError(t, storage.WriteFile(fsys, dir, "identity", []byte("old")))
+		fsys.FailSyncs(true)
+		assert.Assert(t, storage.WriteFile(fsys, dir, "identity", []byte("new")) != nil)
+		got, ok, err := storage.ReadFile(fsys.Crash(rng.IntN), dir, "identity")
+		assert.NilError(t, err)
+		assert.Assert(t, ok)
+		assert.Equal(t, string(got), "old")
+	}
+}
+
+func FuzzOpenLog(f *testing.F) {
+	base := faultfs.New()
+	fill(f, open(f, base, 1<<20), 10)
+	names, _ := base.List(dir)
+	path := filepath.Join(dir, names[0])
+	f.Add(base.Content(path))
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		fsys := base.Clone()
+		fsys.Change(path, func([]byte) []byte { return data })
+		l, err := storage.OpenLog(options(fsys, 1<<20))
+		if err != nil {
+			return
+		}
+		_, err = readAll(l)
+		assert.NilError(t, err)
+	})
+}
+
+func FuzzReadSnapshot(f *testing.F) {
+	base := faultfs.New()
+	s, err := storage.OpenSnapshots(base, dir)
+	assert.NilError(f, err)
+	write := func(w io.Writer) error { _, err := io.WriteString(w, "state"); return err }
+	assert.NilError(f, s.Save(storage.SnapshotMeta{Index: 1, Term: 1}, write))
+	path := filepath.Join(dir, "snapshot-0000000000000001.snap")
+	f.Add(base.Content(path))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		fsys := base.Clone()
+		fsys.Change(path, func([]byte) []byte { return data })
+		s, err := storage.OpenSnapshots(fsys, dir)
+		if err != nil {
+			return
+		}
+		_, _ = readSnapshot(s)
+	})
+}
