Put leases and registrations in the class of consensus

With the budget of the link spent by requests, a renewal of worker leases or a registration would have been refused as Overloaded: workers would stop their tasks, and entries would fail closed.

--- a/internal/wire/kinds.go
+++ b/internal/wire/kinds.go
@@ -38,9 +38,9 @@
 
 // The classes, most urgent first.
 const (
-	ClassConsensus Class = iota
-	ClassRequest
-	ClassCopy
+	ClassConsensus Class = iota // the log, and the leases and copies that rest on it
+	ClassRequest                // callers' and operators' calls, and requests to executors
+	ClassCopy                   // snapshots for replicas that are far behind
 )
 
 // String returns the name of c as metrics show it.
@@ -55,10 +55,12 @@
 	}
 }
 
-// ClassOf returns the class of kind k.
+// ClassOf returns the class of kind k. The leases that hold up what runs, and
+// what keeps keys and routes fresh, go with consensus: were they refused while
+// requests fill the link, workers would stop and entries fail closed.
 func ClassOf(k Kind) Class {
 	switch k {
-	case KindReplica:
+	case KindReplica, KindRegister, KindRenew, KindCommands, KindPermits, KindOwners, KindProbe:
 		return ClassConsensus
 	case KindSnapshot:
 		return ClassCopy
