Prune searches by what is free of processors and memory at once

Cause: at 22,000 workers two thirds of a plan went into the search of the index (profile of BenchmarkPlacements/22000): in a used cell one worker has processors left and another memory, so the largest free amounts of a subtree rule out little. Ruled out: buckets by free processors, since with label classes and failure domains a search would visit hundreds of trees.

--- a/internal/schedule/capacity/index.go
+++ b/internal/schedule/capacity/index.go
@@ -44,9 +44,54 @@
 	return k.Tie < o.Tie
 }
 
+// ratios is the number of relations of memory to processors for which a summary
+// keeps the largest amount that is free of both at once.
+const ratios = 5
+
+// ratioMiB is the memory a core of the relations, in MiB.
+var ratioMiB = [ratios]int64{512, 1024, 2048, 4096, 8192}
+
+// summary bounds what is free on any one worker of a subtree. The largest free
+// amounts alone would not do: in a full cell one worker has processors left and
+// the other memory. balanced[i] is the largest memory that some worker has
+// together with processors in the relation ratioMiB[i].
+type summary struct {
+	most     model.Resources
+	balanced [ratios]int64
+}
+
+func summaryOf(free model.Resources) summary {
+	s := summary{most: free}
+	for i, r := range ratioMiB {
+		s.balanced[i] = min(free.CPU*r/1000, free.Memory)
+	}
+	return s
+}
+
+func (s *summary) include(o *summary) {
+	s.most = s.most.Max(o.most)
+	for i := range s.balanced {
+		s.balanced[i] = max(s.balanced[i], o.balanced[i])
+	}
+}
+
+// covers reports whether the amounts of need are within those of s. When they
+// are not, no worker of the subtree has room.
+func (s *summary) covers(need *summary) bool {
+	if !need.most.Fits(s.most) {
+		return false
+	}
+	for i := range s.balanced {
+		if need.balanced[i] > s.balanced[i] {
+			return false
+		}
+	}
+	return true
+}
+
 type node struct {
 	free        model.Resources
-	most        model.Resources // largest of each component in the subtree
+	all         summary // of the subtree
 	key         Key
 	priority    uint64
 	left, right int32
@@ -66,7 +111,7 @@
 	n := &x.nodes[slot]
 	*n = node{
 		free:     free,
-		most:     free,
+		all:      summaryOf(free),
 		key:      KeyOf(free, tie),
 		priority: mix(tie),
 		left:     none,
@@ -94,7 +139,7 @@
 	if int(bin) >= len(x.roots) || x.roots[bin] == none {
 		return model.Resources{}
 	}
-	return x.nodes[x.roots[bin]].most
+	return x.nodes[x.roots[bin]].all.most
 }
 
 // Best returns the first slot of bin, in the order of Key, into which size fits
@@ -103,7 +148,8 @@
 	if int(bin) >= len(x.roots) {
 		return none, Key{}, false
 	}
-	at := x.first(x.roots[bin], size, KeyOf(size, 0), accept)
+	need := summaryOf(size)
+	at := x.first(x.roots[bin], &need, KeyOf(size, 0), accept)
 	if at == none {
 		return none, Key{}, false
 	}
@@ -122,23 +168,24 @@
 // The index must not change meanwhile.
 func (x *Index) Each(bin int32, size model.Resources, visit func(slot int32, free model.Resources)) {
 	if int(bin) < len(x.roots) {
-		x.each(x.roots[bin], size, visit)
+		need := summaryOf(size)
+		x.each(x.roots[bin], &need, visit)
 	}
 }
 
-func (x *Index) each(at int32, size model.Resources, visit func(int32, model.Resources)) {
+func (x *Index) each(at int32, need *summary, visit func(int32, model.Resources)) {
 	if at == none {
 		return
 	}
 	n := &x.nodes[at]
-	if !size.Fits(n.most) {
+	if !n.all.covers(need) {
 		return
 	}
-	x.each(n.left, size, visit)
-	if size.Fits(n.free) {
+	x.each(n.left, need, visit)
+	if need.most.Fits(n.free) {
 		visit(at, n.free)
 	}
-	x.each(n.right, size, visit)
+	x.each(n.right, need, visit)
 }
 
 func (x *Index) descend(at int32, visit func(int32, model.Resources) bool) bool {
@@ -149,23 +196,23 @@
 	return x.descend(n.right, visit) && visit(at, n.free) && x.descend(n.left, visit)
 }
 
-func (x *Index) first(at int32, size model.Resources, low Key, accept func(int32) bool) int32 {
+func (x *Index) first(at int32, need *summary, low Key, accept func(int32) bool) int32 {
 	if at == none {
 		return none
 	}
 	n := &x.nodes[at]
-	if !size.Fits(n.most) {
+	if !n.all.covers(need) {
 		return none
 	}
 	if !n.key.Less(low) {
-		if found := x.first(n.left, size, low, accept); found != none {
+		if found := x.first(n.left, need, low, accept); found != none {
 			return found
 		}
-		if size.Fits(n.free) && (accept == nil || accept(at)) {
+		if need.most.Fits(n.free) && (accept == nil || accept(at)) {
 			return at
 		}
 	}
-	return x.first(n.right, size, low, accept)
+	return x.first(n.right, need, low, accept)
 }
 
 func (x *Index) insert(root, slot int32) int32 {
@@ -183,7 +230,7 @@
 	} else {
 		r.right = x.insert(r.right, slot)
 	}
-	r.most = r.most.Max(n.most)
+	r.all.include(&n.all)
 	return root
 }
 
@@ -245,12 +292,12 @@
 
 func (x *Index) update(at int32) {
 	n := &x.nodes[at]
-	n.most = n.free
+	n.all = summaryOf(n.free)
 	if n.left != none {
-		n.most = n.most.Max(x.nodes[n.left].most)
+		n.all.include(&x.nodes[n.left].all)
 	}
 	if n.right != none {
-		n.most = n.most.Max(x.nodes[n.right].most)
+		n.all.include(&x.nodes[n.right].all)
 	}
 }
 
