Replace lost replicas from the settings of the new process alone

Cause: a VM that lost its disk, or a new one in the place of a dead one, had no way into the group. Ruled out: an operator's call with identities, which would be state edited by hand; asking the founders one after the other, where a dead first one used up the time of the question (a new VM asked for 60 s in vain). Change: a joining process asks the leader to take the place of the replica at control.replaces, or at its own address; who leads is asked of all control processes at once, by one package for entries and joiners.

--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -76,8 +76,26 @@
 // replace puts a new replica in the place of a dead one. It takes as long as
 // the catching up, and runs outside the control goroutine.
 func (s *Server) replace(ctx context.Context, _ wire.Peer, req *proto.Replace) (*proto.Empty, error) {
-	err := s.opts.Log.Replace(ctx, replica.ID(req.Dead), replica.ID(req.ID), req.Address)
-	return &proto.Empty{}, err
+	id := replica.ID(req.ID)
+	dead, err := deadReplica(s.opts.Log.Status().Members, id, req.Dead)
+	if err != nil {
+		return nil, err
+	}
+	s.log.Info("Replica joins.", "id", id, "address", req.Address, "replaces", dead)
+	if err := s.opts.Log.Replace(ctx, dead, id, req.Address); err != nil {
+		return nil, err
+	}
+	return &proto.Empty{}, nil
+}
+
+// deadReplica finds the replica at an address whose place the replica id takes.
+func deadReplica(members []replica.Member, id replica.ID, address string) (replica.ID, error) {
+	for _, m := range members {
+		if m.Address == address && m.ID != id {
+			return m.ID, nil
+		}
+	}
+	return 0, errkind.New(errkind.BadRequest, "no replica is at %s: name the address of the dead one in control.replaces", address)
 }
 
 // statusOf counts what the scheduler holds.
--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -3,17 +3,17 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/filbertmast/filbertmast/internal/discover"
 	"github.com/filbertmast/filbertmast/internal/errkind"
-	"github.com/filbertmast/filbertmast/internal/proto"
 	"github.com/filbertmast/filbertmast/internal/wire"
 )
 
 const (
 	attemptTimeout = 1500 * time.Millisecond // of one try of a call that does not wait
-	probeTimeout   = 500 * time.Millisecond
 	retryMin       = 20 * time.Millisecond
 	retryMax       = 400 * time.Millisecond
 )
@@ -90,67 +90,20 @@
 	if leader != "" {
 		return leader, nil
 	}
-	probes := l.probeAll(ctx, control)
+	found, err := discover.Leader(ctx, l.endpoint, control)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, p := range probes {
-		l.learn(p.Peers)
-	}
-	best := newest(probes)
-	if best == "" {
-		return "", errkind.New(errkind.NoLeader, "no control process names a leader")
-	}
-	l.leader = best
-	return best, nil
-}
-
-// newest returns the leader named by the answer of the highest term.
-func newest(probes []*proto.Probe) string {
-	var term uint64
-	leader := ""
-	for _, p := range probes {
-		if p.Leader != "" && p.Term >= term {
-			term, leader = p.Term, p.Leader
-		}
-	}
-	return leader
-}
-
-func (l *leaderClient) probeAll(ctx context.Context, control []string) []*proto.Probe {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	answers := make(chan *proto.Probe, len(control))
-	for _, addr := range control {
-		go func() {
-			p, err := wire.Call[proto.Empty, proto.Probe](ctx, l.endpoint, addr, wire.KindProbe, &proto.Empty{})
-			if err != nil {
-				p = nil
-			}
-			answers <- p
-		}()
-	}
-	var out []*proto.Probe
-	for range control {
-		if p := <-answers; p != nil {
-			out = append(out, p)
-			if p.Ready {
-				break
-			}
-		}
-	}
-	return out
+	l.learn(found.Peers)
+	l.leader = found.Leader
+	return found.Leader, err
 }
 
 // learn adds control processes that have joined since the settings were
 // written. The founders are kept: they may be all that is reachable later.
 func (l *leaderClient) learn(peers []string) {
-	known := make(map[string]bool, len(l.control))
-	for _, a := range l.control {
-		known[a] = true
-	}
 	for _, a := range peers {
-		if !known[a] {
-			l.control = append(l.control[:len(l.control):len(l.control)], a)
+		if !slices.Contains(l.control, a) {
+			l.control = append(slices.Clip(l.control), a)
 		}
 	}
 }
--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -154,7 +154,7 @@
 
 // Replace asks the leader to put the calling replica in the place of a dead one.
 type Replace struct {
-	Dead    uint64 `cbor:"1,keyasint"`
+	Dead    string `cbor:"1,keyasint"` // inner address of the dead replica
 	ID      uint64 `cbor:"2,keyasint"`
 	Address string `cbor:"3,keyasint"`
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -147,6 +147,9 @@
 		Seed:            1,
 	})
 	p.spawn(func() { p.control.Run(ctx) })
+	if p.set.Control.Join {
+		p.spawn(func() { p.join(ctx) })
+	}
 	p.spawn(func() {
 		select {
 		case err := <-node.Fatal():
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -171,6 +171,12 @@
 	if s.Has(RoleControl) && !s.Control.Join && !member && s.Inner.Address != "" {
 		c.fail("$.control.founders", nil, "must contain inner.address %s of this control process, or control.join must be true", s.Inner.Address)
 	}
+	if s.Control.Replaces != "" {
+		c.reachable("$.control.replaces", s.Control.Replaces)
+		if !s.Control.Join {
+			c.fail("$.control.replaces", s.Control.Replaces, "needs control.join")
+		}
+	}
 	if !s.Has(RoleControl) && s.Control.Join {
 		c.fail("$.control.join", true, "needs the control role")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -82,6 +82,9 @@
 	Founders []string `json:"founders"`
 	// Join makes an empty control process join an existing group as a learner.
 	Join bool `json:"join"`
+	// Replaces is the inner address of the dead replica whose place a joining
+	// one takes; default: the process's own, for a VM that has lost its disk.
+	Replaces string `json:"replaces"`
 }
 
 // Limits holds leases, bounds and budgets.
