Test the replica against lost disks, cuts, freezes and full disks

In-process groups on disks in memory: cuts both ways and one way, a follower far behind, hundreds of missed changes, crashes at random points over links that double, delay and reorder, a frozen leader that wakes with a full queue, disks lost one after the other, a lost majority, founders that crash while the group forms, a full disk, a failed sync.

Found and mended: after a failed sync the loop went on and renewed the lease; a replica with a fatal error now leads no more and takes part in nothing. Appends whose entries do not follow each other are dropped before the core sees them.

--- /dev/null
+++ b/internal/replica/freeze_test.go
@@ -0,0 +1,107 @@
+package replica
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/filbertmast/filbertmast/internal/replica/raft"
+)
+
+// freeze holds the loop of m, as a stopped process would be held, until the
+// result is called. Messages and proposals go on arriving.
+func freeze(m *member) (thaw func()) {
+	held := make(chan struct{})
+	release := make(chan struct{})
+	m.inbox.addCall(func() {
+		close(held)
+		<-release
+	})
+	<-held
+	return func() { close(release) }
+}
+
+// The leader is stopped past its lease and wakes with a full queue: old
+// acknowledgements, proposals, and what the next leader has sent.
+func TestALeaderThatWakesFromAFreezeDoesNotActOnItsOldLease(t *testing.T) {
+	w := newNetwork()
+	group := startGroup(t, w, 3)
+	proposeMany(20, group...)
+	leader := awaitLeader(group...)
+	rest := others(group, leader)
+	thaw := freeze(leader)
+	for range 100 {
+		_ = leader.Propose([]byte("queued while frozen"))
+	}
+	next := awaitLeader(rest...)
+	proposeMany(200, rest...)
+	assert.Assert(t, !leader.LeaseValid(), "the lease outlived the freeze")
+	thaw()
+	mustPropose("after", group...)
+	awaitSame(t, next, group...)
+	for _, e := range next.state() {
+		assert.Assert(t, string(e.Data) != "queued while frozen")
+	}
+}
+
+// fakeTime is a clock that only tests move.
+type fakeTime struct{ now atomic.Int64 }
+
+func (f *fakeTime) advance(d time.Duration) { f.now.Add(int64(d)) }
+func (f *fakeTime) read() time.Duration     { return time.Duration(f.now.Load()) }
+
+// With a clock that does not go on in a freeze, the lease would look valid and
+// the leader would take what waits in its queue as fresh.
+func TestTheLeaseIsCountedByAClockThatGoesOnInAFreeze(t *testing.T) {
+	rows := []struct {
+		name   string
+		passes time.Duration // on the leader's clock, while it is frozen
+		leads  bool
+	}{
+		{name: "the clock goes on: no lease, and it steps down before it reads its queue", passes: time.Minute},
+		{name: "the clock stops: it believes in its lease", passes: 0, leads: true},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			w := newNetwork()
+			options := groupOptions(3)
+			clock := &fakeTime{}
+			clock.advance(time.Hour)
+			ticker := time.NewTicker(5 * time.Millisecond)
+			defer ticker.Stop()
+			options[0].Now = clock.read
+			options[0].Ticks = ticker.C
+			var group []*member
+			for _, o := range options {
+				group = append(group, startMember(t, w, o))
+			}
+			leader := group[0]
+			awaitLeadership(t, leader, group...)
+
+			thaw := freeze(leader)
+			w.isolate(leader, true)
+			ticker.Stop()
+			clock.advance(row.passes)
+			assert.Equal(t, leader.LeaseValid(), row.leads)
+			thaw()
+			role := raft.Follower
+			assert.NilError(t, leader.call(func() { role = leader.core.Role() }))
+			assert.Equal(t, role == raft.Leader, row.leads)
+		})
+	}
+}
+
+// awaitLeadership hands leadership on until m has it, with a lease.
+func awaitLeadership(t *testing.T, m *member, group ...*member) {
+	t.Helper()
+	for {
+		leader := awaitLeader(group...)
+		if leader == m {
+			break
+		}
+		_ = leader.TransferLeadership(testContext(t))
+	}
+	assert.NilError(t, m.poll(testContext(t), func() (bool, error) { return m.lease.held, nil }))
+}
--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -1,9 +1,13 @@
 package replica
 
 import (
+	"context"
+	"flag"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"os"
+	"path"
 	"sync"
 	"testing"
 	"time"
@@ -11,109 +15,172 @@
 	"github.com/charmbracelet/log"
 	"gotest.tools/v3/assert"
 
-	"github.com/filbertmast/filbertmast/internal/replica/raft"
-	"github.com/filbertmast/filbertmast/internal/storage"
+	"github.com/filbertmast/filbertmast/internal/storage/faultfs"
 )
 
-// network joins nodes in one process. Links can be cut one way.
+var verbose = flag.Bool("replica.log", false, "print the log of the replicas")
+
+// network joins nodes in one process. Links can be cut one way, and can double,
+// delay and reorder messages.
 type network struct {
 	mu    sync.Mutex
 	nodes map[string]*Node
 	cut   map[[2]string]bool
+	rng   *rand.Rand // nil: messages arrive in order
+	held  []heldMessage
+	bytes func(msgs []Message) // sees what is sent; may be nil
+
+	// changed is signalled when a state has taken something in.
+	changed *sync.Cond
+}
+
+type heldMessage struct {
+	to   *Node
+	from string
+	msg  Message
 }
 
 func newNetwork() *network {
-	return &network{nodes: map[string]*Node{}, cut: map[[2]string]bool{}}
+	w := &network{nodes: map[string]*Node{}, cut: map[[2]string]bool{}}
+	w.changed = sync.NewCond(&w.mu)
+	return w
 }
 
+// link is the transport of one started process. A process that has crashed
+// sends nothing more.
 type link struct {
 	net  *network
 	from string
+	mu   sync.Mutex
+	dead bool
+}
+
+func (l *link) kill() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.dead = true
 }
 
-func (l link) target(to string) *Node {
+func (l *link) target(to string) *Node {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.net.mu.Lock()
 	defer l.net.mu.Unlock()
-	if l.net.cut[[2]string{l.from, to}] {
+	if l.dead || l.net.cut[[2]string{l.from, to}] {
 		return nil
 	}
 	return l.net.nodes[to]
 }
 
-func (l link) Send(to string, msgs []Message) {
-	if n := l.target(to); n != nil {
+// Send delivers messages at once, or in disorder where the network has a rng.
+func (l *link) Send(to string, msgs []Message) {
+	n := l.target(to)
+	if n == nil {
+		return
+	}
+	if l.net.bytes != nil {
+		l.net.bytes(msgs)
+	}
+	if l.net.rng == nil {
 		n.Receive(l.from, msgs)
+		return
+	}
+	for _, h := range l.net.disorder(n, l.from, msgs) {
+		h.to.Receive(h.from, []Message{h.msg})
+	}
+}
+
+// disorder holds some messages back, lets others come twice, and lets go of
+// some that were held.
+func (w *network) disorder(n *Node, from string, msgs []Message) []heldMessage {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []heldMessage
+	for _, m := range msgs {
+		h := heldMessage{to: n, from: from, msg: m}
+		switch w.rng.IntN(10) {
+		case 0:
+			w.held = append(w.held, h)
+		case 1:
+			out = append(out, h, h)
+		default:
+			out = append(out, h)
+		}
 	}
+	for len(w.held) > 0 && w.rng.IntN(4) == 0 {
+		i := w.rng.IntN(len(w.held))
+		out = append(out, w.held[i])
+		w.held = append(w.held[:i], w.held[i+1:]...)
+	}
+	return out
 }
 
-func (l link) SendSnapshot(to string, c SnapshotChunk) {
+// SendSnapshot delivers a chunk at once.
+func (l *link) SendSnapshot(to string, c SnapshotChunk) {
 	if n := l.target(to); n != nil {
 		n.ReceiveSnapshot(l.from, c)
 	}
 }
 
-func (w *network) set(address string, n *Node) {
+func (w *network) setCut(from, to string, cut bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.nodes[address] = n
+	w.cut[[2]string{from, to}] = cut
 }
 
-func (w *network) setCut(from, to string, cut bool) {
+// isolate cuts m off from all others, both ways, or heals that.
+func (w *network) isolate(m *member, cut bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.cut[[2]string{from, to}] = cut
+	for other := range w.nodes {
+		w.cut[[2]string{m.opts.Address, other}] = cut
+		w.cut[[2]string{other, m.opts.Address}] = cut
+	}
 }
 
-// isolate cuts address off from all others, both ways, or heals that.
-func (w *network) isolate(address string, cut bool) {
+// await waits until ok, which may look at the states of members, is true.
+func (w *network) await(ok func() bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for other := range w.nodes {
-		w.cut[[2]string{address, other}] = cut
-		w.cut[[2]string{other, address}] = cut
+	for !ok() {
+		w.changed.Wait()
 	}
 }
 
 // member is a node and the state that it has built.
 type member struct {
 	*Node
-	mu      sync.Mutex
-	changed *sync.Cond
-	entries []Entry
+	net     *network
+	link    *link
+	entries []Entry // guarded by net.mu, as are the next two
 	applied uint64
 	lead    Leadership
-	gone    bool
 	drained chan struct{}
 }
 
 func startMember(tb testing.TB, w *network, o Options) *member {
 	tb.Helper()
-	m, err := tryStart(w, o)
-	assert.NilError(tb, err)
-	tb.Cleanup(func() { m.stop() })
-	return m
-}
-
-func tryStart(w *network, o Options) (*member, error) {
-	o.Transport = link{net: w, from: o.Address}
+	l := &link{net: w, from: o.Address}
+	o.Transport = l
 	if o.Tick == 0 {
 		o.Tick = 5 * time.Millisecond
 	}
-	if os.Getenv("REPLICA_LOG") != "" {
+	if *verbose {
 		o.Logger = log.New(os.Stderr).With("at", o.Address)
 	}
 	n, err := Start(o)
-	if err != nil {
-		return nil, err
-	}
-	m := &member{Node: n, drained: make(chan struct{})}
-	m.changed = sync.NewCond(&m.mu)
-	w.set(o.Address, n)
+	assert.NilError(tb, err)
+	m := &member{Node: n, net: w, link: l, drained: make(chan struct{})}
+	w.mu.Lock()
+	w.nodes[o.Address] = n
+	w.mu.Unlock()
 	go m.take()
-	return m, nil
+	tb.Cleanup(m.stop)
+	return m
 }
 
 func (m *member) stop() {
+	m.link.kill()
 	_ = m.Close()
 	<-m.drained
 }
@@ -123,15 +190,11 @@
 	for u := range m.Updates() {
 		m.apply(u)
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.gone = true
-	m.changed.Broadcast()
 }
 
 func (m *member) apply(u Update) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+	m.net.mu.Lock()
+	defer m.net.mu.Unlock()
 	if u.Snapshot != nil {
 		m.entries = decodeState(u.Snapshot.Data)
 		_ = u.Snapshot.Data.Close()
@@ -141,30 +204,43 @@
 	if u.Leadership != nil {
 		m.lead = *u.Leadership
 	}
-	m.changed.Broadcast()
+	m.net.changed.Broadcast()
 }
 
-// await waits until ok holds under the lock.
-func (m *member) await(ok func() bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for !ok() && !m.gone {
-		m.changed.Wait()
-	}
+func (m *member) state() []Entry {
+	m.net.mu.Lock()
+	defer m.net.mu.Unlock()
+	return append([]Entry{}, m.entries...)
 }
 
 func (m *member) awaitEntries(n int) []Entry {
-	m.await(func() bool { return len(m.entries) >= n })
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return append([]Entry(nil), m.entries...)
+	m.net.await(func() bool { return len(m.entries) >= n })
+	return m.state()
+}
+
+// awaitSame waits until all members have applied as much as the first.
+func awaitSame(t *testing.T, first *member, members ...*member) {
+	t.Helper()
+	index := first.Status().Commit
+	for _, m := range members {
+		m.net.await(func() bool { return m.applied >= index })
+	}
+	want := first.state()
+	for _, m := range members {
+		got := m.state()
+		n := min(len(got), len(want))
+		assert.DeepEqual(t, got[:n], want[:n])
+	}
 }
 
 func (m *member) save(tb testing.TB) {
-	m.mu.Lock()
+	m.net.mu.Lock()
 	index := m.applied
 	entries := append([]Entry(nil), m.entries...)
-	m.mu.Unlock()
+	m.net.mu.Unlock()
+	if index == 0 {
+		return
+	}
 	assert.NilError(tb, m.SaveSnapshot(index, func(w io.Writer) error { return encodeState(w, entries) }))
 }
 
@@ -190,18 +266,35 @@
 	}
 }
 
-// awaitLeader returns the member that is ready to lead.
+// awaitLeader returns the member that is ready to lead the latest term among them.
 func awaitLeader(members ...*member) *member {
-	for {
+	var leader *member
+	members[0].net.await(func() bool {
+		term := uint64(0)
+		leader = nil
 		for _, m := range members {
-			m.mu.Lock()
-			ready := m.lead.Ready
-			m.mu.Unlock()
-			if ready && m.LeaseValid() {
-				return m
+			term = max(term, m.lead.Term)
+			if m.lead.Ready {
+				leader = m
 			}
 		}
-		time.Sleep(time.Millisecond)
+		return leader != nil && leader.lead.Term == term
+	})
+	return leader
+}
+
+// mustPropose proposes through whoever leads until it is taken.
+func mustPropose(data string, members ...*member) {
+	for {
+		if awaitLeader(members...).Propose([]byte(data)) == nil {
+			return
+		}
+	}
+}
+
+func proposeMany(n int, members ...*member) {
+	for i := range n {
+		mustPropose(fmt.Sprintf("v%d", i), members...)
 	}
 }
 
@@ -213,46 +306,40 @@
 	return out
 }
 
-func startGroup(tb testing.TB, w *network, n int) []*member {
-	tb.Helper()
-	var out []*member
+// groupOptions returns the settings of n founders on disks in memory.
+func groupOptions(n int) []Options {
+	var out []Options
 	list := founders(n)
 	for i, f := range list {
-		out = append(out, startMember(tb, w, Options{
-			Dir: tb.TempDir(), Address: f.Address, Founders: list, Seed: uint64(i + 1),
-		}))
+		out = append(out, Options{
+			Dir: path.Join("/", f.Address), FS: faultfs.New(), Address: f.Address,
+			Founders: list, Seed: uint64(i + 1), SegmentBytes: 4 << 10, TrailingEntries: 20,
+		})
 	}
 	return out
 }
 
-func TestSoleFounderCommitsAndRestarts(t *testing.T) {
-	w := newNetwork()
-	o := Options{Dir: t.TempDir(), Address: "10.0.0.1:7000", Founders: founders(1)}
-	m := startMember(t, w, o)
-	awaitLeader(m)
-	for i := range 100 {
-		assert.NilError(t, m.Propose(fmt.Appendf(nil, "v%d", i)))
+func startGroup(tb testing.TB, w *network, n int) []*member {
+	tb.Helper()
+	var out []*member
+	for _, o := range groupOptions(n) {
+		out = append(out, startMember(tb, w, o))
 	}
-	before := m.awaitEntries(100)
-	m.stop()
-
-	m = startMember(t, w, o)
-	awaitLeader(m)
-	assert.DeepEqual(t, m.awaitEntries(100), before)
+	return out
 }
 
-func TestThreeFoundersReplicate(t *testing.T) {
-	w := newNetwork()
-	group := startGroup(t, w, 3)
-	leader := awaitLeader(group...)
-	for i := range 200 {
-		assert.NilError(t, leader.Propose(fmt.Appendf(nil, "v%d", i)))
-	}
-	want := leader.awaitEntries(200)
-	for _, m := range group {
-		assert.DeepEqual(t, m.awaitEntries(200), want)
+func others(all []*member, not *member) []*member {
+	var out []*member
+	for _, m := range all {
+		if m != not {
+			out = append(out, m)
+		}
 	}
-	assert.Equal(t, leader.Status().Role, raft.Leader)
+	return out
 }
 
-var _ storage.FS = storage.OS{}
+func testContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(cancel)
+	return ctx
+}
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -23,6 +23,10 @@
 	n.core.Campaign()
 	n.settle()
 	for {
+		if n.failed.Load() {
+			n.withdraw()
+			return
+		}
 		select {
 		case <-n.stop:
 			n.endPolls()
@@ -38,6 +42,25 @@
 	}
 }
 
+// withdraw shows after a fatal error that this replica leads no more, and takes
+// part in nothing until it is closed.
+func (n *Node) withdraw() {
+	n.core.StepDown()
+	n.publish()
+	n.deliver.advance(n.deliverState())
+	for {
+		n.endPolls()
+		select {
+		case <-n.stop:
+			return
+		case <-n.inbox.wake:
+			for _, call := range n.inbox.take().calls {
+				call()
+			}
+		}
+	}
+}
+
 // checkQuorumTime makes a leader step down whose quorum has been silent for an
 // election timeout by the clock. It comes before any waiting message: after a
 // freeze those may be acknowledgements from long ago.
--- /dev/null
+++ b/internal/replica/loss_test.go
@@ -0,0 +1,178 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/filbertmast/filbertmast/internal/replica/raft"
+	"github.com/filbertmast/filbertmast/internal/storage/faultfs"
+)
+
+// emptied returns the options of a process whose disk was replaced.
+func emptied(o Options, join bool) Options {
+	o.FS = faultfs.New()
+	o.Join = join
+	return o
+}
+
+// replace takes the disk of group[i] away and repairs the group with an empty one.
+func replace(t *testing.T, w *network, group []*member, options []Options, i int) {
+	t.Helper()
+	dead := group[i].Status().ID
+	group[i].stop()
+	group[i] = startMember(t, w, emptied(options[i], true))
+	rest := others(group, group[i])
+	fresh := group[i].Status().ID
+	assert.Assert(t, fresh != dead)
+	for {
+		leader := awaitLeader(rest...)
+		if leader.Replace(testContext(t), dead, fresh, group[i].opts.Address) == nil {
+			return
+		}
+	}
+}
+
+func TestASecondDiskIsLostRightAfterTheFirstWasRepaired(t *testing.T) {
+	w := newNetwork()
+	options := groupOptions(3)
+	var group []*member
+	for _, o := range options {
+		group = append(group, startMember(t, w, o))
+	}
+	proposeMany(300, group...)
+	leader := awaitLeader(group...)
+	leader.save(t)
+	before := leader.awaitEntries(300)
+	for round := range 6 {
+		i := round % len(group)
+		replace(t, w, group, options, i)
+		mustPropose(fmt.Sprintf("after%d", round), group...)
+	}
+	leader = awaitLeader(group...)
+	awaitSame(t, leader, group...)
+	assert.DeepEqual(t, leader.state()[:300], before)
+	assert.Equal(t, len(leader.Status().Members), 3)
+	for _, m := range leader.Status().Members {
+		assert.Assert(t, m.Voter)
+	}
+}
+
+func TestAnEmptyDiskNeverVotesUnderTheOldIdentity(t *testing.T) {
+	w := newNetwork()
+	options := groupOptions(3)
+	var group []*member
+	for _, o := range options {
+		group = append(group, startMember(t, w, o))
+	}
+	proposeMany(10, group...)
+	leader := awaitLeader(group...)
+	lost := others(group, leader)
+	for _, m := range lost {
+		m.stop()
+	}
+	for i := range group {
+		if group[i] != leader {
+			group[i] = startMember(t, w, emptied(options[i], true))
+		}
+	}
+	// The two that lost their disks are there, and are no quorum.
+	w.await(func() bool { return leader.lead.Role != raft.Leader })
+	assert.Assert(t, !leader.LeaseValid())
+	for _, m := range others(group, leader) {
+		assert.Equal(t, m.Status().Term, uint64(0))
+		assert.Assert(t, !m.Status().Formed)
+	}
+}
+
+func TestALostMajorityCannotFormASecondGroup(t *testing.T) {
+	w := newNetwork()
+	options := groupOptions(3)
+	var group []*member
+	for _, o := range options {
+		group = append(group, startMember(t, w, o))
+	}
+	proposeMany(10, group...)
+	awaitSame(t, awaitLeader(group...), group...)
+	for _, m := range group {
+		m.stop()
+	}
+	a := startMember(t, w, emptied(options[0], false))
+	b := startMember(t, w, emptied(options[1], false))
+	awaitTicks(t, 20*raft.DefaultElectionTicks, a, b)
+	assert.Assert(t, !a.Status().Formed)
+	assert.Assert(t, !b.Status().Formed)
+
+	startMember(t, w, options[2])
+	assert.ErrorContains(t, <-a.Fatal(), "the group exists already")
+	assert.ErrorContains(t, <-b.Fatal(), "the group exists already")
+}
+
+// awaitTicks waits until the members have counted n ticks.
+func awaitTicks(t *testing.T, n uint64, members ...*member) {
+	t.Helper()
+	for _, m := range members {
+		start := uint64(0)
+		assert.NilError(t, m.call(func() { start = m.ticks }))
+		assert.NilError(t, m.poll(testContext(t), func() (bool, error) { return m.ticks >= start+n, nil }))
+	}
+}
+
+func TestAGroupFormsOnlyOnceAllFoundersAreThere(t *testing.T) {
+	w := newNetwork()
+	options := groupOptions(3)
+	a := startMember(t, w, options[0])
+	b := startMember(t, w, options[1])
+	awaitTicks(t, 20*raft.DefaultElectionTicks, a, b)
+	assert.Assert(t, !a.Status().Formed)
+	assert.Assert(t, !b.Status().Formed)
+	c := startMember(t, w, options[2])
+	mustPropose("formed", a, b, c)
+	awaitSame(t, awaitLeader(a, b, c), a, b, c)
+}
+
+func TestAFounderThatCrashesWhileTheGroupFormsKeepsItsAgreement(t *testing.T) {
+	w := newNetwork()
+	options := groupOptions(3)
+	a := startMember(t, w, options[0])
+	b := startMember(t, w, options[1])
+	c := startMember(t, w, options[2])
+	w.setCut(b.opts.Address, a.opts.Address, true)
+	assert.NilError(t, c.poll(testContext(t), func() (bool, error) { return c.identity.Agreed != nil, nil }))
+	c.stop()
+	c = startMember(t, w, options[2])
+	w.setCut(b.opts.Address, a.opts.Address, false)
+	mustPropose("formed", a, b, c)
+	awaitSame(t, awaitLeader(a, b, c), a, b, c)
+}
+
+func TestADataFolderWithoutItsLogIsRefused(t *testing.T) {
+	rows := []struct {
+		name   string
+		remove func(string) bool
+		reason string
+	}{
+		{"the log is gone", func(n string) bool { return n != "identity" }, "the log is missing"},
+		{"the identity is gone", func(n string) bool { return n == "identity" }, "is missing, though"},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			w := newNetwork()
+			o := groupOptions(1)[0]
+			m := startMember(t, w, o)
+			proposeMany(10, m)
+			m.stop()
+			names, err := o.FS.List(o.Dir)
+			assert.NilError(t, err)
+			for _, n := range names {
+				if row.remove(n) {
+					assert.NilError(t, o.FS.Remove(o.Dir+"/"+n))
+				}
+			}
+			o.Transport = m.link
+			_, err = Start(o)
+			assert.ErrorContains(t, err, row.reason)
+		})
+	}
+}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -150,6 +150,7 @@
 	writeFull  atomic.Bool  // a write found no room on the disk
 	lowSpace   atomic.Bool  // less than minFreeBytes are free
 	formed     atomic.Bool  // the identity says that the log has begun
+	failed     atomic.Bool
 	fatal      chan error
 	stop       chan struct{}
 	stopOnce   sync.Once
@@ -222,14 +223,15 @@
 	return err
 }
 
-// fail reports err as fatal and gives up the lease.
+// fail reports err as fatal, gives up the lease for good and ends the loop.
 func (n *Node) fail(err error) {
-	n.leaseUntil.Store(0)
-	select {
-	case n.fatal <- err:
-		n.logger.Error("stopped by a fatal error", "err", err)
-	default:
+	if n.failed.Swap(true) {
+		return
 	}
+	n.leaseUntil.Store(0)
+	n.logger.Error("stopped by a fatal error", "err", err)
+	n.fatal <- err
+	n.inbox.signal()
 }
 
 // Propose hands data to the log of the leader. It returns NotLeader, Overloaded
@@ -274,7 +276,7 @@
 // time spent frozen. It is cheap.
 func (n *Node) LeaseValid() bool {
 	until := n.leaseUntil.Load()
-	return until != 0 && (until == math.MaxInt64 || int64(n.opts.Now()) < until)
+	return until != 0 && !n.failed.Load() && (until == math.MaxInt64 || int64(n.opts.Now()) < until)
 }
 
 // ReadIndex returns an index such that a state which has applied it sees every
--- /dev/null
+++ b/internal/replica/node_test.go
@@ -0,0 +1,227 @@
+package replica
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/replica/raft"
+	"github.com/filbertmast/filbertmast/internal/storage/faultfs"
+)
+
+func TestSoleFounderCommitsAndRestartsOnARealDisk(t *testing.T) {
+	w := newNetwork()
+	o := Options{Dir: t.TempDir(), Address: "10.0.0.1:7000", Founders: founders(1)}
+	m := startMember(t, w, o)
+	proposeMany(100, m)
+	before := m.awaitEntries(100)
+	m.stop()
+
+	m = startMember(t, w, o)
+	awaitLeader(m)
+	assert.DeepEqual(t, m.awaitEntries(100), before)
+	assert.Assert(t, m.LeaseValid())
+}
+
+func TestThreeFoundersReplicate(t *testing.T) {
+	group := startGroup(t, newNetwork(), 3)
+	proposeMany(200, group...)
+	want := group[0].awaitEntries(200)
+	for _, m := range group {
+		assert.DeepEqual(t, m.awaitEntries(200), want)
+	}
+}
+
+func TestASecondProcessOnOneDataFolderIsRefused(t *testing.T) {
+	o := Options{Dir: t.TempDir(), Address: "10.0.0.1:7000", Founders: founders(1)}
+	m := startMember(t, newNetwork(), o)
+	o.Transport = m.link
+	_, err := Start(o)
+	assert.ErrorContains(t, err, "held by another process")
+}
+
+func TestALeaderCutOffLosesItsLeaseBeforeAnotherLeads(t *testing.T) {
+	rows := []struct {
+		name string
+		cut  func(w *network, leader *member, rest []*member, cut bool)
+	}{
+		{"both ways", func(w *network, leader *member, _ []*member, cut bool) { w.isolate(leader, cut) }},
+		{"it hears nobody", func(w *network, leader *member, rest []*member, cut bool) {
+			for _, m := range rest {
+				w.setCut(m.opts.Address, leader.opts.Address, cut)
+			}
+		}},
+		{"nobody hears it", func(w *network, leader *member, rest []*member, cut bool) {
+			for _, m := range rest {
+				w.setCut(leader.opts.Address, m.opts.Address, cut)
+			}
+		}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			w := newNetwork()
+			group := startGroup(t, w, 3)
+			proposeMany(20, group...)
+			leader := awaitLeader(group...)
+			rest := others(group, leader)
+			row.cut(w, leader, rest, true)
+			_ = leader.Propose([]byte("cut")) // in doubt
+			next := awaitLeader(rest...)
+			assert.Assert(t, !leader.LeaseValid())
+			assert.Assert(t, next != leader)
+			proposeMany(300, rest...)
+			row.cut(w, leader, rest, false)
+			mustPropose("healed", group...)
+			awaitSame(t, next, group[0], group[1], group[2])
+		})
+	}
+}
+
+// A follower is cut off for so long that the log behind it is gone.
+func TestAFollowerFarBehindIsBroughtUpByASnapshot(t *testing.T) {
+	w := newNetwork()
+	group := startGroup(t, w, 3)
+	proposeMany(10, group...)
+	leader := awaitLeader(group...)
+	behind := others(group, leader)[0]
+	w.isolate(behind, true)
+	rest := others(group, behind)
+	for range 5 {
+		proposeMany(200, rest...)
+		for _, m := range rest {
+			awaitSame(t, awaitLeader(rest...), m)
+			m.save(t)
+		}
+	}
+	leader = awaitLeader(rest...)
+	assert.Assert(t, leader.log.Start().Index > behind.Status().Last)
+	w.isolate(behind, false)
+	mustPropose("healed", rest...)
+	awaitSame(t, leader, behind)
+	assert.Assert(t, behind.log.Start().Index > 0)
+}
+
+func TestAReplicaThatWasDownForHundredsOfChangesCatchesUp(t *testing.T) {
+	w := newNetwork()
+	options := groupOptions(3)
+	var group []*member
+	for _, o := range options {
+		group = append(group, startMember(t, w, o))
+	}
+	proposeMany(10, group...)
+	group[2].stop()
+	proposeMany(700, group[:2]...)
+	group[2] = startMember(t, w, options[2])
+	mustPropose("back", group...)
+	awaitSame(t, awaitLeader(group...), group...)
+}
+
+// Processes crash at random points, on disks that keep what was synced and an
+// arbitrary part of the rest, over links that double, delay and reorder.
+func TestNothingDeliveredIsLostAcrossCrashes(t *testing.T) {
+	const seed, rounds = 1, 25
+	t.Logf("seed %d", seed)
+	rng := rand.New(rand.NewPCG(seed, 0))
+	w := newNetwork()
+	w.rng = rand.New(rand.NewPCG(seed, 1))
+	options := groupOptions(3)
+	var group []*member
+	for _, o := range options {
+		group = append(group, startMember(t, w, o))
+	}
+	delivered := []Entry{}
+	for round := range rounds {
+		mustPropose(fmt.Sprintf("r%d", round), group...)
+		for i := range rng.IntN(40) {
+			_ = group[rng.IntN(len(group))].Propose(fmt.Appendf(nil, "r%d.%d", round, i))
+		}
+		if rng.IntN(3) == 0 {
+			group[rng.IntN(len(group))].save(t)
+		}
+		for _, m := range group {
+			delivered = longer(t, delivered, m.state())
+		}
+		for _, i := range rng.Perm(len(group))[:1+rng.IntN(len(group))] {
+			group[i] = crash(t, w, group[i], &options[i], rng)
+		}
+	}
+	mustPropose("end", group...)
+	awaitSame(t, awaitLeader(group...), group...)
+	longer(t, delivered, awaitLeader(group...).state())
+}
+
+// longer returns the longer of two states, one of which must begin the other.
+func longer(t *testing.T, a, b []Entry) []Entry {
+	t.Helper()
+	n := min(len(a), len(b))
+	assert.DeepEqual(t, a[:n], b[:n])
+	if len(a) > len(b) {
+		return a
+	}
+	return b
+}
+
+// crash stops m at once and starts a new process on what its disk has kept.
+func crash(t *testing.T, w *network, m *member, o *Options, rng *rand.Rand) *member {
+	t.Helper()
+	m.link.kill()
+	o.FS = o.FS.(*faultfs.FS).Crash(rng.IntN)
+	m.stop()
+	return startMember(t, w, *o)
+}
+
+func TestAFullDiskRefusesProposalsAndServesOn(t *testing.T) {
+	for _, reserve := range []uint64{1, 1 << 20} {
+		t.Run(fmt.Sprintf("with a reserve of %d bytes", reserve), func(t *testing.T) {
+			w := newNetwork()
+			options := groupOptions(3)
+			var group []*member
+			for i := range options {
+				options[i].MinFreeBytes = reserve
+				group = append(group, startMember(t, w, options[i]))
+			}
+			proposeMany(10, group...)
+			leader := awaitLeader(group...)
+			disk := leader.opts.FS.(*faultfs.FS)
+			disk.SetCapacity(disk.Used() + 100)
+			refusal := error(nil)
+			for refusal == nil {
+				refusal = leader.Propose([]byte("more than there is room for"))
+			}
+			assert.Equal(t, errkind.Of(refusal), errkind.StorageFull)
+			assert.Assert(t, errkind.RowOf(errkind.Of(refusal)).NotRun)
+			_, err := leader.ReadIndex(testContext(t))
+			assert.NilError(t, err)
+			disk.SetCapacity(-1)
+			mustPropose("room", group...)
+			awaitSame(t, leader, group...)
+		})
+	}
+}
+
+func TestAFailedSyncIsFatal(t *testing.T) {
+	group := startGroup(t, newNetwork(), 3)
+	proposeMany(10, group...)
+	leader := awaitLeader(group...)
+	leader.opts.FS.(*faultfs.FS).FailSyncs(true)
+	_ = leader.Propose([]byte("x"))
+	err := <-leader.Fatal()
+	assert.ErrorIs(t, err, faultfs.ErrSync)
+	assert.Assert(t, !leader.LeaseValid())
+	leader.stop()
+	next := awaitLeader(others(group, leader)...)
+	assert.Equal(t, next.Status().Role, raft.Leader)
+}
+
+func TestLeadershipIsHandedOver(t *testing.T) {
+	group := startGroup(t, newNetwork(), 3)
+	proposeMany(50, group...)
+	leader := awaitLeader(group...)
+	assert.NilError(t, leader.TransferLeadership(testContext(t)))
+	assert.Assert(t, !leader.LeaseValid())
+	mustPropose("after", group...)
+	awaitSame(t, awaitLeader(group...), group...)
+}
--- a/internal/replica/raft/step.go
+++ b/internal/replica/raft/step.go
@@ -1,9 +1,11 @@
 package raft
 
+import "math"
+
 // Step takes a message from another replica. Messages may be lost, late,
 // doubled and out of order.
 func (c *Core) Step(m Message) {
-	if m.To != c.opts.ID || m.From == c.opts.ID || m.From == None {
+	if m.To != c.opts.ID || m.From == c.opts.ID || m.From == None || !m.wellFormed() {
 		return
 	}
 	switch {
@@ -18,6 +20,22 @@
 	c.dispatch(m)
 }
 
+// wellFormed reports whether the entries follow on the position before them,
+// with terms that never fall, up to the sender's.
+func (m Message) wellFormed() bool {
+	at := m.Prev
+	if at.Index > math.MaxUint64-uint64(len(m.Entries)) || m.Term == math.MaxUint64 {
+		return false
+	}
+	for _, e := range m.Entries {
+		if e.Index != at.Index+1 || e.Term < at.Term || e.Term > m.Term {
+			return false
+		}
+		at = positionOf(e)
+	}
+	return true
+}
+
 // raiseTerm handles a message of a later term; false drops it.
 func (c *Core) raiseTerm(m Message) bool {
 	switch m.Kind {
