Remember where searches found no room, and rank each team once

Cause: in a full cell with 8,400 groups waiting, a decision at 22,000 workers took 1.3 ms at the median (BenchmarkDecisionWhenFull/22000); the profile showed the same fruitless searches made for each group, and the first job of each group looked up again for each choice. Ruled out: a limit on groups tried a plan, which lets those behind it starve. Change: rooms remember, for each selector and size, how many tasks fit at most, until a worker gains room; teams are ranked again only after a try; groups whose try would do nothing are left out early; learned answers and the start of a hold are kept until they change; dead jobs at the front of a queue are dropped. A gang without room no longer ends a plan for being too large for it, and a job that was in backoff when its group became a misfit is now told; plain scans showed both.

--- a/internal/schedule/apply.go
+++ b/internal/schedule/apply.go
@@ -53,7 +53,7 @@
 	s.jobs[e.ID] = j
 	heap.Push(&s.deadlines, j)
 	g.members++
-	g.add(j)
+	s.enqueue(j)
 	s.addReady(j, e.Spec.Tasks)
 }
 
@@ -96,6 +96,7 @@
 	t.state = taskRunning
 	t.since = e.At
 	j.running++
+	s.workers[t.worker].staleHold()
 }
 
 func (s *Scheduler) taskStopping(id model.TaskID) {
@@ -268,10 +269,17 @@
 		return
 	}
 	j.next = min(j.next, index)
-	j.group.add(j)
+	s.enqueue(j)
 	s.addReady(j, 1)
 }
 
+// enqueue lets j wait in its group.
+func (s *Scheduler) enqueue(j *job) {
+	if !j.queued {
+		j.group.add(j)
+	}
+}
+
 func (s *Scheduler) stopping(j *job, t *task) {
 	if t.state == taskRunning {
 		j.running--
@@ -290,6 +298,7 @@
 	switch {
 	case before == 0 && j.ready > 0:
 		s.groupLive(j.group, 1)
+		s.tellLater(j.group)
 	case before > 0 && j.ready == 0:
 		s.groupLive(j.group, -1)
 	}
@@ -302,6 +311,7 @@
 	case g.live > 0 && g.slot < 0:
 		g.slot = int32(len(t.groups))
 		t.groups = append(t.groups, g)
+		s.judgeGroup(g)
 	case g.live == 0 && g.slot >= 0:
 		last := t.groups[len(t.groups)-1]
 		t.groups[g.slot] = last
@@ -331,5 +341,6 @@
 	if j.group.members == 0 {
 		delete(s.groups, j.group.groupKey)
 		s.selectors.drop(j.group.selector)
+		s.rooms.leave(j.group)
 	}
 }
--- a/internal/schedule/cell.go
+++ b/internal/schedule/cell.go
@@ -174,12 +174,24 @@
 
 // setFree changes what a worker has free.
 func (s *Scheduler) setFree(slot int32, free model.Resources) {
-	s.workers[slot].free = free
-	s.index(slot)
+	w := &s.workers[slot]
+	grew := !free.Fits(w.free)
+	w.free = free
+	w.staleHold()
+	s.put(slot)
+	if grew && !s.undoing {
+		s.gained(slot)
+	}
 }
 
-// index brings the index of free capacity in step with a worker.
+// index brings the index of free capacity in step with a worker of which more
+// than the reservations has changed.
 func (s *Scheduler) index(slot int32) {
+	s.put(slot)
+	s.gained(slot)
+}
+
+func (s *Scheduler) put(slot int32) {
 	w := &s.workers[slot]
 	if !w.offered() {
 		s.free.Remove(slot)
--- a/internal/schedule/find.go
+++ b/internal/schedule/find.go
@@ -11,16 +11,22 @@
 // sizeFor returns what a task of g reserves: the declared size, raised to what
 // was learned if the workers known now can hold that.
 func (s *Scheduler) sizeFor(g *group) model.Resources {
-	c := s.learned.Class(g.class)
-	if g.sizedAt == s.change && g.sizedBy == c.Version() && g.sizedAt != 0 {
-		return g.sized
+	if g.room == nil || g.sizedAt != s.change || g.sizedBy != s.learned.Version() {
+		s.consultLearned(g)
 	}
-	g.sizedAt, g.sizedBy = s.change, c.Version()
+	return g.sized
+}
+
+// consultLearned brings what g takes from its class up to date.
+func (s *Scheduler) consultLearned(g *group) {
+	g.sizedAt, g.sizedBy = s.change, s.learned.Version()
+	c := s.learned.Class(g.class)
+	g.run, _ = c.Run()
 	g.sized = c.Size(g.size)
 	if g.sized != g.size && !s.canHold(g, g.sized) {
 		g.sized = g.size
 	}
-	return g.sized
+	s.rooms.move(g, roomKey{g.selector, g.sized})
 }
 
 func (s *Scheduler) canHold(g *group, size model.Resources) bool {
@@ -32,7 +38,9 @@
 func (p *planner) findBest(j *job, size model.Resources) int32 {
 	bins, exact := p.s.binsFor(p.bins[:0], j.group.selector)
 	p.bins = bins
-	return p.bestOf(bins, size, p.accept(j, exact))
+	slot := p.bestOf(bins, size, p.accept(j, exact))
+	p.noteSearch(j.group, slot)
+	return slot
 }
 
 // accept returns the filter for workers that a task of j may use, nil when all
@@ -96,6 +104,7 @@
 			return slot
 		}
 	}
+	p.noteSearch(j.group, noSlot)
 	return noSlot
 }
 
--- a/internal/schedule/gang.go
+++ b/internal/schedule/gang.go
@@ -24,15 +24,18 @@
 
 // placeGang places all ready tasks of j, or none.
 func (p *planner) placeGang(j *job, size model.Resources) bool {
-	if len(p.plan.Placements) > 0 && len(p.plan.Placements)+int(j.ready) > p.max {
-		p.full = true
-		return false
-	}
 	racks := p.sites(j, size)
 	chosen := packRacks(racks, int64(j.ready))
+	if chosen == nil && !j.group.exclusive && j.hold == nil {
+		p.s.rooms.bound(j.group.room, tasksIn(racks))
+	}
 	if chosen == nil {
 		return false
 	}
+	if len(p.plan.Placements) > 0 && len(p.plan.Placements)+int(j.ready) > p.max {
+		p.full = true
+		return false
+	}
 	index := j.nextReady(j.next)
 	for _, r := range chosen {
 		for _, site := range r.sites {
@@ -113,6 +116,13 @@
 	return n
 }
 
+func tasksIn(racks []siteRack) (n int64) {
+	for i := range racks {
+		n += racks[i].tasks
+	}
+	return n
+}
+
 // packRacks chooses racks for n tasks: all in one failure domain if one has
 // room, else in one region, else anywhere; of equal choices the one with the
 // fewest racks. It returns nil when there is no room.
--- a/internal/schedule/group.go
+++ b/internal/schedule/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/filbertmast/filbertmast/internal/model"
 )
@@ -42,12 +43,15 @@
 // group is a set of jobs with equal keys.
 type group struct {
 	groupKey
-	jobs    []*job // waiting, ordered by job.less; those without a ready task are skipped
-	live    int32  // jobs that are queued and have a ready task
-	members int32  // jobs not done, waiting or not
-	slot    int32  // position in team.groups; -1 when no job is live
-	cursor  int    // of the plan being made: first job not yet dealt with
-	blocked bool   // in the plan being made
+	jobs    []*job        // waiting, ordered by job.less; those without a ready task are skipped
+	live    int32         // jobs that are queued and have a ready task
+	members int32         // jobs not done, waiting or not
+	slot    int32         // position in team.groups; -1 when no job is live
+	cursor  int           // of the plan being made: first job not yet dealt with
+	blocked bool          // in the plan being made
+	plan    uint64        // for which cursor and blocked stand
+	run     time.Duration // learned run time; zero when not trusted
+	room    *room         // of sized
 
 	misfit        Misfit // why nothing of the group can run; its Err is nil when it can
 	misfitVersion uint32
@@ -62,11 +66,7 @@
 
 // add queues j.
 func (g *group) add(j *job) {
-	if j.queued {
-		return
-	}
 	j.queued = true
-	g.untold = g.misfit.Err != nil
 	at, _ := slices.BinarySearchFunc(g.jobs, j, compareJobs)
 	g.jobs = slices.Insert(g.jobs, at, j)
 }
@@ -84,8 +84,14 @@
 // compactSlack is how many dead entries a queue may hold beyond its live ones.
 const compactSlack = 16
 
-// compact drops jobs without a ready task once they outnumber the others.
-func (g *group) compact() {
+// trim drops jobs without a ready task: the first ones always, the others once
+// they outnumber those with one.
+func (g *group) trim() {
+	for len(g.jobs) > 0 && g.jobs[0].ready == 0 {
+		g.jobs[0].queued = false
+		g.jobs[0] = nil
+		g.jobs = g.jobs[1:]
+	}
 	if len(g.jobs) <= 2*int(g.live)+compactSlack {
 		return
 	}
--- a/internal/schedule/health.go
+++ b/internal/schedule/health.go
@@ -176,6 +176,16 @@
 	return a
 }
 
+// probeDue reports whether some worker on probation may be given a probe.
+func (s *Scheduler) probeDue(now model.Time) bool {
+	for _, slot := range s.probation {
+		if h := s.workers[slot].health; h.probe.job == nil && h.nextProbe <= now {
+			return true
+		}
+	}
+	return false
+}
+
 // findProbe returns a worker on probation that is due for a probe and has room
 // for a task of j, or noSlot. Only tasks that may fail once more are risked.
 func (p *planner) findProbe(j *job, index int32, size model.Resources) int32 {
--- a/internal/schedule/hold.go
+++ b/internal/schedule/hold.go
@@ -12,6 +12,11 @@
 type hold struct {
 	job    *job
 	claims []claim
+
+	start      model.Time // when its room is expected; zero when not known, or at once
+	known      bool       // start was worked out
+	knownUntil model.Time // a task was expected to end by then
+	knownBy    uint64     // version of what was learned then
 }
 
 // claim is the part of a hold on one worker.
@@ -85,9 +90,11 @@
 	for i := range h.claims {
 		if h.claims[i].slot == slot {
 			h.claims[i].tasks += n
+			h.known = false
 			return
 		}
 	}
+	h.known = false
 	h.claims = append(h.claims, claim{slot, n})
 	s.workers[slot].hold = h
 	s.index(slot)
@@ -101,6 +108,7 @@
 	}
 	i := slices.IndexFunc(h.claims, func(c claim) bool { return c.slot == slot })
 	h.claims[i].tasks--
+	h.known = false
 	if h.claims[i].tasks > 0 {
 		return
 	}
@@ -126,94 +134,6 @@
 	return best
 }
 
-// findBackfill returns the tightest worker that is held for another job and on
-// which a task of j would end before the room is needed, or noSlot. It goes by
-// learned run times only.
-func (p *planner) findBackfill(j *job, size model.Resources) int32 {
-	run, ok := p.s.learned.Class(j.group.class).Run()
-	if !ok || j.group.policy != batch {
-		return noSlot
-	}
-	best := noSlot
-	for _, h := range p.s.holds {
-		if h.job == j {
-			continue
-		}
-		if start := p.holdStart(h); start == 0 || p.now.Add(run) > start {
-			continue
-		}
-		for _, c := range h.claims {
-			if p.usable(j, c.slot, size) && (best == noSlot || p.compareTight(c.slot, best) < 0) {
-				best = c.slot
-			}
-		}
-	}
-	return best
-}
-
-// holdStart returns when all claims of h are expected to have room, by learned
-// run times; zero when that is not known. It is worked out once a plan, before
-// any backfill, so that backfill cannot put it off.
-func (p *planner) holdStart(h *hold) model.Time {
-	if at, ok := p.holdStarts[h]; ok {
-		return at
-	}
-	if p.holdStarts == nil {
-		p.holdStarts = map[*hold]model.Time{}
-	}
-	start := p.now
-	size := p.s.sizeFor(h.job.group)
-	for _, c := range h.claims {
-		at := p.s.roomAt(c.slot, size.Mul(c.tasks), p.now)
-		if at == 0 {
-			start = 0
-			break
-		}
-		start = max(start, at)
-	}
-	p.holdStarts[h] = start
-	return start
-}
-
-// roomAt returns when a worker is expected to have need free; zero when not known.
-func (s *Scheduler) roomAt(slot int32, need model.Resources, now model.Time) model.Time {
-	w := &s.workers[slot]
-	free := w.free
-	if need.Fits(free) {
-		return now
-	}
-	ends := s.ends(w, now)
-	for _, e := range ends {
-		free = free.Add(e.size)
-		if need.Fits(free) {
-			return e.at
-		}
-	}
-	return 0
-}
-
-// end is when a held task is expected to end.
-type end struct {
-	at   model.Time
-	size model.Resources
-}
-
-// ends returns the expected ends of the tasks of w in order. Tasks of services
-// and of classes not learned yet, and those that run longer than learned, are left out.
-func (s *Scheduler) ends(w *worker, now model.Time) []end {
-	var out []end
-	for _, r := range w.tasks {
-		t := &r.job.tasks[r.index]
-		run, ok := s.learned.Class(r.job.group.class).Run()
-		at := t.since.Add(run)
-		if ok && r.job.group.policy != service && at >= now {
-			out = append(out, end{at, t.size})
-		}
-	}
-	slices.SortFunc(out, func(a, b end) int { return cmp.Compare(a.at, b.at) })
-	return out
-}
-
 // reserveAhead holds workers for j, which found no room and has waited long.
 func (p *planner) reserveAhead(j *job, size model.Resources) {
 	s := p.s
@@ -224,7 +144,6 @@
 	claims := p.pickClaims(j, size, need)
 	if claims == nil {
 		j.group.holdAfter = p.now + holdRetryMillis
-		p.wakeAt(j.group.holdAfter)
 		return
 	}
 	for _, c := range claims {
--- a/internal/schedule/learn/learn.go
+++ b/internal/schedule/learn/learn.go
@@ -27,7 +27,23 @@
 type Class struct {
 	cpu, memory, run sample
 	id               uint64
-	version          uint64
+	answers          answers
+}
+
+// answers is all that a class is asked for.
+type answers struct {
+	cpu, memory, run int64 // zero while too little was observed
+}
+
+func (c *Class) answer() answers {
+	var a answers
+	if c.cpu.n >= minSizes {
+		a.cpu, a.memory = c.cpu.high(), c.memory.high()
+	}
+	if c.run.n >= minRuns {
+		a.run = c.run.high()
+	}
+	return a
 }
 
 // Table holds the classes that were observed last.
@@ -35,7 +51,7 @@
 	max     int
 	classes map[uint64]*list.Element
 	order   list.List // of *Class, latest first
-	version uint64
+	version uint64    // of all answers
 }
 
 // New returns a table of at most max classes.
@@ -63,49 +79,53 @@
 	c := t.touch(id)
 	c.cpu.add(used.CPU)
 	c.memory.add(used.Memory)
+	t.settle(c)
 }
 
 // ObserveRun takes in the run time of one task that succeeded.
 func (t *Table) ObserveRun(id uint64, ran time.Duration) {
-	t.touch(id).run.add(ran.Milliseconds())
+	c := t.touch(id)
+	c.run.add(ran.Milliseconds())
+	t.settle(c)
 }
 
+// settle works out the answers of a class that has changed.
+func (t *Table) settle(c *Class) {
+	if a := c.answer(); a != c.answers {
+		c.answers = a
+		t.version++
+	}
+}
+
+// Version changes whenever the answer of some class does.
+func (t *Table) Version() uint64 { return t.version }
+
 // touch returns the class to be changed; the one not observed for longest makes room.
 func (t *Table) touch(id uint64) *Class {
-	t.version++
 	e := t.classes[id]
 	if e == nil {
 		if len(t.classes) >= t.max {
 			last := t.order.Back()
 			t.order.Remove(last)
 			delete(t.classes, last.Value.(*Class).id)
+			t.version++
 		}
 		e = t.order.PushFront(&Class{id: id})
 		t.classes[id] = e
 	}
 	t.order.MoveToFront(e)
-	c := e.Value.(*Class)
-	c.version = t.version
-	return c
-}
-
-// Version changes whenever the class has learned something. It is zero for nil.
-func (c *Class) Version() uint64 {
-	if c == nil {
-		return 0
-	}
-	return c.version
+	return e.Value.(*Class)
 }
 
 // Size returns what a task of the class should reserve: the declared size, each
 // component raised where most tasks were seen to use clearly more. It never
 // returns less than declared, and accelerators as declared.
 func (c *Class) Size(declared model.Resources) model.Resources {
-	if c == nil || c.cpu.n < minSizes {
+	if c == nil {
 		return declared
 	}
-	declared.CPU = raise(declared.CPU, c.cpu.high())
-	declared.Memory = raise(declared.Memory, c.memory.high())
+	declared.CPU = raise(declared.CPU, c.answers.cpu)
+	declared.Memory = raise(declared.Memory, c.answers.memory)
 	return declared
 }
 
@@ -119,8 +139,8 @@
 // Run returns a run time that most tasks of the class stay below; false while
 // too few have been seen.
 func (c *Class) Run() (time.Duration, bool) {
-	if c == nil || c.run.n < minRuns {
+	if c == nil || c.answers.run == 0 {
 		return 0, false
 	}
-	return time.Duration(c.run.high()) * time.Millisecond, true
+	return time.Duration(c.answers.run) * time.Millisecond, true
 }
--- a/internal/schedule/naive_test.go
+++ b/internal/schedule/naive_test.go
@@ -15,16 +15,20 @@
 	planner
 	blockedGroup map[*group]bool
 	blockedTeam  map[int32]bool
+	starts       map[*hold]model.Time
 }
 
 func naivePlan(s *Scheduler, now model.Time, max int) Plan {
 	s.wake(now)
 	s.passProbes(now)
 	s.refreshHolds()
-	n := &naive{planner{s: s, now: now, max: max}, map[*group]bool{}, map[int32]bool{}}
+	n := &naive{planner{s: s, now: now, max: max}, map[*group]bool{}, map[int32]bool{}, nil}
 	for _, t := range s.teams {
 		t.planned = model.Resources{}
 	}
+	for _, j := range n.jobs() {
+		s.judgeGroup(j.group)
+	}
 	n.tell()
 	n.judge()
 	n.drain()
@@ -36,6 +40,7 @@
 		n.try(j)
 	}
 	n.undo()
+	n.wakeGroups()
 	n.plan.NextWake = n.nextWake()
 	return n.plan
 }
@@ -262,21 +267,23 @@
 	if !ok || j.group.policy != batch {
 		return noSlot
 	}
+	if n.starts == nil {
+		n.starts = map[*hold]model.Time{}
+		for _, h := range n.s.holds {
+			h.known = false
+			n.starts[h] = n.s.holdStart(h, n.now)
+		}
+	}
 	return n.best(func(slot int32) bool {
 		h := n.s.workers[slot].hold
 		if h == nil || h.job == j || !n.takes(j, slot, size) {
 			return false
 		}
-		start := n.holdStart(h)
-		return start != 0 && n.now.Add(run) <= start
+		return n.starts[h] > n.now && n.now.Add(run) <= n.starts[h]
 	}, n.tighter)
 }
 
 func (n *naive) tryGang(j *job, size model.Resources) bool {
-	if len(n.plan.Placements) > 0 && len(n.plan.Placements)+int(n.ready(j)) > n.max {
-		n.full = true
-		return false
-	}
 	byRack := map[int32]*siteRack{}
 	for i := range n.s.workers {
 		slot, w := int32(i), &n.s.workers[i]
@@ -294,7 +301,12 @@
 		n.sortSites(r.sites)
 		racks = append(racks, *r)
 	}
-	for _, r := range packRacks(racks, n.ready(j)) {
+	chosen := packRacks(racks, n.ready(j))
+	if chosen != nil && len(n.plan.Placements) > 0 && len(n.plan.Placements)+int(n.ready(j)) > n.max {
+		n.full = true
+		return false
+	}
+	for _, r := range chosen {
 		for _, at := range r.sites {
 			for k := at.tasks; k > 0 && n.ready(j) > 0; k-- {
 				n.put(j, j.nextReady(0), at.slot, size)
@@ -307,7 +319,6 @@
 func (n *naive) noRoomFor(j *job, size model.Resources) {
 	g := j.group
 	if !n.pressing(j) {
-		n.wakeAt(n.pressingFrom(j))
 		return
 	}
 	if n.makeRoomFor(j, size) || j.hold != nil || len(n.s.holds) >= n.s.opts.MaxHolds || n.now < g.holdAfter {
@@ -316,7 +327,6 @@
 	claims := n.claims(j, size)
 	if claims == nil {
 		g.holdAfter = n.now + holdRetryMillis
-		n.wakeAt(g.holdAfter)
 		return
 	}
 	for _, c := range claims {
@@ -353,14 +363,12 @@
 func (n *naive) makeRoomFor(j *job, size model.Resources) bool {
 	g := j.group
 	if n.now < g.searchAfter || n.searches >= maxSearches {
-		n.wakeAt(max(g.searchAfter, n.now))
 		return j.hold != nil
 	}
 	n.searches++
 	if j.hold != nil {
 		n.pursueClaims(j, size)
 		g.searchAfter = n.now + searchRetryMillis
-		n.wakeAt(g.searchAfter)
 		return true
 	}
 	if g.policy == gang {
@@ -373,7 +381,6 @@
 	}
 	if j.hold == nil {
 		g.searchAfter = n.now + searchRetryMillis
-		n.wakeAt(g.searchAfter)
 	}
 	return j.hold != nil
 }
--- a/internal/schedule/planner.go
+++ b/internal/schedule/planner.go
@@ -16,11 +16,12 @@
 	refs   []taskRef // placed by the plan
 	full   bool      // the plan has no room for the next gang
 
-	taken      map[taskRef]bool // to be stopped by the plan
-	takenFrom  map[*job]int32   // running tasks to be stopped
-	searches   int
-	holdStarts map[*hold]model.Time
-	wake       model.Time // when something changes without an event
+	taken     map[taskRef]bool // to be stopped by the plan
+	takenFrom map[*job]int32   // running tasks to be stopped
+	searches  int
+	probesDue bool // a worker on probation is due for a probe
+	backfill  backfill
+	wake      model.Time // when something changes without an event
 }
 
 // Plan returns what should be done at now, with at most max placements, except
@@ -29,12 +30,14 @@
 	s.wake(now)
 	s.passProbes(now)
 	s.refreshHolds()
+	s.settleRooms()
 	p := planner{s: s, now: now, max: max}
 	p.begin()
 	p.tell()
 	p.drain()
 	p.place()
 	p.undo()
+	p.wakeGroups()
 	p.plan.NextWake = p.nextWake()
 	return p.plan
 }
@@ -44,9 +47,6 @@
 
 // nextWake returns when to plan again without a new event; zero for never.
 func (p *planner) nextWake() model.Time {
-	if len(p.plan.Placements) >= p.max || p.full {
-		p.wakeAt(p.now)
-	}
 	next := sooner(p.wake, p.s.timers.next())
 	next = sooner(next, p.s.nextProbe())
 	if d := p.s.deadlines; len(d) > 0 {
@@ -66,67 +66,6 @@
 	}
 }
 
-func (p *planner) begin() {
-	for _, t := range p.s.teams {
-		t.blocked = false
-		t.planned = model.Resources{}
-		for _, g := range t.groups {
-			g.compact()
-			g.cursor = 0
-			g.blocked = false
-		}
-	}
-}
-
-// nextGroup returns the group whose head comes first: that of the team with the
-// least precedence key, and in the team the one that promised the earliest start.
-func (p *planner) nextGroup() *group {
-	var best *group
-	var bestKey int64
-	for _, t := range p.s.teams {
-		g := p.headOf(t)
-		if g == nil {
-			continue
-		}
-		j := g.head()
-		key := p.key(t, j)
-		if best == nil || key < bestKey || key == bestKey && j.less(best.head()) {
-			best, bestKey = g, key
-		}
-	}
-	return best
-}
-
-// headOf returns the group of t whose head comes first, or nil.
-func (p *planner) headOf(t *team) *group {
-	if t.blocked {
-		return nil
-	}
-	var best *group
-	for _, g := range t.groups {
-		if g.blocked {
-			continue
-		}
-		j := g.head()
-		if j != nil && (best == nil || j.less(best.head())) {
-			best = g
-		}
-	}
-	return best
-}
-
-// key is the precedence of a team with j at its head: its load relative to its
-// share, less what the lateness of j is worth. Lateness grows without bound and
-// load does not, so that each job comes first in the end.
-func (p *planner) key(t *team, j *job) int64 {
-	load := p.s.load(t, model.Resources{})
-	late := p.now - j.startBy + model.Time(p.s.opts.PressingSlack.Milliseconds())
-	if late <= 0 {
-		return load
-	}
-	return load - mulDiv(int64(late), ppm, p.s.opts.AgeingSpan.Milliseconds())
-}
-
 // try places the next task of the head of g, or the whole gang. When there is
 // no room the group is left out of the rest of the plan.
 func (p *planner) try(g *group) {
@@ -150,11 +89,7 @@
 // noRoom sees to it that a job that has waited long gets room: by stopping
 // work that may give way, else by holding workers until their work has ended.
 func (p *planner) noRoom(j *job, size model.Resources) {
-	if !p.pressing(j) {
-		p.wakeAt(p.pressingFrom(j))
-		return
-	}
-	if p.makeRoom(j, size) {
+	if !p.pressing(j) || p.makeRoom(j, size) {
 		return
 	}
 	p.reserveAhead(j, size)
@@ -235,8 +170,11 @@
 
 // undo takes back what put applied.
 func (p *planner) undo() {
+	p.s.undoing = true
 	for i := len(p.refs) - 1; i >= 0; i-- {
+		p.s.rooms.lent = append(p.s.rooms.lent, p.refs[i].task().worker)
 		p.s.release(p.refs[i].job, p.refs[i].index)
 	}
+	p.s.undoing = false
 	p.spread.clear()
 }
--- a/internal/schedule/preempt.go
+++ b/internal/schedule/preempt.go
@@ -96,14 +96,12 @@
 // workers for them. It reports whether room is being made.
 func (p *planner) makeRoom(j *job, size model.Resources) bool {
 	if p.now < j.group.searchAfter || p.searches >= maxSearches {
-		p.wakeAt(max(j.group.searchAfter, p.now))
 		return j.hold != nil
 	}
 	p.searches++
 	if j.hold != nil {
 		p.pursueClaims(j, size)
 		j.group.searchAfter = p.now + searchRetryMillis
-		p.wakeAt(j.group.searchAfter)
 		return true
 	}
 	if j.group.policy == gang {
@@ -116,7 +114,6 @@
 	}
 	if j.hold == nil {
 		j.group.searchAfter = p.now + searchRetryMillis
-		p.wakeAt(j.group.searchAfter)
 	}
 	return j.hold != nil
 }
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -34,9 +34,14 @@
 	labels      labelClasses
 	bins        bins
 	shapes      map[shape]int64 // workers by class and capacity
+	judged      uint64          // change at which the groups were judged
+	untold      bool            // a group has a misfit that was not told
+	plans       uint64          // made so far
+	undoing     bool            // a plan is being taken back
 	change      uint64          // grows with each change of what workers could take
 	selectors   selectors
 	free        capacity.Index
+	rooms       rooms
 	total       model.Resources // of workers that are not lost
 	reserved    model.Resources
 	workerCount int64
--- a/internal/schedule/selector.go
+++ b/internal/schedule/selector.go
@@ -159,6 +159,7 @@
 	s.bins = bins{shared: s.bins.shared}
 	s.free = capacity.Index{}
 	clear(s.shapes)
+	s.forgetRooms()
 	for slot := range s.workers {
 		w := &s.workers[slot]
 		if w.known {
--- a/internal/schedule/team.go
+++ b/internal/schedule/team.go
@@ -25,6 +25,9 @@
 	groups  []*group            // with a live job
 	victims *btree.BTreeG[*job] // that hold and may be stopped and run again
 	blocked bool                // in the plan being made
+	ranked  bool                // first and key are up to date
+	first   *group
+	key     int64 // precedence; the least comes first
 }
 
 // TeamUse is what a team holds now.
--- a/internal/schedule/tell.go
+++ b/internal/schedule/tell.go
@@ -104,19 +104,15 @@
 	return j
 }
 
-// misfits leaves the groups out of the plan that can run nowhere, and tells
-// their jobs when that is new.
+// misfits tells the jobs that can run nowhere, when that is new.
 func (p *planner) misfits() {
+	if !p.s.untold {
+		return
+	}
+	p.s.untold = false
 	for _, t := range p.s.teams {
 		for _, g := range t.groups {
-			if g.judged != p.s.change {
-				p.s.judgeGroup(g)
-			}
-			if g.misfit.Err == nil {
-				continue
-			}
-			g.blocked = true
-			if g.untold {
+			if g.untold && g.misfit.Err != nil {
 				p.tellMisfit(g)
 			}
 		}
@@ -135,8 +131,24 @@
 	}
 }
 
+// judgeGroups judges all groups anew after a change of the cell.
+func (s *Scheduler) judgeGroups() {
+	if s.judged == s.change {
+		return
+	}
+	s.judged = s.change
+	for _, t := range s.teams {
+		for _, g := range t.groups {
+			s.judgeGroup(g)
+		}
+	}
+}
+
 // judgeGroup finds out whether the tasks of g can run anywhere.
 func (s *Scheduler) judgeGroup(g *group) {
+	if g.judged == s.change {
+		return
+	}
 	g.judged = s.change
 	n := int64(max(g.gang, 1))
 	m := s.teamMisfit(g, n)
@@ -148,7 +160,15 @@
 	}
 	g.misfit = m
 	g.misfitVersion++
-	g.untold = m.Err != nil
+	s.tellLater(g)
+}
+
+// tellLater has the misfit of g, if any, told to its jobs that do not know it.
+func (s *Scheduler) tellLater(g *group) {
+	if g.misfit.Err != nil {
+		g.untold = true
+		s.untold = true
+	}
 }
 
 func sameMisfit(a, b Misfit) bool {
--- a/internal/schedule/timer.go
+++ b/internal/schedule/timer.go
@@ -84,7 +84,7 @@
 		j.waiting--
 		s.waitingTasks--
 		j.next = min(j.next, t.index)
-		j.group.add(j)
+		s.enqueue(j)
 		s.addReady(j, 1)
 	}
 }
--- a/internal/schedule/worker.go
+++ b/internal/schedule/worker.go
@@ -12,6 +12,8 @@
 	index int32
 }
 
+func (r taskRef) task() *task { return &r.job.tasks[r.index] }
+
 // worker is one slot of the dense list of workers.
 type worker struct {
 	id       model.WorkerID
@@ -35,6 +37,13 @@
 
 func (w *worker) onProbation() bool { return w.health != nil && w.health.probation }
 
+// staleHold has the start of the hold on w, if any, worked out anew.
+func (w *worker) staleHold() {
+	if w.hold != nil {
+		w.hold.known = false
+	}
+}
+
 func (w *worker) open() bool { return w.known && w.mode == model.WorkerOpen }
 
 func (w *worker) removeTask(j *job, index int32) {
