Keep the heads of waiting groups side by side and renew them when they change

Cause: half of a decision in a full cell went into looking up the first job of each waiting group, one cache miss after another (BenchmarkDecisionWhenFull/22000, profile). Ruled out: one ordered tree of heads over all teams, since the precedence of a team changes with each placement. Change: each team keeps a line of entries with the head's order, its room and when it presses; events mark single entries stale; classes name the groups that their new answers concern; only changes of shapes of workers renew all.

--- a/internal/schedule/apply.go
+++ b/internal/schedule/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/model"
@@ -295,6 +296,7 @@
 	before := j.ready
 	j.ready += n
 	s.readyTasks += int64(n)
+	s.stale(j.group)
 	switch {
 	case before == 0 && j.ready > 0:
 		s.groupLive(j.group, 1)
@@ -309,16 +311,10 @@
 	t := s.teams[g.team]
 	switch {
 	case g.live > 0 && g.slot < 0:
-		g.slot = int32(len(t.groups))
-		t.groups = append(t.groups, g)
+		t.line.add(g)
 		s.judgeGroup(g)
 	case g.live == 0 && g.slot >= 0:
-		last := t.groups[len(t.groups)-1]
-		t.groups[g.slot] = last
-		last.slot = g.slot
-		t.groups[len(t.groups)-1] = nil
-		t.groups = t.groups[:len(t.groups)-1]
-		g.slot = -1
+		t.line.remove(g)
 	}
 }
 
@@ -339,8 +335,18 @@
 	delete(s.jobs, j.id)
 	j.group.members--
 	if j.group.members == 0 {
-		delete(s.groups, j.group.groupKey)
-		s.selectors.drop(j.group.selector)
-		s.rooms.leave(j.group)
+		s.dropGroup(j.group)
 	}
 }
+
+func (s *Scheduler) dropGroup(g *group) {
+	delete(s.groups, g.groupKey)
+	s.selectors.drop(g.selector)
+	s.rooms.leave(g)
+	left := slices.DeleteFunc(s.byClass[g.class], func(o *group) bool { return o == g })
+	if len(left) == 0 {
+		delete(s.byClass, g.class)
+		return
+	}
+	s.byClass[g.class] = left
+}
--- a/internal/schedule/cell.go
+++ b/internal/schedule/cell.go
@@ -55,11 +55,16 @@
 	if !w.mayRun() {
 		return
 	}
+	s.counts++
 	k := shape{w.class, w.capacity}
+	before := len(s.shapes)
 	s.shapes[k] += n
 	if s.shapes[k] == 0 {
 		delete(s.shapes, k)
 	}
+	if len(s.shapes) != before {
+		s.change++
+	}
 }
 
 func (s *Scheduler) workerUp(e WorkerUp) {
@@ -104,12 +109,15 @@
 func (s *Scheduler) uncount(w *worker) { s.countBy(w, -1) }
 
 func (s *Scheduler) countBy(w *worker, n int64) {
-	s.change++
 	s.countShape(w, n)
-	if w.mode != model.WorkerLost {
-		s.total = s.total.Add(w.capacity.Mul(n))
-		s.workerCount += n
+	if w.mode == model.WorkerLost {
+		return
+	}
+	s.total = s.total.Add(w.capacity.Mul(n))
+	if s.workerCount == 0 || s.workerCount+n == 0 {
+		s.change++
 	}
+	s.workerCount += n
 }
 
 func (s *Scheduler) workerMode(e WorkerModeChanged) {
--- a/internal/schedule/find.go
+++ b/internal/schedule/find.go
@@ -11,7 +11,7 @@
 // sizeFor returns what a task of g reserves: the declared size, raised to what
 // was learned if the workers known now can hold that.
 func (s *Scheduler) sizeFor(g *group) model.Resources {
-	if g.room == nil || g.sizedAt != s.change || g.sizedBy != s.learned.Version() {
+	if g.sizedAt != s.change || g.gang > 0 && g.sizedCounts != s.counts {
 		s.consultLearned(g)
 	}
 	return g.sized
@@ -19,14 +19,30 @@
 
 // consultLearned brings what g takes from its class up to date.
 func (s *Scheduler) consultLearned(g *group) {
-	g.sizedAt, g.sizedBy = s.change, s.learned.Version()
+	g.sizedAt, g.sizedCounts = s.change, s.counts
+	before := g.sized
 	c := s.learned.Class(g.class)
 	g.run, _ = c.Run()
 	g.sized = c.Size(g.size)
 	if g.sized != g.size && !s.canHold(g, g.sized) {
 		g.sized = g.size
 	}
-	s.rooms.move(g, roomKey{g.selector, g.sized})
+	if g.room == nil || g.sized != before {
+		s.rooms.move(g, roomKey{g.selector, g.sized})
+		s.stale(g)
+		s.staleHolds(g)
+	}
+}
+
+// noChange is no change of the cell.
+const noChange = 1<<64 - 1
+
+// learnedAnew has the groups of a class take in its new answers.
+func (s *Scheduler) learnedAnew(class uint64) {
+	for _, g := range s.byClass[class] {
+		g.sizedAt = noChange
+		s.stale(g)
+	}
 }
 
 func (s *Scheduler) canHold(g *group, size model.Resources) bool {
--- a/internal/schedule/group.go
+++ b/internal/schedule/group.go
@@ -46,10 +46,9 @@
 	jobs    []*job        // waiting, ordered by job.less; those without a ready task are skipped
 	live    int32         // jobs that are queued and have a ready task
 	members int32         // jobs not done, waiting or not
-	slot    int32         // position in team.groups; -1 when no job is live
+	slot    int32         // position in the line of the team; -1 when no job is live
 	cursor  int           // of the plan being made: first job not yet dealt with
-	blocked bool          // in the plan being made
-	plan    uint64        // for which cursor and blocked stand
+	plan    uint64        // for which cursor stands
 	run     time.Duration // learned run time; zero when not trusted
 	room    *room         // of sized
 
@@ -59,7 +58,8 @@
 	judged        uint64 // change of the cell at which misfit was worked out
 	sized         model.Resources
 	sizedAt       uint64     // change of the cell at which sized was worked out
-	sizedBy       uint64     // version of what was learned then
+	sizedCounts   uint64     // counts of the workers then
+	judgedCounts  uint64     // counts of the workers at which misfit was worked out
 	searchAfter   model.Time // no search for work to preempt before this
 	holdAfter     model.Time // no reservation before this
 }
--- a/internal/schedule/hold.go
+++ b/internal/schedule/hold.go
@@ -63,6 +63,7 @@
 	}
 	h.claims = nil
 	h.job.hold = nil
+	s.stale(h.job.group)
 	s.holds = slices.DeleteFunc(s.holds, func(o *hold) bool { return o == h })
 }
 
@@ -85,6 +86,7 @@
 	if h == nil {
 		h = &hold{job: j}
 		j.hold = h
+		s.stale(j.group)
 		s.holds = append(s.holds, h)
 	}
 	for i := range h.claims {
@@ -100,6 +102,15 @@
 	s.index(slot)
 }
 
+// staleHolds has the starts of holds for jobs of g worked out anew.
+func (s *Scheduler) staleHolds(g *group) {
+	for _, h := range s.holds {
+		if h.job.group == g {
+			h.known = false
+		}
+	}
+}
+
 // useClaim counts a placement against the hold of its job.
 func (s *Scheduler) useClaim(j *job, slot int32) {
 	h := j.hold
--- a/internal/schedule/learn/learn.go
+++ b/internal/schedule/learn/learn.go
@@ -49,14 +49,19 @@
 // Table holds the classes that were observed last.
 type Table struct {
 	max     int
+	changed func(id uint64)
 	classes map[uint64]*list.Element
 	order   list.List // of *Class, latest first
 	version uint64    // of all answers
 }
 
-// New returns a table of at most max classes.
-func New(max int) *Table {
-	return &Table{max: max, classes: map[uint64]*list.Element{}}
+// New returns a table of at most max classes. It calls changed, if not nil,
+// whenever the answers of a class have changed.
+func New(max int, changed func(id uint64)) *Table {
+	if changed == nil {
+		changed = func(uint64) {}
+	}
+	return &Table{max: max, changed: changed, classes: map[uint64]*list.Element{}}
 }
 
 // Len returns the number of classes held.
@@ -94,21 +99,29 @@
 	if a := c.answer(); a != c.answers {
 		c.answers = a
 		t.version++
+		t.changed(c.id)
 	}
 }
 
 // Version changes whenever the answer of some class does.
 func (t *Table) Version() uint64 { return t.version }
 
+// evict drops the class that was not observed for longest.
+func (t *Table) evict() {
+	last := t.order.Back()
+	t.order.Remove(last)
+	id := last.Value.(*Class).id
+	delete(t.classes, id)
+	t.version++
+	t.changed(id)
+}
+
 // touch returns the class to be changed; the one not observed for longest makes room.
 func (t *Table) touch(id uint64) *Class {
 	e := t.classes[id]
 	if e == nil {
 		if len(t.classes) >= t.max {
-			last := t.order.Back()
-			t.order.Remove(last)
-			delete(t.classes, last.Value.(*Class).id)
-			t.version++
+			t.evict()
 		}
 		e = t.order.PushFront(&Class{id: id})
 		t.classes[id] = e
--- a/internal/schedule/learn/learn_test.go
+++ b/internal/schedule/learn/learn_test.go
@@ -49,7 +49,7 @@
 		{"a raise is bounded", []int64{64000, 64000, 64000, 64000, 64000}, 8000},
 	} {
 		t.Run(row.name, func(t *testing.T) {
-			table := New(1)
+			table := New(1, nil)
 			for _, cpu := range row.used {
 				table.ObserveSize(1, model.Resources{CPU: cpu, Memory: 1})
 			}
@@ -62,7 +62,7 @@
 
 func TestRunIsTrustedOnlyAfterEnoughTasksAndIgnoresTheLargestTenth(t *testing.T) {
 	const usual = 32768 * time.Millisecond // exact on the scale
-	table := New(1)
+	table := New(1, nil)
 	for range 7 {
 		table.ObserveRun(1, usual)
 	}
@@ -75,7 +75,7 @@
 }
 
 func TestTableForgetsTheClassNotObservedForLongest(t *testing.T) {
-	table := New(2)
+	table := New(2, nil)
 	table.ObserveRun(1, time.Second)
 	table.ObserveRun(2, time.Second)
 	table.ObserveRun(1, time.Second)
--- a/internal/schedule/naive_test.go
+++ b/internal/schedule/naive_test.go
@@ -137,7 +137,7 @@
 			best = j
 			continue
 		}
-		a, b := n.key(n.s.teams[j.group.team], j), n.key(n.s.teams[best.group.team], best)
+		a, b := n.key(n.s.teams[j.group.team], j.startBy), n.key(n.s.teams[best.group.team], best.startBy)
 		if a < b || a == b && j.less(best) {
 			best = j
 		}
@@ -458,7 +458,7 @@
 		r := n.ready(j)
 		ready, waiting = ready+r, waiting+int64(j.waiting)
 		check(r == int64(j.ready), "ready of "+j.id.String())
-		check(r == 0 || slices.Contains(j.group.jobs, j) && slices.Contains(s.teams[j.group.team].groups, j.group), "queue of "+j.id.String())
+		check(r == 0 || slices.Contains(j.group.jobs, j) && s.teams[j.group.team].line.entries[j.group.slot].group == j.group, "queue of "+j.id.String())
 		check(s.teams[j.group.team].victims.Has(j) == (j.held > 0 && j.group.repeatable), "victims with "+j.id.String())
 	}
 	check(ready == s.readyTasks && waiting == s.waitingTasks, "pending tasks")
--- a/internal/schedule/order.go
+++ b/internal/schedule/order.go
@@ -14,26 +14,18 @@
 	p.probesDue = p.s.probeDue(p.now)
 }
 
-// begin makes g ready for a plan. A group that can run nowhere is left out.
-func (g *group) begin(plan uint64) {
-	g.plan = plan
-	g.trim()
-	g.cursor = 0
-	g.blocked = g.misfit.Err != nil
-}
-
 // nextGroup returns the group whose head comes first: that of the team with the
 // least precedence key, and in the team the one that promised the earliest start.
 func (p *planner) nextGroup() *group {
 	var best *team
 	for _, t := range p.s.teams {
-		if len(t.groups) == 0 || t.blocked {
+		if len(t.line.entries) == 0 || t.blocked {
 			continue
 		}
 		if !t.ranked {
 			p.rank(t)
 		}
-		if t.first != nil && (best == nil || t.before(best)) {
+		if t.first >= 0 && (best == nil || t.before(best)) {
 			best = t
 		}
 	}
@@ -41,7 +33,7 @@
 		return nil
 	}
 	best.ranked = false
-	return best.first
+	return best.line.entries[best.first].group
 }
 
 // before orders teams by precedence.
@@ -49,62 +41,65 @@
 	if t.key != o.key {
 		return t.key < o.key
 	}
-	return t.first.head().less(o.first.head())
+	return t.line.entries[t.first].less(&o.line.entries[o.first])
 }
 
 // rank finds the group of t whose head comes first and the precedence of t.
 func (p *planner) rank(t *team) {
+	p.s.renewLine(t)
 	t.ranked = true
-	t.first = nil
-	var head *job
-	for _, g := range t.groups {
-		if g.plan != p.s.plans {
-			g.begin(p.s.plans)
-		}
-		if g.blocked {
-			continue
+	t.first = -1
+	var first *entry
+	for i := range t.line.entries {
+		e := &t.line.entries[i]
+		if e.stale {
+			p.renew(e)
 		}
-		j := g.head()
-		if j == nil || head != nil && !j.less(head) {
+		if e.misfit || e.leftOut == p.s.plans || first != nil && !e.less(first) {
 			continue
 		}
-		if p.idle(t, g, j) {
-			g.blocked = true
+		if p.idle(t, e) {
+			e.leftOut = p.s.plans
 			continue
 		}
-		t.first, head = g, j
+		t.first, first = int32(i), e
 	}
-	if head != nil {
-		t.key = p.key(t, head)
+	if first != nil {
+		t.key = p.key(t, first.startBy)
 	}
 }
 
-// key is the precedence of a team with j at its head: its load relative to its
-// share, less what the lateness of j is worth. Lateness grows without bound and
+// leaveOut takes g out of the rest of the plan.
+func (p *planner) leaveOut(g *group) {
+	p.s.teams[g.team].line.entries[g.slot].leftOut = p.s.plans
+}
+
+// key is the precedence of a team whose head is promised by startBy: its load relative to its
+// share, less what the lateness is worth. Lateness grows without bound and
 // load does not, so that each job comes first in the end.
-func (p *planner) key(t *team, j *job) int64 {
+func (p *planner) key(t *team, startBy model.Time) int64 {
 	load := p.s.load(t, model.Resources{})
-	late := p.now - j.startBy + model.Time(p.s.opts.PressingSlack.Milliseconds())
+	late := p.now - startBy + model.Time(p.s.opts.PressingSlack.Milliseconds())
 	if late <= 0 {
 		return load
 	}
 	return load - mulDiv(int64(late), ppm, p.s.opts.AgeingSpan.Milliseconds())
 }
 
-// idle reports whether to try g would do nothing but leave it out of the plan:
-// the last search has shown that there is no room, and it is not yet time, or
-// not possible now, to make some. What it goes by does not change back while
-// the plan is made, so that g may be left out before its turn.
-func (p *planner) idle(t *team, g *group, j *job) bool {
-	size := p.s.sizeFor(g)
-	n := int64(max(g.gang, 1))
-	if g.room.atMost >= n || j.hold != nil || t.room() < n {
+// idle reports whether to try the group of e would do nothing but leave it out
+// of the plan: the last search has shown that there is no room, and it is not
+// yet time, or not possible now, to make some. What it goes by does not change
+// back while the plan is made, so that the group may be left out before its turn.
+func (p *planner) idle(t *team, e *entry) bool {
+	n := int64(e.tasks)
+	if e.room.atMost >= n || e.held || t.room() < n {
 		return false
 	}
-	if p.probesDue && g.repeatable && j.maxRestarts > 0 || p.mayBackfill(g, size) {
+	g := e.group
+	if p.probesDue && e.mayProbe || len(p.s.holds) > 0 && p.mayBackfill(g, g.sized) {
 		return false
 	}
-	if !p.pressing(j) {
+	if p.now < e.pressing {
 		return true
 	}
 	if g.gang > 0 || !t.maxResources.IsZero() {
@@ -122,16 +117,18 @@
 		return
 	}
 	for _, t := range p.s.teams {
-		for _, g := range t.groups {
-			g.cursor = 0
-			if j := g.head(); j != nil && g.misfit.Err == nil {
-				p.wakeFor(g, j)
-			}
+		for i := range t.line.entries {
+			p.wakeFor(t.line.entries[i].group)
 		}
 	}
 }
 
-func (p *planner) wakeFor(g *group, j *job) {
+func (p *planner) wakeFor(g *group) {
+	g.cursor = 0
+	j := g.head()
+	if j == nil || g.misfit.Err != nil {
+		return
+	}
 	for _, at := range [...]model.Time{p.pressingFrom(j), g.searchAfter, g.holdAfter} {
 		if at > p.now {
 			p.wakeAt(at)
--- a/internal/schedule/planner.go
+++ b/internal/schedule/planner.go
@@ -81,7 +81,7 @@
 		placed = p.placeOne(j, size)
 	}
 	if !placed && !p.full {
-		g.blocked = true
+		p.leaveOut(g)
 		p.noRoom(j, size)
 	}
 }
@@ -108,12 +108,12 @@
 	}
 	if t.room() < n {
 		t.blocked = n == 1 || p.pressing(j)
-		g.blocked = true
+		p.leaveOut(g)
 		return false
 	}
 	if !t.withinBound(size.Mul(n)) {
 		t.blocked = p.pressing(j)
-		g.blocked = true
+		p.leaveOut(g)
 		return false
 	}
 	return true
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -35,10 +35,12 @@
 	bins        bins
 	shapes      map[shape]int64 // workers by class and capacity
 	judged      uint64          // change at which the groups were judged
+	counts      uint64          // grows with each change of the number of workers of a shape
+	judgedGangs uint64          // counts at which the gangs were judged
 	untold      bool            // a group has a misfit that was not told
 	plans       uint64          // made so far
 	undoing     bool            // a plan is being taken back
-	change      uint64          // grows with each change of what workers could take
+	change      uint64          // grows with each change of limits and of the shapes of workers
 	selectors   selectors
 	free        capacity.Index
 	rooms       rooms
@@ -48,6 +50,7 @@
 
 	jobs         map[model.JobID]*job
 	groups       map[groupKey]*group
+	byClass      map[uint64][]*group // groups by what is learned together
 	timers       timers
 	deadlines    deadlines
 	holds        []*hold
@@ -74,18 +77,20 @@
 // New returns a Scheduler of an empty cell.
 func New(o Options) *Scheduler {
 	o = o.withDefaults()
-	return &Scheduler{
+	s := &Scheduler{
 		opts:       o,
 		teamByName: map[string]int32{},
 		queues:     map[string]string{},
 		workerByID: map[model.WorkerID]int32{},
 		jobs:       map[model.JobID]*job{},
 		groups:     map[groupKey]*group{},
+		byClass:    map[uint64][]*group{},
 		shapes:     map[shape]int64{},
 		bins:       bins{shared: maxSeparateClasses},
-		learned:    learn.New(o.MaxClasses),
 		over:       map[taskRef]overUse{},
 	}
+	s.learned = learn.New(o.MaxClasses, s.learnedAnew)
+	return s
 }
 
 // Stats returns the counts of now.
@@ -182,9 +187,10 @@
 	}
 	g := s.groups[key]
 	if g == nil {
-		g = &group{groupKey: key, slot: -1}
+		g = &group{groupKey: key, slot: -1, sizedAt: noChange, judged: noChange}
 		s.groups[key] = g
 		s.selectors.all[key.selector].uses++
+		s.byClass[key.class] = append(s.byClass[key.class], g)
 	}
 	return g
 }
--- a/internal/schedule/team.go
+++ b/internal/schedule/team.go
@@ -22,12 +22,12 @@
 	stopping model.Resources // of reserved, by tasks told to stop
 	planned  model.Resources // of reserved, by tasks that the plan being made stops
 
-	groups  []*group            // with a live job
+	line    line                // of groups with a live job
 	victims *btree.BTreeG[*job] // that hold and may be stopped and run again
 	blocked bool                // in the plan being made
 	ranked  bool                // first and key are up to date
-	first   *group
-	key     int64 // precedence; the least comes first
+	first   int32               // position in line; -1 for none
+	key     int64               // precedence; the least comes first
 }
 
 // TeamUse is what a team holds now.
--- a/internal/schedule/tell.go
+++ b/internal/schedule/tell.go
@@ -111,7 +111,8 @@
 	}
 	p.s.untold = false
 	for _, t := range p.s.teams {
-		for _, g := range t.groups {
+		for i := range t.line.entries {
+			g := t.line.entries[i].group
 			if g.untold && g.misfit.Err != nil {
 				p.tellMisfit(g)
 			}
@@ -133,23 +134,23 @@
 
 // judgeGroups judges all groups anew after a change of the cell.
 func (s *Scheduler) judgeGroups() {
-	if s.judged == s.change {
+	if s.judged == s.change && s.judgedGangs == s.counts {
 		return
 	}
-	s.judged = s.change
+	s.judged, s.judgedGangs = s.change, s.counts
 	for _, t := range s.teams {
-		for _, g := range t.groups {
-			s.judgeGroup(g)
+		for i := range t.line.entries {
+			s.judgeGroup(t.line.entries[i].group)
 		}
 	}
 }
 
 // judgeGroup finds out whether the tasks of g can run anywhere.
 func (s *Scheduler) judgeGroup(g *group) {
-	if g.judged == s.change {
+	if g.judged == s.change && (g.gang == 0 || g.judgedCounts == s.counts) {
 		return
 	}
-	g.judged = s.change
+	g.judged, g.judgedCounts = s.change, s.counts
 	n := int64(max(g.gang, 1))
 	m := s.teamMisfit(g, n)
 	if m.Err == nil {
@@ -160,6 +161,7 @@
 	}
 	g.misfit = m
 	g.misfitVersion++
+	s.stale(g)
 	s.tellLater(g)
 }
 
--- a/internal/schedule/why.go
+++ b/internal/schedule/why.go
@@ -72,8 +72,8 @@
 func (w *why) team() {
 	t := w.s.teams[w.j.group.team]
 	ahead := int64(0)
-	for _, g := range t.groups {
-		for _, o := range g.jobs {
+	for i := range t.line.entries {
+		for _, o := range t.line.entries[i].group.jobs {
 			if o.ready > 0 && o.less(w.j) {
 				ahead++
 			}
