--- a/internal/schedule/tell.go
+++ b/internal/schedule/tell.go
@@ -104,19 +104,16 @@
 	return j
 }
 
-// misfits leaves the groups out of the plan that can run nowhere, and tells
-// their jobs when that is new.
+// misfits tells the jobs that can run nowhere, when that is new.
 func (p *planner) misfits() {
+	if !p.s.untold {
+		return
+	}
+	p.s.untold = false
 	for _, t := range p.s.teams {
-		for _, g := range t.groups {
-			if g.judged != p.s.change {
-				p.s.judgeGroup(g)
-			}
-			if g.misfit.Err == nil {
-				continue
-			}
-			g.blocked = true
-			if g.untold {
+		for i := range t.line.entries {
+			g := t.line.entries[i].group
+			if g.untold && g.misfit.Err != nil {
 				p.tellMisfit(g)
 			}
 		}
@@ -135,9 +132,25 @@
 	}
 }
 
+// judgeGroups judges all groups anew after a change of the cell.
+func (s *Scheduler) judgeGroups() {
+	if s.judged == s.change && s.judgedGangs == s.counts {
+		return
+	}
+	s.judged, s.judgedGangs = s.change, s.counts
+	for _, t := range s.teams {
+		for i := range t.line.entries {
+			s.judgeGroup(t.line.entries[i].group)
+		}
+	}
+}
+
 // judgeGroup finds out whether the tasks of g can run anywhere.
 func (s *Scheduler) judgeGroup(g *group) {
-	g.judged = s.change
+	if g.judged == s.change && (g.gang == 0 || g.judgedCounts == s.counts) {
+		return
+	}
+	g.judged, g.judgedCounts = s.change, s.counts
 	n := int64(max(g.gang, 1))
 	m := s.teamMisfit(g, n)
 	if m.Err == nil {
@@ -148,7 +161,16 @@
 	}
 	g.misfit = m
 	g.misfitVersion++
-	g.untold = m.Err != nil
+	s.stale(g)
+	s.tellLater(g)
+}
+
+// tellLater has the misfit of g, if any, told to its jobs that do not know it.
+func (s *Scheduler) tellLater(g *group) {
+	if g.misfit.Err != nil {
+		g.untold = true
+		s.untold = true
+	}
 }
 
 func sameMisfit(a, b Misfit) bool {
