--- a/internal/limit/account.go
+++ b/internal/limit/account.go
@@ -22,6 +22,10 @@
 	peak     int64         // most permits in use of late
 	decayed  time.Time     // when life and peak last decayed
 	waiters  []*waiter
+
+	contended bool // requests wait elsewhere
+	returning bool // an ask that gives up idle permits is due
+	toConfirm bool // the leader does not know yet that fewer are held
 }
 
 // covers reports whether a request that ends by deadline may start now.
@@ -66,7 +70,8 @@
 // demand states the account for an ask sent at now. Until its answer the
 // account starts nothing beyond what the demand says.
 func (a *account) demand(team string, seq uint64, now time.Time, period time.Duration) Demand {
-	if !now.Before(a.leaseEnd) {
+	leased := now.Before(a.leaseEnd)
+	if !leased {
 		a.permits = 0
 	}
 	held := max(a.permits, a.inUse)
@@ -77,6 +82,8 @@
 		InUse: a.inUse,
 		Want:  int64(len(a.waiters)),
 		Spare: a.spare(),
+
+		Leased: leased,
 	}
 	d.DeadlineMS = a.lifeToAsk(now, period).Milliseconds() + 1
 	return d
@@ -86,6 +93,9 @@
 // start before the ask after this one.
 func (a *account) lifeToAsk(now time.Time, period time.Duration) time.Duration {
 	until := max(a.lastEnd.Sub(now), a.horizon.Sub(now), 0)
+	for _, w := range a.waiters {
+		until = max(until, w.deadline.Sub(now))
+	}
 	if a.life > 0 {
 		until = max(until, a.life+2*period)
 	}
@@ -101,11 +111,19 @@
 // grant applies the answer g to the demand d that was sent at sent.
 func (a *account) grant(sent time.Time, d *Demand, g Grant, now time.Time) {
 	a.permits = g.Permits
+	a.contended = g.Contended
+	a.toConfirm = max(a.permits, a.inUse) < d.Held
 	a.leaseEnd = sent.Add(time.Duration(g.LeaseMS) * time.Millisecond)
 	a.horizon = sent.Add(time.Duration(d.DeadlineMS) * time.Millisecond)
 	a.serve(now)
 }
 
+// urgent reports whether the leader should hear of the account soon.
+func (a *account) urgent() bool {
+	idle := a.contended && a.inUse < a.permits
+	return len(a.waiters) > 0 || a.inUse > a.permits || a.toConfirm || idle
+}
+
 // decay forgets an eighth of the recent past, once a period.
 func (a *account) decay(now time.Time, period time.Duration) {
 	if now.Sub(a.decayed) < period {
--- /dev/null
+++ b/internal/limit/ceiling.go
@@ -0,0 +1,98 @@
+package limit
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Ceiling is an upper bound of the permits that a team may have outstanding in
+// sum. It is committed to the replicated state before more are granted, so that
+// a new leader knows at once how much an earlier one may have granted, and can
+// use the rest of each limit without a wait. It moves in steps, so that commits
+// are few.
+type Ceiling struct {
+	Team    string `cbor:"1,keyasint"`
+	Permits int64  `cbor:"2,keyasint"`
+}
+
+// freeCeiling is in force without a commit.
+const freeCeiling = 8
+
+// ceilingSlack is how many times smaller than the ceiling the use must be for
+// the ceiling to come down.
+const ceilingSlack = 4
+
+// ceiling is the state of one team's ceiling.
+type ceiling struct {
+	committed int64 // zero for none
+	pending   int64 // proposed and not yet committed; zero for none
+	wanted    int64 // needed for what was asked since the last proposal
+}
+
+// inForce returns the bound that a new leader would have to assume.
+func (c *ceiling) inForce() int64 { return max(c.committed, freeCeiling) }
+
+// usable returns the bound of what may be granted now: also within a lower
+// ceiling that may be committed at any moment.
+func (c *ceiling) usable() int64 {
+	if c.pending > 0 {
+		return min(c.pending, c.inForce())
+	}
+	return c.inForce()
+}
+
+// SetCeiling puts a committed ceiling in force.
+func (g *Granter) SetCeiling(name string, permits int64) {
+	c := &g.team(name).ceiling
+	c.committed = permits
+	if c.pending == permits {
+		c.pending = 0
+	}
+}
+
+// Ceilings returns the ceilings that should be committed now, sorted by team.
+// They must be proposed in the order in which they are returned. A ceiling is
+// returned again until SetCeiling is called for it, in case that its proposal
+// was lost; one that is to come down binds from the first time on.
+func (g *Granter) Ceilings() []Ceiling {
+	if !g.opts.Ceilings {
+		return nil
+	}
+	var out []Ceiling
+	for name, t := range g.teams {
+		t.propose()
+		if t.ceiling.pending > 0 {
+			out = append(out, Ceiling{Team: name, Permits: t.ceiling.pending})
+		}
+	}
+	slices.SortFunc(out, func(a, b Ceiling) int { return cmp.Compare(a.Team, b.Team) })
+	return out
+}
+
+// propose sets the pending ceiling where one is due.
+func (t *team) propose() {
+	c := &t.ceiling
+	if c.pending > 0 {
+		return
+	}
+	wanted := c.wanted
+	c.wanted = 0
+	if wanted > c.inForce() {
+		c.pending = stepUp(wanted)
+		return
+	}
+	used := t.counted + t.unknown
+	target := stepUp(max(used, wanted) * 2)
+	if used*ceilingSlack < c.inForce() && target < c.inForce() {
+		c.pending = target
+	}
+}
+
+// stepUp rounds n up to a power of two, at least freeCeiling.
+func stepUp(n int64) int64 {
+	step := int64(freeCeiling)
+	for step < n {
+		step *= 2
+	}
+	return step
+}
--- a/internal/limit/granter.go
+++ b/internal/limit/granter.go
@@ -13,6 +13,8 @@
 	Margin time.Duration
 	// Turn is how long a holder keeps a permit that others wait for.
 	Turn time.Duration
+	// Ceilings says that the caller commits ceilings: see Ceiling.
+	Ceilings bool
 }
 
 // Defaults of Options.
@@ -35,24 +37,34 @@
 	return o
 }
 
+// Longest returns the longest time for which a permit may be in use without a
+// word from its holder, when no request may last longer than life: what NewTerm
+// needs. It assumes that pools ask with the default period.
+func Longest(life time.Duration) time.Duration {
+	return max(DefaultLease, life+2*DefaultPeriod)
+}
+
 // team is the account of one team.
 type team struct {
 	limit    int64
 	tasks    int64
 	counted  int64 // sum over holdings
+	unknown  int64 // upper bound of an earlier term's permits that nobody has told of
+	ceiling  ceiling
 	holdings map[holder]*holding
+	known    map[holder]bool // holders taken from unknown
 }
 
-// free returns the permits that nobody can be using.
-func (t *team) free() int64 { return t.limit - t.tasks - t.counted }
+// free returns the permits that nobody can be using. It is negative while a
+// lowered limit is exceeded.
+func (t *team) free() int64 { return t.limit - t.tasks - t.counted - t.unknown }
 
 // Granter is the leader's account of permits. One goroutine owns it.
 type Granter struct {
 	opts       Options
 	teams      map[string]*team
 	epochs     map[string]uint64 // latest incarnation of each entry
-	quietUntil model.Time
-	expected   map[string]bool // entries that have not asked in this term
+	quietUntil model.Time        // permits of an earlier term may be in use until then
 }
 
 // NewGranter returns a Granter without teams. A team without a limit gets nothing.
@@ -67,8 +79,11 @@
 func (g *Granter) team(name string) *team {
 	t, ok := g.teams[name]
 	if !ok {
-		t = &team{holdings: make(map[holder]*holding)}
+		t = &team{holdings: make(map[holder]*holding), known: make(map[holder]bool)}
 		g.teams[name] = t
+		if g.quietUntil > 0 {
+			t.unknown = g.unknownOf(t)
+		}
 	}
 	return t
 }
@@ -84,23 +99,19 @@
 // reports false, and counts nothing, where the limit leaves no room.
 func (g *Granter) TakeForTasks(name string, n int64) bool {
 	t := g.team(name)
-	if g.quiet() || t.free() < n {
+	if t.free() < n {
 		return false
 	}
 	t.tasks += n
 	return true
 }
 
-// Outstanding returns the permits of the team that may be in use.
+// Outstanding returns the permits of the team that may be in use, as far as
+// holders have told of them in this term.
 func (g *Granter) Outstanding(name string) int64 { return g.team(name).counted }
 
 // Headroom returns how many more tasks of the team may start.
-func (g *Granter) Headroom(name string) int64 {
-	if g.quiet() {
-		return 0
-	}
-	return max(g.team(name).free(), 0)
-}
+func (g *Granter) Headroom(name string) int64 { return max(g.team(name).free(), 0) }
 
 // Ask takes the demands of an entry and returns its grants. Demands that are
 // older than one seen before, or of an earlier incarnation, get no grant.
@@ -112,7 +123,6 @@
 		g.lose(entry)
 		g.epochs[entry] = epoch
 	}
-	g.heard(entry)
 	g.endQuiet(now)
 	grants := make([]Grant, 0, len(demands))
 	for i := range demands {
@@ -126,9 +136,10 @@
 			Seq:     d.Seq,
 			Permits: permits,
 			LeaseMS: g.opts.Lease.Milliseconds(),
+
+			Contended: g.team(d.Team).contendedBeside(holder{entry, epoch}),
 		})
 	}
-	g.endQuietIfHeard()
 	return grants
 }
 
@@ -138,6 +149,7 @@
 	if !ok {
 		h = &holding{}
 		t.holdings[id] = h
+		t.recognize(id, d)
 	}
 	if d.Seq <= h.seq {
 		return 0, false
@@ -151,9 +163,20 @@
 	return permits, true
 }
 
+// recognize takes what a holder tells for the first time in this term from what
+// is unknown of an earlier one. What it holds without a lease was not counted
+// there any more.
+func (t *team) recognize(id holder, d *Demand) {
+	if t.unknown == 0 || t.known[id] || !d.Leased {
+		return
+	}
+	t.known[id] = true
+	t.unknown = max(t.unknown-d.held(), 0)
+}
+
 // confirm books what the holder says that it holds.
 func (g *Granter) confirm(t *team, h *holding, d *Demand, now model.Time) {
-	held := max(d.Held, d.InUse, 0)
+	held := d.held()
 	t.counted += held - h.counted
 	h.counted = held
 	h.seq = d.Seq
@@ -199,46 +222,39 @@
 }
 
 // NewTerm starts the account of a new leader, which does not know the permits
-// that the old one granted. Entries keep what they hold, and nothing is granted
-// beyond that until longest has passed: the longest time for which a permit of
-// the old leader may be in use, leases and deadlines included.
+// that the old one granted. Entries keep what they hold and tell it with their
+// next asks. Until longest has passed, what may be outstanding beyond that
+// stays counted: the committed ceiling of a team, or without ceilings its whole
+// limit. Longest is the longest time for which a permit of the old leader may
+// be in use, leases and deadlines included.
 func (g *Granter) NewTerm(now model.Time, longest time.Duration) {
+	g.epochs = make(map[string]uint64)
+	g.quietUntil = now.Add(longest + g.opts.Margin)
 	for _, t := range g.teams {
 		t.counted = 0
 		t.holdings = make(map[holder]*holding)
+		t.known = make(map[holder]bool)
+		t.unknown = g.unknownOf(t)
 	}
-	g.epochs = make(map[string]uint64)
-	g.expected = nil
-	g.quietUntil = now.Add(longest + g.opts.Margin)
 }
 
-// Expect ends the wait of a new term early: entries are all that may hold
-// permits, and once each of them has asked, every permit is counted.
-func (g *Granter) Expect(entries []string) {
-	g.expected = make(map[string]bool, len(entries))
-	for _, e := range entries {
-		g.expected[e] = true
-	}
-	g.endQuietIfHeard()
-}
+// everything stands for permits without a known bound.
+const everything = 1 << 40
 
-func (g *Granter) heard(entry string) {
-	if g.expected == nil {
-		return
+// unknownOf returns how many permits of t an earlier leader may have granted.
+func (g *Granter) unknownOf(t *team) int64 {
+	if !g.opts.Ceilings {
+		return everything
 	}
-	delete(g.expected, entry)
+	return t.ceiling.inForce()
 }
 
-func (g *Granter) quiet() bool { return g.quietUntil > 0 }
-
 func (g *Granter) endQuiet(now model.Time) {
-	if now >= g.quietUntil {
-		g.quietUntil = 0
+	if g.quietUntil == 0 || now < g.quietUntil {
+		return
 	}
-}
-
-func (g *Granter) endQuietIfHeard() {
-	if g.expected != nil && len(g.expected) == 0 {
-		g.quietUntil = 0
+	g.quietUntil = 0
+	for _, t := range g.teams {
+		t.unknown = 0
 	}
 }
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -19,14 +19,20 @@
 	// DeadlineMS is how long after the ask the last of the entry's requests may
 	// still run, in milliseconds. It covers all that start until the next ask.
 	DeadlineMS int64 `cbor:"7,keyasint,omitempty"`
+	Leased     bool  `cbor:"8,keyasint,omitempty"` // Held is under a lease that is not over
 }
 
+// held returns the permits that the demand speaks for.
+func (d *Demand) held() int64 { return max(d.Held, d.InUse, 0) }
+
 // Grant is the number of permits that an entry may use.
 type Grant struct {
 	Team    string `cbor:"1,keyasint"`
 	Seq     uint64 `cbor:"2,keyasint"` // of the demand that it answers
 	Permits int64  `cbor:"3,keyasint,omitempty"`
 	LeaseMS int64  `cbor:"4,keyasint"` // counted by the entry from when it sent the ask
+	// Contended says that requests wait for the team's permits elsewhere.
+	Contended bool `cbor:"5,keyasint,omitempty"`
 }
 
 // holder is one incarnation of one entry process.
--- a/internal/limit/pool.go
+++ b/internal/limit/pool.go
@@ -150,16 +150,24 @@
 
 func (p *Pool) release(team string) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	a := p.teams[team]
 	a.inUse--
 	a.serve(p.opts.Now())
-	returned := a.inUse >= a.permits
-	p.mu.Unlock()
-	if returned {
+	if a.inUse >= a.permits {
+		a.toConfirm = true
 		p.wake()
+		return
+	}
+	if a.inUse == 0 && !a.returning {
+		a.returning = true
+		time.AfterFunc(idleDelay, p.wake)
 	}
 }
 
+// idleDelay is how long permits stay unused before the leader hears of it.
+const idleDelay = DefaultTurn
+
 // wake makes Run ask soon.
 func (p *Pool) wake() {
 	select {
@@ -172,6 +180,7 @@
 func (p *Pool) Run(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	var whole time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -179,14 +188,20 @@
 		case <-timer.C:
 		case <-p.kick:
 		}
-		timer.Reset(p.round(ctx))
+		now := p.opts.Now()
+		all := now.Sub(whole) >= p.opts.Period
+		if all {
+			whole = now
+		}
+		timer.Reset(p.round(ctx, all))
 	}
 }
 
-// round asks once and returns the time until the next ask.
-func (p *Pool) round(ctx context.Context) time.Duration {
+// round asks once, for all teams or for those that are urgent, and returns the
+// time until the next ask.
+func (p *Pool) round(ctx context.Context, all bool) time.Duration {
 	sent := p.opts.Now()
-	demands := p.demands(sent)
+	demands := p.demands(sent, all)
 	if len(demands) == 0 {
 		return p.opts.Period
 	}
@@ -199,12 +214,16 @@
 	return p.opts.Period
 }
 
-// demands states what is held and wanted of every team in use.
-func (p *Pool) demands(now time.Time) []Demand {
+// demands states what is held and wanted of the teams in use.
+func (p *Pool) demands(now time.Time, all bool) []Demand {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := make([]Demand, 0, len(p.teams))
 	for name, a := range p.teams {
+		if !all && !a.urgent() && !a.returning {
+			continue
+		}
+		a.returning = false
 		p.seq++
 		a.decay(now, p.opts.Period)
 		out = append(out, a.demand(name, p.seq, now, p.opts.Period))
@@ -212,7 +231,7 @@
 	return out
 }
 
-// apply takes the answer to an ask and reports whether requests still wait.
+// apply takes the answer to an ask and reports whether the next one is urgent.
 func (p *Pool) apply(sent time.Time, demands []Demand, grants []Grant, err error) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -232,11 +251,12 @@
 			delete(p.teams, g.Team)
 		}
 	}
-	waiting := false
 	for _, a := range p.teams {
-		waiting = waiting || len(a.waiters) > 0 || a.inUse > a.permits
+		if a.urgent() {
+			return true
+		}
 	}
-	return waiting
+	return false
 }
 
 func (p *Pool) noteResult(err error) {
--- /dev/null
+++ b/internal/limit/safety_test.go
@@ -0,0 +1,320 @@
+package limit
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"pgregory.net/rapid"
+
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+const (
+	simTeam = "rota"
+	simLife = 4 * time.Second // longest request
+)
+
+// simEntry is one entry process with its own clock.
+type simEntry struct {
+	name    string
+	epoch   uint64
+	pool    *Pool
+	offset  time.Duration // of its clock
+	drift   int64         // of its clock, thousandths
+	waiting []*simRequest
+	frozen  bool
+}
+
+// simRequest is a request with what is needed to tell whether it runs.
+type simRequest struct {
+	w        *waiter
+	deadline time.Time // by the true clock
+}
+
+// sim drives pools and a granter and knows what truly runs.
+type sim struct {
+	t       *rapid.T
+	now     time.Time
+	granter *Granter
+	entries []*simEntry
+	running []*simRequest // got a permit
+	owners  map[*simRequest]*simEntry
+	late    []func() // asks that are still on their way
+	fate    string   // of the ask under way
+	limit   int64
+	tasks   int64
+	opts    Options
+	ceils   map[string]int64
+}
+
+func (e *simEntry) clock(s *sim) time.Time {
+	elapsed := s.now.Sub(time.Unix(0, 0))
+	return time.Unix(0, 0).Add(e.offset + elapsed + elapsed*time.Duration(e.drift)/1000)
+}
+
+// simUpstream carries the asks of one incarnation.
+type simUpstream struct {
+	sim   *sim
+	entry string
+	epoch uint64
+}
+
+func (u simUpstream) Ask(_ context.Context, demands []Demand) ([]Grant, error) {
+	s := u.sim
+	deliver := func() []Grant { return s.granter.Ask(u.entry, u.epoch, demands, model.TimeOf(s.now)) }
+	lost := errkind.New(errkind.NoLeader, "lost")
+	switch s.fate {
+	case "ask lost":
+		return nil, lost
+	case "ask late":
+		s.late = append(s.late, func() { deliver() })
+		return nil, lost
+	case "answer lost":
+		deliver()
+		return nil, lost
+	}
+	return deliver(), nil
+}
+
+func (s *sim) start(e *simEntry) {
+	e.epoch++
+	e.waiting = nil
+	e.pool = NewPool(PoolOptions{
+		Upstream: simUpstream{s, e.name, e.epoch},
+		Now:      func() time.Time { return e.clock(s) },
+		Log:      log.New(io.Discard),
+	})
+}
+
+func newSim(t *rapid.T, ceilings bool) *sim {
+	s := &sim{
+		t:      t,
+		now:    time.Unix(1000, 0),
+		limit:  int64(rapid.SampledFrom([]int{1, 2, 5, 40}).Draw(t, "limit")),
+		owners: make(map[*simRequest]*simEntry),
+		opts:   Options{Ceilings: ceilings},
+		ceils:  make(map[string]int64),
+	}
+	s.granter = NewGranter(s.opts)
+	s.granter.SetLimit(simTeam, s.limit)
+	for i := range rapid.IntRange(2, 8).Draw(t, "entries") {
+		e := &simEntry{
+			name:   fmt.Sprintf("e%d", i),
+			offset: time.Duration(rapid.Int64Range(-1e6, 1e6).Draw(t, "offset")) * time.Millisecond,
+			// Margin allows for a drift of 10 % over the longest life.
+			drift: rapid.Int64Range(-50, 50).Draw(t, "drift"),
+		}
+		s.start(e)
+		s.entries = append(s.entries, e)
+	}
+	return s
+}
+
+func (s *sim) pick() *simEntry { return rapid.SampledFrom(s.entries).Draw(s.t, "entry") }
+
+// collect moves requests that got a permit to the running ones.
+func (s *sim) collect() {
+	for _, e := range s.entries {
+		left := e.waiting[:0]
+		for _, r := range e.waiting {
+			select {
+			case <-r.w.ready:
+				s.running = append(s.running, r)
+				s.owners[r] = e
+			default:
+				left = append(left, r)
+			}
+		}
+		e.waiting = left
+	}
+}
+
+func (s *sim) acquire(t *rapid.T, e *simEntry) {
+	life := 100 * time.Millisecond
+	if rapid.Bool().Draw(t, "long") {
+		life = simLife
+	}
+	w, ok := e.pool.enter(simTeam, e.clock(s).Add(life))
+	// By the entry's clock the life may be a little shorter or longer.
+	r := &simRequest{w: w, deadline: s.now.Add(life * 1000 / time.Duration(1000+e.drift))}
+	if ok {
+		s.running = append(s.running, r)
+		s.owners[r] = e
+		return
+	}
+	e.waiting = append(e.waiting, r)
+}
+
+func (s *sim) release(t *rapid.T) {
+	if len(s.running) == 0 {
+		t.Skip("nothing runs")
+	}
+	i := rapid.IntRange(0, len(s.running)-1).Draw(t, "request")
+	r := s.running[i]
+	s.running = append(s.running[:i:i], s.running[i+1:]...)
+	if e := s.owners[r]; e != nil {
+		e.pool.release(simTeam)
+	}
+}
+
+func (s *sim) ask(t *rapid.T) {
+	e := s.pick()
+	s.fate = rapid.SampledFrom([]string{"ok", "ok", "ok", "ok", "ask lost", "ask late", "answer lost"}).Draw(t, "fate")
+	e.pool.round(context.Background(), true)
+	s.collect()
+}
+
+// load lets every entry that is not frozen ask and send.
+func (s *sim) load(t *rapid.T) {
+	s.fate = "ok"
+	for _, e := range s.entries {
+		if e.frozen {
+			continue
+		}
+		s.acquire(t, e)
+		e.pool.round(context.Background(), true)
+		s.collect()
+	}
+}
+
+// freeze stops or wakes an entry. It wakes with a request to send.
+func (s *sim) freeze(t *rapid.T) {
+	e := s.pick()
+	e.frozen = !e.frozen
+	if !e.frozen {
+		s.acquire(t, e)
+	}
+}
+
+func (s *sim) releaseSome(t *rapid.T) {
+	for range rapid.IntRange(1, 10).Draw(t, "releases") {
+		if len(s.running) > 0 {
+			s.release(t)
+		}
+	}
+}
+
+func (s *sim) deliverLate(t *rapid.T) {
+	if len(s.late) == 0 {
+		t.Skip("nothing is late")
+	}
+	i := rapid.IntRange(0, len(s.late)-1).Draw(t, "which")
+	late := s.late[i]
+	s.late = append(s.late[:i:i], s.late[i+1:]...)
+	late()
+}
+
+func (s *sim) pass(t *rapid.T) {
+	s.now = s.now.Add(time.Duration(rapid.Int64Range(1, 2000).Draw(t, "ms")) * time.Millisecond)
+	s.granter.Tick(model.TimeOf(s.now))
+}
+
+// crash replaces an entry process. What it sent goes on to its deadline.
+func (s *sim) crash(*rapid.T) {
+	e := s.pick()
+	for _, r := range s.running {
+		if s.owners[r] == e {
+			s.owners[r] = nil
+		}
+	}
+	s.start(e)
+}
+
+func (s *sim) lose(*rapid.T) { s.granter.Lost(s.pick().name, model.TimeOf(s.now)) }
+
+// elect replaces the leader. Only ceilings, limits and tasks are durable.
+func (s *sim) elect(*rapid.T) {
+	s.late = nil
+	s.granter = NewGranter(s.opts)
+	s.granter.SetLimit(simTeam, s.limit)
+	s.granter.SetTasks(simTeam, s.tasks)
+	for team, n := range s.ceils {
+		s.granter.SetCeiling(team, n)
+	}
+	// Drift makes an entry's clock up to 5 % slow.
+	s.granter.NewTerm(model.TimeOf(s.now), Longest(simLife)*21/20)
+}
+
+func (s *sim) commitCeilings(*rapid.T) {
+	for _, c := range s.granter.Ceilings() {
+		s.ceils[c.Team] = c.Permits
+		s.granter.SetCeiling(c.Team, c.Permits)
+	}
+}
+
+func (s *sim) tasksStart(t *rapid.T) {
+	n := rapid.Int64Range(1, 4).Draw(t, "tasks")
+	if s.granter.TakeForTasks(simTeam, n) {
+		s.tasks += n
+	}
+}
+
+func (s *sim) tasksEnd(t *rapid.T) {
+	s.tasks -= rapid.Int64Range(0, s.tasks).Draw(t, "ended")
+	s.granter.SetTasks(simTeam, s.tasks)
+}
+
+// check counts what truly runs: permits not released whose deadline is ahead.
+func (s *sim) check(t *rapid.T) {
+	var n int64
+	for _, r := range s.running {
+		if s.now.Before(r.deadline) {
+			n++
+		}
+	}
+	if n+s.tasks > s.limit {
+		t.Fatalf("%d requests and %d tasks run, limit %d", n, s.tasks, s.limit)
+	}
+}
+
+func testSafety(t *testing.T, ceilings bool) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t, ceilings)
+		act := func(f func(*rapid.T)) func(*rapid.T) {
+			return func(t *rapid.T) {
+				s.t = t
+				f(t)
+			}
+		}
+		// seldom lets f happen once in a while, so that what it upsets can recover.
+		seldom := func(f func(*rapid.T)) func(*rapid.T) {
+			return act(func(t *rapid.T) {
+				if rapid.IntRange(0, 7).Draw(t, "seldom") == 7 {
+					f(t)
+				}
+			})
+		}
+		send := act(func(t *rapid.T) { s.acquire(t, s.pick()) })
+		t.Repeat(map[string]func(*rapid.T){
+			"acquire":   send,
+			"acquire 2": send,
+			"release":   act(s.releaseSome),
+			"ask":       act(s.ask),
+			"ask 2":     act(s.ask),
+			"load":      act(s.load),
+			"load 2":    act(s.load),
+			"load 3":    act(s.load),
+			"late":      act(s.deliverLate),
+			"pass":      act(s.pass),
+			"pass 2":    act(s.pass),
+			"pass 3":    act(s.pass),
+			"freeze":    act(s.freeze),
+			"crash":     act(s.crash),
+			"lose":      seldom(s.lose),
+			"elect":     seldom(s.elect),
+			"ceilings":  act(s.commitCeilings),
+			"start":     seldom(s.tasksStart),
+			"end":       act(s.tasksEnd),
+			"":          s.check,
+		})
+	})
+}
+
+func TestTheLimitHoldsWhileEntriesAndLeadersFail(t *testing.T) { testSafety(t, false) }
+
+func TestTheLimitHoldsWithCommittedCeilings(t *testing.T) { testSafety(t, true) }
--- a/internal/limit/share.go
+++ b/internal/limit/share.go
@@ -15,20 +15,28 @@
 	if target < h.counted {
 		return target
 	}
-	if g.quiet() {
-		return h.counted
-	}
 	grow := min(target-h.counted, max(t.free(), 0))
+	if g.opts.Ceilings {
+		grow = t.underCeiling(grow)
+	}
 	if grow > 0 && h.want > 0 {
 		h.turn = now
 	}
 	return h.counted + grow
 }
 
+// underCeiling returns how much of grow the ceiling allows, and notes what is
+// wanted beyond it.
+func (t *team) underCeiling(grow int64) int64 {
+	out := t.counted + t.unknown
+	t.ceiling.wanted = max(t.ceiling.wanted, out+grow)
+	return max(min(grow, t.ceiling.usable()-out), 0)
+}
+
 // target returns the permits of h in a fair division of the team's limit. What
 // holders could use at once goes before what they expect to need soon.
 func (g *Granter) target(t *team, h *holding, now model.Time) int64 {
-	pool := max(t.limit-t.tasks-lostPermits(t), 0)
+	pool := t.divisible()
 	needed := int64(0)
 	wished := int64(0)
 	for _, o := range t.holdings {
@@ -48,6 +56,14 @@
 	return h.needs() + h.spare*left/wished
 }
 
+// divisible returns the permits that live holders may share. What is unknown of
+// an earlier term does not call back what they hold.
+func (t *team) divisible() int64 {
+	lost := lostPermits(t)
+	most := max(t.limit-t.tasks-lost, 0)
+	return min(most, max(most-t.unknown, t.counted-lost))
+}
+
 // lostPermits returns what holders that are not heard any more may be using.
 func lostPermits(t *team) int64 {
 	var n int64
@@ -115,3 +131,13 @@
 	}
 	return o.turn < h.turn
 }
+
+// contendedBeside reports whether a live holder other than id waits for permits.
+func (t *team) contendedBeside(id holder) bool {
+	for other, h := range t.holdings {
+		if other != id && !h.lost && h.want > 0 && h.needs() > h.counted {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/limit/share_test.go
@@ -0,0 +1,336 @@
+package limit
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// demandOf is an ask of a holder that uses all it holds.
+func demandOf(seq uint64, inUse, want int64) []Demand {
+	return []Demand{{Team: simTeam, Seq: seq, Held: inUse, InUse: inUse, Want: want, DeadlineMS: 1000, Leased: true}}
+}
+
+func granterWith(limit int64) *Granter {
+	g := NewGranter(Options{})
+	g.SetLimit(simTeam, limit)
+	return g
+}
+
+func TestDivisionOfALimit(t *testing.T) {
+	for _, row := range []struct {
+		name  string
+		limit int64
+		wants []int64
+		got   []int64
+	}{
+		{"all get what they want while there is enough", 10, []int64{2, 3, 5}, []int64{2, 3, 5}},
+		{"a full limit is divided evenly", 9, []int64{9, 9, 9}, []int64{3, 3, 3}},
+		{"a small want is met before large ones share the rest", 10, []int64{1, 50, 50}, []int64{1, 5, 4}},
+		{"one permit goes to one of eight", 1, []int64{1, 1, 1, 1, 1, 1, 1, 1}, []int64{1, 0, 0, 0, 0, 0, 0, 0}},
+		{"no limit gives nothing", 0, []int64{5}, []int64{0}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			g := granterWith(row.limit)
+			held := make([]int64, len(row.wants))
+			for round := range 6 {
+				for i, want := range row.wants {
+					name := fmt.Sprintf("e%d", i)
+					grants := g.Ask(name, 1, demandOf(uint64(round+1), held[i], want-held[i]), 0)
+					held[i] = grants[0].Permits
+				}
+			}
+			assert.DeepEqual(t, held, row.got)
+		})
+	}
+}
+
+// turnsSim serves eight entries that always have requests waiting.
+func turnsSim(t *testing.T, limit int64) []int {
+	t.Helper()
+	const (
+		step    = 5 * time.Millisecond
+		service = 10 * time.Millisecond
+		steps   = 20000
+	)
+	now := time.Unix(1000, 0)
+	g := granterWith(limit)
+	type client struct {
+		pool  *Pool
+		wait  *waiter
+		until time.Time
+	}
+	clients := make([]*client, 8)
+	for i := range clients {
+		up := upstreamFunc(func(d []Demand) []Grant {
+			return g.Ask(fmt.Sprintf("e%d", i), 1, d, model.TimeOf(now))
+		})
+		clients[i] = &client{pool: NewPool(PoolOptions{Upstream: up, Now: func() time.Time { return now }})}
+	}
+	served := make([]int, len(clients))
+	for n := range steps {
+		now = now.Add(step)
+		running := int64(0)
+		for i, c := range clients {
+			if !c.until.IsZero() && !now.Before(c.until) {
+				c.pool.release(simTeam)
+				c.until = time.Time{}
+				served[i]++
+			}
+			if c.wait == nil && c.until.IsZero() {
+				w, ok := c.pool.enter(simTeam, now.Add(time.Second))
+				c.wait = w
+				if ok {
+					c.until = now.Add(service)
+				}
+			}
+			if n%4 == i%4 {
+				c.pool.round(context.Background(), true)
+			}
+			if c.wait != nil {
+				select {
+				case <-c.wait.ready:
+					c.wait, c.until = nil, now.Add(service)
+				default:
+				}
+			}
+			if !c.until.IsZero() {
+				running++
+			}
+		}
+		assert.Assert(t, running <= limit, "%d run", running)
+	}
+	return served
+}
+
+type upstreamFunc func([]Demand) []Grant
+
+func (f upstreamFunc) Ask(_ context.Context, d []Demand) ([]Grant, error) { return f(d), nil }
+
+func TestEightEntriesShareASmallLimitByTurns(t *testing.T) {
+	for _, limit := range []int64{1, 2} {
+		served := turnsSim(t, limit)
+		least, most := served[0], served[0]
+		for _, n := range served {
+			least, most = min(least, n), max(most, n)
+		}
+		t.Logf("limit %d: served %v", limit, served)
+		assert.Assert(t, least > 0)
+		assert.Assert(t, most <= 2*least, "served %v", served)
+	}
+}
+
+func TestPermitsFollowDemandFromAnIdleEntry(t *testing.T) {
+	g := granterWith(10)
+	assert.Equal(t, g.Ask("a", 1, demandOf(1, 0, 10), 0)[0].Permits, int64(10))
+	assert.Equal(t, g.Ask("b", 1, demandOf(1, 0, 10), 0)[0].Permits, int64(0))
+	// "a" has become idle: what it holds is called back, and counted until it says so.
+	idle := []Demand{{Team: simTeam, Seq: 2, Held: 10, DeadlineMS: 1000}}
+	assert.Equal(t, g.Ask("a", 1, idle, 10)[0].Permits, int64(0))
+	assert.Equal(t, g.Ask("b", 1, demandOf(2, 0, 10), 20)[0].Permits, int64(0))
+	g.Ask("a", 1, demandOf(3, 0, 0), 30)
+	assert.Equal(t, g.Ask("b", 1, demandOf(3, 0, 10), 40)[0].Permits, int64(10))
+}
+
+func TestARequestPastTheHorizonWaitsForTheNextAsk(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := granterWith(10)
+	up := upstreamFunc(func(d []Demand) []Grant { return g.Ask("a", 1, d, model.TimeOf(now)) })
+	p := NewPool(PoolOptions{Upstream: up, Now: func() time.Time { return now }})
+	for range 2 {
+		w, ok := p.enter(simTeam, now.Add(100*time.Millisecond))
+		assert.Assert(t, !ok)
+		defer func() { <-w.ready }()
+	}
+	p.round(context.Background(), true)
+	p.release(simTeam)
+	permits, inUse := p.Held(simTeam)
+	assert.Assert(t, inUse < permits, "a permit is free")
+	long := now.Add(time.Minute)
+	w, ok := p.enter(simTeam, long)
+	assert.Assert(t, !ok, "the leader does not know of so late a deadline")
+	p.round(context.Background(), true)
+	<-w.ready
+	g.Lost("a", model.TimeOf(now))
+	g.Tick(model.TimeOf(long.Add(-time.Second)))
+	assert.Assert(t, g.Outstanding(simTeam) >= 2)
+	g.Tick(model.TimeOf(long.Add(time.Hour)))
+	assert.Equal(t, g.Outstanding(simTeam), int64(0))
+}
+
+func TestWhatIsHeldWithoutALeaseIsNotTakenFromTheUnknown(t *testing.T) {
+	g := NewGranter(Options{Ceilings: true})
+	g.SetLimit(simTeam, 8)
+	g.NewTerm(0, time.Minute)
+	// The old leader had given all eight to "b"; "a" woke with requests past their deadline.
+	g.Ask("a", 1, []Demand{{Team: simTeam, Seq: 9, Held: 4, InUse: 4}}, 1)
+	g.Ask("a", 1, []Demand{{Team: simTeam, Seq: 10}}, 2)
+	assert.Equal(t, g.Headroom(simTeam), int64(0))
+	g.Ask("b", 1, demandOf(5, 8, 0), 3)
+	assert.Equal(t, g.Headroom(simTeam), int64(0))
+	assert.Equal(t, g.Outstanding(simTeam), int64(8))
+}
+
+func TestACeilingThatComesDownBindsBeforeItIsCommitted(t *testing.T) {
+	g := NewGranter(Options{Ceilings: true})
+	g.SetLimit(simTeam, 1000)
+	g.SetCeiling(simTeam, 512)
+	lower := g.Ceilings()
+	assert.DeepEqual(t, lower, []Ceiling{{simTeam, freeCeiling}})
+	assert.Equal(t, g.Ask("a", 1, demandOf(1, 0, 300), 0)[0].Permits, int64(freeCeiling))
+	assert.DeepEqual(t, g.Ceilings(), lower)
+	g.SetCeiling(simTeam, lower[0].Permits)
+	raise := g.Ceilings()
+	assert.DeepEqual(t, raise, []Ceiling{{simTeam, 512}})
+	assert.Equal(t, g.Ask("a", 1, demandOf(2, 8, 292), 0)[0].Permits, int64(freeCeiling))
+	g.SetCeiling(simTeam, raise[0].Permits)
+	assert.Equal(t, g.Ask("a", 1, demandOf(3, 8, 292), 0)[0].Permits, int64(300))
+}
+
+func TestANewLeaderLeavesOnlyTheCeilingUnused(t *testing.T) {
+	g := NewGranter(Options{Ceilings: true})
+	g.SetLimit(simTeam, 1000)
+	g.SetCeiling(simTeam, 64)
+	g.NewTerm(0, time.Minute)
+	assert.Equal(t, g.Headroom(simTeam), int64(1000-64))
+	g.Tick(model.Time(2 * time.Minute.Milliseconds()))
+	assert.Equal(t, g.Headroom(simTeam), int64(1000))
+}
+
+func TestALateAskDoesNotUndoALaterOne(t *testing.T) {
+	g := granterWith(4)
+	g.Ask("a", 1, demandOf(2, 0, 4), 0)
+	assert.Equal(t, len(g.Ask("a", 1, demandOf(1, 0, 0), 1)), 0)
+	assert.Equal(t, g.Outstanding(simTeam), int64(4))
+}
+
+// lockedGranter lets pools of several goroutines reach one granter.
+type lockedGranter struct {
+	mu      *sync.Mutex
+	granter *Granter
+	entry   string
+}
+
+func (l lockedGranter) Ask(_ context.Context, d []Demand) ([]Grant, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.granter.Ask(l.entry, 1, d, model.TimeOf(time.Now())), nil
+}
+
+func TestEightEntriesRaceForOneLimit(t *testing.T) {
+	const (
+		limit    = 3
+		entries  = 8
+		clients  = 4  // of one entry
+		requests = 10 // of one client
+	)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var mu sync.Mutex
+	g := NewGranter(Options{Turn: time.Millisecond})
+	g.SetLimit(simTeam, limit)
+	var running, most atomic.Int64
+	var wg sync.WaitGroup
+	for i := range entries {
+		p := NewPool(PoolOptions{Upstream: lockedGranter{&mu, g, fmt.Sprintf("e%d", i)}, Poll: time.Millisecond})
+		go p.Run(ctx)
+		for range clients {
+			wg.Go(func() {
+				for range requests {
+					permit, err := p.Acquire(ctx, simTeam, time.Now().Add(time.Minute))
+					assert.Check(t, err)
+					n := running.Add(1)
+					for old := most.Load(); n > old && !most.CompareAndSwap(old, n); old = most.Load() {
+					}
+					runtime.Gosched()
+					running.Add(-1)
+					permit.Release()
+				}
+			})
+		}
+	}
+	wg.Wait()
+	assert.Assert(t, most.Load() <= limit, "%d ran at once", most.Load())
+}
+
+func TestWhyNoPermitCame(t *testing.T) {
+	for _, row := range []struct {
+		name     string
+		upstream Upstream
+		want     errkind.Kind
+	}{
+		{"the leader has none to give", upstreamFunc(func(d []Demand) []Grant {
+			return []Grant{{Team: simTeam, Seq: d[0].Seq, LeaseMS: 60000}}
+		}), errkind.LimitReached},
+		{"no leader answers", failing{}, errkind.NoLeader},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			p := NewPool(PoolOptions{Upstream: row.upstream, Log: log.New(io.Discard)})
+			w, ok := p.enter(simTeam, time.Now().Add(time.Minute))
+			assert.Assert(t, !ok)
+			p.round(context.Background(), true)
+			_, err := p.leave(simTeam, w)
+			assert.Equal(t, errkind.Of(err), row.want)
+			assert.Assert(t, errkind.RowOf(errkind.Of(err)).NotRun)
+		})
+	}
+}
+
+type failing struct{}
+
+func (failing) Ask(context.Context, []Demand) ([]Grant, error) {
+	return nil, errkind.New(errkind.NoLeader, "no leader")
+}
+
+// BenchmarkAsk is the leader's cost of one ask of one entry for one team that
+// every entry uses, with a full limit.
+func BenchmarkAsk(b *testing.B) {
+	for _, entries := range []int{6, 8, 47} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			g := granterWith(int64(entries) * 10)
+			names := make([]string, entries)
+			held := make([]int64, entries)
+			for i := range names {
+				names[i] = fmt.Sprintf("e%d", i)
+			}
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				i := n % entries
+				d := demandOf(uint64(n+1), held[i], 20)
+				held[i] = g.Ask(names[i], 1, d, model.Time(n))[0].Permits
+			}
+		})
+	}
+}
+
+func TestAWaitingRequestIsServedAfterTheLifeOfOthersIsForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	limit := int64(0)
+	up := upstreamFunc(func(d []Demand) []Grant {
+		return []Grant{{Team: simTeam, Seq: d[0].Seq, Permits: limit, LeaseMS: 3000}}
+	})
+	p := NewPool(PoolOptions{Upstream: up, Now: func() time.Time { return now }})
+	w, _ := p.enter(simTeam, now.Add(time.Minute))
+	for range 8 {
+		now = now.Add(DefaultPeriod)
+		p.round(context.Background(), true)
+	}
+	limit = 1
+	p.round(context.Background(), true)
+	select {
+	case <-w.ready:
+	default:
+		t.Fatal("the permit was not handed on")
+	}
+}
--- a/internal/owner/assign.go
+++ b/internal/owner/assign.go
@@ -29,12 +29,6 @@
 	t.balance()
 }
 
-func (t *Table) endQuietIfTold() {
-	if t.expected != nil && len(t.expected) == 0 {
-		t.quietUntil = 0
-	}
-}
-
 // assign gives every free executor to an entry of its region.
 func (t *Table) assign() {
 	for _, id := range sortedKeys(t.executors) {
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -83,7 +83,6 @@
 	executors  map[string]*executor
 	entries    map[string]*entry
 	quietUntil model.Time
-	expected   map[string]bool
 }
 
 // NewTable returns an empty table. Call NewTerm before it is used.
@@ -106,7 +105,6 @@
 	t.term = term
 	t.counter = 0
 	t.entries = make(map[string]*entry)
-	t.expected = nil
 	t.quietUntil = now.Add(longest + t.opts.Margin)
 	for id, e := range t.executors {
 		if e.withdrawn {
@@ -118,16 +116,6 @@
 	t.version = term << termShift
 }
 
-// Expect ends the wait of a new term early: entries are all that may own
-// executors, and once each has told what it holds, every owner is known.
-func (t *Table) Expect(entries []string) {
-	t.expected = make(map[string]bool, len(entries))
-	for _, e := range entries {
-		t.expected[e] = true
-	}
-	t.endQuietIfTold()
-}
-
 // Announce makes an executor known, or updates it.
 func (t *Table) Announce(spec model.ExecutorSpec, region string, leaving bool) {
 	e, ok := t.executors[spec.ID]
@@ -224,8 +212,6 @@
 		}
 		t.give(e, n, c.Epoch)
 	}
-	delete(t.expected, n.id)
-	t.endQuietIfTold()
 }
 
 func (t *Table) takeReleased(n *entry, released []Claim) {
@@ -327,3 +313,11 @@
 	}
 	return row
 }
+
+// Longest returns the longest time for which an owner may be sending, or
+// something that it sent may run, without a word from it, when no request may
+// last longer than life: what NewTerm needs. It assumes that entries renew
+// three times a lease.
+func Longest(life time.Duration) time.Duration {
+	return max(DefaultLease, life+2*DefaultLease/3)
+}
--- /dev/null
+++ b/internal/owner/table_test.go
@@ -0,0 +1,337 @@
+package owner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+const (
+	simRegion = "south"
+	simLife   = 4 * time.Second // longest request
+)
+
+// simEntry is one entry process. What it sent to each executor lasts to the
+// latest deadline there, by the true clock.
+type simEntry struct {
+	name    string
+	process uint64
+	leases  *Leases
+	offset  time.Duration
+	frozen  bool
+}
+
+// sending is what one process may be running at one executor.
+type sending struct {
+	entry    string
+	process  uint64
+	executor string
+}
+
+type sim struct {
+	now     time.Time
+	term    uint64
+	table   *Table
+	entries []*simEntry
+	specs   []model.ExecutorSpec
+	gone    map[string]bool // withdrawn executors
+	until   map[sending]time.Time
+	late    []*Renewal
+	epochs  map[string]uint64 // highest epoch that sent to an executor
+}
+
+func (s *sim) clock(e *simEntry) time.Time { return s.now.Add(e.offset) }
+
+func newSim(t *rapid.T) *sim {
+	s := &sim{
+		now:    time.Unix(1000, 0),
+		gone:   make(map[string]bool),
+		until:  make(map[sending]time.Time),
+		epochs: make(map[string]uint64),
+	}
+	for i := range rapid.IntRange(1, 6).Draw(t, "executors") {
+		s.specs = append(s.specs, model.ExecutorSpec{ID: fmt.Sprintf("x%d", i), Service: fmt.Sprintf("s%d", i%2), Slots: 8})
+	}
+	for i := range rapid.IntRange(1, 4).Draw(t, "entries") {
+		e := &simEntry{name: fmt.Sprintf("e%d", i), offset: time.Duration(rapid.Int64Range(-1e6, 1e6).Draw(t, "offset")) * time.Millisecond}
+		s.restart(e)
+		s.entries = append(s.entries, e)
+	}
+	s.elect(t)
+	return s
+}
+
+func (s *sim) restart(e *simEntry) {
+	e.process++
+	e.leases = NewLeases(e.name, e.name, simRegion, e.process)
+}
+
+func (s *sim) elect(*rapid.T) {
+	s.term++
+	s.late = nil
+	s.table = NewTable(Options{})
+	for _, spec := range s.specs {
+		if !s.gone[spec.ID] {
+			s.table.Announce(spec, simRegion, false)
+		}
+	}
+	s.table.NewTerm(s.term, model.TimeOf(s.now), Longest(simLife))
+}
+
+func (s *sim) renew(t *rapid.T, e *simEntry, fate string) {
+	r := e.leases.Renewal(s.clock(e), 0, simLife+2*DefaultLease/3)
+	switch fate {
+	case "lost":
+		return
+	case "late":
+		s.late = append(s.late, r)
+		return
+	}
+	answer, ok := s.table.Renew(r, model.TimeOf(s.now))
+	if ok && fate != "answer lost" {
+		e.leases.Apply(&answer)
+	}
+	s.releaseIdle(e)
+}
+
+// releaseIdle gives back what was asked for, once nothing runs there.
+func (s *sim) releaseIdle(e *simEntry) {
+	for _, o := range e.leases.Owned() {
+		if o.Release && !s.until[sending{e.name, e.process, o.Executor.ID}].After(s.now) {
+			e.leases.Released(o.Executor.ID, o.Epoch)
+		}
+	}
+}
+
+// send lets an entry send to every executor that it believes to own, and checks
+// that nobody else may be running anything there.
+func (s *sim) send(t *rapid.T, e *simEntry) {
+	for _, o := range e.leases.Owned() {
+		id := o.Executor.ID
+		life := time.Duration(rapid.Int64Range(1, simLife.Milliseconds()).Draw(t, "life")) * time.Millisecond
+		if !e.leases.Owns(id, o.Epoch, s.clock(e), s.clock(e).Add(life)) {
+			continue
+		}
+		mine := sending{e.name, e.process, id}
+		for other, until := range s.until {
+			if other.executor == id && other != mine && until.After(s.now) {
+				t.Fatalf("%v sends to %s while %v may still run there", mine, id, other)
+			}
+		}
+		if o.Epoch < s.epochs[id] {
+			t.Fatalf("%s got epoch %d after %d", id, o.Epoch, s.epochs[id])
+		}
+		s.epochs[id] = o.Epoch
+		if end := s.now.Add(life); end.After(s.until[mine]) {
+			s.until[mine] = end
+		}
+	}
+}
+
+func TestAnExecutorNeverHasTwoSenders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t)
+		pick := func(t *rapid.T) *simEntry { return rapid.SampledFrom(s.entries).Draw(t, "entry") }
+		seldom := func(f func(*rapid.T)) func(*rapid.T) {
+			return func(t *rapid.T) {
+				if rapid.IntRange(0, 5).Draw(t, "seldom") == 5 {
+					f(t)
+				}
+			}
+		}
+		renewAll := func(t *rapid.T) {
+			for _, e := range s.entries {
+				if !e.frozen {
+					s.renew(t, e, "ok")
+					s.send(t, e)
+				}
+			}
+		}
+		pass := func(t *rapid.T) {
+			s.now = s.now.Add(time.Duration(rapid.Int64Range(1, 2000).Draw(t, "ms")) * time.Millisecond)
+			s.table.Tick(model.TimeOf(s.now))
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"renew all":   renewAll,
+			"renew all 2": renewAll,
+			"pass":        pass,
+			"pass 2":      pass,
+			"send":        func(t *rapid.T) { s.send(t, pick(t)) },
+			"renew": func(t *rapid.T) {
+				s.renew(t, pick(t), rapid.SampledFrom([]string{"lost", "late", "answer lost"}).Draw(t, "fate"))
+			},
+			"late": func(t *rapid.T) {
+				for _, r := range s.late {
+					s.table.Renew(r, model.TimeOf(s.now))
+				}
+				s.late = nil
+			},
+			"freeze": func(t *rapid.T) { e := pick(t); e.frozen = !e.frozen; s.send(t, e) },
+			"crash":  seldom(func(t *rapid.T) { s.restart(pick(t)) }),
+			"lost":   seldom(func(t *rapid.T) { s.table.Lost(pick(t).name, model.TimeOf(s.now)) }),
+			"elect":  seldom(s.elect),
+			"withdraw": seldom(func(t *rapid.T) {
+				spec := rapid.SampledFrom(s.specs).Draw(t, "executor")
+				s.gone[spec.ID] = true
+				s.table.Withdraw(spec.ID)
+			}),
+			"announce": func(t *rapid.T) {
+				for _, spec := range s.specs {
+					delete(s.gone, spec.ID)
+					s.table.Announce(spec, simRegion, false)
+				}
+			},
+			"": func(t *rapid.T) { checkCounts(t, s.table) },
+		})
+	})
+}
+
+// checkCounts holds the counters of each entry against the rows.
+func checkCounts(t *rapid.T, table *Table) {
+	owned := make(map[string]int)
+	for _, e := range table.executors {
+		if !e.orphan() {
+			owned[e.owner]++
+		}
+	}
+	for id, n := range table.entries {
+		if n.owned != owned[id] {
+			t.Fatalf("%s owns %d, counted %d", id, owned[id], n.owned)
+		}
+	}
+}
+
+// region is a table with entries that renew in step, for the table tests.
+type region struct {
+	table   *Table
+	now     time.Time
+	entries map[string]*Leases
+}
+
+func newRegion(executors int, entries ...string) *region {
+	r := &region{table: NewTable(Options{}), now: time.Unix(1000, 0), entries: make(map[string]*Leases)}
+	for i := range executors {
+		r.table.Announce(model.ExecutorSpec{ID: fmt.Sprintf("x%02d", i), Service: "s", Slots: 8}, simRegion, false)
+	}
+	r.table.NewTerm(1, 0, 0)
+	for _, e := range entries {
+		r.entries[e] = NewLeases(e, e+":1", simRegion, 1)
+	}
+	return r
+}
+
+// settle renews all entries several times; nothing ever runs, so that what is
+// asked back is released at once.
+func (r *region) settle() {
+	for range 40 {
+		for _, name := range sortedKeys(r.entries) {
+			l := r.entries[name]
+			if a, ok := r.table.Renew(l.Renewal(r.now, 0, time.Second), model.TimeOf(r.now)); ok {
+				l.Apply(&a)
+			}
+			for _, o := range l.Owned() {
+				if o.Release {
+					l.Released(o.Executor.ID, o.Epoch)
+				}
+			}
+		}
+	}
+}
+
+func (r *region) counts() map[string]int {
+	out := make(map[string]int)
+	_, rows := r.table.Directory()
+	for _, row := range rows {
+		out[row.Owner]++
+	}
+	return out
+}
+
+func TestDivisionOfExecutors(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		act  func(r *region)
+		want map[string]int
+	}{
+		{"entries share the executors evenly", func(*region) {}, map[string]int{"a": 4, "b": 4, "c": 4}},
+		{"an entry that comes later gets its part", func(r *region) {
+			r.entries["d"] = NewLeases("d", "d:1", simRegion, 1)
+		}, map[string]int{"a": 3, "b": 3, "c": 3, "d": 3}},
+		{"an entry that leaves hands over at once", func(r *region) { r.entries["a"].Leave() }, map[string]int{"b": 6, "c": 6}},
+		{"a dead entry's executors wait for its requests", func(r *region) {
+			delete(r.entries, "a")
+			r.table.Lost("a", model.TimeOf(r.now))
+		}, map[string]int{"": 4, "b": 4, "c": 4}},
+		{"a dead entry's executors go to the others in the end", func(r *region) {
+			delete(r.entries, "a")
+			r.table.Lost("a", model.TimeOf(r.now))
+			r.now = r.now.Add(DefaultLease + DefaultMargin)
+			r.table.Tick(model.TimeOf(r.now.Add(-time.Second)))
+		}, map[string]int{"b": 6, "c": 6}},
+		{"an entry of another region gets nothing", func(r *region) {
+			r.entries["d"] = NewLeases("d", "d:1", "north", 1)
+		}, map[string]int{"a": 4, "b": 4, "c": 4}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			r := newRegion(12, "a", "b", "c")
+			r.settle()
+			row.act(r)
+			r.settle()
+			assert.DeepEqual(t, r.counts(), row.want)
+		})
+	}
+}
+
+func TestALeavingExecutorGetsNothingNewFromTheNextRenewalOn(t *testing.T) {
+	r := newRegion(1, "a")
+	r.settle()
+	l := r.entries["a"]
+	o := l.Owned()[0]
+	end := r.now.Add(100 * time.Millisecond)
+	assert.Assert(t, l.Owns("x00", o.Epoch, r.now, end))
+	r.table.Announce(o.Executor, simRegion, true)
+	r.settle()
+	assert.Assert(t, !l.Owns("x00", o.Epoch, r.now, end))
+}
+
+func TestAnUnchangedSetIsNotSentAgain(t *testing.T) {
+	r := newRegion(8, "a")
+	r.settle()
+	l := r.entries["a"]
+	a, ok := r.table.Renew(l.Renewal(r.now, 0, time.Second), model.TimeOf(r.now))
+	assert.Assert(t, ok)
+	assert.Assert(t, !a.Changed)
+	assert.Equal(t, len(a.Owned), 0)
+}
+
+// BenchmarkRenew is the leader's cost of one renewal in one region of the
+// target: 47 entries and 9,600 executors.
+func BenchmarkRenew(b *testing.B) {
+	for _, n := range []struct{ entries, executors int }{{8, 100}, {8, 600}, {47, 9600}} {
+		b.Run(fmt.Sprintf("entries=%d/executors=%d", n.entries, n.executors), func(b *testing.B) {
+			names := make([]string, n.entries)
+			for i := range names {
+				names[i] = fmt.Sprintf("e%02d", i)
+			}
+			r := newRegion(n.executors, names...)
+			for _, name := range names {
+				l := r.entries[name]
+				for range 2 {
+					a, _ := r.table.Renew(l.Renewal(r.now, 0, time.Second), model.TimeOf(r.now))
+					l.Apply(&a)
+				}
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				l := r.entries[names[i%len(names)]]
+				a, _ := r.table.Renew(l.Renewal(r.now, 0, time.Second), model.TimeOf(r.now))
+				l.Apply(&a)
+			}
+		})
+	}
+}
