--- /dev/null
+++ b/internal/wire/bench_test.go
@@ -0,0 +1,127 @@
+package wire
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"strconv"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus/testutil"
+)
+
+type sizedRequest struct {
+	Body []byte `cbor:"1,keyasint"`
+}
+
+func benchPair(b *testing.B) (from, to *Endpoint) {
+	from = listen(b, "a", nil)
+	to = listen(b, "b", func(o *Options) { o.Region = "north" })
+	Handle(to, KindProbe, func(context.Context, Peer, *sizedRequest) (*echoResponse, error) {
+		return &echoResponse{}, nil
+	})
+	return from, to
+}
+
+// reportBytes adds the bytes of messages and of QUIC packets an operation, both ways.
+func reportBytes(b *testing.B, e *Endpoint) {
+	for _, c := range e.allConns() {
+		c.countPackets()
+	}
+	messages, packets := 0.0, 0.0
+	for _, d := range []string{sent, received} {
+		messages += testutil.ToFloat64(e.metrics.bytes.WithLabelValues("consensus", d, "south", "north"))
+		messages += testutil.ToFloat64(e.metrics.bytes.WithLabelValues("request", d, "south", "north"))
+		packets += testutil.ToFloat64(e.metrics.packetBytes.WithLabelValues(d, "south", "north"))
+	}
+	b.ReportMetric(messages/float64(b.N), "message-B/op")
+	b.ReportMetric(packets/float64(b.N), "packet-B/op")
+}
+
+// BenchmarkCall is one call after the other, by the size of the request.
+func BenchmarkCall(b *testing.B) {
+	for _, size := range []int{0, 1000, 10_000, 100_000} {
+		b.Run(strconv.Itoa(size), func(b *testing.B) {
+			from, to := benchPair(b)
+			req := &sizedRequest{Body: make([]byte, size)}
+			ctx := context.Background()
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := Call[sizedRequest, echoResponse](ctx, from, to.Address(), KindProbe, req); err != nil {
+					b.Fatal(err)
+				}
+			}
+			reportBytes(b, from)
+		})
+	}
+}
+
+// BenchmarkCallsAtOnce is the rate of small calls, 64 at once.
+func BenchmarkCallsAtOnce(b *testing.B) {
+	from, to := benchPair(b)
+	ctx := context.Background()
+	b.SetParallelism(64)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if _, err := Call[sizedRequest, echoResponse](ctx, from, to.Address(), KindProbe, &sizedRequest{}); err != nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+	reportBytes(b, from)
+}
+
+// BenchmarkPost is one-way messages of 100 bytes, until all have arrived.
+func BenchmarkPost(b *testing.B) {
+	from, to := benchPair(b)
+	done := make(chan struct{})
+	n := 0
+	HandlePost(to, KindReplica, func(_ Peer, _ *sizedRequest) {
+		if n++; n == b.N {
+			close(done)
+		}
+	})
+	req := &sizedRequest{Body: make([]byte, 100)}
+	b.ResetTimer()
+	for range b.N {
+		for Post(from, to.Address(), KindReplica, req) != nil {
+			b.StopTimer() // the queue is full: let it run empty
+			waitFor(b, func() bool { return from.peer(to.Address()).idleQueue() })
+			b.StartTimer()
+		}
+	}
+	<-done
+	reportBytes(b, from)
+}
+
+func (p *peer) idleQueue() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queued.count == 0
+}
+
+// BenchmarkExchange is one exchange with a body of 1 MB each way.
+func BenchmarkExchange(b *testing.B) {
+	const size = 1 << 20
+	from, to := benchPair(b)
+	HandleExchange(to, KindForward, func(_ context.Context, _ Peer, _ *echoRequest, body io.Reader, reply *Reply) {
+		reply.Send(&echoResponse{})
+		if _, err := io.Copy(reply, body); err == nil {
+			reply.Close()
+		}
+	})
+	body := make([]byte, size)
+	b.SetBytes(2 * size)
+	for b.Loop() {
+		_, r, err := Open[echoRequest, echoResponse](context.Background(), from, to.Address(), KindForward, &echoRequest{}, bytes.NewReader(body))
+		if err != nil {
+			b.Fatal(err)
+		}
+		if n, err := io.Copy(io.Discard, r); err != nil || n != size {
+			b.Fatal(n, err)
+		}
+		r.Close()
+	}
+	reportBytes(b, from)
+}
--- a/internal/wire/faults.go
+++ b/internal/wire/faults.go
@@ -69,8 +69,8 @@
 
 // faultyConn is a socket that loses packets as its Faults say.
 type faultyConn struct {
-	net.PacketConn
-	faults *Faults
+	net.PacketConn // a *net.UDPConn, with its batch reads and writes hidden
+	faults         *Faults
 }
 
 // WriteTo implements net.PacketConn. A lost packet looks sent.
@@ -90,3 +90,11 @@
 		}
 	}
 }
+
+// SetReadBuffer passes on the buffer size that the transport asks for, in bytes.
+func (c *faultyConn) SetReadBuffer(n int) error { return c.PacketConn.(*net.UDPConn).SetReadBuffer(n) }
+
+// SetWriteBuffer passes on the buffer size that the transport asks for, in bytes.
+func (c *faultyConn) SetWriteBuffer(n int) error {
+	return c.PacketConn.(*net.UDPConn).SetWriteBuffer(n)
+}
--- /dev/null
+++ b/internal/wire/faults_test.go
@@ -0,0 +1,305 @@
+package wire
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"gotest.tools/v3/assert"
+
+	"github.com/filbertmast/filbertmast/internal/errkind"
+)
+
+func pair(t *testing.T) (a, b *Endpoint, faults *Faults) {
+	faults = new(Faults)
+	a = listen(t, "a", func(o *Options) { o.Faults = faults })
+	b = listen(t, "b", nil)
+	return a, b, faults
+}
+
+func echo(ctx context.Context, from *Endpoint, to string, text string) error {
+	_, err := Call[echoRequest, echoResponse](ctx, from, to, KindProbe, &echoRequest{Text: text})
+	return err
+}
+
+func TestCallToASilentAddressIsUnreachable(t *testing.T) {
+	a, b, faults := pair(t)
+	handleEcho(b)
+	faults.Cut(b.Address())
+	err := echo(testContext(t), a, b.Address(), "x")
+	assert.Equal(t, errkind.Of(err), errkind.Unreachable)
+	err = echo(testContext(t), a, b.Address(), "x")
+	assert.Equal(t, errkind.Of(err), errkind.Unreachable) // at once, during the backoff
+	assert.Assert(t, errkind.RetryAfter(err) <= redialMax)
+}
+
+func TestConnectionComesBackAfterACut(t *testing.T) {
+	a, b, faults := pair(t)
+	handleEcho(b)
+	faults.Cut(b.Address())
+	assert.Assert(t, echo(testContext(t), a, b.Address(), "x") != nil)
+	faults.Heal()
+	waitFor(t, func() bool { return echo(testContext(t), a, b.Address(), "x") == nil })
+}
+
+func TestCallCutOffInTheMiddleIsNeverToldAsNotRun(t *testing.T) {
+	for name, cut := range map[string]func(*Faults, string){
+		"both ways":                  (*Faults).Cut,
+		"only on the way there":      (*Faults).CutTo,
+		"only on the way back":       (*Faults).CutFrom,
+		"with every peer, both ways": func(f *Faults, _ string) { f.CutAll() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b, faults := pair(t)
+			handleEcho(b)
+			assert.NilError(t, echo(testContext(t), a, b.Address(), "connected"))
+			cut(faults, b.Address())
+			ctx, cancel := context.WithTimeout(testContext(t), 300*time.Millisecond)
+			defer cancel()
+			err := echo(ctx, a, b.Address(), "x")
+			assert.Equal(t, errkind.Of(err), errkind.DeadlineExceeded)
+			assert.Assert(t, !errkind.RowOf(errkind.Of(err)).NotRun)
+		})
+	}
+}
+
+func TestHandlerSeesThatItsCallerLeft(t *testing.T) {
+	a, b, _ := pair(t)
+	entered, left := make(chan struct{}), make(chan struct{})
+	Handle(b, KindProbe, func(ctx context.Context, _ Peer, _ *echoRequest) (*echoResponse, error) {
+		close(entered)
+		<-ctx.Done()
+		close(left)
+		return nil, ctx.Err()
+	})
+	ctx, cancel := context.WithCancel(testContext(t))
+	go func() {
+		<-entered
+		cancel()
+	}()
+	err := echo(ctx, a, b.Address(), "x")
+	assert.Equal(t, errkind.Of(err), errkind.OutcomeUnknown)
+	<-left
+}
+
+func TestHandlerGetsTheDeadlineOfItsCaller(t *testing.T) {
+	a, b, _ := pair(t)
+	Handle(b, KindProbe, func(ctx context.Context, _ Peer, _ *echoRequest) (*echoResponse, error) {
+		if _, ok := ctx.Deadline(); !ok {
+			return nil, errkind.New(errkind.BadRequest, "no deadline")
+		}
+		return &echoResponse{}, nil
+	})
+	assert.NilError(t, echo(testContext(t), a, b.Address(), "x"))
+}
+
+func TestPeerThatClosesInTheMiddleLeavesTheOutcomeUnknown(t *testing.T) {
+	a, b, _ := pair(t)
+	entered := make(chan struct{})
+	Handle(b, KindProbe, func(ctx context.Context, _ Peer, _ *echoRequest) (*echoResponse, error) {
+		close(entered)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	go func() {
+		<-entered
+		b.Close()
+	}()
+	err := echo(testContext(t), a, b.Address(), "x")
+	assert.Equal(t, errkind.Of(err), errkind.OutcomeUnknown)
+}
+
+func TestRestartedPeerIsFoundAtItsOldAddress(t *testing.T) {
+	a, b, _ := pair(t)
+	handleEcho(b)
+	address := b.Address()
+	assert.NilError(t, echo(testContext(t), a, address, "x"))
+	b.socket.Close() // as a killed process: nothing is said
+	again := listen(t, "b", func(o *Options) { o.Address = address })
+	handleEcho(again)
+	waitFor(t, func() bool {
+		ctx, cancel := context.WithTimeout(testContext(t), time.Second)
+		defer cancel()
+		return echo(ctx, a, address, "x") == nil
+	})
+}
+
+// failingBody gives its text, waits, and ends with an error.
+type failingBody struct {
+	r    io.Reader
+	wait chan struct{}
+}
+
+var errBody = errors.New("the caller's body broke")
+
+func (f *failingBody) Read(p []byte) (int, error) {
+	n, err := f.r.Read(p)
+	if err == io.EOF {
+		<-f.wait
+		err = errBody
+	}
+	return n, err
+}
+
+func TestBodyThatBreaksIsNeverTakenForAShortOne(t *testing.T) {
+	a, b, _ := pair(t)
+	entered, got := make(chan struct{}), make(chan error, 1)
+	HandleExchange(b, KindForward, func(_ context.Context, _ Peer, _ *echoRequest, body io.Reader, _ *Reply) {
+		close(entered)
+		_, err := io.ReadAll(body)
+		got <- err
+	})
+	body := &failingBody{strings.NewReader("half"), entered}
+	_, _, err := Open[echoRequest, echoResponse](testContext(t), a, b.Address(), KindForward, &echoRequest{}, body)
+	assert.Equal(t, errkind.Of(err), errkind.OutcomeUnknown)
+	assert.Equal(t, errkind.Of(<-got), errkind.AnswerCutOff)
+}
+
+func TestAnswerThatBreaksIsNeverTakenForAShortOne(t *testing.T) {
+	for name, end := range map[string]func(*Reply){
+		"the handler returns before the end": func(*Reply) {},
+		"the handler fails after the head":   func(r *Reply) { r.Fail(errBody) },
+		"the handler panics":                 func(*Reply) { panic("asked to") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b, _ := pair(t)
+			read := make(chan struct{})
+			HandleExchange(b, KindForward, func(_ context.Context, _ Peer, _ *echoRequest, _ io.Reader, reply *Reply) {
+				reply.Send(&echoResponse{})
+				reply.Write([]byte("half"))
+				<-read
+				end(reply)
+			})
+			_, r, err := Open[echoRequest, echoResponse](testContext(t), a, b.Address(), KindForward, &echoRequest{}, nil)
+			assert.NilError(t, err)
+			_, err = io.ReadFull(r, make([]byte, len("half")))
+			assert.NilError(t, err)
+			close(read)
+			_, err = io.ReadAll(r)
+			assert.Equal(t, errkind.Of(err), errkind.AnswerCutOff)
+			r.Close()
+		})
+	}
+}
+
+func TestExchangeErrorsCrossWithTheirKind(t *testing.T) {
+	a, b, _ := pair(t)
+	HandleExchange(b, KindForward, func(_ context.Context, _ Peer, _ *echoRequest, _ io.Reader, reply *Reply) {
+		reply.Fail(errkind.New(errkind.OwnerMoved, "elsewhere"))
+	})
+	_, _, err := Open[echoRequest, echoResponse](testContext(t), a, b.Address(), KindForward, &echoRequest{}, strings.NewReader("x"))
+	assert.Equal(t, errkind.Of(err), errkind.OwnerMoved)
+}
+
+func TestAnswerClosedEarlyStopsTheHandler(t *testing.T) {
+	a, b, _ := pair(t)
+	stopped := make(chan error, 1)
+	HandleExchange(b, KindForward, func(_ context.Context, _ Peer, _ *echoRequest, _ io.Reader, reply *Reply) {
+		reply.Send(&echoResponse{})
+		for {
+			if _, err := reply.Write(make([]byte, chunkSize)); err != nil {
+				stopped <- err
+				return
+			}
+		}
+	})
+	_, r, err := Open[echoRequest, echoResponse](testContext(t), a, b.Address(), KindForward, &echoRequest{}, nil)
+	assert.NilError(t, err)
+	r.Close()
+	assert.Assert(t, <-stopped != nil)
+}
+
+func TestPostsToASilentPeerAreBoundedAndCounted(t *testing.T) {
+	registry := prometheus.NewRegistry()
+	faults := new(Faults)
+	a := listen(t, "a", func(o *Options) { o.Faults, o.Registerer = faults, registry })
+	faults.CutAll()
+	big := make([]byte, maxQueuedBytes/8)
+	refused := 0
+	for range 16 {
+		if err := Post(a, "127.0.0.1:1", KindReplica, &big); err != nil {
+			assert.Equal(t, errkind.Of(err), errkind.Overloaded)
+			refused++
+		}
+	}
+	assert.Assert(t, refused >= 16-8)
+	waitFor(t, func() bool {
+		return testutil.ToFloat64(a.metrics.dropped.WithLabelValues("consensus", reasonUnreachable)) > 0
+	})
+	waitFor(t, func() bool {
+		p := a.peer("127.0.0.1:1")
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.queued == queueUse{}
+	})
+}
+
+func TestCopiesLeaveRoomForConsensusInTheQueue(t *testing.T) {
+	faults := new(Faults)
+	a := listen(t, "a", func(o *Options) { o.Faults = faults })
+	faults.CutAll()
+	p := a.peer("127.0.0.1:1")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.queued.bytes = maxQueuedBytes / 2
+	assert.Assert(t, !p.hasRoom(ClassCopy, 1))
+	assert.Assert(t, p.hasRoom(ClassConsensus, 1))
+}
+
+// TestPostsAreNeverRepeatedOrReordered breaks connections while numbers are
+// posted: some may be lost, and those that arrive must rise.
+func TestPostsAreNeverRepeatedOrReordered(t *testing.T) {
+	a, b, _ := pair(t)
+	const count = 2000
+	var last atomic.Int64
+	var wrong atomic.Bool
+	HandlePost(b, KindReplica, func(_ Peer, n *int64) {
+		if *n <= last.Swap(*n) {
+			wrong.Store(true)
+		}
+	})
+	next := int64(0)
+	post := func() {
+		next++
+		assert.NilError(t, Post(a, b.Address(), KindReplica, &next))
+	}
+	for range count {
+		if post(); next%100 == 0 {
+			for _, c := range a.allConns() {
+				c.close(codeClosed, "broken by the test")
+			}
+		}
+	}
+	waitFor(t, func() bool {
+		post()
+		return last.Load() > count
+	})
+	assert.Assert(t, !wrong.Load())
+}
+
+func TestProcessWithoutACertificateOfTheAuthorityIsTurnedAway(t *testing.T) {
+	b := listen(t, "b", nil)
+	handleEcho(b)
+	foreign, err := makeLocalTLS()
+	assert.NilError(t, err)
+	known, err := localTLS()
+	assert.NilError(t, err)
+	for name, config := range map[string]*tls.Config{
+		"neither trusts the other":                   foreign,
+		"the caller trusts, and shows a foreign one": {Certificates: foreign.Certificates, RootCAs: known.RootCAs},
+		"the caller trusts, and shows none":          {RootCAs: known.RootCAs},
+		"the caller is trusted, and does not trust":  {Certificates: known.Certificates, RootCAs: foreign.RootCAs},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := listen(t, "a", func(o *Options) { o.TLS = config })
+			assert.Equal(t, errkind.Of(echo(testContext(t), a, b.Address(), "x")), errkind.Unreachable)
+		})
+	}
+}
