--- a/internal/client/jobs.go
+++ b/internal/client/jobs.go
@@ -44,16 +44,22 @@
 
 // JobQuery says what to be told about a job.
 type JobQuery struct {
-	Wait model.Duration // how long the answer may wait for the job's end
-	Why  bool           // tell what holds waiting tasks
+	// Wait is how long the answer may wait for the job's end, or for a version
+	// above Since.
+	Wait  model.Duration
+	Since uint64
+	Why   bool // tell what holds waiting tasks
 }
 
-// Job returns one job, at once or when it has ended.
+// Job returns one job, at once or after the wait that q asks for.
 func (c *Client) Job(ctx context.Context, id model.JobID, q JobQuery) (api.JobView, error) {
 	query := make(url.Values)
 	if q.Wait > 0 {
 		query.Set("wait", q.Wait.String())
 	}
+	if q.Since > 0 {
+		query.Set("since", strconv.FormatUint(q.Since, 10))
+	}
 	if q.Why {
 		query.Set("why", "true")
 	}
@@ -65,7 +71,8 @@
 // jobsPage is how many jobs one call asks for.
 const jobsPage = 1000
 
-// Jobs returns all jobs of the key's team whose labels match selector.
+// Jobs returns all jobs of the key's team whose labels match selector, in the
+// order of their IDs.
 func (c *Client) Jobs(ctx context.Context, selector string) ([]api.JobView, error) {
 	query := url.Values{"limit": {strconv.Itoa(jobsPage)}}
 	if selector != "" {
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -140,21 +140,28 @@
 func TestWorkersCordonDrainOpen(t *testing.T) {
 	f := newFake(t)
 	view := api.WorkerView{Spec: model.WorkerSpec{ID: "w-1", Capacity: model.Resources{CPU: 4000}}, Mode: "draining", Tasks: 2}
-	f.answers("POST /v1/workers/w-1/cordon", view)
-	f.answers("POST /v1/workers/w-1/drain", view)
-	f.answers("POST /v1/workers/w-1/open", view)
+	for _, action := range []string{"cordon", "drain", "open"} {
+		f.answers("POST /v1/workers/w-1/"+action, view)
+	}
+	other := api.WorkerView{Spec: model.WorkerSpec{ID: "w-2"}, Tasks: 50}
+	emptied := false
 	f.HandleFunc("GET /v1/workers", func(w http.ResponseWriter, _ *http.Request) {
-		_ = json.NewEncoder(w).Encode(api.WorkerList{Workers: []api.WorkerView{view}})
-		view.Tasks = 0
+		_ = json.NewEncoder(w).Encode(api.WorkerList{Workers: []api.WorkerView{view, other}})
+		if emptied {
+			view.Tasks = 0
+		}
 	})
 	for _, name := range []string{"cordon", "drain", "open"} {
 		r := run(t, name, "w-1")
 		assert.Equal(t, r.code, 0, r.err)
 		assert.Assert(t, strings.Contains(r.out, "w-1     draining"), r.out)
 	}
-	r := runWith(t, "", true, "drain", "w-1", "--wait")
+	r := run(t, "drain", "w-1", "--wait", "--wait-timeout", "0s")
+	assert.Equal(t, r.code, errkind.ExitUnknown, r.err)
+	assert.Assert(t, strings.Contains(r.err, "2 tasks still on the workers"), r.err)
+	emptied = true
+	r = runWith(t, "", true, "drain", "w-1", "--wait")
 	assert.Equal(t, r.code, 0, r.err)
-	assert.Assert(t, strings.Contains(r.err, "2 tasks left"), r.err)
 	assert.Assert(t, strings.Contains(run(t, "workers").out, "0/4000"))
 }
 
--- a/internal/command/workers.go
+++ b/internal/command/workers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
 
 	"github.com/filbertmast/filbertmast/internal/api"
@@ -73,3 +74,14 @@
 	}
 	return a.tellWorkers(views)
 }
+
+// namedWorkers returns those of the workers called ids that are known.
+func namedWorkers(ctx context.Context, cl *client.Client, ids []string) ([]api.WorkerView, error) {
+	workers, err := cl.Workers(ctx, "")
+	if err != nil {
+		return nil, err
+	}
+	return slices.DeleteFunc(workers, func(w api.WorkerView) bool {
+		return !slices.Contains(ids, string(w.Spec.ID))
+	}), nil
+}
