Let a new leader grant at once what an earlier one cannot have granted

Cause: a new leader gave out no executor, and no permit or task start beyond what entries told of, until the longest deadline was over (64 s), also on the first start of a cell and when the leader's own entry died with it. Ruled out: ending the wait when every entry has told what it holds, since a restarted entry cannot speak for what its former process sent. Change: a committed ceiling a team bounds what is unknown of its permits; the wait for silent owners counts an executor, and only for those that the state knew at the start of the term or that were withdrawn lately.

--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -187,16 +187,35 @@
 	}
 	l.syncLimits()
 	grants := l.permits.Ask(req.Entry, req.Incarnation, req.Demands, l.c.s.now())
+	l.proposeCeilings()
 	for i := range req.Demands {
 		l.holdRequests(req.Demands[i].Team)
 	}
 	confirmed(l.c, done, &proto.Granted{Grants: grants})
 }
 
-// holdRequests tells the scheduler how much of a team's limit requests may be using.
-func (l *leader) holdRequests(team string) {
-	l.sched.Apply(schedule.RequestsHeld{Team: team, Permits: l.permits.Outstanding(team)})
-	l.dirty = true
+// holdRequests tells the scheduler how much of a team's limit requests may be
+// using: all that is neither free nor held by tasks.
+func (l *leader) holdRequests(name string) {
+	team := l.c.machine.Team(name)
+	use, ok := l.sched.Team(name)
+	if team == nil || !ok {
+		return
+	}
+	held := max(team.MaxRunning-use.Running-l.permits.Headroom(name), 0)
+	if held != use.RequestPermits {
+		l.sched.Apply(schedule.RequestsHeld{Team: name, Permits: held})
+		l.dirty = true
+	}
+}
+
+// holdAllRequests brings the scheduler up to date where no ask has led to it:
+// at the start of a term, and when grants of an earlier one have ended.
+func (l *leader) holdAllRequests() {
+	_, _, d := l.c.machine.Config()
+	for i := range d.Teams {
+		l.holdRequests(d.Teams[i].Name)
+	}
 }
 
 // ownersAsked renews an entry's ownership of executors.
--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -31,6 +31,8 @@
 	case state.PlacementRefused:
 		l.sched.Apply(schedule.TaskEnded{Task: e.Task, Outcome: schedule.NotStarted, At: e.At})
 		l.touch(e.Task.Job)
+	case state.CeilingChanged:
+		l.permits.SetCeiling(e.Team, e.Permits)
 	case state.ExecutorChanged:
 		l.feedExecutor(&e)
 	}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -49,7 +49,7 @@
 		term:     term,
 		sched:    schedule.New(schedule.Options{Seed: c.s.opts.Seed}),
 		leases:   lease.New(lease.Options{Length: t.WorkerLease, Drift: t.Drift}),
-		permits:  limit.NewGranter(limit.Options{Lease: t.RequestLease, Margin: t.Drift}),
+		permits:  limit.NewGranter(limit.Options{Lease: t.RequestLease, Margin: t.Drift, Ceilings: true}),
 		owners:   owner.NewTable(owner.Options{Lease: t.RequestLease, Margin: t.Drift}),
 		entries:  make(map[string]*entryState),
 		sessions: make(map[model.WorkerID]attachment),
@@ -57,11 +57,6 @@
 		dirty:    true,
 		touched:  make(map[string]struct{}),
 	}
-	l.permits.NewTerm(now, t.RequestLease+t.LongestHold+t.Drift)
-	l.owners.NewTerm(term, now, t.RequestLease+t.LongestHold+t.Drift)
-	members := memberNames(c.machine.Members())
-	l.permits.Expect(members)
-	l.owners.Expect(members)
 	var held []lease.Claim
 	c.machine.Replay(func(ev state.Event) {
 		l.feed(ev)
@@ -69,16 +64,28 @@
 			held = append(held, lease.Claim{Worker: w.Spec.ID, Session: w.Session})
 		}
 	})
+	l.beginGrants(now)
+	l.syncLimits()
+	l.holdAllRequests()
 	l.leases.Begin(now, held)
 	return l
 }
 
-func memberNames(members []state.Member) []string {
-	out := make([]string, len(members))
-	for i := range members {
-		out[i] = members[i].Name
+// beginGrants counts what the earlier leader may have granted to entries and is
+// not told yet: permits up to each team's ceiling, and every executor that
+// serves or did so lately.
+func (l *leader) beginGrants(now model.Time) {
+	t := l.c.s.opts.Times
+	longest := t.RequestLease + t.LongestHold + t.Drift
+	l.permits.NewTerm(now, longest)
+	gone := l.c.machine.GoneExecutors()
+	for _, g := range gone {
+		l.owners.Announce(g.Spec, g.Region, true)
+	}
+	l.owners.NewTerm(l.term, now, longest)
+	for _, g := range gone {
+		l.owners.Withdraw(g.Spec.ID)
 	}
-	return out
 }
 
 // stop releases what waits for this leader.
@@ -122,7 +129,8 @@
 	}
 }
 
-const expireEvery = 10 * time.Second
+// expireEvery is how often the leader looks for what has been kept long enough.
+const expireEvery = 2 * time.Second
 
 // tick looks at the lease tables.
 func (l *leader) tick(now model.Time) {
@@ -132,16 +140,31 @@
 	l.loseExpired(now)
 	l.loseEntries(now)
 	l.permits.Tick(now)
+	l.proposeCeilings()
 	l.owners.Tick(now)
 	l.waits.expire(l.c, now)
 	if now >= l.expireAt {
 		l.expireAt = now.Add(expireEvery)
+		l.holdAllRequests()
 		if l.c.machine.ExpireDue(now) {
 			l.c.propose(&state.Command{Expire: &state.Expire{}}, func(state.Result, error) {})
 		}
 	}
 }
 
+// proposeCeilings commits new bounds of request permits before they are used.
+func (l *leader) proposeCeilings() {
+	wanted := l.permits.Ceilings()
+	if len(wanted) == 0 {
+		return
+	}
+	cmd := &state.SetCeilings{}
+	for _, c := range wanted {
+		cmd.Ceilings = append(cmd.Ceilings, state.Ceiling(c))
+	}
+	l.c.propose(&state.Command{SetCeilings: cmd}, func(state.Result, error) {})
+}
+
 // loseExpired proposes the loss of workers whose leases have run out. A claim
 // stays on the list until its loss is committed; nothing renews it meanwhile.
 func (l *leader) loseExpired(now model.Time) {
--- a/internal/owner/assign.go
+++ b/internal/owner/assign.go
@@ -17,23 +17,31 @@
 		}
 	}
 	for _, id := range sortedKeys(t.executors) {
-		if e := t.executors[id]; e.orphan() && now >= e.freeAt {
+		e := t.executors[id]
+		if e.orphan() && now >= e.freeAt {
 			t.free(e)
 		}
+		if e.silentUntil != 0 && now >= e.silentUntil {
+			t.endSilence(e)
+		}
 	}
-	if now < t.quietUntil {
-		return
-	}
-	t.quietUntil = 0
 	t.assign()
 	t.balance()
 }
 
+// endSilence ends the wait for an owner of an earlier term.
+func (t *Table) endSilence(e *executor) {
+	e.silentUntil = 0
+	if e.withdrawn && e.owner == "" {
+		delete(t.executors, e.spec.ID)
+	}
+}
+
 // assign gives every free executor to an entry of its region.
 func (t *Table) assign() {
 	for _, id := range sortedKeys(t.executors) {
 		e := t.executors[id]
-		if e.owner != "" || e.withdrawn || e.leaving {
+		if e.owner != "" || e.silentUntil != 0 || e.withdrawn || e.leaving {
 			continue
 		}
 		if n := t.choose(e); n != nil {
@@ -116,6 +124,7 @@
 	e.epoch = epoch
 	e.release = false
 	e.freeAt = 0
+	e.silentUntil = 0
 	n.owned++
 	n.services[e.spec.Service]++
 	t.changed(e)
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -49,6 +49,9 @@
 	// freeAt is set when the owner can no longer renew: the time after which
 	// it surely sends nothing and nothing that it sent is still running.
 	freeAt model.Time
+	// silentUntil is set while an owner of an earlier term, which has not told
+	// of itself in this one, may be sending or may have something running there.
+	silentUntil model.Time
 }
 
 // orphan reports whether the owner of e has lost it but may still be sending.
@@ -76,13 +79,12 @@
 
 // Table is the leader's account of ownership. One goroutine owns it.
 type Table struct {
-	opts       Options
-	term       uint64
-	counter    uint64
-	version    uint64
-	executors  map[string]*executor
-	entries    map[string]*entry
-	quietUntil model.Time
+	opts      Options
+	term      uint64
+	counter   uint64
+	version   uint64
+	executors map[string]*executor
+	entries   map[string]*entry
 }
 
 // NewTable returns an empty table. Call NewTerm before it is used.
@@ -98,20 +100,17 @@
 const termShift = 40
 
 // NewTerm starts the account of a new leader. Executors stay known; who owns
-// them is told by the entries. Nothing is given anew until longest has passed:
-// the longest time for which an owner from an earlier term may be sending, or
-// something that it sent may run.
+// them is told by the entries. One that nobody tells of is given anew only after
+// longest: the longest time for which an owner from an earlier term may be
+// sending, or something that it sent may run. Executors that are announced
+// later had no owner before and are given out at once.
 func (t *Table) NewTerm(term uint64, now model.Time, longest time.Duration) {
 	t.term = term
 	t.counter = 0
 	t.entries = make(map[string]*entry)
-	t.quietUntil = now.Add(longest + t.opts.Margin)
-	for id, e := range t.executors {
-		if e.withdrawn {
-			delete(t.executors, id)
-			continue
-		}
+	for _, e := range t.executors {
 		e.owner, e.epoch, e.release, e.freeAt = "", 0, false, 0
+		e.silentUntil = now.Add(longest + t.opts.Margin)
 	}
 	t.version = term << termShift
 }
@@ -149,7 +148,7 @@
 	}
 	e.withdrawn = true
 	t.changed(e)
-	if e.owner == "" {
+	if e.owner == "" && e.silentUntil == 0 {
 		delete(t.executors, id)
 	}
 }
--- a/internal/route/fake_test.go
+++ b/internal/route/fake_test.go
@@ -47,7 +47,6 @@
 	}
 	l.granter.SetLimit(testTeam, teamLimit)
 	l.table.NewTerm(1, model.TimeOf(time.Now()), 0)
-	l.table.Expect(nil)
 	return l
 }
 
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -38,6 +38,7 @@
 	Expire       *Expire       `cbor:"25,keyasint,omitempty"`
 	Join         *Join         `cbor:"26,keyasint,omitempty"`
 	Leave        *Leave        `cbor:"27,keyasint,omitempty"`
+	SetCeilings  *SetCeilings  `cbor:"28,keyasint,omitempty"`
 }
 
 // Declare replaces the whole configuration if Base is the version in force.
@@ -201,6 +202,18 @@
 	Incarnation uint64 `cbor:"2,keyasint"`
 }
 
+// SetCeilings bounds the request permits that teams may have outstanding, so
+// that a new leader knows how much an earlier one may have granted.
+type SetCeilings struct {
+	Ceilings []Ceiling `cbor:"1,keyasint"`
+}
+
+// Ceiling is the bound of one team's request permits.
+type Ceiling struct {
+	Team    string `cbor:"1,keyasint"`
+	Permits int64  `cbor:"2,keyasint"`
+}
+
 // encMode writes the same bytes for the same command on every process.
 var encMode = func() cbor.EncMode {
 	m, err := cbor.CoreDetEncOptions().EncMode()
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -75,7 +75,14 @@
 	Gone    bool
 }
 
+// CeilingChanged tells the bound of a team's request permits.
+type CeilingChanged struct {
+	Team    string
+	Permits int64
+}
+
 func (ConfigChanged) isEvent()    {}
+func (CeilingChanged) isEvent()   {}
 func (WorkerChanged) isEvent()    {}
 func (JobSubmitted) isEvent()     {}
 func (JobsCancelled) isEvent()    {}
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -41,6 +41,8 @@
 	journal  *journal.Journal
 	members  []Member         // sorted by name
 	pending  map[string]int64 // jobs with waiting tasks, by queue
+	ceilings map[string]int64 // of request permits, by team
+	gone     []GoneExecutor   // oldest first
 
 	events []Event // of the command being applied
 }
@@ -60,6 +62,7 @@
 		accounts: make(map[string]*ledger.Account),
 		journal:  journal.New(o.Journal),
 		pending:  make(map[string]int64),
+		ceilings: make(map[string]int64),
 	}
 }
 
@@ -124,6 +127,8 @@
 		return m.join(c.Join)
 	case c.Leave != nil:
 		return m.leave(c.Leave)
+	case c.SetCeilings != nil:
+		return m.setCeilings(c.SetCeilings)
 	}
 	return Result{Err: errkind.New(errkind.BadRequest, "empty command")}
 }
@@ -150,6 +155,9 @@
 // the machine's state, in a fixed order.
 func (m *Machine) Replay(fn func(Event)) {
 	fn(ConfigChanged{Version: m.config.Version, Declarations: &m.config.Declarations})
+	for _, team := range sortedKeys(m.ceilings) {
+		fn(CeilingChanged{Team: team, Permits: m.ceilings[team]})
+	}
 	for _, w := range m.workers.list {
 		fn(WorkerChanged{Spec: w.Spec, Mode: w.Mode, Session: w.Session, At: m.now})
 		m.replayExecutors(w, fn)
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -29,6 +29,8 @@
 	Journal  journal.Snapshot `cbor:"9,keyasint"`
 	Jobs     int              `cbor:"10,keyasint"`
 	Members  []Member         `cbor:"11,keyasint"`
+	Ceilings []Ceiling        `cbor:"12,keyasint"`
+	Gone     []GoneExecutor   `cbor:"13,keyasint"`
 }
 
 // accountRecord is one team's account in a snapshot.
@@ -53,6 +55,8 @@
 		Journal:  m.journal.Snapshot(),
 		Jobs:     len(ids),
 		Members:  m.members,
+		Ceilings: m.ceilingRecords(),
+		Gone:     m.gone,
 	}
 	if err := enc.Encode(&head); err != nil {
 		return errkind.Wrap(errkind.Internal, err, "write snapshot head")
@@ -89,6 +93,10 @@
 	m.config.index()
 	m.finished = head.Finished
 	m.members = head.Members
+	m.gone = head.Gone
+	for _, c := range head.Ceilings {
+		m.ceilings[c.Team] = c.Permits
+	}
 	m.journal.Restore(head.Journal)
 	for i := range head.Accounts {
 		m.accounts[head.Accounts[i].Team] = &head.Accounts[i].Account
--- a/internal/state/worker.go
+++ b/internal/state/worker.go
@@ -97,7 +97,7 @@
 	w.LostAt = 0
 	m.emit(WorkerChanged{Spec: w.Spec, Mode: w.Mode, Session: w.Session, At: m.now})
 	for _, e := range w.Spec.Executors {
-		m.emit(ExecutorChanged{Spec: e, Region: w.Spec.Region, Leaving: mode != model.WorkerOpen})
+		m.executorServes(e, w.Spec.Region, mode != model.WorkerOpen)
 	}
 	return Result{Session: w.Session}
 }
@@ -160,11 +160,11 @@
 func (m *Machine) goneExecutors(w *Worker) {
 	if w.Mode != model.WorkerLost {
 		for _, e := range w.Spec.Executors {
-			m.emit(ExecutorChanged{Spec: e, Region: w.Spec.Region, Gone: true})
+			m.executorGone(e, w.Spec.Region)
 		}
 	}
 	for _, s := range w.Served {
-		m.emit(ExecutorChanged{Spec: s.Spec, Region: w.Spec.Region, Gone: true})
+		m.executorGone(s.Spec, w.Spec.Region)
 	}
 	w.Served = nil
 }
@@ -188,7 +188,7 @@
 		return
 	}
 	w.Served = append(w.Served, servedExecutor{Task: id, Spec: spec})
-	m.emit(ExecutorChanged{Spec: spec, Region: w.Spec.Region, Leaving: w.Mode != model.WorkerOpen})
+	m.executorServes(spec, w.Spec.Region, w.Mode != model.WorkerOpen)
 }
 
 // endServed withdraws the executor of a task that ends or is told to stop.
@@ -197,8 +197,11 @@
 	if i < 0 {
 		return
 	}
-	m.emit(ExecutorChanged{Spec: w.Served[i].Spec, Region: w.Spec.Region, Leaving: true, Gone: gone})
-	if gone {
-		w.Served = slices.Delete(w.Served, i, i+1)
+	spec := w.Served[i].Spec
+	if !gone {
+		m.emit(ExecutorChanged{Spec: spec, Region: w.Spec.Region, Leaving: true})
+		return
 	}
+	w.Served = slices.Delete(w.Served, i, i+1)
+	m.executorGone(spec, w.Spec.Region)
 }
