--- /dev/null
+++ b/internal/e2e/requests_test.go
@@ -0,0 +1,284 @@
+package e2e
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/filbertmast/filbertmast/internal/client"
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/settings"
+	"github.com/filbertmast/filbertmast/internal/standin"
+)
+
+// told is what one caller was told about one request.
+type told struct {
+	key    string
+	once   bool
+	status int
+	body   errkind.Body // where there was no answer
+	err    error
+}
+
+// load sends requests until it is stopped and remembers what was told.
+type load struct {
+	c    *cell
+	stop chan struct{}
+	wg   sync.WaitGroup
+	mu   sync.Mutex
+	told []told
+}
+
+// startLoad runs callers that each send one request after another through
+// their own entries. Every second request is marked as not repeatable.
+func (c *cell) startLoad(callers int, entriesOf func(caller int) []*process, payload string) *load {
+	l := &load{c: c, stop: make(chan struct{})}
+	for i := range callers {
+		cl := c.clientOf(c.keys["stands"], entriesOf(i)...)
+		l.wg.Add(1)
+		go func() {
+			defer l.wg.Done()
+			for n := 0; ; n++ {
+				select {
+				case <-l.stop:
+					return
+				default:
+				}
+				l.send(cl, fmt.Sprintf("load-%d-%d", i, n), n%2 == 0, payload)
+			}
+		}()
+	}
+	return l
+}
+
+func (l *load) send(cl *client.Client, key string, once bool, payload string) {
+	answer, err := cl.Request(context.Background(), "fit", client.RequestOptions{
+		Body: []byte(payload), NotRepeatable: once, IdempotencyKey: key, Deadline: model.Duration(4 * time.Second)})
+	t := told{key: key, once: once, err: err}
+	if err != nil {
+		t.body = client.BodyOf(err)
+	} else {
+		t.status = answer.Status
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.told = append(l.told, t)
+}
+
+// end stops the callers and returns what they were told.
+func (l *load) end() []told {
+	close(l.stop)
+	l.wg.Wait()
+	return l.told
+}
+
+func (l *load) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.told)
+}
+
+// awaitLoad waits until n more requests have been answered.
+func (c *cell) awaitLoad(l *load, n int) {
+	c.t.Helper()
+	want := l.count() + n
+	c.await(fmt.Sprintf("%d requests answered", want), func() error {
+		if got := l.count(); got < want {
+			return fmt.Errorf("%d answered", got)
+		}
+		return nil
+	})
+}
+
+// checkTold holds what callers were told against what executors ran. A killed
+// process may leave answers unknown; it must not make them untrue.
+func (c *cell) checkTold(all []told) {
+	c.t.Helper()
+	runs := make(map[string]int)
+	for _, e := range c.checkHistory() {
+		if e.Kind == standin.EventRequestBegin {
+			runs[e.Request]++
+		}
+	}
+	kinds := make(map[string]int)
+	for _, t := range all {
+		n := runs[t.key]
+		switch {
+		case t.err == nil && t.status == 200:
+			kinds["answered"]++
+			assert.Assert(c.t, n >= 1, "%s was answered and never ran", t.key)
+		case t.body.NotRun:
+			kinds[string(t.body.Kind)]++
+			assert.Equal(c.t, n, 0, "%s was told %s, not run", t.key, t.body.Kind)
+		default:
+			kinds[string(t.body.Kind)]++
+		}
+		if t.once {
+			assert.Assert(c.t, n <= 1, "%s ran %d times", t.key, n)
+		}
+	}
+	c.t.Logf("told: %v", kinds)
+}
+
+// startExecutors starts n stand-in executors of the service "fit" and waits
+// until requests are answered.
+func (c *cell) startExecutors(n int, extra ...string) []*process {
+	c.t.Helper()
+	var out []*process
+	for i := range n {
+		args := append([]string{"--service", "fit", "--listen", "127.0.0.1:0"}, extra...)
+		out = append(out, c.standin("executor", fmt.Sprintf("x%d", i), c.processes, args...))
+	}
+	cl := c.clientOf(c.keys["stands"])
+	c.await("requests are answered", func() error {
+		_, err := cl.Request(context.Background(), "fit", client.RequestOptions{Deadline: model.Duration(2 * time.Second)})
+		return err
+	})
+	return out
+}
+
+// TestAnEntryIsKilledInTheMiddleOfRequests kills, and later freezes, an entry
+// that owns executors: no request that is not repeatable runs twice, and no
+// "not run" is untrue.
+func TestAnEntryIsKilledInTheMiddleOfRequests(t *testing.T) {
+	c := newCell(t, shape{control: 1, entries: 3})
+	c.apply(c.baseDeclarations())
+	c.awaitVersion()
+	c.startExecutors(4)
+	l := c.startLoad(8, func(int) []*process { return c.processes }, "run=20ms")
+	c.awaitLoad(l, 100)
+	c.processes[1].kill()
+	c.awaitLoad(l, 100)
+	c.processes[2].freeze()
+	c.awaitLoad(l, 100)
+	c.processes[1].start()
+	time.Sleep(3 * time.Second) // the frozen entry's leases end
+	c.processes[2].thaw()
+	c.awaitLoad(l, 200)
+	c.checkTold(l.end())
+}
+
+// TestTheLeaderIsKilledInTheMiddleOfRequests kills the leader, whose process is
+// an entry as well, while journaled requests run.
+func TestTheLeaderIsKilledInTheMiddleOfRequests(t *testing.T) {
+	c := newCell(t, shape{control: 3, entries: 1})
+	c.apply(c.baseDeclarations())
+	c.awaitVersion()
+	c.startExecutors(4)
+	entry := c.processes[3]
+	leader := c.leader(entry)
+	l := c.startLoad(8, func(int) []*process { return c.others(leader) }, "run=20ms")
+	c.awaitLoad(l, 100)
+	leader.kill()
+	c.awaitLoad(l, 300)
+	leader.start()
+	c.awaitLoad(l, 100)
+	c.checkTold(l.end())
+}
+
+// TestARollingRestartCutsOffNoRequest restarts every process in turn under load.
+// Each caller goes on through the other entries; not one request is cut off.
+func TestARollingRestartCutsOffNoRequest(t *testing.T) {
+	c := newCell(t, shape{control: 3, entries: 1})
+	c.apply(c.baseDeclarations())
+	c.awaitVersion()
+	c.startExecutors(4)
+	l := c.startLoad(6, func(int) []*process { return c.processes }, "run=20ms")
+	c.awaitLoad(l, 50)
+	for _, p := range c.processes {
+		assert.NilError(t, p.terminate(), p.name)
+		p.start()
+		c.awaitReady(p)
+		c.awaitLoad(l, 50)
+	}
+	all := l.end()
+	c.checkTold(all)
+	for _, v := range all {
+		assert.NilError(t, v.err, v.key)
+	}
+}
+
+// TestATeamsLimitHoldsInARaceOfEntries sends far more than a limit of two
+// through eight entries: at no moment do more than two requests run.
+func TestATeamsLimitHoldsInARaceOfEntries(t *testing.T) {
+	c := newCell(t, shape{control: 1, entries: 7})
+	d := c.baseDeclarations()
+	d.Teams[0].MaxRunning = 2
+	c.apply(d)
+	c.awaitVersion()
+	c.startExecutors(3)
+	l := c.startLoad(16, func(i int) []*process { return c.processes[i%8 : i%8+1] }, "run=30ms")
+	c.awaitLoad(l, 60)
+	c.processes[5].kill()
+	c.awaitLoad(l, 60)
+	c.checkTold(l.end())
+	events := c.checkHistory()
+	assert.Assert(t, mostAtOnce(events) <= 2, "%d requests ran at once", mostAtOnce(events))
+}
+
+// mostAtOnce returns the largest number of requests that ran at one moment.
+func mostAtOnce(events []standin.Event) int {
+	sorted := slices.Clone(events)
+	slices.SortStableFunc(sorted, func(a, b standin.Event) int { return cmp.Compare(a.At, b.At) })
+	now, most := 0, 0
+	for _, e := range sorted {
+		switch e.Kind {
+		case standin.EventRequestBegin:
+			now++
+		case standin.EventRequestEnd:
+			now--
+		}
+		most = max(most, now)
+	}
+	return most
+}
+
+// TestExecutorsThatMisbehave has one good executor among bad ones: every
+// caller gets its own whole answer or a true error.
+func TestExecutorsThatMisbehave(t *testing.T) {
+	c := newCell(t, shape{control: 1, entries: 1, adjust: func(s *settings.Settings) {
+		s.Limits.RequestTimeout = model.Duration(2 * time.Second)
+	}})
+	c.apply(c.baseDeclarations())
+	c.awaitVersion()
+	c.startExecutors(2)
+	for i, behave := range []string{"refuse", "never-answer", "cut", "wrong-id", "fail-some"} {
+		c.standin("executor", fmt.Sprintf("bad%d", i), c.processes, "--service", "fit", "--listen", "127.0.0.1:0", "--behave", behave)
+	}
+	l := c.startLoad(8, func(int) []*process { return c.processes }, "run=5ms")
+	c.awaitLoad(l, 400)
+	c.checkTold(l.end())
+}
+
+// TestALeavingTargetGetsNothingNew tells an executor to leave: two seconds
+// later it begins no request, and it ends without cutting any off.
+func TestALeavingTargetGetsNothingNew(t *testing.T) {
+	c := newCell(t, shape{control: 1, entries: 1})
+	c.apply(c.baseDeclarations())
+	c.awaitVersion()
+	xs := c.startExecutors(2)
+	l := c.startLoad(4, func(int) []*process { return c.processes }, "run=10ms")
+	c.awaitLoad(l, 100)
+	left := time.Now()
+	xs[0].signal(syscall.SIGTERM)
+	<-xs[0].exited
+	c.awaitLoad(l, 100)
+	all := l.end()
+	c.checkTold(all)
+	for _, v := range all {
+		assert.NilError(t, v.err, v.key)
+	}
+	for _, e := range c.checkHistory() {
+		if e.Kind == standin.EventRequestBegin && e.Executor == "x0" {
+			assert.Assert(t, e.At < left.Add(2*time.Second).UnixNano(), "a request began late at the leaving target")
+		}
+	}
+}
--- a/internal/route/header.go
+++ b/internal/route/header.go
@@ -15,10 +15,11 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
-// ownHeaders are the caller's words to this system, not to the executor.
+// ownHeaders are for this system alone. An executor is told the idempotency key
+// and whether the request is repeatable, so that it can guard itself as well.
 var ownHeaders = []string{
 	"Authorization", "Content-Length", "Expect", "Host",
-	api.HeaderIdempotencyKey, api.HeaderRepeatable, api.HeaderDeadline, api.HeaderPatience,
+	api.HeaderDeadline, api.HeaderPatience,
 	api.HeaderRequestID, api.HeaderEpoch, api.HeaderRefused,
 }
 
