--- a/internal/command/check.go
+++ b/internal/command/check.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 
+	"github.com/filbertmast/filbertmast/internal/certs"
 	"github.com/filbertmast/filbertmast/internal/declare"
 	"github.com/filbertmast/filbertmast/internal/settings"
 	"github.com/filbertmast/filbertmast/internal/strict"
@@ -54,13 +55,34 @@
 		s, found := settings.Parse(name, data)
 		problems = append(problems, found...)
 		if !c.NoFiles {
-			problems = append(problems, s.CheckFiles(name)...)
+			problems = append(problems, checkNamedFiles(name, s)...)
 		}
 		files = append(files, settings.File{Name: name, Settings: s})
 	}
 	return append(problems, settings.CheckTogether(files)...)
 }
 
+// checkNamedFiles looks for the files that settings name, and loads the
+// certificates once all are there.
+func checkNamedFiles(name string, s *settings.Settings) strict.Problems {
+	problems := s.CheckFiles(name)
+	if len(problems) > 0 {
+		return problems
+	}
+	in := s.Inner
+	if in.Certificate != "" && in.Key != "" && in.CA != "" {
+		if _, err := certs.LoadTLS(in.Certificate, in.Key, in.CA); err != nil {
+			problems.Add(name, "$.inner.certificate", nil, "%v", err)
+		}
+	}
+	if s.Outer.TLS() && s.Outer.Key != "" {
+		if _, err := certs.LoadServerTLS(s.Outer.Certificate, s.Outer.Key); err != nil {
+			problems.Add(name, "$.outer.certificate", nil, "%v", err)
+		}
+	}
+	return problems
+}
+
 // checked is the answer of a check without problems.
 type checked struct {
 	Settings     int  `json:"settings"` // files
--- a/internal/command/examples_test.go
+++ b/internal/command/examples_test.go
@@ -78,6 +78,15 @@
 			r = run(t, args...)
 			assert.Equal(t, r.code, 0, r.err)
 			assert.Assert(t, strings.Contains(r.out, "declarations: 4 teams"), r.out)
+
+			// A certificate that belongs to another key is found before a start.
+			process, _, _ := strings.Cut(names[0], "=")
+			other, _, _ := strings.Cut(names[1], "=")
+			at := func(name string) string { return filepath.Join(dir, "settings", "certs", name+".pem") }
+			assert.NilError(t, os.Rename(at(other), at(process)))
+			r = run(t, args...)
+			assert.Equal(t, r.code, errkind.ExitUsage)
+			assert.Assert(t, strings.Contains(r.err, process+".json: $.inner.certificate: certificate"), r.err)
 		})
 	}
 }
--- a/internal/declare/declare_test.go
+++ b/internal/declare/declare_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -106,6 +107,7 @@
 	a, b := parseGood(t), parseGood(t)
 	b.Teams[0].Share = 5
 	b.Queues = nil
+	b.Prices = append(b.Prices, model.PricePoint{Patience: model.Duration(24 * time.Hour), MicroUnits: 5})
 	b.Keys = append(b.Keys, model.Key{Digest: model.KeyDigest(strings.Repeat("c", 64)), Team: "field"})
 	var lines []string
 	for _, c := range Diff(&a, &b) {
@@ -115,6 +117,7 @@
 		"~ team field share: 1 -> 5",
 		`+ key cccccccccccc team="field"`,
 		`- queue plans workspace="planner" team="workshop" teams=["field"] selector="zone in (a,b)"`,
+		"+ price 24h0m0s micro_units=5",
 	})
 	assert.Equal(t, len(Diff(&a, &a)), 0)
 }
--- a/internal/declare/diff.go
+++ b/internal/declare/diff.go
@@ -101,13 +101,16 @@
 	return out
 }
 
+// namingFields are the fields by which items are named, one a kind.
+var namingFields = []string{"name", "digest", "patience"}
+
 // summary formats the fields of an item but its name and those that are zero.
 func summary[T any](item *T) string {
 	v := reflect.ValueOf(item).Elem()
 	var parts []string
 	for i := range v.NumField() {
 		name := jsonName(v.Type().Field(i))
-		if name == "name" || name == "digest" || v.Field(i).IsZero() {
+		if slices.Contains(namingFields, name) || v.Field(i).IsZero() {
 			continue
 		}
 		parts = append(parts, name+"="+text(v.Field(i)))
