Refuse settings of one deployment whose leases or journals differ

Whoever leads next relies on the leases that others have granted, so they must be equal everywhere. A write timeout below the longest wait would cut off calls that are held back.

--- a/internal/command/check.go
+++ b/internal/command/check.go
@@ -23,7 +23,7 @@
 	return `Checks settings and declarations without calling anything. Every problem is told
 at once, with its file, JSON path, value and the rule broken. Settings that are
 checked together must also agree with each other: one name and one set of
-addresses for each process, the same founders.
+addresses for each process, the same founders and leases.
 `
 }
 
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -15,6 +15,8 @@
 	maxNameLength = 63
 	maxFounders   = 7
 	digestBytes   = 32
+	// longestWait is above the longest time for which a call may be held back.
+	longestWait = 75 * time.Second
 )
 
 // bounds is an inclusive range of durations.
@@ -137,7 +139,7 @@
 	timeout := bounds{100 * time.Millisecond, time.Hour}
 	c.duration("$.outer.read_header_timeout", o.ReadHeaderTimeout, timeout)
 	c.duration("$.outer.read_timeout", o.ReadTimeout, timeout)
-	c.duration("$.outer.write_timeout", o.WriteTimeout, timeout)
+	c.duration("$.outer.write_timeout", o.WriteTimeout, bounds{longestWait, time.Hour})
 	c.duration("$.outer.idle_timeout", o.IdleTimeout, timeout)
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -73,6 +73,7 @@
 		{"a missing CA", "inner.ca", "", "$.inner.ca: is required"},
 		{"a body bound out of range", "outer.max_body_bytes", 1, "$.outer.max_body_bytes: got 1: must be from 1024 to"},
 		{"a duration out of range", "limits.freshness", "1h", "$.limits.freshness: got 1h0m0s: must be from 200ms to 10s"},
+		{"an answer cut off before the longest wait", "outer.write_timeout", "30s", "$.outer.write_timeout: got 30s: must be from 1m15s to 1h0m0s"},
 		{"a doubled founder", "control.founders", []string{"10.1.0.1:7400", "10.1.0.1:7400", "10.2.0.1:7400"}, `$.control.founders[1]: got "10.1.0.1:7400": duplicate of $.control.founders[0]`},
 		{"an even number of founders", "control.founders", []string{"10.1.0.1:7400", "10.2.0.1:7400"}, "must list an odd number"},
 		{"a control process that is no founder", "inner.address", "10.9.0.1:7400", "must contain inner.address 10.9.0.1:7400"},
--- a/internal/settings/together.go
+++ b/internal/settings/together.go
@@ -13,7 +13,7 @@
 }
 
 // CheckTogether reports where the processes of one deployment clash: equal
-// names, equal addresses, and founders that differ.
+// names, equal addresses, and founders, leases or first operators that differ.
 func CheckTogether(files []File) Problems {
 	c := together{names: make(map[string]string), inner: make(map[string]string), outer: make(map[string]string)}
 	for _, f := range files {
@@ -21,6 +21,8 @@
 		c.unique(c.inner, f, "$.inner.address", f.Settings.Inner.Address)
 		c.unique(c.outer, f, "$.outer.address", f.Settings.Outer.Address)
 		c.founders(files[0], f)
+		c.limits(files[0], f)
+		c.bootstrap(files[0], f)
 	}
 	c.foundersExist(files)
 	return c.problems
@@ -52,6 +54,30 @@
 	}
 }
 
+// limits compares what every process must count alike: whoever leads next
+// relies on the leases that others have granted.
+func (c *together) limits(first, f File) {
+	a, b := first.Settings.Limits, f.Settings.Limits
+	c.same(first, f, "$.limits.worker_lease", a.WorkerLease, b.WorkerLease)
+	c.same(first, f, "$.limits.request_lease", a.RequestLease, b.RequestLease)
+	c.same(first, f, "$.limits.journal_keep", a.JournalKeep, b.JournalKeep)
+	c.same(first, f, "$.limits.journal_bytes", a.JournalBytes, b.JournalBytes)
+	c.same(first, f, "$.limits.answer_bytes", a.AnswerBytes, b.AnswerBytes)
+}
+
+func (c *together) same(first, f File, path string, want, have any) {
+	if want != have {
+		c.problems.Add(f.Name, path, have, "must be %v as in %s", want, first.Name)
+	}
+}
+
+// bootstrap shows no digest, as what stands there may be a key.
+func (c *together) bootstrap(first, f File) {
+	if first.Settings.Bootstrap != f.Settings.Bootstrap {
+		c.problems.Add(f.Name, "$.bootstrap.operator_key_digest", nil, "must be the same as in %s", first.Name)
+	}
+}
+
 // foundersExist looks for the process of each founder, once more than one
 // file is checked.
 func (c *together) foundersExist(files []File) {
--- a/internal/settings/together_test.go
+++ b/internal/settings/together_test.go
@@ -12,6 +12,10 @@
 		s.Name, s.Inner.Address, s.Outer.Address, s.Control.Founders = process, inner, outer, founders
 		return File{name, s}
 	}
+	edited := func(f File, edit func(*Settings)) File {
+		edit(f.Settings)
+		return f
+	}
 	rows := []struct {
 		name  string
 		files []File
@@ -26,6 +30,10 @@
 			"b: $.inner.address: got \"1\": duplicate of a: $.inner.address\nb: $.outer.address: got \"8\": duplicate of a: $.outer.address"},
 		{"founders that differ", []File{file("a", "a", "1", "8", "1"), file("b", "b", "2", "9", "2")},
 			"b: $.control.founders: must list the same addresses as a"},
+		{"leases that differ", []File{file("a", "a", "1", "8", "1"), edited(file("b", "b", "2", "9", "1"), func(s *Settings) { s.Limits.WorkerLease *= 2 })},
+			"b: $.limits.worker_lease: got 30s: must be 15s as in a"},
+		{"first operators that differ", []File{file("a", "a", "1", "8", "1"), edited(file("b", "b", "2", "9", "1"), func(s *Settings) { s.Bootstrap.OperatorKeyDigest = "fmk_secret" })},
+			"b: $.bootstrap.operator_key_digest: must be the same as in a"},
 		{"a founder that no file describes", []File{file("a", "a", "1", "8", "1", "3"), file("b", "b", "2", "9", "1", "3")},
 			`a: $.control.founders[1]: got "3": is the inner.address of none of the files checked`},
 	}
