Hold the request path against failing executors, and mend what that found

Found and mended: a typed refusal after a try that may have run was told as not run; a request whose only owner had refused waited two seconds and was told that no executor serves; an answer without a known end, and a second answer on a kept connection, are never handed on.

--- a/internal/route/executor_test.go
+++ b/internal/route/executor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -72,6 +73,7 @@
 	server  *httptest.Server
 	handle  http.HandlerFunc // in place of the default
 	noEcho  bool
+	refuse  func() bool // answers with a typed refusal and runs nothing
 }
 
 func newStandIn(t testing.TB, h *history, id string, handle http.HandlerFunc) *standIn {
@@ -84,6 +86,12 @@
 
 func (s *standIn) serve(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(api.HeaderRequestID)
+	if s.refuse != nil && s.refuse() {
+		w.Header().Set(api.HeaderRequestID, id)
+		w.Header().Set(api.HeaderRefused, "busy")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	run := s.history.begin(s.id, id, r.Header.Get(api.HeaderEpoch))
 	defer s.history.finish(run)
 	if !s.noEcho {
@@ -105,3 +113,25 @@
 		Connections: connections,
 	}
 }
+
+// raw takes the connection over and writes an answer byte by byte; the
+// connection is closed afterwards.
+func raw(answer func(id string) string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get(api.HeaderRequestID)
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, buf, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = buf.WriteString(answer(id))
+		_ = buf.Flush()
+		_ = conn.Close()
+	}
+}
+
+// never reads the request and holds it until its connection ends.
+func never(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
--- /dev/null
+++ b/internal/route/failure_test.go
@@ -0,0 +1,353 @@
+package route
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+const long = 10 * time.Second
+
+func TestWhatAFailingExecutorLeadsTo(t *testing.T) {
+	idLine := func(id string) string { return api.HeaderRequestID + ": " + id + "\r\n" }
+	for _, row := range []struct {
+		name   string
+		handle http.HandlerFunc
+		wait   time.Duration
+		want   errkind.Kind // of a request that is not repeatable
+	}{
+		{"it accepts and never answers", never, 100 * time.Millisecond, errkind.DeadlineExceeded},
+		{"it closes before the answer", raw(func(string) string { return "" }), long, errkind.OutcomeUnknown},
+		{"it closes midway in a known length", raw(func(id string) string {
+			return "HTTP/1.1 200 OK\r\n" + idLine(id) + "Content-Length: 100\r\n\r\nshort"
+		}), long, errkind.AnswerCutOff},
+		{"it closes midway in chunks", raw(func(id string) string {
+			return "HTTP/1.1 200 OK\r\n" + idLine(id) + "Transfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n"
+		}), long, errkind.AnswerCutOff},
+		{"the end of its answer is the end of the connection", raw(func(id string) string {
+			return "HTTP/1.1 200 OK\r\n" + idLine(id) + "\r\nshort"
+		}), long, errkind.AnswerCutOff},
+		{"it answers for another request", raw(func(string) string {
+			return "HTTP/1.1 200 OK\r\n" + idLine("other") + "Content-Length: 5\r\n\r\nother"
+		}), long, errkind.OutcomeUnknown},
+		{"its answer is too large", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", fmt.Sprint(2<<20))
+			_, _ = w.Write(make([]byte, 2<<20))
+		}, long, errkind.AnswerTooLarge},
+		{"its streamed answer is too large", func(w http.ResponseWriter, _ *http.Request) {
+			for range 1100 {
+				_, _ = w.Write(make([]byte, 1024))
+				w.(http.Flusher).Flush()
+			}
+		}, long, errkind.AnswerTooLarge},
+	} {
+		for _, repeatable := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/repeatable=%t", row.name, repeatable), func(t *testing.T) {
+				c := newCell(t, 100, "a", "b")
+				for _, e := range c.entries {
+					e.owner.opts.Service = func(string) (model.Service, bool) { return model.Service{MaxAnswer: 1 << 20}, true }
+				}
+				c.announce(newStandIn(t, c.history, "x1", row.handle).spec(testService, 8, 60))
+				got, err := c.entries["a"].ask("r1", repeatable, row.wait)
+				assert.Assert(t, err != nil, "got %d bytes", len(got))
+				k := errkind.Of(err)
+				assert.Assert(t, !errkind.RowOf(k).NotRun, "%s is false", k)
+				runs := c.history.count("r1")
+				assert.Assert(t, runs >= 1)
+				if !repeatable {
+					assert.Equal(t, k, row.want)
+					assert.Equal(t, runs, 1)
+					_, err = c.entries["b"].ask("r1", false, row.wait)
+					assert.Assert(t, !errkind.RowOf(errkind.Of(err)).NotRun, "a resend was told %v", err)
+					assert.Equal(t, c.history.count("r1"), 1)
+				}
+			})
+		}
+	}
+}
+
+func TestNothingRanWhereNotRunIsTold(t *testing.T) {
+	t.Run("no connection can be made", func(t *testing.T) {
+		c := newCell(t, 100, "a")
+		s := newStandIn(t, c.history, "x1", nil)
+		spec := s.spec(testService, 8, 60)
+		s.server.Close()
+		c.announce(spec)
+		_, err := c.entries["a"].ask("r1", false, time.Second)
+		assert.Assert(t, errkind.RowOf(errkind.Of(err)).NotRun, "%v", err)
+		// The key is free again: the request may be sent anew.
+		c.announce(newStandIn(t, c.history, "x2", nil).spec(testService, 8, 60))
+		c.leader.mu.Lock()
+		c.leader.table.Withdraw("x1")
+		c.leader.mu.Unlock()
+		c.renew()
+		got, err := c.entries["a"].ask("r1", false, long)
+		assert.NilError(t, err)
+		assert.Equal(t, got, "answer to r1")
+	})
+	t.Run("every executor refuses", func(t *testing.T) {
+		c := newCell(t, 100, "a")
+		s := newStandIn(t, c.history, "x1", nil)
+		s.refuse = func() bool { return true }
+		c.announce(s.spec(testService, 8, 60))
+		_, err := c.entries["a"].ask("r1", false, long)
+		assert.Equal(t, errkind.Of(err), errkind.ExecutorRefused)
+		assert.Equal(t, c.history.count("r1"), 0)
+	})
+	t.Run("a try that may have run is not forgotten by a later refusal", func(t *testing.T) {
+		c := newCell(t, 100, "a")
+		refuse := false
+		s := newStandIn(t, c.history, "x1", nil)
+		s.handle = func(w http.ResponseWriter, r *http.Request) {
+			refuse = true
+			raw(func(string) string { return "" })(w, r)
+		}
+		s.refuse = func() bool { return refuse }
+		c.announce(s.spec(testService, 8, 60))
+		c.entries["a"].router.opts.NoExecutorWait = time.Millisecond
+		_, err := c.entries["a"].ask("r1", true, long)
+		assert.Equal(t, c.history.count("r1"), 1)
+		assert.Assert(t, !errkind.RowOf(errkind.Of(err)).NotRun, "%v", err)
+	})
+}
+
+func TestASecondAnswerOnAConnectionReachesNobody(t *testing.T) {
+	for _, echo := range []bool{true, false} {
+		t.Run(fmt.Sprintf("the executor sends IDs back: %t", echo), func(t *testing.T) {
+			c := newCell(t, 100, "a")
+			s := newStandIn(t, c.history, "x1", nil)
+			s.noEcho = true
+			s.handle = answerTwice(echo)
+			c.announce(s.spec(testService, 1, 60))
+			whole := 0
+			for i := range 20 {
+				id := fmt.Sprintf("r%d", i)
+				got, err := c.entries["a"].ask(id, true, long)
+				if err == nil {
+					assert.Equal(t, got, "answer to "+id)
+					whole++
+				}
+			}
+			assert.Assert(t, whole > 0)
+		})
+	}
+}
+
+// answerTwice takes the connection over and answers each request on it twice.
+func answerTwice(echo bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, buf, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		for err == nil {
+			id := r.Header.Get(api.HeaderRequestID)
+			line := ""
+			if echo {
+				line = api.HeaderRequestID + ": " + id + "\r\n"
+			}
+			body := "answer to " + id
+			one := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", line, len(body), body)
+			_, _ = buf.WriteString(one + one)
+			_ = buf.Flush()
+			if r, err = http.ReadRequest(buf.Reader); err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+			}
+		}
+	}
+}
+
+func TestALateAnswerToAnAbandonedRequestReachesNobodyElse(t *testing.T) {
+	c := newCell(t, 100, "a")
+	started := make(chan struct{}, 1)
+	leave := make(chan struct{})
+	s := newStandIn(t, c.history, "x1", nil)
+	s.handle = func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get(api.HeaderRequestID)
+		if id == "slow" {
+			started <- struct{}{}
+			<-leave
+		}
+		fmt.Fprintf(w, "answer to %s", id)
+	}
+	c.announce(s.spec(testService, 1, 60))
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := c.entries["a"].router.Serve(ctx, request("slow", true, long))
+		ended <- err
+	}()
+	<-started
+	cancel()
+	assert.Equal(t, errkind.Of(<-ended), errkind.CallerGone)
+	next := make(chan string, 1)
+	go func() {
+		got, err := c.entries["a"].ask("next", true, long)
+		next <- got + errText(err)
+	}()
+	// The only slot is held until the executor is done with the first request.
+	c.wait(func() bool { return c.entries["a"].owner.pool(testService).waiting() == 1 })
+	close(leave)
+	assert.Equal(t, <-next, "answer to next")
+	assert.Equal(t, c.history.most["x1"], 1)
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// waiting returns the length of the queue.
+func (p *pool) waiting() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queue.len()
+}
+
+// wait polls until ok holds.
+func (c *cell) wait(ok func() bool) {
+	c.t.Helper()
+	for !ok() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestAResendNeverRunsASecondTime(t *testing.T) {
+	t.Run("through another entry after the answer", func(t *testing.T) {
+		c := newCell(t, 100, "a", "b")
+		c.announce(newStandIn(t, c.history, "x1", nil).spec(testService, 8, 60))
+		first, err := c.entries["a"].ask("r1", false, long)
+		assert.NilError(t, err)
+		c.entries["a"].router.Drain(context.Background())
+		again, err := c.entries["b"].ask("r1", false, long)
+		assert.NilError(t, err)
+		assert.Equal(t, again, first)
+		assert.Equal(t, c.history.count("r1"), 1)
+	})
+	t.Run("while the first send runs, and after its caller has gone", func(t *testing.T) {
+		c := newCell(t, 100, "a", "b")
+		leave := make(chan struct{})
+		started := make(chan struct{}, 1)
+		c.announce(newStandIn(t, c.history, "x1", func(w http.ResponseWriter, _ *http.Request) {
+			started <- struct{}{}
+			<-leave
+			fmt.Fprint(w, "done")
+		}).spec(testService, 8, 60))
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() {
+			_, err := c.entries["a"].router.Serve(ctx, request("r1", false, long))
+			ended <- err
+		}()
+		<-started
+		_, err := c.entries["b"].ask("r1", false, long)
+		assert.Equal(t, errkind.Of(err), errkind.StillRunning)
+		cancel()
+		assert.Equal(t, errkind.Of(<-ended), errkind.CallerGone)
+		close(leave)
+		c.entries["a"].router.Drain(context.Background())
+		got, err := c.entries["b"].ask("r1", false, long)
+		assert.NilError(t, err)
+		assert.Equal(t, got, "done")
+		assert.Equal(t, c.history.count("r1"), 1)
+	})
+	t.Run("with another body", func(t *testing.T) {
+		c := newCell(t, 100, "a")
+		c.announce(newStandIn(t, c.history, "x1", nil).spec(testService, 8, 60))
+		_, err := c.entries["a"].ask("r1", false, long)
+		assert.NilError(t, err)
+		other := request("r1", false, long)
+		other.Body, other.Size = strings.NewReader("x"), 1
+		_, err = c.entries["a"].router.Serve(context.Background(), other)
+		assert.Equal(t, errkind.Of(err), errkind.IdempotencyConflict)
+	})
+	t.Run("when the answer of the journal was lost", func(t *testing.T) {
+		c := newCell(t, 100, "a", "b")
+		c.announce(newStandIn(t, c.history, "x1", nil).spec(testService, 8, 60))
+		lost := 0
+		c.leader.lose = func(step string) bool {
+			lost++
+			return step == "start" && lost == 1
+		}
+		_, err := c.entries["a"].ask("r1", false, long)
+		assert.Equal(t, errkind.Of(err), errkind.NoLeader)
+		assert.Equal(t, c.history.count("r1"), 0)
+		c.entries["a"].router.Drain(context.Background())
+		c.wait(func() bool {
+			c.leader.mu.Lock()
+			defer c.leader.mu.Unlock()
+			return c.leader.journal.Len() == 0
+		})
+		got, err := c.entries["b"].ask("r1", false, long)
+		assert.NilError(t, err)
+		assert.Equal(t, got, "answer to r1")
+	})
+}
+
+func TestLargeAndStreamedAnswersArriveWhole(t *testing.T) {
+	const size = 3 << 20
+	for _, streamed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("streamed=%t", streamed), func(t *testing.T) {
+			c := newCell(t, 100, "a")
+			c.announce(newStandIn(t, c.history, "x1", func(w http.ResponseWriter, _ *http.Request) {
+				if !streamed {
+					w.Header().Set("Content-Length", fmt.Sprint(size))
+				}
+				for i := range size / 1024 {
+					_, _ = w.Write([]byte(strings.Repeat(string(rune('a'+i%26)), 1024)))
+				}
+			}).spec(testService, 8, 60))
+			for _, repeatable := range []bool{true, false} {
+				ans, err := c.entries["a"].router.Serve(context.Background(), request(fmt.Sprint(repeatable), repeatable, long))
+				assert.NilError(t, err)
+				b, err := io.ReadAll(ans.Body)
+				assert.NilError(t, err)
+				assert.Equal(t, len(b), size)
+				assert.Equal(t, b[size-1], byte('a'+(size/1024-1)%26))
+				assert.NilError(t, ans.Body.Close())
+			}
+			assert.Equal(t, len(c.entries["a"].router.Drain(context.Background())), 0)
+		})
+	}
+}
+
+func TestDrain(t *testing.T) {
+	c := newCell(t, 100, "a")
+	leave := make(chan struct{})
+	started := make(chan struct{}, 1)
+	c.announce(newStandIn(t, c.history, "x1", func(w http.ResponseWriter, _ *http.Request) {
+		started <- struct{}{}
+		<-leave
+		fmt.Fprint(w, "done")
+	}).spec(testService, 8, 60))
+	got := make(chan string, 1)
+	go func() {
+		b, err := c.entries["a"].ask("r1", true, long)
+		got <- b + errText(err)
+	}()
+	<-started
+	over, cancel := context.WithCancel(context.Background())
+	cancel()
+	assert.DeepEqual(t, c.entries["a"].router.Drain(over), []string{"r1"})
+	assert.DeepEqual(t, c.entries["a"].owner.Drain(over), []string{"r1"})
+	_, err := c.entries["a"].ask("r2", true, long)
+	assert.Equal(t, errkind.Of(err), errkind.Draining)
+	close(leave)
+	assert.Equal(t, len(c.entries["a"].router.Drain(context.Background())), 0)
+	assert.Equal(t, len(c.entries["a"].owner.Drain(context.Background())), 0)
+	assert.Equal(t, <-got, "done")
+}
--- a/internal/route/fake_test.go
+++ b/internal/route/fake_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -46,8 +47,7 @@
 		limit:   teamLimit,
 	}
 	l.granter.SetLimit(testTeam, teamLimit)
-	l.table.NewTerm(1, model.TimeOf(time.Now()), 0)
-	l.table.Expect(nil)
+	l.table.NewTerm(1, 0, 0)
 	return l
 }
 
@@ -113,6 +113,7 @@
 	leader  *leader
 	history *history
 	entries map[string]*testEntry
+	renewMu sync.Mutex
 }
 
 // testEntry is one entry process.
@@ -124,7 +125,7 @@
 	router *Router
 	pool   *limit.Pool
 	dir    *Directory
-	cut    bool // peers cannot reach it
+	cut    atomic.Bool // neither leader nor peers can reach it
 }
 
 func newCell(t testing.TB, teamLimit int64, names ...string) *cell {
@@ -137,9 +138,24 @@
 		c.entries[name] = e
 		go e.pool.Run(ctx)
 	}
+	go c.keepRenewing(ctx)
 	return c
 }
 
+// keepRenewing keeps the leases alive.
+func (c *cell) keepRenewing(ctx context.Context) {
+	ticker := time.NewTicker(100 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			c.renew()
+		}
+	}
+}
+
 func (c *cell) newEntry(name string) *testEntry {
 	e := &testEntry{name: name, cell: c, dir: NewDirectory()}
 	e.leases = owner.NewLeases(name, name, testRegion, 1)
@@ -161,7 +177,7 @@
 // Forward implements Peers.
 func (c *cell) Forward(ctx context.Context, to string, h *ForwardHeader, body io.Reader) (*Answer, error) {
 	e := c.entries[to]
-	if e.cut {
+	if e.cut.Load() {
 		return nil, errkind.New(errkind.Unreachable, "cut off")
 	}
 	return e.owner.Handle(ctx, h, body)
@@ -178,9 +194,13 @@
 
 // renew lets every entry renew until ownership has settled.
 func (c *cell) renew() {
+	c.renewMu.Lock()
+	defer c.renewMu.Unlock()
 	for range 4 {
 		for _, e := range c.entries {
-			c.renewOne(e)
+			if !e.cut.Load() {
+				c.renewOne(e)
+			}
 		}
 	}
 }
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -179,15 +180,20 @@
 	body   *replayBody
 	// mayRun is set once a byte may have reached an executor, and stays set.
 	mayRun bool
+
+	tried []string // owners of this round
+	tries int      // that count: all but those that met a move of ownership
+	last  error    // of the last try
+
+	waited time.Duration // for owners, before this round
 }
 
 // run tries owners until one answers, as far as reasons, deadline and budget
 // allow.
 func (c *call) run(ctx context.Context) (*Answer, error) {
 	r := c.router
-	var tried []string
-	for try := 1; ; try++ {
-		owner, err := c.choose(ctx, &tried)
+	for {
+		owner, err := c.choose(ctx)
 		if err != nil {
 			return nil, c.truthful(err)
 		}
@@ -196,7 +202,7 @@
 			r.budget.Success()
 			return ans, nil
 		}
-		reason, stop := c.mayRetry(ctx, err, try)
+		reason, stop := c.mayRetry(ctx, err)
 		if stop != "" {
 			r.metrics.stopped.WithLabelValues(stop).Inc()
 			if err == nil {
@@ -208,14 +214,16 @@
 			_ = ans.Body.Close()
 		}
 		r.metrics.retries.WithLabelValues(reason).Inc()
-		tried = append(tried, owner.owner)
+		c.tried = append(c.tried, owner.owner)
+		c.last = err
 	}
 }
 
 // truthful converts err to a kind that may be told after what has been sent.
+// A typed refusal speaks only for its own try, not for those before.
 func (c *call) truthful(err error) error {
-	if c.mayRun {
-		return errkind.AfterSend(err)
+	if c.mayRun && errkind.RowOf(errkind.Of(err)).NotRun {
+		return errkind.Wrap(errkind.OutcomeUnknown, err, "an earlier try may have run")
 	}
 	return err
 }
@@ -240,17 +248,20 @@
 
 // mayRetry returns the reason for a further try after err (nil for an answer
 // with an error status), or what stops it.
-func (c *call) mayRetry(ctx context.Context, err error, try int) (reason, stop string) {
+func (c *call) mayRetry(ctx context.Context, err error) (reason, stop string) {
 	reason = reasonStatus
 	if err != nil {
 		reason = string(errkind.Of(err))
 	}
+	if charged(err) {
+		c.tries++
+	}
 	switch {
 	case err != nil && !retryable(err, c.req.Repeatable):
 		return reason, "reason"
 	case !c.body.replayable():
 		return reason, "body"
-	case try >= maxTries:
+	case c.tries >= maxTries:
 		return reason, "tries"
 	case ctx.Err() != nil:
 		return reason, "deadline"
@@ -278,30 +289,62 @@
 	return !errkind.Is(err, errkind.OwnerMoved) && !errkind.Is(err, errkind.Draining)
 }
 
-// choose returns the next owner to try. While there is none it waits for a
-// change of the directory.
-func (c *call) choose(ctx context.Context, tried *[]string) (candidate, error) {
+// Pauses before the owners that were tried are tried again.
+const (
+	roundPause = 20 * time.Millisecond
+	movePause  = 100 * time.Millisecond
+)
+
+// choose returns the next owner to try. When all have been tried it begins a
+// new round after a pause. While there is none it waits for a change of the
+// directory, at most NoExecutorWait in all.
+func (c *call) choose(ctx context.Context) (candidate, error) {
 	r := c.router
-	var timeout <-chan time.Time
+	start := r.opts.Now()
 	for {
 		v := r.opts.Directory.current.Load()
-		if owner, ok := v.choose(c.req.Service, r.opts.Region, *tried); ok {
+		if owner, ok := v.choose(c.req.Service, r.opts.Region, c.tried); ok {
 			return owner, nil
 		}
-		if timeout == nil {
-			timer := time.NewTimer(r.opts.NoExecutorWait)
-			defer timer.Stop()
-			timeout = timer.C
+		left := r.opts.NoExecutorWait - r.opts.Now().Sub(start) - c.waited
+		if left <= 0 {
+			return candidate{}, c.noOwner()
 		}
+		pause := min(left, c.pause())
+		timer := time.NewTimer(pause)
 		select {
 		case <-v.changed:
-			*tried = nil
-		case <-timeout:
-			return candidate{}, errkind.New(errkind.NoExecutor, "no executor of %s serves", c.req.Service)
+		case <-timer.C:
 		case <-ctx.Done():
+			timer.Stop()
 			return candidate{}, notStarted(ctx)
 		}
+		timer.Stop()
+		if len(c.tried) > 0 {
+			c.tried = nil
+			c.waited += r.opts.Now().Sub(start)
+			start = r.opts.Now()
+		}
+	}
+}
+
+// pause returns how long to wait for a change before a new round.
+func (c *call) pause() time.Duration {
+	switch {
+	case len(c.tried) == 0:
+		return c.router.opts.NoExecutorWait
+	case charged(c.last):
+		return roundPause + rand.N(roundPause)
+	}
+	return movePause
+}
+
+// noOwner returns why no owner is left to try.
+func (c *call) noOwner() error {
+	if c.last != nil {
+		return c.last
 	}
+	return errkind.New(errkind.NoExecutor, "no executor of %s serves", c.req.Service)
 }
 
 // send forwards the request to one owner.
