Bound unknown permits of a new term by tight ceilings

Cause: eight permits of every team counted as granted without a commit, so that a new leader held a limit of one or two back for 64 s; a cell with a limit of two answered no request in its first minute. Change: nothing is granted beyond what is committed, in steps from one.

--- a/internal/limit/ceiling.go
+++ b/internal/limit/ceiling.go
@@ -15,8 +15,10 @@
 	Permits int64  `cbor:"2,keyasint"`
 }
 
-// freeCeiling is in force without a commit.
-const freeCeiling = 8
+// minCeiling is the lowest ceiling of a team that has ever used permits. It is
+// small, since a new leader leaves it unused for as long as a request may last,
+// and a team's whole limit may be as low as one or two.
+const minCeiling = 1
 
 // ceilingSlack is how many times smaller than the ceiling the use must be for
 // the ceiling to come down.
@@ -30,7 +32,7 @@
 }
 
 // inForce returns the bound that a new leader would have to assume.
-func (c *ceiling) inForce() int64 { return max(c.committed, freeCeiling) }
+func (c *ceiling) inForce() int64 { return c.committed }
 
 // usable returns the bound of what may be granted now: also within a lower
 // ceiling that may be committed at any moment.
@@ -88,9 +90,9 @@
 	}
 }
 
-// stepUp rounds n up to a power of two, at least freeCeiling.
+// stepUp rounds n up to a power of two, at least minCeiling.
 func stepUp(n int64) int64 {
-	step := int64(freeCeiling)
+	step := int64(minCeiling)
 	for step < n {
 		step *= 2
 	}
