Make the delta of a change cheap for whoever knows the digests

The leader makes a delta for each entry process on the thread that owns its state, which at 15 ms each and 47 entries would hold it for 0.7 s a change. Cause: both sets were cloned, sorted and digested anew, and items compared by reflection. Normalize now leaves lists that are in order, lists are merged in order with written-out comparisons, and DeltaBetween and ApplyTo take the digests that the callers hold.

--- a/internal/declare/bench_test.go
+++ b/internal/declare/bench_test.go
@@ -71,6 +71,26 @@
 	b.ReportMetric(float64(len(whole)), "whole_bytes")
 }
 
+func BenchmarkDeltaBetweenOneChange(b *testing.B) {
+	d := largeSet()
+	e := changed(d)
+	from, to := Digest(&d), Digest(&e)
+	for b.Loop() {
+		DeltaBetween(&d, &e, from, to)
+	}
+}
+
+func BenchmarkApplyToOneChange(b *testing.B) {
+	d := largeSet()
+	e := changed(d)
+	delta := DeltaOf(&d, &e)
+	for b.Loop() {
+		if _, err := ApplyTo(&d, delta.From, delta); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 func BenchmarkApplyOneChange(b *testing.B) {
 	d := largeSet()
 	e := changed(d)
--- a/internal/declare/delta.go
+++ b/internal/declare/delta.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"reflect"
 	"slices"
 
 	"github.com/filbertmast/filbertmast/internal/model"
@@ -45,16 +44,22 @@
 	a, b := *before, *after
 	Normalize(&a)
 	Normalize(&b)
+	return DeltaBetween(&a, &b, Digest(&a), Digest(&b))
+}
+
+// DeltaBetween is DeltaOf for normalized sets whose digests are known, which
+// are most of its cost.
+func DeltaBetween(before, after *model.Declarations, from, to string) Delta {
 	d := Delta{
-		From:     Digest(&a),
-		To:       Digest(&b),
-		Teams:    listDelta(a.Teams, b.Teams, teamName),
-		Keys:     listDelta(a.Keys, b.Keys, keyName),
-		Queues:   listDelta(a.Queues, b.Queues, queueName),
-		Services: listDelta(a.Services, b.Services, serviceName),
+		From:     from,
+		To:       to,
+		Teams:    listDelta(before.Teams, after.Teams, teamName, sameTeam),
+		Keys:     listDelta(before.Keys, after.Keys, keyName, sameKey),
+		Queues:   listDelta(before.Queues, after.Queues, queueName, sameQueue),
+		Services: listDelta(before.Services, after.Services, serviceName, sameService),
 	}
-	if !slices.Equal(a.Prices, b.Prices) {
-		d.NewPrices, d.Prices = true, b.Prices
+	if !slices.Equal(before.Prices, after.Prices) {
+		d.NewPrices, d.Prices = true, after.Prices
 	}
 	return d
 }
@@ -63,8 +68,14 @@
 // as it is, so that readers of d are not disturbed. The error is a
 // *MismatchError.
 func Apply(d *model.Declarations, delta Delta) (model.Declarations, error) {
-	if have := Digest(d); have != delta.From {
-		return model.Declarations{}, &MismatchError{Want: delta.From, Have: have}
+	return ApplyTo(d, Digest(d), delta)
+}
+
+// ApplyTo is Apply for a set whose digest is known. A set that it returns has
+// the digest delta.To.
+func ApplyTo(d *model.Declarations, digest string, delta Delta) (model.Declarations, error) {
+	if digest != delta.From {
+		return model.Declarations{}, &MismatchError{Want: delta.From, Have: digest}
 	}
 	out := model.Declarations{
 		Teams:    applyList(d.Teams, delta.Teams, teamName),
@@ -83,52 +94,35 @@
 	return out, nil
 }
 
-func byName[T any](list []T, name func(*T) string) map[string]*T {
-	m := make(map[string]*T, len(list))
-	for i := range list {
-		m[name(&list[i])] = &list[i]
-	}
-	return m
-}
-
-func listDelta[T any](before, after []T, name func(*T) string) ListDelta[T] {
+// listDelta compares two lists that are sorted by name.
+func listDelta[T any](before, after []T, name func(*T) string, same func(a, b *T) bool) ListDelta[T] {
 	var d ListDelta[T]
-	old := byName(before, name)
-	for i := range after {
-		was, ok := old[name(&after[i])]
-		if !ok || !equalItems(was, &after[i]) {
-			d.Put = append(d.Put, after[i])
+	i := 0
+	for j := range after {
+		n := name(&after[j])
+		for i < len(before) && name(&before[i]) < n {
+			d.Drop = append(d.Drop, name(&before[i]))
+			i++
 		}
-	}
-	kept := byName(after, name)
-	for i := range before {
-		if n := name(&before[i]); kept[n] == nil {
-			d.Drop = append(d.Drop, n)
+		if i == len(before) || name(&before[i]) != n {
+			d.Put = append(d.Put, after[j])
+			continue
 		}
-	}
-	return d
-}
-
-// equalItems compares two items of a list field by field; empty and missing
-// maps and lists are the same.
-func equalItems[T any](a, b *T) bool {
-	va, vb := reflect.ValueOf(a).Elem(), reflect.ValueOf(b).Elem()
-	for i := range va.NumField() {
-		if !equalFields(va.Field(i), vb.Field(i)) {
-			return false
+		if !same(&before[i], &after[j]) {
+			d.Put = append(d.Put, after[j])
 		}
+		i++
 	}
-	return true
-}
-
-func equalFields(a, b reflect.Value) bool {
-	if k := a.Kind(); (k == reflect.Map || k == reflect.Slice) && a.Len() == 0 && b.Len() == 0 {
-		return true
+	for ; i < len(before); i++ {
+		d.Drop = append(d.Drop, name(&before[i]))
 	}
-	return reflect.DeepEqual(a.Interface(), b.Interface())
+	return d
 }
 
 func applyList[T any](list []T, d ListDelta[T], name func(*T) string) []T {
+	if len(d.Put) == 0 && len(d.Drop) == 0 {
+		return list
+	}
 	changed := make(map[string]bool, len(d.Put)+len(d.Drop))
 	for i := range d.Put {
 		changed[name(&d.Put[i])] = true
--- a/internal/declare/diff.go
+++ b/internal/declare/diff.go
@@ -57,6 +57,14 @@
 
 func priceName(p *model.PricePoint) string { return p.Patience.String() }
 
+func byName[T any](list []T, name func(*T) string) map[string]*T {
+	m := make(map[string]*T, len(list))
+	for i := range list {
+		m[name(&list[i])] = &list[i]
+	}
+	return m
+}
+
 func diffList[T any](kind string, before, after []T, name func(*T) string) []Change {
 	old, now := byName(before, name), byName(after, name)
 	names := make([]string, 0, len(old)+len(now))
@@ -104,6 +112,14 @@
 // namingFields are the fields by which items are named, one a kind.
 var namingFields = []string{"name", "digest", "patience"}
 
+// equalFields compares two fields; empty and missing maps and lists are the same.
+func equalFields(a, b reflect.Value) bool {
+	if k := a.Kind(); (k == reflect.Map || k == reflect.Slice) && a.Len() == 0 && b.Len() == 0 {
+		return true
+	}
+	return reflect.DeepEqual(a.Interface(), b.Interface())
+}
+
 // summary formats the fields of an item but its name and those that are zero.
 func summary[T any](item *T) string {
 	v := reflect.ValueOf(item).Elem()
--- a/internal/declare/normalize.go
+++ b/internal/declare/normalize.go
@@ -23,20 +23,15 @@
 }
 
 // Normalize sorts every list of d by name, keys by digest and prices by
-// patience, and drops empty lists. It changes only d's own slices, never ones
-// that d shares with a copy.
+// patience, and drops empty lists. Lists that are in order already are left as
+// they are; others are copied first, so that a set that shares them with d is
+// not changed.
 func Normalize(d *model.Declarations) {
 	d.Teams = sorted(d.Teams, teamName)
 	d.Keys = sorted(d.Keys, keyName)
-	d.Queues = sorted(d.Queues, queueName)
-	d.Services = sorted(d.Services, serviceName)
+	d.Queues = sorted(normalQueues(d.Queues), queueName)
+	d.Services = sorted(normalServices(d.Services), serviceName)
 	d.Prices = sortedPrices(d.Prices)
-	for i := range d.Queues {
-		d.Queues[i].Teams = sortedNames(d.Queues[i].Teams)
-	}
-	for i := range d.Services {
-		d.Services[i].Teams = sortedNames(d.Services[i].Teams)
-	}
 }
 
 // Digest returns the SHA-256 digest, in hex, of the canonical CBOR form of d
@@ -57,16 +52,64 @@
 func queueName(q *model.Queue) string     { return q.Name }
 func serviceName(s *model.Service) string { return s.Name }
 
-// sorted returns a copy of list in the order of name, nil when empty.
+// sorted returns list in the order of name, as a copy where that is another
+// order, and nil when empty.
 func sorted[T any](list []T, name func(*T) string) []T {
 	if len(list) == 0 {
 		return nil
 	}
+	if inOrder(list, name) {
+		return list
+	}
 	out := slices.Clone(list)
 	slices.SortStableFunc(out, func(a, b T) int { return cmp.Compare(name(&a), name(&b)) })
 	return out
 }
 
+func inOrder[T any](list []T, name func(*T) string) bool {
+	for i := 1; i < len(list); i++ {
+		if name(&list[i]) < name(&list[i-1]) {
+			return false
+		}
+	}
+	return true
+}
+
+// normalQueues returns list with the teams of each queue in order.
+func normalQueues(list []model.Queue) []model.Queue {
+	out := list
+	for i := range list {
+		if namesInOrder(list[i].Teams) {
+			continue
+		}
+		if &out[0] == &list[0] {
+			out = slices.Clone(list)
+		}
+		out[i].Teams = sortedNames(list[i].Teams)
+	}
+	return out
+}
+
+// normalServices returns list with the teams of each service in order.
+func normalServices(list []model.Service) []model.Service {
+	out := list
+	for i := range list {
+		if namesInOrder(list[i].Teams) {
+			continue
+		}
+		if &out[0] == &list[0] {
+			out = slices.Clone(list)
+		}
+		out[i].Teams = sortedNames(list[i].Teams)
+	}
+	return out
+}
+
+// namesInOrder reports whether list is sorted, and nil when empty.
+func namesInOrder(list []string) bool {
+	return list == nil || (len(list) > 0 && slices.IsSorted(list))
+}
+
 func sortedNames(list []string) []string {
 	if len(list) == 0 {
 		return nil
@@ -80,7 +123,11 @@
 	if len(list) == 0 {
 		return nil
 	}
+	byPatience := func(a, b model.PricePoint) int { return cmp.Compare(a.Patience, b.Patience) }
+	if slices.IsSortedFunc(list, byPatience) {
+		return list
+	}
 	out := slices.Clone(list)
-	slices.SortStableFunc(out, func(a, b model.PricePoint) int { return cmp.Compare(a.Patience, b.Patience) })
+	slices.SortStableFunc(out, byPatience)
 	return out
 }
