Say not run of a call only when it is true of every sending

A submission whose first sending was lost after it went out, and whose second was refused or found no connection, was told as not run: the last error alone was judged. Now a call of which any sending may have run ends as outcome_unknown. Whether a sending went out is seen from the connection being ready, TLS included, so that an untrusted certificate is not run instead of unknown.

--- a/internal/client/call.go
+++ b/internal/client/call.go
@@ -38,6 +38,7 @@
 // do sends c until it is answered, refused for good, or out of attempts.
 func (c *Client) do(ctx context.Context, call call) (*Answer, error) {
 	wait := c.backoff
+	unsure := false // an earlier sending may have run
 	for attempt := 1; ; attempt++ {
 		at := c.current.Load()
 		answer, failed := c.send(ctx, call, c.base(at))
@@ -45,13 +46,11 @@
 			return answer, nil
 		}
 		c.current.CompareAndSwap(at, at+1)
-		if !failed.retry || attempt >= c.attempts {
-			return nil, failed.err
-		}
 		pause := max(c.jitter(wait), errkind.RetryAfter(failed.err))
-		if !c.pause(ctx, failed.err, pause) {
-			return nil, failed.err
+		if !failed.retry || attempt >= c.attempts || !c.pause(ctx, failed.err, pause) {
+			return nil, ofWholeCall(failed.err, unsure)
 		}
+		unsure = unsure || (!call.read && mayHaveRun(failed.err))
 		wait = min(2*wait, maxBackoff)
 	}
 }
@@ -71,13 +70,14 @@
 
 // send sends call once.
 func (c *Client) send(ctx context.Context, call call, base *url.URL) (*Answer, *failure) {
-	req, err := c.request(ctx, call, base)
+	traced, connected := traceConnection(ctx)
+	req, err := c.request(traced, call, base)
 	if err != nil {
 		return nil, &failure{err: errkind.Wrap(errkind.BadRequest, err, "the call cannot be made")}
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, sendFailure(ctx, err, call.read)
+		return nil, sendFailure(ctx, err, call.read || !connected())
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -193,6 +194,38 @@
 	assert.Equal(t, BodyOf(err).NotRun, true)
 }
 
+func TestNotRunIsToldOnlyWhenItIsTrueOfEverySending(t *testing.T) {
+	rows := []struct {
+		name  string
+		steps []http.HandlerFunc
+		want  errkind.Kind
+	}{
+		{"every sending was refused", []http.HandlerFunc{refuse(errkind.NoLeader), refuse(errkind.KeyWithdrawn)}, errkind.KeyWithdrawn},
+		{"the first may have run", []http.HandlerFunc{hangUp, refuse(errkind.KeyWithdrawn)}, errkind.OutcomeUnknown},
+		{"one in the middle may have run", []http.HandlerFunc{refuse(errkind.Draining), cutOff, refuse(errkind.LimitReached)}, errkind.OutcomeUnknown},
+		{"the last may have run by its own word", []http.HandlerFunc{hangUp, refuse(errkind.StillRunning)}, errkind.StillRunning},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			e := newEntry(t, row.steps...)
+			_, err := newClient(t, nil, e.URL).Submit(t.Context(), model.JobSpec{}, "")
+			assert.Equal(t, errkind.Of(err), row.want)
+			assert.Equal(t, BodyOf(err).Kind, row.want)
+			assert.Equal(t, BodyOf(err).NotRun, errkind.RowOf(row.want).NotRun)
+		})
+	}
+}
+
+func TestAnUntrustedCertificateMeansNotRun(t *testing.T) {
+	server := httptest.NewUnstartedServer(http.NotFoundHandler())
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.StartTLS()
+	t.Cleanup(server.Close)
+	_, err := newClient(t, nil, server.URL).Submit(t.Context(), model.JobSpec{}, "")
+	assert.Equal(t, errkind.Of(err), errkind.Unreachable)
+	assert.ErrorContains(t, err, "certificate")
+}
+
 func TestContextEndsACall(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	e := newEntry(t, func(_ http.ResponseWriter, r *http.Request) {
--- a/internal/client/transport.go
+++ b/internal/client/transport.go
@@ -6,6 +6,8 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 
 	"github.com/filbertmast/filbertmast/internal/errkind"
 )
@@ -27,6 +29,18 @@
 	}
 }
 
+// mayHaveRun reports whether the sending that failed with err may have run.
+func mayHaveRun(err error) bool { return !errkind.RowOf(errkind.Of(err)).NotRun }
+
+// ofWholeCall returns the error of a call whose last sending failed with err.
+// "Not run" is true of the call only when it is true of every sending.
+func ofWholeCall(err error, earlierMayHaveRun bool) error {
+	if !earlierMayHaveRun || mayHaveRun(err) {
+		return err
+	}
+	return errkind.New(errkind.OutcomeUnknown, "an earlier sending may have run; of the last: %v", err)
+}
+
 // failure is the error of one sending and whether another one is allowed.
 type failure struct {
 	err   error
@@ -34,15 +48,17 @@
 }
 
 // sendFailure judges an error of the transport. Every call of this client is
-// safe to send again, but only a read, or a call for which no connection could
-// be made, is known not to have run.
-func sendFailure(ctx context.Context, err error, read bool) *failure {
+// safe to send again, but only a read, or a call for which no connection was
+// ready, is known not to have run.
+func sendFailure(ctx context.Context, err error, notRun bool) *failure {
 	switch {
+	case ctx.Err() != nil && notRun:
+		return &failure{err: errkind.Wrap(errkind.Unreachable, err, "the call ended before an entry process answered")}
 	case errors.Is(ctx.Err(), context.Canceled):
 		return &failure{err: errkind.Wrap(errkind.CallerGone, err, "the call was given up")}
 	case ctx.Err() != nil:
 		return &failure{err: errkind.Wrap(errkind.DeadlineExceeded, err, "no answer in time")}
-	case notSent(err), read:
+	case notRun:
 		return &failure{err: errkind.Wrap(errkind.Unreachable, err, "the entry process cannot be reached"), retry: true}
 	}
 	return &failure{
@@ -51,10 +67,13 @@
 	}
 }
 
-// notSent reports whether err happened while the connection was being made.
-func notSent(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
+// traceConnection returns a context for one sending and a function that tells
+// whether a connection was ready for it, TLS included: before that nothing of
+// the call was sent.
+func traceConnection(ctx context.Context) (context.Context, func() bool) {
+	var ready atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { ready.Store(true) }}
+	return httptrace.WithClientTrace(ctx, trace), ready.Load
 }
 
 // readFailure judges an answer that broke off.
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -1,8 +1,10 @@
 package command
 
 import (
+	"crypto/tls"
 	"encoding/json"
 	"io"
+	"log"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -12,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/certs"
 	"github.com/filbertmast/filbertmast/internal/declare"
 	"github.com/filbertmast/filbertmast/internal/errkind"
 	"github.com/filbertmast/filbertmast/internal/model"
@@ -250,3 +253,28 @@
 	assert.Assert(t, strings.HasPrefix(b.Go, "go"))
 	assert.Assert(t, strings.HasPrefix(run(t, "version").out, "filbertmast "))
 }
+
+func TestOuterTLSIsTrustedByItsAuthorityOnly(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "certs")
+	assert.Equal(t, run(t, "certs", "--dir", dir, "a=127.0.0.1").code, 0)
+	config, err := certs.LoadServerTLS(filepath.Join(dir, "a.pem"), filepath.Join(dir, "a-key.pem"))
+	assert.NilError(t, err)
+	listener, err := tls.Listen("tcp", "127.0.0.1:0", config)
+	assert.NilError(t, err)
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_ = json.NewEncoder(w).Encode(api.Status{Leader: "selfoss-1"})
+		}),
+		ErrorLog: log.New(io.Discard, "", 0),
+	}
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	args := []string{"status", "--address", "https://" + listener.Addr().String(), "--timeout", "500ms"}
+	r := run(t, append(args, "--ca", filepath.Join(dir, "ca.pem"))...)
+	assert.Equal(t, r.code, 0, r.err)
+	assert.Assert(t, strings.Contains(r.out, "leader selfoss-1"), r.out)
+	r = run(t, args...)
+	assert.Equal(t, r.code, errkind.ExitTryLater, r.err)
+	assert.Assert(t, strings.Contains(r.err, "certificate"), r.err)
+	assert.Equal(t, run(t, append(args, "--ca", filepath.Join(dir, "a-key.pem"))...).code, errkind.ExitUsage)
+}
--- a/internal/strict/decode_test.go
+++ b/internal/strict/decode_test.go
@@ -1,6 +1,7 @@
 package strict
 
 import (
+	"encoding/json"
 	"strings"
 	"testing"
 	"time"
@@ -77,3 +78,19 @@
 	assert.Assert(t, !ps.Cover("f", "$.list[10]"))
 	assert.Assert(t, !ps.Cover("g", "$.list[1]"))
 }
+
+// FuzzDecode holds Decode against encoding/json: what it accepts, the standard
+// decoder accepts too and reads alike.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"name":"a","count":3,"wait":"5s","tags":{"x":"y"},"inner":{"on":true},"list":[{"on":false}]}`))
+	f.Add([]byte(`{"name":"\ud800","list":null,"tags":{"":""}}`))
+	f.Add([]byte(`{"count":-0,"wait":"-1ns"}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var got, want sample
+		if len(Decode("f", data, &got)) > 0 {
+			return
+		}
+		assert.NilError(t, json.Unmarshal(data, &want))
+		assert.DeepEqual(t, got, want)
+	})
+}
