Keep executors away from the leader's own entry, and bound deadlines by a setting

Cause: with the leader's process died the entry that owned all executors of a service, and for 64 s nobody served it; the longest deadline was 60 s. Ruled out: the permits (survivors held theirs) and the directory. Change: the leader's own entry owns executors only where its region has no other; limits.longest_deadline (15 s) bounds what callers may name and so what a new leader withholds. Settings that had no effect are wired (limits.links) or gone (drain_timeout, entries). A refusal after a try that may have arrived no longer says 'not run'.

--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -96,7 +96,7 @@
 func (l *leader) fillConfig(out *proto.Registered, req *proto.Register, d *model.Declarations) {
 	for i := range l.past {
 		if p := &l.past[i]; p.version == req.ConfigVersion && p.digest == req.ConfigDigest {
-			delta := declare.DeltaOf(p.decl, d)
+			delta := declare.DeltaBetween(p.decl, d, p.digest, out.ConfigDigest)
 			out.Delta = &delta
 			return
 		}
@@ -115,6 +115,9 @@
 }
 
 func (l *leader) heard(req *proto.Register) {
+	if req.Member.Inner == l.c.s.opts.Endpoint.Address() {
+		l.owners.Avoid(req.Member.Name)
+	}
 	l.entries[req.Member.Name] = &entryState{
 		member:  req.Member,
 		version: req.ConfigVersion,
--- a/internal/e2e/cell_test.go
+++ b/internal/e2e/cell_test.go
@@ -162,6 +162,8 @@
 	set.Control.Founders = inner[:sh.control]
 	set.Limits.WorkerLease = model.Duration(3 * time.Second)
 	set.Limits.RequestLease = model.Duration(2 * time.Second)
+	set.Limits.RequestTimeout = model.Duration(4 * time.Second)
+	set.Limits.LongestDeadline = model.Duration(5 * time.Second)
 	set.Limits.ShutdownDelay = model.Duration(time.Second)
 	set.Log.Level = "debug"
 	if sh.adjust != nil {
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -58,19 +58,12 @@
 
 // replace installs a whole copy or applies a delta, and checks the digest.
 func (c *configCopy) replace(a *proto.Registered) error {
-	next := model.Declarations{}
-	switch {
-	case a.Whole != nil:
-		next = *a.Whole
-	case a.Delta != nil:
-		d, err := declare.Apply(&c.decl, *a.Delta)
-		if err != nil {
-			return errkind.Wrap(errkind.Internal, err, "delta of the configuration")
-		}
-		next = d
+	next, digest, err := c.next(a)
+	if err != nil {
+		return err
 	}
-	if got := declare.Digest(&next); got != a.ConfigDigest {
-		return errkind.New(errkind.Internal, "configuration version %d has digest %.12s, want %.12s", a.ConfigVersion, got, a.ConfigDigest)
+	if digest != a.ConfigDigest {
+		return errkind.New(errkind.Internal, "configuration version %d has digest %.12s, want %.12s", a.ConfigVersion, digest, a.ConfigDigest)
 	}
 	for digest := range c.keys {
 		c.withdrawn[digest] = true
@@ -83,6 +76,21 @@
 	return nil
 }
 
+// next returns the configuration that an answer leads to, and its digest.
+func (c *configCopy) next(a *proto.Registered) (model.Declarations, string, error) {
+	switch {
+	case a.Delta != nil:
+		next, err := declare.ApplyTo(&c.decl, c.digest, *a.Delta)
+		if err != nil {
+			return next, "", errkind.Wrap(errkind.Internal, err, "delta of the configuration")
+		}
+		return next, a.Delta.To, nil
+	case a.Whole != nil:
+		return *a.Whole, declare.Digest(a.Whole), nil
+	}
+	return model.Declarations{}, "", errkind.New(errkind.Internal, "version %d came without its content", a.ConfigVersion)
+}
+
 func (c *configCopy) index() {
 	c.keys = make(map[model.KeyDigest]model.Key, len(c.decl.Keys))
 	for _, k := range c.decl.Keys {
--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -40,8 +40,11 @@
 	arrived := false
 	for pause := retryMin; ; pause = min(2*pause, retryMax) {
 		resp, err := tryLeader[Req, Resp](ctx, l, k, req, wait)
-		if err == nil || !retryable(errkind.Of(err)) {
-			return resp, err
+		if err == nil {
+			return resp, nil
+		}
+		if !retryable(errkind.Of(err)) {
+			return nil, truthful(err, arrived)
 		}
 		arrived = arrived || !errkind.RowOf(errkind.Of(err)).NotRun
 		l.metrics.retried(errkind.Of(err))
@@ -75,6 +78,16 @@
 	return false
 }
 
+// truthful keeps a refusal of a later try from saying that nothing was done,
+// where an earlier try may have arrived. A conflict names what stands.
+func truthful(err error, arrived bool) error {
+	k := errkind.Of(err)
+	if !arrived || k == errkind.VersionConflict || k == errkind.IdempotencyConflict {
+		return err
+	}
+	return errkind.AfterSend(err)
+}
+
 func givenUp(last error, arrived bool) error {
 	if arrived {
 		return errkind.Wrap(errkind.OutcomeUnknown, last, "no leader confirmed the call in time")
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -21,13 +21,8 @@
 	"github.com/filbertmast/filbertmast/internal/wire"
 )
 
-const (
-	// LongestDeadline bounds the deadline of a request. Grants of a lost entry
-	// are withheld for as long.
-	LongestDeadline = 60 * time.Second
-	// ownerRenewalsPerLease is how many renewals of ownership fall into one lease.
-	ownerRenewalsPerLease = 4
-)
+// ownerRenewalsPerLease is how many renewals of ownership fall into one lease.
+const ownerRenewalsPerLease = 4
 
 // buildRequests wires the request path to the leader and to the other entries.
 func (s *Server) buildRequests() {
@@ -98,7 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
-	patience, err := duration(api.HeaderPatience, r.Header.Get(api.HeaderPatience), LongestDeadline)
+	patience, err := duration(api.HeaderPatience, r.Header.Get(api.HeaderPatience), s.set.Limits.LongestDeadline.Std())
 	if err != nil {
 		return nil, err
 	}
@@ -134,12 +129,13 @@
 
 // deadlineOf is what the caller named, else the service's default, else that of the settings.
 func (s *Server) deadlineOf(r *http.Request, svc *model.Service) (time.Duration, error) {
-	d, err := duration(api.HeaderDeadline, r.Header.Get(api.HeaderDeadline), LongestDeadline)
+	longest := s.set.Limits.LongestDeadline.Std()
+	d, err := duration(api.HeaderDeadline, r.Header.Get(api.HeaderDeadline), longest)
 	if err != nil || d > 0 {
 		return d, err
 	}
 	if svc.Deadline > 0 {
-		return min(svc.Deadline.Std(), LongestDeadline), nil
+		return min(svc.Deadline.Std(), longest), nil
 	}
 	return s.set.Limits.RequestTimeout.Std(), nil
 }
@@ -153,6 +149,7 @@
 	for k, v := range a.Header {
 		h[k] = v
 	}
+	h.Del(api.HeaderError) // an executor must not speak for the system
 	h.Set(api.HeaderRequestID, id)
 	if a.Size >= 0 {
 		h.Set(echo.HeaderContentLength, strconv.FormatInt(a.Size, 10))
--- a/internal/owner/assign.go
+++ b/internal/owner/assign.go
@@ -52,7 +52,7 @@
 }
 
 // choose returns the entry with the fewest executors of the service, then the
-// fewest at all, then the least load.
+// fewest at all, then the least load; the avoided entry only where it is alone.
 func (t *Table) choose(e *executor) *entry {
 	var best *entry
 	for _, id := range sortedKeys(t.entries) {
@@ -60,13 +60,28 @@
 		if !n.open() || n.region != e.region {
 			continue
 		}
-		if best == nil || compareLoad(n, best, e.spec.Service) < 0 {
+		if best == nil || t.compare(n, best, e.spec.Service) < 0 {
 			best = n
 		}
 	}
 	return best
 }
 
+// compare orders the avoided entry behind all others, then by load.
+func (t *Table) compare(a, b *entry, service string) int {
+	if a.id == t.avoided || b.id == t.avoided {
+		return cmp.Compare(boolRank(a.id == t.avoided), boolRank(b.id == t.avoided))
+	}
+	return compareLoad(a, b, service)
+}
+
+func boolRank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 func compareLoad(a, b *entry, service string) int {
 	return cmp.Or(
 		cmp.Compare(a.services[service], b.services[service]),
@@ -104,6 +119,9 @@
 	if to == nil || to == n {
 		return false
 	}
+	if n.id == t.avoided {
+		return true
+	}
 	asked := t.askedBack(n, e.spec.Service)
 	return n.services[e.spec.Service]-asked-to.services[e.spec.Service] >= 2
 }
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -85,6 +85,7 @@
 	version   uint64
 	executors map[string]*executor
 	entries   map[string]*entry
+	avoided   string // entry that owns executors only where no other can
 }
 
 // NewTable returns an empty table. Call NewTerm before it is used.
@@ -115,6 +116,11 @@
 	t.version = term << termShift
 }
 
+// Avoid names the entry of the leader's own process. It is given executors only
+// where its region has no other entry, and gives them up to others: when the
+// leader dies, nothing then waits for an owner that died with it.
+func (t *Table) Avoid(entryID string) { t.avoided = entryID }
+
 // Announce makes an executor known, or updates it.
 func (t *Table) Announce(spec model.ExecutorSpec, region string, leaving bool) {
 	e, ok := t.executors[spec.ID]
--- a/internal/route/header.go
+++ b/internal/route/header.go
@@ -15,11 +15,12 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
-// ownHeaders are for this system alone. An executor is told the idempotency key
-// and whether the request is repeatable, so that it can guard itself as well.
+// ownHeaders are for this system alone. An executor is told whether the request
+// is repeatable; the request ID takes the place of the idempotency key, which
+// the HTTP transport would take as leave to send again by itself.
 var ownHeaders = []string{
 	"Authorization", "Content-Length", "Expect", "Host",
-	api.HeaderDeadline, api.HeaderPatience,
+	api.HeaderIdempotencyKey, api.HeaderDeadline, api.HeaderPatience,
 	api.HeaderRequestID, api.HeaderEpoch, api.HeaderRefused,
 }
 
--- a/internal/server/dev.go
+++ b/internal/server/dev.go
@@ -6,9 +6,7 @@
 	"io"
 	"net"
 	"os"
-	"os/signal"
 	"path/filepath"
-	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -45,7 +43,7 @@
 // Dev runs one control and one entry role and a stand-in worker in this
 // process, runs an example job and goes on serving until ctx ends.
 func Dev(ctx context.Context, o DevOptions) error {
-	ctx, cancel := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if o.DataDir == "" {
 		dir, err := os.MkdirTemp("", "filbertmast-dev-")
@@ -67,6 +65,7 @@
 	if !o.Once {
 		fmt.Fprintf(o.Out, "Serving on http://%s until interrupted.\n", d.address())
 		fmt.Fprintf(o.Out, "  export FILBERTMAST_ADDRESS=http://%s FILBERTMAST_KEY=%s\n", d.address(), d.caller)
+		fmt.Fprintf(o.Out, "The operator's key, for status, workers and apply: %s\n", d.operator)
 		<-ctx.Done()
 	}
 	cancel()
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -10,9 +10,7 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -24,6 +22,7 @@
 	"github.com/filbertmast/filbertmast/internal/entry"
 	"github.com/filbertmast/filbertmast/internal/errkind"
 	"github.com/filbertmast/filbertmast/internal/journal"
+	"github.com/filbertmast/filbertmast/internal/link"
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/obs"
 	"github.com/filbertmast/filbertmast/internal/replica"
@@ -54,11 +53,9 @@
 	stop     context.CancelFunc
 }
 
-// Run starts the process of the settings and serves until ctx ends or the
-// process is told to terminate; then it shuts down gracefully.
+// Run starts the process of the settings and serves until ctx ends; then it
+// shuts down gracefully.
 func Run(ctx context.Context, set *settings.Settings) error {
-	ctx, cancel := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
-	defer cancel()
 	p, err := Start(set, Options{})
 	if err != nil {
 		return err
@@ -107,11 +104,28 @@
 		TLS:           conf,
 		Logger:        p.log,
 		Registerer:    p.registry,
+		Budget:        p.linkBudget(),
 	})
 	p.endpoint = e
 	return err
 }
 
+// linkBudget returns the budget of this process's traffic to other regions, or
+// nil where the settings bound none. One rate holds towards every region: the
+// lowest that is set.
+func (p *Process) linkBudget() wire.Shaper {
+	rate := int64(0)
+	for _, l := range p.set.Limits.Links {
+		if l.From == p.set.Region && (rate == 0 || l.BytesPerSecond < rate) {
+			rate = l.BytesPerSecond
+		}
+	}
+	if rate == 0 {
+		return nil
+	}
+	return link.New(link.Options{Rate: rate, Registerer: p.registry})
+}
+
 func (p *Process) startControl(ctx context.Context, _ Options) error {
 	if !p.set.Has(settings.RoleControl) {
 		return nil
@@ -176,7 +190,7 @@
 	t := control.DefaultTimes()
 	t.WorkerLease = set.Limits.WorkerLease.Std()
 	t.RequestLease = set.Limits.RequestLease.Std()
-	t.LongestHold = entry.LongestDeadline
+	t.LongestHold = set.Limits.LongestDeadline.Std()
 	return t
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,7 +36,6 @@
 	Outer         Outer     `json:"outer"`
 	Data          Data      `json:"data"`
 	Control       Control   `json:"control"`
-	Entries       []string  `json:"entries"` // inner addresses of other entry processes, as seeds
 	Limits        Limits    `json:"limits"`
 	Log           Log       `json:"log"`
 	Bootstrap     Bootstrap `json:"bootstrap" secret:"true"`
@@ -93,13 +92,15 @@
 	RequestLease   model.Duration `json:"request_lease"`   // of request permits and executor ownership
 	Freshness      model.Duration `json:"freshness"`       // oldest confirmation of the configuration that an entry serves by
 	RequestTimeout model.Duration `json:"request_timeout"` // of requests that name no deadline
-	DrainTimeout   model.Duration `json:"drain_timeout"`   // of work on a leaving target
-	ShutdownDelay  model.Duration `json:"shutdown_delay"`  // between "not ready" and the end of listening
-	ShutdownGrace  model.Duration `json:"shutdown_grace"`  // for running requests to end
-	JournalKeep    model.Duration `json:"journal_keep"`    // of answers to requests that are not repeatable
-	JournalBytes   int64          `json:"journal_bytes"`   // of all kept answers
-	AnswerBytes    int64          `json:"answer_bytes"`    // of one kept answer
-	Links          []Link         `json:"links"`           // budgets between regions
+	// LongestDeadline bounds the deadline that a caller may name. What a dead
+	// leader may have granted is withheld for as long.
+	LongestDeadline model.Duration `json:"longest_deadline"`
+	ShutdownDelay   model.Duration `json:"shutdown_delay"` // between "not ready" and the end of listening
+	ShutdownGrace   model.Duration `json:"shutdown_grace"` // for running requests to end
+	JournalKeep     model.Duration `json:"journal_keep"`   // of answers to requests that are not repeatable
+	JournalBytes    int64          `json:"journal_bytes"`  // of all kept answers
+	AnswerBytes     int64          `json:"answer_bytes"`   // of one kept answer
+	Links           []Link         `json:"links"`          // budgets between regions
 }
 
 // Link is the budget of one direction between two regions.
@@ -147,16 +148,16 @@
 		},
 		Data: Data{SnapshotEntries: 100_000},
 		Limits: Limits{
-			WorkerLease:    model.Duration(15 * time.Second),
-			RequestLease:   model.Duration(5 * time.Second),
-			Freshness:      model.Duration(3 * time.Second),
-			RequestTimeout: model.Duration(10 * time.Second),
-			DrainTimeout:   model.Duration(5 * time.Minute),
-			ShutdownDelay:  model.Duration(3 * time.Second),
-			ShutdownGrace:  model.Duration(30 * time.Second),
-			JournalKeep:    model.Duration(10 * time.Minute),
-			JournalBytes:   64 << 20,
-			AnswerBytes:    64 << 10,
+			WorkerLease:     model.Duration(15 * time.Second),
+			RequestLease:    model.Duration(5 * time.Second),
+			Freshness:       model.Duration(3 * time.Second),
+			RequestTimeout:  model.Duration(10 * time.Second),
+			LongestDeadline: model.Duration(15 * time.Second),
+			ShutdownDelay:   model.Duration(3 * time.Second),
+			ShutdownGrace:   model.Duration(30 * time.Second),
+			JournalKeep:     model.Duration(10 * time.Minute),
+			JournalBytes:    64 << 20,
+			AnswerBytes:     64 << 10,
 		},
 		Log: Log{Level: "info", Format: "text"},
 	}
--- a/internal/settings/together.go
+++ b/internal/settings/together.go
@@ -60,6 +60,7 @@
 	a, b := first.Settings.Limits, f.Settings.Limits
 	c.same(first, f, "$.limits.worker_lease", a.WorkerLease, b.WorkerLease)
 	c.same(first, f, "$.limits.request_lease", a.RequestLease, b.RequestLease)
+	c.same(first, f, "$.limits.longest_deadline", a.LongestDeadline, b.LongestDeadline)
 	c.same(first, f, "$.limits.journal_keep", a.JournalKeep, b.JournalKeep)
 	c.same(first, f, "$.limits.journal_bytes", a.JournalBytes, b.JournalBytes)
 	c.same(first, f, "$.limits.answer_bytes", a.AnswerBytes, b.AnswerBytes)
