Tell a replica that was replaced while it was away

A replica that was given up for dead and comes back with its disk asked for votes for ever, in vain and unnoticed. A leader with a valid lease and no open change now answers it, and it ends with ErrRemoved. Followers do not answer: their membership may be old.

The bound on what waits for commit counts the proposal itself: 17 MiB were taken under a bound of 16 before, seen in the new test.

--- a/internal/replica/freeze_test.go
+++ b/internal/replica/freeze_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -12,7 +13,8 @@
 
 // freeze holds the loop of m, as a stopped process would be held, until the
 // result is called. Messages and proposals go on arriving.
-func freeze(m *member) (thaw func()) {
+func freeze(t *testing.T, m *member) (thaw func()) {
+	t.Helper()
 	held := make(chan struct{})
 	release := make(chan struct{})
 	m.inbox.addCall(func() {
@@ -20,7 +22,9 @@
 		<-release
 	})
 	<-held
-	return func() { close(release) }
+	thaw = sync.OnceFunc(func() { close(release) })
+	t.Cleanup(thaw)
+	return thaw
 }
 
 // The leader is stopped past its lease and wakes with a full queue: old
@@ -31,7 +35,7 @@
 	proposeMany(20, group...)
 	leader := awaitLeader(group...)
 	rest := others(group, leader)
-	thaw := freeze(leader)
+	thaw := freeze(t, leader)
 	for range 100 {
 		_ = leader.Propose([]byte("queued while frozen"))
 	}
@@ -80,7 +84,7 @@
 			leader := group[0]
 			awaitLeadership(t, leader, group...)
 
-			thaw := freeze(leader)
+			thaw := freeze(t, leader)
 			w.isolate(leader, true)
 			ticker.Stop()
 			clock.advance(row.passes)
--- a/internal/replica/inbox.go
+++ b/internal/replica/inbox.go
@@ -97,7 +97,7 @@
 func (b *inbox) addProposal(p proposal, uncommitted int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.proposalBytes+uncommitted > maxUncommittedBytes {
+	if b.proposalBytes+len(p.data)+uncommitted > maxUncommittedBytes {
 		return false
 	}
 	b.proposalBytes += len(p.data)
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -109,11 +109,14 @@
 		n.receiveFounding(r)
 	case r.msg.To != n.identity.ID:
 		n.metrics.misaddressed.Inc()
+	case r.msg.Kind == raft.Removed:
+		n.receiveRemoved(r.msg)
 	case r.msg.Kind == raft.SnapshotAck:
 		n.addrs.learn(r.msg.From, r.from)
 		n.receiveSnapshotAck(r.msg)
 	default:
 		n.addrs.learn(r.msg.From, r.from)
+		n.tellRemoved(r.msg)
 		n.core.Step(r.msg)
 	}
 }
--- a/internal/replica/loss_test.go
+++ b/internal/replica/loss_test.go
@@ -166,3 +166,21 @@
 		})
 	}
 }
+
+// A replica that was given up for dead and replaced comes back with its disk.
+func TestAReplacedReplicaThatComesBackIsToldSo(t *testing.T) {
+	w := newNetwork()
+	options := groupOptions(3)
+	var group []*member
+	for _, o := range options {
+		group = append(group, startMember(t, w, o))
+	}
+	proposeMany(10, group...)
+	old := options[2]
+	replace(t, w, group, options, 2)
+	old.Address = "10.0.0.9:7000"
+	back := startMember(t, w, old)
+	assert.ErrorIs(t, <-back.Fatal(), ErrRemoved)
+	mustPropose("undisturbed", group...)
+	awaitSame(t, awaitLeader(group...), group...)
+}
--- a/internal/replica/member.go
+++ b/internal/replica/member.go
@@ -61,6 +61,31 @@
 	})
 }
 
+// ErrRemoved is fatal to a replica that was taken out of the group while it was
+// away. Its data folder is of no more use.
+var ErrRemoved = errors.New("replica: this replica was removed from the group")
+
+// tellRemoved answers a replica that asks for votes though it is no member any
+// more. Only a leader knows that, and only with no change open.
+func (n *Node) tellRemoved(m Message) {
+	asks := m.Kind == raft.PreVote || m.Kind == raft.Vote
+	if !asks || n.core.Role() != raft.Leader || n.core.ChangeOpen() || !n.LeaseValid() {
+		return
+	}
+	if _, member := n.core.Config().Find(m.From); member {
+		return
+	}
+	n.sendAll([]Message{{Kind: raft.Removed, From: n.identity.ID, To: m.From, Term: n.core.Term()}})
+}
+
+// receiveRemoved ends a replica that a later leader has told of its removal.
+func (n *Node) receiveRemoved(m Message) {
+	if m.Term < n.core.Term() || n.core.Config().Voters() == 0 {
+		return
+	}
+	n.fail(ErrRemoved)
+}
+
 func changeError(err error) error {
 	if errors.Is(err, raft.ErrSelf) || errors.Is(err, raft.ErrNoSuchPeer) {
 		return errkind.Wrap(errkind.BadRequest, err, "replica")
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -225,3 +225,29 @@
 	mustPropose("after", group...)
 	awaitSame(t, awaitLeader(group...), group...)
 }
+
+func TestProposalsBeyondTheBoundAreRefused(t *testing.T) {
+	m := startMember(t, newNetwork(), groupOptions(1)[0])
+	awaitLeader(m)
+	thaw := freeze(t, m)
+	data := make([]byte, 1<<20)
+	refusal := error(nil)
+	taken := 0
+	for refusal == nil {
+		refusal = m.Propose(data)
+		taken++
+	}
+	assert.Equal(t, errkind.Of(refusal), errkind.Overloaded)
+	assert.Equal(t, taken-1, maxUncommittedBytes>>20)
+	thaw()
+	m.awaitEntries(taken - 1)
+}
+
+func TestAProposalMadeUnderAnEarlierTermIsRefused(t *testing.T) {
+	group := startGroup(t, newNetwork(), 3)
+	leader := awaitLeader(group...)
+	term := leader.Status().Term
+	assert.NilError(t, leader.ProposeIn(term, []byte("now")))
+	assert.Equal(t, errkind.Of(leader.ProposeIn(term-1, []byte("then"))), errkind.NotLeader)
+	leader.awaitEntries(1)
+}
--- a/internal/replica/raft/message.go
+++ b/internal/replica/raft/message.go
@@ -16,6 +16,7 @@
 	TimeoutNow     MessageKind = 9
 	SnapshotAck    MessageKind = 10 // handled by the owner, not by the core
 	Found          MessageKind = 11 // handled by the owner, not by the core
+	Removed        MessageKind = 12 // handled by the owner, not by the core
 )
 
 // Message is what replicas tell each other.
