--- a/internal/replica/writer.go
+++ b/internal/replica/writer.go
@@ -13,6 +13,9 @@
 	fullRetry = 500 * time.Millisecond
 	// maxGroupBytes bounds what is written with one sync, beyond the first job.
 	maxGroupBytes = 8 << 20
+	// maxJobs bounds what waits while the disk is full. Beyond it answers that
+	// write nothing are dropped, as a network may drop them.
+	maxJobs = 4096
 )
 
 // job is one batch of the core on its way to disk, or a step that must come
@@ -44,6 +47,10 @@
 func (w *writer) add(j job) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if len(w.jobs) >= maxJobs && !j.marked {
+		w.n.metrics.dropped.Inc()
+		return
+	}
 	w.jobs = append(w.jobs, j)
 	w.cond.Signal()
 }
