Check the history of what ran against what callers were told

Stand-in executors write down what they ran; 960 requests by 24 callers through three entries, a fifth of them meeting a failure, are resent through other entries while one entry is cut off again and again. Found and mended: the owner's slots of an executor were changed while a connection was set up, and executors that do not read a request's body could cut off their answer when asked to close the connection; the owner now closes it itself.

--- a/internal/route/executor.go
+++ b/internal/route/executor.go
@@ -20,8 +20,10 @@
 type executor struct {
 	spec      model.ExecutorSpec
 	epoch     uint64
+	times     transportTimes
 	transport *http.Transport
 
+	slots   int32 // as last announced
 	inUse   int32
 	closed  bool // leaving, asked back or no longer owned: nothing new
 	release bool // tell the leader once nothing runs
@@ -36,22 +38,24 @@
 }
 
 func newExecutor(spec model.ExecutorSpec, epoch uint64, times transportTimes) *executor {
-	return &executor{
-		spec:  spec,
-		epoch: epoch,
-		transport: &http.Transport{
-			DialContext:         dialTracked(times.connect),
-			MaxConnsPerHost:     int(spec.Connections),
-			MaxIdleConnsPerHost: int(spec.Slots),
-			IdleConnTimeout:     times.idle,
-			DisableCompression:  true,
-		},
+	x := &executor{spec: spec, slots: spec.Slots, epoch: epoch, times: times}
+	x.transport = x.newTransport()
+	return x
+}
+
+func (x *executor) newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:         dialTracked(x.times.connect),
+		MaxConnsPerHost:     int(x.spec.Connections),
+		MaxIdleConnsPerHost: int(x.spec.Slots),
+		IdleConnTimeout:     x.times.idle,
+		DisableCompression:  true,
 	}
 }
 
 // capacity returns how many requests the executor may be given at once.
 func (x *executor) capacity() int32 {
-	n := x.spec.Slots
+	n := x.slots
 	if x.spec.Connections > 0 {
 		n = min(n, x.spec.Connections)
 	}
@@ -63,9 +67,11 @@
 
 // exchange is one request to an executor and its answer.
 type exchange struct {
-	executor *executor
-	cancel   context.CancelFunc
-	notAfter time.Time // nothing may be sent later
+	executor  *executor
+	transport *http.Transport
+	private   bool // transport is of this exchange only
+	cancel    context.CancelFunc
+	notAfter  time.Time // nothing may be sent later
 
 	mu        sync.Mutex
 	conn      *trackedConn
@@ -73,6 +79,26 @@
 	abandoned bool
 }
 
+// newExchange returns an exchange with x. Unless connections may be reused it
+// gets a connection of its own, and closes it after the answer: asking the
+// executor to close it makes some servers cut off the end of their answers.
+func newExchange(x *executor, reuse bool, cancel context.CancelFunc, notAfter time.Time) *exchange {
+	e := &exchange{executor: x, transport: x.transport, cancel: cancel, notAfter: notAfter}
+	if !reuse {
+		e.transport = x.newTransport()
+		e.private = true
+	}
+	return e
+}
+
+// end closes what belongs to the exchange alone.
+func (e *exchange) end() {
+	e.cancel()
+	if e.private {
+		e.transport.CloseIdleConnections()
+	}
+}
+
 // abandon tells the executor that nobody waits for its answer. An exchange that
 // has no connection yet is cancelled.
 func (e *exchange) abandon() {
@@ -95,7 +121,7 @@
 }
 
 // roundTrip sends the request and waits for the head of the answer.
-func (e *exchange) roundTrip(ctx context.Context, h *ForwardHeader, body io.Reader, reuse bool) (*http.Response, error) {
+func (e *exchange) roundTrip(ctx context.Context, h *ForwardHeader, body io.Reader) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{GotConn: e.gotConn}
 	url := "http://" + e.executor.spec.Address + "/" + h.Path
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, url, onlyReader(body, h.Size))
@@ -104,9 +130,8 @@
 	}
 	req.GetBody = nil
 	req.ContentLength = h.Size
-	req.Close = !reuse
 	e.setHeader(req.Header, h)
-	resp, err := e.executor.transport.RoundTrip(req)
+	resp, err := e.transport.RoundTrip(req)
 	if err != nil {
 		return nil, e.transportError(err)
 	}
--- a/internal/route/executor_test.go
+++ b/internal/route/executor_test.go
@@ -29,6 +29,8 @@
 	runs []*run
 	most map[string]int // most runs at once by executor
 	now  map[string]int
+
+	all, mostAll int // runs at once of all executors
 }
 
 func newHistory() *history {
@@ -42,6 +44,8 @@
 	h.runs = append(h.runs, r)
 	h.now[executor]++
 	h.most[executor] = max(h.most[executor], h.now[executor])
+	h.all++
+	h.mostAll = max(h.mostAll, h.all)
 	return r
 }
 
@@ -50,6 +54,7 @@
 	defer h.mu.Unlock()
 	r.end = time.Now()
 	h.now[r.executor]--
+	h.all--
 }
 
 // count returns how often a request ran.
--- a/internal/route/failure_test.go
+++ b/internal/route/failure_test.go
@@ -65,7 +65,7 @@
 				runs := c.history.count("r1")
 				assert.Assert(t, runs >= 1)
 				if !repeatable {
-					assert.Equal(t, k, row.want)
+					assert.Equal(t, k, row.want, "%v", err)
 					assert.Equal(t, runs, 1)
 					_, err = c.entries["b"].ask("r1", false, row.wait)
 					assert.Assert(t, !errkind.RowOf(errkind.Of(err)).NotRun, "a resend was told %v", err)
--- /dev/null
+++ b/internal/route/history_test.go
@@ -0,0 +1,208 @@
+package route
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// reply is what one send of a request was told.
+type reply struct {
+	id         string
+	repeatable bool
+	body       string
+	err        error
+}
+
+// record is what all callers were told.
+type record struct {
+	mu   sync.Mutex
+	told []reply
+}
+
+func (r *record) add(t reply) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.told = append(r.told, t)
+}
+
+// check holds what callers were told against what really ran.
+func (r *record) check(t *testing.T, h *history, slots map[string]int32) {
+	t.Helper()
+	runs := make(map[string]int)
+	for _, run := range h.runs {
+		runs[run.request]++
+	}
+	kinds := make(map[errkind.Kind]int)
+	last := make(map[string]reply)
+	for _, got := range r.told {
+		kinds[errkind.Of(got.err)]++
+		if got.err == nil {
+			assert.Equal(t, got.body, "answer to "+got.id)
+			assert.Assert(t, runs[got.id] >= 1, "%s was answered and never ran", got.id)
+		}
+		if !got.repeatable {
+			assert.Assert(t, runs[got.id] <= 1, "%s ran %d times", got.id, runs[got.id])
+		}
+		last[got.id] = got
+	}
+	for id, got := range last {
+		if got.err != nil && errkind.RowOf(errkind.Of(got.err)).NotRun {
+			assert.Equal(t, runs[id], 0, "%s was told %v", id, got.err)
+		}
+	}
+	for id, n := range h.most {
+		assert.Assert(t, int32(n) <= slots[id], "%s ran %d at once", id, n)
+	}
+	t.Logf("%d sends of %d requests, %d runs, by kind (none: answered): %v", len(r.told), len(last), len(h.runs), kinds)
+}
+
+// chaos is how the stand-in executors of one run fail.
+type chaos struct {
+	mu  sync.Mutex
+	rng *rand.Rand
+	bad float64 // share of requests that meet a failure
+}
+
+func (c *chaos) draw() (float64, time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rng.Float64(), time.Duration(c.rng.Int64N(int64(3 * time.Millisecond))), c.rng.Float64() < c.bad
+}
+
+func (c *chaos) handle(w http.ResponseWriter, r *http.Request) {
+	how, work, bad := c.draw()
+	_, _ = io.Copy(io.Discard, r.Body)
+	time.Sleep(work) // the work of the stand-in
+	id := r.Header.Get(api.HeaderRequestID)
+	switch {
+	case !bad:
+		fmt.Fprintf(w, "answer to %s", id)
+	case how < 0.2:
+		raw(func(string) string { return "" })(w, r)
+	case how < 0.4:
+		raw(func(id string) string {
+			return "HTTP/1.1 200 OK\r\nFilbertmast-Request-Id: " + id + "\r\nContent-Length: 100\r\n\r\nshort"
+		})(w, r)
+	case how < 0.6:
+		raw(func(string) string {
+			return "HTTP/1.1 200 OK\r\nFilbertmast-Request-Id: other\r\nContent-Length: 5\r\n\r\nother"
+		})(w, r)
+	case how < 0.7:
+		answerTwice(true)(w, r)
+	case how < 0.8:
+		w.WriteHeader(http.StatusBadGateway)
+	default:
+		<-r.Context().Done()
+	}
+}
+
+// TestTheHistoryHoldsWhileExecutorsCallersAndEntriesFail sends requests that
+// are and are not repeatable, with resends through other entries and callers
+// that go, while executors fail in many ways and an entry is cut off and returns.
+func TestTheHistoryHoldsWhileExecutorsCallersAndEntriesFail(t *testing.T) {
+	const (
+		executors = 6
+		slots     = 4
+		teamLimit = 16
+		clients   = 24
+		requests  = 40 // of one client
+		seed      = 7
+	)
+	t.Log("seed", seed)
+	c := newCell(t, teamLimit, "a", "b", "c")
+	ch := &chaos{rng: rand.New(rand.NewPCG(seed, seed)), bad: 0.2}
+	limits := make(map[string]int32)
+	var specs []model.ExecutorSpec
+	for i := range executors {
+		s := newStandIn(t, c.history, fmt.Sprintf("x%d", i), ch.handle)
+		s.refuse = func() bool { how, _, _ := ch.draw(); return how < 0.05 }
+		specs = append(specs, s.spec(testService, slots, 60))
+		limits[s.id] = slots
+	}
+	c.announce(specs...)
+	var rec record
+	stop := make(chan struct{})
+	var cutter sync.WaitGroup
+	cutter.Go(func() { c.cutAndHeal(stop) })
+	var wg sync.WaitGroup
+	for n := range clients {
+		rng := rand.New(rand.NewPCG(seed, uint64(n)))
+		wg.Go(func() {
+			for i := range requests {
+				c.client(rng, &rec, fmt.Sprintf("c%d-%d", n, i))
+			}
+		})
+	}
+	wg.Wait()
+	close(stop)
+	cutter.Wait()
+	for _, e := range c.entries {
+		assert.Equal(t, len(e.router.Drain(context.Background())), 0)
+		assert.Equal(t, len(e.owner.Drain(context.Background())), 0)
+	}
+	c.history.mu.Lock()
+	defer c.history.mu.Unlock()
+	rec.check(t, c.history, limits)
+	assert.Assert(t, c.history.mostAll <= teamLimit, "%d requests of the team ran at once", c.history.mostAll)
+}
+
+// client sends one request, sometimes leaves early, and resends what it was not
+// answered, with the same ID through another entry.
+func (c *cell) client(rng *rand.Rand, rec *record, id string) {
+	repeatable := rng.IntN(2) == 0
+	names := []string{"a", "b", "c"}
+	for range 3 {
+		e := c.entries[names[rng.IntN(len(names))]]
+		ctx, cancel := context.WithCancel(context.Background())
+		if rng.IntN(10) == 0 {
+			time.AfterFunc(time.Duration(rng.IntN(4000))*time.Microsecond, cancel)
+		}
+		got := reply{id: id, repeatable: repeatable}
+		got.body, got.err = e.askCtx(ctx, request(id, repeatable, 300*time.Millisecond))
+		cancel()
+		rec.add(got)
+		if got.err == nil || repeatable {
+			return
+		}
+	}
+}
+
+func (e *testEntry) askCtx(ctx context.Context, req *Request) (string, error) {
+	ans, err := e.router.Serve(ctx, req)
+	if err != nil {
+		return "", err
+	}
+	defer ans.Body.Close()
+	b, err := io.ReadAll(ans.Body)
+	if ans.Status != http.StatusOK && err == nil {
+		return "", errkind.New(errkind.Internal, "status %d", ans.Status)
+	}
+	return string(b), err
+}
+
+// cutAndHeal cuts one entry off from leader and peers for a while, again and again.
+func (c *cell) cutAndHeal(stop <-chan struct{}) {
+	ticker := time.NewTicker(50 * time.Millisecond)
+	defer ticker.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			c.entries["c"].cut.Store(false)
+			return
+		case <-ticker.C:
+			c.entries["c"].cut.Store(i%2 == 0)
+		}
+	}
+}
--- a/internal/route/linger.go
+++ b/internal/route/linger.go
@@ -65,7 +65,7 @@
 // finished.
 func (h *heldSlot) end(ok bool, err error) {
 	s := h.send
-	h.exchange.cancel()
+	h.exchange.end()
 	s.owner.metrics.sends.WithLabelValues(sendLabel(ok, err)).Inc()
 	s.pool.noteResult(h.exchange.executor, ok)
 	s.pool.free(h.exchange.executor, s.owner.opts.Now().Sub(h.since))
--- a/internal/route/pool.go
+++ b/internal/route/pool.go
@@ -201,7 +201,7 @@
 	defer p.mu.Unlock()
 	for _, x := range p.executors {
 		inUse += x.inUse
-		slots += x.spec.Slots
+		slots += x.slots
 	}
 	return inUse, slots
 }
--- a/internal/route/send.go
+++ b/internal/route/send.go
@@ -107,15 +107,15 @@
 func (s *send) exchange(ctx context.Context, x *executor) (*Answer, error) {
 	// The exchange outlives its caller: only its end frees the slot.
 	long, cancel := context.WithDeadline(context.WithoutCancel(ctx), s.deadline.Add(s.owner.opts.Linger))
-	e := &exchange{executor: x, cancel: cancel, notAfter: s.deadline}
-	slot := &heldSlot{send: s, exchange: e, since: s.owner.opts.Now()}
-	s.header.DeadlineMS = s.deadline.Sub(slot.since).Milliseconds()
 	s.pool.mu.Lock()
 	echoes := x.echoes
 	s.pool.mu.Unlock()
+	e := newExchange(x, echoes, cancel, s.deadline)
+	slot := &heldSlot{send: s, exchange: e, since: s.owner.opts.Now()}
+	s.header.DeadlineMS = s.deadline.Sub(slot.since).Milliseconds()
 	done := make(chan roundTripped, 1)
 	go func() {
-		resp, err := e.roundTrip(long, s.header, s.body.reader(), echoes)
+		resp, err := e.roundTrip(long, s.header, s.body.reader())
 		done <- roundTripped{resp, err}
 	}()
 	select {
--- a/internal/route/update.go
+++ b/internal/route/update.go
@@ -17,7 +17,7 @@
 		x.closed = i < 0 || owned[i].Leaving || owned[i].Release
 		x.release = i >= 0 && owned[i].Release
 		if i >= 0 {
-			x.spec.Slots = owned[i].Executor.Slots
+			x.slots = owned[i].Executor.Slots
 		}
 		if x.release && x.inUse == 0 {
 			idle = append(idle, x)
