--- a/internal/route/failure_test.go
+++ b/internal/route/failure_test.go
@@ -122,12 +122,12 @@
 }
 
 func TestASecondAnswerOnAConnectionReachesNobody(t *testing.T) {
-	for _, echo := range []bool{true, false} {
-		t.Run(fmt.Sprintf("the executor sends IDs back: %t", echo), func(t *testing.T) {
+	for _, row := range []struct{ echo, late bool }{{true, false}, {false, false}, {true, true}, {false, true}} {
+		t.Run(fmt.Sprintf("IDs are sent back: %t, the second answer comes with the next request: %t", row.echo, row.late), func(t *testing.T) {
 			c := newCell(t, 100, "a")
 			s := newStandIn(t, c.history, "x1", nil)
 			s.noEcho = true
-			s.handle = answerTwice(echo)
+			s.handle = answerTwice(row.echo, row.late)
 			c.announce(s.spec(testService, 1, 60))
 			whole := 0
 			for i := range 20 {
@@ -143,8 +143,9 @@
 	}
 }
 
-// answerTwice takes the connection over and answers each request on it twice.
-func answerTwice(echo bool) http.HandlerFunc {
+// answerTwice takes the connection over and answers each request on it twice,
+// the second time at once or when the next request has come.
+func answerTwice(echo, late bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		conn, buf, err := w.(http.Hijacker).Hijack()
@@ -153,22 +154,55 @@
 		}
 		defer conn.Close()
 		for err == nil {
-			id := r.Header.Get(api.HeaderRequestID)
-			line := ""
-			if echo {
-				line = api.HeaderRequestID + ": " + id + "\r\n"
+			one := plainAnswer(r.Header.Get(api.HeaderRequestID), echo)
+			_, _ = buf.WriteString(one)
+			if !late {
+				_, _ = buf.WriteString(one)
 			}
-			body := "answer to " + id
-			one := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", line, len(body), body)
-			_, _ = buf.WriteString(one + one)
 			_ = buf.Flush()
-			if r, err = http.ReadRequest(buf.Reader); err == nil {
-				_, _ = io.Copy(io.Discard, r.Body)
+			if r, err = http.ReadRequest(buf.Reader); err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			if late {
+				_, _ = buf.WriteString(one)
 			}
 		}
 	}
 }
 
+func plainAnswer(id string, echo bool) string {
+	line := ""
+	if echo {
+		line = api.HeaderRequestID + ": " + id + "\r\n"
+	}
+	body := "answer to " + id
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", line, len(body), body)
+}
+
+func TestAnAbandonedRequestCountsAgainstTheLimitWhileItMayRun(t *testing.T) {
+	c := newCell(t, 1, "a")
+	started := make(chan struct{}, 1)
+	leave := make(chan struct{})
+	defer close(leave)
+	c.announce(newStandIn(t, c.history, "x1", func(http.ResponseWriter, *http.Request) {
+		started <- struct{}{}
+		<-leave
+	}).spec(testService, 8, 60))
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := c.entries["a"].router.Serve(ctx, request("slow", true, long))
+		ended <- err
+	}()
+	<-started
+	cancel()
+	assert.Equal(t, errkind.Of(<-ended), errkind.CallerGone)
+	_, err := c.entries["a"].ask("next", true, 200*time.Millisecond)
+	assert.Equal(t, errkind.Of(err), errkind.LimitReached)
+	assert.Equal(t, c.history.count("next"), 0)
+}
+
 func TestALateAnswerToAnAbandonedRequestReachesNobodyElse(t *testing.T) {
 	c := newCell(t, 100, "a")
 	started := make(chan struct{}, 1)
