--- a/internal/route/pool.go
+++ b/internal/route/pool.go
@@ -201,7 +201,18 @@
 	defer p.mu.Unlock()
 	for _, x := range p.executors {
 		inUse += x.inUse
-		slots += x.spec.Slots
+		slots += x.slots
 	}
 	return inUse, slots
 }
+
+// longestWaiting returns how long after now the last waiting request may run.
+func (p *pool) longestWaiting(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var life time.Duration
+	for _, w := range p.queue.places {
+		life = max(life, w.deadline.Sub(now))
+	}
+	return life
+}
