--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -49,6 +49,9 @@
 	// freeAt is set when the owner can no longer renew: the time after which
 	// it surely sends nothing and nothing that it sent is still running.
 	freeAt model.Time
+	// silentUntil is set while an owner of an earlier term, which has not told
+	// of itself in this one, may be sending or may have something running there.
+	silentUntil model.Time
 }
 
 // orphan reports whether the owner of e has lost it but may still be sending.
@@ -76,14 +79,12 @@
 
 // Table is the leader's account of ownership. One goroutine owns it.
 type Table struct {
-	opts       Options
-	term       uint64
-	counter    uint64
-	version    uint64
-	executors  map[string]*executor
-	entries    map[string]*entry
-	quietUntil model.Time
-	expected   map[string]bool
+	opts      Options
+	term      uint64
+	counter   uint64
+	version   uint64
+	executors map[string]*executor
+	entries   map[string]*entry
 }
 
 // NewTable returns an empty table. Call NewTerm before it is used.
@@ -99,35 +100,21 @@
 const termShift = 40
 
 // NewTerm starts the account of a new leader. Executors stay known; who owns
-// them is told by the entries. Nothing is given anew until longest has passed:
-// the longest time for which an owner from an earlier term may be sending, or
-// something that it sent may run.
+// them is told by the entries. One that nobody tells of is given anew only after
+// longest: the longest time for which an owner from an earlier term may be
+// sending, or something that it sent may run. Executors that are announced
+// later had no owner before and are given out at once.
 func (t *Table) NewTerm(term uint64, now model.Time, longest time.Duration) {
 	t.term = term
 	t.counter = 0
 	t.entries = make(map[string]*entry)
-	t.expected = nil
-	t.quietUntil = now.Add(longest + t.opts.Margin)
-	for id, e := range t.executors {
-		if e.withdrawn {
-			delete(t.executors, id)
-			continue
-		}
+	for _, e := range t.executors {
 		e.owner, e.epoch, e.release, e.freeAt = "", 0, false, 0
+		e.silentUntil = now.Add(longest + t.opts.Margin)
 	}
 	t.version = term << termShift
 }
 
-// Expect ends the wait of a new term early: entries are all that may own
-// executors, and once each has told what it holds, every owner is known.
-func (t *Table) Expect(entries []string) {
-	t.expected = make(map[string]bool, len(entries))
-	for _, e := range entries {
-		t.expected[e] = true
-	}
-	t.endQuietIfTold()
-}
-
 // Announce makes an executor known, or updates it.
 func (t *Table) Announce(spec model.ExecutorSpec, region string, leaving bool) {
 	e, ok := t.executors[spec.ID]
@@ -161,7 +148,7 @@
 	}
 	e.withdrawn = true
 	t.changed(e)
-	if e.owner == "" {
+	if e.owner == "" && e.silentUntil == 0 {
 		delete(t.executors, id)
 	}
 }
@@ -224,8 +211,6 @@
 		}
 		t.give(e, n, c.Epoch)
 	}
-	delete(t.expected, n.id)
-	t.endQuietIfTold()
 }
 
 func (t *Table) takeReleased(n *entry, released []Claim) {
@@ -327,3 +312,11 @@
 	}
 	return row
 }
+
+// Longest returns the longest time for which an owner may be sending, or
+// something that it sent may run, without a word from it, when no request may
+// last longer than life: what NewTerm needs. It assumes that entries renew
+// three times a lease.
+func Longest(life time.Duration) time.Duration {
+	return max(DefaultLease, life+2*DefaultLease/3)
+}
--- a/internal/schedule/apply.go
+++ b/internal/schedule/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/model"
@@ -53,7 +54,7 @@
 	s.jobs[e.ID] = j
 	heap.Push(&s.deadlines, j)
 	g.members++
-	g.add(j)
+	s.enqueue(j)
 	s.addReady(j, e.Spec.Tasks)
 }
 
@@ -96,6 +97,7 @@
 	t.state = taskRunning
 	t.since = e.At
 	j.running++
+	s.workers[t.worker].staleHold()
 }
 
 func (s *Scheduler) taskStopping(id model.TaskID) {
@@ -268,10 +270,17 @@
 		return
 	}
 	j.next = min(j.next, index)
-	j.group.add(j)
+	s.enqueue(j)
 	s.addReady(j, 1)
 }
 
+// enqueue lets j wait in its group.
+func (s *Scheduler) enqueue(j *job) {
+	if !j.queued {
+		j.group.add(j)
+	}
+}
+
 func (s *Scheduler) stopping(j *job, t *task) {
 	if t.state == taskRunning {
 		j.running--
@@ -287,9 +296,11 @@
 	before := j.ready
 	j.ready += n
 	s.readyTasks += int64(n)
+	s.stale(j.group)
 	switch {
 	case before == 0 && j.ready > 0:
 		s.groupLive(j.group, 1)
+		s.tellLater(j.group)
 	case before > 0 && j.ready == 0:
 		s.groupLive(j.group, -1)
 	}
@@ -300,15 +311,10 @@
 	t := s.teams[g.team]
 	switch {
 	case g.live > 0 && g.slot < 0:
-		g.slot = int32(len(t.groups))
-		t.groups = append(t.groups, g)
+		t.line.add(g)
+		s.judgeGroup(g)
 	case g.live == 0 && g.slot >= 0:
-		last := t.groups[len(t.groups)-1]
-		t.groups[g.slot] = last
-		last.slot = g.slot
-		t.groups[len(t.groups)-1] = nil
-		t.groups = t.groups[:len(t.groups)-1]
-		g.slot = -1
+		t.line.remove(g)
 	}
 }
 
@@ -329,7 +335,18 @@
 	delete(s.jobs, j.id)
 	j.group.members--
 	if j.group.members == 0 {
-		delete(s.groups, j.group.groupKey)
-		s.selectors.drop(j.group.selector)
+		s.dropGroup(j.group)
+	}
+}
+
+func (s *Scheduler) dropGroup(g *group) {
+	delete(s.groups, g.groupKey)
+	s.selectors.drop(g.selector)
+	s.rooms.leave(g)
+	left := slices.DeleteFunc(s.byClass[g.class], func(o *group) bool { return o == g })
+	if len(left) == 0 {
+		delete(s.byClass, g.class)
+		return
 	}
+	s.byClass[g.class] = left
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -15,6 +15,8 @@
 	maxNameLength = 63
 	maxFounders   = 7
 	digestBytes   = 32
+	// longestWait is above the longest time for which a call may be held back.
+	longestWait = 75 * time.Second
 )
 
 // bounds is an inclusive range of durations.
@@ -137,7 +139,7 @@
 	timeout := bounds{100 * time.Millisecond, time.Hour}
 	c.duration("$.outer.read_header_timeout", o.ReadHeaderTimeout, timeout)
 	c.duration("$.outer.read_timeout", o.ReadTimeout, timeout)
-	c.duration("$.outer.write_timeout", o.WriteTimeout, timeout)
+	c.duration("$.outer.write_timeout", o.WriteTimeout, bounds{longestWait, time.Hour})
 	c.duration("$.outer.idle_timeout", o.IdleTimeout, timeout)
 }
 
@@ -171,6 +173,12 @@
 	if s.Has(RoleControl) && !s.Control.Join && !member && s.Inner.Address != "" {
 		c.fail("$.control.founders", nil, "must contain inner.address %s of this control process, or control.join must be true", s.Inner.Address)
 	}
+	if s.Control.Replaces != "" {
+		c.reachable("$.control.replaces", s.Control.Replaces)
+		if !s.Control.Join {
+			c.fail("$.control.replaces", s.Control.Replaces, "needs control.join")
+		}
+	}
 	if !s.Has(RoleControl) && s.Control.Join {
 		c.fail("$.control.join", true, "needs the control role")
 	}
