Derive the reset key also from certificates that are read from files

The key came from the fixed certificate of the TLS settings, which is empty where certificates are read from files.

--- a/internal/wire/faults_test.go
+++ b/internal/wire/faults_test.go
@@ -303,3 +303,16 @@
 		})
 	}
 }
+
+func TestResetKeyIsThatOfTheLastRunAlsoWithCertificatesFromFiles(t *testing.T) {
+	fixed, err := localTLS()
+	assert.NilError(t, err)
+	loaded := &tls.Config{GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+		return &fixed.Certificates[0], nil
+	}}
+	want := resetKey(fixed, "10.0.0.1:1")
+	assert.Assert(t, want != nil)
+	assert.DeepEqual(t, resetKey(loaded, "10.0.0.1:1"), want)
+	assert.Assert(t, *resetKey(loaded, "10.0.0.2:1") != *want)
+	assert.Assert(t, resetKey(&tls.Config{}, "10.0.0.1:1") == nil)
+}
--- a/internal/wire/localtls.go
+++ b/internal/wire/localtls.go
@@ -104,12 +104,13 @@
 
 // resetKey derives the key of stateless resets from the private key and the
 // address, so that peers of a restarted process learn of the restart from its
-// first packet and need not wait for the idle timeout.
+// first packet and need not wait for the idle timeout. Nil gives no resets.
 func resetKey(c *tls.Config, address string) *quic.StatelessResetKey {
-	if len(c.Certificates) == 0 {
+	cert, err := ownCertificate(c)
+	if err != nil {
 		return nil
 	}
-	der, err := x509.MarshalPKCS8PrivateKey(c.Certificates[0].PrivateKey)
+	der, err := x509.MarshalPKCS8PrivateKey(cert.PrivateKey)
 	if err != nil {
 		return nil
 	}
@@ -119,3 +120,15 @@
 	h.Write([]byte(address))
 	return (*quic.StatelessResetKey)(h.Sum(nil))
 }
+
+// ownCertificate returns the certificate that c shows, also where c reads it
+// from files at each handshake.
+func ownCertificate(c *tls.Config) (*tls.Certificate, error) {
+	if len(c.Certificates) > 0 {
+		return &c.Certificates[0], nil
+	}
+	if c.GetClientCertificate == nil {
+		return nil, errkind.New(errkind.Internal, "the TLS settings name no certificate")
+	}
+	return c.GetClientCertificate(new(tls.CertificateRequestInfo))
+}
