--- a/internal/wire/bench_test.go
+++ b/internal/wire/bench_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus/testutil"
 )
@@ -105,23 +107,59 @@
 func BenchmarkExchange(b *testing.B) {
 	const size = 1 << 20
 	from, to := benchPair(b)
-	HandleExchange(to, KindForward, func(_ context.Context, _ Peer, _ *echoRequest, body io.Reader, reply *Reply) {
+	handleEchoBody(to)
+	b.SetBytes(2 * size)
+	for b.Loop() {
+		exchangeOnce(b, from, to.Address(), size)
+	}
+	reportBytes(b, from)
+}
+
+// BenchmarkBetweenRegions is a small call, and an exchange with a body of 100 kB
+// each way, over a link with 20 ms there and back, with and without loss of one
+// packet in a hundred each way.
+func BenchmarkBetweenRegions(b *testing.B) {
+	const oneWay = 10 * time.Millisecond
+	for _, loss := range []float64{0, 0.01} {
+		near, far := new(Faults), new(Faults)
+		from := listen(b, "a", func(o *Options) { o.Faults = near })
+		to := listen(b, "b", func(o *Options) { o.Faults = far })
+		handleEcho(to)
+		handleEchoBody(to)
+		near.Slow(oneWay, loss)
+		far.Slow(oneWay, loss)
+		b.Run(fmt.Sprintf("call/loss=%v", loss), func(b *testing.B) {
+			for b.Loop() {
+				if err := echo(testContext(b), from, to.Address(), "x"); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("exchange/loss=%v", loss), func(b *testing.B) {
+			for b.Loop() {
+				exchangeOnce(b, from, to.Address(), 100_000)
+			}
+		})
+	}
+}
+
+func handleEchoBody(e *Endpoint) {
+	HandleExchange(e, KindForward, func(_ context.Context, _ Peer, _ *echoRequest, body io.Reader, reply *Reply) {
 		reply.Send(&echoResponse{})
 		if _, err := io.Copy(reply, body); err == nil {
 			reply.Close()
 		}
 	})
-	body := make([]byte, size)
-	b.SetBytes(2 * size)
-	for b.Loop() {
-		_, r, err := Open[echoRequest, echoResponse](context.Background(), from, to.Address(), KindForward, &echoRequest{}, bytes.NewReader(body))
-		if err != nil {
-			b.Fatal(err)
-		}
-		if n, err := io.Copy(io.Discard, r); err != nil || n != size {
-			b.Fatal(n, err)
-		}
-		r.Close()
+}
+
+func exchangeOnce(b *testing.B, from *Endpoint, to string, size int) {
+	body := bytes.NewReader(make([]byte, size))
+	_, r, err := Open[echoRequest, echoResponse](context.Background(), from, to, KindForward, &echoRequest{}, body)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer r.Close()
+	if n, err := io.Copy(io.Discard, r); err != nil || n != int64(size) {
+		b.Fatal(n, err)
 	}
-	reportBytes(b, from)
 }
--- a/internal/wire/faults.go
+++ b/internal/wire/faults.go
@@ -1,18 +1,31 @@
 package wire
 
 import (
+	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
+	"time"
 )
 
-// Faults loses packets between an endpoint and its peers. It is meant for
-// failure tests; an endpoint without it has no such code on its path. Its
-// zero value loses nothing.
+// Faults loses and delays packets between an endpoint and its peers. It is
+// meant for failure tests; an endpoint without it has no such code on its path.
+// Its zero value does nothing.
 type Faults struct {
-	mu   sync.RWMutex
-	to   map[string]bool
-	from map[string]bool
-	all  bool
+	mu    sync.RWMutex
+	to    map[string]bool
+	from  map[string]bool
+	all   bool
+	delay time.Duration
+	loss  float64
+}
+
+// Slow delays every packet that the endpoint sends, and loses a part of them,
+// 0 to 1, at random.
+func (f *Faults) Slow(delay time.Duration, loss float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.delay, f.loss = delay, loss
 }
 
 // CutTo loses what the endpoint sends to address.
@@ -48,17 +61,24 @@
 	f.all = true
 }
 
-// Heal ends every cut.
+// Heal ends every fault.
 func (f *Faults) Heal() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.to, f.from, f.all = nil, nil, false
+	f.delay, f.loss = 0, 0
 }
 
 func (f *Faults) losesTo(address string) bool {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	return f.all || f.to[address]
+	return f.all || f.to[address] || f.loss > 0 && rand.Float64() < f.loss
+}
+
+func (f *Faults) delayed() time.Duration {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.delay
 }
 
 func (f *Faults) losesFrom(address string) bool {
@@ -78,7 +98,13 @@
 	if c.faults.losesTo(to.String()) {
 		return len(b), nil
 	}
-	return c.PacketConn.WriteTo(b, to)
+	d := c.faults.delayed()
+	if d == 0 {
+		return c.PacketConn.WriteTo(b, to)
+	}
+	late := slices.Clone(b) // the caller uses b again
+	time.AfterFunc(d, func() { c.PacketConn.WriteTo(late, to) })
+	return len(b), nil
 }
 
 // ReadFrom implements net.PacketConn.
--- a/internal/wire/faults_test.go
+++ b/internal/wire/faults_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -316,3 +317,22 @@
 	assert.Assert(t, *resetKey(loaded, "10.0.0.2:1") != *want)
 	assert.Assert(t, resetKey(&tls.Config{}, "10.0.0.1:1") == nil)
 }
+
+// TestExchangesStayWholeOnASlowLinkWithLoss has packets late, out of order and lost.
+func TestExchangesStayWholeOnASlowLinkWithLoss(t *testing.T) {
+	a, b, faults := pair(t)
+	HandleExchange(b, KindForward, func(_ context.Context, _ Peer, _ *echoRequest, body io.Reader, reply *Reply) {
+		reply.Send(&echoResponse{})
+		if _, err := io.Copy(reply, body); err == nil {
+			reply.Close()
+		}
+	})
+	faults.Slow(2*time.Millisecond, 0.05)
+	body := bytes.Repeat([]byte("whole"), 20_000)
+	_, r, err := Open[echoRequest, echoResponse](testContext(t), a, b.Address(), KindForward, &echoRequest{}, bytes.NewReader(body))
+	assert.NilError(t, err)
+	got, err := io.ReadAll(r)
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(got, body))
+	r.Close()
+}
