--- a/internal/standin/fake_test.go
+++ b/internal/standin/fake_test.go
@@ -32,6 +32,7 @@
 	reports   []api.Report
 	leaving   bool
 	beats     int
+	usage     []int // entries in each heartbeat that was answered well
 	beatError error
 	down      bool
 	changed   chan struct{}
@@ -105,6 +106,9 @@
 	var err error
 	f.change(func() {
 		f.beats++
+		if f.beatError == nil {
+			f.usage = append(f.usage, len(b.Usage))
+		}
 		f.leaving = f.leaving || b.Leaving
 		err = f.beatError
 	})
--- a/internal/standin/tasks.go
+++ b/internal/standin/tasks.go
@@ -24,6 +24,8 @@
 	running  bool
 	stopping bool
 	throttle bool
+
+	usageTaken bool // an answered heartbeat has told the task's use
 }
 
 // reportKey tells reports apart: each state of an attempt is reported once.
@@ -295,18 +297,32 @@
 	t.idle = make(chan struct{})
 }
 
+// usage returns the use of running tasks that no entry has taken yet. A
+// stand-in's use is steady, so that telling it again at each heartbeat would
+// only cost traffic.
 func (t *tasks) usage() []api.TaskUsage {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []api.TaskUsage
 	for _, a := range t.attempts {
-		if a.running {
+		if a.running && !a.usageTaken {
 			out = append(out, api.TaskUsage{Task: a.cmd.Task, Fence: a.cmd.Fence, Used: used(a)})
 		}
 	}
 	return out
 }
 
+// usageTaken notes that a heartbeat with this use was answered.
+func (t *tasks) usageTaken(sent []api.TaskUsage) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, u := range sent {
+		if a := t.attempts[u.Task]; a != nil && a.cmd.Fence == u.Fence {
+			a.usageTaken = true
+		}
+	}
+}
+
 // stopAll stops what runs. What could not be reported before stays in the outbox.
 func (t *tasks) stopAll(reason string) {
 	t.endAll(reason, time.Now())
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -257,6 +257,7 @@
 		return err
 	}
 	w.extend(sentAt, a.LeaseMS)
+	w.tasks.usageTaken(beat.Usage)
 	return nil
 }
 
--- a/internal/standin/worker_test.go
+++ b/internal/standin/worker_test.go
@@ -131,3 +131,18 @@
 	assert.Assert(t, err != nil)
 	stop()
 }
+
+func TestUseOfATaskIsToldUntilAHeartbeatIsAnswered(t *testing.T) {
+	f := newFakeEntry(t, 3000)
+	f.beatError = errkind.New(errkind.NoLeader, "election")
+	f.commands = []api.Command{start(task1, 5, "run=1h")}
+	_, stop := startWorker(t, func(o *WorkerOptions) { o.LeaveTimeout = time.Millisecond }, f.URL)
+	f.waitFor(t, func() bool { return f.has(task1, api.ReportStarted) })
+	var seen int
+	f.change(func() { f.commands, seen = nil, f.beats })
+	f.waitFor(t, func() bool { return f.beats > seen })
+	f.change(func() { f.beatError = nil })
+	f.waitFor(t, func() bool { return len(f.usage) >= 2 })
+	stop()
+	assert.DeepEqual(t, f.usage[:2], []int{1, 0})
+}
