--- /dev/null
+++ b/internal/server/server_test.go
@@ -0,0 +1,135 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/obs"
+)
+
+// startDev runs the embedded default up to the end of its example job.
+func startDev(t *testing.T) *dev {
+	t.Helper()
+	d := &dev{opts: DevOptions{DataDir: t.TempDir(), Address: "127.0.0.1:0", Out: io.Discard}}
+	assert.NilError(t, d.start())
+	ctx, cancel := context.WithCancel(context.Background())
+	worker := d.startWorker(ctx)
+	t.Cleanup(func() {
+		cancel()
+		<-worker
+		d.process.Shutdown()
+	})
+	assert.NilError(t, d.example(ctx))
+	return d
+}
+
+func TestTheMetricsPageListsWhatAProcessOfBothRolesTells(t *testing.T) {
+	d := startDev(t)
+	page, err := os.ReadFile("../../docs/METRICS.md")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, obs.CompareDoc(string(page), d.process.registry), []string(nil))
+}
+
+func TestDevRunsItsExampleOnce(t *testing.T) {
+	var out bytes.Buffer
+	err := Dev(context.Background(), DevOptions{DataDir: t.TempDir(), Address: "127.0.0.1:0", Once: true, Out: &out})
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(out.String(), "3 of 3 tasks succeeded"), out.String())
+}
+
+// jobBody is a valid job but for what edit changes.
+func jobBody(edit string) string {
+	job := map[string]json.RawMessage{}
+	base := `{"name":"x","policy":"batch","tasks":1,"size":{"cpu_milli":100,"memory_mib":10}}`
+	for _, text := range []string{base, edit} {
+		if text == "" {
+			continue
+		}
+		if err := json.Unmarshal([]byte(text), &job); err != nil {
+			panic(err)
+		}
+	}
+	out, err := json.Marshal(job)
+	if err != nil {
+		panic(err)
+	}
+	return string(out)
+}
+
+func TestBadInputGetsAnErrorOfItsOwnKind(t *testing.T) {
+	d := startDev(t)
+	const jobs, declarations = "/v1/jobs", "/v1/declarations"
+	long := strings.Repeat("x", 5<<20)
+	tests := []struct {
+		name, key, method, path, header, body string
+		want                                  errkind.Kind
+	}{
+		{"no key", "", http.MethodPost, jobs, "", jobBody(""), errkind.KeyMissing},
+		{"a key that was never granted", "fmk_wrong", http.MethodPost, jobs, "", jobBody(""), errkind.KeyUnknown},
+		{"another team's name", d.caller, http.MethodPost, jobs, "", jobBody(`{"team":"other"}`), errkind.ForeignTeam},
+		{"an unknown queue", d.caller, http.MethodPost, jobs, "", jobBody(`{"queue":"other"}`), errkind.UnknownQueue},
+		{"a body over the limit", d.caller, http.MethodPost, jobs, "", jobBody(`{"payload":"` + long + `"}`), errkind.BodyTooLarge},
+		{"a body that is not JSON", d.caller, http.MethodPost, jobs, "", "{", errkind.BadRequest},
+		{"a field that does not exist", d.caller, http.MethodPost, jobs, "", jobBody(`{"taskz":1}`), errkind.BadRequest},
+		{"data after the job", d.caller, http.MethodPost, jobs, "", jobBody("") + "{}", errkind.BadRequest},
+		{"no tasks", d.caller, http.MethodPost, jobs, "", jobBody(`{"tasks":0}`), errkind.BadRequest},
+		{"a selector that does not parse", d.caller, http.MethodPost, jobs, "", jobBody(`{"selector":"a in b"}`), errkind.BadRequest},
+		{"a selector that no worker matches", d.caller, http.MethodPost, jobs, "", jobBody(`{"selector":"gpu=a100"}`), errkind.NoMatchingWorker},
+		{"a job that can never fit", d.caller, http.MethodPost, jobs, "", jobBody(`{"size":{"cpu_milli":64000,"memory_mib":1}}`), errkind.NeverFits},
+		{"a job that is not known", d.caller, http.MethodGet, "/v1/jobs/j-99999", "", "", errkind.UnknownJob},
+		{"a job ID of another form", d.caller, http.MethodGet, "/v1/jobs/7", "", "", errkind.BadRequest},
+		{"a wait that is no duration", d.caller, http.MethodGet, "/v1/jobs/j-1?wait=soon", "", "", errkind.BadRequest},
+		{"a cancellation of everything", d.caller, http.MethodDelete, jobs, "", "", errkind.BadRequest},
+		{"an unknown service", d.caller, http.MethodPost, "/v1/services/none/requests", "", "", errkind.UnknownService},
+		{"an operator's call with a caller's key", d.caller, http.MethodGet, "/v1/status", "", "", errkind.Forbidden},
+		{"a worker's call with a caller's key", d.caller, http.MethodPost, "/v1/workers", "", "{}", errkind.Forbidden},
+		{"a worker without an ID", d.operator, http.MethodPost, "/v1/workers", "", "{}", errkind.BadRequest},
+		{"a heartbeat of an unknown worker", d.operator, http.MethodPost, "/v1/workers/none/heartbeat", "", `{"session":1}`, errkind.UnknownWorker},
+		{"a drain of an unknown worker", d.operator, http.MethodPost, "/v1/workers/none/drain", "", "", errkind.UnknownWorker},
+		{"an old base version", d.operator, http.MethodPut, declarations, "", `{"base_version":0,"apply_id":"x","declarations":{"teams":[],"keys":[],"queues":[],"prices":[],"services":[]}}`, errkind.VersionConflict},
+		{"an apply without an ID", d.operator, http.MethodPut, declarations, "", `{"base_version":1}`, errkind.BadRequest},
+		{"declarations that clash", d.operator, http.MethodPut, declarations, "", `{"base_version":1,"apply_id":"y","declarations":{"teams":[{"name":"a","share":0,"max_running":1}]}}`, errkind.BadDeclarations},
+		{"a digest that is none", d.operator, http.MethodDelete, "/v1/keys/abc", "", "", errkind.BadRequest},
+		{"a path that does not exist", d.caller, http.MethodGet, "/v1/nothing", "", "", errkind.UnknownPath},
+		{"the first use of an idempotency key", d.caller, http.MethodPost, jobs, "k1", jobBody(""), ""},
+		{"an idempotency key with another body", d.caller, http.MethodPost, jobs, "k1", jobBody(`{"tasks":2}`), errkind.IdempotencyConflict},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			req, err := http.NewRequest(tt.method, "http://"+d.address()+tt.path, strings.NewReader(tt.body))
+			assert.NilError(t, err)
+			if tt.key != "" {
+				req.Header.Set("Authorization", "Bearer "+tt.key)
+			}
+			if tt.header != "" {
+				req.Header.Set(api.HeaderIdempotencyKey, tt.header)
+			}
+			resp, err := (&http.Client{Timeout: 30 * time.Second}).Do(req)
+			assert.NilError(t, err)
+			defer resp.Body.Close()
+			data, err := io.ReadAll(resp.Body)
+			assert.NilError(t, err)
+			if tt.want == "" {
+				assert.Assert(t, resp.StatusCode < 300, string(data))
+				return
+			}
+			var body errkind.Body
+			assert.NilError(t, json.Unmarshal(data, &body), string(data))
+			assert.Equal(t, body.Kind, tt.want, body.Message)
+			assert.Equal(t, resp.StatusCode, errkind.RowOf(tt.want).Status)
+			assert.Assert(t, body.NotRun && body.RequestID != "" && body.Message != "")
+			assert.Assert(t, tt.key == "" || !strings.Contains(string(data), tt.key), "the answer shows the key")
+		})
+	}
+}
