Cut the leader and a minority off between whole processes

Cause: cuts were tested in the consensus core and the protocol, not through the interface that callers see.

--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -35,6 +35,8 @@
 type Options struct {
 	TLS *tls.Config // of the inner endpoint; nil: from the settings
 	Log io.Writer   // nil: standard error
+	// Faults, for failure tests, cuts the inner endpoint off from its peers.
+	Faults *wire.Faults
 }
 
 // Process is one running process.
@@ -105,6 +107,7 @@
 		Logger:        p.log,
 		Registerer:    p.registry,
 		Budget:        p.linkBudget(),
+		Faults:        o.Faults,
 	})
 	p.endpoint = e
 	return err
