--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -15,6 +15,8 @@
 		l.remember(e.Version)
 	case state.WorkerChanged:
 		l.feedWorker(&e)
+	case state.WorkersForgotten:
+		l.sched.Apply(schedule.WorkersGone{Workers: e.IDs})
 	case state.JobSubmitted:
 		l.sched.Apply(schedule.JobSubmitted{
 			ID:      e.Job.ID,
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -228,6 +228,11 @@
 	}
 }
 
+// ExpireDue reports whether Expire would look at a record.
+func (j *Journal) ExpireDue(now model.Time) bool {
+	return len(j.due) > 0 && j.due[0].at <= now
+}
+
 func (j *Journal) setUnknown(r *Record, at model.Time) {
 	r.State = Unknown
 	r.Finished = at
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -24,6 +24,11 @@
 	At      model.Time
 }
 
+// WorkersForgotten tells lost workers that are no longer known.
+type WorkersForgotten struct {
+	IDs []model.WorkerID
+}
+
 // JobSubmitted tells a new job.
 type JobSubmitted struct {
 	Job *Job // owned by the machine; read it in the same goroutine only
@@ -83,6 +88,7 @@
 
 func (ConfigChanged) isEvent()    {}
 func (CeilingChanged) isEvent()   {}
+func (WorkersForgotten) isEvent() {}
 func (WorkerChanged) isEvent()    {}
 func (JobSubmitted) isEvent()     {}
 func (JobsCancelled) isEvent()    {}
--- a/internal/state/job.go
+++ b/internal/state/job.go
@@ -139,7 +139,7 @@
 
 // workerID returns the ID of the worker that t names, or "".
 func (m *Machine) workerID(t *Task) model.WorkerID {
-	if t.Worker == noWorker {
+	if t.Worker == noWorker || m.workers.list[t.Worker] == nil {
 		return ""
 	}
 	return m.workers.list[t.Worker].Spec.ID
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -158,7 +158,7 @@
 	for _, team := range sortedKeys(m.ceilings) {
 		fn(CeilingChanged{Team: team, Permits: m.ceilings[team]})
 	}
-	for _, w := range m.workers.list {
+	for _, w := range m.Workers() {
 		fn(WorkerChanged{Spec: w.Spec, Mode: w.Mode, Session: w.Session, At: m.now})
 		m.replayExecutors(w, fn)
 	}
--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -208,6 +208,28 @@
 	assert.Assert(t, s.m.Worker("w1").Reserved.IsZero())
 }
 
+func TestALostWorkerIsForgottenAfterADay(t *testing.T) {
+	s := started(t)
+	id := s.apply(submitOf("guards", "chairs", model.PolicyBatch, 1, 1000)).Job
+	s.apply(&Command{Place: &Place{Placements: []Placement{placeOf(id, 0, "w1", 1000)}}})
+	s.apply(&Command{LoseWorkers: &LoseWorkers{Workers: []LostWorker{{ID: "w1", Session: s.m.Worker("w1").Session}}}})
+	s.at = s.at.Add(keepLost)
+	assert.Assert(t, s.m.ExpireDue(s.at+1))
+	s.apply(&Command{Expire: &Expire{}})
+	assert.Assert(t, s.m.Worker("w1") == nil)
+	assert.Equal(t, len(s.m.Workers()), 1)
+	assert.Assert(t, !s.m.ExpireDue(s.at))
+	var snapshot bytes.Buffer
+	assert.NilError(t, s.m.WriteSnapshot(&snapshot))
+	restored, err := ReadSnapshot(testOptions(), &snapshot)
+	assert.NilError(t, err)
+	s.m = restored
+	s.apply(announceOf("w1", 8000))
+	s.apply(&Command{Place: &Place{Placements: []Placement{placeOf(id, 0, "w1", 1000)}}})
+	checkInvariants(t, s.m)
+	assert.Equal(t, s.m.TaskWorker(&s.m.Job(id).Tasks[0]), model.WorkerID("w1"))
+}
+
 // checkInvariants recomputes every sum that the machine keeps.
 func checkInvariants(t assert.TestingT, m *Machine) {
 	held := make(map[string]int64)
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -103,7 +103,9 @@
 	}
 	for n, w := range head.Workers {
 		m.workers.list = append(m.workers.list, w)
-		m.workers.index[w.Spec.ID] = int32(n)
+		if w != nil {
+			m.workers.index[w.Spec.ID] = int32(n)
+		}
 	}
 	for range head.Jobs {
 		if err := m.readJob(dec); err != nil {
--- a/internal/state/submit.go
+++ b/internal/state/submit.go
@@ -183,8 +183,10 @@
 	return Result{Count: n}
 }
 
-// expire forgets finished jobs that have been kept long enough.
+// expire forgets finished jobs, lost workers and records of requests that have
+// been kept long enough.
 func (m *Machine) expire() Result {
+	m.forgetWorkers()
 	before := m.now.Add(-m.opts.KeepFinished.Std())
 	n := 0
 	for _, id := range m.finished {
@@ -206,7 +208,10 @@
 
 // ExpireDue reports whether an Expire command at now would forget something.
 func (m *Machine) ExpireDue(now model.Time) bool {
-	return len(m.finished) > 0 && m.jobs[m.finished[0]].Finished <= now.Add(-m.opts.KeepFinished.Std())
+	if len(m.finished) > 0 && m.jobs[m.finished[0]].Finished <= now.Add(-m.opts.KeepFinished.Std()) {
+		return true
+	}
+	return m.journal.ExpireDue(now) || len(m.forgettable(now)) > 0
 }
 
 // Known reports whether a submission under the idempotency key was accepted.
--- a/internal/state/worker.go
+++ b/internal/state/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/filbertmast/filbertmast/internal/errkind"
 	"github.com/filbertmast/filbertmast/internal/model"
@@ -69,7 +70,39 @@
 
 // Workers returns all known workers in order of their first announcement.
 // The caller must not change them.
-func (m *Machine) Workers() []*Worker { return m.workers.list }
+func (m *Machine) Workers() []*Worker {
+	return slices.DeleteFunc(slices.Clone(m.workers.list), func(w *Worker) bool { return w == nil })
+}
+
+// keepLost is how long a lost worker is known, for operators to see and for its
+// announcements to be told from new ones.
+const keepLost = 24 * time.Hour
+
+// forgettable returns the workers that have been lost for long enough.
+func (m *Machine) forgettable(now model.Time) []model.WorkerID {
+	before := now.Add(-keepLost)
+	var out []model.WorkerID
+	for _, w := range m.workers.list {
+		if w != nil && w.Mode == model.WorkerLost && w.LostAt < before {
+			out = append(out, w.Spec.ID)
+		}
+	}
+	return out
+}
+
+// forgetWorkers drops lost workers. Their numbers are not used again, since
+// ended tasks still name them.
+func (m *Machine) forgetWorkers() {
+	gone := m.forgettable(m.now)
+	for _, id := range gone {
+		_, n := m.workers.get(id)
+		m.workers.list[n] = nil
+		delete(m.workers.index, id)
+	}
+	if len(gone) > 0 {
+		m.emit(WorkersForgotten{IDs: gone})
+	}
+}
 
 // announce registers a worker under a new session. Since an announcing worker
 // runs nothing, tasks of its earlier session are lost. A resent announcement
