Wake polls when their session is attached

A poll that came between a heartbeat and the leader's answer to it was told of buffered commands only at the next look for repeats, up to 2 s later.

--- a/internal/session/manager.go
+++ b/internal/session/manager.go
@@ -203,9 +203,14 @@
 	}
 }
 
+// granted notes a lease from the leader. Polls that came before it begin to get
+// commands.
 func (s *session) granted(now time.Time, length time.Duration) {
-	s.attached = true
 	s.until = now.Add(length)
+	if !s.attached {
+		s.attached = true
+		s.wake()
+	}
 }
 
 // Sessions returns the workers whose sessions are attached here.
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -448,3 +448,22 @@
 		assert.Equal(t, len(f.renewals[len(f.renewals)-1][0].Usage), step.want, step.name)
 	}
 }
+
+func TestPollThatCameBeforeTheAttachmentIsWokenByIt(t *testing.T) {
+	m, f, _ := newManager(nil)
+	f.hold = make(chan struct{})
+	beat := make(chan error, 1)
+	go func() {
+		_, err := m.Heartbeat(testContext(t), "w", &api.Heartbeat{Session: 7})
+		beat <- err
+	}()
+	<-f.entered
+	m.Deliver("w", 7, []api.Command{command(api.CommandStart, 5)})
+	told, changed, err := m.due("w", 7)
+	assert.NilError(t, err)
+	assert.Equal(t, len(told), 0) // the leader has not answered yet
+	close(f.hold)
+	assert.NilError(t, <-beat)
+	<-changed
+	assert.DeepEqual(t, poll(t, m, 7), []string{"start 5"})
+}
