Gather reports of many workers into one call and one commit

A call a worker would cost up to 14% of a core at 2,600 reports a second, worked out from 55 us a call.

--- /dev/null
+++ b/internal/session/reports.go
@@ -0,0 +1,119 @@
+package session
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// Defaults of ReportBatcher.
+const (
+	DefaultReportEvery = 50 * time.Millisecond
+	DefaultReportBatch = 256 // workers in one call
+)
+
+// WorkerReports is what one worker reports in one session.
+type WorkerReports struct {
+	Worker  model.WorkerID `cbor:"1,keyasint"`
+	Session uint64         `cbor:"2,keyasint"`
+	Reports []api.Report   `cbor:"3,keyasint"`
+}
+
+// SendReports commits a batch. It returns one error or nil for each element, in
+// order, or one error for all.
+type SendReports func(ctx context.Context, batch []WorkerReports) ([]error, error)
+
+// ReportBatcher gathers the reports of many workers into one call to the leader
+// and one commit. Its Report method fits Upstream. It is safe for concurrent use.
+type ReportBatcher struct {
+	send  SendReports
+	every time.Duration
+	limit int
+
+	mu   sync.Mutex
+	open *reportBatch
+}
+
+type reportBatch struct {
+	reports []WorkerReports
+	timer   *time.Timer
+	done    chan struct{}
+	errs    []error
+	err     error
+}
+
+// NewReportBatcher returns a batcher that sends at the latest after every, or
+// when limit workers have reported. Zero takes the defaults.
+func NewReportBatcher(send SendReports, every time.Duration, limit int) *ReportBatcher {
+	setDefault(&every, DefaultReportEvery)
+	setDefault(&limit, DefaultReportBatch)
+	return &ReportBatcher{send: send, every: every, limit: limit}
+}
+
+// Report returns nil once the reports are committed. Reports that one worker
+// sends one after the other stay in that order: the second call comes after the
+// first has returned, and so joins a later batch.
+func (r *ReportBatcher) Report(ctx context.Context, worker model.WorkerID, session uint64, reports []api.Report) error {
+	b, i := r.join(WorkerReports{Worker: worker, Session: session, Reports: reports})
+	select {
+	case <-b.done:
+		return b.errorOf(i)
+	case <-ctx.Done():
+		return errkind.Wrap(errkind.DeadlineExceeded, ctx.Err(), "reports")
+	}
+}
+
+func (r *ReportBatcher) join(w WorkerReports) (*reportBatch, int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.open
+	if b == nil {
+		b = &reportBatch{done: make(chan struct{})}
+		b.timer = time.AfterFunc(r.every, func() { r.flush(b) })
+		r.open = b
+	}
+	b.reports = append(b.reports, w)
+	i := len(b.reports) - 1
+	if len(b.reports) >= r.limit {
+		r.flushLocked(b)
+	}
+	return b, i
+}
+
+func (r *ReportBatcher) flush(b *reportBatch) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.flushLocked(b)
+}
+
+// flushLocked closes the batch to further reports and sends it, once.
+func (r *ReportBatcher) flushLocked(b *reportBatch) {
+	if r.open != b {
+		return
+	}
+	r.open = nil
+	b.timer.Stop()
+	go r.commit(b)
+}
+
+// commit has a time limit of its own: no one caller's end may fail the others.
+func (r *ReportBatcher) commit(b *reportBatch) {
+	defer close(b.done)
+	ctx, cancel := context.WithTimeout(context.Background(), upstreamTimeout)
+	defer cancel()
+	b.errs, b.err = r.send(ctx, b.reports)
+	if b.err == nil && len(b.errs) != len(b.reports) {
+		b.err = errkind.New(errkind.Internal, "%d results for reports of %d workers", len(b.errs), len(b.reports))
+	}
+}
+
+func (b *reportBatch) errorOf(i int) error {
+	if b.err != nil {
+		return b.err
+	}
+	return b.errs[i]
+}
