--- a/internal/replica/raft/message.go
+++ b/internal/replica/raft/message.go
@@ -16,6 +16,7 @@
 	TimeoutNow     MessageKind = 9
 	SnapshotAck    MessageKind = 10 // handled by the owner, not by the core
 	Found          MessageKind = 11 // handled by the owner, not by the core
+	Removed        MessageKind = 12 // handled by the owner, not by the core
 )
 
 // Message is what replicas tell each other.
@@ -26,7 +27,7 @@
 	Term uint64      `cbor:"4,keyasint,omitempty"`
 	// Prev is, in Append, the position before the entries; in votes, the
 	// candidate's last position.
-	Prev    Position `cbor:"5,keyasint,omitempty"`
+	Prev    Position `cbor:"5,keyasint,omitzero"`
 	Entries []Entry  `cbor:"6,keyasint,omitempty"`
 	Commit  uint64   `cbor:"7,keyasint,omitempty"`
 	// Seq numbers heartbeat rounds of a leader; replies repeat it.
