Give the link to each region a rate of its own

Settings name a budget for each pair of regions; one rate for all meant the lowest of them everywhere. A region without a budget can be left unbounded. With the rate of the region, or its change, taken out, the test fails.

--- a/internal/link/budget.go
+++ b/internal/link/budget.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"math"
 	"sync"
 	"time"
 
@@ -14,6 +16,8 @@
 const (
 	// DefaultRate is an eighth of 30 Mbit/s, in bytes a second.
 	DefaultRate = 30_000_000 / 8 / 8
+	// Unbounded is a rate that holds nothing back.
+	Unbounded = math.MaxInt64
 
 	// maxRegions bounds the buckets; regions beyond it share one.
 	maxRegions  = 16
@@ -24,8 +28,9 @@
 
 // Options configures a Budget.
 type Options struct {
-	// Rate is this process's part of the link to each other region, in bytes a
-	// second. Zero takes DefaultRate.
+	// Rates holds this process's part of the link to each region, in bytes a second.
+	Rates map[string]int64
+	// Rate is that for a region that Rates does not name. Zero takes DefaultRate.
 	Rate       int64
 	Now        func() time.Time
 	Registerer prometheus.Registerer
@@ -39,6 +44,7 @@
 	metrics *metrics
 
 	mu      sync.Mutex
+	rates   map[string]int64
 	rate    int64
 	regions map[string]*region
 }
@@ -64,22 +70,33 @@
 		now:     o.Now,
 		start:   o.Now(),
 		metrics: newMetrics(o.Registerer),
+		rates:   maps.Clone(o.Rates),
 		rate:    o.Rate,
 		regions: make(map[string]*region),
 	}
 }
 
-// SetRate changes this process's part of each link, for instance because the
-// number of processes that share it has changed.
-func (b *Budget) SetRate(rate int64) {
+// SetRate changes this process's part of the link to one region, for instance
+// because the number of processes that share it has changed.
+func (b *Budget) SetRate(to string, rate int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.rate = rate
-	for _, r := range b.regions {
+	if b.rates == nil {
+		b.rates = make(map[string]int64)
+	}
+	b.rates[to] = rate
+	if r := b.regions[to]; r != nil {
 		r.bucket.rate = rate
 	}
 }
 
+func (b *Budget) rateOf(region string) int64 {
+	if rate, ok := b.rates[region]; ok {
+		return rate
+	}
+	return b.rate
+}
+
 // clock returns nanoseconds since the start, from the monotonic clock.
 func (b *Budget) clock() int64 { return int64(b.now().Sub(b.start)) }
 
@@ -92,7 +109,7 @@
 	}
 	r := b.regions[name]
 	if r == nil {
-		r = &region{name: name, bucket: newBucket(b.rate, b.clock())}
+		r = &region{name: name, bucket: newBucket(b.rateOf(name), b.clock())}
 		b.regions[name] = r
 	}
 	return r
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -172,3 +172,19 @@
 	assert.Assert(t, tryRequest(b, burstBytes))
 	assert.Assert(t, !tryRequest(b, 1))
 }
+
+func TestEachRegionHasItsOwnRate(t *testing.T) {
+	c := &clock{now: time.Unix(1_700_000_000, 0)}
+	b := New(Options{Rate: Unbounded, Rates: map[string]int64{north: testRate}, Now: c.Now, Registerer: prometheus.NewRegistry()})
+	ctx := context.Background()
+	for range 3 {
+		assert.NilError(t, b.Admit(ctx, wire.ClassRequest, "west", 1<<40))
+	}
+	assert.Assert(t, tryRequest(b, 2*burstBytes))
+	assert.Assert(t, !tryRequest(b, 1))
+	b.SetRate(north, 100*testRate)
+	c.now = c.now.Add(burstTime + time.Millisecond)
+	assert.Assert(t, tryRequest(b, 100*burstBytes)) // paid in one burst's time at the new rate
+	c.now = c.now.Add(burstTime + time.Millisecond)
+	assert.Assert(t, tryRequest(b, 1))
+}
