Keep a slot when the connection breaks while the executor may run

Four times the slots' load showed an executor with more requests than slots: a write that was refused past the deadline broke the connection, which freed the slot although the handler ran on. A broken connection now frees the slot only when no byte was sent or the executor closed it; otherwise the slot is kept until the deadline and the linger time are over. Also ruled out on the way: doubled releases and a hand-over of the executor.

Handing an executor over waited for the next renewal of its owner; the owner now asks for one when nothing runs there.

--- a/internal/route/conn.go
+++ b/internal/route/conn.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -14,31 +16,49 @@
 	net.Conn
 	written  atomic.Int64
 	closed   atomic.Bool // for writing
-	notAfter atomic.Pointer[time.Time]
+	peerEnd  atomic.Bool // the target has closed the connection
+	notAfter atomic.Pointer[sendBound]
+}
+
+// sendBound is the latest time at which an exchange may begin to send, and what
+// had been written before it.
+type sendBound struct {
+	before int64
+	at     time.Time
 }
 
 // errNotSent ends a write before any of its bytes has gone.
 var errNotSent = errors.New("the connection is closed for writing, or the deadline is past")
 
 // Write implements net.Conn. The count rises before the write, since a write
-// that fails may still have reached the target in part. The deadline is checked
-// as late as possible, for a process that was frozen since it took the slot.
+// that fails may still have reached the target in part. Before the first byte
+// of an exchange the deadline is checked as late as possible, for a process
+// that was frozen since it took the slot.
 func (c *trackedConn) Write(b []byte) (int, error) {
-	if c.closed.Load() || past(c.notAfter.Load()) {
+	bound := c.notAfter.Load()
+	first := bound != nil && c.written.Load() == bound.before
+	if c.closed.Load() || (first && past(bound.at)) {
 		return 0, errNotSent
 	}
 	c.written.Add(int64(len(b)))
 	return c.Conn.Write(b)
 }
 
+// Read implements net.Conn. It notes the end that the target has put to the
+// connection: a server does so only when its handler is done, or its process.
+func (c *trackedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
+		c.peerEnd.Store(true)
+	}
+	return n, err
+}
+
 // past reports whether t is past by the wall clock or by the monotonic clock:
 // the latter may stand still while a VM is paused.
-func past(t *time.Time) bool {
-	if t == nil {
-		return false
-	}
+func past(t time.Time) bool {
 	now := time.Now()
-	return now.After(*t) || now.Round(0).After(t.Round(0))
+	return now.After(t) || now.Round(0).After(t.Round(0))
 }
 
 // halfClose tells the target that nobody waits for its answer, and leaves the
--- a/internal/route/executor.go
+++ b/internal/route/executor.go
@@ -120,6 +120,17 @@
 	return e.conn != nil && e.conn.written.Load() > e.before
 }
 
+// over reports whether nothing of the exchange can be running: no byte was
+// sent, or the executor has closed the connection.
+func (e *exchange) over() bool {
+	if !e.sent() {
+		return true
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.conn.peerEnd.Load()
+}
+
 // roundTrip sends the request and waits for the head of the answer.
 func (e *exchange) roundTrip(ctx context.Context, h *ForwardHeader, body io.Reader) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{GotConn: e.gotConn}
@@ -156,7 +167,7 @@
 	defer e.mu.Unlock()
 	e.before = c.written.Load()
 	e.conn = c
-	c.notAfter.Store(&e.notAfter)
+	c.notAfter.Store(&sendBound{before: e.before, at: e.notAfter})
 	if e.abandoned {
 		c.halfClose()
 	}
--- a/internal/route/linger.go
+++ b/internal/route/linger.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/filbertmast/filbertmast/internal/api"
 	"github.com/filbertmast/filbertmast/internal/errkind"
@@ -37,12 +38,24 @@
 	r := <-done
 	if r.err != nil {
 		h.countEnd(r.err)
-		h.end(false, nil)
+		h.broken(nil)
 		return
 	}
 	h.drain(r.resp.Body)
 }
 
+// broken ends an exchange without an answer. Unless it is proved that nothing
+// runs any more, the slot is kept until the executor must have ended.
+func (h *heldSlot) broken(err error) {
+	if h.exchange.over() {
+		h.end(false, err)
+		return
+	}
+	s := h.send
+	last := s.deadline.Add(s.owner.opts.Linger)
+	time.AfterFunc(last.Sub(s.owner.opts.Now()), func() { h.end(false, err) })
+}
+
 // drain reads an answer that nobody wants to its end, which proves that the
 // executor is done, and then closes the connection.
 func (h *heldSlot) drain(body io.ReadCloser) {
@@ -50,6 +63,10 @@
 	_, err := io.Copy(io.Discard, body)
 	h.countEnd(err)
 	_ = body.Close()
+	if err != nil {
+		h.broken(nil)
+		return
+	}
 	h.end(false, nil)
 }
 
--- a/internal/route/owner.go
+++ b/internal/route/owner.go
@@ -17,8 +17,9 @@
 // OwnerOptions sets up an Owner. Zero values take defaults.
 type OwnerOptions struct {
 	Leases *owner.Leases
-	// RenewSoon asks for a renewal of the leases without delay, because a
-	// request lasts longer than the leader knows. It must not block; may be nil.
+	// RenewSoon asks for a renewal of the leases without delay: a request lasts
+	// longer than the leader knows, or an executor is ready for its next owner.
+	// It must not block; may be nil.
 	RenewSoon func()
 	// Service returns the declaration of a service, for its bounds.
 	Service func(name string) (model.Service, bool)
@@ -152,7 +153,13 @@
 	o.life = max(o.life, deadline.Sub(o.opts.Now()))
 	o.mu.Unlock()
 	horizon, _ := o.opts.Leases.Horizon()
-	if deadline.After(horizon) && o.opts.RenewSoon != nil {
+	if deadline.After(horizon) {
+		o.renewSoon()
+	}
+}
+
+func (o *Owner) renewSoon() {
+	if o.opts.RenewSoon != nil {
 		o.opts.RenewSoon()
 	}
 }
@@ -222,7 +229,10 @@
 		owns: func(x *executor, now, deadline time.Time) bool {
 			return o.opts.Leases.Owns(x.spec.ID, x.epoch, now, deadline)
 		},
-		onIdle: func(x *executor) { o.opts.Leases.Released(x.spec.ID, x.epoch) },
+		onIdle: func(x *executor) {
+			o.opts.Leases.Released(x.spec.ID, x.epoch)
+			o.renewSoon()
+		},
 	}
 }
 
--- a/internal/route/send.go
+++ b/internal/route/send.go
@@ -146,7 +146,7 @@
 func (h *heldSlot) head(ctx context.Context, r roundTripped, echoes bool) (*Answer, error) {
 	s := h.send
 	if r.err != nil {
-		h.end(false, r.err)
+		h.broken(r.err)
 		return nil, r.err
 	}
 	if err := checkHead(r.resp, s.header.RequestID, echoes); err != nil {
