Look at every executor only after a change of ownership

A renewal scanned and sorted all executors: 6.95 ms with 47 entries and 9,600 executors, a third of a core at one renewal a second an entry. The table now keeps the executors of lost owners apart and gives out and evens out only after a change: 4.9 us. go test -run NONE -bench BenchmarkRenew ./internal/owner

--- a/internal/owner/assign.go
+++ b/internal/owner/assign.go
@@ -9,34 +9,46 @@
 
 // Tick applies the passing of time: entries whose leases are over lose their
 // executors, executors that became free are given out, and the division
-// between the entries of a region is evened out.
+// between the entries of a region is evened out. It looks at every executor
+// only after a change.
 func (t *Table) Tick(now model.Time) {
-	for _, id := range sortedKeys(t.entries) {
-		if n := t.entries[id]; now >= n.leaseEnd {
+	for _, n := range t.sortedEntries() {
+		if now >= n.leaseEnd {
 			t.drop(n, now)
 		}
 	}
-	for _, id := range sortedKeys(t.executors) {
-		if e := t.executors[id]; e.orphan() && now >= e.freeAt {
+	for _, id := range sortedKeys(t.orphans) {
+		if e := t.orphans[id]; now >= e.freeAt {
 			t.free(e)
 		}
 	}
-	if now < t.quietUntil {
+	if now < t.quietUntil || !t.dirty {
 		return
 	}
-	t.quietUntil = 0
-	t.assign()
-	t.balance()
+	entries := t.sortedEntries()
+	ids := sortedKeys(t.executors)
+	t.assign(ids, entries)
+	t.balance(ids, entries)
+	t.dirty = false
+}
+
+func (t *Table) sortedEntries() []*entry {
+	out := make([]*entry, 0, len(t.entries))
+	for _, n := range t.entries {
+		out = append(out, n)
+	}
+	slices.SortFunc(out, func(a, b *entry) int { return cmp.Compare(a.id, b.id) })
+	return out
 }
 
 // assign gives every free executor to an entry of its region.
-func (t *Table) assign() {
-	for _, id := range sortedKeys(t.executors) {
+func (t *Table) assign(ids []string, entries []*entry) {
+	for _, id := range ids {
 		e := t.executors[id]
 		if e.owner != "" || e.withdrawn || e.leaving {
 			continue
 		}
-		if n := t.choose(e); n != nil {
+		if n := choose(e, entries); n != nil {
 			t.counter++
 			t.give(e, n, t.term<<termShift|t.counter)
 		}
@@ -45,10 +57,9 @@
 
 // choose returns the entry with the fewest executors of the service, then the
 // fewest at all, then the least load.
-func (t *Table) choose(e *executor) *entry {
+func choose(e *executor, entries []*entry) *entry {
 	var best *entry
-	for _, id := range sortedKeys(t.entries) {
-		n := t.entries[id]
+	for _, n := range entries {
 		if !n.open() || n.region != e.region {
 			continue
 		}
@@ -67,50 +78,46 @@
 	)
 }
 
+// share names the executors of one service at one entry.
+type share struct{ entry, service string }
+
 // balance asks executors back from entries that own more of a service than
 // another entry of the region, and everything from entries that leave.
-func (t *Table) balance() {
+func (t *Table) balance(ids []string, entries []*entry) {
 	moves := make(map[string]int) // by region
+	asked := make(map[share]int)
 	for _, e := range t.executors {
 		if e.release && !e.orphan() {
 			moves[e.region]++
+			asked[share{e.owner, e.spec.Service}]++
 		}
 	}
-	for _, id := range sortedKeys(t.executors) {
+	for _, id := range ids {
 		e := t.executors[id]
 		n := t.entries[e.owner]
 		if n == nil || e.orphan() || e.release {
 			continue
 		}
-		if n.leaving || (moves[e.region] < t.opts.MaxMoves && t.uneven(e, n)) {
+		from := share{n.id, e.spec.Service}
+		if n.leaving || (moves[e.region] < t.opts.MaxMoves && uneven(e, n, entries, asked[from])) {
 			e.release = true
 			moves[e.region]++
+			asked[from]++
 			t.changed(e)
 		}
 	}
 }
 
-// uneven reports whether moving e away from n evens out its service.
-func (t *Table) uneven(e *executor, n *entry) bool {
-	to := t.choose(e)
+// uneven reports whether moving e away from n evens out its service, when n is
+// about to release asked executors of it.
+func uneven(e *executor, n *entry, entries []*entry, asked int) bool {
+	to := choose(e, entries)
 	if to == nil || to == n {
 		return false
 	}
-	asked := t.askedBack(n, e.spec.Service)
 	return n.services[e.spec.Service]-asked-to.services[e.spec.Service] >= 2
 }
 
-// askedBack counts the executors of a service that n is about to release.
-func (t *Table) askedBack(n *entry, service string) int {
-	count := 0
-	for _, e := range t.executors {
-		if e.owner == n.id && e.release && !e.orphan() && e.spec.Service == service {
-			count++
-		}
-	}
-	return count
-}
-
 func (t *Table) give(e *executor, n *entry, epoch uint64) {
 	e.owner = n.id
 	e.epoch = epoch
@@ -131,6 +138,8 @@
 	e.owner = ""
 	e.release = false
 	e.freeAt = 0
+	delete(t.orphans, e.spec.ID)
+	t.dirty = true
 	t.version++
 	if e.withdrawn {
 		delete(t.executors, e.spec.ID)
@@ -139,6 +148,7 @@
 
 // changed notes a change of e for its owner and for the directory.
 func (t *Table) changed(e *executor) {
+	t.dirty = true
 	t.version++
 	if n := t.entries[e.owner]; n != nil && !e.orphan() {
 		t.touch(n)
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -82,6 +82,8 @@
 	version    uint64
 	executors  map[string]*executor
 	entries    map[string]*entry
+	orphans    map[string]*executor
+	dirty      bool // something has changed since executors were last given out
 	quietUntil model.Time
 }
 
@@ -91,6 +93,7 @@
 		opts:      opts.withDefaults(),
 		executors: make(map[string]*executor),
 		entries:   make(map[string]*entry),
+		orphans:   make(map[string]*executor),
 	}
 }
 
@@ -105,6 +108,8 @@
 	t.term = term
 	t.counter = 0
 	t.entries = make(map[string]*entry)
+	t.orphans = make(map[string]*executor)
+	t.dirty = true
 	t.quietUntil = now.Add(longest + t.opts.Margin)
 	for id, e := range t.executors {
 		if e.withdrawn {
@@ -188,6 +193,7 @@
 	}
 	if n.address != r.Address || n.leaving != r.Leaving {
 		t.version++
+		t.dirty = true
 	}
 	n.address, n.region, n.load = r.Address, r.Region, r.Load
 	n.seq, n.leaving = r.Seq, r.Leaving
@@ -200,6 +206,7 @@
 		return
 	}
 	n.told = true
+	t.dirty = true
 	for _, c := range held {
 		e, ok := t.executors[c.Executor]
 		if !ok || c.Epoch <= e.epoch || e.orphan() {
@@ -276,11 +283,13 @@
 	for _, e := range t.executors {
 		if e.owner == n.id && !e.orphan() {
 			e.freeAt = freeAt
+			t.orphans[e.spec.ID] = e
 			n.owned--
 			n.services[e.spec.Service]--
 		}
 	}
 	delete(t.entries, n.id)
+	t.dirty = true
 	t.version++
 }
 
