--- a/internal/route/failure_test.go
+++ b/internal/route/failure_test.go
@@ -14,6 +14,7 @@
 	"github.com/filbertmast/filbertmast/internal/api"
 	"github.com/filbertmast/filbertmast/internal/errkind"
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/owner"
 )
 
 const long = 10 * time.Second
@@ -385,3 +386,38 @@
 	assert.Equal(t, len(c.entries["a"].owner.Drain(context.Background())), 0)
 	assert.Equal(t, <-got, "done")
 }
+
+func TestAFrozenEntrySendsNothingWhenItWakes(t *testing.T) {
+	c := newCell(t, 100, "a")
+	c.announce(newStandIn(t, c.history, "x1", nil).spec(testService, 8, 60))
+	e := c.entries["a"]
+	e.cut.Store(true)
+	asleep := func() time.Time { return time.Now().Add(owner.DefaultLease) }
+	e.owner.opts.Now = asleep
+	e.owner.pool(testService).now = asleep
+	h := &ForwardHeader{RequestID: "r1", Service: testService, DeadlineMS: 1000}
+	_, err := e.owner.Handle(context.Background(), h, nil)
+	assert.Equal(t, errkind.Of(err), errkind.OwnerMoved)
+	h.DeadlineUnixMS = time.Now().Add(-time.Minute).UnixMilli()
+	_, err = e.owner.Handle(context.Background(), h, nil)
+	assert.Equal(t, errkind.Of(err), errkind.DeadlineBeforeStart)
+	assert.Equal(t, c.history.count("r1"), 0)
+}
+
+func TestARefusalUnderALimitLeavesTheKeyFree(t *testing.T) {
+	for _, keyed := range []bool{true, false} {
+		t.Run(fmt.Sprintf("keyed=%t", keyed), func(t *testing.T) {
+			c := newCell(t, 0, "a")
+			c.announce(newStandIn(t, c.history, "x1", nil).spec(testService, 8, 60))
+			req := request("r1", false, 100*time.Millisecond)
+			req.Keyed = keyed
+			_, err := c.entries["a"].router.Serve(context.Background(), req)
+			assert.Assert(t, err != nil)
+			c.entries["a"].router.Drain(context.Background())
+			c.leader.mu.Lock()
+			defer c.leader.mu.Unlock()
+			assert.Equal(t, c.leader.journal.Len(), 0)
+			assert.Equal(t, c.history.count("r1"), 0)
+		})
+	}
+}
--- a/internal/route/once.go
+++ b/internal/route/once.go
@@ -14,6 +14,7 @@
 
 	"github.com/filbertmast/filbertmast/internal/errkind"
 	"github.com/filbertmast/filbertmast/internal/journal"
+	"github.com/filbertmast/filbertmast/internal/limit"
 	"github.com/filbertmast/filbertmast/internal/model"
 )
 
@@ -76,33 +77,62 @@
 	digest [32]byte
 	writer string
 	fence  model.Fence
+	permit *limit.Permit // nil while there is none
 }
 
 // run journals the start, runs the request and journals its end. Done is called
 // when all of this is over.
 func (o *onceCall) run(ctx context.Context, done func()) (*Answer, error) {
+	// Without a key of the caller there is no earlier send to look up: the
+	// permit comes first, which spares the journal under overload. With one it
+	// comes last, so that a refusal speaks for all sends.
+	if !o.req.Keyed {
+		if err := o.acquire(ctx); err != nil {
+			done()
+			return nil, err
+		}
+	}
 	ans, err, started := o.start(ctx)
 	if !started {
+		o.release()
 		done()
 		return ans, err
 	}
-	if !o.router.opts.Now().Before(o.req.Deadline) {
-		err := errkind.New(errkind.DeadlineBeforeStart, "the deadline passed before the start")
-		o.abandon(done)
-		return nil, err
-	}
-	permit, err := o.router.opts.Permits.Acquire(ctx, o.req.Team, o.req.Deadline)
-	if err != nil {
+	if err := o.admit(ctx); err != nil {
+		o.release()
 		o.abandon(done)
 		return nil, err
 	}
 	ans, err = o.call.run(ctx)
 	if err != nil {
-		o.router.afterEnd(&o.call, permit.Release)
+		o.router.afterEnd(&o.call, o.release)
 		o.abandon(done)
 		return nil, err
 	}
-	return o.keep(ans, permit.Release, done)
+	return o.keep(ans, done)
+}
+
+// admit makes sure, after the start was journaled, that the request may be sent.
+func (o *onceCall) admit(ctx context.Context) error {
+	if !o.router.opts.Now().Before(o.req.Deadline) {
+		return errkind.New(errkind.DeadlineBeforeStart, "the deadline passed before the start")
+	}
+	if o.permit != nil {
+		return nil
+	}
+	return o.acquire(ctx)
+}
+
+func (o *onceCall) acquire(ctx context.Context) error {
+	permit, err := o.router.opts.Permits.Acquire(ctx, o.req.Team, o.req.Deadline)
+	o.permit = permit
+	return err
+}
+
+func (o *onceCall) release() {
+	if o.permit != nil {
+		o.permit.Release()
+	}
 }
 
 // start journals the start. Only with started true may the request be sent.
@@ -168,16 +198,16 @@
 }
 
 // keep hands on the answer and journals it once it was whole.
-func (o *onceCall) keep(ans *Answer, release, done func()) (*Answer, error) {
+func (o *onceCall) keep(ans *Answer, done func()) (*Answer, error) {
 	kept := &keptBody{rc: ans.Body, most: o.router.opts.KeepBytes}
 	ans.Body = kept
 	return o.router.settle(ans, func(whole bool) {
 		if !whole {
-			o.router.afterEnd(&o.call, release)
+			o.router.afterEnd(&o.call, o.release)
 			o.abandon(done)
 			return
 		}
-		release()
+		o.release()
 		record := kept.answer(ans)
 		go func() {
 			o.journalEnd("finish", func(ctx context.Context) error {
--- a/internal/route/owner.go
+++ b/internal/route/owner.go
@@ -229,6 +229,10 @@
 		owns: func(x *executor, now, deadline time.Time) bool {
 			return o.opts.Leases.Owns(x.spec.ID, x.epoch, now, deadline)
 		},
+		leased: func(now time.Time) bool {
+			_, until := o.opts.Leases.Horizon()
+			return now.Before(until)
+		},
 		onIdle: func(x *executor) {
 			o.opts.Leases.Released(x.spec.ID, x.epoch)
 			o.renewSoon()
--- a/internal/route/pool.go
+++ b/internal/route/pool.go
@@ -12,6 +12,7 @@
 	service  string
 	maxQueue int
 	owns     func(x *executor, now, deadline time.Time) bool
+	leased   func(now time.Time) bool // the leases of this entry are not over
 	now      func() time.Time
 	onIdle   func(x *executor) // x was asked back and nothing runs there
 	metrics  *ownerMetrics
@@ -37,7 +38,7 @@
 			return x, nil
 		}
 	}
-	if p.usable() == 0 {
+	if p.usable() == 0 || !p.leased(now) {
 		return nil, errkind.New(errkind.OwnerMoved, "no executor of %s is owned here", p.service)
 	}
 	if err := p.admit(w, now); err != nil {
--- a/internal/route/pool_test.go
+++ b/internal/route/pool_test.go
@@ -17,6 +17,7 @@
 		service:  testService,
 		maxQueue: maxQueue,
 		owns:     func(*executor, time.Time, time.Time) bool { return true },
+		leased:   func(time.Time) bool { return true },
 		now:      func() time.Time { return *now },
 		onIdle:   func(*executor) {},
 		metrics:  newOwnerMetrics(nil),
