--- a/internal/limit/share_test.go
+++ b/internal/limit/share_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
 	"github.com/filbertmast/filbertmast/internal/errkind"
@@ -334,3 +335,16 @@
 		t.Fatal("the permit was not handed on")
 	}
 }
+
+// BenchmarkAskBytes measures what one team adds to an ask and its answer.
+func BenchmarkAskBytes(b *testing.B) {
+	demand := Demand{Team: "team-042", Seq: 123456, Held: 12, InUse: 9, Want: 1, Spare: 3, DeadlineMS: 12000, Leased: true}
+	grant := Grant{Team: "team-042", Seq: 123456, Permits: 13, LeaseMS: 3000}
+	var ask, answer []byte
+	for b.Loop() {
+		ask, _ = cbor.Marshal(demand)
+		answer, _ = cbor.Marshal(grant)
+	}
+	b.ReportMetric(float64(len(ask)), "ask-bytes")
+	b.ReportMetric(float64(len(answer)), "answer-bytes")
+}
--- a/internal/route/bench_test.go
+++ b/internal/route/bench_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
 	"github.com/filbertmast/filbertmast/internal/api"
@@ -210,3 +211,18 @@
 		})
 	}
 }
+
+// BenchmarkForwardHeader measures what goes between entries beside the bodies.
+func BenchmarkForwardHeader(b *testing.B) {
+	req := request("0192f0c1-7f3a-7c55-9b1e-2f64a1c0d3e4", false, long)
+	req.Header = http.Header{"Content-Type": {"application/json"}, "Accept": {"application/json"}}
+	c := &call{router: NewRouter(RouterOptions{Entry: "entry-1"}), req: req, body: &replayBody{size: req.Size}}
+	var out []byte
+	for b.Loop() {
+		var err error
+		if out, err = cbor.Marshal(c.header(time.Now())); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(out)), "bytes")
+}
--- a/internal/route/failure_test.go
+++ b/internal/route/failure_test.go
@@ -383,7 +383,9 @@
 	assert.Equal(t, errkind.Of(err), errkind.Draining)
 	close(leave)
 	assert.Equal(t, len(c.entries["a"].router.Drain(context.Background())), 0)
+	assert.Equal(t, c.entries["a"].router.running.count(), 0)
 	assert.Equal(t, len(c.entries["a"].owner.Drain(context.Background())), 0)
+	assert.Equal(t, c.entries["a"].owner.running.count(), 0)
 	assert.Equal(t, <-got, "done")
 }
 
@@ -421,3 +423,10 @@
 		})
 	}
 }
+
+// count returns how many requests are under way.
+func (t tracker) count() int {
+	t.s.mu.Lock()
+	defer t.s.mu.Unlock()
+	return len(t.s.running)
+}
