Count work being stopped apart from reservations, and compare with plain policies

Cause: urgent jobs waited behind eight gangs that held all reservations. Ruled out: more reservations, which keep workers clear that others could use. Change: a bound of its own for jobs for which work is being stopped; a driver of event sequences that runs the scheduler and three plain policies (first in first out, strict priority, equal split) with sizes off by 4x, run times off by 10x, 5% bad workers and waves of cancellations.

--- /dev/null
+++ b/internal/schedule/compare_test.go
@@ -0,0 +1,459 @@
+package schedule
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// kind is one sort of job in a comparison.
+type kind struct {
+	spec     model.JobSpec
+	minTasks int
+	maxTasks int
+	part     float64 // of the offered load
+}
+
+// deployment is one of the two users of today with its work.
+type deployment struct {
+	name  string
+	size  model.Resources // of a worker
+	kinds []kind
+}
+
+func minutes(n int) model.Duration { return model.Duration(time.Duration(n) * time.Minute) }
+func seconds(n int) model.Duration { return model.Duration(time.Duration(n) * time.Second) }
+
+var deployments = []deployment{
+	{"workshop", cores(16), []kind{
+		{model.JobSpec{Name: "timber", Size: cores(2), RunTime: minutes(2), Patience: 24 * hour, Checkpointable: true, MaxRestarts: 50}, 4, 20, 0.63},
+		{model.JobSpec{Name: "frame", Size: cores(1), RunTime: seconds(30), Patience: hour, NotRepeatable: true}, 1, 4, 0.15},
+		{model.JobSpec{Name: "row", Size: cores(4), RunTime: minutes(1), Patience: minutes(30), Policy: model.PolicyGang, MaxRestarts: 50}, 8, 8, 0.2},
+		{model.JobSpec{Name: "leg", Size: cores(1), RunTime: seconds(5), Patience: seconds(2), MaxRestarts: 50}, 1, 1, 0.01},
+	}},
+	{"rota", cores(32), []kind{
+		{model.JobSpec{Name: "season", Size: cores(2), RunTime: minutes(1), Patience: hour, Checkpointable: true, MaxRestarts: 50}, 8, 30, 0.82},
+		{model.JobSpec{Name: "coast", Size: cores(4), RunTime: minutes(2), Patience: 2 * hour, Policy: model.PolicyGang, MaxRestarts: 50}, 16, 16, 0.15},
+		{model.JobSpec{Name: "reshuffle", Size: cores(2), RunTime: seconds(10), Patience: seconds(1), MaxRestarts: 50}, 1, 3, 0.02},
+		{model.JobSpec{Name: "page", Size: cores(1), RunTime: seconds(3), Patience: seconds(2), NotRepeatable: true}, 1, 1, 0.01},
+	}},
+}
+
+const (
+	compareWorkers = 50
+	compareLength  = 20 * time.Minute
+	compareSeed    = 11
+	sampleEvery    = 30 * time.Second
+	waveEvery      = 5 * time.Minute
+	planEvery      = 50 * time.Millisecond // least time between plans without an event
+)
+
+var compareShares = []int64{1, 1, 2, 3, 5, 8}
+
+// truth is what a class of jobs really uses and how long it really runs.
+type truth struct {
+	cpu int64 // times the declared, in percent
+	run float64
+}
+
+// happening is one event of a sequence or its consequence.
+type happening struct {
+	at    model.Time
+	order int
+	do    func()
+}
+
+type agenda []happening
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].order < a[j].order
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(v any)   { *a = append(*a, v.(happening)) }
+func (a *agenda) Pop() any {
+	v := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return v
+}
+
+// comparedJob is the record of one job in a comparison.
+type comparedJob struct {
+	spec    model.JobSpec
+	truth   truth
+	at      model.Time
+	started model.Time
+	failed  bool
+	left    int32 // tasks not done
+	fails   map[int32]int32
+	held    map[int32]*comparedRun
+}
+
+type comparedRun struct {
+	since  model.Time
+	size   model.Resources
+	work   time.Duration // left at full speed when it started
+	worker model.WorkerID
+}
+
+// comparison runs one policy through one sequence.
+type comparison struct {
+	d       deployment
+	s       policyUnderTest
+	rng     *rand.Rand
+	now     model.Time
+	agenda  agenda
+	order   int
+	jobs    []*comparedJob
+	kept    map[model.TaskID]time.Duration // work left at a checkpoint
+	bad     map[model.WorkerID]bool
+	truths  map[string]truth
+	spent   time.Duration
+	placed  int
+	stops   int
+	useful  float64 // core-seconds of tasks that succeeded
+	far     float64
+	samples float64
+}
+
+func newComparison(d deployment, s policyUnderTest) *comparison {
+	c := &comparison{
+		d: d, s: s, rng: rand.New(rand.NewPCG(compareSeed, 1)), now: 1_000_000,
+		kept: map[model.TaskID]time.Duration{}, bad: map[model.WorkerID]bool{}, truths: map[string]truth{},
+	}
+	var teams []model.Team
+	for i, share := range compareShares {
+		teams = append(teams, model.Team{Name: benchTeam(i), Share: share, MaxRunning: 1 << 30})
+	}
+	s.Apply(ConfigChanged{Teams: teams})
+	for i := range compareWorkers {
+		id := benchWorker(i)
+		c.bad[id] = i%20 == 7
+		s.Apply(WorkerUp{Spec: model.WorkerSpec{ID: id, Capacity: d.size, Region: fmt.Sprint("r", i/8%3/2), FailureDomain: fmt.Sprint("d", i/8%3), Rack: fmt.Sprint(i / 8)}})
+	}
+	c.schedule()
+	return c
+}
+
+func (c *comparison) at(t model.Time, do func()) {
+	c.order++
+	heap.Push(&c.agenda, happening{t, c.order, do})
+}
+
+// schedule draws all submissions, waves of cancellations and samples. What is
+// offered is as much as the cell has, and twice that in the middle third.
+func (c *comparison) schedule() {
+	capacity := float64(compareWorkers) * float64(c.d.size.CPU) / 1000
+	end := c.now.Add(compareLength)
+	for _, k := range c.d.kinds {
+		for team := range compareShares {
+			tr := truth{cpu: []int64{25, 100, 100, 100, 400}[c.rng.IntN(5)], run: math.Pow(10, 2*c.rng.Float64()-1)}
+			c.truths[k.spec.Name+benchTeam(team)] = tr
+			mean := float64(k.minTasks+k.maxTasks) / 2 * float64(k.spec.Size.CPU) / 1000 * float64(tr.cpu) / 100 * k.spec.RunTime.Std().Seconds() * tr.run
+			rate := k.part * capacity / float64(len(compareShares)) / mean
+			for t := c.now; t < end; {
+				load := 1.0
+				if third := compareLength / 3; t > c.now.Add(third) && t < c.now.Add(2*third) {
+					load = 2.0
+				}
+				t = t.Add(time.Duration(c.rng.ExpFloat64() / (rate * load) * float64(time.Second)))
+				tasks := int32(k.minTasks + c.rng.IntN(k.maxTasks-k.minTasks+1))
+				c.at(t, func() { c.submit(k, team, tasks, tr) })
+			}
+		}
+	}
+	for t := c.now.Add(waveEvery); t < end; t = t.Add(waveEvery) {
+		c.at(t, c.wave)
+	}
+	for t := c.now.Add(sampleEvery); t < end; t = t.Add(sampleEvery) {
+		c.at(t, c.sample)
+	}
+}
+
+func (c *comparison) submit(k kind, team int, tasks int32, tr truth) {
+	spec := k.spec
+	spec.Team, spec.Tasks = benchTeam(team), tasks
+	c.jobs = append(c.jobs, &comparedJob{spec: spec, truth: tr, at: c.now, left: tasks, fails: map[int32]int32{}, held: map[int32]*comparedRun{}})
+	c.s.Apply(JobSubmitted{ID: model.JobID(len(c.jobs)), Spec: spec, Team: spec.Team, At: c.now, StartBy: c.now.Add(spec.Patience.Std())})
+}
+
+// wave cancels a third of the patient jobs that have not started.
+func (c *comparison) wave() {
+	var ids []model.JobID
+	for i, j := range c.jobs {
+		if j.started == 0 && i%3 == 0 && j.spec.Patience >= hour {
+			ids = append(ids, model.JobID(i+1))
+			j.started, j.left = -1, 0
+		}
+	}
+	c.s.Apply(JobsCancelled{IDs: ids})
+}
+
+func (c *comparison) run() {
+	end := c.now.Add(compareLength)
+	wake := model.Time(0)
+	for len(c.agenda) > 0 {
+		next := c.agenda[0].at
+		if wake != 0 && wake < next {
+			next = wake
+		}
+		if next >= end {
+			return
+		}
+		c.now = next
+		for len(c.agenda) > 0 && c.agenda[0].at <= c.now {
+			heap.Pop(&c.agenda).(happening).do()
+		}
+		wake = c.plan()
+	}
+}
+
+func (c *comparison) plan() model.Time {
+	began := time.Now()
+	p := c.s.Plan(c.now, 256)
+	c.spent += time.Since(began)
+	for _, e := range p.Preemptions {
+		c.s.Apply(TaskStopping{Task: e.Task})
+		c.stops++
+		c.at(c.now.Add(100*time.Millisecond), func() { c.stop(e.Task, e.Checkpoint, Preempted) })
+	}
+	for _, e := range p.Stops {
+		c.stops++
+		c.at(c.now.Add(100*time.Millisecond), func() { c.stop(e.Task, false, Stopped) })
+	}
+	for _, e := range p.Placements {
+		began := time.Now()
+		c.s.Apply(TaskPlaced{Task: e.Task, Worker: e.Worker, Size: e.Size, At: c.now})
+		c.spent += time.Since(began)
+		c.start(e)
+	}
+	for _, f := range p.Fails {
+		c.fail(f)
+	}
+	if p.NextWake == 0 {
+		return 0
+	}
+	return max(p.NextWake, c.now.Add(planEvery))
+}
+
+func (c *comparison) fail(f Failure) {
+	j := c.jobs[f.Job-1]
+	j.failed = true
+	for i := range j.spec.Tasks {
+		if f.Task == WholeJob || f.Task == i {
+			c.s.Apply(TaskEnded{Task: model.TaskID{Job: f.Job, Index: i}, Outcome: Failed, At: c.now, Final: true})
+		}
+	}
+}
+
+// start runs a task: it fails at once on a bad worker, and takes longer where
+// less is reserved than it uses.
+func (c *comparison) start(e Placement) {
+	j := c.jobs[e.Task.Job-1]
+	if j.started == 0 {
+		j.started = c.now
+	}
+	c.placed++
+	c.s.Apply(TaskRunning{Task: e.Task, At: c.now})
+	work, kept := c.kept[e.Task]
+	if !kept {
+		work = time.Duration(j.spec.RunTime.Std().Seconds() * j.truth.run * float64(time.Second))
+	}
+	r := &comparedRun{since: c.now, size: e.Size, work: work, worker: e.Worker}
+	j.held[e.Task.Index] = r
+	if c.bad[e.Worker] {
+		c.at(c.now.Add(time.Second), func() { c.end(e.Task, r, Failed) })
+		return
+	}
+	c.at(c.now.Add(time.Duration(float64(work)*c.slowed(j, r))), func() { c.end(e.Task, r, Succeeded) })
+	for _, after := range []time.Duration{10 * time.Second, 50 * time.Second} {
+		c.at(c.now.Add(after), func() { c.report(e.Task, r) })
+	}
+}
+
+func (c *comparison) uses(j *comparedJob) model.Resources {
+	used := j.spec.Size
+	used.CPU = used.CPU * j.truth.cpu / 100
+	return used
+}
+
+func (c *comparison) slowed(j *comparedJob, r *comparedRun) float64 {
+	return max(1, float64(c.uses(j).CPU)/float64(r.size.CPU))
+}
+
+func (c *comparison) report(id model.TaskID, r *comparedRun) {
+	j := c.jobs[id.Job-1]
+	if j.held[id.Index] == r {
+		c.s.Apply(TaskUsed{Task: id, Used: c.uses(j), At: c.now})
+	}
+}
+
+func (c *comparison) stop(id model.TaskID, checkpoint bool, o Outcome) {
+	j := c.jobs[id.Job-1]
+	r := j.held[id.Index]
+	if r == nil {
+		return
+	}
+	if checkpoint {
+		c.kept[id] = r.work - time.Duration(float64(c.now.Sub(r.since))/c.slowed(j, r))
+	}
+	c.end(id, r, o)
+}
+
+func (c *comparison) end(id model.TaskID, r *comparedRun, o Outcome) {
+	j := c.jobs[id.Job-1]
+	if j.held[id.Index] != r {
+		return
+	}
+	delete(j.held, id.Index)
+	final := o == Succeeded || j.spec.NotRepeatable
+	if o == Failed {
+		j.fails[id.Index]++
+		final = final || j.fails[id.Index] > j.spec.MaxRestarts
+	}
+	j.failed = j.failed || final && o != Succeeded
+	if o == Succeeded {
+		c.useful += j.spec.RunTime.Std().Seconds() * j.truth.run * float64(c.uses(j).CPU) / 1000
+	}
+	if final {
+		j.left--
+	}
+	c.s.Apply(TaskEnded{Task: id, Outcome: o, RanFor: c.now.Sub(r.since), Used: c.uses(j), At: c.now, Final: final})
+}
+
+// sample measures how far the teams are from their weighted shares of what is
+// reserved, given what each asks for.
+func (c *comparison) sample() {
+	has, asks := make([]float64, len(compareShares)), make([]float64, len(compareShares))
+	for _, j := range c.jobs {
+		var team int
+		_, _ = fmt.Sscanf(j.spec.Team, "team-%d", &team)
+		for _, r := range j.held {
+			has[team] += float64(r.size.CPU)
+			asks[team] += float64(r.size.CPU)
+		}
+		asks[team] += float64(int(j.left)-len(j.held)) * float64(j.spec.Size.CPU)
+	}
+	total, wanted := 0.0, 0.0
+	for team := range has {
+		total += has[team]
+		wanted += asks[team]
+	}
+	if capacity := float64(compareWorkers) * float64(c.d.size.CPU); wanted < capacity || total == 0 {
+		return
+	}
+	apart := 0.0
+	for team, fair := range waterFill(total, asks) {
+		apart += math.Abs(has[team]-fair) / 2
+	}
+	c.far += apart / total
+	c.samples++
+}
+
+// waterFill shares total by weight, no team more than it asks for.
+func waterFill(total float64, asks []float64) []float64 {
+	out := make([]float64, len(asks))
+	full := make([]bool, len(asks))
+	for range asks {
+		weights, left := 0.0, total
+		for i, done := range full {
+			if done {
+				left -= out[i]
+			} else {
+				weights += float64(compareShares[i])
+			}
+		}
+		for i := range asks {
+			if full[i] {
+				continue
+			}
+			out[i] = left * float64(compareShares[i]) / weights
+		}
+		for i := range asks {
+			if !full[i] && out[i] > asks[i] {
+				out[i], full[i] = asks[i], true
+			}
+		}
+	}
+	return out
+}
+
+// waits returns the waiting times of jobs, in seconds, of which the patience is
+// in the given range. A job that never started has waited until the end.
+func (c *comparison) waits(from, to model.Duration) []float64 {
+	var out []float64
+	for _, j := range c.jobs {
+		if j.spec.Patience < from || j.spec.Patience >= to || j.started < 0 {
+			continue
+		}
+		started := j.started
+		if started == 0 {
+			started = c.now
+		}
+		out = append(out, started.Sub(j.at).Seconds())
+	}
+	slices.Sort(out)
+	return out
+}
+
+func quantile(sorted []float64, q float64) float64 {
+	return sorted[int(q*float64(len(sorted)-1))]
+}
+
+func (c *comparison) failed() (n float64) {
+	for _, j := range c.jobs {
+		if j.failed {
+			n++
+		}
+	}
+	return n
+}
+
+// BenchmarkPolicies compares the Scheduler with plain policies on the same
+// sequence: waiting time by patience, packing, control cost and distance from share.
+func BenchmarkPolicies(t *testing.B) {
+	for _, d := range deployments {
+		for _, p := range []struct {
+			name string
+			make func() policyUnderTest
+		}{
+			{"filbertmast", func() policyUnderTest { return New(Options{Seed: 1}) }},
+			{"fifo-first-fit", func() policyUnderTest { return newBaseline(false, bySubmission) }},
+			{"strict-priority", func() policyUnderTest { return newBaseline(false, byPatience) }},
+			{"equal-split", func() policyUnderTest { return newBaseline(true, bySubmission) }},
+		} {
+			t.Run(d.name+"/"+p.name, func(t *testing.B) {
+				for range t.N {
+					c := newComparison(d, p.make())
+					c.run()
+					c.reportTo(t)
+				}
+			})
+		}
+	}
+}
+
+func (c *comparison) reportTo(t *testing.B) {
+	urgent := c.waits(0, minutes(1))
+	middle := c.waits(minutes(1), 2*hour)
+	patient := c.waits(2*hour, math.MaxInt64)
+	capacity := float64(compareWorkers) * float64(c.d.size.CPU) / 1000 * compareLength.Seconds()
+	t.ReportMetric(quantile(urgent, 0.5), "urgent-p50-s")
+	t.ReportMetric(quantile(urgent, 0.99), "urgent-p99-s")
+	t.ReportMetric(quantile(middle, 0.5), "middle-p50-s")
+	t.ReportMetric(quantile(middle, 0.99), "middle-p99-s")
+	t.ReportMetric(quantile(patient, 0.5), "patient-p50-s")
+	t.ReportMetric(100*c.useful/capacity, "useful-%")
+	t.ReportMetric(float64(c.spent.Microseconds())/float64(c.placed), "µs/start")
+	t.ReportMetric(float64(c.placed)/float64(len(c.jobs)), "starts/job")
+	t.ReportMetric(float64(c.stops), "stops")
+	t.ReportMetric(100*c.far/max(c.samples, 1), "far-%")
+	t.ReportMetric(100*c.failed()/float64(len(c.jobs)), "failed-%")
+	t.ReportMetric(float64(len(c.jobs)), "jobs")
+}
--- a/internal/schedule/differential_test.go
+++ b/internal/schedule/differential_test.go
@@ -39,7 +39,7 @@
 }
 
 func newHistory(t *rapid.T) *history {
-	o := Options{Seed: 7, ProbationJobs: 2, MaxHolds: 3, BlameWorkers: 3, AgeingSpan: time.Minute, MaxClasses: 4}
+	o := Options{Seed: 7, ProbationJobs: 2, MaxHolds: 3, MaxClaims: 2, BlameWorkers: 3, AgeingSpan: time.Minute, MaxClasses: 4}
 	h := &history{
 		t: t, now: 1_000_000, fast: New(o), plain: New(o),
 		permits: map[string]int64{},
--- a/internal/schedule/hold.go
+++ b/internal/schedule/hold.go
@@ -12,6 +12,7 @@
 type hold struct {
 	job    *job
 	claims []claim
+	ahead  bool // a reservation; else work is stopped for it
 
 	start      model.Time // when its room is expected; zero when not known, or at once
 	known      bool       // start was worked out
@@ -80,6 +81,21 @@
 	return 0
 }
 
+// mayReserve reports whether there may be one more reservation.
+func (s *Scheduler) mayReserve() bool { return s.holdsOf(true) < s.opts.MaxHolds }
+
+// mayClaim reports whether work may be stopped for one more job.
+func (s *Scheduler) mayClaim() bool { return s.holdsOf(false) < s.opts.MaxClaims }
+
+func (s *Scheduler) holdsOf(ahead bool) (n int) {
+	for _, h := range s.holds {
+		if h.ahead == ahead {
+			n++
+		}
+	}
+	return n
+}
+
 // addClaim holds a worker for n more tasks of a job.
 func (s *Scheduler) addClaim(j *job, slot int32, n int64) {
 	h := j.hold
@@ -148,7 +164,7 @@
 // reserveAhead holds workers for j, which found no room and has waited long.
 func (p *planner) reserveAhead(j *job, size model.Resources) {
 	s := p.s
-	if j.hold != nil || len(s.holds) >= s.opts.MaxHolds || p.now < j.group.holdAfter {
+	if j.hold != nil || !s.mayReserve() || p.now < j.group.holdAfter {
 		return
 	}
 	need := p.claimTasks(j)
@@ -160,6 +176,7 @@
 	for _, c := range claims {
 		s.addClaim(j, c.slot, c.tasks)
 	}
+	j.hold.ahead = true
 }
 
 // claimTasks returns how many tasks of j are held for at once.
--- a/internal/schedule/naive_test.go
+++ b/internal/schedule/naive_test.go
@@ -321,7 +321,7 @@
 	if !n.pressing(j) {
 		return
 	}
-	if n.makeRoomFor(j, size) || j.hold != nil || len(n.s.holds) >= n.s.opts.MaxHolds || n.now < g.holdAfter {
+	if n.makeRoomFor(j, size) || j.hold != nil || !n.s.mayReserve() || n.now < g.holdAfter {
 		return
 	}
 	claims := n.claims(j, size)
@@ -332,6 +332,7 @@
 	for _, c := range claims {
 		n.s.addClaim(j, c.slot, c.tasks)
 	}
+	j.hold.ahead = true
 	if g.policy == gang {
 		n.pursueClaims(j, size)
 	}
@@ -375,7 +376,7 @@
 		return false
 	}
 	for range n.claimTasks(j) {
-		if j.hold == nil && len(n.s.holds) >= n.s.opts.MaxHolds || !n.claimNext(j, size) {
+		if j.hold == nil && !n.s.mayClaim() || !n.claimNext(j, size) {
 			break
 		}
 	}
--- a/internal/schedule/options.go
+++ b/internal/schedule/options.go
@@ -17,6 +17,7 @@
 	ThrottleGrace  time.Duration // from throttle to stop for a task over its size
 	MaxDownPermill int32         // of a service's tasks, down at once in a drain
 	MaxHolds       int           // reservations for blocked jobs at once
+	MaxClaims      int           // jobs at once for which work is being stopped
 	MaxClasses     int           // job classes learned at once
 }
 
@@ -33,6 +34,7 @@
 	DefaultThrottleGrace  = 30 * time.Second
 	DefaultMaxDownPermill = 100
 	DefaultMaxHolds       = 8
+	DefaultMaxClaims      = 256
 	DefaultMaxClasses     = 8192
 )
 
@@ -48,6 +50,7 @@
 	orDefault(&o.ThrottleGrace, DefaultThrottleGrace)
 	orDefault(&o.MaxDownPermill, DefaultMaxDownPermill)
 	orDefault(&o.MaxHolds, DefaultMaxHolds)
+	orDefault(&o.MaxClaims, DefaultMaxClaims)
 	orDefault(&o.MaxClasses, DefaultMaxClasses)
 	return o
 }
--- a/internal/schedule/order.go
+++ b/internal/schedule/order.go
@@ -106,7 +106,7 @@
 		return false
 	}
 	maySearch := p.now >= g.searchAfter && p.searches < maxSearches
-	mayHold := p.now >= g.holdAfter && len(p.s.holds) < p.s.opts.MaxHolds
+	mayHold := p.now >= g.holdAfter && p.s.mayReserve()
 	return !maySearch && !mayHold
 }
 
--- a/internal/schedule/preempt.go
+++ b/internal/schedule/preempt.go
@@ -108,7 +108,7 @@
 		return false
 	}
 	for range p.claimTasks(j) {
-		if len(p.s.holds) >= p.s.opts.MaxHolds && j.hold == nil || !p.claimOne(j, size) {
+		if j.hold == nil && !p.s.mayClaim() || !p.claimOne(j, size) {
 			break
 		}
 	}
