Make room for several jobs of a group at once

Ruled out: claims for more tasks of the head, which helps only large jobs. Change: a job for which work is being stopped is passed over in the plan; the time until more is stopped counts per hold; the room for backfill is worked out as the plan begins. Plain scans showed that a gang with one task to restart was left out by the room for all of its tasks; the ready ones count now.

--- a/internal/schedule/backfill.go
+++ b/internal/schedule/backfill.go
@@ -8,21 +8,16 @@
 	"github.com/filbertmast/filbertmast/internal/model"
 )
 
-// backfill is what held workers may be given in one plan. It is worked out
-// once, before any of it is used, so that backfill cannot put a hold off.
+// backfill is what held workers may be given in one plan. It is worked out as
+// the plan begins, so that backfill cannot put a hold off.
 type backfill struct {
-	ready  bool
 	holds  []*hold         // whose start is known and to come
 	latest model.Time      // of their starts
 	most   model.Resources // largest of each component free on their workers
 }
 
-func (p *planner) backfillRoom() *backfill {
+func (p *planner) beginBackfill() {
 	b := &p.backfill
-	if b.ready {
-		return b
-	}
-	b.ready = true
 	for _, h := range p.s.holds {
 		start := p.s.holdStart(h, p.now)
 		if start <= p.now {
@@ -34,15 +29,14 @@
 			b.most = b.most.Max(p.s.workers[c.slot].free)
 		}
 	}
-	return b
 }
 
 // mayBackfill reports whether tasks of g could find room on held workers.
 func (p *planner) mayBackfill(g *group, size model.Resources) bool {
-	if g.run == 0 || g.policy != batch || len(p.s.holds) == 0 {
+	b := &p.backfill
+	if len(b.holds) == 0 || g.run == 0 || g.policy != batch {
 		return false
 	}
-	b := p.backfillRoom()
 	return size.Fits(b.most) && p.now.Add(g.run) <= b.latest
 }
 
@@ -54,7 +48,7 @@
 	if !p.mayBackfill(j.group, size) {
 		return best
 	}
-	for _, h := range p.backfillRoom().holds {
+	for _, h := range p.backfill.holds {
 		if h.job == j || p.now.Add(j.group.run) > h.start {
 			continue
 		}
--- a/internal/schedule/hold.go
+++ b/internal/schedule/hold.go
@@ -12,7 +12,8 @@
 type hold struct {
 	job    *job
 	claims []claim
-	ahead  bool // a reservation; else work is stopped for it
+	ahead  bool       // a reservation; else work is stopped for it
+	after  model.Time // no further work is stopped for it before this
 
 	start      model.Time // when its room is expected; zero when not known, or at once
 	known      bool       // start was worked out
--- a/internal/schedule/line.go
+++ b/internal/schedule/line.go
@@ -77,7 +77,10 @@
 	e.room = g.room
 	e.startBy, e.id = j.startBy, j.id
 	e.pressing = p.pressingFrom(j)
-	e.tasks = max(g.gang, 1)
+	e.tasks = 1
+	if g.policy == gang {
+		e.tasks = j.ready
+	}
 	e.misfit = g.misfit.Err != nil
 	e.held = j.hold != nil
 	e.mayProbe = g.repeatable && j.maxRestarts > 0
--- a/internal/schedule/naive_test.go
+++ b/internal/schedule/naive_test.go
@@ -16,19 +16,24 @@
 	blockedGroup map[*group]bool
 	blockedTeam  map[int32]bool
 	starts       map[*hold]model.Time
+	passedOver   map[*job]bool
 }
 
 func naivePlan(s *Scheduler, now model.Time, max int) Plan {
 	s.wake(now)
 	s.passProbes(now)
 	s.refreshHolds()
-	n := &naive{planner{s: s, now: now, max: max}, map[*group]bool{}, map[int32]bool{}, nil}
+	n := &naive{planner{s: s, now: now, max: max}, map[*group]bool{}, map[int32]bool{}, map[*hold]model.Time{}, map[*job]bool{}}
 	for _, t := range s.teams {
 		t.planned = model.Resources{}
 	}
 	for _, j := range n.jobs() {
 		s.judgeGroup(j.group)
 	}
+	for _, h := range s.holds {
+		h.known = false
+		n.starts[h] = s.holdStart(h, now)
+	}
 	n.tell()
 	n.judge()
 	n.drain()
@@ -124,7 +129,7 @@
 	heads := map[int32]*job{}
 	for _, j := range n.jobs() {
 		team := j.group.team
-		if n.ready(j) == 0 || n.blockedGroup[j.group] || n.blockedTeam[team] {
+		if n.ready(j) == 0 || n.passedOver[j] || n.blockedGroup[j.group] || n.blockedTeam[team] {
 			continue
 		}
 		if heads[team] == nil || j.less(heads[team]) {
@@ -167,8 +172,12 @@
 	if g.policy == gang && n.tryGang(j, size) || g.policy != gang && n.tryOne(j, size) || n.full {
 		return
 	}
-	n.blockedGroup[g] = true
 	n.noRoomFor(j, size)
+	if j.hold != nil && !j.hold.ahead {
+		n.passedOver[j] = true
+		return
+	}
+	n.blockedGroup[g] = true
 }
 
 // best returns the least of the workers that may be used.
@@ -267,13 +276,6 @@
 	if !ok || j.group.policy != batch {
 		return noSlot
 	}
-	if n.starts == nil {
-		n.starts = map[*hold]model.Time{}
-		for _, h := range n.s.holds {
-			h.known = false
-			n.starts[h] = n.s.holdStart(h, n.now)
-		}
-	}
 	return n.best(func(slot int32) bool {
 		h := n.s.workers[slot].hold
 		if h == nil || h.job == j || !n.takes(j, slot, size) {
@@ -363,18 +365,17 @@
 
 func (n *naive) makeRoomFor(j *job, size model.Resources) bool {
 	g := j.group
-	if n.now < g.searchAfter || n.searches >= maxSearches {
-		return j.hold != nil
-	}
-	n.searches++
 	if j.hold != nil {
-		n.pursueClaims(j, size)
-		g.searchAfter = n.now + searchRetryMillis
+		if n.now >= j.hold.after && n.searches < maxSearches {
+			n.searches++
+			n.pursueClaims(j, size)
+		}
 		return true
 	}
-	if g.policy == gang {
+	if n.now < g.searchAfter || n.searches >= maxSearches || g.policy == gang {
 		return false
 	}
+	n.searches++
 	for range n.claimTasks(j) {
 		if j.hold == nil && !n.s.mayClaim() || !n.claimNext(j, size) {
 			break
@@ -403,6 +404,7 @@
 		return false
 	}
 	n.s.addClaim(j, best.slot, 1)
+	j.hold.after = n.now + searchRetryMillis
 	q.stop(best.victims)
 	return true
 }
--- a/internal/schedule/order.go
+++ b/internal/schedule/order.go
@@ -11,6 +11,7 @@
 		t.ranked = false
 	}
 	p.s.judgeGroups()
+	p.beginBackfill()
 	p.probesDue = p.s.probeDue(p.now)
 }
 
@@ -96,7 +97,7 @@
 		return false
 	}
 	g := e.group
-	if p.probesDue && e.mayProbe || len(p.s.holds) > 0 && p.mayBackfill(g, g.sized) {
+	if p.probesDue && e.mayProbe || p.mayBackfill(g, g.sized) {
 		return false
 	}
 	if p.now < e.pressing {
@@ -116,6 +117,11 @@
 		p.wakeAt(p.now)
 		return
 	}
+	for _, h := range p.s.holds {
+		if h.after > p.now {
+			p.wakeAt(h.after)
+		}
+	}
 	for _, t := range p.s.teams {
 		for i := range t.line.entries {
 			p.wakeFor(t.line.entries[i].group)
--- a/internal/schedule/planner.go
+++ b/internal/schedule/planner.go
@@ -18,6 +18,7 @@
 
 	taken     map[taskRef]bool // to be stopped by the plan
 	takenFrom map[*job]int32   // running tasks to be stopped
+	passed    []*group         // whose heads were passed over
 	searches  int
 	probesDue bool // a worker on probation is due for a probe
 	backfill  backfill
@@ -80,10 +81,24 @@
 	} else {
 		placed = p.placeOne(j, size)
 	}
-	if !placed && !p.full {
-		p.leaveOut(g)
-		p.noRoom(j, size)
+	if placed || p.full {
+		return
+	}
+	p.noRoom(j, size)
+	if j.hold != nil && !j.hold.ahead {
+		p.passOver(g)
+		return
 	}
+	p.leaveOut(g)
+}
+
+// passOver goes on with the job after the head of g, for which room is being
+// made already.
+func (p *planner) passOver(g *group) {
+	g.plan = p.s.plans
+	g.cursor++
+	p.s.stale(g)
+	p.passed = append(p.passed, g)
 }
 
 // noRoom sees to it that a job that has waited long gets room: by stopping
@@ -176,5 +191,8 @@
 		p.s.release(p.refs[i].job, p.refs[i].index)
 	}
 	p.s.undoing = false
+	for _, g := range p.passed {
+		p.s.stale(g)
+	}
 	p.spread.clear()
 }
--- a/internal/schedule/preempt.go
+++ b/internal/schedule/preempt.go
@@ -95,18 +95,14 @@
 // makeRoom preempts work for the tasks of j that found no room and holds the
 // workers for them. It reports whether room is being made.
 func (p *planner) makeRoom(j *job, size model.Resources) bool {
-	if p.now < j.group.searchAfter || p.searches >= maxSearches {
-		return j.hold != nil
-	}
-	p.searches++
 	if j.hold != nil {
-		p.pursueClaims(j, size)
-		j.group.searchAfter = p.now + searchRetryMillis
+		p.pursueLater(j, size)
 		return true
 	}
-	if j.group.policy == gang {
+	if p.now < j.group.searchAfter || p.searches >= maxSearches || j.group.policy == gang {
 		return false
 	}
+	p.searches++
 	for range p.claimTasks(j) {
 		if j.hold == nil && !p.s.mayClaim() || !p.claimOne(j, size) {
 			break
@@ -118,9 +114,19 @@
 	return j.hold != nil
 }
 
+// pursueLater preempts work for a hold that has waited for some time.
+func (p *planner) pursueLater(j *job, size model.Resources) {
+	if p.now < j.hold.after || p.searches >= maxSearches {
+		return
+	}
+	p.searches++
+	p.pursueClaims(j, size)
+}
+
 // pursueClaims preempts work on the workers held for j, if that makes all of
 // them ready.
 func (p *planner) pursueClaims(j *job, size model.Resources) {
+	j.hold.after = p.now + searchRetryMillis
 	q := search{p, j, size, p.entitledWithHolds(j)}
 	var all []taskRef
 	for _, c := range j.hold.claims {
@@ -156,6 +162,7 @@
 		return false
 	}
 	p.s.addClaim(j, best.slot, 1)
+	j.hold.after = p.now + searchRetryMillis
 	q.stop(best.victims)
 	return true
 }
