--- a/internal/schedule/bench_test.go
+++ b/internal/schedule/bench_test.go
@@ -193,6 +193,46 @@
 	}
 }
 
+// BenchmarkDecisionByPolicy places whole jobs of each policy in a cell with
+// room, or makes room for one by stopping work in a full cell. One decision is
+// the plan of one job and its application.
+func BenchmarkDecisionByPolicy(t *testing.B) {
+	for _, sc := range scales {
+		for _, spec := range []model.JobSpec{
+			{Name: "gang", Policy: model.PolicyGang, Tasks: 16, Size: cores(2), Patience: hour},
+			{Name: "service", Policy: model.PolicyService, Tasks: 9, Size: cores(1), Patience: hour},
+			{Name: "exclusive", Policy: model.PolicyBatch, Tasks: 9, Size: cores(1), Exclusive: true, Patience: hour},
+			{Name: "urgent", Policy: model.PolicyBatch, Tasks: 1, Size: cores(30)},
+		} {
+			t.Run(sc.name+"/"+spec.Name, func(t *testing.B) {
+				b := newBench(sc)
+				h := newHistogram()
+				t.ResetTimer()
+				for range t.N {
+					b.decideJob(h, spec)
+				}
+				tail(t, h)
+			})
+		}
+	}
+}
+
+// decideJob measures the plan of one job, and takes the job away again.
+func (b *bench) decideJob(h *hdrhistogram.Histogram, spec model.JobSpec) {
+	b.now++
+	id := b.submit(spec)
+	began := time.Now()
+	p := b.s.Plan(b.now, int(spec.Tasks))
+	for _, e := range p.Placements {
+		b.s.Apply(TaskPlaced{Task: e.Task, Worker: e.Worker, Size: e.Size, At: b.now})
+	}
+	_ = h.RecordValue(time.Since(began).Nanoseconds())
+	b.s.Apply(JobsCancelled{IDs: []model.JobID{id}})
+	for _, e := range p.Placements {
+		b.s.Apply(TaskEnded{Task: e.Task, Outcome: Stopped, At: b.now, Final: true})
+	}
+}
+
 // BenchmarkPlacements measures plans of 256 placements, each applied.
 func BenchmarkPlacements(t *testing.B) {
 	for _, sc := range scales {
--- a/internal/schedule/planner.go
+++ b/internal/schedule/planner.go
@@ -11,7 +11,7 @@
 	now    model.Time
 	max    int
 	plan   Plan
-	spread spread
+	spread *spread
 	bins   []int32   // scratch
 	refs   []taskRef // placed by the plan
 	full   bool      // the plan has no room for the next gang
@@ -32,7 +32,7 @@
 	s.passProbes(now)
 	s.refreshHolds()
 	s.settleRooms()
-	p := planner{s: s, now: now, max: max}
+	p := planner{s: s, now: now, max: max, spread: &s.spread}
 	p.begin()
 	p.tell()
 	p.drain()
--- a/internal/schedule/spread.go
+++ b/internal/schedule/spread.go
@@ -8,7 +8,6 @@
 	onWorker []bool
 	onRack   []int32
 	onDomain []int32
-	slots    []int32 // counted, for clear
 }
 
 // load counts the tasks of j, unless they are counted already.
@@ -47,11 +46,9 @@
 	c.onWorker[slot] = true
 	c.onRack[w.rack]++
 	c.onDomain[w.domain]++
-	c.slots = append(c.slots, slot)
 }
 
-// clear forgets the job. The counts are taken back one by one, since most of
-// the cell has none.
+// clear forgets the job.
 func (c *spread) clear() {
 	if c.job == nil {
 		return
@@ -59,7 +56,6 @@
 	clear(c.onWorker)
 	clear(c.onRack)
 	clear(c.onDomain)
-	c.slots = c.slots[:0]
 	c.job = nil
 }
 
