Keep the sites of gangs flat and sort only those that are used

Cause: a gang at 22,000 workers took 5.7 ms at the median, p99 29 ms (BenchmarkDecisionByPolicy/22000/gang): a list a rack was made and sorted. Ruled out: counts a rack kept up to date for each size, which every change of a worker would pay for. Change: one flat list of sites linked by rack, kept from plan to plan; a reservation looks at 64 workers beyond its tasks rather than 256.

--- a/internal/schedule/gang.go
+++ b/internal/schedule/gang.go
@@ -10,24 +10,69 @@
 // site is a worker with room for some tasks of a gang.
 type site struct {
 	slot  int32
+	next  int32 // site of the same rack, or noSite
 	tasks int64 // that fit
 }
 
+// noSite stands for the absence of a site.
+const noSite int32 = -1
+
 // siteRack is a rack with room for some tasks of a gang.
 type siteRack struct {
+	rack   int32
 	domain int32
 	region int32
+	first  int32 // of its sites
 	tasks  int64
 	tie    uint64 // least of its workers
-	sites  []site // from the tightest on
+}
+
+// sites is where tasks of a gang fit. It is kept from plan to plan, since it is large.
+type sites struct {
+	all    []site
+	racks  []siteRack
+	byRack []int32 // position in racks, and one; zero for none
+}
+
+func (c *sites) clear(racks int) {
+	for i := range c.racks {
+		c.byRack[c.racks[i].rack] = 0
+	}
+	c.all = c.all[:0]
+	c.racks = c.racks[:0]
+	c.byRack = extend(c.byRack, racks)
+}
+
+func (c *sites) add(w *worker, slot int32, tasks int64) {
+	at := c.byRack[w.rack]
+	if at == 0 {
+		c.racks = append(c.racks, siteRack{rack: w.rack, domain: w.domain, region: w.region, first: noSite, tie: w.tie})
+		at = int32(len(c.racks))
+		c.byRack[w.rack] = at
+	}
+	r := &c.racks[at-1]
+	c.all = append(c.all, site{slot, r.first, tasks})
+	r.first = int32(len(c.all) - 1)
+	r.tasks += tasks
+	r.tie = min(r.tie, w.tie)
+}
+
+// of returns the sites of r.
+func (c *sites) of(r *siteRack) []site {
+	var out []site
+	for i := r.first; i != noSite; i = c.all[i].next {
+		out = append(out, c.all[i])
+	}
+	return out
 }
 
 // placeGang places all ready tasks of j, or none.
 func (p *planner) placeGang(j *job, size model.Resources) bool {
-	racks := p.sites(j, size)
-	chosen := packRacks(racks, int64(j.ready))
+	p.findSites(j, size)
+	c := &p.s.sites
+	chosen := packRacks(c.racks, int64(j.ready))
 	if chosen == nil && !j.group.exclusive && j.hold == nil {
-		p.s.rooms.bound(j.group.room, tasksIn(racks))
+		p.s.rooms.bound(j.group.room, tasksIn(c.racks))
 	}
 	if chosen == nil {
 		return false
@@ -36,52 +81,47 @@
 		p.full = true
 		return false
 	}
+	for i := range chosen {
+		p.fillRack(j, size, c.of(&chosen[i]))
+	}
+	return true
+}
+
+// fillRack places tasks of j on the sites of one rack, the tightest first.
+func (p *planner) fillRack(j *job, size model.Resources, rack []site) {
+	p.sortSites(rack)
 	index := j.nextReady(j.next)
-	for _, r := range chosen {
-		for _, site := range r.sites {
-			for n := site.tasks; n > 0 && j.ready > 0; n-- {
-				p.put(j, index, site.slot, size)
-				index = j.nextReady(index)
-			}
+	for _, at := range rack {
+		for n := at.tasks; n > 0 && j.ready > 0; n-- {
+			p.put(j, index, at.slot, size)
+			index = j.nextReady(index)
 		}
 	}
-	return true
 }
 
-// sites returns the racks where tasks of j fit.
-func (p *planner) sites(j *job, size model.Resources) []siteRack {
+// findSites finds the workers where tasks of j fit.
+func (p *planner) findSites(j *job, size model.Resources) {
 	bins, exact := p.s.binsFor(p.bins[:0], j.group.selector)
 	p.bins = bins
 	accept := p.accept(j, exact)
-	var racks []siteRack
-	at := map[int32]int{}
+	c := &p.s.sites
+	c.clear(len(p.s.racks.byName))
 	add := func(slot int32, free model.Resources) {
-		if accept != nil && !accept(slot) {
-			return
-		}
-		w := &p.s.workers[slot]
-		i, ok := at[w.rack]
-		if !ok {
-			i = len(racks)
-			at[w.rack] = i
-			racks = append(racks, siteRack{domain: w.domain, region: w.region, tie: w.tie})
+		if accept == nil || accept(slot) {
+			c.add(&p.s.workers[slot], slot, p.siteTasks(j, size, free))
 		}
-		racks[i].add(site{slot, p.siteTasks(j, size, free)}, w.tie)
 	}
 	for _, bin := range bins {
 		p.s.free.Each(bin, size, add)
 	}
-	if j.hold != nil {
-		for _, c := range j.hold.claims {
-			if p.usable(j, c.slot, size) {
-				add(c.slot, p.s.workers[c.slot].free)
-			}
-		}
+	if j.hold == nil {
+		return
 	}
-	for i := range racks {
-		p.sortSites(racks[i].sites)
+	for _, claim := range j.hold.claims {
+		if p.usable(j, claim.slot, size) {
+			add(claim.slot, p.s.workers[claim.slot].free)
+		}
 	}
-	return racks
 }
 
 // siteTasks returns how many tasks of j fit into free.
@@ -92,12 +132,6 @@
 	return copies(size, free)
 }
 
-func (r *siteRack) add(s site, tie uint64) {
-	r.tasks += s.tasks
-	r.tie = min(r.tie, tie)
-	r.sites = append(r.sites, s)
-}
-
 // sortSites orders sites from the tightest on.
 func (p *planner) sortSites(sites []site) {
 	slices.SortFunc(sites, func(a, b site) int {
--- a/internal/schedule/hold.go
+++ b/internal/schedule/hold.go
@@ -29,8 +29,8 @@
 
 // Bounds of a hold.
 const (
-	maxClaimTasks   = 8   // tasks of a job other than a gang held for at once
-	holdScanSpare   = 256 // workers looked at beyond the tasks of a gang
+	maxClaimTasks   = 8  // tasks of a job other than a gang held for at once
+	holdScanSpare   = 64 // workers looked at beyond the tasks of a gang
 	holdRetryMillis = 1000
 )
 
--- a/internal/schedule/naive_test.go
+++ b/internal/schedule/naive_test.go
@@ -286,6 +286,7 @@
 
 func (n *naive) tryGang(j *job, size model.Resources) bool {
 	byRack := map[int32]*siteRack{}
+	on := map[int32][]site{}
 	for i := range n.s.workers {
 		slot, w := int32(i), &n.s.workers[i]
 		mine := w.offered() || w.hold != nil && w.hold.job == j
@@ -293,13 +294,15 @@
 			continue
 		}
 		if byRack[w.rack] == nil {
-			byRack[w.rack] = &siteRack{domain: w.domain, region: w.region, tie: w.tie}
+			byRack[w.rack] = &siteRack{rack: w.rack, domain: w.domain, region: w.region, tie: w.tie}
 		}
-		byRack[w.rack].add(site{slot, n.siteTasks(j, size, n.free(slot))}, w.tie)
+		r, tasks := byRack[w.rack], n.siteTasks(j, size, n.free(slot))
+		r.tasks += tasks
+		r.tie = min(r.tie, w.tie)
+		on[w.rack] = append(on[w.rack], site{slot, noSite, tasks})
 	}
 	var racks []siteRack
 	for _, r := range byRack {
-		n.sortSites(r.sites)
 		racks = append(racks, *r)
 	}
 	chosen := packRacks(racks, n.ready(j))
@@ -308,7 +311,8 @@
 		return false
 	}
 	for _, r := range chosen {
-		for _, at := range r.sites {
+		n.sortSites(on[r.rack])
+		for _, at := range on[r.rack] {
 			for k := at.tasks; k > 0 && n.ready(j) > 0; k-- {
 				n.put(j, j.nextReady(0), at.slot, size)
 			}
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -39,6 +39,7 @@
 	judgedGangs uint64          // counts at which the gangs were judged
 	untold      bool            // a group has a misfit that was not told
 	plans       uint64          // made so far
+	sites       sites           // scratch of plans
 	spread      spread          // scratch of plans
 	undoing     bool            // a plan is being taken back
 	change      uint64          // grows with each change of limits and of the shapes of workers
