--- a/internal/schedule/apply.go
+++ b/internal/schedule/apply.go
@@ -159,10 +159,12 @@
 }
 
 // restart keeps a released task back when the task or the worker was at fault:
-// for a backoff, or for good once its restart budget is used up. A failure on a
-// worker on probation does not count.
+// for a backoff, or for good once its restart budget is used up. A task that was
+// stopped for being over its size counts as failed; a failure on a worker on
+// probation does not count.
 func (s *Scheduler) restart(j *job, index int32, e *TaskEnded, onProbation bool) {
-	if e.Outcome != Failed && e.Outcome != NotStarted {
+	atFault := e.Outcome == Failed || e.Outcome == Stopped
+	if !atFault && e.Outcome != NotStarted {
 		return
 	}
 	t := &j.tasks[index]
@@ -171,7 +173,7 @@
 	t.since = 0
 	j.waiting++
 	s.waitingTasks++
-	if e.Outcome == Failed && !onProbation {
+	if atFault && !onProbation {
 		if j.budgetUsed(t) {
 			s.tells.fails = append(s.tells.fails, Failure{Job: j.id, Task: index, Reason: ReasonRestartBudget})
 			return
--- a/internal/schedule/policy_test.go
+++ b/internal/schedule/policy_test.go
@@ -233,6 +233,8 @@
 	p = use(2)
 	assert.DeepEqual(t, p.Stops, []Stop{{Task: id, Worker: "w000", Reason: ReasonOverSize}})
 	assert.Equal(t, len(use(2).Stops), 0)
+	c.end(id, Stopped, time.Minute, false)
+	assert.DeepEqual(t, c.plan().Fails, []Failure{{Job: id.Job, Task: 0, Reason: ReasonRestartBudget}})
 }
 
 func TestJobThatNeverFitsIsToldOnceAChangeAndBlocksNobody(t *testing.T) {
