--- a/internal/schedule/planner.go
+++ b/internal/schedule/planner.go
@@ -11,13 +11,14 @@
 	now    model.Time
 	max    int
 	plan   Plan
-	spread spread
+	spread *spread
 	bins   []int32   // scratch
 	refs   []taskRef // placed by the plan
 	full   bool      // the plan has no room for the next gang
 
 	taken     map[taskRef]bool // to be stopped by the plan
 	takenFrom map[*job]int32   // running tasks to be stopped
+	passed    []*group         // whose heads were passed over
 	searches  int
 	probesDue bool // a worker on probation is due for a probe
 	backfill  backfill
@@ -31,7 +32,7 @@
 	s.passProbes(now)
 	s.refreshHolds()
 	s.settleRooms()
-	p := planner{s: s, now: now, max: max}
+	p := planner{s: s, now: now, max: max, spread: &s.spread}
 	p.begin()
 	p.tell()
 	p.drain()
@@ -80,10 +81,24 @@
 	} else {
 		placed = p.placeOne(j, size)
 	}
-	if !placed && !p.full {
-		p.leaveOut(g)
-		p.noRoom(j, size)
+	if placed || p.full {
+		return
+	}
+	p.noRoom(j, size)
+	if j.hold != nil && !j.hold.ahead {
+		p.passOver(g)
+		return
 	}
+	p.leaveOut(g)
+}
+
+// passOver goes on with the job after the head of g, for which room is being
+// made already.
+func (p *planner) passOver(g *group) {
+	g.plan = p.s.plans
+	g.cursor++
+	p.s.stale(g)
+	p.passed = append(p.passed, g)
 }
 
 // noRoom sees to it that a job that has waited long gets room: by stopping
@@ -176,5 +191,8 @@
 		p.s.release(p.refs[i].job, p.refs[i].index)
 	}
 	p.s.undoing = false
+	for _, g := range p.passed {
+		p.s.stale(g)
+	}
 	p.spread.clear()
 }
