Name a founder that lost its disk while the group formed

The others then wait for ever, by design; now the log says why, and a test shows that no group forms.

--- a/internal/replica/founding.go
+++ b/internal/replica/founding.go
@@ -87,12 +87,24 @@
 	case !slices.Equal(f.Addresses, n.founding.addresses):
 		n.logger.Error("founders are listed differently", "peer", f.Address, "there", f.Addresses, "here", n.founding.addresses)
 	default:
-		n.founding.peers[f.Address] = founder{id: r.msg.From, agreed: f.Agreed}
+		n.noteFounder(f.Address, founder{id: r.msg.From, agreed: f.Agreed})
 		n.tryAgree()
 		n.tryForm()
 	}
 }
 
+// noteFounder keeps what a founder says of itself.
+func (n *Node) noteFounder(address string, f founder) {
+	changed := n.founding.peers[address].id != f.id
+	n.founding.peers[address] = f
+	if !changed || n.identity.Agreed == nil {
+		return
+	}
+	if _, ok := n.identity.Agreed.Find(f.id); !ok {
+		n.logger.Error("a founder lost its disk while the group formed: empty all data folders", "founder", address)
+	}
+}
+
 // joinFormed is told of a group that exists. This replica is part of it only
 // where it has itself agreed to its membership.
 func (n *Node) joinFormed(f *raft.Founding) {
--- a/internal/replica/loss_test.go
+++ b/internal/replica/loss_test.go
@@ -137,6 +137,23 @@
 	awaitSame(t, awaitLeader(a, b, c), a, b, c)
 }
 
+func TestAFounderThatLosesItsDiskWhileTheGroupFormsBlocksIt(t *testing.T) {
+	w := newNetwork()
+	options := groupOptions(3)
+	a := startMember(t, w, options[0])
+	b := startMember(t, w, options[1])
+	c := startMember(t, w, options[2])
+	w.setCut(b.opts.Address, a.opts.Address, true)
+	assert.NilError(t, c.poll(testContext(t), func() (bool, error) { return c.identity.Agreed != nil, nil }))
+	c.stop()
+	c = startMember(t, w, emptied(options[2], false))
+	w.setCut(b.opts.Address, a.opts.Address, false)
+	awaitTicks(t, 20*raft.DefaultElectionTicks, a, b, c)
+	for _, m := range []*member{a, b, c} {
+		assert.Assert(t, !m.Status().Formed)
+	}
+}
+
 func TestADataFolderWithoutItsLogIsRefused(t *testing.T) {
 	rows := []struct {
 		name   string
