Hand over from a leader whose disk hangs

Its heartbeats need no disk, so it kept the others from leading while none of its entries could be delivered: the new test hung before the change.

Run: go test -race ./internal/replica/... ./internal/storage/... passed.

--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -80,6 +80,7 @@
 	n.core.Tick()
 	n.tickFounding()
 	n.tickSenders()
+	n.checkDisk()
 	if n.ticks%freeCheckTicks == 0 {
 		n.checkFree()
 	}
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -202,6 +202,21 @@
 	}
 }
 
+func TestALeaderWhoseDiskHangsHandsOver(t *testing.T) {
+	w := newNetwork()
+	group := startGroup(t, w, 3)
+	proposeMany(10, group...)
+	leader := awaitLeader(group...)
+	rest := others(group, leader)
+	release := leader.opts.FS.(*faultfs.FS).HoldSyncs()
+	defer release()
+	assert.NilError(t, leader.Propose([]byte("hangs here")))
+	proposeMany(50, rest...)
+	release()
+	mustPropose("after", group...)
+	awaitSame(t, awaitLeader(group...), group...)
+}
+
 func TestAFailedSyncIsFatal(t *testing.T) {
 	group := startGroup(t, newNetwork(), 3)
 	proposeMany(10, group...)
--- a/internal/replica/writer.go
+++ b/internal/replica/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/replica/raft"
@@ -35,7 +36,8 @@
 	cond *sync.Cond
 	jobs []job
 
-	in *incoming // a snapshot that is being received; owned by run
+	begun atomic.Int64 // when the write that runs now began; 0: none runs
+	in    *incoming    // a snapshot that is being received; owned by run
 }
 
 func newWriter(n *Node) *writer {
@@ -161,7 +163,9 @@
 func (w *writer) append(b storage.Batch) error {
 	for {
 		begun := w.n.opts.Now()
+		w.begun.Store(int64(begun))
 		err := w.n.log.Append(b)
+		w.begun.Store(0)
 		if err == nil {
 			w.n.metrics.append.Observe((w.n.opts.Now() - begun).Seconds())
 			w.n.noteFull(false)
@@ -179,6 +183,25 @@
 	}
 }
 
+// slowDiskTicks is how long a write of a leader may take before it hands over.
+const slowDiskTicks = 4 * raft.DefaultElectionTicks
+
+// checkDisk makes a leader hand over whose disk hangs. Its heartbeats would keep
+// the others from leading, while it could take in nothing itself. With the disk
+// hanging it cannot be elected again, since votes wait for the disk.
+func (n *Node) checkDisk() {
+	begun := n.writer.begun.Load()
+	if begun == 0 || n.core.Role() != raft.Leader || n.core.Transferring() {
+		return
+	}
+	if n.opts.Now()-time.Duration(begun) < slowDiskTicks*n.opts.Tick {
+		return
+	}
+	if n.core.Transfer() == nil {
+		n.logger.Warn("a write hangs, handing over", "term", n.core.Term())
+	}
+}
+
 // noteFormed records before the first acknowledgement that the log has begun.
 func (w *writer) noteFormed(b storage.Batch) error {
 	if w.n.formed.Load() || len(b.Entries) == 0 && b.Reset == nil {
--- a/internal/storage/faultfs/faultfs.go
+++ b/internal/storage/faultfs/faultfs.go
@@ -42,6 +42,7 @@
 	locked   map[string]bool
 	capacity int // bytes; negative: unlimited
 	failSync bool
+	held     chan struct{} // syncs wait for it; nil: they do not
 	syncs    int
 }
 
@@ -84,6 +85,29 @@
 	f.failSync = fail
 }
 
+// HoldSyncs makes syncs of files hang until the result is called.
+func (f *FS) HoldSyncs() (release func()) {
+	held := make(chan struct{})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.held = held
+	return sync.OnceFunc(func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.held = nil
+		close(held)
+	})
+}
+
+func (f *FS) waitHeld() {
+	f.mu.Lock()
+	held := f.held
+	f.mu.Unlock()
+	if held != nil {
+		<-held
+	}
+}
+
 // Syncs returns the number of syncs of files so far.
 func (f *FS) Syncs() int {
 	f.mu.Lock()
@@ -336,6 +360,7 @@
 
 // Sync makes the content durable.
 func (f *file) Sync() error {
+	f.fs.waitHeld()
 	f.fs.mu.Lock()
 	defer f.fs.mu.Unlock()
 	f.fs.syncs++
