--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -26,19 +26,20 @@
 
 // benchGroup starts n founders on the real disk with the default timeouts.
 func benchGroup(b *testing.B, w *network, n int) []*member {
-	return benchGroupKeeping(b, w, n, 200_000, 0)
+	return benchGroupWith(b, w, n, Options{FS: storage.OS{}, TrailingEntries: 200_000})
 }
 
-// benchGroupKeeping sets what the log keeps behind a snapshot, in entries, and
-// the size of its segments, in bytes.
-func benchGroupKeeping(b *testing.B, w *network, n int, trailing uint64, segment int64) []*member {
+// benchGroupWith starts n founders that share some options.
+func benchGroupWith(b *testing.B, w *network, n int, o Options) []*member {
 	b.Helper()
 	var out []*member
 	for i, f := range founders(n) {
-		out = append(out, startMember(b, w, Options{
-			Dir: b.TempDir(), Address: f.Address, Founders: founders(n), Seed: uint64(i + 1),
-			FS: storage.OS{}, Tick: DefaultTick, TrailingEntries: trailing, SegmentBytes: segment,
-		}))
+		o.Dir = b.TempDir()
+		o.Address = f.Address
+		o.Founders = founders(n)
+		o.Seed = uint64(i + 1)
+		o.Tick = DefaultTick
+		out = append(out, startMember(b, w, o))
 	}
 	awaitLeader(out...)
 	return out
@@ -90,19 +91,45 @@
 	reportTail(b, h)
 }
 
+// slowDisk adds a delay to each sync of a file.
+type slowDisk struct {
+	storage.OS
+	delay time.Duration
+}
+
+type slowFile struct {
+	storage.File
+	delay time.Duration
+}
+
+// Sync waits before it syncs.
+func (f slowFile) Sync() error {
+	time.Sleep(f.delay)
+	return f.File.Sync()
+}
+
+// Create makes a file with slow syncs.
+func (d slowDisk) Create(name string) (storage.File, error) {
+	f, err := d.OS.Create(name)
+	return slowFile{f, d.delay}, err
+}
+
 // BenchmarkCommitAtTargetRate proposes on a fixed schedule, whether or not
 // earlier proposals are committed, and measures from the scheduled time. One
 // operation is a commit.
 func BenchmarkCommitAtTargetRate(b *testing.B) {
 	for _, replicas := range []int{3, 5} {
-		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) {
-			benchRate(b, replicas)
-		})
+		for _, delay := range []time.Duration{0, 5 * time.Millisecond, 20 * time.Millisecond} {
+			b.Run(fmt.Sprintf("replicas=%d/delay=%v", replicas, delay), func(b *testing.B) {
+				benchRate(b, replicas, delay)
+			})
+		}
 	}
 }
 
-func benchRate(b *testing.B, replicas int) {
-	leader := awaitLeader(benchGroup(b, newNetwork(), replicas)...)
+func benchRate(b *testing.B, replicas int, delay time.Duration) {
+	o := Options{FS: slowDisk{delay: delay}, TrailingEntries: 200_000}
+	leader := awaitLeader(benchGroupWith(b, newNetwork(), replicas, o)...)
 	b.ResetTimer()
 	start := time.Now()
 	due := func(i int) time.Time { return start.Add(time.Duration(i) * time.Second / targetRate) }
@@ -174,11 +201,11 @@
 func benchCatchUp(b *testing.B, behind int, snapshot bool) {
 	b.StopTimer()
 	w := newNetwork()
-	trailing, segment := uint64(200_000), int64(0)
+	o := Options{FS: storage.OS{}, TrailingEntries: 200_000}
 	if snapshot {
-		trailing, segment = 1, 64<<10
+		o.TrailingEntries, o.SegmentBytes = 1, 64<<10
 	}
-	group := benchGroupKeeping(b, w, 3, trailing, segment)
+	group := benchGroupWith(b, w, 3, o)
 	leader := awaitLeader(group...)
 	late := others(group, leader)[0]
 	w.isolate(late, true)
