--- a/internal/replica/raft/simstep_test.go
+++ b/internal/replica/raft/simstep_test.go
@@ -113,6 +113,9 @@
 	}
 	i := s.choose(len(s.snaps))
 	snap := s.snaps[i]
+	if n := s.find(snap.from); n != nil && !n.down && n.frozen > 0 {
+		return // the sender goes on, or gives up, once it wakes
+	}
 	s.snaps = slices.Delete(s.snaps, i, i+1)
 	to, from := s.live(snap.to), s.live(snap.from)
 	arrived := to != nil && s.choose(4) != 0
