Send entries only what has changed, and take reports in batches

Cause: each renewal of an entry carried the whole list of entries, the leader worked a delta out anew for each entry, each worker's report was a call and a log entry of its own, and one rate held towards all regions. Change: the tables of package member keep entries and past configurations; the list goes out when its revision differs; reports of many workers share a call and a commit; each region has its own budget; starts that a leaving worker has not confirmed are taken back.

--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -1,11 +1,7 @@
 package control
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/filbertmast/filbertmast/internal/api"
-	"github.com/filbertmast/filbertmast/internal/declare"
 	"github.com/filbertmast/filbertmast/internal/errkind"
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/owner"
@@ -15,36 +11,15 @@
 	"github.com/filbertmast/filbertmast/internal/wire"
 )
 
-// keptVersions is how many past configurations a leader keeps, to send an
-// entry only what has changed.
-const keptVersions = 64
-
-// pastConfig is a configuration that was in force.
-type pastConfig struct {
-	version uint64
-	digest  string
-	decl    *model.Declarations
-}
-
-// remember keeps the configuration in force for later deltas.
-func (l *leader) remember(version uint64) {
-	_, digest, d := l.c.machine.Config()
-	kept := *d
-	l.past = append(l.past, pastConfig{version: version, digest: digest, decl: &kept})
-	if n := len(l.past) - keptVersions; n > 0 {
-		l.past = slices.Delete(l.past, 0, n)
-	}
-}
-
 // register renews an entry. A new incarnation is committed before it can be
 // granted anything, so that a later leader knows of it.
 func (l *leader) register(_ wire.Peer, req *proto.Register, done reply[proto.Registered]) {
-	known, err := l.member(req.Member)
+	committed, err := l.members.Check(req.Member)
 	if err != nil {
 		done(nil, err)
 		return
 	}
-	if known {
+	if committed {
 		l.registered(req, done)
 		return
 	}
@@ -57,128 +32,66 @@
 	})
 }
 
-// member reports whether exactly this incarnation of an entry is committed.
-func (l *leader) member(m state.Member) (bool, error) {
-	for _, v := range l.c.machine.Members() {
-		if v.Name != m.Name {
-			continue
-		}
-		if m.Incarnation < v.Incarnation {
-			return false, errkind.New(errkind.StaleLease, "entry %q has started again since", m.Name)
-		}
-		return v == m, nil
-	}
-	return false, nil
-}
-
 func (l *leader) registered(req *proto.Register, done reply[proto.Registered]) {
-	l.heard(req)
-	version, digest, d := l.c.machine.Config()
+	m := &req.Member
+	if !l.members.Heard(m.Name, m.Incarnation, req.ConfigVersion, req.Leaving, l.c.s.now()) {
+		done(nil, errkind.New(errkind.StaleLease, "entry %q is not registered", m.Name))
+		return
+	}
+	if m.Inner == l.c.s.opts.Endpoint.Address() {
+		l.owners.Avoid(m.Name)
+	}
+	version, digest, _ := l.c.machine.Config()
 	out := &proto.Registered{
-		Term:          l.term,
-		ConfigVersion: version,
-		ConfigDigest:  digest,
-		Entries:       l.c.machine.Members(),
+		Term:            l.term,
+		ConfigVersion:   version,
+		ConfigDigest:    digest,
+		EntriesRevision: l.members.Revision(),
 	}
-	if req.ConfigVersion != version {
-		l.fillConfig(out, req, d)
+	if update, behind := l.history.Update(req.ConfigVersion, req.ConfigDigest); behind {
+		out.Whole, out.Delta = update.Whole, update.Delta
+	}
+	sameTerm := req.DirectoryTerm == l.term
+	if !sameTerm || req.EntriesRevision != out.EntriesRevision {
+		out.Entries = l.c.machine.Members()
 	}
 	dirVersion, rows := l.owners.Directory()
 	out.DirectoryVersion = dirVersion
-	if req.DirectoryTerm != l.term || req.DirectoryVersion != dirVersion {
+	if !sameTerm || req.DirectoryVersion != dirVersion {
 		out.Directory = rows
 	}
 	confirmed(l.c, done, out)
 }
 
-// fillConfig sends the difference to an entry that is near, and a whole copy
-// to one that is far behind or holds something else.
-func (l *leader) fillConfig(out *proto.Registered, req *proto.Register, d *model.Declarations) {
-	for i := range l.past {
-		if p := &l.past[i]; p.version == req.ConfigVersion && p.digest == req.ConfigDigest {
-			delta := declare.DeltaBetween(p.decl, d, p.digest, out.ConfigDigest)
-			out.Delta = &delta
-			return
-		}
-	}
-	whole := *d
-	out.Whole = &whole
-}
-
-// entryState is what the leader last heard from an entry.
-type entryState struct {
-	member  state.Member
-	version uint64 // of the configuration in force there
-	heard   model.Time
-	lost    bool
-	leaving bool // its removal is proposed
-}
-
-func (l *leader) heard(req *proto.Register) {
-	if req.Member.Inner == l.c.s.opts.Endpoint.Address() {
-		l.owners.Avoid(req.Member.Name)
-	}
-	l.entries[req.Member.Name] = &entryState{
-		member:  req.Member,
-		version: req.ConfigVersion,
-		heard:   l.c.s.now(),
-	}
-}
-
-// loseEntries notes entries that have not renewed within a lease.
+// loseEntries notes entries that have not renewed within a lease, and takes
+// them off the list once everything that they were granted is over.
 func (l *leader) loseEntries(now model.Time) {
-	for _, m := range l.c.machine.Members() {
-		e, ok := l.entries[m.Name]
-		if !ok {
-			e = &entryState{member: m, heard: now}
-			l.entries[m.Name] = e
-		}
-		if e.lost || now.Sub(e.heard) <= l.c.s.opts.Times.RequestLease+l.c.s.opts.Times.Drift {
-			continue
-		}
-		e.lost = true
+	for _, m := range l.members.Lost(now) {
 		l.permits.Lost(m.Name, now)
 		l.owners.Lost(m.Name, now)
 		l.c.log.Warn("Entry lost.", "entry", m.Name)
 	}
-	l.forgetEntries(now)
-}
-
-// forgetEntries drops entries once everything that they were granted is over.
-func (l *leader) forgetEntries(now model.Time) {
-	t := l.c.s.opts.Times
-	hold := t.RequestLease + t.LongestHold + 2*t.Drift
-	for name, e := range l.entries {
-		if !e.lost || e.leaving || now.Sub(e.heard) <= hold {
-			continue
-		}
-		e.leaving = true
-		cmd := &state.Leave{Name: name, Incarnation: e.member.Incarnation}
+	for _, m := range l.members.Removable(now) {
+		cmd := &state.Leave{Name: m.Name, Incarnation: m.Incarnation}
 		l.c.propose(&state.Command{Leave: cmd}, func(_ state.Result, err error) {
 			if err != nil {
-				e.leaving = false
-				return
-			}
-			if l.entries[name] == e {
-				delete(l.entries, name)
+				l.members.Restore(m)
 			}
 		})
 	}
 }
 
 func (l *leader) entryViews() []api.EntryView {
-	now := l.c.s.now()
 	var out []api.EntryView
-	for _, e := range l.entries {
+	for _, e := range l.members.Entries(l.c.s.now()) {
 		out = append(out, api.EntryView{
-			ID:            e.member.Name,
-			Address:       e.member.Outer,
-			FailureDomain: e.member.FailureDomain,
-			Version:       e.version,
-			AgeMS:         now.Sub(e.heard).Milliseconds(),
+			ID:            e.Member.Name,
+			Address:       e.Member.Outer,
+			FailureDomain: e.Member.FailureDomain,
+			Version:       e.Version,
+			AgeMS:         e.Age.Milliseconds(),
 		})
 	}
-	slices.SortFunc(out, func(a, b api.EntryView) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
 
--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -12,7 +12,7 @@
 	switch e := ev.(type) {
 	case state.ConfigChanged:
 		l.feedConfig(e.Declarations)
-		l.remember(e.Version)
+		l.rememberConfig(e.Version)
 	case state.WorkerChanged:
 		l.feedWorker(&e)
 	case state.WorkersForgotten:
@@ -47,6 +47,13 @@
 	}
 }
 
+// rememberConfig keeps a configuration that was in force, for deltas from it.
+func (l *leader) rememberConfig(version uint64) {
+	_, digest, d := l.c.machine.Config()
+	kept := *d
+	l.history.Add(version, digest, &kept)
+}
+
 func (l *leader) feedWorker(e *state.WorkerChanged) {
 	if e.Mode == model.WorkerLost {
 		l.sched.Apply(schedule.WorkerModeChanged{Worker: e.Spec.ID, Mode: e.Mode, At: e.At})
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -5,6 +5,7 @@
 
 	"github.com/filbertmast/filbertmast/internal/lease"
 	"github.com/filbertmast/filbertmast/internal/limit"
+	"github.com/filbertmast/filbertmast/internal/member"
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/owner"
 	"github.com/filbertmast/filbertmast/internal/schedule"
@@ -20,9 +21,9 @@
 	leases   *lease.Table
 	permits  *limit.Granter
 	owners   *owner.Table
-	entries  map[string]*entryState // by name
-	past     []pastConfig           // oldest first
-	losing   []lease.Claim          // expired, their loss not yet committed
+	members  *member.Table
+	history  *member.History // of configurations, for deltas
+	losing   []lease.Claim   // expired, their loss not yet committed
 	sessions map[model.WorkerID]attachment
 	waits    jobWaits
 	dirty    bool // something changed since the last plan
@@ -45,13 +46,18 @@
 	t := c.s.opts.Times
 	now := c.s.now()
 	l := &leader{
-		c:        c,
-		term:     term,
-		sched:    schedule.New(schedule.Options{Seed: c.s.opts.Seed}),
-		leases:   lease.New(lease.Options{Length: t.WorkerLease, Drift: t.Drift}),
-		permits:  limit.NewGranter(limit.Options{Lease: t.RequestLease, Margin: t.Drift, Ceilings: true}),
-		owners:   owner.NewTable(owner.Options{Lease: t.RequestLease, Margin: t.Drift}),
-		entries:  make(map[string]*entryState),
+		c:       c,
+		term:    term,
+		sched:   schedule.New(schedule.Options{Seed: c.s.opts.Seed}),
+		leases:  lease.New(lease.Options{Length: t.WorkerLease, Drift: t.Drift}),
+		permits: limit.NewGranter(limit.Options{Lease: t.RequestLease, Margin: t.Drift, Ceilings: true}),
+		owners:  owner.NewTable(owner.Options{Lease: t.RequestLease, Margin: t.Drift}),
+		members: member.New(member.Options{
+			Lease: t.RequestLease,
+			Drift: t.Drift,
+			Hold:  t.LongestHold,
+		}, c.machine.Members(), now),
+		history:  member.NewHistory(member.DefaultKept),
 		sessions: make(map[model.WorkerID]attachment),
 		waits:    newJobWaits(),
 		dirty:    true,
@@ -117,18 +123,37 @@
 		for _, id := range e.IDs {
 			l.waits.changed(l.c, id)
 		}
+	case state.MembersChanged:
+		l.members.Sync(l.c.machine.Members(), l.c.s.now())
 	case state.JobFinished:
 		l.waits.changed(l.c, e.ID)
 	}
 }
 
 func (l *leader) workerChanged(e *state.WorkerChanged) {
+	if e.Mode == model.WorkerLeaving {
+		l.stopUnstarted(e.Spec.ID)
+	}
 	if e.Mode == model.WorkerLost {
 		l.leases.Release(lease.Claim{Worker: e.Spec.ID, Session: e.Session})
 		delete(l.sessions, e.Spec.ID)
 	}
 }
 
+// stopUnstarted takes back starts that a leaving worker has not confirmed. Its
+// entry tells it none of them any more, so that they would wait in vain.
+func (l *leader) stopUnstarted(id model.WorkerID) {
+	cmd := &state.Stop{}
+	for _, task := range l.c.machine.Worker(id).Held {
+		if l.c.machine.Job(task.Job).Tasks[task.Index].Phase == model.TaskStarting {
+			cmd.Tasks = append(cmd.Tasks, state.TaskStop{Task: task, Cause: state.StopDrained, Reason: "the worker leaves"})
+		}
+	}
+	if len(cmd.Tasks) > 0 {
+		l.c.propose(&state.Command{Stop: cmd}, func(state.Result, error) {})
+	}
+}
+
 // expireEvery is how often the leader looks for what has been kept long enough.
 const expireEvery = 2 * time.Second
 
--- a/internal/control/workers.go
+++ b/internal/control/workers.go
@@ -86,18 +86,40 @@
 	l.sched.Apply(schedule.TaskUsed{Task: u.Task, Used: u.Used, At: l.c.s.now()})
 }
 
-// reports commits what a worker said of its tasks.
-func (l *leader) reports(_ wire.Peer, req *proto.Reports, done reply[proto.Empty]) {
-	session, err := l.c.machine.SessionOf(req.Worker)
-	if err == nil && session != req.Session {
-		err = errkind.New(errkind.StaleLease, "worker %q has a newer session", req.Worker)
+// reports commits what workers said of their tasks. Each is answered for its
+// own session; those of an older one are left out.
+func (l *leader) reports(_ wire.Peer, req *proto.Reports, done reply[proto.Reported]) {
+	out := &proto.Reported{Errors: make([]*errkind.Body, len(req.Reports))}
+	cmd := &state.Report{}
+	for i := range req.Reports {
+		r := &req.Reports[i]
+		if err := l.checkSession(r.Worker, r.Session); err != nil {
+			body := errkind.BodyOf(err, "")
+			out.Errors[i] = &body
+			continue
+		}
+		cmd.Reports = append(cmd.Reports, *r)
 	}
-	if err != nil {
-		done(nil, err)
+	if len(cmd.Reports) == 0 {
+		confirmed(l.c, done, out)
 		return
 	}
-	cmd := &state.Report{Reports: []state.WorkerReport{{Worker: req.Worker, Session: req.Session, Reports: req.Reports}}}
 	l.c.propose(&state.Command{Report: cmd}, func(_ state.Result, err error) {
-		done(&proto.Empty{}, err)
+		if err != nil {
+			done(nil, err)
+			return
+		}
+		done(out, nil)
 	})
 }
+
+func (l *leader) checkSession(id model.WorkerID, session uint64) error {
+	current, err := l.c.machine.SessionOf(id)
+	if err != nil {
+		return err
+	}
+	if current != session {
+		return errkind.New(errkind.StaleLease, "worker %q has a newer session", id)
+	}
+	return nil
+}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -23,16 +23,19 @@
 	term    uint64
 	version uint64
 	entries []state.Member
+	listed  uint64 // revision of entries, within term
 }
 
 func newDirectory() *directory {
 	return &directory{routes: route.NewDirectory()}
 }
 
-func (d *directory) current() (term, version uint64) {
+// current returns the term, the version of the directory and the revision of
+// the list of entries that are held.
+func (d *directory) current() (term, version, listed uint64) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	return d.term, d.version
+	return d.term, d.version, d.listed
 }
 
 func (d *directory) members() []state.Member {
@@ -54,11 +57,13 @@
 func (d *directory) take(a *proto.Registered) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.entries = a.Entries
-	if a.Term == d.term && a.DirectoryVersion == d.version {
+	if a.Term < d.term {
 		return
 	}
-	if a.Term < d.term {
+	if a.Term != d.term || a.EntriesRevision != d.listed {
+		d.entries, d.listed = a.Entries, a.EntriesRevision
+	}
+	if a.Term == d.term && a.DirectoryVersion == d.version {
 		return
 	}
 	d.term, d.version = a.Term, a.DirectoryVersion
@@ -82,13 +87,14 @@
 	ctx, cancel := context.WithTimeout(ctx, s.set.Limits.Freshness.Std())
 	defer cancel()
 	version, digest := s.config.current()
-	term, dirVersion := s.dir.current()
+	term, dirVersion, listed := s.dir.current()
 	req := &proto.Register{
 		Member:           s.self,
 		ConfigVersion:    version,
 		ConfigDigest:     digest,
 		DirectoryTerm:    term,
 		DirectoryVersion: dirVersion,
+		EntriesRevision:  listed,
 		Leaving:          s.draining.Load(),
 	}
 	sent := time.Now()
--- a/internal/entry/workers.go
+++ b/internal/entry/workers.go
@@ -13,6 +13,7 @@
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/proto"
 	"github.com/filbertmast/filbertmast/internal/session"
+	"github.com/filbertmast/filbertmast/internal/state"
 	"github.com/filbertmast/filbertmast/internal/wire"
 )
 
@@ -21,7 +22,7 @@
 
 func (s *Server) buildSessions() {
 	s.sessions = session.New(session.Options{
-		Upstream:   sessionUpstream{s},
+		Upstream:   sessionUpstream{s, session.NewReportBatcher(s.sendReports, 0, 0)},
 		Lease:      s.set.Limits.WorkerLease.Std(),
 		Logger:     s.opts.Logger,
 		Registerer: s.opts.Registerer,
@@ -97,7 +98,10 @@
 func workerID(c echo.Context) model.WorkerID { return model.WorkerID(c.Param("id")) }
 
 // sessionUpstream carries the calls of worker sessions to the leader.
-type sessionUpstream struct{ s *Server }
+type sessionUpstream struct {
+	s *Server
+	*session.ReportBatcher
+}
 
 // Announce implements session.Upstream.
 func (u sessionUpstream) Announce(ctx context.Context, spec *model.WorkerSpec) (api.AnnounceAnswer, error) {
@@ -133,9 +137,24 @@
 	return out, nil
 }
 
-// Report implements session.Upstream.
-func (u sessionUpstream) Report(ctx context.Context, worker model.WorkerID, id uint64, reports []api.Report) error {
-	req := &proto.Reports{Worker: worker, Session: id, Reports: reports}
-	_, err := callLeader[proto.Reports, proto.Empty](ctx, u.s.leader, wire.KindReports, req, 0)
-	return err
+// sendReports commits the reports of many workers with one call.
+func (s *Server) sendReports(ctx context.Context, batch []session.WorkerReports) ([]error, error) {
+	req := &proto.Reports{Reports: make([]state.WorkerReport, len(batch))}
+	for i, r := range batch {
+		req.Reports[i] = state.WorkerReport(r)
+	}
+	resp, err := callLeader[proto.Reports, proto.Reported](ctx, s.leader, wire.KindReports, req, 0)
+	if err != nil {
+		return nil, err
+	}
+	if len(resp.Errors) != len(batch) {
+		return nil, errkind.New(errkind.Internal, "%d reports got %d answers", len(batch), len(resp.Errors))
+	}
+	out := make([]error, len(batch))
+	for i, body := range resp.Errors {
+		if body != nil {
+			out[i] = body.Err()
+		}
+	}
+	return out, nil
 }
--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -114,11 +114,15 @@
 	Lease   model.Duration `cbor:"2,keyasint"`
 }
 
-// Reports carries worker reports; the answer comes after their commit.
+// Reports carries the reports of many workers; the answer comes after their commit.
 type Reports struct {
-	Worker  model.WorkerID `cbor:"1,keyasint"`
-	Session uint64         `cbor:"2,keyasint"`
-	Reports []api.Report   `cbor:"3,keyasint"`
+	Reports []state.WorkerReport `cbor:"1,keyasint"`
+}
+
+// Reported is the answer to Reports: one element each, in order, nil where the
+// reports were committed.
+type Reported struct {
+	Errors []*errkind.Body `cbor:"1,keyasint,omitempty"`
 }
 
 // Commands carries orders for one worker session.
@@ -172,6 +176,7 @@
 	DirectoryVersion uint64       `cbor:"4,keyasint"`
 	DirectoryTerm    uint64       `cbor:"5,keyasint"`
 	Leaving          bool         `cbor:"6,keyasint,omitempty"`
+	EntriesRevision  uint64       `cbor:"7,keyasint,omitempty"` // of the list of entries, in DirectoryTerm
 }
 
 // Registered is the answer to Register. It confirms the configuration as
@@ -184,7 +189,8 @@
 	Delta            *declare.Delta       `cbor:"5,keyasint,omitempty"`
 	DirectoryVersion uint64               `cbor:"6,keyasint"`
 	Directory        []owner.DirectoryRow `cbor:"7,keyasint,omitempty"` // set where the version differs
-	Entries          []state.Member       `cbor:"8,keyasint,omitempty"`
+	Entries          []state.Member       `cbor:"8,keyasint,omitempty"` // set where the revision differs
+	EntriesRevision  uint64               `cbor:"9,keyasint,omitempty"`
 }
 
 // Permits asks for request permits on behalf of an entry.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -113,20 +113,16 @@
 	return err
 }
 
-// linkBudget returns the budget of this process's traffic to other regions, or
-// nil where the settings bound none. One rate holds towards every region: the
-// lowest that is set.
+// linkBudget returns the budget of this process's traffic to other regions.
+// Towards a region that the settings do not name, traffic is only counted.
 func (p *Process) linkBudget() wire.Shaper {
-	rate := int64(0)
+	rates := make(map[string]int64)
 	for _, l := range p.set.Limits.Links {
-		if l.From == p.set.Region && (rate == 0 || l.BytesPerSecond < rate) {
-			rate = l.BytesPerSecond
+		if l.From == p.set.Region {
+			rates[l.To] = l.BytesPerSecond
 		}
 	}
-	if rate == 0 {
-		return nil
-	}
-	return link.New(link.Options{Rate: rate, Registerer: p.registry})
+	return link.New(link.Options{Rates: rates, Rate: link.Unbounded, Registerer: p.registry})
 }
 
 func (p *Process) startControl(ctx context.Context, _ Options) error {
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -29,6 +29,9 @@
 	IDs []model.WorkerID
 }
 
+// MembersChanged tells that the list of entry processes has changed.
+type MembersChanged struct{}
+
 // JobSubmitted tells a new job.
 type JobSubmitted struct {
 	Job *Job // owned by the machine; read it in the same goroutine only
@@ -88,6 +91,7 @@
 
 func (ConfigChanged) isEvent()    {}
 func (CeilingChanged) isEvent()   {}
+func (MembersChanged) isEvent()   {}
 func (WorkersForgotten) isEvent() {}
 func (WorkerChanged) isEvent()    {}
 func (JobSubmitted) isEvent()     {}
--- a/internal/state/member.go
+++ b/internal/state/member.go
@@ -31,6 +31,7 @@
 	i, found := m.findMember(c.Member.Name)
 	if !found {
 		m.members = slices.Insert(m.members, i, c.Member)
+		m.emit(MembersChanged{})
 		return Result{}
 	}
 	if c.Member.Incarnation < m.members[i].Incarnation {
@@ -38,6 +39,7 @@
 	}
 	existing := m.members[i] == c.Member
 	m.members[i] = c.Member
+	m.emit(MembersChanged{})
 	return Result{Existing: existing}
 }
 
@@ -47,5 +49,6 @@
 		return Result{Existing: true}
 	}
 	m.members = slices.Delete(m.members, i, i+1)
+	m.emit(MembersChanged{})
 	return Result{Count: 1}
 }
