--- a/internal/replica/founding.go
+++ b/internal/replica/founding.go
@@ -101,7 +101,7 @@
 		return
 	}
 	if _, ok := n.identity.Agreed.Find(f.id); !ok {
-		n.logger.Error("a founder lost its disk while the group formed: empty all data folders", "founder", address)
+		n.logger.Error("a founder lost its disk while the group formed: unless another replica has formed it, empty all data folders", "founder", address)
 	}
 }
 
