Take the first failure domain in which one rack holds a gang

Ruled out: counts a rack kept up to date for each size. Change: failure domains are searched one by one, in an order of the job's own so that gangs do not crowd one; one rack for all tasks cannot be bettered and ends the search. A gang that no one rack holds still looks at all.

--- a/internal/schedule/gang.go
+++ b/internal/schedule/gang.go
@@ -68,9 +68,8 @@
 
 // placeGang places all ready tasks of j, or none.
 func (p *planner) placeGang(j *job, size model.Resources) bool {
-	p.findSites(j, size)
 	c := &p.s.sites
-	chosen := packRacks(c.racks, int64(j.ready))
+	chosen := p.findRacks(j, size)
 	if chosen == nil && !j.group.exclusive && j.hold == nil {
 		p.s.rooms.bound(j.group.room, tasksIn(c.racks))
 	}
@@ -99,8 +98,10 @@
 	}
 }
 
-// findSites finds the workers where tasks of j fit.
-func (p *planner) findSites(j *job, size model.Resources) {
+// findRacks chooses racks for the ready tasks of j; nil when there is no room.
+// Failure domains are searched in an order of the job's own. The first in which
+// one rack holds all tasks is taken, since no choice has fewer racks.
+func (p *planner) findRacks(j *job, size model.Resources) []siteRack {
 	bins, exact := p.s.binsFor(p.bins[:0], j.group.selector)
 	p.bins = bins
 	accept := p.accept(j, exact)
@@ -111,15 +112,43 @@
 			c.add(&p.s.workers[slot], slot, p.siteTasks(j, size, free))
 		}
 	}
+	for _, domain := range p.s.domainsFor(j) {
+		from := len(c.racks)
+		p.findSites(j, size, domain, bins, add)
+		chosen := fewestRacks(slices.Clone(c.racks[from:]), int64(j.ready))
+		if len(chosen) == 1 {
+			return chosen
+		}
+	}
+	return packRacks(c.racks, int64(j.ready))
+}
+
+// domainsFor returns all failure domains in an order that differs from job to job.
+func (s *Scheduler) domainsFor(j *job) []int32 {
+	out := make([]int32, len(s.domainTies))
+	keys := make([]uint64, len(out))
+	for i := range out {
+		out[i] = int32(i)
+		keys[i] = s.hash(uint64(j.id), s.domainTies[i])
+	}
+	slices.SortFunc(out, func(a, b int32) int { return cmp.Compare(keys[a], keys[b]) })
+	return out
+}
+
+// findSites adds the workers of one failure domain where tasks of j fit.
+func (p *planner) findSites(j *job, size model.Resources, domain int32, bins []int32, add func(int32, model.Resources)) {
 	for _, bin := range bins {
-		p.s.free.Each(bin, size, add)
+		if p.s.bins.keys[bin].domain == domain {
+			p.s.free.Each(bin, size, add)
+		}
 	}
 	if j.hold == nil {
 		return
 	}
 	for _, claim := range j.hold.claims {
-		if p.usable(j, claim.slot, size) {
-			add(claim.slot, p.s.workers[claim.slot].free)
+		w := &p.s.workers[claim.slot]
+		if w.domain == domain && p.usable(j, claim.slot, size) {
+			add(claim.slot, w.free)
 		}
 	}
 }
