--- a/internal/schedule/room.go
+++ b/internal/schedule/room.go
@@ -76,6 +76,9 @@
 // gained forgets the bounds that a worker with more free capacity may break.
 func (s *Scheduler) gained(slot int32) {
 	w := &s.workers[slot]
+	if !w.open() {
+		return
+	}
 	known := s.rooms.known[:0]
 	for _, at := range s.rooms.known {
 		if at.groups > 0 && !(at.size.Fits(w.free) && s.matches(at.selector, w.class)) {
