Take back stops that were not committed, and blame no worker for refused placements

Cause: the leader tells TaskRunning for a task whose stop was not committed, which was ignored, so that its room counted as coming free for ever; and it ends refused placements as NotStarted, three of which put a good worker on probation. Change: TaskRunning on a stopping task takes the stop back; NotStarted says nothing of the worker and only puts off a probe.

--- a/internal/schedule/apply.go
+++ b/internal/schedule/apply.go
@@ -91,11 +91,17 @@
 
 func (s *Scheduler) taskRunning(e TaskRunning) {
 	j, t := s.find(e.Task)
-	if t == nil || t.state != taskPlaced {
+	switch {
+	case t == nil:
+		return
+	case t.state == taskPlaced:
+		t.since = e.At
+	case t.state == taskStopping:
+		s.unstop(j, t)
+	default:
 		return
 	}
 	t.state = taskRunning
-	t.since = e.At
 	j.running++
 	s.workers[t.worker].staleHold()
 }
@@ -283,6 +289,15 @@
 	}
 }
 
+// unstop takes back that t was told to stop. It may be told so again.
+func (s *Scheduler) unstop(j *job, t *task) {
+	tm := s.teams[j.group.team]
+	tm.stopping = tm.stopping.Sub(t.size)
+	if t.over == overStopped {
+		t.over = overThrottled
+	}
+}
+
 func (s *Scheduler) stopping(j *job, t *task) {
 	if t.state == taskRunning {
 		j.running--
--- a/internal/schedule/event.go
+++ b/internal/schedule/event.go
@@ -56,7 +56,8 @@
 	At     model.Time
 }
 
-// TaskRunning confirms the start of a placed task.
+// TaskRunning confirms the start of a placed task, or takes back that a task was
+// told to stop.
 type TaskRunning struct {
 	Task model.TaskID
 	At   model.Time
@@ -113,7 +114,7 @@
 	Lost               // the lease of its worker expired
 	Preempted          // stopped to make room, or to empty a worker
 	Stopped            // cancelled, or stopped for being over its size
-	NotStarted         // the worker refused the start
+	NotStarted         // refused before anything ran; says nothing of the worker
 )
 
 var outcomeNames = [...]string{"succeeded", "failed", "lost", "preempted", "stopped", "not_started"}
--- a/internal/schedule/health.go
+++ b/internal/schedule/health.go
@@ -31,12 +31,14 @@
 // judge draws from the end of an attempt whether its worker or its job is bad.
 func (s *Scheduler) judge(j *job, index int32, e *TaskEnded) {
 	w := &s.workers[j.tasks[index].worker]
-	early := e.Outcome == NotStarted || e.Outcome == Failed && e.RanFor < s.opts.EarlyFailure
+	r := taskRef{j, index}
 	switch {
-	case early:
-		s.failedEarly(w, taskRef{j, index}, e.At)
+	case e.Outcome == NotStarted:
+		s.putOffProbe(w, r, e.At)
+	case e.Outcome == Failed && e.RanFor < s.opts.EarlyFailure:
+		s.failedEarly(w, r, e.At)
 	case e.Outcome == Succeeded || e.RanFor >= s.opts.EarlyFailure:
-		s.ranWell(w, taskRef{j, index})
+		s.ranWell(w, r)
 	}
 	switch e.Outcome {
 	case Succeeded:
@@ -67,6 +69,13 @@
 	}
 }
 
+// putOffProbe waits for the next probe after one that never started.
+func (s *Scheduler) putOffProbe(w *worker, r taskRef, at model.Time) {
+	if w.onProbation() && w.health.probe == r {
+		w.health.nextProbe = at.Add(s.probePause(w.health))
+	}
+}
+
 func (s *Scheduler) probePause(h *health) time.Duration {
 	return s.opts.ProbeEvery << min(h.failed, maxProbeDoublings)
 }
--- a/internal/schedule/policy_test.go
+++ b/internal/schedule/policy_test.go
@@ -182,6 +182,31 @@
 	assert.Assert(t, !probation)
 }
 
+func TestPlacementsThatNeverStartedPutNoWorkerOnProbation(t *testing.T) {
+	c := newCell()
+	c.workers(1, cores(16))
+	for range 10 {
+		id := c.job(model.JobSpec{Tasks: 1, Size: cores(1)})
+		c.plan()
+		c.end(model.TaskID{Job: id}, NotStarted, 0, false)
+	}
+	_, _, probation, _ := c.s.Worker("w000")
+	assert.Assert(t, !probation)
+}
+
+func TestTaskWhoseStopWasTakenBackMayBeStoppedAgain(t *testing.T) {
+	c := newCell()
+	c.workers(2, cores(4))
+	c.job(model.JobSpec{Tasks: 1, Size: cores(4), Checkpointable: true})
+	at := c.plan().Placements[0]
+	c.s.Apply(WorkerModeChanged{Worker: at.Worker, Mode: model.WorkerDraining})
+	assert.Equal(t, len(c.plan().Preemptions), 1)
+	assert.Equal(t, len(c.plan().Preemptions), 0)
+	c.s.Apply(TaskRunning{Task: at.Task, At: c.now})
+	assert.Equal(t, len(c.plan().Preemptions), 1)
+	assert.Equal(t, len(audit(c.s)), 0)
+}
+
 func TestJobThatFailsOnManyGoodWorkersIsBlamed(t *testing.T) {
 	c := newCell()
 	c.workers(10, cores(4))
