--- a/internal/e2e/requests_test.go
+++ b/internal/e2e/requests_test.go
@@ -191,13 +191,13 @@
 	c.apply(c.baseDeclarations())
 	c.awaitVersion()
 	c.startExecutors(4)
-	l := c.startLoad(6, func(int) []*process { return c.processes }, "standin run=20ms")
-	c.awaitLoad(l, 50)
+	l := c.startLoad(12, func(int) []*process { return c.processes }, "standin run=400ms")
+	c.awaitLoad(l, 30)
 	for _, p := range c.processes {
 		assert.NilError(t, p.terminate(), p.name)
 		p.start()
 		c.awaitReady(p)
-		c.awaitLoad(l, 50)
+		c.awaitLoad(l, 30)
 	}
 	all := l.end()
 	c.checkTold(all)
