--- a/internal/client/transport.go
+++ b/internal/client/transport.go
@@ -51,7 +51,11 @@
 // safe to send again, but only a read, or a call for which no connection was
 // ready, is known not to have run.
 func sendFailure(ctx context.Context, err error, notRun bool) *failure {
+	var untrusted *tls.CertificateVerificationError
 	switch {
+	case errors.As(err, &untrusted):
+		// Another try meets the same certificate.
+		return &failure{err: errkind.Wrap(errkind.Unreachable, err, "the entry process is not trusted")}
 	case ctx.Err() != nil && notRun:
 		return &failure{err: errkind.Wrap(errkind.Unreachable, err, "the call ended before an entry process answered")}
 	case errors.Is(ctx.Err(), context.Canceled):
