Start a gang again only when all of its tasks may start

Cause: tasks of a gang whose placement was refused had a backoff each, and so could be placed one after another. Ruled out: one backoff a gang, since a single failed task of a running gang has its own. Change: a gang with a task in backoff is passed over.

--- a/internal/schedule/apply.go
+++ b/internal/schedule/apply.go
@@ -158,6 +158,7 @@
 	case t.state == taskWaiting:
 		j.waiting--
 		s.waitingTasks--
+		s.stale(j.group)
 	}
 	t.state = taskDone
 	j.done++
@@ -222,6 +223,7 @@
 	} else {
 		j.waiting--
 		s.waitingTasks--
+		s.stale(j.group)
 	}
 	if j.next == index {
 		j.next++
--- a/internal/schedule/differential_test.go
+++ b/internal/schedule/differential_test.go
@@ -322,7 +322,7 @@
 			continue
 		}
 		j := h.fast.jobs[p.Task.Job]
-		assert.Equal(h.t, j.ready, int32(0), "a part of gang %s waits", p.Task.Job)
+		assert.Equal(h.t, j.ready+j.waiting, int32(0), "a part of gang %s waits", p.Task.Job)
 	}
 }
 
--- a/internal/schedule/group.go
+++ b/internal/schedule/group.go
@@ -104,7 +104,7 @@
 // head returns the first waiting job from the cursor on, or nil.
 func (g *group) head() *job {
 	for g.cursor < len(g.jobs) {
-		if j := g.jobs[g.cursor]; j.ready > 0 {
+		if j := g.jobs[g.cursor]; j.startable() {
 			return j
 		}
 		g.cursor++
--- a/internal/schedule/job.go
+++ b/internal/schedule/job.go
@@ -68,6 +68,12 @@
 
 func (j *job) patience() model.Time { return j.startBy - j.at }
 
+// startable reports whether j has tasks to place. A gang waits until none of its
+// tasks is in backoff, so that they start together.
+func (j *job) startable() bool {
+	return j.ready > 0 && (j.group.policy != gang || j.waiting == 0)
+}
+
 // less is the order within a team: by promised start, then by submission.
 func (j *job) less(o *job) bool {
 	if j.startBy != o.startBy {
--- a/internal/schedule/line.go
+++ b/internal/schedule/line.go
@@ -58,11 +58,9 @@
 	}
 }
 
-// renew brings e up to date. The group must have a live job, or have had one
-// when the plan began; without a head left it is left out of the plan.
+// renew brings e up to date. Without a head left the group is left out of the plan.
 func (p *planner) renew(e *entry) {
 	g := e.group
-	e.stale = false
 	if g.plan != p.s.plans {
 		g.plan = p.s.plans
 		g.cursor = 0
@@ -73,6 +71,7 @@
 		e.leftOut = p.s.plans
 		return
 	}
+	e.stale = false
 	p.s.sizeFor(g)
 	e.room = g.room
 	e.startBy, e.id = j.startBy, j.id
--- a/internal/schedule/policy_test.go
+++ b/internal/schedule/policy_test.go
@@ -341,3 +341,19 @@
 	c.worker("w000", "d0", "r0", cores(4), nil)
 	assert.Equal(t, len(c.plan().Placements), 4)
 }
+
+func TestGangWhosePlacementWasRefusedStartsTogetherAgain(t *testing.T) {
+	c := newCell()
+	c.workers(4, cores(4))
+	c.job(model.JobSpec{Policy: model.PolicyGang, Tasks: 4, Size: cores(4), Patience: hour})
+	for _, e := range c.plan().Placements {
+		c.end(e.Task, NotStarted, 0, false)
+	}
+	placed := 0
+	for placed == 0 {
+		p := c.plan()
+		placed = len(p.Placements)
+		c.now = p.NextWake
+	}
+	assert.Equal(t, placed, 4)
+}
