Notice a dead leader while calls wait, and lock the writer of the logs

Change: after 250 ms without an answer an entry asks the other control processes who leads; all calls to a leader that is succeeded end at once and are sent to the next. Loggers share a locked writer.

--- a/internal/discover/discover.go
+++ b/internal/discover/discover.go
@@ -12,7 +12,7 @@
 )
 
 // Timeout bounds one round of questions. A dead process answers none.
-const Timeout = 500 * time.Millisecond
+const Timeout = 300 * time.Millisecond
 
 // Found is what a round of questions gave.
 type Found struct {
--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/discover"
@@ -24,13 +25,15 @@
 	endpoint *wire.Endpoint
 	metrics  *metrics
 
+	watching atomic.Bool // one goroutine asks whether the leader still leads
+
 	mu      sync.Mutex
 	control []string // inner addresses of control processes
-	leader  string   // "" where not known
+	reign   reign
 }
 
 func newLeaderClient(e *wire.Endpoint, founders []string, m *metrics) *leaderClient {
-	return &leaderClient{endpoint: e, control: founders, metrics: m}
+	return &leaderClient{endpoint: e, control: founders, metrics: m, reign: newReign("")}
 }
 
 // callLeader sends req to the leader, and again to a new one, until it is
@@ -55,15 +58,15 @@
 }
 
 func tryLeader[Req, Resp any](ctx context.Context, l *leaderClient, k wire.Kind, req *Req, wait time.Duration) (*Resp, error) {
-	addr, err := l.find(ctx)
+	r, err := l.find(ctx)
 	if err != nil {
 		return nil, err
 	}
-	tryCtx, cancel := context.WithTimeout(ctx, attemptTimeout+wait)
-	defer cancel()
-	resp, err := wire.Call[Req, Resp](tryCtx, l.endpoint, addr, k, req)
+	tryCtx, stop := l.bind(ctx, r, attemptTimeout+wait)
+	defer stop()
+	resp, err := wire.Call[Req, Resp](tryCtx, l.endpoint, r.leader, k, req)
 	if err != nil && retryable(errkind.Of(err)) {
-		l.forget(addr)
+		l.forget(r.leader)
 	}
 	return resp, err
 }
@@ -95,20 +98,20 @@
 	return errkind.Wrap(errkind.NoLeader, last, "no leader answered in time")
 }
 
-// find returns the leader's address, asking every control process where it is not known.
-func (l *leaderClient) find(ctx context.Context) (string, error) {
+// find returns the reign of the leader, asking every control process where it is not known.
+func (l *leaderClient) find(ctx context.Context) (reign, error) {
 	l.mu.Lock()
-	leader, control := l.leader, l.control
+	now, control := l.reign, l.control
 	l.mu.Unlock()
-	if leader != "" {
-		return leader, nil
+	if now.leader != "" {
+		return now, nil
 	}
 	found, err := discover.Leader(ctx, l.endpoint, control)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.learn(found.Peers)
-	l.leader = found.Leader
-	return found.Leader, err
+	l.succeed(found.Leader)
+	return l.reign, err
 }
 
 // learn adds control processes that have joined since the settings were
@@ -124,8 +127,8 @@
 func (l *leaderClient) forget(addr string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.leader == addr {
-		l.leader = ""
+	if l.reign.leader == addr {
+		l.succeed("")
 	}
 }
 
--- a/internal/obs/log.go
+++ b/internal/obs/log.go
@@ -5,6 +5,7 @@
 
 import (
 	"io"
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -35,7 +36,7 @@
 	if err != nil {
 		parsed = log.InfoLevel
 	}
-	return log.NewWithOptions(w, log.Options{
+	return log.NewWithOptions(&lockedWriter{w: w}, log.Options{
 		Level:           parsed,
 		Formatter:       formatter(format),
 		ReportTimestamp: true,
@@ -44,6 +45,20 @@
 	})
 }
 
+// lockedWriter lets loggers of several parts share one writer: each of them has
+// a lock of its own only.
+type lockedWriter struct {
+	mu sync.Mutex
+	w  io.Writer
+}
+
+// Write implements io.Writer.
+func (l *lockedWriter) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.w.Write(p)
+}
+
 // Discard returns a logger that writes nothing, for tests and embedding.
 func Discard() *log.Logger { return NewLogger(io.Discard, "error", "text") }
 
