--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -73,7 +73,7 @@
 	default:
 		l.sched.Apply(schedule.TaskEnded{
 			Task:    e.Task,
-			Outcome: schedule.Outcome(e.Outcome),
+			Outcome: e.Outcome,
 			RanFor:  e.RanFor,
 			Used:    e.Used,
 			At:      e.At,
--- a/internal/control/operate.go
+++ b/internal/control/operate.go
@@ -93,7 +93,8 @@
 }
 
 func (l *leader) journalStart(_ wire.Peer, req *proto.JournalStart, done reply[proto.JournalStarted]) {
-	cmd := &state.JournalStart{Key: req.Key, Digest: req.Digest, Entry: req.Entry, Deadline: req.Deadline}
+	deadline := l.c.s.now().Add(req.Remaining.Std())
+	cmd := &state.JournalStart{Key: req.Key, Digest: req.Digest, Entry: req.Entry, Deadline: deadline}
 	l.c.propose(&state.Command{JournalStart: cmd}, func(r state.Result, err error) {
 		if err != nil {
 			done(nil, err)
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -92,7 +92,10 @@
 	l.dirty = true
 	for i := range stops {
 		j := l.c.machine.Job(stops[i].Task.Job)
-		if j != nil && j.Tasks[stops[i].Task.Index].Phase == model.TaskRunning {
+		if j == nil {
+			continue
+		}
+		if phase := j.Tasks[stops[i].Task.Index].Phase; phase == model.TaskRunning || phase == model.TaskStarting {
 			l.sched.Apply(schedule.TaskRunning{Task: stops[i].Task, At: l.c.s.now()})
 		}
 	}
--- a/internal/declare/delta_test.go
+++ b/internal/declare/delta_test.go
@@ -1,9 +1,7 @@
 package declare
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 
@@ -12,15 +10,11 @@
 	"pgregory.net/rapid"
 
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/testseed"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the random tests, so that a run repeats.
+func TestMain(m *testing.M) { testseed.Run(m) }
 
 // drawSet makes a set from a small name space, so that two sets share items.
 func drawSet(t *rapid.T, label string) model.Declarations {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -94,16 +94,34 @@
 }
 
 // Drain takes this entry out of service in order: not ready to the balancer,
-// nothing new, then the end of what runs. It returns the request IDs that were
-// still running when ctx ended.
+// executors handed over to other entries, nothing new, then the end of what
+// runs. It returns the request IDs that were still running when ctx ended.
 func (s *Server) Drain(ctx context.Context) []string {
 	s.ready.Store(false)
 	s.draining.Store(true)
 	s.log.Info("Draining.")
+	s.leases.Leave()
+	s.renewSoon()
 	sleep(ctx, s.set.Limits.ShutdownDelay.Std())
 	cut := s.router.Drain(ctx)
-	s.leases.Leave()
+	s.awaitHandover(ctx)
 	cut = append(cut, s.owner.Drain(ctx)...)
 	s.sessions.Drain(ctx)
 	return cut
 }
+
+// handoverPoll is the pause between looks at what is still owned.
+const handoverPoll = 20 * time.Millisecond
+
+// awaitHandover waits until this entry owns no executor any more, so that its
+// own drain refuses nobody who still takes it for their owner. Where nobody can
+// take over, it waits for one lease only.
+func (s *Server) awaitHandover(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, s.set.Limits.RequestLease.Std())
+	defer cancel()
+	for len(s.leases.Owned()) > 0 {
+		if !sleep(ctx, handoverPoll) {
+			return
+		}
+	}
+}
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -220,7 +220,7 @@
 
 // Start implements route.JournalClient.
 func (u journalUpstream) Start(ctx context.Context, key journal.Key, digest [32]byte, writer string, deadline time.Time) (journal.StartResult, error) {
-	req := &proto.JournalStart{Key: key, Digest: digest, Entry: writer, Deadline: model.TimeOf(deadline)}
+	req := &proto.JournalStart{Key: key, Digest: digest, Entry: writer, Remaining: model.Duration(time.Until(deadline))}
 	resp, err := callLeader[proto.JournalStart, proto.JournalStarted](ctx, u.s.leader, wire.KindJournalStart, req, 0)
 	if err != nil {
 		return journal.StartResult{}, err
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -1,10 +1,8 @@
 package ledger
 
 import (
-	"flag"
 	"math"
 	"math/big"
-	"os"
 	"testing"
 	"time"
 
@@ -12,12 +10,11 @@
 	"pgregory.net/rapid"
 
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/testseed"
 )
 
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the random tests, so that a run repeats.
+func TestMain(m *testing.M) { testseed.Run(m) }
 
 func TestPriceFor(t *testing.T) {
 	minute, hour := model.Duration(time.Minute), model.Duration(time.Hour)
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"flag"
-	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -13,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/testseed"
 	"github.com/filbertmast/filbertmast/internal/wire"
 )
 
@@ -24,15 +22,7 @@
 )
 
 // TestMain fixes the seed of the random tests, so that a run repeats.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	seed := flag.Lookup("rapid.seed")
-	if seed != nil && seed.Value.String() == "0" {
-		seed.Value.Set("1")
-		fmt.Println("rapid.seed", seed.Value)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testseed.Run(m) }
 
 type clock struct{ now time.Time }
 
--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -134,10 +134,12 @@
 
 // JournalStart starts the record of a request that must run at most once.
 type JournalStart struct {
-	Key      journal.Key `cbor:"1,keyasint"`
-	Digest   [32]byte    `cbor:"2,keyasint"`
-	Deadline model.Time  `cbor:"3,keyasint"`
-	Entry    string      `cbor:"4,keyasint"` // one try of one entry process
+	Key    journal.Key `cbor:"1,keyasint"`
+	Digest [32]byte    `cbor:"2,keyasint"`
+	// Remaining is how long the request may still run; the leader makes a
+	// deadline of it, since the clocks of two VMs may differ.
+	Remaining model.Duration `cbor:"3,keyasint"`
+	Entry     string         `cbor:"4,keyasint"` // one try of one entry process
 }
 
 // JournalEnd finishes the record, or with no Answer abandons it.
--- a/internal/replica/raft/safety_test.go
+++ b/internal/replica/raft/safety_test.go
@@ -1,28 +1,19 @@
 package raft
 
 import (
-	"flag"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
 	"github.com/anishathalye/porcupine"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
-)
 
-const rapidSeed = "1"
+	"github.com/filbertmast/filbertmast/internal/testseed"
+)
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	set := false
-	flag.Visit(func(f *flag.Flag) { set = set || f.Name == "rapid.seed" })
-	if !set {
-		_ = flag.Set("rapid.seed", rapidSeed)
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the random tests, so that a run repeats.
+func TestMain(m *testing.M) { testseed.Run(m) }
 
 // small keeps almost nothing in memory, so that reads from disk are common.
 var small = Options{MaxAppendBytes: 120, MaxInflightBytes: 400, MaxTailBytes: 100}
--- a/internal/schedule/capacity/index_test.go
+++ b/internal/schedule/capacity/index_test.go
@@ -1,20 +1,17 @@
 package capacity
 
 import (
-	"flag"
-	"os"
 	"testing"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/testseed"
 )
 
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the random tests, so that a run repeats.
+func TestMain(m *testing.M) { testseed.Run(m) }
 
 func amount(t *rapid.T, name string) model.Resources {
 	return model.Resources{
--- a/internal/schedule/differential_test.go
+++ b/internal/schedule/differential_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"cmp"
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -13,12 +11,11 @@
 	"pgregory.net/rapid"
 
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/testseed"
 )
 
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the random tests, so that a run repeats.
+func TestMain(m *testing.M) { testseed.Run(m) }
 
 // history drives a Scheduler and its naive twin through the same events, and
 // keeps a record of its own of what runs where.
--- a/internal/schedule/event.go
+++ b/internal/schedule/event.go
@@ -105,24 +105,15 @@
 func (RequestsHeld) isEvent()      {}
 
 // Outcome is how an attempt at a task ended.
-type Outcome uint8
+type Outcome = model.Outcome
 
-// The outcomes.
+// The outcomes. A worker that stopped a task for being over its size tells
+// Failed; NotStarted says nothing about the worker.
 const (
-	Succeeded  Outcome = iota
-	Failed             // the task ended in error
-	Lost               // the lease of its worker expired
-	Preempted          // stopped to make room, or to empty a worker
-	Stopped            // cancelled, or stopped for being over its size
-	NotStarted         // refused before anything ran; says nothing of the worker
+	Succeeded  = model.OutcomeSucceeded
+	Failed     = model.OutcomeFailed
+	Lost       = model.OutcomeLost
+	Preempted  = model.OutcomePreempted
+	Stopped    = model.OutcomeStopped
+	NotStarted = model.OutcomeNotStarted
 )
-
-var outcomeNames = [...]string{"succeeded", "failed", "lost", "preempted", "stopped", "not_started"}
-
-// String returns the name of o as logs show it.
-func (o Outcome) String() string {
-	if int(o) >= len(outcomeNames) {
-		return "unknown"
-	}
-	return outcomeNames[o]
-}
--- a/internal/schedule/learn/learn_test.go
+++ b/internal/schedule/learn/learn_test.go
@@ -1,8 +1,6 @@
 package learn
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
@@ -10,12 +8,11 @@
 	"pgregory.net/rapid"
 
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/testseed"
 )
 
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the random tests, so that a run repeats.
+func TestMain(m *testing.M) { testseed.Run(m) }
 
 var declared = model.Resources{CPU: 1000, Memory: 1024, Accelerators: 1}
 
--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"bytes"
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -15,18 +13,11 @@
 	"github.com/filbertmast/filbertmast/internal/errkind"
 	"github.com/filbertmast/filbertmast/internal/journal"
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/testseed"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		if err := flag.Set("rapid.seed", "1"); err != nil {
-			panic(err)
-		}
-	}
-	fmt.Println("rapid seed:", flag.Lookup("rapid.seed").Value)
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the random tests, so that a run repeats.
+func TestMain(m *testing.M) { testseed.Run(m) }
 
 func testOptions() Options {
 	return Options{
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -3,11 +3,9 @@
 import (
 	"bytes"
 	"errors"
-	"flag"
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"os"
 	"path/filepath"
 	"testing"
 
@@ -16,23 +14,16 @@
 
 	"github.com/filbertmast/filbertmast/internal/storage"
 	"github.com/filbertmast/filbertmast/internal/storage/faultfs"
+	"github.com/filbertmast/filbertmast/internal/testseed"
 )
 
 const (
-	dir       = "/data"
-	owner     = 7
-	rapidSeed = "1"
+	dir   = "/data"
+	owner = 7
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	set := false
-	flag.Visit(func(f *flag.Flag) { set = set || f.Name == "rapid.seed" })
-	if !set {
-		_ = flag.Set("rapid.seed", rapidSeed)
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes the seed of the random tests, so that a run repeats.
+func TestMain(m *testing.M) { testseed.Run(m) }
 
 func options(fsys storage.FS, segment int64) storage.LogOptions {
 	return storage.LogOptions{Dir: dir, FS: fsys, Owner: owner, SegmentBytes: segment, CacheBytes: 200}
