Wait for events in place of times in the failure tests, and log staleness once

Cause: three waits of the process tests were times; each start of a process logged a warning before its first leader. Change: the leader is killed after 50 acknowledged submissions, a frozen entry is awaited by its age; an entry warns when its configuration goes stale and tells when it is confirmed again.

--- a/internal/e2e/disk_test.go
+++ b/internal/e2e/disk_test.go
@@ -69,13 +69,13 @@
 	c.standin("worker", "w1", c.processes, "--task-time", "20ms")
 	c.awaitWorkers(1)
 	entry := c.processes[3]
-	before := c.submitMany(20, []*process{entry})
+	before := c.submitMany(20, []*process{entry}, whatever)
 
 	lost := c.others(c.leader(entry))[0]
 	members, err := c.replicas(entry)
 	assert.NilError(t, err)
 	lost.kill()
-	c.submitMany(20, []*process{entry})
+	c.submitMany(20, []*process{entry}, whatever)
 	c.rejoin(lost, "")
 	c.awaitVoter(lost, members[lost.settings.Inner.Address].ID, 3, entry)
 
@@ -87,7 +87,7 @@
 	for _, id := range before {
 		assert.Equal(t, awaitJob(t, cl, id).Phase, "succeeded")
 	}
-	after := c.submitMany(20, []*process{entry})
+	after := c.submitMany(20, []*process{entry}, whatever)
 	for _, id := range after {
 		assert.Equal(t, awaitJob(t, cl, id).Phase, "succeeded")
 	}
--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,28 +48,25 @@
 	return out
 }
 
-// submitMany hands in n one-task jobs through the given entries and returns
-// the IDs that were acknowledged. A job whose answer was lost is sent again
-// under its key.
-func (c *cell) submitMany(n int, entries []*process) []model.JobID {
+// submitMany hands in n one-task jobs through the given entries, a few at once,
+// and returns the IDs that were acknowledged. A job whose answer was lost is
+// sent again under its key. After is called with the number acknowledged so far.
+func (c *cell) submitMany(n int, entries []*process, after func(acknowledged int64)) []model.JobID {
 	c.t.Helper()
+	const atOnce = 4
 	cl := c.clientOf(c.keys["stands"], entries...)
 	ids := make([]model.JobID, n)
+	var next, acknowledged atomic.Int64
 	var wg sync.WaitGroup
-	for i := range n {
+	for range atOnce {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			name := fmt.Sprintf("many-%d", i)
-			for until := time.Now().Add(patience); time.Now().Before(until); {
-				job, err := cl.Submit(context.Background(), jobSpec(name, model.PolicyBatch, 1, ""), name)
-				if err == nil {
-					ids[i] = job.ID
-					return
-				}
+			for i := next.Add(1) - 1; i < int64(n); i = next.Add(1) - 1 {
+				ids[i] = submitUntilAcknowledged(cl, fmt.Sprintf("many-%d", i))
+				after(acknowledged.Add(1))
 			}
 		}()
-		time.Sleep(5 * time.Millisecond) // spreads the submissions over the failure
 	}
 	wg.Wait()
 	for i, id := range ids {
@@ -77,6 +75,20 @@
 	return ids
 }
 
+// submitUntilAcknowledged returns zero where no answer came within patience.
+func submitUntilAcknowledged(cl *client.Client, name string) model.JobID {
+	for until := time.Now().Add(patience); time.Now().Before(until); {
+		job, err := cl.Submit(context.Background(), jobSpec(name, model.PolicyBatch, 1, ""), name)
+		if err == nil {
+			return job.ID
+		}
+	}
+	return 0
+}
+
+// whatever is for submissions around which nothing is to happen.
+func whatever(int64) {}
+
 // runsOf counts how often each task began to run.
 func runsOf(events []standin.Event) map[model.TaskID]int {
 	runs := make(map[model.TaskID]int)
@@ -98,14 +110,13 @@
 	c.standin("worker", "w2", c.processes, "--task-time", "50ms")
 	c.awaitWorkers(2)
 	leader := c.leader(c.processes[3])
-	killed := make(chan time.Time, 1)
-	go func() {
-		time.Sleep(300 * time.Millisecond) // some submissions are through, others on their way
-		_ = leader.cmd.Process.Kill()
-		killed <- time.Now()
-	}()
-	ids := c.submitMany(150, c.others(leader))
-	at := <-killed
+	var at time.Time
+	ids := c.submitMany(150, c.others(leader), func(acknowledged int64) {
+		if acknowledged == 50 { // others are on their way
+			at = time.Now()
+			_ = leader.cmd.Process.Kill()
+		}
+	})
 	cl := c.clientOf(c.keys["stands"], c.others(leader)...)
 	for _, id := range ids {
 		view := awaitJob(t, cl, id)
@@ -131,12 +142,12 @@
 	leader := c.leader(entry)
 	leader.freeze()
 	began := time.Now()
-	ids := c.submitMany(30, []*process{entry})
+	ids := c.submitMany(30, []*process{entry}, whatever)
 	t.Logf("submissions went on %s after the freeze", time.Since(began).Round(time.Millisecond))
 	next := c.leader(entry)
 	assert.Assert(t, next != leader)
 	leader.thaw()
-	ids = append(ids, c.submitMany(30, []*process{leader})...)
+	ids = append(ids, c.submitMany(30, []*process{leader}, whatever)...)
 	cl := c.clientOf(c.keys["stands"], entry)
 	for _, id := range ids {
 		assert.Equal(t, awaitJob(t, cl, id).Phase, "succeeded")
--- a/internal/e2e/requests_test.go
+++ b/internal/e2e/requests_test.go
@@ -160,12 +160,30 @@
 	c.processes[2].freeze()
 	c.awaitLoad(l, 100)
 	c.processes[1].start()
-	time.Sleep(3 * time.Second) // the frozen entry's leases end
+	c.awaitSilence(c.processes[2], c.processes[0])
 	c.processes[2].thaw()
 	c.awaitLoad(l, 200)
 	c.checkTold(l.end())
 }
 
+// awaitSilence waits until the leases of an entry are over, as asked sees it.
+func (c *cell) awaitSilence(entry, asked *process) {
+	c.t.Helper()
+	lease := entry.settings.Limits.RequestLease
+	c.await("the leases of "+entry.name+" are over", func() error {
+		st, err := c.clientOf(c.operator, asked).Status(context.Background())
+		if err != nil {
+			return err
+		}
+		for _, e := range st.Entries {
+			if e.ID == entry.name && e.AgeMS < 2*lease.Millis() {
+				return fmt.Errorf("heard %d ms ago", e.AgeMS)
+			}
+		}
+		return nil
+	})
+}
+
 // TestTheLeaderIsKilledInTheMiddleOfRequests kills the leader, whose process is
 // an entry as well, while journaled requests run.
 func TestTheLeaderIsKilledInTheMiddleOfRequests(t *testing.T) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -49,6 +49,7 @@
 	router   *route.Router
 	dir      *directory
 	renewNow chan struct{} // asks for an early renewal of ownership
+	stale    bool          // of the configuration; owned by the goroutine that follows
 	echo     *echo.Echo
 	ready    atomic.Bool
 	draining atomic.Bool
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -74,15 +74,29 @@
 func (s *Server) follow(ctx context.Context) {
 	period := s.set.Limits.Freshness.Std() / followsPerFreshness
 	for {
-		if err := s.followOnce(ctx); err != nil && ctx.Err() == nil {
-			s.log.Warn("The leader did not confirm the configuration.", "err", err)
-		}
+		err := s.followOnce(ctx)
+		s.noteFollow(err, ctx.Err() != nil)
 		if !sleep(ctx, jitter(period)) {
 			return
 		}
 	}
 }
 
+// noteFollow logs when the configuration goes stale here and when it is fresh
+// again, not each renewal that failed.
+func (s *Server) noteFollow(err error, ended bool) {
+	switch {
+	case err == nil && s.stale:
+		s.stale = false
+		s.log.Info("The configuration is confirmed.")
+	case err != nil && !ended && !s.stale && s.config.fresh() != nil && s.ready.Load():
+		s.stale = true
+		s.log.Warn("The configuration is stale, callers are refused.", "err", err)
+	case err != nil && !ended:
+		s.log.Debug("The leader did not confirm the configuration.", "err", err)
+	}
+}
+
 func (s *Server) followOnce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, s.set.Limits.Freshness.Std())
 	defer cancel()
