--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -38,7 +38,6 @@
 	Overloaded          Kind = "overloaded"
 	QueueFull           Kind = "queue_full"
 	LimitReached        Kind = "limit_reached"
-	TooManyConnections  Kind = "too_many_connections"
 	DeadlineBeforeStart Kind = "deadline_before_start"
 	StorageFull         Kind = "storage_full"
 	Draining            Kind = "draining"
--- a/internal/errkind/table.go
+++ b/internal/errkind/table.go
@@ -58,7 +58,6 @@
 	Overloaded:          {http.StatusTooManyRequests, true, retryLater, ExitTryLater, "Send less, or with more patience."},
 	QueueFull:           {http.StatusTooManyRequests, true, retryLater, ExitTryLater, "Try again when work has drained."},
 	LimitReached:        {http.StatusTooManyRequests, true, retrySoon, ExitTryLater, "The team's upper limit is in use; try again."},
-	TooManyConnections:  {http.StatusServiceUnavailable, true, retrySoon, ExitTryLater, "Close connections, or try another entry."},
 	DeadlineBeforeStart: {http.StatusGatewayTimeout, true, retrySoon, ExitTryLater, "Allow more time, or try again."},
 	StorageFull:         {http.StatusInsufficientStorage, true, retryLater, ExitTryLater, "An operator must free disk space."},
 	Draining:            {http.StatusServiceUnavailable, true, retrySoon, ExitTryLater, "Try again: another entry serves."},
