Build the processes of the tests with the race detector, and copy the entry list

Cause: the answer to a renewal shared the list of entries with the control goroutine, which changed it in place when another entry joined. The process tests could not see that, since their binary was built without the detector. Change: a change of the list makes a new one; under -race the binary is built with -race, and a reported race in any process fails its test.

--- a/internal/e2e/cell_test.go
+++ b/internal/e2e/cell_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -34,7 +35,8 @@
 		panic(err)
 	}
 	binary = filepath.Join(dir, "filbertmast")
-	build := exec.Command("go", "build", "-o", binary, "../../cmd/filbertmast")
+	args := append([]string{"build", "-o", binary}, buildFlags...)
+	build := exec.Command("go", append(args, "../../cmd/filbertmast")...)
 	build.Stderr = os.Stderr
 	if err := build.Run(); err != nil {
 		panic(err)
@@ -184,18 +186,24 @@
 	return p
 }
 
-// close ends everything and shows the logs of a failed test.
+// close ends everything, looks for data races that processes have reported, and
+// shows the logs of a failed test.
 func (c *cell) close() {
-	for _, p := range append(c.standins, c.processes...) {
+	all := append(c.processes, c.standins...)
+	for _, p := range all {
 		if p.cmd != nil && p.cmd.ProcessState == nil {
 			_ = p.cmd.Process.Signal(syscall.SIGCONT)
 			_ = p.cmd.Process.Kill()
 		}
+		data, _ := os.ReadFile(p.log)
+		if i := bytes.Index(data, []byte("WARNING: DATA RACE")); i >= 0 {
+			c.t.Errorf("%s reported a data race:\n%s", p.name, data[i:min(len(data), i+4<<10)])
+		}
 	}
 	if !c.t.Failed() {
 		return
 	}
-	for _, p := range append(c.processes, c.standins...) {
+	for _, p := range all {
 		if data, err := os.ReadFile(p.log); err == nil {
 			const most = 12 << 10
 			c.t.Logf("--- %s\n%s", p.name, data[max(0, len(data)-most):])
--- a/internal/state/member.go
+++ b/internal/state/member.go
@@ -17,8 +17,9 @@
 	Incarnation   uint64 `cbor:"6,keyasint"` // grows with each start of the process
 }
 
-// Members returns the registered entry processes, sorted by name. The caller
-// must not change them.
+// Members returns the registered entry processes, sorted by name. A change of
+// the list makes a new one, so that an answer may still be on its way with the
+// old one. The caller must not change it.
 func (m *Machine) Members() []Member { return m.members }
 
 func (m *Machine) findMember(name string) (int, bool) {
@@ -30,7 +31,7 @@
 func (m *Machine) join(c *Join) Result {
 	i, found := m.findMember(c.Member.Name)
 	if !found {
-		m.members = slices.Insert(m.members, i, c.Member)
+		m.members = slices.Insert(slices.Clone(m.members), i, c.Member)
 		m.emit(MembersChanged{})
 		return Result{}
 	}
@@ -38,6 +39,7 @@
 		return Result{Err: errkind.New(errkind.StaleLease, "entry %q has started again since", c.Member.Name)}
 	}
 	existing := m.members[i] == c.Member
+	m.members = slices.Clone(m.members)
 	m.members[i] = c.Member
 	m.emit(MembersChanged{})
 	return Result{Existing: existing}
@@ -48,7 +50,7 @@
 	if !found || m.members[i].Incarnation != c.Incarnation {
 		return Result{Existing: true}
 	}
-	m.members = slices.Delete(m.members, i, i+1)
+	m.members = slices.Delete(slices.Clone(m.members), i, i+1)
 	m.emit(MembersChanged{})
 	return Result{Count: 1}
 }
