Add a command that measures the slopes of the state

Capacity at the target size is to be worked out from measured slopes, and nothing gave them: the scheduler's benchmark measures its own memory at two sizes only.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -44,6 +44,7 @@
 	Keys         *keysCommand         `arg:"subcommand:keys" help:"make, digest and withdraw keys"`
 	Certificates *certificatesCommand `arg:"subcommand:certs" help:"make certificates for the processes"`
 	Standin      *standinCommand      `arg:"subcommand:standin" help:"run a stand-in worker or executor"`
+	Measure      *measureCommand      `arg:"subcommand:measure" help:"measure how the parts grow with size"`
 	Version      *versionCommand      `arg:"subcommand:version" help:"show the version"`
 }
 
--- /dev/null
+++ b/internal/measure/measure_test.go
@@ -0,0 +1,80 @@
+package measure
+
+import (
+	"bytes"
+	"encoding/json"
+	"math"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+func TestLineFitsPoints(t *testing.T) {
+	const tolerance = 1e-9
+	tests := []struct {
+		name      string
+		points    []Point
+		slope     float64
+		intercept float64
+		residual  float64
+	}{
+		{"points on a line", []Point{{1, 5}, {2, 7}, {4, 11}}, 2, 3, 0},
+		{"a constant", []Point{{1, 4}, {2, 4}, {3, 4}}, 0, 4, 0},
+		{"points off the line", []Point{{0, 1}, {0, 3}, {2, 1}, {2, 3}}, 0, 2, 0.5},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := Line(tt.points)
+			assert.Assert(t, math.Abs(f.Slope-tt.slope) < tolerance, "%+v", f)
+			assert.Assert(t, math.Abs(f.Intercept-tt.intercept) < tolerance, "%+v", f)
+			assert.Assert(t, math.Abs(f.Residual-tt.residual) < tolerance, "%+v", f)
+		})
+	}
+}
+
+// A fit of state is worth nothing if the cell does not hold what the size says.
+func TestCellHoldsTheTasksOfItsSize(t *testing.T) {
+	const tasks = 500
+	c := newCell()
+	c.declare(stateTeams)
+	c.addWorkers(stateWorkers, tasksPerServed)
+	c.fill(tasks)
+	c.lead()
+	assert.Assert(t, c.sched.Stats().Running >= tasks)
+	assert.Equal(t, c.sched.Stats().Workers, int64(stateWorkers))
+	held := 0
+	for _, w := range c.machine.Workers() {
+		held += len(w.Held)
+	}
+	assert.Equal(t, c.sched.Stats().Running, int64(held))
+}
+
+func TestEndedJobHoldsNothing(t *testing.T) {
+	c := newCell()
+	c.declare(1)
+	c.addWorkers(2, 1)
+	id := c.submit(0, 2, model.PolicyBatch)
+	c.run(id, 2, 2, 0)
+	c.end(id)
+	assert.Assert(t, c.machine.Job(id).Finished != 0)
+	assert.Equal(t, len(c.machine.Worker(workerName(0)).Held), 0)
+}
+
+func TestReportIsReadableAsJSON(t *testing.T) {
+	r := newReport("test")
+	r.add("heap", "B", "task", 1, 10)
+	r.add("heap", "B", "task", 2, 20)
+	h := newHistogram()
+	assert.NilError(t, h.RecordValue(1500))
+	r.tail("start", 100, h)
+	r.fit()
+	var out bytes.Buffer
+	assert.NilError(t, r.WriteJSON(&out))
+	var back Report
+	assert.NilError(t, json.Unmarshal(out.Bytes(), &back))
+	assert.Equal(t, back.Series[0].Fit.Slope, 10.0)
+	assert.Equal(t, back.Tails[0].P50, 1.5)
+	assert.NilError(t, r.WriteTable(&out))
+}
--- /dev/null
+++ b/internal/measure/report.go
@@ -0,0 +1,144 @@
+package measure
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Series is one quantity measured at several sizes.
+type Series struct {
+	Name   string  `json:"name"`
+	Unit   string  `json:"unit"` // of the values
+	Size   string  `json:"size"` // what the sizes count
+	Points []Point `json:"points"`
+	Fit    Fit     `json:"fit"`
+}
+
+// Tail is the distribution of one duration, in milliseconds.
+type Tail struct {
+	Name  string  `json:"name"`
+	Size  float64 `json:"size"`
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P99   float64 `json:"p99_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// Count is one number that a run must show, such as tasks that were lost.
+type Count struct {
+	Name  string  `json:"name"`
+	Size  float64 `json:"size"`
+	Value float64 `json:"value"`
+}
+
+// Report is the result of one run.
+type Report struct {
+	Part   string   `json:"part"`
+	Go     string   `json:"go"`
+	Cores  int      `json:"cores"`
+	Load   string   `json:"load"` // load averages of the machine at the start
+	Series []Series `json:"series"`
+	Tails  []Tail   `json:"tails,omitempty"`
+	Counts []Count  `json:"counts,omitempty"`
+}
+
+func newReport(part string) *Report {
+	return &Report{Part: part, Go: runtime.Version(), Cores: runtime.NumCPU(), Load: loadAverage()}
+}
+
+// loadAverage tells how busy the machine is; empty where that cannot be read.
+func loadAverage() string {
+	data, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return ""
+	}
+	fields := strings.Fields(string(data))
+	if len(fields) < 3 {
+		return ""
+	}
+	return strings.Join(fields[:3], " ")
+}
+
+// add appends a point to the named series, and makes the series where it is new.
+func (r *Report) add(name, unit, size string, x, y float64) {
+	for i := range r.Series {
+		s := &r.Series[i]
+		if s.Name == name {
+			s.Points = append(s.Points, Point{x, y})
+			return
+		}
+	}
+	r.Series = append(r.Series, Series{Name: name, Unit: unit, Size: size, Points: []Point{{x, y}}})
+}
+
+func (r *Report) count(name string, size, value float64) {
+	r.Counts = append(r.Counts, Count{Name: name, Size: size, Value: value})
+}
+
+// fit computes the line of every series.
+func (r *Report) fit() {
+	for i := range r.Series {
+		r.Series[i].Fit = Line(r.Series[i].Points)
+	}
+}
+
+// maxLatency bounds the durations that a histogram holds.
+const maxLatency = 5 * time.Minute
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxLatency.Microseconds(), 3)
+}
+
+// tail adds the distribution of a histogram in microseconds.
+func (r *Report) tail(name string, size float64, h *hdrhistogram.Histogram) {
+	r.Tails = append(r.Tails, Tail{
+		Name:  name,
+		Size:  size,
+		Count: h.TotalCount(),
+		P50:   float64(h.ValueAtQuantile(50)) / 1e3,
+		P99:   float64(h.ValueAtQuantile(99)) / 1e3,
+		Max:   float64(h.Max()) / 1e3,
+	})
+}
+
+// WriteJSON writes r for machines.
+func (r *Report) WriteJSON(w io.Writer) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(r)
+}
+
+// WriteTable writes r for people.
+func (r *Report) WriteTable(out io.Writer) error {
+	fmt.Fprintf(out, "%s: %s, %d cores, load %s\n", r.Part, r.Go, r.Cores, r.Load)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "series\tslope\tunit a\tintercept\tresidual\tpoints (size: value)")
+	for i := range r.Series {
+		s := &r.Series[i]
+		fmt.Fprintf(w, "%s\t%.5g\t%s a %s\t%.5g\t%.1f%%\t%s\n",
+			s.Name, s.Fit.Slope, s.Unit, s.Size, s.Fit.Intercept, 100*s.Fit.Residual, pointsText(s.Points))
+	}
+	for _, t := range r.Tails {
+		fmt.Fprintf(w, "%s at %g\tp50 %.3g ms\tp99 %.3g ms\tmax %.3g ms\t%d values\t\n", t.Name, t.Size, t.P50, t.P99, t.Max, t.Count)
+	}
+	for _, c := range r.Counts {
+		fmt.Fprintf(w, "%s at %g\t%g\t\t\t\t\n", c.Name, c.Size, c.Value)
+	}
+	return w.Flush()
+}
+
+func pointsText(points []Point) string {
+	parts := make([]string, len(points))
+	for i, p := range points {
+		parts[i] = fmt.Sprintf("%g: %.5g", p.X, p.Y)
+	}
+	return strings.Join(parts, ", ")
+}
