Measure a trial deployment from a load tool

A light entry in the same process was ruled out, since the processor time of the load would count as the leader's.

--- a/internal/command/measure.go
+++ b/internal/command/measure.go
@@ -8,7 +8,9 @@
 
 // measureCommand measures how the parts of the system grow with size.
 type measureCommand struct {
-	State *measureStateCommand `arg:"subcommand:state" help:"measure the replicated state and the scheduler in this process"`
+	State   *measureStateCommand   `arg:"subcommand:state" help:"measure the replicated state and the scheduler in this process"`
+	Prepare *measurePrepareCommand `arg:"subcommand:prepare" help:"write settings of a trial deployment on loopback"`
+	Load    *measureLoadCommand    `arg:"subcommand:load" help:"load a trial deployment and measure it"`
 }
 
 func (*measureCommand) describe() string {
@@ -18,7 +20,7 @@
 }
 
 func (c *measureCommand) run(context.Context, *app) error {
-	return usageErrorf("give one of: measure state")
+	return usageErrorf("give one of: measure state, measure prepare, measure load")
 }
 
 // writeReport writes a report in the form that was asked for.
@@ -34,3 +36,33 @@
 func (c *measureStateCommand) run(_ context.Context, a *app) error {
 	return writeReport(a, c.output, measure.State())
 }
+
+type measurePrepareCommand struct {
+	Dir     string `arg:"--dir,required" help:"empty folder for settings, certificates and data"`
+	Control int    `arg:"--control" default:"1" help:"control processes"`
+	Entries int    `arg:"--entries" default:"1" help:"entry processes"`
+}
+
+func (c *measurePrepareCommand) run(_ context.Context, a *app) error {
+	d, err := measure.Prepare(c.Dir, c.Control, c.Entries)
+	if err != nil {
+		return err
+	}
+	a.printf("Settings of %d control and %d entry processes are in %s/settings: start one serve process for each file.\n",
+		len(d.Control), len(d.Entries), d.Dir)
+	return nil
+}
+
+type measureLoadCommand struct {
+	Dir  string `arg:"--dir,required" help:"folder that measure prepare wrote"`
+	Part string `arg:"--part,required" help:"renew, tasks, commands, register, config, entry or requests"`
+	output
+}
+
+func (c *measureLoadCommand) run(ctx context.Context, a *app) error {
+	r, err := measure.Load(ctx, c.Dir, c.Part)
+	if err != nil {
+		return err
+	}
+	return writeReport(a, c.output, r)
+}
--- a/internal/measure/cell.go
+++ b/internal/measure/cell.go
@@ -23,6 +23,8 @@
 
 func queueName(i int) string { return fmt.Sprintf("queue-%03d", i) }
 
+func keyName(team, i int) string { return fmt.Sprintf("key-%d-%d", team, i) }
+
 func workerName(i int) model.WorkerID { return model.WorkerID(fmt.Sprintf("worker-%05d", i)) }
 
 // Declarations returns a configuration of the given number of teams, each with
@@ -35,7 +37,7 @@
 		d.Queues = append(d.Queues, model.Queue{Name: queueName(i), Workspace: fmt.Sprint("workspace-", i%6), Team: name})
 		d.Services = append(d.Services, model.Service{Name: fmt.Sprintf("service-%03d", i), Workspace: fmt.Sprint("workspace-", i%6)})
 		for k := range keysPerTeam {
-			d.Keys = append(d.Keys, model.Key{Digest: declare.DigestKey(fmt.Sprintf("key-%d-%d", i, k)), Team: name})
+			d.Keys = append(d.Keys, model.Key{Digest: declare.DigestKey(keyName(i, k)), Team: name})
 		}
 	}
 	if teams > 0 {
--- /dev/null
+++ b/internal/measure/load.go
@@ -0,0 +1,206 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/certs"
+	"github.com/filbertmast/filbertmast/internal/declare"
+	"github.com/filbertmast/filbertmast/internal/discover"
+	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/proto"
+	"github.com/filbertmast/filbertmast/internal/wire"
+)
+
+const (
+	callTimeout = 5 * time.Second
+	runTime     = 8 * time.Second // of one size
+	maxCalls    = 256             // calls of the load under way at once
+)
+
+// load speaks the inner protocol to the leader of a deployment as an entry does.
+type load struct {
+	d        *Deployment
+	endpoint *wire.Endpoint
+	leader   Process
+	slots    chan struct{}
+
+	mu     sync.Mutex
+	failed map[string]int // calls by error
+}
+
+// connect finds the leader. The deployment's processes must be running.
+func connect(ctx context.Context, d *Deployment) (*load, error) {
+	conf, err := certs.LoadTLS(d.certificate(loadName))
+	if err != nil {
+		return nil, err
+	}
+	endpoint, err := wire.Listen(wire.Options{
+		Address: loopback + ":0", Name: loadName, Region: loadRegion, TLS: conf, Logger: log.New(io.Discard)})
+	if err != nil {
+		return nil, err
+	}
+	found, err := discover.Leader(ctx, endpoint, d.founders())
+	if err != nil {
+		endpoint.Close()
+		return nil, err
+	}
+	i := slices.IndexFunc(d.Control, func(p Process) bool { return p.Inner == found.Leader })
+	if i < 0 {
+		endpoint.Close()
+		return nil, fmt.Errorf("the leader %s is not of this deployment", found.Leader)
+	}
+	return &load{
+		d:        d,
+		endpoint: endpoint,
+		leader:   d.Control[i],
+		slots:    make(chan struct{}, maxCalls),
+		failed:   make(map[string]int),
+	}, nil
+}
+
+func (l *load) close() { l.endpoint.Close() }
+
+// call calls the leader once.
+func call[Req, Resp any](ctx context.Context, l *load, k wire.Kind, req *Req) (*Resp, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	resp, err := wire.Call[Req, Resp](ctx, l.endpoint, l.leader.Inner, k, req)
+	if err != nil {
+		l.note(err)
+	}
+	return resp, err
+}
+
+// note counts a failed call.
+func (l *load) note(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failed[err.Error()]++
+}
+
+// operator is the caller of declarations.
+func (l *load) operator() proto.Caller {
+	return proto.Caller{Team: teamName(0), Operator: true, Key: declare.DigestKey(l.d.Operator)}
+}
+
+// callerOf is the holder of a team's first key.
+func callerOf(team int) proto.Caller {
+	return proto.Caller{Team: teamName(team), Key: declare.DigestKey(keyName(team, 0))}
+}
+
+// limitedTeam may run one task at a time, so that its jobs wait.
+const limitedTeam = 1
+
+// declarations is the configuration of the target's teams with the operator's
+// key and one team that is held back.
+func (l *load) declarations(seed int) model.Declarations {
+	d := Declarations(stateTeams, seed)
+	d.Teams[limitedTeam].MaxRunning = 1
+	d.Keys = append(d.Keys, model.Key{
+		Digest: declare.DigestKey(l.d.Operator), Team: teamName(0), Operator: true, Worker: true})
+	return d
+}
+
+// declare puts a configuration in force and returns its version.
+func (l *load) declare(ctx context.Context, d model.Declarations) (uint64, error) {
+	now, err := call[proto.Empty, api.DeclarationsView](ctx, l, wire.KindDeclarations, &proto.Empty{})
+	if err != nil {
+		return 0, err
+	}
+	req := &proto.Declare{Caller: l.operator(), Apply: api.Apply{
+		Base: now.Version, ApplyID: fmt.Sprint("measure-", time.Now().UnixNano()), Declarations: d}}
+	done, err := call[proto.Declare, api.Applied](ctx, l, wire.KindDeclare, req)
+	if err != nil {
+		return 0, err
+	}
+	return done.Version, nil
+}
+
+// paced runs fn at the given rate for a time, several at once, and returns how
+// often, once all have ended.
+func (l *load) paced(ctx context.Context, rate float64, length time.Duration, fn func(i int)) int {
+	var wg sync.WaitGroup
+	began := time.Now()
+	n := 0
+	for ; ctx.Err() == nil; n++ {
+		due := began.Add(time.Duration(float64(n) / rate * float64(time.Second)))
+		if due.Sub(began) >= length {
+			break
+		}
+		time.Sleep(time.Until(due))
+		l.slots <- struct{}{}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			defer func() { <-l.slots }()
+			fn(n)
+		}()
+	}
+	wg.Wait()
+	return n
+}
+
+// metered runs fn and returns what the leader spent on it, and its length in seconds.
+func (l *load) metered(ctx context.Context, fn func()) (usage, float64, error) {
+	before, err := usageOf(ctx, l.leader)
+	if err != nil {
+		return usage{}, 0, err
+	}
+	began := time.Now()
+	fn()
+	length := time.Since(began).Seconds()
+	after, err := usageOf(ctx, l.leader)
+	return after.since(before), length, err
+}
+
+// addUsage adds what the leader spent in a second at the rate x.
+func (r *Report) addUsage(what string, x float64, u usage, length float64) {
+	r.add("leader CPU by "+what, "ms", what, x, 1e3*u.cpu/length)
+	r.add("bytes to leader by "+what, "B", what, x, u.loadReceived/length)
+	r.add("bytes from leader by "+what, "B", what, x, u.loadSent/length)
+	r.add("bytes to followers by "+what, "B", what, x, u.peersSent/length)
+	r.add("bytes from followers by "+what, "B", what, x, u.peersReceived/length)
+	r.add("plans by "+what, "1", what, x, u.plans/length)
+	r.add("plan time by "+what, "ms", what, x, 1e3*u.planSeconds/length)
+	r.add("log syncs by "+what, "1", what, x, u.appends/length)
+}
+
+// packetsCounted is longer than the period at which processes count packets.
+const packetsCounted = 12 * time.Second
+
+// addPackets compares the bytes of packets with those of messages in them over
+// a whole run.
+func (l *load) addPackets(ctx context.Context, r *Report, before usage) error {
+	time.Sleep(packetsCounted)
+	after, err := usageOf(ctx, l.leader)
+	if err != nil {
+		return err
+	}
+	u := after.since(before)
+	r.count("packet bytes a message byte, load and leader", 0, u.loadPackets/(u.loadSent+u.loadReceived))
+	if peers := u.peersSent + u.peersReceived; peers > 0 {
+		r.count("packet bytes a message byte, leader and other processes", 0, u.peersPackets/peers)
+	}
+	r.count("resident bytes of the leader at the end", 0, after.resident)
+	return nil
+}
+
+// addFailures notes how many calls of the load failed.
+func (l *load) addFailures(r *Report) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for why, n := range l.failed {
+		r.count("failed calls: "+why, 0, float64(n))
+	}
+	if len(l.failed) == 0 {
+		r.count("failed calls", 0, 0)
+	}
+}
--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -4,11 +4,15 @@
 	"bytes"
 	"encoding/json"
 	"math"
+	"path/filepath"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/settings"
 )
 
 func TestLineFitsPoints(t *testing.T) {
@@ -78,3 +82,48 @@
 	assert.Equal(t, back.Tails[0].P50, 1.5)
 	assert.NilError(t, r.WriteTable(&out))
 }
+
+func TestUsageTellsLoadFromReplicas(t *testing.T) {
+	text := `# TYPE filbertmast_wire_bytes_total counter
+process_cpu_seconds_total 1.5
+process_resident_memory_bytes 2e+06
+filbertmast_wire_bytes_total{class="request",direction="sent",peer_region="load",region="south"} 10
+filbertmast_wire_bytes_total{class="consensus",direction="sent",peer_region="load",region="south"} 5
+filbertmast_wire_bytes_total{class="request",direction="received",peer_region="load",region="south"} 7
+filbertmast_wire_bytes_total{class="consensus",direction="sent",peer_region="south",region="south"} 100
+filbertmast_wire_bytes_total{class="consensus",direction="received",peer_region="south",region="south"} 50
+filbertmast_wire_packet_bytes_total{direction="sent",peer_region="load",region="south"} 30
+filbertmast_wire_packet_bytes_total{direction="sent",peer_region="south",region="south"} 200
+unrelated_total 9`
+	var u usage
+	for _, line := range strings.Split(text, "\n") {
+		u.take(line)
+	}
+	assert.Equal(t, u, usage{cpu: 1.5, resident: 2e6, loadSent: 15, loadReceived: 7, loadPackets: 30,
+		peersSent: 100, peersReceived: 50, peersPackets: 200})
+}
+
+func TestPreparedSettingsAreAccepted(t *testing.T) {
+	dir := t.TempDir()
+	d, err := Prepare(dir, 3, 2)
+	assert.NilError(t, err)
+	for _, p := range d.processes() {
+		set, err := settings.Load(filepath.Join(dir, settingsDir, p.Name+".json"))
+		assert.NilError(t, err, p.Name)
+		assert.Equal(t, set.Inner.Address, p.Inner)
+	}
+	again, err := Open(dir)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again, d)
+}
+
+// A start command may overtake the answer to its submission.
+func TestStartsCountCommandsInEitherOrder(t *testing.T) {
+	sent := time.Unix(100, 0)
+	s := newStarts()
+	s.started(model.TaskID{Job: 1}, sent.Add(3*time.Millisecond))
+	s.submitted(1, sent, true)
+	s.started(model.TaskID{Job: 1, Index: 1}, sent.Add(5*time.Millisecond))
+	s.submitted(2, sent, false)
+	assert.DeepEqual(t, s.took, map[bool][]time.Duration{true: {3 * time.Millisecond, 5 * time.Millisecond}})
+}
--- /dev/null
+++ b/internal/measure/parts.go
@@ -0,0 +1,269 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/proto"
+	"github.com/filbertmast/filbertmast/internal/wire"
+)
+
+const (
+	loadWorkers  = 2_000
+	tasksAWorker = 20 // at the target: 430,000 tasks on 22,000 workers
+	urgentEvery  = 10 // one job in so many may not wait
+	settle       = time.Second
+)
+
+var (
+	startRates    = []float64{100, 300, 650, 1300} // task starts a second
+	renewRates    = []float64{500, 1000, 2000, 4000}
+	usageCounts   = []int{0, 5, 10, 20}
+	submitRates   = []float64{50, 100, 200, 400}
+	reportRates   = []float64{250, 500, 1000, 2000}
+	registerRates = []float64{25, 50, 100, 200}
+)
+
+// Part is one measurement against a running deployment.
+type Part func(context.Context, *load, *Report) error
+
+// Parts are the measurements by name.
+var Parts = map[string]Part{
+	"renew":    renewPart,
+	"tasks":    tasksPart,
+	"commands": commandsPart,
+	"register": registerPart,
+	"config":   configPart,
+	"entry":    entryPart,
+	"requests": requestsPart,
+}
+
+// Load runs one part against a deployment whose processes are running.
+func Load(ctx context.Context, dir, part string) (*Report, error) {
+	fn, ok := Parts[part]
+	if !ok {
+		return nil, fmt.Errorf("no part %q", part)
+	}
+	d, err := Open(dir)
+	if err != nil {
+		return nil, err
+	}
+	l, err := connect(ctx, d)
+	if err != nil {
+		return nil, err
+	}
+	defer l.close()
+	r := newReport(fmt.Sprintf("%s, %d control processes", part, len(d.Control)))
+	if _, err := l.declare(ctx, l.declarations(int(time.Now().UnixNano()%stateTeams))); err != nil {
+		return nil, err
+	}
+	before, err := usageOf(ctx, l.leader)
+	if err != nil {
+		return nil, err
+	}
+	if err := fn(ctx, l, r); err != nil {
+		return nil, err
+	}
+	if err := l.addPackets(ctx, r, before); err != nil {
+		return nil, err
+	}
+	l.addFailures(r)
+	r.fit()
+	return r, nil
+}
+
+// submit sends a job of a team.
+func (l *load) submit(ctx context.Context, team int, name string, tasks int, patience time.Duration) (model.JobID, error) {
+	req := &proto.Submit{
+		Caller: callerOf(team),
+		Spec: model.JobSpec{
+			Name: name, Team: teamName(team), Queue: queueName(team), Policy: model.PolicyBatch, Tasks: int32(tasks),
+			Size: taskSize, RunTime: model.Duration(taskTime), Patience: model.Duration(patience),
+		},
+		IdempotencyKey: fmt.Sprintf("%s-%d", name, time.Now().UnixNano()),
+	}
+	s, err := call[proto.Submit, proto.Submitted](ctx, l, wire.KindSubmit, req)
+	if err != nil {
+		return 0, err
+	}
+	return s.Job.ID, nil
+}
+
+// renewPart measures renewals by workers that hold tasks, and what the use of
+// tasks adds to them.
+func renewPart(ctx context.Context, l *load, r *Report) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w := newWorkers(l, loadWorkers, false)
+	w.announce(ctx)
+	const tasks = loadWorkers * tasksAWorker
+	l.paced(ctx, 20, tasks/tasksPerServed/20*time.Second, func(int) {
+		_, _ = l.submit(ctx, 0, "steady", tasksPerServed, time.Hour)
+	})
+	r.count("tasks that did not start", tasks, float64(w.await(ctx, tasks)))
+	w.calls.Wait()
+	for _, rate := range renewRates {
+		time.Sleep(settle)
+		u, length, err := l.metered(ctx, func() {
+			l.paced(ctx, rate/renewBatch, runTime, func(i int) { w.renew(ctx, i*renewBatch, renewBatch, nil) })
+		})
+		if err != nil {
+			return err
+		}
+		r.addUsage("renewal a second", rate, u, length)
+	}
+	return usagePart(ctx, l, w, r)
+}
+
+// usagePart sends a thousand renewals a second with a growing number of used
+// tasks in each.
+func usagePart(ctx context.Context, l *load, w *workers, r *Report) error {
+	const rate = 1000
+	for _, n := range usageCounts {
+		used := make([]api.TaskUsage, n)
+		for i := range used {
+			used[i] = api.TaskUsage{Task: model.TaskID{Job: 1_234_567, Index: int32(i)},
+				Fence: model.Fence{Term: 12, Index: 12_345_678}, Used: taskSize}
+		}
+		u, length, err := l.metered(ctx, func() {
+			l.paced(ctx, rate/renewBatch, runTime, func(i int) { w.renew(ctx, i*renewBatch, renewBatch, used) })
+		})
+		if err != nil {
+			return err
+		}
+		r.addUsage("used task a second", float64(n*rate), u, length)
+	}
+	return nil
+}
+
+// starts notes how long tasks take from the sending of their submission to the
+// receipt of their start command.
+type starts struct {
+	mu      sync.Mutex
+	sent    map[model.JobID]time.Time
+	urgent  map[model.JobID]bool
+	waiting map[model.JobID][]time.Time // start commands that overtook the answer to their submission
+	took    map[bool][]time.Duration    // by whether the job may not wait
+}
+
+func newStarts() *starts {
+	return &starts{sent: make(map[model.JobID]time.Time), urgent: make(map[model.JobID]bool),
+		waiting: make(map[model.JobID][]time.Time), took: make(map[bool][]time.Duration)}
+}
+
+func (s *starts) submitted(id model.JobID, at time.Time, urgent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent[id], s.urgent[id] = at, urgent
+	for _, started := range s.waiting[id] {
+		s.took[urgent] = append(s.took[urgent], started.Sub(at))
+	}
+	delete(s.waiting, id)
+}
+
+func (s *starts) started(id model.TaskID, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sent, ok := s.sent[id.Job]
+	if !ok {
+		s.waiting[id.Job] = append(s.waiting[id.Job], at)
+		return
+	}
+	urgent := s.urgent[id.Job]
+	s.took[urgent] = append(s.took[urgent], at.Sub(sent))
+}
+
+func (s *starts) report(r *Report, rate float64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for urgent, name := range map[bool]string{false: "start of patient tasks", true: "start of urgent tasks"} {
+		h := newHistogram()
+		for _, d := range s.took[urgent] {
+			if err := h.RecordValue(d.Microseconds()); err != nil {
+				return err
+			}
+		}
+		r.tail(name, rate, h)
+	}
+	return nil
+}
+
+// tasksPart measures tasks from submission to their end.
+func tasksPart(ctx context.Context, l *load, r *Report) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w := newWorkers(l, loadWorkers, true)
+	w.announce(ctx)
+	total := 0
+	for _, rate := range startRates {
+		time.Sleep(settle)
+		s := newStarts()
+		w.onStart = s.started
+		var missing int
+		u, length, err := l.metered(ctx, func() {
+			jobs := l.paced(ctx, rate/tasksPerBatch, runTime, func(i int) {
+				urgent, patience := i%urgentEvery == 0, time.Hour
+				if urgent {
+					patience = 0
+				}
+				at := time.Now()
+				if id, err := l.submit(ctx, 0, "batch", tasksPerBatch, patience); err == nil {
+					s.submitted(id, at, urgent)
+				}
+			})
+			total += jobs * tasksPerBatch
+			missing = w.await(ctx, total)
+		})
+		if err != nil {
+			return err
+		}
+		ran := float64(int(rate*runTime.Seconds())) / length
+		r.addUsage("task a second", ran, u, length)
+		r.count("tasks lost", rate, float64(missing))
+		if err := s.report(r, rate); err != nil {
+			return err
+		}
+	}
+	w.calls.Wait()
+	return nil
+}
+
+// commandsPart measures submissions of jobs that wait, and reports that change
+// nothing but go through the log.
+func commandsPart(ctx context.Context, l *load, r *Report) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w := newWorkers(l, loadWorkers, false)
+	w.announce(ctx)
+	for _, rate := range reportRates {
+		u, length, err := l.metered(ctx, func() {
+			l.paced(ctx, rate, runTime, func(i int) {
+				id := workerName(i % loadWorkers)
+				w.mu.Lock()
+				session := w.sessions[id]
+				w.mu.Unlock()
+				w.report(id, session, api.Report{Task: model.TaskID{Job: 1}, State: api.ReportStarted})
+			})
+		})
+		if err != nil {
+			return err
+		}
+		r.addUsage("report a second", rate, u, length)
+	}
+	for _, rate := range submitRates {
+		u, length, err := l.metered(ctx, func() {
+			l.paced(ctx, rate, runTime, func(int) {
+				_, _ = l.submit(ctx, limitedTeam, "waits", 1, time.Hour)
+			})
+		})
+		if err != nil {
+			return err
+		}
+		r.addUsage("submission a second", rate, u, length)
+	}
+	return nil
+}
--- a/internal/measure/report.go
+++ b/internal/measure/report.go
@@ -138,7 +138,7 @@
 func pointsText(points []Point) string {
 	parts := make([]string, len(points))
 	for i, p := range points {
-		parts[i] = fmt.Sprintf("%g: %.5g", p.X, p.Y)
+		parts[i] = fmt.Sprintf("%.4g: %.5g", p.X, p.Y)
 	}
 	return strings.Join(parts, ", ")
 }
--- /dev/null
+++ b/internal/measure/workers.go
@@ -0,0 +1,151 @@
+package measure
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/proto"
+	"github.com/filbertmast/filbertmast/internal/wire"
+)
+
+const (
+	announceRate  = 400 // announcements a second, below the leader's own pace
+	renewEvery    = 5 * time.Second
+	renewBatch    = 500 // renewals in one call, as an entry sends them
+	waitForTasks  = 60 * time.Second
+	pollEvery     = 20 * time.Millisecond
+	taskTime      = 500 * time.Millisecond
+	loadTasksRoom = 64 // tasks that one worker has room for
+)
+
+// workers stands in for workers and their entry: it answers start commands
+// with reports.
+type workers struct {
+	l       *load
+	count   int
+	ends    bool // whether tasks end by themselves
+	onStart func(model.TaskID, time.Time)
+
+	mu       sync.Mutex
+	sessions map[model.WorkerID]uint64
+	started  map[model.TaskID]bool
+	ended    int
+	calls    sync.WaitGroup
+}
+
+func newWorkers(l *load, count int, ends bool) *workers {
+	w := &workers{l: l, count: count, ends: ends,
+		onStart:  func(model.TaskID, time.Time) {},
+		sessions: make(map[model.WorkerID]uint64), started: make(map[model.TaskID]bool)}
+	wire.HandlePost(l.endpoint, wire.KindCommands, func(_ wire.Peer, m *proto.Commands) { w.take(m) })
+	return w
+}
+
+// announce registers all workers and keeps their leases until ctx ends.
+func (w *workers) announce(ctx context.Context) {
+	room := model.Resources{CPU: taskSize.CPU * loadTasksRoom, Memory: taskSize.Memory * loadTasksRoom}
+	length := time.Duration(float64(w.count) / announceRate * float64(time.Second))
+	w.l.paced(ctx, announceRate, length, func(i int) {
+		spec := workerSpec(i, room)
+		a, err := call[proto.Announce, proto.Announced](ctx, w.l, wire.KindAnnounce, &proto.Announce{Spec: spec})
+		if err != nil {
+			return
+		}
+		w.mu.Lock()
+		w.sessions[spec.ID] = a.Session
+		w.mu.Unlock()
+	})
+	go w.keep(ctx)
+}
+
+// keep renews every lease now and then.
+func (w *workers) keep(ctx context.Context) {
+	for ctx.Err() == nil {
+		for from := 0; from < w.count; from += renewBatch {
+			w.renew(ctx, from, min(renewBatch, w.count-from), nil)
+		}
+		select {
+		case <-time.After(renewEvery):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// renew sends one batch for the n workers from the given one on, each with the
+// given use of tasks.
+func (w *workers) renew(ctx context.Context, from, n int, used []api.TaskUsage) {
+	req := &proto.Renewals{}
+	w.mu.Lock()
+	for i := range n {
+		id := workerName((from + i) % w.count)
+		req.Renewals = append(req.Renewals, proto.Renewal{Worker: id, Session: w.sessions[id], Usage: used})
+	}
+	w.mu.Unlock()
+	// A failed call is counted by the load; the next round renews as well.
+	_, _ = call[proto.Renewals, proto.Renewed](ctx, w.l, wire.KindRenew, req)
+}
+
+func (w *workers) take(m *proto.Commands) {
+	at := time.Now()
+	for _, c := range m.Commands {
+		if c.Op == api.CommandStart && w.first(c.Task) {
+			w.onStart(c.Task, at)
+			w.calls.Add(1)
+			go w.run(m.Worker, m.Session, c)
+		}
+	}
+}
+
+func (w *workers) first(id model.TaskID) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.started[id] {
+		return false
+	}
+	w.started[id] = true
+	return true
+}
+
+func (w *workers) run(worker model.WorkerID, session uint64, c api.Command) {
+	defer w.calls.Done()
+	w.report(worker, session, api.Report{Task: c.Task, Fence: c.Fence, State: api.ReportStarted})
+	if !w.ends {
+		return
+	}
+	time.Sleep(taskTime)
+	w.report(worker, session, api.Report{Task: c.Task, Fence: c.Fence, State: api.ReportSucceeded, RanMS: taskTime.Milliseconds()})
+	w.mu.Lock()
+	w.ended++
+	w.mu.Unlock()
+}
+
+// report sends one report as one call, as an entry does for a worker that has
+// no more to say.
+func (w *workers) report(worker model.WorkerID, session uint64, r api.Report) {
+	req := &proto.Reports{Worker: worker, Session: session, Reports: []api.Report{r}}
+	_, _ = call[proto.Reports, proto.Empty](context.Background(), w.l, wire.KindReports, req)
+}
+
+func (w *workers) counts() (started, ended int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.started), w.ended
+}
+
+// await waits until n tasks have started, and where tasks end, ended; it
+// reports how many are missing when it gives up.
+func (w *workers) await(ctx context.Context, n int) (missing int) {
+	deadline := time.Now().Add(waitForTasks)
+	for ctx.Err() == nil && time.Now().Before(deadline) {
+		started, ended := w.counts()
+		if started >= n && (!w.ends || ended >= n) {
+			return 0
+		}
+		time.Sleep(pollEvery)
+	}
+	started, _ := w.counts()
+	return n - started
+}
