Give every paced call its own number and hold rates to the end

A test under the race detector showed that a paced call read the loop's counter, so that a number could be skipped or used twice: some workers of a run were announced twice and others never. The time of a rate is now waited out as well: the last call of eight in eight seconds came after seven, which read as a higher rate.

--- a/internal/measure/load.go
+++ b/internal/measure/load.go
@@ -125,7 +125,7 @@
 }
 
 // paced runs fn at the given rate for a time, several at once, and returns how
-// often, once all have ended.
+// often, once the time is over and all have ended.
 func (l *load) paced(ctx context.Context, rate float64, length time.Duration, fn func(i int)) int {
 	var wg sync.WaitGroup
 	began := time.Now()
@@ -138,13 +138,14 @@
 		time.Sleep(time.Until(due))
 		l.slots <- struct{}{}
 		wg.Add(1)
-		go func() {
+		go func(i int) {
 			defer wg.Done()
 			defer func() { <-l.slots }()
-			fn(n)
-		}()
+			fn(i)
+		}(n)
 	}
 	wg.Wait()
+	time.Sleep(time.Until(began.Add(length)))
 	return n
 }
 
