--- a/internal/command/measure.go
+++ b/internal/command/measure.go
@@ -55,7 +55,7 @@
 
 type measureLoadCommand struct {
 	Dir  string `arg:"--dir,required" help:"folder that measure prepare wrote"`
-	Part string `arg:"--part,required" help:"renew, tasks, commands, register, config, entry or requests"`
+	Part string `arg:"--part,required" help:"renew, tasks, commands, register, config, entry, requests or burst"`
 	output
 }
 
--- a/internal/measure/load.go
+++ b/internal/measure/load.go
@@ -149,21 +149,50 @@
 	return n
 }
 
-// metered runs fn and returns what the leader spent on it, and its length in seconds.
-func (l *load) metered(ctx context.Context, fn func()) (usage, float64, error) {
-	before, err := usageOf(ctx, l.leader)
+// spent is what a load cost.
+type spent struct {
+	usage             // of the leader
+	follower  float64 // processor seconds of one follower; zero where there is none
+	followers bool
+}
+
+// metered runs fn and returns what it cost, and its length in seconds.
+func (l *load) metered(ctx context.Context, fn func()) (spent, float64, error) {
+	before, err := l.spentSoFar(ctx)
 	if err != nil {
-		return usage{}, 0, err
+		return spent{}, 0, err
 	}
 	began := time.Now()
 	fn()
 	length := time.Since(began).Seconds()
-	after, err := usageOf(ctx, l.leader)
-	return after.since(before), length, err
+	after, err := l.spentSoFar(ctx)
+	after.usage = after.since(before.usage)
+	after.follower -= before.follower
+	return after, length, err
+}
+
+func (l *load) spentSoFar(ctx context.Context) (spent, error) {
+	var s spent
+	var err error
+	if s.usage, err = usageOf(ctx, l.leader); err != nil {
+		return s, err
+	}
+	for _, p := range l.d.Control {
+		if p == l.leader {
+			continue
+		}
+		u, err := usageOf(ctx, p)
+		s.follower, s.followers = u.cpu, true
+		return s, err
+	}
+	return s, nil
 }
 
 // addUsage adds what the leader spent in a second at the rate x.
-func (r *Report) addUsage(what string, x float64, u usage, length float64) {
+func (r *Report) addUsage(what string, x float64, u spent, length float64) {
+	if u.followers {
+		r.add("follower CPU by "+what, "ms", what, x, 1e3*u.follower/length)
+	}
 	r.add("leader CPU by "+what, "ms", what, x, 1e3*u.cpu/length)
 	r.add("bytes to leader by "+what, "B", what, x, u.loadReceived/length)
 	r.add("bytes from leader by "+what, "B", what, x, u.loadSent/length)
--- a/internal/measure/parts.go
+++ b/internal/measure/parts.go
@@ -25,6 +25,7 @@
 	usageCounts   = []int{0, 5, 10, 20}
 	submitRates   = []float64{50, 100, 200, 400}
 	reportRates   = []float64{250, 500, 1000, 2000}
+	burstSizes    = []int{2_500, 5_000, 10_000, 20_000} // tasks
 	registerRates = []float64{25, 50, 100, 200}
 )
 
@@ -40,6 +41,7 @@
 	"config":   configPart,
 	"entry":    entryPart,
 	"requests": requestsPart,
+	"burst":    burstPart,
 }
 
 // Load runs one part against a deployment whose processes are running.
@@ -267,3 +269,38 @@
 	}
 	return nil
 }
+
+// burstPart measures how long tasks that all wait at once take to run, as they
+// do after the loss of a failure domain.
+func burstPart(ctx context.Context, l *load, r *Report) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w := newWorkers(l, loadWorkers, false)
+	w.announce(ctx)
+	total := 0
+	for _, n := range burstSizes {
+		time.Sleep(settle)
+		total += n
+		missing := 0
+		u, length, err := l.metered(ctx, func() {
+			var jobs sync.WaitGroup
+			for range n / tasksPerServed {
+				jobs.Add(1)
+				go func() {
+					defer jobs.Done()
+					_, _ = l.submit(ctx, 0, "burst", tasksPerServed, time.Hour)
+				}()
+			}
+			jobs.Wait()
+			missing = w.await(ctx, total)
+			w.calls.Wait()
+		})
+		if err != nil {
+			return err
+		}
+		r.add("time until all run", "ms", "task", float64(n), 1e3*length)
+		r.add("leader CPU of the burst", "ms", "task", float64(n), 1e3*u.cpu)
+		r.count("tasks that did not start", float64(n), float64(missing))
+	}
+	return nil
+}
