--- a/internal/measure/load.go
+++ b/internal/measure/load.go
@@ -215,7 +215,9 @@
 		return err
 	}
 	u := after.since(before)
-	r.count("packet bytes a message byte, load and leader", 0, u.loadPackets/(u.loadSent+u.loadReceived))
+	if load := u.loadSent + u.loadReceived; load > 0 {
+		r.count("packet bytes a message byte, load and leader", 0, u.loadPackets/load)
+	}
 	if peers := u.peersSent + u.peersReceived; peers > 0 {
 		r.count("packet bytes a message byte, leader and other processes", 0, u.peersPackets/peers)
 	}
