Let proposals share a commit where they come fast

Up to 20 groups of proposals at once and 200 a second are taken as before; beyond that proposals wait up to 5 ms and share a group. Messages and acknowledgements never wait. A fixed wait for every proposal was ruled out: it would delay single calls, such as journaled requests, for nothing.

--- a/internal/replica/inbox.go
+++ b/internal/replica/inbox.go
@@ -2,6 +2,9 @@
 
 import (
 	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
 
 	"github.com/filbertmast/filbertmast/internal/replica/raft"
 )
@@ -26,14 +29,30 @@
 	calls     []func()
 }
 
+const (
+	// groupRate and groupBurst bound the groups of proposals a second that the
+	// loop takes. Each group costs a sync and a round of messages, so that beyond
+	// the rate proposals wait to share one; calls now and then never wait.
+	groupRate  = 200
+	groupBurst = 20
+	// groupRetry is the time between looks at proposals that wait for their group.
+	groupRetry = time.Second / groupRate
+)
+
 // inbox collects the loop's input, within bounds.
 type inbox struct {
-	wake chan struct{}
+	wake   chan struct{}
+	groups *rate.Limiter
 
 	mu            sync.Mutex
 	next          batch
 	messageBytes  int
 	proposalBytes int
+	waking        bool // a signal for waiting proposals is on its way
+}
+
+func newInbox() inbox {
+	return inbox{wake: make(chan struct{}, 1), groups: rate.NewLimiter(groupRate, groupBurst)}
 }
 
 func (b *inbox) signal() {
@@ -49,10 +68,30 @@
 	out := b.next
 	b.next = batch{}
 	b.messageBytes = 0
+	if len(out.proposals) > 0 && !b.groups.Allow() {
+		b.next.proposals = out.proposals
+		out.proposals = nil
+		b.signalLater()
+		return out
+	}
 	b.proposalBytes = 0
 	return out
 }
 
+// signalLater wakes the loop once the waiting proposals may go. Callers hold b.mu.
+func (b *inbox) signalLater() {
+	if b.waking {
+		return
+	}
+	b.waking = true
+	time.AfterFunc(groupRetry, func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.waking = false
+		b.signal()
+	})
+}
+
 // messageSize is about the memory of m in bytes.
 func messageSize(m Message) int {
 	const overhead = 160
--- /dev/null
+++ b/internal/replica/inbox_test.go
@@ -0,0 +1,49 @@
+package replica
+
+import (
+	"testing"
+
+	"golang.org/x/time/rate"
+	"gotest.tools/v3/assert"
+
+	"github.com/filbertmast/filbertmast/internal/replica/raft"
+)
+
+func proposalOf(b byte) proposal { return proposal{data: []byte{b}} }
+
+func TestProposalsBeyondTheRateWaitForOneGroup(t *testing.T) {
+	b := newInbox()
+	b.groups = rate.NewLimiter(0, 1)
+	assert.Assert(t, b.addProposal(proposalOf(1), 0))
+	assert.DeepEqual(t, len(b.take().proposals), 1)
+
+	assert.Assert(t, b.addProposal(proposalOf(2), 0))
+	b.addMark(raft.Mark{})
+	held := b.take()
+	assert.Equal(t, len(held.proposals), 0)
+	assert.Equal(t, len(held.marks), 1, "what is not a proposal never waits")
+
+	assert.Assert(t, b.addProposal(proposalOf(3), 0))
+	b.groups = rate.NewLimiter(rate.Inf, 1)
+	group := b.take().proposals
+	assert.Equal(t, len(group), 2)
+	assert.Equal(t, group[0].data[0], byte(2), "the order is kept")
+	assert.Equal(t, group[1].data[0], byte(3))
+}
+
+func TestWaitingProposalsWakeTheLoop(t *testing.T) {
+	b := newInbox()
+	b.groups = rate.NewLimiter(0, 0)
+	assert.Assert(t, b.addProposal(proposalOf(1), 0))
+	<-b.wake // of the proposal itself
+	assert.Equal(t, len(b.take().proposals), 0)
+	<-b.wake // of its turn
+}
+
+func TestWaitingProposalsCountAgainstTheBound(t *testing.T) {
+	b := newInbox()
+	b.groups = rate.NewLimiter(0, 0)
+	assert.Assert(t, b.addProposal(proposal{data: make([]byte, maxUncommittedBytes+1)}, 0))
+	assert.Equal(t, len(b.take().proposals), 0)
+	assert.Assert(t, !b.addProposal(proposalOf(1), 0))
+}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -169,7 +169,7 @@
 		fatal:   make(chan error, 1),
 		stop:    make(chan struct{}),
 	}
-	n.inbox.wake = make(chan struct{}, 1)
+	n.inbox = newInbox()
 	n.addrs.learned = map[ID]string{}
 	if err := n.open(); err != nil {
 		n.closeFiles()
