--- a/internal/measure/follow.go
+++ b/internal/measure/follow.go
@@ -41,16 +41,29 @@
 // register renews entry i once.
 func (f *followers) register(ctx context.Context, m state.Member, held held) (*proto.Registered, error) {
 	return call[proto.Register, proto.Registered](ctx, f.l, wire.KindRegister,
-		&proto.Register{Member: m, ConfigVersion: held.version, ConfigDigest: held.digest})
+		&proto.Register{
+			Member:           m,
+			ConfigVersion:    held.version,
+			ConfigDigest:     held.digest,
+			DirectoryTerm:    held.term,
+			DirectoryVersion: held.directory,
+			EntriesRevision:  held.entries,
+		})
 }
 
-// held is the configuration that an entry has in force.
+// held names what an entry holds: the configuration in force, the directory of
+// executors and the list of entries.
 type held struct {
-	version uint64
-	digest  string
+	version   uint64
+	digest    string
+	term      uint64
+	directory uint64
+	entries   uint64
 }
 
-func heldOf(a *proto.Registered) held { return held{a.ConfigVersion, a.ConfigDigest} }
+func heldOf(a *proto.Registered) held {
+	return held{a.ConfigVersion, a.ConfigDigest, a.Term, a.DirectoryVersion, a.EntriesRevision}
+}
 
 // follow renews entry i at the period of an entry until ctx ends.
 func (f *followers) follow(ctx context.Context, i int, incarnation uint64) {
--- a/internal/measure/workers.go
+++ b/internal/measure/workers.go
@@ -8,6 +8,8 @@
 	"github.com/filbertmast/filbertmast/internal/api"
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/proto"
+	"github.com/filbertmast/filbertmast/internal/session"
+	"github.com/filbertmast/filbertmast/internal/state"
 	"github.com/filbertmast/filbertmast/internal/wire"
 )
 
@@ -28,6 +30,7 @@
 	count   int
 	ends    bool // whether tasks end by themselves
 	onStart func(model.TaskID, time.Time)
+	reports *session.ReportBatcher
 
 	mu       sync.Mutex
 	sessions map[model.WorkerID]uint64
@@ -40,6 +43,7 @@
 	w := &workers{l: l, count: count, ends: ends,
 		onStart:  func(model.TaskID, time.Time) {},
 		sessions: make(map[model.WorkerID]uint64), started: make(map[model.TaskID]bool)}
+	w.reports = session.NewReportBatcher(w.sendReports, 0, 0)
 	wire.HandlePost(l.endpoint, wire.KindCommands, func(_ wire.Peer, m *proto.Commands) { w.take(m) })
 	return w
 }
@@ -122,11 +126,24 @@
 	w.mu.Unlock()
 }
 
-// report sends one report as one call, as an entry does for a worker that has
-// no more to say.
+// report hands in one report, which shares a call with those of other workers
+// as it does at an entry.
 func (w *workers) report(worker model.WorkerID, session uint64, r api.Report) {
-	req := &proto.Reports{Worker: worker, Session: session, Reports: []api.Report{r}}
-	_, _ = call[proto.Reports, proto.Empty](context.Background(), w.l, wire.KindReports, req)
+	// A failed call is counted by the load.
+	_ = w.reports.Report(context.Background(), worker, session, []api.Report{r})
+}
+
+// sendReports sends a batch of reports to the leader.
+func (w *workers) sendReports(ctx context.Context, batch []session.WorkerReports) ([]error, error) {
+	req := &proto.Reports{}
+	for _, r := range batch {
+		req.Reports = append(req.Reports, state.WorkerReport(r))
+	}
+	resp, err := call[proto.Reports, proto.Reported](ctx, w.l, wire.KindReports, req)
+	if err != nil {
+		return nil, err
+	}
+	return make([]error, len(resp.Errors)), nil
 }
 
 func (w *workers) counts() (started, ended int) {
