--- a/internal/e2e/cell_test.go
+++ b/internal/e2e/cell_test.go
@@ -48,7 +48,7 @@
 
 // process is one process of the built binary.
 type process struct {
-	t        *testing.T
+	t        testing.TB
 	name     string
 	settings *settings.Settings // nil for stand-ins
 	args     []string
@@ -101,7 +101,7 @@
 
 // cell is a running deployment with its operator.
 type cell struct {
-	t         *testing.T
+	t         testing.TB
 	dir       string
 	operator  string // key
 	processes []*process
@@ -120,7 +120,7 @@
 }
 
 // newCell starts a cell and waits until every entry is ready.
-func newCell(t *testing.T, sh shape) *cell {
+func newCell(t testing.TB, sh shape) *cell {
 	t.Helper()
 	key, digest := declare.NewKey()
 	c := &cell{t: t, dir: t.TempDir(), operator: key, keys: make(map[string]string)}
@@ -351,7 +351,7 @@
 	return events
 }
 
-func freeAddresses(t *testing.T, network string, n int) []string {
+func freeAddresses(t testing.TB, network string, n int) []string {
 	t.Helper()
 	out := make([]string, n)
 	for i := range n {
--- /dev/null
+++ b/internal/e2e/chaos_test.go
@@ -0,0 +1,81 @@
+package e2e
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+const (
+	chaosSeed  = 1  // of the choice of processes and faults
+	chaosSteps = 8  // faults, one after the other
+	chaosJobs  = 12 // submissions acknowledged during each fault
+)
+
+// TestWorkGoesOnThroughAnyOneFault kills or freezes one process after another,
+// each while jobs and requests go on, and brings it back: every acknowledged job
+// has run and ends well, nothing runs in two places, no request that is not
+// repeatable runs twice, and every "not run" is true.
+func TestWorkGoesOnThroughAnyOneFault(t *testing.T) {
+	c := newCell(t, shape{control: 3, entries: 1})
+	c.apply(c.baseDeclarations())
+	c.awaitVersion()
+	c.standin("worker", "w1", c.processes, "--task-time", "20ms")
+	c.standin("worker", "w2", c.processes, "--task-time", "20ms")
+	c.awaitWorkers(2)
+	c.startExecutors(3)
+	l := c.startLoad(4, func(int) []*process { return c.processes }, "standin run=20ms")
+	random := rand.New(rand.NewPCG(chaosSeed, 0))
+	var ids []model.JobID
+	for step := range chaosSteps {
+		p := c.processes[random.IntN(len(c.processes))]
+		freeze := random.IntN(2) == 0
+		t.Logf("step %d: %s, frozen %v", step, p.name, freeze)
+		if freeze {
+			p.freeze()
+		} else {
+			p.kill()
+		}
+		ids = append(ids, c.submitNamed(fmt.Sprintf("step-%d", step), chaosJobs, c.others(p))...)
+		if freeze {
+			p.thaw()
+		} else {
+			p.start()
+		}
+		c.awaitReady(p)
+	}
+	c.checkTold(l.end())
+	cl := c.clientOf(c.keys["stands"])
+	for _, id := range ids {
+		assert.Equal(t, awaitJob(t, cl, id).Phase, "succeeded")
+	}
+	runs := runsOf(c.checkHistory())
+	for _, id := range ids {
+		assert.Assert(t, runs[model.TaskID{Job: id}] >= 1, "job %s ended and never ran", id)
+	}
+}
+
+// submitNamed hands in n jobs at once, whose names begin with prefix.
+func (c *cell) submitNamed(prefix string, n int, entries []*process) []model.JobID {
+	c.t.Helper()
+	cl := c.clientOf(c.keys["stands"], entries...)
+	ids := make([]model.JobID, n)
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			ids[i] = submitUntilAcknowledged(cl, fmt.Sprintf("%s-%d", prefix, i))
+		}()
+	}
+	wg.Wait()
+	for i, id := range ids {
+		assert.Assert(c.t, id != 0, "job %s-%d was never acknowledged", prefix, i)
+	}
+	return ids
+}
--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -26,7 +26,7 @@
 }
 
 // awaitJob waits until a job has ended.
-func awaitJob(t *testing.T, c *client.Client, id model.JobID) api.JobView {
+func awaitJob(t testing.TB, c *client.Client, id model.JobID) api.JobView {
 	t.Helper()
 	deadline := time.Now().Add(patience)
 	for {
