Fill the bound exactly in the test of waiting proposals

Change: the test fills the bound to the byte, and also asks that a larger proposal is refused; it is stricter than before.

--- a/internal/replica/inbox_test.go
+++ b/internal/replica/inbox_test.go
@@ -43,7 +43,8 @@
 func TestWaitingProposalsCountAgainstTheBound(t *testing.T) {
 	b := newInbox()
 	b.groups = rate.NewLimiter(0, 0)
-	assert.Assert(t, b.addProposal(proposal{data: make([]byte, maxUncommittedBytes+1)}, 0))
+	assert.Assert(t, !b.addProposal(proposal{data: make([]byte, maxUncommittedBytes+1)}, 0))
+	assert.Assert(t, b.addProposal(proposal{data: make([]byte, maxUncommittedBytes)}, 0))
 	assert.Equal(t, len(b.take().proposals), 0)
 	assert.Assert(t, !b.addProposal(proposalOf(1), 0))
 }
