Send a repeatable request elsewhere once its owner answers no pings

Cause: a request that was forwarded to a dead or frozen entry waited for its deadline, 4 s in the tests, though another entry could have served it. Ruled out: a shorter timeout, which would also give up on slow work. Change: 250 ms after a forward without an answer the peer is pinged; after two missed pings the try ends as unknown, and a repeatable request is tried again within its budget. Others wait for their deadline, since the answer may still come.

--- /dev/null
+++ b/internal/entry/ping.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/filbertmast/filbertmast/internal/proto"
+	"github.com/filbertmast/filbertmast/internal/wire"
+)
+
+const (
+	pingAfter   = 250 * time.Millisecond // without an answer to a forwarded request
+	pingTimeout = 250 * time.Millisecond
+	pingsMissed = 2 // in a row, after which a peer counts as dead
+)
+
+// watchPeer calls dead once the peer at address answers no pings any more, so
+// that a repeatable request can go elsewhere in place of waiting for its
+// deadline. A peer that is only slow is waited for. Stop ends the watch.
+func (s *Server) watchPeer(ctx context.Context, address string, dead func()) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(pingAfter, func() {
+		for missed := 0; ctx.Err() == nil; {
+			if s.ping(ctx, address) {
+				missed = 0
+				sleep(ctx, pingAfter)
+				continue
+			}
+			missed++
+			if missed == pingsMissed && ctx.Err() == nil {
+				s.log.Debug("Peer answers no pings.", "address", address)
+				dead()
+				return
+			}
+		}
+	})
+	return func() {
+		timer.Stop()
+		cancel()
+	}
+}
+
+func (s *Server) ping(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	_, err := wire.Call[proto.Empty, proto.Empty](ctx, s.opts.Endpoint, address, wire.KindPing, &proto.Empty{})
+	return err == nil
+}
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -52,6 +52,9 @@
 		Log:       o.Logger,
 	})
 	wire.HandleExchange(o.Endpoint, wire.KindForward, s.forwarded)
+	wire.Handle(o.Endpoint, wire.KindPing, func(context.Context, wire.Peer, *proto.Empty) (*proto.Empty, error) {
+		return &proto.Empty{}, nil
+	})
 }
 
 func (s *Server) serviceByName(name string) (model.Service, bool) {
@@ -195,11 +198,30 @@
 	if address == "" {
 		return nil, errkind.New(errkind.Unreachable, "entry %q is not known here", name)
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	watched := func() {}
+	if h.Repeatable {
+		watched = p.s.watchPeer(ctx, address, cancel)
+	}
 	head, answer, err := wire.Open[route.ForwardHeader, forwardAnswer](ctx, p.s.opts.Endpoint, address, wire.KindForward, h, body)
+	watched()
 	if err != nil {
+		cancel()
 		return nil, err
 	}
-	return &route.Answer{Status: head.Status, Header: head.Header, Body: answer, Size: head.Size}, nil
+	return &route.Answer{Status: head.Status, Header: head.Header, Body: closing{answer, cancel}, Size: head.Size}, nil
+}
+
+// closing ends a context when the body of an answer is closed.
+type closing struct {
+	io.ReadCloser
+	end context.CancelFunc
+}
+
+// Close implements io.Closer.
+func (c closing) Close() error {
+	defer c.end()
+	return c.ReadCloser.Close()
 }
 
 // permitUpstream carries asks for permits to the leader.
--- a/internal/wire/kinds.go
+++ b/internal/wire/kinds.go
@@ -31,6 +31,7 @@
 	KindForward      Kind = 29 // entry to owner: one request, with body streams
 	KindProbe        Kind = 30 // entry to control: who leads
 	KindReplace      Kind = 31 // control to leader: take the place of a dead replica
+	KindPing         Kind = 32 // entry to entry: whether it still answers
 )
 
 // Class groups kinds for counters and for the budget of the link between regions.
@@ -60,7 +61,7 @@
 // requests fill the link, workers would stop and entries fail closed.
 func ClassOf(k Kind) Class {
 	switch k {
-	case KindReplica, KindRegister, KindRenew, KindCommands, KindPermits, KindOwners, KindProbe:
+	case KindReplica, KindRegister, KindRenew, KindCommands, KindPermits, KindOwners, KindProbe, KindPing:
 		return ClassConsensus
 	case KindSnapshot:
 		return ClassCopy
