Answer a journaled request once its end is on record

Cause: the answer went out before its end was journaled, so that a resend through another entry right after it was told still_running. Change: the answer waits for the commit, at most 500 ms; the end of an abandoned request shares the code. The process tests no longer look at a process that another goroutine waits for.

--- a/internal/e2e/cell_test.go
+++ b/internal/e2e/cell_test.go
@@ -191,7 +191,7 @@
 func (c *cell) close() {
 	all := append(c.processes, c.standins...)
 	for _, p := range all {
-		if p.cmd != nil && p.cmd.ProcessState == nil {
+		if p.cmd != nil {
 			_ = p.cmd.Process.Signal(syscall.SIGCONT)
 			_ = p.cmd.Process.Kill()
 		}
--- a/internal/route/once.go
+++ b/internal/route/once.go
@@ -209,39 +209,43 @@
 		}
 		o.release()
 		record := kept.answer(ans)
-		go func() {
-			o.journalEnd("finish", func(ctx context.Context) error {
-				return o.router.opts.Journal.Finish(ctx, o.key, o.fence, record)
-			})
-			done()
-		}()
+		o.end("finish", done, true, func(ctx context.Context) error {
+			return o.router.opts.Journal.Finish(ctx, o.key, o.fence, record)
+		})
 	})
 }
 
-// abandon journals an end without an answer. When nothing ran it waits a moment,
-// so that a resend that follows the refusal finds the key free.
+// abandon journals an end without an answer. When nothing ran it waits, so that
+// a resend that follows the refusal finds the key free.
 func (o *onceCall) abandon(done func()) {
 	ran := o.mayRun
+	o.end("abandon", done, !ran, func(ctx context.Context) error {
+		return o.router.opts.Journal.Abandon(ctx, o.key, o.fence, ran)
+	})
+}
+
+// end journals the end of the request by call, and then calls done. With wait it
+// returns once that is committed, or after endWait, so that a resend which
+// follows the answer finds the end of the first send.
+func (o *onceCall) end(step string, done func(), wait bool, call func(context.Context) error) {
 	ended := make(chan struct{})
 	go func() {
 		defer done()
 		defer close(ended)
-		o.journalEnd("abandon", func(ctx context.Context) error {
-			return o.router.opts.Journal.Abandon(ctx, o.key, o.fence, ran)
-		})
+		o.journalEnd(step, call)
 	}()
-	if ran {
+	if !wait {
 		return
 	}
 	select {
 	case <-ended:
-	case <-time.After(abandonWait):
+	case <-time.After(endWait):
 	}
 }
 
 // Times of the calls that end a record.
 const (
-	abandonWait     = 500 * time.Millisecond
+	endWait         = 500 * time.Millisecond
 	journalTimeout  = time.Second // of one call
 	journalPause    = 50 * time.Millisecond
 	journalPauseMax = 2 * time.Second
