--- a/internal/e2e/bench_test.go
+++ b/internal/e2e/bench_test.go
@@ -41,7 +41,7 @@
 	c.awaitVersion()
 	executors := c.startExecutors(2)
 	w1 := c.standin("worker", "w1", c.processes)
-	c.awaitWorkers(1)
+	c.awaitWorkers(3) // the executors are workers without capacity
 	_, job := c.startLongTask("run=1h")
 	c.standin("worker", "w2", c.processes)
 	b.ResetTimer()
