Tell a caller that a draining peer turned away that nothing ran

Cause: a connection that a draining process turned away after its handshake was closed with the code of an ordinary end, so that a call already sent on it was told as outcome_unknown. Ruled out: the test's wait for the drain, which had ended. Change: a connection that is turned away before any stream of it was acted on closes with a code of its own, which callers tell as unreachable, not run.

--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -153,8 +153,13 @@
 	return errkind.Wrap(errkind.OutcomeUnknown, err, "no answer from "+to)
 }
 
-// refused reports whether the peer reset the stream without acting on it.
+// refused reports whether the peer reset the stream, or turned its connection
+// away, without acting on it.
 func refused(err error) bool {
+	var app *quic.ApplicationError
+	if errors.As(err, &app) {
+		return app.Remote && app.ErrorCode == codeRefused
+	}
 	var s *quic.StreamError
 	return errors.As(err, &s) && s.Remote && s.ErrorCode == streamRefused
 }
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -15,6 +15,7 @@
 	codeClosed  quic.ApplicationErrorCode = 0
 	codeIdle    quic.ApplicationErrorCode = 1
 	codeNoHello quic.ApplicationErrorCode = 2
+	codeRefused quic.ApplicationErrorCode = 3 // turned away before any stream of it was acted on
 )
 
 // Codes that reset a stream.
@@ -155,7 +156,7 @@
 func (c *conn) logEnd() {
 	cause := context.Cause(c.qc.Context())
 	var app *quic.ApplicationError
-	if errors.As(cause, &app) && (app.ErrorCode == codeIdle || app.ErrorCode == codeClosed) {
+	if errors.As(cause, &app) && (app.ErrorCode == codeIdle || app.ErrorCode == codeClosed || app.ErrorCode == codeRefused) {
 		return
 	}
 	c.e.log.Warn("Connection lost.", "peer", c.remote.Name, "address", c.remote.Address, "cause", cause)
--- a/internal/wire/endpoint.go
+++ b/internal/wire/endpoint.go
@@ -158,7 +158,7 @@
 	}
 	if e.draining.Load() {
 		e.metrics.refuse(reasonDraining)
-		qc.CloseWithError(codeClosed, "draining")
+		qc.CloseWithError(codeRefused, "draining")
 		return
 	}
 	e.adopt(c)
