Split the request path of an entry by job

Change: what is forwarded between entries, what is asked of the leader and the renewal of ownership each have a file; nothing else moves.

--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -12,7 +12,6 @@
 
 	"github.com/filbertmast/filbertmast/internal/api"
 	"github.com/filbertmast/filbertmast/internal/errkind"
-	"github.com/filbertmast/filbertmast/internal/journal"
 	"github.com/filbertmast/filbertmast/internal/limit"
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/owner"
@@ -21,9 +20,6 @@
 	"github.com/filbertmast/filbertmast/internal/wire"
 )
 
-// ownerRenewalsPerLease is how many renewals of ownership fall into one lease.
-const ownerRenewalsPerLease = 4
-
 // buildRequests wires the request path to the leader and to the other entries.
 func (s *Server) buildRequests() {
 	o := s.opts
@@ -164,149 +160,3 @@
 	}
 	return nil
 }
-
-// forwarded serves a request that another entry has passed on to this owner.
-func (s *Server) forwarded(ctx context.Context, _ wire.Peer, head *route.ForwardHeader, body io.Reader, reply *wire.Reply) {
-	answer, err := s.owner.Handle(ctx, head, body)
-	if err != nil {
-		_ = reply.Fail(err) // the caller's entry sees a broken stream instead
-		return
-	}
-	defer answer.Body.Close()
-	if err := reply.Send(forwardAnswer{Status: answer.Status, Header: answer.Header, Size: answer.Size}); err != nil {
-		return
-	}
-	if _, err := io.Copy(reply, answer.Body); err != nil {
-		return // without Close the stream is reset, and the other side sees the answer cut off
-	}
-	_ = reply.Close()
-}
-
-// forwardAnswer is the head of an answer that crosses between entries.
-type forwardAnswer struct {
-	Status int         `cbor:"1,keyasint"`
-	Header http.Header `cbor:"2,keyasint,omitempty"`
-	Size   int64       `cbor:"3,keyasint"`
-}
-
-// peers passes requests on to the entries that own executors.
-type peers struct{ s *Server }
-
-// Forward implements route.Peers.
-func (p peers) Forward(ctx context.Context, name string, h *route.ForwardHeader, body io.Reader) (*route.Answer, error) {
-	address := p.s.dir.addressOf(name)
-	if address == "" {
-		return nil, errkind.New(errkind.Unreachable, "entry %q is not known here", name)
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	watched := func() {}
-	if h.Repeatable {
-		watched = p.s.watchPeer(ctx, address, cancel)
-	}
-	head, answer, err := wire.Open[route.ForwardHeader, forwardAnswer](ctx, p.s.opts.Endpoint, address, wire.KindForward, h, body)
-	watched()
-	if err != nil {
-		cancel()
-		return nil, err
-	}
-	return &route.Answer{Status: head.Status, Header: head.Header, Body: closing{answer, cancel}, Size: head.Size}, nil
-}
-
-// closing ends a context when the body of an answer is closed.
-type closing struct {
-	io.ReadCloser
-	end context.CancelFunc
-}
-
-// Close implements io.Closer.
-func (c closing) Close() error {
-	defer c.end()
-	return c.ReadCloser.Close()
-}
-
-// permitUpstream carries asks for permits to the leader.
-type permitUpstream struct{ s *Server }
-
-// Ask implements limit.Upstream.
-func (u permitUpstream) Ask(ctx context.Context, demands []limit.Demand) ([]limit.Grant, error) {
-	req := &proto.Permits{Entry: u.s.self.Name, Incarnation: u.s.self.Incarnation, Demands: demands}
-	resp, err := tryLeader[proto.Permits, proto.Granted](ctx, u.s.leader, wire.KindPermits, req, 0)
-	if err != nil {
-		return nil, err
-	}
-	return resp.Grants, nil
-}
-
-// journalUpstream keeps records of requests at the leader.
-type journalUpstream struct{ s *Server }
-
-// Start implements route.JournalClient.
-func (u journalUpstream) Start(ctx context.Context, key journal.Key, digest [32]byte, writer string, deadline time.Time) (journal.StartResult, error) {
-	req := &proto.JournalStart{Key: key, Digest: digest, Entry: writer, Remaining: model.Duration(time.Until(deadline))}
-	resp, err := callLeader[proto.JournalStart, proto.JournalStarted](ctx, u.s.leader, wire.KindJournalStart, req, 0)
-	if err != nil {
-		return journal.StartResult{}, err
-	}
-	return resp.Result, nil
-}
-
-// Finish implements route.JournalClient.
-func (u journalUpstream) Finish(ctx context.Context, key journal.Key, fence model.Fence, a *journal.Answer) error {
-	return u.end(ctx, &proto.JournalEnd{Key: key, Fence: fence, Answer: a, Ran: true})
-}
-
-// Abandon implements route.JournalClient.
-func (u journalUpstream) Abandon(ctx context.Context, key journal.Key, fence model.Fence, ran bool) error {
-	return u.end(ctx, &proto.JournalEnd{Key: key, Fence: fence, Ran: ran})
-}
-
-func (u journalUpstream) end(ctx context.Context, req *proto.JournalEnd) error {
-	_, err := callLeader[proto.JournalEnd, proto.Empty](ctx, u.s.leader, wire.KindJournalEnd, req, 0)
-	return err
-}
-
-// renewOwners keeps up the leases on executors until ctx ends.
-func (s *Server) renewOwners(ctx context.Context) {
-	period := s.set.Limits.RequestLease.Std() / ownerRenewalsPerLease
-	for {
-		s.renewOwnersOnce(ctx, period)
-		timer := time.NewTimer(jitter(period))
-		select {
-		case <-timer.C:
-		case <-s.renewNow:
-			timer.Stop()
-			sleep(ctx, earlyRenewal)
-		case <-ctx.Done():
-			timer.Stop()
-			return
-		}
-	}
-}
-
-// earlyRenewal is the pause before a renewal out of turn, so that many reasons
-// for one share it.
-const earlyRenewal = 10 * time.Millisecond
-
-// renewSoon asks for a renewal of ownership out of turn.
-func (s *Server) renewSoon() {
-	select {
-	case s.renewNow <- struct{}{}:
-	default:
-	}
-}
-
-func (s *Server) renewOwnersOnce(ctx context.Context, period time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, period)
-	defer cancel()
-	// The horizon must still lie beyond the deadline of a request that comes
-	// just before the answer to the next renewal.
-	life := max(s.owner.Life(), s.set.Limits.RequestTimeout.Std()+3*period)
-	req := s.leases.Renewal(time.Now(), s.owner.Load(), life)
-	resp, err := tryLeader[owner.Renewal, owner.Renewed](ctx, s.leader, wire.KindOwners, req, 0)
-	if err != nil {
-		s.metrics.retried(errkind.Of(err))
-		return
-	}
-	s.leases.Apply(resp)
-	s.owner.Update() // also without a change: requests may wait for the longer lease
-}
