Build the directory only for entries that need it

Cause: each renewal of an entry built and sorted the rows of all executors on the leader's control goroutine, and dropped them where nothing was new. Change: the version is asked for by itself; the rows are built for an entry that holds another one.

--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -55,10 +55,9 @@
 	if !sameTerm || req.EntriesRevision != out.EntriesRevision {
 		out.Entries = l.c.machine.Members()
 	}
-	dirVersion, rows := l.owners.Directory()
-	out.DirectoryVersion = dirVersion
-	if !sameTerm || req.DirectoryVersion != dirVersion {
-		out.Directory = rows
+	out.DirectoryVersion = l.owners.Version()
+	if !sameTerm || req.DirectoryVersion != out.DirectoryVersion {
+		_, out.Directory = l.owners.Directory()
 	}
 	confirmed(l.c, done, out)
 }
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -310,6 +310,9 @@
 	t.version++
 }
 
+// Version returns the version of the directory without building its rows.
+func (t *Table) Version() uint64 { return t.version }
+
 // Directory returns the rows of all executors, sorted by ID, and the version
 // of the directory, which rises with every change.
 func (t *Table) Directory() (uint64, []DirectoryRow) {
--- /dev/null
+++ b/internal/owner/version_test.go
@@ -0,0 +1,43 @@
+package owner
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// tableOf returns a table of n executors that nobody owns.
+func tableOf(n int) *Table {
+	t := NewTable(Options{})
+	t.NewTerm(1, 0, 0)
+	for i := range n {
+		t.Announce(model.ExecutorSpec{ID: fmt.Sprintf("x%d", i), Service: "fit", Slots: 8}, "south", false)
+	}
+	return t
+}
+
+func TestVersionIsThatOfTheDirectory(t *testing.T) {
+	table := tableOf(3)
+	version, rows := table.Directory()
+	assert.Equal(t, table.Version(), version)
+	assert.Equal(t, len(rows), 3)
+}
+
+// BenchmarkDirectory compares asking for the version with building the rows,
+// at the number of executors of the target.
+func BenchmarkDirectory(b *testing.B) {
+	table := tableOf(9600)
+	b.Run("version", func(b *testing.B) {
+		for b.Loop() {
+			table.Version()
+		}
+	})
+	b.Run("rows", func(b *testing.B) {
+		for b.Loop() {
+			table.Directory()
+		}
+	})
+}
