Let a step fail by its declared attempts alone

Cause: five failures on good workers before a first success made the scheduler give the whole job up; a step of 32 tasks meets that by chance. Ruled out by a debug log: no permit was missing and no stop was left open. Change: jobs of workflows carry their own budget.

--- a/internal/control/feed.go
+++ b/internal/control/feed.go
@@ -26,6 +26,8 @@
 			StartBy: e.Job.StartBy,
 			Price:   e.Job.Price,
 			Gated:   l.policy.add(e.Job),
+
+			Budgeted: e.Job.Step != nil,
 		})
 	case state.JobsCancelled:
 		l.sched.Apply(schedule.JobsCancelled{IDs: e.IDs})
--- a/internal/schedule/apply.go
+++ b/internal/schedule/apply.go
@@ -53,6 +53,7 @@
 		tasks:       make([]task, e.Spec.Tasks),
 		maxRestarts: e.Spec.MaxRestarts,
 		gate:        newGate(e.Gated),
+		budgeted:    e.Budgeted,
 	}
 	s.jobs[e.ID] = j
 	heap.Push(&s.deadlines, j)
--- a/internal/schedule/event.go
+++ b/internal/schedule/event.go
@@ -43,6 +43,9 @@
 	StartBy model.Time // submission time plus patience
 	Price   int64      // micro-units a core-second
 	Gated   bool       // may only be placed on workers that a JobPermitted names
+	// Budgeted jobs fail by their restart budget alone, however many workers
+	// their first attempts failed on.
+	Budgeted bool
 }
 
 // JobPermitted replaces the workers on which a gated job may be placed.
--- a/internal/schedule/health.go
+++ b/internal/schedule/health.go
@@ -126,7 +126,7 @@
 // blame counts a failure on a good worker. A job none of whose tasks has
 // succeeded, and that failed on enough of them, is told as bad.
 func (s *Scheduler) blame(j *job, w *worker) {
-	if j.succeeded || w.onProbation() {
+	if j.succeeded || j.budgeted || w.onProbation() {
 		return
 	}
 	if j.faults == nil {
--- a/internal/schedule/job.go
+++ b/internal/schedule/job.go
@@ -62,6 +62,7 @@
 	toldMisfit  uint32 // version of the group's misfit that was told
 
 	queued    bool // in group.jobs
+	budgeted  bool // fails by its restart budget alone
 	cancelled bool // closed: nothing pending is left
 	started   bool // a task has been placed, or the missed promise was told
 	succeeded bool // a task has
