Call the workers that a new leader inherits

Change: the crew begins once the leader stands; a start whose permit is not known is withdrawn by a stop.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -86,6 +86,7 @@
 	}
 	if leads && c.lead == nil {
 		c.lead = newLeader(c, l.Term)
+		c.lead.crew.begin()
 		c.log.Info("This process leads.", "term", l.Term, "index", c.machine.Index())
 	}
 	c.s.metrics.leads.Set(boolGauge(c.lead != nil))
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -78,7 +78,6 @@
 	l.syncLimits()
 	l.holdAllRequests()
 	l.leases.Begin(now, held)
-	l.crew.begin()
 	return l
 }
 
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -58,6 +58,12 @@
 	if until == 0 {
 		return // the next list of the worker brings its clock, and the order with it
 	}
+	permit, permitted := c.l.policy.token(id.Job, m.to.Worker)
+	if !permitted {
+		// An earlier leader placed the task, and may have sent the start.
+		c.withdraw(id, "the permit is not known")
+		return
+	}
 	w := c.l.c.machine.Workflow(j.Step.Workflow)
 	req := &courier.Start{
 		Run:        runOf(id, j, t),
@@ -65,7 +71,7 @@
 		Fence:      c.l.term,
 		LeaseUntil: until,
 		Checkpoint: j.Checkpoint(id.Index),
-		Permit:     c.l.policy.desk.Token(id.Job, m.to.Worker),
+		Permit:     permit,
 	}
 	o.open, o.stop = true, false
 	c.call(func(ctx context.Context, caller courier.Caller) courier.Answer {
@@ -119,6 +125,8 @@
 		c.refused(m, id, o, t, a)
 	case courier.Refused:
 		c.refused(m, id, o, t, a)
+	case courier.Outdated:
+		c.withdraw(id, a.Reason)
 	case courier.Unknown:
 		o.doubtful = true // the next list tells, or brings the order again
 	}
@@ -128,13 +136,19 @@
 // no answer, that one may still be: the run is stopped first.
 func (c *crew) refused(m *calledWorker, id model.TaskID, o *order, t *state.Task, a courier.Answer) {
 	if o.doubtful {
-		cmd := &state.Stop{Tasks: []state.TaskStop{{Task: id, Cause: state.StopPreempted, Reason: a.Reason}}}
-		c.l.c.propose(&state.Command{Stop: cmd}, func(state.Result, error) {})
+		c.withdraw(id, a.Reason)
 		return
 	}
 	c.note(m, api.Report{Task: id, Fence: t.Fence, State: api.ReportStopped, Reason: a.Reason})
 }
 
+// withdraw stops a start that may have been sent without an answer. The task
+// waits again once the worker has confirmed that.
+func (c *crew) withdraw(id model.TaskID, reason string) {
+	cmd := &state.Stop{Tasks: []state.TaskStop{{Task: id, Cause: state.StopPreempted, Reason: reason}}}
+	c.l.c.propose(&state.Command{Stop: cmd}, func(state.Result, error) {})
+}
+
 // stopped takes in the answer to a stop. The end comes with a list.
 func (c *crew) stopped(m *calledWorker, id model.TaskID, o *order, a courier.Answer) {
 	o.open = false
--- a/internal/control/policy.go
+++ b/internal/control/policy.go
@@ -144,6 +144,16 @@
 	p.l.dirty = true
 }
 
+// token returns the permit of a job for a worker, and whether the job may be
+// started there: a job that needs no permit may.
+func (p *policy) token(id model.JobID, worker model.WorkerID) (string, bool) {
+	if _, gated := p.costs[id]; !gated {
+		return "", true
+	}
+	token := p.desk.Token(id, worker)
+	return token, token != ""
+}
+
 // void drops a permit that a worker did not take.
 func (p *policy) void(id model.JobID, worker model.WorkerID) {
 	p.desk.Void(id, worker)
