Close a connection to an earlier life of a process at once

Without certificate files there is no reset key that outlives a process. Ruled out: the membership change itself, which took 0.1 s where the old connection had been reset. Change: a hello tells when the process started, and a later start closes the older connection; silence ends a connection after 3 s in place of 10.

--- a/internal/wire/endpoint.go
+++ b/internal/wire/endpoint.go
@@ -86,7 +86,13 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Endpoint{
-		self:      Peer{Name: o.Name, Address: address, Region: o.Region, FailureDomain: o.FailureDomain},
+		self: Peer{
+			Name:          o.Name,
+			Address:       address,
+			Region:        o.Region,
+			FailureDomain: o.FailureDomain,
+			Started:       time.Now().UnixNano(),
+		},
 		budget:    o.Budget,
 		log:       logger.WithPrefix("wire"),
 		metrics:   newMetrics(o.Registerer),
--- a/internal/wire/faults_test.go
+++ b/internal/wire/faults_test.go
@@ -336,3 +336,45 @@
 	assert.Assert(t, bytes.Equal(got, body))
 	r.Close()
 }
+
+// A process that lost power says nothing, and its reset key is gone with it
+// where certificates live in memory only.
+func TestPostsReachAProcessThatStartedAgainWithoutAReset(t *testing.T) {
+	a := listen(t, "a", func(o *Options) { o.Open = true })
+	b := listen(t, "b", func(o *Options) { o.Open = true })
+	handleEcho(a)
+	address := b.Address()
+	got := make(chan string, 16)
+	take := func(_ Peer, m *echoRequest) { got <- m.Text }
+	HandlePost(b, KindReplica, take)
+	assert.NilError(t, Post(a, address, KindReplica, &echoRequest{Text: "before"}))
+	assert.Equal(t, <-got, "before")
+	b.socket.Close()
+	again := listen(t, "b", func(o *Options) {
+		o.Address, o.Open = address, true
+		o.TLS = otherLocalTLS(t)
+	})
+	HandlePost(again, KindReplica, take)
+	assert.NilError(t, echo(testContext(t), again, a.Address(), "back"))
+	waitFor(t, func() bool {
+		assert.NilError(t, Post(a, address, KindReplica, &echoRequest{Text: "after"}))
+		select {
+		case text := <-got:
+			return text == "after"
+		case <-time.After(idleTimeout / 20):
+			return false
+		}
+	})
+	p := a.peer(address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	assert.Equal(t, p.conn.remote.Started, again.self.Started)
+}
+
+// otherLocalTLS makes a certificate that no other endpoint of this process has.
+func otherLocalTLS(t *testing.T) *tls.Config {
+	t.Helper()
+	conf, err := makeLocalTLS()
+	assert.NilError(t, err)
+	return conf
+}
--- a/internal/wire/options.go
+++ b/internal/wire/options.go
@@ -16,10 +16,12 @@
 
 	protocolName     = "filbertmast/1"
 	handshakeTimeout = 2 * time.Second
-	idleTimeout      = 10 * time.Second
-	keepAlivePeriod  = 3 * time.Second
-	maxStreams       = 4096 // open calls and exchanges on one connection
-	maxPostStreams   = 64   // one for each kind, with room for replaced ones
+	// idleTimeout is how long a connection may be silent before it is taken for
+	// dead: messages of the log wait for it, so that it stays below a lease.
+	idleTimeout     = 3 * time.Second
+	keepAlivePeriod = time.Second
+	maxStreams      = 4096 // open calls and exchanges on one connection
+	maxPostStreams  = 64   // one for each kind, with room for replaced ones
 
 	maxQueuedBytes    = 32 << 20 // one-way messages waiting for one peer
 	maxQueuedMessages = 8192
@@ -73,4 +75,7 @@
 	Address       string `cbor:"2,keyasint"` // the address that the peer listens on
 	Region        string `cbor:"3,keyasint"`
 	FailureDomain string `cbor:"4,keyasint"`
+	// Started is when the process started, in Unix nanoseconds. It tells a process
+	// that has started again from one that dials a second time.
+	Started int64 `cbor:"5,keyasint,omitempty"`
 }
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -144,10 +144,14 @@
 }
 
 // offer makes an accepted connection the one to use. The peer dialled it, so it
-// held no older one, or has restarted since.
+// held no older one, or has restarted since. After a restart an older one is
+// dead, though nothing has told so: what waits on it is set free.
 func (p *peer) offer(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if old := p.conn; old != nil && old != c && old.remote.Started != c.remote.Started {
+		go old.close(codeClosed, "the peer has started again")
+	}
 	p.conn = c
 	p.failures = 0
 	p.nextDial = time.Time{}
