Remove replaced replicas from the group, and promote distant learners under load

Cause: a replica that had lost its disk was promoted only once it held what was committed at that moment, which a replica 20 ms away never does under load; and when it was promoted in the end, it stopped asking, so that the dead voter stayed. Ruled out: a second founding, and a loss in the log; the remaining replicas held every entry. Change: a learner is promoted once it holds what was committed when that was first asked; the leader removes a replica whose address another one has, and a silent one that the group does not need. A replica that was removed empties its folder and joins anew. Time that a machine is suspended counts in the leader's clock.

--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -34,6 +34,7 @@
 	Replace(ctx context.Context, dead, id replica.ID, address string) error
 	AddLearner(ctx context.Context, id replica.ID, address string) error
 	Promote(ctx context.Context, id replica.ID) error
+	Remove(ctx context.Context, id replica.ID) error
 	TransferLeadership(ctx context.Context) error
 }
 
@@ -51,6 +52,9 @@
 	SnapshotEntries uint64
 	Times           Times
 	Scheduling      schedule.Options
+	// Tolerate is how many voters may be lost at once. Beyond the voters that
+	// this takes, those that stay silent are removed. Zero: none are.
+	Tolerate int
 	// Caller reaches workers that take orders by call. Nil: there are none.
 	Caller courier.Caller
 }
@@ -89,6 +93,7 @@
 	calls   chan func(*core)
 	stopped chan struct{}
 	start   time.Time
+	booted  time.Duration // of the machine, at start
 }
 
 // NewServer returns a Server whose handlers are registered on the endpoint.
@@ -104,15 +109,16 @@
 		calls:   make(chan func(*core), callQueue),
 		stopped: make(chan struct{}),
 		start:   time.Now(),
+		booted:  replica.BootTime(),
 	}
 	s.register()
 	return s
 }
 
-// now returns the wall time at start plus the monotonic time since, so that a
-// step of the wall clock moves no lease.
+// now returns the wall time at start plus the time since, so that a step of the
+// wall clock moves no lease and time that the machine was suspended counts.
 func (s *Server) now() model.Time {
-	return model.TimeOf(s.start.Add(time.Since(s.start)))
+	return model.TimeOf(s.start.Add(replica.BootTime() - s.booted))
 }
 
 // Run is the control goroutine. It returns when ctx ends or the log closes.
@@ -121,6 +127,7 @@
 	c := newCore(s)
 	tick := time.NewTicker(s.opts.Times.Tick)
 	defer tick.Stop()
+	go s.repair(ctx)
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/replica/clock.go
+++ b/internal/replica/clock.go
@@ -6,9 +6,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// bootTime returns the time since boot. Unlike the runtime's monotonic clock it
+// BootTime returns the time since boot. Unlike the runtime's monotonic clock it
 // goes on while the machine is suspended.
-func bootTime() time.Duration {
+func BootTime() time.Duration {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
 		panic(err) // the clock is there on every Linux that Go supports
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -116,7 +116,7 @@
 		o.MinFreeBytes = minFreeBytes
 	}
 	if o.Now == nil {
-		o.Now = bootTime
+		o.Now = BootTime
 	}
 	return o
 }
--- a/internal/replica/raft/change.go
+++ b/internal/replica/raft/change.go
@@ -42,7 +42,9 @@
 	return c.propose(c.Config().with(Peer{ID: id, Address: address}))
 }
 
-// Promote makes a learner a voter, once it holds every committed entry.
+// Promote makes a learner a voter, once it holds every entry that was committed
+// when this was first asked. What was committed since it holds before the change
+// is committed itself, which a quorum with the new voter decides.
 func (c *Core) Promote(id ID) error {
 	if err := c.mayChange(); err != nil {
 		return err
@@ -55,7 +57,10 @@
 		return nil
 	}
 	p := c.progress[id]
-	if !c.opts.unsafe.promoteUnready && (p.match < c.log.committed || p.silence > c.opts.ElectionTicks) {
+	if p.goal == 0 {
+		p.goal = c.log.committed
+	}
+	if !c.opts.unsafe.promoteUnready && (p.match < p.goal || p.silence > c.opts.ElectionTicks) {
 		return ErrNotCaughtUp
 	}
 	peer.Voter = true
--- a/internal/replica/raft/progress.go
+++ b/internal/replica/raft/progress.go
@@ -26,6 +26,11 @@
 
 	ackSeq  uint64 // highest heartbeat round acknowledged
 	silence int    // ticks since the peer was last heard
+
+	// goal is what was committed when the peer was first to be promoted; zero: it
+	// was not. To hold what is committed now would be a race that a distant peer
+	// never wins under load.
+	goal uint64
 }
 
 type inflight struct {
--- a/internal/replica/raft/scenario_test.go
+++ b/internal/replica/raft/scenario_test.go
@@ -287,6 +287,27 @@
 	}
 }
 
+// A learner that is one round behind for good, since proposals never pause, is
+// promoted all the same.
+func TestADistantLearnerIsPromotedUnderLoad(t *testing.T) {
+	s := newScript(t, 3, unsafeOptions{})
+	s.elect(1, 1, 2, 3)
+	s.crash(s.find(3))
+	s.nodes = append(s.nodes, s.boot(4, simDisk{}))
+	assert.NilError(t, s.core(1).AddLearner(4, "4"))
+	s.settle(s.find(1))
+	promoted := false
+	for round := 0; round < 10 && !promoted; round++ {
+		s.propose(s.find(1))
+		s.exchange(1, 2)
+		promoted = s.core(1).Promote(4) == nil
+		s.tick()
+		s.exchange(1, 2, 4)
+	}
+	assert.Assert(t, promoted)
+	assert.NilError(t, s.broken)
+}
+
 // heal brings all nodes back and lets them exchange everything for a while.
 func (s *script) heal() {
 	var ids []ID
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -30,6 +30,7 @@
 	"github.com/filbertmast/filbertmast/internal/schedule"
 	"github.com/filbertmast/filbertmast/internal/settings"
 	"github.com/filbertmast/filbertmast/internal/state"
+	"github.com/filbertmast/filbertmast/internal/storage"
 	"github.com/filbertmast/filbertmast/internal/wire"
 )
 
@@ -181,6 +182,7 @@
 		Bootstrap:       model.KeyDigest(p.set.Bootstrap.OperatorKeyDigest),
 		SnapshotEntries: uint64(p.set.Data.SnapshotEntries),
 		Times:           controlTimes(p.set),
+		Tolerate:        p.set.Control.Tolerate,
 		Caller:          callerOf(o.Adapter),
 		Scheduling:      schedule.Options{Seed: 1, BackoffBase: p.set.Limits.RestartBackoff.Std()},
 	})
@@ -191,13 +193,25 @@
 	p.spawn(func() {
 		select {
 		case err := <-node.Fatal():
-			p.failed <- err
+			p.failed <- p.forgetRemoved(err)
 		case <-ctx.Done():
 		}
 	})
 	return nil
 }
 
+// forgetRemoved empties the data folder of a replica that the group has removed,
+// where processes join by themselves, so that it comes back as a new one.
+func (p *Process) forgetRemoved(err error) error {
+	if !errors.Is(err, replica.ErrRemoved) || len(p.set.Control.Seeds) == 0 {
+		return err
+	}
+	if wipeErr := replica.Wipe(storage.OS{}, p.set.Data.Dir); wipeErr != nil {
+		return errors.Join(err, wipeErr)
+	}
+	return err
+}
+
 func stateOptions(set *settings.Settings) state.Options {
 	return state.Options{KeepFinished: set.Limits.KeepFinished, Journal: journal.Options{
 		Keep:       set.Limits.JournalKeep.Std(),
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -191,6 +191,7 @@
 func (c *checker) control(s *Settings) {
 	founders := s.Control.Founders
 	seeded := len(s.Control.Seeds) > 0
+	c.between("$.control.tolerate", int64(s.Control.Tolerate), 0, maxFounders/2)
 	c.addresses("$.control.seeds", s.Control.Seeds)
 	if n := len(founders); !seeded && (n%2 == 0 || n > maxFounders) {
 		c.fail("$.control.founders", n, "must list an odd number of addresses, from 1 to %d", maxFounders)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -112,6 +112,9 @@
 	// FirstStart says that the whole deployment starts for the first time, so that
 	// the seeds found the group. Otherwise an empty data folder joins the group.
 	FirstStart bool `json:"first_start"`
+	// Tolerate is how many control processes may be lost at once. With more voters
+	// than that takes, one that stays silent is removed from the group.
+	Tolerate int `json:"tolerate"`
 }
 
 // Limits holds leases, bounds and budgets.
