End a gang's attempt also when one member is not taken or is preempted

The test of the state failed for it first, as one did for a preempted member. Change: such an end stops the other members as a failure does. A start without an answer is sent again after 50 ms, and a call on a connection that a worker has closed goes out on a new one at once.

--- a/internal/control/crew.go
+++ b/internal/control/crew.go
@@ -19,6 +19,8 @@
 	lookSlack = 700 * time.Millisecond
 	// orderTimeout bounds one order. Without an answer it may still be carried out.
 	orderTimeout = time.Second
+	// orderRetry is the time before a start without an answer is sent again.
+	orderRetry = 50 * time.Millisecond
 	// lookRetry is the time before a look that failed is tried again.
 	lookRetry = 200 * time.Millisecond
 	// maxReportsInFlight bounds the commits of reports that are on their way.
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -40,7 +40,9 @@
 	}
 	switch t.Phase {
 	case model.TaskStarting:
-		c.start(m, id, o, j, t)
+		if o.confirmed == 0 {
+			c.start(m, id, o, j, t)
+		}
 	case model.TaskStopping:
 		c.stopRun(m, id, o, j, t)
 	}
@@ -128,7 +130,8 @@
 	case courier.Outdated:
 		c.withdraw(id, a.Reason)
 	case courier.Unknown:
-		o.doubtful = true // the next list tells, or brings the order again
+		o.doubtful = true
+		c.later(orderRetry, func() { c.order(m, id) }) // a run that is there already is no error
 	}
 }
 
--- a/internal/state/report.go
+++ b/internal/state/report.go
@@ -108,8 +108,10 @@
 		m.end(j, r.Task, model.TaskCancelled, model.OutcomeStopped, r)
 	case t.Stop == StopPreempted || t.Stop == StopDrained:
 		m.end(j, r.Task, model.TaskPending, model.OutcomePreempted, r)
+		m.endGang(j, "another member was stopped")
 	case t.Stop == StopNone && (t.Phase == model.TaskStarting || j.Step != nil):
 		m.end(j, r.Task, model.TaskPending, model.OutcomeNotStarted, r)
+		m.endGang(j, "another member was not taken")
 	default:
 		m.end(j, r.Task, model.TaskFailed, model.OutcomeFailed, r)
 	}
@@ -181,6 +183,7 @@
 		}
 		if m.stopTask(j, s.Task, s.Cause, s.Reason) {
 			n++
+			m.stopMembers(j, s.Cause, s.Reason)
 		}
 	}
 	return Result{Count: n}
--- /dev/null
+++ b/internal/state/workflow_test.go
@@ -0,0 +1,207 @@
+package state
+
+import (
+	"bytes"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// flowScript is a script with a shared queue, and helpers for one workflow.
+type flowScript struct {
+	*script
+	t *testing.T
+}
+
+func newFlowScript(t *testing.T) *flowScript {
+	t.Helper()
+	s := newScript()
+	d := testDeclarations()
+	d.Queues = append(d.Queues, model.Queue{Name: "flows", Workspace: "plans", Shared: true, MaxAttempts: 3})
+	assert.NilError(t, s.apply(&Command{Declare: &Declare{ApplyID: "first", Declarations: d}}).Err)
+	s.apply(announceOf("w1", 8000))
+	s.apply(announceOf("w2", 8000))
+	return &flowScript{s, t}
+}
+
+func stepOf(policy model.Policy, tasks int32, after ...int32) model.Step {
+	return model.Step{Policy: policy, Tasks: tasks, Size: model.Resources{CPU: 1000}, After: after}
+}
+
+func (s *flowScript) submit(id model.WorkflowID, steps ...model.Step) Result {
+	return s.apply(&Command{SubmitWorkflow: &SubmitWorkflow{
+		Spec: model.WorkflowSpec{ID: id, Team: "stands", Queue: "flows", Steps: steps},
+	}})
+}
+
+// place starts every pending task of a step, in turn on both workers.
+func (s *flowScript) place(id model.WorkflowID, step int) model.JobID {
+	s.t.Helper()
+	job := s.m.Workflow(id).Jobs[step]
+	assert.Assert(s.t, job != 0, "step %d has no job", step)
+	cmd := &Place{}
+	for i := range s.m.Job(job).Spec.Tasks {
+		if s.m.Job(job).Task(i).Phase == model.TaskPending {
+			cmd.Placements = append(cmd.Placements, placeOf(job, i, []model.WorkerID{"w1", "w2"}[i%2], 1000))
+		}
+	}
+	assert.Equal(s.t, s.apply(&Command{Place: cmd}).Count, len(cmd.Placements))
+	return job
+}
+
+// tell reports of the current attempt of a task.
+func (s *flowScript) tell(job model.JobID, index int32, what api.ReportState) {
+	s.t.Helper()
+	t := s.m.Job(job).Task(index)
+	worker := s.m.TaskWorker(t)
+	r := api.Report{Task: model.TaskID{Job: job, Index: index}, Fence: t.Fence, State: what, Checkpoint: "saved"}
+	cmd := &Report{Reports: []WorkerReport{{Worker: worker, Session: s.m.Worker(worker).Session, Reports: []api.Report{r}}}}
+	assert.Equal(s.t, s.apply(&Command{Report: cmd}).Count, 1)
+}
+
+func TestStepsRunInOrder(t *testing.T) {
+	s := newFlowScript(t)
+	assert.NilError(t, s.submit("f", stepOf(model.PolicyBatch, 1), stepOf(model.PolicyBatch, 1), stepOf(model.PolicyBatch, 1, 0, 1)).Err)
+	w := s.m.Workflow("f")
+	assert.Equal(t, w.Phase(), "waiting")
+	assert.Equal(t, s.m.IdleWorkflows("flows"), int64(1))
+	assert.Assert(t, w.Jobs[0] != 0 && w.Jobs[1] != 0 && w.Jobs[0] != w.Jobs[1] && w.Jobs[2] == 0)
+	first, second := s.place("f", 0), s.place("f", 1)
+	assert.Equal(t, w.Phase(), "running")
+	assert.Equal(t, s.m.IdleWorkflows("flows"), int64(0))
+	s.tell(first, 0, api.ReportSucceeded)
+	assert.Assert(t, w.Jobs[2] == 0, "step 2 waits for both")
+	s.tell(second, 0, api.ReportSucceeded)
+	s.tell(s.place("f", 2), 0, api.ReportSucceeded)
+	assert.Equal(t, w.Phase(), "succeeded")
+}
+
+func TestAResentWorkflowIsTheFirst(t *testing.T) {
+	s := newFlowScript(t)
+	assert.Assert(t, !s.submit("f", stepOf(model.PolicyBatch, 1)).Existing)
+	assert.Assert(t, s.submit("f", stepOf(model.PolicyBatch, 9)).Existing)
+	assert.Equal(t, len(s.m.Workflow("f").Spec.Steps), 1)
+	foreign := &SubmitWorkflow{Spec: model.WorkflowSpec{ID: "f", Team: "guards", Queue: "flows", Steps: []model.Step{stepOf(model.PolicyBatch, 1)}}}
+	assert.Equal(t, errkind.Of(s.apply(&Command{SubmitWorkflow: foreign}).Err), errkind.IdempotencyConflict)
+}
+
+func TestAStepFailsByItsAttempts(t *testing.T) {
+	s := newFlowScript(t)
+	s.submit("f", stepOf(model.PolicyBatch, 1), stepOf(model.PolicyBatch, 1, 0))
+	for attempt := uint32(1); attempt <= 3; attempt++ {
+		assert.Equal(t, s.m.Workflow("f").Phase() == "failed", false)
+		job := s.place("f", 0)
+		assert.Equal(t, s.m.Job(job).Task(0).Attempt, attempt)
+		s.tell(job, 0, api.ReportFailed)
+	}
+	assert.Equal(t, s.m.Workflow("f").Phase(), "failed")
+	assert.Assert(t, s.m.Workflow("f").Jobs[1] == 0)
+}
+
+// The members of a gang run together: whatever ends one ends the attempt of all,
+// and the next begins once none holds a place.
+func TestAGangHasOneEnd(t *testing.T) {
+	rows := []struct {
+		name   string
+		first  api.ReportState // of member 0, before any member has started
+		others model.TaskPhase
+	}{
+		{"a member that fails", api.ReportFailed, model.TaskStopping},
+		{"a member that is not taken", api.ReportStopped, model.TaskStopping},
+		{"a member whose lease ended", api.ReportLapsed, model.TaskStopping},
+		{"a member that was broken off", api.ReportBroken, model.TaskStopping},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			s := newFlowScript(t)
+			s.submit("f", stepOf(model.PolicyGang, 3))
+			job := s.place("f", 0)
+			s.tell(job, 0, row.first)
+			j := s.m.Job(job)
+			assert.Equal(t, j.Task(0).Phase, model.TaskPending)
+			assert.Equal(t, j.Task(1).Phase, row.others)
+			part := &Place{Placements: []Placement{placeOf(job, 0, "w1", 1000)}}
+			assert.Equal(t, s.apply(&Command{Place: part}).Count, 0, "no member starts while others hold a place")
+			s.tell(job, 1, api.ReportStopped)
+			s.tell(job, 2, api.ReportBroken)
+			s.place("f", 0)
+			for i := range int32(3) {
+				assert.Equal(t, j.Task(i).Attempt, uint32(2))
+				assert.Equal(t, j.Checkpoint(i), "saved", "any member's checkpoint is that of all")
+			}
+			s.tell(job, 1, api.ReportSucceeded)
+			assert.Equal(t, s.m.Workflow("f").Phase(), "succeeded", "one success is that of all")
+			assert.Equal(t, len(s.m.Worker("w1").Held), 0)
+		})
+	}
+}
+
+func TestAPreemptedMemberTakesItsGangWithIt(t *testing.T) {
+	s := newFlowScript(t)
+	s.submit("f", stepOf(model.PolicyGang, 2))
+	job := s.place("f", 0)
+	s.apply(&Command{Stop: &Stop{Tasks: []TaskStop{{Task: model.TaskID{Job: job}, Cause: StopPreempted}}}})
+	assert.Equal(t, s.m.Job(job).Task(1).Phase, model.TaskStopping)
+}
+
+func TestACancelledWorkflowStopsWhatRuns(t *testing.T) {
+	s := newFlowScript(t)
+	s.submit("f", stepOf(model.PolicyBatch, 2), stepOf(model.PolicyBatch, 1, 0))
+	job := s.place("f", 0)
+	cancel := &Command{CancelWorkflow: &CancelWorkflow{Team: "stands", ID: "f"}}
+	assert.Equal(t, s.apply(cancel).Count, 1)
+	assert.Equal(t, s.m.Workflow("f").Phase(), "cancelled")
+	assert.Equal(t, s.m.Job(job).Task(0).Phase, model.TaskStopping)
+	s.tell(job, 0, api.ReportStopped)
+	s.tell(job, 1, api.ReportSucceeded)
+	assert.Assert(t, s.m.Workflow("f").Finished != 0)
+	assert.Assert(t, s.apply(cancel).Existing)
+	foreign := &Command{CancelWorkflow: &CancelWorkflow{Team: "guards", ID: "f"}}
+	assert.Equal(t, errkind.Of(s.apply(foreign).Err), errkind.UnknownJob)
+}
+
+func TestTheHighestRevisionWins(t *testing.T) {
+	s := newScript()
+	send := func(revision uint64, team string) Result {
+		d := model.Declarations{Teams: []model.Team{{Name: team, Share: 1}}}
+		return s.apply(&Command{Declare: &Declare{Revision: revision, Declarations: d, Document: []byte(team)}})
+	}
+	assert.NilError(t, send(7, "a").Err)
+	assert.Assert(t, send(3, "b").Existing, "an overtaken revision is acknowledged")
+	assert.Assert(t, send(7, "c").Existing, "and so is the same one")
+	revision, document := s.m.Document()
+	assert.Equal(t, revision, uint64(7))
+	assert.Equal(t, string(document), "a")
+	assert.NilError(t, send(9, "d").Err)
+	assert.Assert(t, s.m.Team("d") != nil && s.m.Team("a") == nil)
+	bad := s.apply(&Command{Declare: &Declare{Revision: 10, Declarations: model.Declarations{Teams: []model.Team{{}}}}})
+	assert.Equal(t, errkind.Of(bad.Err), errkind.BadDeclarations)
+	revision, _ = s.m.Document()
+	assert.Equal(t, revision, uint64(9))
+}
+
+func TestWorkflowsSurviveASnapshot(t *testing.T) {
+	s := newFlowScript(t)
+	s.submit("f", stepOf(model.PolicyGang, 2), stepOf(model.PolicyBatch, 1, 0))
+	s.submit("g", stepOf(model.PolicyBatch, 1))
+	job := s.place("f", 0)
+	s.tell(job, 0, api.ReportFailed)
+	var buf bytes.Buffer
+	assert.NilError(t, s.m.WriteSnapshot(&buf))
+	again, err := ReadSnapshot(testOptions(), &buf)
+	assert.NilError(t, err)
+	want, err := s.m.Digest()
+	assert.NilError(t, err)
+	got, err := again.Digest()
+	assert.NilError(t, err)
+	assert.Equal(t, got, want)
+	assert.Equal(t, again.IdleWorkflows("flows"), int64(1))
+	s.m = again
+	s.tell(job, 1, api.ReportStopped)
+	s.tell(s.place("f", 0), 1, api.ReportSucceeded)
+	assert.Assert(t, s.m.Workflow("f").Jobs[1] > job, "job numbers go on")
+}
