Let the lease of a silent worker end, and a gang that succeeded succeed as a whole

Change: no renewal is sent while a worker does not answer; an answer of another life at its address ends a worker at once; leases are renewed while reports wait for their commit; a member's success counts for all members of its attempt.

--- a/internal/control/crew.go
+++ b/internal/control/crew.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/api"
@@ -49,7 +50,10 @@
 	cursor  uint64 // ends up to it are committed
 	offered uint64 // ends up to it are on their way to be committed
 	looking bool
-	orders  map[model.TaskID]*order
+	// silent is set while the last look had no answer. Nothing is renewed then:
+	// a lease that is granted to nobody would never end.
+	silent bool
+	orders map[model.TaskID]*order
 }
 
 // order is what the leader knows of the orders for one held task.
@@ -139,7 +143,7 @@
 // zero where nothing may be renewed.
 func (c *crew) grant(m *calledWorker) int64 {
 	now := c.l.c.s.now()
-	if _, err := c.l.c.leading(); err != nil || !m.clock.Known() {
+	if _, err := c.l.c.leading(); err != nil || m.silent || !m.clock.Known() {
 		return 0
 	}
 	if err := c.l.leases.Renew(lease.Claim{Worker: m.to.Worker, Session: m.session}, now); err != nil {
@@ -174,8 +178,12 @@
 }
 
 func (c *crew) looked(m *calledWorker, sent model.Time, renewed bool, seen *courier.Seen, err error) {
+	if errors.Is(err, courier.ErrOtherLife) {
+		c.over(m)
+		return
+	}
+	c.noteSilence(m, err)
 	if err != nil {
-		c.l.c.log.Debug("Worker gave no list.", "worker", m.to.Worker, "err", err)
 		c.later(lookRetry, func() { c.look(m) })
 		return
 	}
@@ -192,9 +200,36 @@
 	}
 	if m.offered == m.cursor {
 		c.look(m)
+		return
+	}
+	// The commit starts the next look; the lease is renewed also if it takes long.
+	c.later(lookWait, func() { c.look(m) })
+}
+
+// noteSilence follows whether a worker answers.
+func (c *crew) noteSilence(m *calledWorker, err error) {
+	if silent := err != nil; silent != m.silent {
+		m.silent = silent
+		if silent {
+			c.l.c.log.Warn("Worker does not answer, its lease is not renewed.", "worker", m.to.Worker, "address", m.to.Address, "err", err)
+		} else {
+			c.l.c.log.Info("Worker answers again.", "worker", m.to.Worker)
+		}
 	}
 }
 
+// over takes in that a life of a worker has ended, which another one at its
+// address proves. Nothing of it runs any more.
+func (c *crew) over(m *calledWorker) {
+	c.l.c.log.Warn("Life of a worker is over, another one answers at its address.", "worker", m.to.Worker, "address", m.to.Address)
+	lost := []state.LostWorker{{ID: m.to.Worker, Session: m.session}}
+	c.l.c.propose(&state.Command{LoseWorkers: &state.LoseWorkers{Workers: lost}}, func(_ state.Result, err error) {
+		if err != nil {
+			c.later(lookRetry, func() { c.look(m) })
+		}
+	})
+}
+
 // later runs fn in the control goroutine after d.
 func (c *crew) later(d time.Duration, fn func()) {
 	time.AfterFunc(d, func() { c.l.c.s.run(func(*core) { fn() }) })
--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/model"
@@ -125,10 +126,14 @@
 type Caller interface {
 	Start(ctx context.Context, to Target, o *Start) Answer
 	Stop(ctx context.Context, to Target, o *Stop) Answer
-	// Look returns an error where the worker gave no list.
+	// Look returns an error where the worker gave no list: ErrOtherLife where
+	// another life of it, or another worker, answers at the address.
 	Look(ctx context.Context, to Target, o *Look) (*Seen, error)
 }
 
+// ErrOtherLife tells that the life of a worker which was called is over.
+var ErrOtherLife = errors.New("courier: another life answers at the worker's address")
+
 // Advisor asks the policy service which workers may run the tasks of a step.
 type Advisor interface {
 	// Advise returns a permit for each of the workers that may, and how long the
--- a/internal/permit/desk.go
+++ b/internal/permit/desk.go
@@ -204,3 +204,6 @@
 	}
 	return out
 }
+
+// Jobs returns the jobs that need permits, oldest first. The caller must not change it.
+func (d *Desk) Jobs() []model.JobID { return d.order }
--- a/internal/state/gang.go
+++ b/internal/state/gang.go
@@ -18,19 +18,33 @@
 }
 
 // succeeded ends a task, and with it its whole gang: members succeed together.
+// That holds for a member as well whose worker was given up for lost meanwhile.
 func (m *Machine) succeeded(j *Job, r *api.Report) {
+	attempt := j.Tasks[r.Task.Index].Attempt
 	m.end(j, r.Task, model.TaskSucceeded, model.OutcomeSucceeded, r)
 	if j.Spec.Policy != model.PolicyGang {
 		return
 	}
 	for i := range j.Spec.Tasks {
-		if t := j.Task(i); t != nil && t.Phase.Holds() {
-			id := model.TaskID{Job: j.ID, Index: i}
-			m.end(j, id, model.TaskSucceeded, model.OutcomeSucceeded, &api.Report{Task: id})
+		if t := j.Task(i); t != nil && t.Attempt == attempt && !t.Phase.Done() {
+			m.succeedWith(j, model.TaskID{Job: j.ID, Index: i})
 		}
 	}
 }
 
+// succeedWith ends a member of a gang of which another has succeeded.
+func (m *Machine) succeedWith(j *Job, id model.TaskID) {
+	t := &j.Tasks[id.Index]
+	if t.Phase.Holds() {
+		m.end(j, id, model.TaskSucceeded, model.OutcomeSucceeded, &api.Report{Task: id})
+		return
+	}
+	ev := m.taskEvent(id, t)
+	ev.To, ev.Outcome = model.TaskSucceeded, model.OutcomeSucceeded
+	m.setPhase(j, id, model.TaskSucceeded)
+	m.emit(ev)
+}
+
 // broken takes in that a member ended because another did: it waits again.
 func (m *Machine) broken(j *Job, r *api.Report) {
 	t := &j.Tasks[r.Task.Index]
--- a/internal/state/job.go
+++ b/internal/state/job.go
@@ -133,6 +133,9 @@
 	}
 }
 
+// Held returns how many tasks of j hold resources.
+func (j *Job) Held() int32 { return j.held() }
+
 func (j *Job) held() int32 {
 	return j.counts[model.TaskStarting] + j.counts[model.TaskRunning] + j.counts[model.TaskStopping]
 }
--- a/internal/state/workflow_test.go
+++ b/internal/state/workflow_test.go
@@ -140,6 +140,17 @@
 	}
 }
 
+// The worker of one member was given up for lost before its end was heard.
+func TestAGangThatSucceededSucceedsAsAWhole(t *testing.T) {
+	s := newFlowScript(t)
+	s.submit("f", stepOf(model.PolicyGang, 2))
+	job := s.place("f", 0)
+	s.apply(&Command{LoseWorkers: &LoseWorkers{Workers: []LostWorker{{ID: "w2", Session: s.m.Worker("w2").Session}}}})
+	assert.Equal(t, s.m.Job(job).Task(1).Phase, model.TaskPending)
+	s.tell(job, 0, api.ReportSucceeded)
+	assert.Equal(t, s.m.Workflow("f").Phase(), "succeeded")
+}
+
 func TestAPreemptedMemberTakesItsGangWithIt(t *testing.T) {
 	s := newFlowScript(t)
 	s.submit("f", stepOf(model.PolicyGang, 2))
