Put work that can still be in time first, and stop nothing for it, on the platform

Cause: between teams the load against the share came before urgency, so that a team's patient work passed others' urgent work; and under bursts jobs that were late already made the next ones late too. Stopping work threw 4 to 6 times as many core-seconds away as it saved jobs.

--- a/internal/control/crew.go
+++ b/internal/control/crew.go
@@ -50,6 +50,7 @@
 	cursor  uint64 // ends up to it are committed
 	offered uint64 // ends up to it are on their way to be committed
 	looking bool
+	greeted bool // it has answered once, and told its clock
 	// silent is set while the last look had no answer. Nothing is renewed then:
 	// a lease that is granted to nobody would never end.
 	silent bool
@@ -194,10 +195,11 @@
 	}
 	c.takeEnds(m, seen.Ended)
 	c.reconcile(m, sent, seen)
-	if !renewed {
+	if !renewed && m.greeted {
 		c.later(lookRetry, func() { c.look(m) })
 		return
 	}
+	m.greeted = true
 	if m.offered == m.cursor {
 		c.look(m)
 		return
--- a/internal/schedule/options.go
+++ b/internal/schedule/options.go
@@ -19,6 +19,15 @@
 	MaxHolds       int           // reservations for blocked jobs at once
 	MaxClaims      int           // jobs at once for which work is being stopped
 	MaxClasses     int           // job classes learned at once
+
+	// LateShift is by how much the promise of a job moves once it was missed by
+	// LateGrace: work that can still be in time goes first, for so long. It answers
+	// a load above the capacity, under which the order by promise alone makes every
+	// job late. Zero: a missed promise stands.
+	LateShift time.Duration
+	LateGrace time.Duration
+	// KeepRunning stops no work to make room for other work of any team.
+	KeepRunning bool
 }
 
 // Defaults of Options.
--- a/internal/schedule/planner.go
+++ b/internal/schedule/planner.go
@@ -108,11 +108,11 @@
 // noRoom sees to it that a job that has waited long gets room: by stopping
 // work that may give way, else by holding workers until their work has ended.
 func (p *planner) noRoom(j *job, size model.Resources) {
-	if !p.pressing(j) || p.makeRoom(j, size) {
+	if !p.pressing(j) || !p.s.opts.KeepRunning && p.makeRoom(j, size) {
 		return
 	}
 	p.reserveAhead(j, size)
-	if j.hold != nil && j.group.policy == gang {
+	if j.hold != nil && j.group.policy == gang && !p.s.opts.KeepRunning {
 		p.pursueClaims(j, size)
 	}
 }
@@ -144,7 +144,7 @@
 
 // pressingFrom returns when half of the patience of j is used up, or little of it is left.
 func (p *planner) pressingFrom(j *job) model.Time {
-	return j.startBy - max(j.patience()/2, model.Time(p.s.opts.PressingSlack.Milliseconds()))
+	return p.promised(j.startBy) - max(j.patience()/2, model.Time(p.s.opts.PressingSlack.Milliseconds()))
 }
 
 func (p *planner) placeOne(j *job, size model.Resources) bool {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -163,6 +163,7 @@
 		Address:    p.set.Inner.Address,
 		Founders:   founders,
 		Join:       p.set.Control.Join,
+		Tick:       p.set.Control.Tick.Std(),
 		Transport:  replicaTransport{p.endpoint},
 		Logger:     p.log,
 		Registerer: p.registry,
@@ -184,7 +185,7 @@
 		Times:           controlTimes(p.set),
 		Tolerate:        p.set.Control.Tolerate,
 		Caller:          callerOf(o.Adapter),
-		Scheduling:      schedule.Options{Seed: 1, BackoffBase: p.set.Limits.RestartBackoff.Std()},
+		Scheduling:      schedulingOf(p.set),
 	})
 	p.spawn(func() { p.control.Run(ctx) })
 	if p.set.Control.Join {
@@ -212,6 +213,21 @@
 	return err
 }
 
+// schedulingOf returns the options of the scheduler. The seed is that of every
+// control process, so that two leaders break ties alike.
+func schedulingOf(set *settings.Settings) schedule.Options {
+	s := set.Scheduling
+	return schedule.Options{
+		Seed:          1,
+		BackoffBase:   set.Limits.RestartBackoff.Std(),
+		PressingSlack: s.PressingSlack.Std(),
+		AgeingSpan:    s.AgeingSpan.Std(),
+		LateShift:     s.LateShift.Std(),
+		LateGrace:     s.LateGrace.Std(),
+		KeepRunning:   s.KeepRunning,
+	}
+}
+
 func stateOptions(set *settings.Settings) state.Options {
 	return state.Options{KeepFinished: set.Limits.KeepFinished, Journal: journal.Options{
 		Keep:       set.Limits.JournalKeep.Std(),
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -49,6 +49,14 @@
 	c.log(s.Log)
 	c.bootstrap(s.Bootstrap)
 	c.platform(s)
+	c.scheduling(s.Scheduling)
+}
+
+func (c *checker) scheduling(s Scheduling) {
+	c.duration("$.scheduling.pressing_slack", s.PressingSlack, bounds{time.Millisecond, time.Hour})
+	c.duration("$.scheduling.ageing_span", s.AgeingSpan, bounds{100 * time.Millisecond, 24 * time.Hour})
+	c.duration("$.scheduling.late_shift", s.LateShift, bounds{0, time.Hour})
+	c.duration("$.scheduling.late_grace", s.LateGrace, bounds{0, time.Hour})
 }
 
 func (c *checker) platform(s *Settings) {
@@ -191,6 +199,7 @@
 func (c *checker) control(s *Settings) {
 	founders := s.Control.Founders
 	seeded := len(s.Control.Seeds) > 0
+	c.duration("$.control.tick", s.Control.Tick, bounds{10 * time.Millisecond, time.Second})
 	c.between("$.control.tolerate", int64(s.Control.Tolerate), 0, maxFounders/2)
 	c.addresses("$.control.seeds", s.Control.Seeds)
 	if n := len(founders); !seeded && (n%2 == 0 || n > maxFounders) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,6 +41,21 @@
 	Log           Log       `json:"log"`
 	Bootstrap     Bootstrap `json:"bootstrap" secret:"true"`
 	Platform      Platform  `json:"platform"`
+
+	Scheduling Scheduling `json:"scheduling"`
+}
+
+// Scheduling says how the leader orders work and makes room. Equal on every
+// control process.
+type Scheduling struct {
+	PressingSlack model.Duration `json:"pressing_slack"` // room is reserved for jobs with less slack
+	AgeingSpan    model.Duration `json:"ageing_span"`    // lateness that outweighs one whole share between teams
+	// LateShift puts a job that has missed its promise by LateGrace behind those
+	// that can still be in time, for so long. Zero: a missed promise stands.
+	LateShift model.Duration `json:"late_shift"`
+	LateGrace model.Duration `json:"late_grace"`
+	// KeepRunning stops no task to make room for other work.
+	KeepRunning bool `json:"keep_running"`
 }
 
 // Platform is what a process needs on the users' platform. Empty addresses
@@ -115,6 +130,9 @@
 	// Tolerate is how many control processes may be lost at once. With more voters
 	// than that takes, one that stays silent is removed from the group.
 	Tolerate int `json:"tolerate"`
+	// Tick is the unit of the timeouts of elections and heartbeats: a follower
+	// calls for an election after 10 to 20 ticks without a word from the leader.
+	Tick model.Duration `json:"tick"`
 }
 
 // Limits holds leases, bounds and budgets.
@@ -179,7 +197,8 @@
 			WriteTimeout:      model.Duration(2 * time.Minute),
 			IdleTimeout:       model.Duration(90 * time.Second),
 		},
-		Data: Data{SnapshotEntries: 100_000, MinFreeBytes: 64 << 20},
+		Data:    Data{SnapshotEntries: 100_000, MinFreeBytes: 64 << 20},
+		Control: Control{Tick: model.Duration(50 * time.Millisecond)},
 		Limits: Limits{
 			WorkerLease:     model.Duration(15 * time.Second),
 			RequestLease:    model.Duration(5 * time.Second),
@@ -194,6 +213,10 @@
 			JournalBytes:    64 << 20,
 			AnswerBytes:     64 << 10,
 		},
+		Scheduling: Scheduling{
+			PressingSlack: model.Duration(5 * time.Second),
+			AgeingSpan:    model.Duration(10 * time.Minute),
+		},
 		Log: Log{Level: "info", Format: "text"},
 	}
 }
