Count a workflow as begun once a worker confirms, and free what is kept clear for late jobs

Change: the first report of a task begins a workflow; a job that moves gives up its reservation, and moves in its group as well.

--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -113,7 +113,7 @@
 
 // QueueView is the answer to Queue.
 type QueueView struct {
-	Waiting int64 `cbor:"1,keyasint"` // workflows of which no task was placed yet
+	Waiting int64 `cbor:"1,keyasint"` // workflows of which no task has started yet
 }
 
 // Beat is what a worker that takes orders by call tells of itself.
--- a/internal/schedule/apply.go
+++ b/internal/schedule/apply.go
@@ -49,6 +49,7 @@
 		id:          e.ID,
 		group:       g,
 		at:          e.At,
+		promise:     e.StartBy,
 		startBy:     e.StartBy,
 		tasks:       make([]task, e.Spec.Tasks),
 		maxRestarts: e.Spec.MaxRestarts,
@@ -57,6 +58,9 @@
 	}
 	s.jobs[e.ID] = j
 	heap.Push(&s.deadlines, j)
+	if s.opts.LateShift > 0 {
+		heap.Push(&s.late, j)
+	}
 	g.members++
 	s.enqueue(j)
 	s.addReady(j, e.Spec.Tasks)
--- a/internal/schedule/job.go
+++ b/internal/schedule/job.go
@@ -46,7 +46,8 @@
 	id      model.JobID
 	group   *group
 	at      model.Time
-	startBy model.Time
+	promise model.Time // the start that the caller was promised
+	startBy model.Time // by which jobs are ordered: the promise, or later once it was missed
 	tasks   []task
 	faults  *faults // nil until a task fails
 	hold    *hold   // workers kept clear for it, or nil
@@ -68,7 +69,7 @@
 	succeeded bool // a task has
 }
 
-func (j *job) patience() model.Time { return j.startBy - j.at }
+func (j *job) patience() model.Time { return j.promise - j.at }
 
 // startable reports whether j has tasks to place. A gang waits until none of its
 // tasks is in backoff or still held, so that they start together.
--- a/internal/schedule/line.go
+++ b/internal/schedule/line.go
@@ -84,3 +84,11 @@
 	e.held = j.hold != nil
 	e.mayProbe = g.repeatable && j.maxRestarts > 0
 }
+
+// less orders entries by their heads, as job.less does.
+func (e *entry) less(o *entry) bool {
+	if e.startBy != o.startBy {
+		return e.startBy < o.startBy
+	}
+	return e.id < o.id
+}
--- a/internal/schedule/order.go
+++ b/internal/schedule/order.go
@@ -42,10 +42,7 @@
 	if t.key != o.key {
 		return t.key < o.key
 	}
-	if t.due != o.due {
-		return t.due < o.due
-	}
-	return t.line.entries[t.first].id < o.line.entries[o.first].id
+	return t.line.entries[t.first].less(&o.line.entries[o.first])
 }
 
 // rank finds the group of t whose head comes first and the precedence of t.
@@ -54,39 +51,25 @@
 	t.ranked = true
 	t.first = -1
 	var first *entry
-	var due model.Time
 	for i := range t.line.entries {
 		e := &t.line.entries[i]
 		if e.stale {
 			p.renew(e)
 		}
-		at := p.promised(e.startBy)
-		later := first != nil && (at > due || at == due && e.id > first.id)
-		if e.misfit || e.leftOut == p.s.plans || later {
+		if e.misfit || e.leftOut == p.s.plans || first != nil && !e.less(first) {
 			continue
 		}
 		if p.idle(t, e) {
 			e.leftOut = p.s.plans
 			continue
 		}
-		t.first, first, due = int32(i), e, at
+		t.first, first = int32(i), e
 	}
 	if first != nil {
-		t.due = due
-		t.key = p.key(t, due)
+		t.key = p.key(t, first.startBy)
 	}
 }
 
-// promised returns the promise that a job is held to now, given the one that it
-// was made.
-func (p *planner) promised(startBy model.Time) model.Time {
-	o := &p.s.opts
-	if o.LateShift == 0 || p.now <= startBy.Add(o.LateGrace) {
-		return startBy
-	}
-	return startBy.Add(o.LateShift)
-}
-
 // leaveOut takes g out of the rest of the plan.
 func (p *planner) leaveOut(g *group) {
 	p.s.teams[g.team].line.entries[g.slot].leftOut = p.s.plans
--- a/internal/schedule/planner.go
+++ b/internal/schedule/planner.go
@@ -29,6 +29,7 @@
 // that a gang larger than max is placed alone. It leaves reservations as they are.
 func (s *Scheduler) Plan(now model.Time, max int) Plan {
 	s.wake(now)
+	s.shiftLate(now)
 	s.passProbes(now)
 	s.refreshHolds()
 	s.settleRooms()
@@ -51,7 +52,7 @@
 	next := sooner(p.wake, p.s.timers.next())
 	next = sooner(next, p.s.nextProbe())
 	if d := p.s.deadlines; len(d) > 0 {
-		next = sooner(next, max(d[0].startBy, p.now)+1)
+		next = sooner(next, max(d[0].promise, p.now)+1)
 	}
 	return next
 }
@@ -144,7 +145,7 @@
 
 // pressingFrom returns when half of the patience of j is used up, or little of it is left.
 func (p *planner) pressingFrom(j *job) model.Time {
-	return p.promised(j.startBy) - max(j.patience()/2, model.Time(p.s.opts.PressingSlack.Milliseconds()))
+	return j.startBy - max(j.patience()/2, model.Time(p.s.opts.PressingSlack.Milliseconds()))
 }
 
 func (p *planner) placeOne(j *job, size model.Resources) bool {
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -55,6 +55,7 @@
 	byClass      map[uint64][]*group // groups by what is learned together
 	timers       timers
 	deadlines    deadlines
+	late         deadlines // jobs whose promise may still be missed, with LateShift
 	holds        []*hold
 	learned      *learn.Table
 	over         map[taskRef]overUse
--- a/internal/schedule/team.go
+++ b/internal/schedule/team.go
@@ -27,7 +27,6 @@
 	blocked bool                // in the plan being made
 	ranked  bool                // first and key are up to date
 	first   int32               // position in line; -1 for none
-	due     model.Time          // promise of the first
 	key     int64               // precedence; the least comes first
 }
 
--- a/internal/schedule/tell.go
+++ b/internal/schedule/tell.go
@@ -80,7 +80,7 @@
 	for n := 0; n < maxSettled && len(*d) > 0 && (*d)[0].settled(); n++ {
 		heap.Pop(d)
 	}
-	for len(*d) > 0 && (*d)[0].startBy < p.now {
+	for len(*d) > 0 && (*d)[0].promise < p.now {
 		j := heap.Pop(d).(*job)
 		if !j.settled() {
 			j.started = true
@@ -95,10 +95,15 @@
 // deadlines orders jobs by their promised start.
 type deadlines []*job
 
-func (d deadlines) Len() int           { return len(d) }
-func (d deadlines) Less(i, k int) bool { return d[i].less(d[k]) }
-func (d deadlines) Swap(i, k int)      { d[i], d[k] = d[k], d[i] }
-func (d *deadlines) Push(v any)        { *d = append(*d, v.(*job)) }
+func (d deadlines) Len() int { return len(d) }
+func (d deadlines) Less(i, k int) bool {
+	if d[i].promise != d[k].promise {
+		return d[i].promise < d[k].promise
+	}
+	return d[i].id < d[k].id
+}
+func (d deadlines) Swap(i, k int) { d[i], d[k] = d[k], d[i] }
+func (d *deadlines) Push(v any)   { *d = append(*d, v.(*job)) }
 func (d *deadlines) Pop() any {
 	last := len(*d) - 1
 	j := (*d)[last]
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -39,7 +39,7 @@
 	sent     map[submissionKey]model.JobID
 	flows    map[model.WorkflowID]*Workflow
 	flowsEnd []model.WorkflowID // in order of finishing, to be forgotten from the front
-	idle     map[string]int64   // workflows of which no task was placed yet, by queue
+	idle     map[string]int64   // workflows of which no task has started yet, by queue
 	teams    map[string]*teamUse
 	accounts map[string]*ledger.Account
 	journal  *journal.Journal
--- a/internal/state/place.go
+++ b/internal/state/place.go
@@ -54,7 +54,6 @@
 		ev := m.taskEvent(p.Task, &j.Tasks[p.Task.Index])
 		ev.From, ev.To = model.TaskPending, model.TaskStarting
 		m.emit(ev)
-		m.stepStarted(j)
 	}
 	return len(group)
 }
--- a/internal/state/report.go
+++ b/internal/state/report.go
@@ -39,6 +39,9 @@
 		return false
 	}
 	j.saveCheckpoint(r.Task.Index, r.Checkpoint)
+	if r.State != api.ReportStopped {
+		m.stepStarted(j)
+	}
 	switch r.State {
 	case api.ReportStarted:
 		return m.started(w, j, r)
--- a/internal/state/workflow.go
+++ b/internal/state/workflow.go
@@ -41,7 +41,7 @@
 // Workflow returns the workflow id, or nil. The caller must not change it.
 func (m *Machine) Workflow(id model.WorkflowID) *Workflow { return m.flows[id] }
 
-// IdleWorkflows returns how many workflows of the queue wait for their first task to be placed.
+// IdleWorkflows returns how many workflows of the queue wait for their first task to start.
 func (m *Machine) IdleWorkflows(queue string) int64 { return m.idle[queue] }
 
 // submitWorkflow adds a workflow and creates the jobs of its first steps.
@@ -136,7 +136,8 @@
 	return j
 }
 
-// stepStarted notes that a task of a workflow was placed.
+// stepStarted notes that a task of a workflow has started at a worker. A
+// placement alone does not count: its start may not have been carried out.
 func (m *Machine) stepStarted(j *Job) {
 	if j.Step == nil {
 		return
