--- a/internal/control/crew.go
+++ b/internal/control/crew.go
@@ -275,7 +275,7 @@
 // task finds the held task that a run on m is the current attempt of; nil where
 // there is none.
 func (c *crew) task(m *calledWorker, r *courier.Run) (model.TaskID, *state.Task) {
-	w := c.l.c.machine.Workflow(r.Task.Workflow)
+	w := c.l.c.machine.WorkflowRun(r.Task.Workflow, r.Task.Run)
 	if w == nil || r.Task.Step < 0 || int(r.Task.Step) >= len(w.Jobs) {
 		return model.TaskID{}, nil
 	}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -33,6 +33,7 @@
 	touched  map[string]struct{} // teams whose tasks changed since the last look at the limits
 	crew     *crew               // workers that take orders by call
 	policy   *policy
+	starting bool // runs that have come due are on their way to begin
 }
 
 // attachment says through which entry a worker's session is reached.
@@ -177,6 +178,7 @@
 	l.proposeCeilings()
 	l.owners.Tick(now)
 	l.waits.expire(l.c, now)
+	l.startDueRuns(now)
 	if now >= l.expireAt {
 		l.expireAt = now.Add(expireEvery)
 		l.holdAllRequests()
@@ -187,6 +189,27 @@
 	}
 }
 
+// maxDueRuns bounds the runs of workflows that begin with one commit.
+const maxDueRuns = 256
+
+// startDueRuns begins the runs of workflows that have come due.
+func (l *leader) startDueRuns(now model.Time) {
+	if l.starting {
+		return
+	}
+	due := l.c.machine.DueRuns(now, maxDueRuns)
+	if len(due) == 0 {
+		return
+	}
+	l.starting = true
+	l.c.propose(&state.Command{StartRuns: &state.StartRuns{Runs: due}}, func(r state.Result, err error) {
+		l.starting = false
+		if err == nil {
+			l.c.log.Info("Runs of workflows begin.", "due", len(due), "begun", r.Count)
+		}
+	})
+}
+
 // proposeCeilings commits new bounds of request permits before they are used.
 func (l *leader) proposeCeilings() {
 	wanted := l.permits.Ceilings()
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -48,11 +48,20 @@
 	}
 }
 
-func runOf(id model.TaskID, j *state.Job, t *state.Task) courier.Run {
-	return courier.Run{
-		Task:    courier.TaskName{Workflow: j.Step.Workflow, Step: j.Step.Step, Index: id.Index},
-		Attempt: t.Attempt,
+// runOf names the current attempt of a task towards its worker.
+func (c *crew) runOf(id model.TaskID, j *state.Job, t *state.Task) courier.Run {
+	name := c.l.stepName(j)
+	name.Index = id.Index
+	return courier.Run{Task: name, Attempt: t.Attempt}
+}
+
+// stepName names the step that a job runs towards workers and the policy service.
+func (l *leader) stepName(j *state.Job) courier.TaskName {
+	name := courier.TaskName{Workflow: j.Step.Workflow, Step: j.Step.Step}
+	if w := l.c.machine.Workflow(j.Step.Workflow); w != nil {
+		name.Workflow, name.Run = w.Spec.ID, w.Run
 	}
+	return name
 }
 
 func (c *crew) start(m *calledWorker, id model.TaskID, o *order, j *state.Job, t *state.Task) {
@@ -68,7 +77,7 @@
 	}
 	w := c.l.c.machine.Workflow(j.Step.Workflow)
 	req := &courier.Start{
-		Run:        runOf(id, j, t),
+		Run:        c.runOf(id, j, t),
 		Payload:    w.Spec.Payload,
 		Fence:      c.l.term,
 		LeaseUntil: until,
@@ -82,7 +91,7 @@
 }
 
 func (c *crew) stopRun(m *calledWorker, id model.TaskID, o *order, j *state.Job, t *state.Task) {
-	req := &courier.Stop{Run: runOf(id, j, t), Fence: c.l.term}
+	req := &courier.Stop{Run: c.runOf(id, j, t), Fence: c.l.term}
 	o.open, o.stop, o.confirmed = true, true, 0
 	c.call(func(ctx context.Context, caller courier.Caller) courier.Answer {
 		return caller.Stop(ctx, m.to, req)
--- a/internal/control/policy.go
+++ b/internal/control/policy.go
@@ -53,7 +53,7 @@
 	if q == nil || !q.Policy.Required() {
 		return false
 	}
-	p.desk.Add(j.ID, courier.TaskName{Workflow: j.Step.Workflow, Step: j.Step.Step})
+	p.desk.Add(j.ID, p.l.stepName(j))
 	p.costs[j.ID] = q.Policy
 	p.next = 0
 	return true
--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -21,6 +21,7 @@
 // TaskName names a task towards a worker.
 type TaskName struct {
 	Workflow model.WorkflowID
+	Run      int32 // of a workflow that runs at set times; else zero
 	Step     int32
 	Index    int32
 }
--- a/internal/model/workflow.go
+++ b/internal/model/workflow.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -13,6 +15,7 @@
 const (
 	MaxSteps      = 256
 	MaxWorkflowID = 64 // bytes
+	MaxRuns       = 100_000
 )
 
 // WorkflowSpec is what a caller submits: steps of tasks, of which some wait for others.
@@ -22,8 +25,26 @@
 	Queue   string     `json:"queue" cbor:"3,keyasint"`
 	Payload string     `json:"payload,omitempty" cbor:"4,keyasint,omitempty"` // passed to every task unread
 	Steps   []Step     `json:"steps" cbor:"5,keyasint"`
+	// Runs, where above zero, is how often the steps run: first at FirstAt, and
+	// then each Every. Runs may overlap. Zero: once, at once.
+	Runs    int32    `json:"runs,omitempty" cbor:"6,keyasint,omitempty"`
+	FirstAt Time     `json:"first_at_ms,omitempty" cbor:"7,keyasint,omitempty"`
+	Every   Duration `json:"every,omitempty" cbor:"8,keyasint,omitempty"`
 }
 
+// DueAt returns when run k of a workflow that runs at set times is due.
+func (s *WorkflowSpec) DueAt(k int32) Time {
+	return s.FirstAt + Time(int64(k)*s.Every.Millis())
+}
+
+// RunID names one run of a workflow that runs at set times.
+func (id WorkflowID) RunID(k int32) WorkflowID {
+	return id + WorkflowID(runSeparator+strconv.Itoa(int(k)))
+}
+
+// runSeparator stands between a workflow ID and the number of a run.
+const runSeparator = "."
+
 // Step is a set of equal tasks of a workflow.
 type Step struct {
 	Policy  Policy    `json:"policy" cbor:"1,keyasint"`
@@ -47,8 +68,11 @@
 func (s *WorkflowSpec) Validate() error {
 	var errs []error
 	bad := func(format string, args ...any) { errs = append(errs, fmt.Errorf(format, args...)) }
-	if s.ID == "" || len(s.ID) > MaxWorkflowID {
-		bad("id must have 1 to %d characters", MaxWorkflowID)
+	if s.ID == "" || len(s.ID) > MaxWorkflowID || strings.Contains(string(s.ID), runSeparator) {
+		bad("id must have 1 to %d characters, and no %q", MaxWorkflowID, runSeparator)
+	}
+	if s.Runs < 0 || s.Runs > MaxRuns || s.FirstAt < 0 || s.Every < 0 {
+		bad("runs must be 0 to %d, first_at_ms and every not negative", MaxRuns)
 	}
 	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
 		bad("steps must be 1 to %d, got %d", MaxSteps, len(s.Steps))
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -42,6 +42,7 @@
 
 	SubmitWorkflow *SubmitWorkflow `cbor:"29,keyasint,omitempty"`
 	CancelWorkflow *CancelWorkflow `cbor:"30,keyasint,omitempty"`
+	StartRuns      *StartRuns      `cbor:"31,keyasint,omitempty"`
 }
 
 // Declare replaces the whole configuration if Base is the version in force.
@@ -79,6 +80,17 @@
 	Spec model.WorkflowSpec `cbor:"1,keyasint"`
 }
 
+// StartRuns begins the runs of workflows that have come due.
+type StartRuns struct {
+	Runs []DueRun `cbor:"1,keyasint"`
+}
+
+// DueRun is one run of a workflow that runs at set times.
+type DueRun struct {
+	Workflow model.WorkflowID `cbor:"1,keyasint"`
+	Run      int32            `cbor:"2,keyasint"`
+}
+
 // CancelWorkflow ends a workflow of the team.
 type CancelWorkflow struct {
 	Team string           `cbor:"1,keyasint"`
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -38,8 +38,9 @@
 	finished []model.JobID // in order of finishing, to be forgotten from the front
 	sent     map[submissionKey]model.JobID
 	flows    map[model.WorkflowID]*Workflow
-	flowsEnd []model.WorkflowID // in order of finishing, to be forgotten from the front
-	idle     map[string]int64   // workflows of which no task has started yet, by queue
+	timed    map[model.WorkflowID]*Workflow // of flows: those with runs to begin
+	flowsEnd []model.WorkflowID             // in order of finishing, to be forgotten from the front
+	idle     map[string]int64               // workflows of which no task has started yet, by queue
 	teams    map[string]*teamUse
 	accounts map[string]*ledger.Account
 	journal  *journal.Journal
@@ -63,6 +64,7 @@
 		jobs:     make(map[model.JobID]*Job),
 		sent:     make(map[submissionKey]model.JobID),
 		flows:    make(map[model.WorkflowID]*Workflow),
+		timed:    make(map[model.WorkflowID]*Workflow),
 		idle:     make(map[string]int64),
 		teams:    make(map[string]*teamUse),
 		accounts: make(map[string]*ledger.Account),
@@ -103,6 +105,8 @@
 		return m.report(c.Report)
 	case c.SubmitWorkflow != nil:
 		return m.submitWorkflow(c.SubmitWorkflow)
+	case c.StartRuns != nil:
+		return m.startRuns(c.StartRuns)
 	case c.CancelWorkflow != nil:
 		return m.cancelWorkflow(c.CancelWorkflow)
 	case c.Submit != nil:
--- a/internal/state/workflow.go
+++ b/internal/state/workflow.go
@@ -21,6 +21,21 @@
 	Started   bool               `cbor:"8,keyasint,omitempty"`
 	Cancelled bool               `cbor:"9,keyasint,omitempty"`
 	Failed    bool               `cbor:"10,keyasint,omitempty"`
+
+	// Of a workflow that runs at set times, which has no jobs of its own.
+	Begun int32 `cbor:"11,keyasint,omitempty"` // runs begun; they begin in order
+	Done  int32 `cbor:"12,keyasint,omitempty"` // runs that have succeeded
+	// Of one run of such a workflow.
+	Parent model.WorkflowID `cbor:"13,keyasint,omitempty"`
+	Run    int32            `cbor:"14,keyasint,omitempty"`
+}
+
+// key is the name under which the machine keeps w.
+func (w *Workflow) key() model.WorkflowID {
+	if w.Parent != "" {
+		return w.Parent.RunID(w.Run)
+	}
+	return w.Spec.ID
 }
 
 // Phase names where the workflow stands, in the words of Job.Phase.
@@ -59,21 +74,26 @@
 	if !q.Admits(c.Spec.Team) {
 		return Result{Err: errkind.New(errkind.QueueClosed, "queue %q does not admit team %q", q.Name, c.Spec.Team)}
 	}
-	longest := slices.Max(c.Spec.Chains())
-	w := &Workflow{
-		Spec:      c.Spec,
-		Team:      q.ChargedTeam(c.Spec.Team),
-		Submitted: m.now,
-		DueBy:     m.now.Add(dueAfter(q, longest)),
-		Jobs:      make([]model.JobID, len(c.Spec.Steps)),
-		Left:      int32(len(c.Spec.Steps)),
-	}
-	m.flows[c.Spec.ID] = w
+	w := &Workflow{Spec: c.Spec, Team: q.ChargedTeam(c.Spec.Team), Submitted: m.now}
 	m.idle[c.Spec.Queue]++
-	m.releaseSteps(w)
+	if c.Spec.Runs > 0 {
+		m.flows[w.key()] = w
+		m.timed[w.key()] = w
+		return Result{}
+	}
+	m.begin(w, q, m.now)
 	return Result{}
 }
 
+// begin creates the first jobs of a workflow, or of one run, that is due at a time.
+func (m *Machine) begin(w *Workflow, q *model.Queue, at model.Time) {
+	w.DueBy = at.Add(dueAfter(q, slices.Max(w.Spec.Chains())))
+	w.Jobs = make([]model.JobID, len(w.Spec.Steps))
+	w.Left = int32(len(w.Spec.Steps))
+	m.flows[w.key()] = w
+	m.releaseSteps(w)
+}
+
 // dueAfter returns how long a workflow of the queue may take whose longest chain
 // of work is given.
 func dueAfter(q *model.Queue, chain time.Duration) time.Duration {
@@ -121,7 +141,7 @@
 	startBy := w.DueBy.Add(-w.Spec.Chains()[i])
 	spec.Patience = model.Duration(max(startBy.Sub(m.now), 0))
 	j := m.newWorkflowJob(w, spec)
-	j.Step = &model.StepRef{Workflow: w.Spec.ID, Step: i}
+	j.Step = &model.StepRef{Workflow: w.key(), Step: i}
 	w.Jobs[i] = j.ID
 	m.emit(JobSubmitted{Job: j})
 }
@@ -142,10 +162,21 @@
 	if j.Step == nil {
 		return
 	}
-	if w := m.flows[j.Step.Workflow]; w != nil && !w.Started {
-		w.Started = true
-		m.idle[w.Spec.Queue]--
+	m.noteStarted(m.flows[j.Step.Workflow])
+}
+
+// noteStarted takes a workflow out of the waiting ones; a run counts for the
+// workflow that it is of.
+func (m *Machine) noteStarted(w *Workflow) {
+	if w == nil || w.Started {
+		return
+	}
+	w.Started = true
+	if w.Parent != "" {
+		m.noteStarted(m.flows[w.Parent])
+		return
 	}
+	m.idle[w.Spec.Queue]--
 }
 
 // stepFinished moves a workflow on after the job of a step is done.
@@ -183,11 +214,11 @@
 		return
 	}
 	w.Finished = m.now
-	if !w.Started {
-		w.Started = true
-		m.idle[w.Spec.Queue]--
+	m.noteStarted(w)
+	m.flowsEnd = append(m.flowsEnd, w.key())
+	if w.Parent != "" {
+		m.runFinished(m.flows[w.Parent], w)
 	}
-	m.flowsEnd = append(m.flowsEnd, w.Spec.ID)
 }
 
 // endSteps ends every open job of the workflow.
@@ -219,12 +250,17 @@
 	if w.Finished != 0 || w.Cancelled || w.Failed {
 		return Result{Existing: true}
 	}
+	m.cancelFlow(w)
+	return Result{Count: 1}
+}
+
+func (m *Machine) cancelFlow(w *Workflow) {
 	w.Cancelled = true
+	m.endRuns(w)
 	m.endSteps(w, model.TaskCancelled, StopCancelled, "cancelled")
-	if m.stepsOver(w) {
+	if m.stepsOver(w) && m.runsOver(w) {
 		m.finishWorkflow(w)
 	}
-	return Result{Count: 1}
 }
 
 // expireWorkflows forgets workflows that finished before a time.
@@ -251,9 +287,12 @@
 func (m *Machine) restoreWorkflows(flows []*Workflow, ended []model.WorkflowID) {
 	m.flowsEnd = ended
 	for _, w := range flows {
-		m.flows[w.Spec.ID] = w
-		if !w.Started {
+		m.flows[w.key()] = w
+		if !w.Started && w.Parent == "" {
 			m.idle[w.Spec.Queue]++
 		}
+		if w.Spec.Runs > 0 && w.Parent == "" && w.Finished == 0 && w.mayBegin() {
+			m.timed[w.key()] = w
+		}
 	}
 }
--- a/internal/state/workflow_test.go
+++ b/internal/state/workflow_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -178,6 +179,43 @@
 	assert.Equal(t, errkind.Of(s.apply(foreign).Err), errkind.UnknownJob)
 }
 
+func TestRunsBeginWhenTheyAreDue(t *testing.T) {
+	s := newFlowScript(t)
+	spec := model.WorkflowSpec{ID: "f", Team: "stands", Queue: "flows", Runs: 3, FirstAt: s.at + 1000, Every: model.Duration(time.Second),
+		Steps: []model.Step{stepOf(model.PolicyBatch, 1)}}
+	assert.NilError(t, spec.Validate())
+	assert.NilError(t, s.apply(&Command{SubmitWorkflow: &SubmitWorkflow{Spec: spec}}).Err)
+	assert.Equal(t, len(s.m.DueRuns(spec.FirstAt-1, 9)), 0)
+	due := s.m.DueRuns(spec.FirstAt+1000, 9)
+	assert.DeepEqual(t, due, []DueRun{{"f", 0}, {"f", 1}})
+	assert.Equal(t, s.apply(&Command{StartRuns: &StartRuns{Runs: due}}).Count, 2)
+	assert.Equal(t, s.apply(&Command{StartRuns: &StartRuns{Runs: due}}).Count, 0, "each begins once")
+	for k := range int32(2) {
+		s.tell(s.place(model.WorkflowID("f").RunID(k), 0), 0, api.ReportSucceeded)
+	}
+	assert.Equal(t, s.m.Workflow("f").Phase(), "running")
+	s.apply(&Command{StartRuns: &StartRuns{Runs: s.m.DueRuns(spec.FirstAt+2000, 9)}})
+	assert.Assert(t, s.m.WorkflowRun("f", 2) != nil && s.m.WorkflowRun("f", 2).DueBy >= spec.DueAt(2))
+	s.tell(s.place(model.WorkflowID("f").RunID(2), 0), 0, api.ReportSucceeded)
+	assert.Equal(t, s.m.Workflow("f").Phase(), "succeeded")
+	assert.Equal(t, len(s.m.DueRuns(spec.FirstAt+9000, 9)), 0)
+}
+
+func TestACancelledWorkflowBeginsNoMoreRuns(t *testing.T) {
+	s := newFlowScript(t)
+	spec := model.WorkflowSpec{ID: "f", Team: "stands", Queue: "flows", Runs: 5, FirstAt: 1, Every: model.Duration(time.Hour),
+		Steps: []model.Step{stepOf(model.PolicyBatch, 1)}}
+	s.apply(&Command{SubmitWorkflow: &SubmitWorkflow{Spec: spec}})
+	s.apply(&Command{StartRuns: &StartRuns{Runs: s.m.DueRuns(s.at, 9)}})
+	job := s.place(model.WorkflowID("f").RunID(0), 0)
+	s.apply(&Command{CancelWorkflow: &CancelWorkflow{Team: "stands", ID: "f"}})
+	assert.Equal(t, s.m.Job(job).Task(0).Phase, model.TaskStopping)
+	assert.Equal(t, len(s.m.DueRuns(s.at+model.Time(100*time.Hour.Milliseconds()), 9)), 0)
+	s.tell(job, 0, api.ReportStopped)
+	assert.Assert(t, s.m.Workflow("f").Finished != 0)
+	assert.Equal(t, s.m.Workflow("f").Phase(), "cancelled")
+}
+
 func TestTheHighestRevisionWins(t *testing.T) {
 	s := newScript()
 	send := func(revision uint64, team string) Result {
