--- a/internal/control/late.go
+++ b/internal/control/late.go
@@ -13,6 +13,16 @@
 	maxLateTold = 4
 )
 
+// tellCell logs how full the cell is, where anything waits.
+func (l *leader) tellCell() {
+	st := l.sched.Stats()
+	if st.Waiting == 0 {
+		return
+	}
+	l.c.log.Info("Work waits.", "waiting", st.Waiting, "running", st.Running, "reserved", st.Reserved, "total", st.Total,
+		"workers", st.Workers, "clear_for", st.Holds)
+}
+
 // tellLate logs what holds the steps that wait beyond their due start.
 func (p *policy) tellLate(now model.Time) {
 	told, more := 0, 0
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -182,6 +182,7 @@
 	if now >= l.expireAt {
 		l.expireAt = now.Add(expireEvery)
 		l.holdAllRequests()
+		l.tellCell()
 		l.policy.tellLate(now)
 		if l.c.machine.ExpireDue(now) {
 			l.c.propose(&state.Command{Expire: &state.Expire{}}, func(state.Result, error) {})
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -75,6 +75,7 @@
 	Workers  int64 // known and not lost
 	Reserved model.Resources
 	Total    model.Resources // of the workers that are not lost
+	Holds    int             // jobs for which workers are kept clear
 }
 
 // New returns a Scheduler of an empty cell.
@@ -105,6 +106,7 @@
 		Workers:  s.workerCount,
 		Reserved: s.reserved,
 		Total:    s.total,
+		Holds:    len(s.holds),
 	}
 }
 
