--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -225,6 +225,7 @@
 		LateShift:     s.LateShift.Std(),
 		LateGrace:     s.LateGrace.Std(),
 		KeepRunning:   s.KeepRunning,
+		MaxHolds:      s.MaxReservations,
 	}
 }
 
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -56,6 +56,7 @@
 	c.duration("$.scheduling.pressing_slack", s.PressingSlack, bounds{time.Millisecond, time.Hour})
 	c.duration("$.scheduling.ageing_span", s.AgeingSpan, bounds{100 * time.Millisecond, 24 * time.Hour})
 	c.duration("$.scheduling.late_shift", s.LateShift, bounds{0, time.Hour})
+	c.between("$.scheduling.max_reservations", int64(s.MaxReservations), 1, 1024)
 	c.duration("$.scheduling.late_grace", s.LateGrace, bounds{0, time.Hour})
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -56,6 +56,8 @@
 	LateGrace model.Duration `json:"late_grace"`
 	// KeepRunning stops no task to make room for other work.
 	KeepRunning bool `json:"keep_running"`
+	// MaxReservations bounds the jobs at once for which workers are kept clear.
+	MaxReservations int `json:"max_reservations"`
 }
 
 // Platform is what a process needs on the users' platform. Empty addresses
@@ -216,6 +218,8 @@
 		Scheduling: Scheduling{
 			PressingSlack: model.Duration(5 * time.Second),
 			AgeingSpan:    model.Duration(10 * time.Minute),
+
+			MaxReservations: 8,
 		},
 		Log: Log{Level: "info", Format: "text"},
 	}
