Bound questions to the policy service by their cost, and avoid entries that do not answer

Change: the bound is one and a half times the service time open at the entry and 0.4 s; an entry without an answer is not asked for 2 s, one that shuts down not at all. A new leader tells in one line how many workers it calls.

--- a/internal/control/crew.go
+++ b/internal/control/crew.go
@@ -92,6 +92,7 @@
 			c.add(&w.Spec, w.Session)
 		}
 	}
+	c.l.c.log.Info("Inherited workers are called.", "workers", len(c.members), "term", c.l.term)
 }
 
 // heard keeps the clock that an announcement tells until it is committed.
@@ -112,6 +113,8 @@
 		return
 	}
 	c.l.policy.desk.Forget(e.Spec.ID)
+	c.l.c.log.Info("Worker announced itself.", "worker", e.Spec.ID, "address", e.Spec.Address, "incarnation", e.Spec.Incarnation,
+		"capacity", e.Spec.Capacity, "mode", e.Mode)
 	c.add(&e.Spec, e.Session)
 }
 
@@ -133,7 +136,7 @@
 			c.l.c.log.Warn("Worker gets no lease.", "worker", spec.ID, "err", err)
 		}
 	}
-	c.l.c.log.Info("Worker is called.", "worker", spec.ID, "address", spec.Address, "incarnation", spec.Incarnation, "capacity", spec.Capacity)
+	c.l.c.log.Debug("Worker is called.", "worker", spec.ID, "address", spec.Address, "incarnation", spec.Incarnation, "capacity", spec.Capacity)
 	c.look(m)
 }
 
--- a/internal/control/policy.go
+++ b/internal/control/policy.go
@@ -18,9 +18,11 @@
 const (
 	// maxQuestions bounds the questions that are on their way to the policy service.
 	maxQuestions = 48
-	// questionTimeout bounds one question, with those that wait before it at the
-	// same entry.
-	questionTimeout = 4 * time.Second
+	// questionSlack is what a question may take beyond one and a half times the
+	// service time of those that are open at the same entry.
+	questionSlack = 400 * time.Millisecond
+	// avoidFor is how long an entry is not asked after it gave no answer.
+	avoidFor = 2 * time.Second
 	// askEvery is the time between looks at which jobs need permits.
 	askEvery = 20 * time.Millisecond
 )
@@ -31,6 +33,7 @@
 	desk  *permit.Desk
 	costs map[model.JobID]model.PolicyCosts
 	open  map[string]time.Duration // service time of open questions, by entry address
+	avoid map[string]model.Time    // entries that gave no answer, until when
 	count int                      // open questions
 	next  model.Time
 }
@@ -41,6 +44,7 @@
 		desk:  permit.NewDesk(),
 		costs: map[model.JobID]model.PolicyCosts{},
 		open:  map[string]time.Duration{},
+		avoid: map[string]model.Time{},
 	}
 }
 
@@ -93,29 +97,41 @@
 	}
 }
 
-// entries returns the inner addresses of the entries that were heard lately.
+// entries returns the inner addresses of the entries that were heard lately,
+// without those that gave no answer if there are others.
 func (p *policy) entries(now model.Time) []string {
-	var out []string
+	var all, good []string
 	for _, e := range p.l.members.Entries(now) {
-		if e.Age < p.l.c.s.opts.Times.RequestLease {
-			out = append(out, e.Member.Inner)
+		if e.Leaving || e.Age >= p.l.c.s.opts.Times.RequestLease/2 {
+			continue
 		}
+		all = append(all, e.Member.Inner)
+		if now >= p.avoid[e.Member.Inner] {
+			good = append(good, e.Member.Inner)
+		}
+	}
+	if len(good) == 0 {
+		return all
 	}
-	return out
+	return good
 }
 
 func (p *policy) send(q *permit.Question, to string, cost time.Duration) {
 	p.count++
 	p.open[to] += cost
 	s := p.l.c.s
+	timeout := p.open[to]*3/2 + questionSlack
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), questionTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
 		req := &proto.Advise{Step: q.Step, Workers: q.Workers}
 		a, err := wire.Call[proto.Advise, courier.Advice](ctx, s.opts.Endpoint, to, wire.KindAdvise, req)
 		s.run(func(*core) {
 			p.count--
 			p.open[to] -= cost
+			if err != nil {
+				p.avoid[to] = s.now().Add(avoidFor)
+			}
 			p.answered(q, a, err)
 		})
 	}()
--- /dev/null
+++ b/internal/courier/clock_test.go
@@ -0,0 +1,42 @@
+package courier
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// A worker's clock may be 2% slow and its answers late, but a lease that is
+// granted never ends later than its length and that drift after the grant.
+func TestALeaseNeverOutlivesItsLengthAndTheDrift(t *testing.T) {
+	const length = 4 * time.Second
+	for _, rate := range []float64{0.98, 0.99, 1} {
+		for _, answerMS := range []int64{0, 1, 40, 900} {
+			var c Clock
+			clock := func(at model.Time) int64 { return 5000 + int64(float64(at)*rate) }
+			for at := model.Time(1); at < 20_000; at += 777 {
+				c.Observe(clock(at), at+model.Time(answerMS))
+				grant := at + model.Time(answerMS) + 300
+				assert.Assert(t, c.AtLeast(grant) <= clock(grant)+1)
+				until := c.LeaseUntil(grant, length)
+				end := grant.Add(length * 103 / 100)
+				assert.Assert(t, clock(end) >= until, "rate %v, answers after %d ms", rate, answerMS)
+			}
+		}
+	}
+}
+
+func TestAClockIsUnknownUntilItIsHeard(t *testing.T) {
+	var c Clock
+	assert.Assert(t, !c.Known())
+	c.Observe(0, 1000)
+	assert.Assert(t, !c.Known())
+	c.Observe(7, 1_000_000)
+	assert.Assert(t, c.Known())
+	assert.Equal(t, c.AtLeast(1_000_000), int64(7))
+	c.Observe(3, 1_000_100)
+	assert.Assert(t, c.AtLeast(1_000_100) > 7, "an answer that was overtaken tells nothing")
+}
--- a/internal/permit/desk.go
+++ b/internal/permit/desk.go
@@ -21,7 +21,7 @@
 	// to reach the worker while it holds.
 	spare = 250 * time.Millisecond
 	// retryAfter is the time before a question without an answer is asked again.
-	retryAfter = 200 * time.Millisecond
+	retryAfter = 20 * time.Millisecond
 )
 
 // Question asks which workers may run the tasks of a job.
