--- a/internal/control/crew.go
+++ b/internal/control/crew.go
@@ -83,7 +83,18 @@
 	}
 }
 
-func (c *crew) stop() { c.cancel() }
+func (c *crew) stop() {
+	c.cancel()
+	c.l.c.s.metrics.silent.Set(0)
+}
+
+// drop forgets a worker that is lost.
+func (c *crew) drop(id model.WorkerID) {
+	if m := c.members[id]; m != nil && m.silent {
+		c.l.c.s.metrics.silent.Dec()
+	}
+	delete(c.members, id)
+}
 
 // begin reaches the workers that the state knows at the start of a term.
 func (c *crew) begin() {
@@ -105,7 +116,7 @@
 // workerChanged follows the sessions of called workers.
 func (c *crew) workerChanged(e *state.WorkerChanged) {
 	if e.Mode == model.WorkerLost {
-		delete(c.members, e.Spec.ID)
+		c.drop(e.Spec.ID)
 		c.l.policy.desk.Forget(e.Spec.ID)
 		return
 	}
@@ -129,6 +140,7 @@
 		orders:  map[model.TaskID]*order{},
 	}
 	delete(c.clocks, spec.ID)
+	c.drop(spec.ID)
 	c.members[spec.ID] = m
 	claim := lease.Claim{Worker: spec.ID, Session: session}
 	if !c.l.leases.Holds(claim) {
@@ -216,8 +228,10 @@
 	if silent := err != nil; silent != m.silent {
 		m.silent = silent
 		if silent {
+			c.l.c.s.metrics.silent.Inc()
 			c.l.c.log.Warn("Worker does not answer, its lease is not renewed.", "worker", m.to.Worker, "address", m.to.Address, "err", err)
 		} else {
+			c.l.c.s.metrics.silent.Dec()
 			c.l.c.log.Info("Worker answers again.", "worker", m.to.Worker)
 		}
 	}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -136,6 +136,8 @@
 		l.members.Sync(l.c.machine.Members(), l.c.s.now())
 	case state.JobFinished:
 		l.waits.changed(l.c, e.ID)
+	case state.WorkflowMoved:
+		l.workflowMoved(&e)
 	}
 }
 
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -16,6 +16,12 @@
 	preemptions *prometheus.CounterVec
 	lost        prometheus.Counter
 	planSeconds prometheus.Histogram
+
+	orders       *prometheus.CounterVec
+	questions    *prometheus.CounterVec
+	silent       prometheus.Gauge
+	firstSeconds prometheus.Histogram
+	flowSeconds  *prometheus.HistogramVec
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -38,7 +44,22 @@
 		planSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "filbertmast_control_plan_seconds", Help: "Time to make one plan.",
 			Buckets: prometheus.ExponentialBuckets(10e-6, 4, 8)}),
+		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertmast_control_orders_total", Help: "Orders to workers that are called, by order and what the worker said."},
+			[]string{"order", "verdict"}),
+		questions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertmast_control_policy_questions_total", Help: "Questions to the policy service, by result."},
+			[]string{"result"}),
+		silent: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "filbertmast_control_workers_silent", Help: "Called workers that did not answer the last call."}),
+		firstSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "filbertmast_control_first_start_seconds", Help: "From the submission of a workflow to the first confirmed start.",
+			Buckets: prometheus.ExponentialBuckets(0.025, 2, 12)}),
+		flowSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "filbertmast_control_workflow_seconds", Help: "From the submission of a workflow to its end, by how it ended.",
+			Buckets: prometheus.ExponentialBuckets(0.25, 2, 12)}, []string{"phase"}),
 	}
+	r.MustRegister(m.orders, m.questions, m.silent, m.firstSeconds, m.flowSeconds)
 	r.MustRegister(m.leads, m.refusals, m.placements, m.unplaced, m.preemptions, m.lost, m.planSeconds)
 	return m
 }
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -87,7 +87,10 @@
 	o.open, o.stop = true, false
 	c.call(func(ctx context.Context, caller courier.Caller) courier.Answer {
 		return caller.Start(ctx, m.to, req)
-	}, func(a courier.Answer) { c.started(m, id, o, &req.Run, a) })
+	}, func(a courier.Answer) {
+		c.count(orderStart, a)
+		c.started(m, id, o, &req.Run, a)
+	})
 }
 
 func (c *crew) stopRun(m *calledWorker, id model.TaskID, o *order, j *state.Job, t *state.Task) {
@@ -95,7 +98,20 @@
 	o.open, o.stop, o.confirmed = true, true, 0
 	c.call(func(ctx context.Context, caller courier.Caller) courier.Answer {
 		return caller.Stop(ctx, m.to, req)
-	}, func(a courier.Answer) { c.stopped(m, id, o, a) })
+	}, func(a courier.Answer) {
+		c.count(orderStop, a)
+		c.stopped(m, id, o, a)
+	})
+}
+
+// The orders, as metrics name them.
+const (
+	orderStart = "start"
+	orderStop  = "stop"
+)
+
+func (c *crew) count(order string, a courier.Answer) {
+	c.l.c.s.metrics.orders.WithLabelValues(order, a.Verdict.String()).Inc()
 }
 
 // call runs one order outside of the control goroutine and its answer inside.
--- a/internal/control/policy.go
+++ b/internal/control/policy.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/courier"
+	"github.com/filbertmast/filbertmast/internal/errkind"
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/permit"
 	"github.com/filbertmast/filbertmast/internal/proto"
@@ -140,10 +141,12 @@
 func (p *policy) answered(q *permit.Question, a *courier.Advice, err error) {
 	now := p.l.c.s.now()
 	if err != nil {
+		p.l.c.s.metrics.questions.WithLabelValues(string(errkind.Of(err))).Inc()
 		p.l.c.log.Warn("Policy service gave no answer.", "workflow", q.Step.Workflow, "step", q.Step.Step, "err", err)
 		p.desk.Unanswered(q, now)
 		return
 	}
+	p.l.c.s.metrics.questions.WithLabelValues("ok").Inc()
 	p.desk.Answered(q, a, now)
 	p.l.c.log.Debug("Workers permitted.", "workflow", q.Step.Workflow, "step", q.Step.Step, "asked", len(q.Workers), "good", len(a.Permits))
 	p.permit(q.Job)
--- a/internal/control/workflows.go
+++ b/internal/control/workflows.go
@@ -58,6 +58,19 @@
 	})
 }
 
+// workflowMoved logs and measures the first start and the end of a workflow.
+func (l *leader) workflowMoved(e *state.WorkflowMoved) {
+	w := e.Workflow
+	took := e.At.Sub(w.Submitted)
+	if w.Finished == 0 {
+		l.c.s.metrics.firstSeconds.Observe(took.Seconds())
+		l.c.log.Debug("Workflow has started.", "workflow", w.Spec.ID, "after", took)
+		return
+	}
+	l.c.s.metrics.flowSeconds.WithLabelValues(w.Phase()).Observe(took.Seconds())
+	l.c.log.Info("Workflow ended.", "workflow", w.Spec.ID, "phase", w.Phase(), "after", took, "late_by", max(e.At.Sub(w.DueBy), 0))
+}
+
 func (l *leader) queue(_ wire.Peer, req *proto.Queue, done reply[proto.QueueView]) {
 	confirmed(l.c, done, &proto.QueueView{Waiting: l.c.machine.IdleWorkflows(req.Name)})
 }
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -48,6 +48,13 @@
 	At model.Time
 }
 
+// WorkflowMoved tells that the first task of a workflow has started, or that it
+// has ended. It is not told of single runs of one that runs at set times.
+type WorkflowMoved struct {
+	Workflow *Workflow // owned by the machine; read it in the same goroutine only
+	At       model.Time
+}
+
 // JobForgotten tells a finished job that is no longer kept.
 type JobForgotten struct {
 	ID model.JobID
@@ -98,6 +105,7 @@
 func (JobsCancelled) isEvent()    {}
 func (JobFinished) isEvent()      {}
 func (JobForgotten) isEvent()     {}
+func (WorkflowMoved) isEvent()    {}
 func (TaskChanged) isEvent()      {}
 func (PlacementRefused) isEvent() {}
 func (ExecutorChanged) isEvent()  {}
--- a/internal/state/workflow.go
+++ b/internal/state/workflow.go
@@ -177,6 +177,7 @@
 		return
 	}
 	m.idle[w.Spec.Queue]--
+	m.emit(WorkflowMoved{Workflow: w, At: m.now})
 }
 
 // stepFinished moves a workflow on after the job of a step is done.
@@ -218,7 +219,9 @@
 	m.flowsEnd = append(m.flowsEnd, w.key())
 	if w.Parent != "" {
 		m.runFinished(m.flows[w.Parent], w)
+		return
 	}
+	m.emit(WorkflowMoved{Workflow: w, At: m.now})
 }
 
 // endSteps ends every open job of the workflow.
