Explain one ID from logs, never wait for a log's reader, and serve workflows over HTTP

A line tells each start, stop and end of a task with what decided it; lines go through a bounded queue, and the number of those left out is told.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -84,6 +84,14 @@
 	FailureDomain string `json:"failure_domain" cbor:"2,keyasint"`
 }
 
+// WorkflowView is the answer to calls about one workflow: POST /v1/workflows,
+// GET and DELETE /v1/workflows/{id}.
+type WorkflowView struct {
+	ID       model.WorkflowID `json:"id"`
+	Phase    string           `json:"phase"`              // waiting, running, succeeded, failed or cancelled
+	Existing bool             `json:"existing,omitempty"` // the submission or the cancellation was a resend
+}
+
 // Heartbeat renews a worker's lease: POST /v1/workers/{id}/heartbeat.
 type Heartbeat struct {
 	Session uint64 `json:"session" cbor:"1,keyasint"`
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -43,6 +43,7 @@
 	Status       *statusCommand       `arg:"subcommand:status" help:"show the state of a deployment"`
 	Keys         *keysCommand         `arg:"subcommand:keys" help:"make, digest and withdraw keys"`
 	Certificates *certificatesCommand `arg:"subcommand:certs" help:"make certificates for the processes"`
+	Explain      *explainCommand      `arg:"subcommand:explain" help:"tell the story of one ID from logs"`
 	Standin      *standinCommand      `arg:"subcommand:standin" help:"run a stand-in worker or executor"`
 	Measure      *measureCommand      `arg:"subcommand:measure" help:"measure how the parts grow with size"`
 	Version      *versionCommand      `arg:"subcommand:version" help:"show the version"`
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -5,7 +5,9 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
+	"github.com/filbertmast/filbertmast/internal/obs"
 	"github.com/filbertmast/filbertmast/internal/server"
 	"github.com/filbertmast/filbertmast/internal/settings"
 	"github.com/filbertmast/filbertmast/platform"
@@ -20,6 +22,9 @@
 	return platform.New(s)
 }
 
+// logPatience is how long the last log lines are waited for at the end.
+const logPatience = time.Second
+
 // serveCommand runs one process of a deployment.
 type serveCommand struct {
 	Settings string `arg:"-s,--settings,required" placeholder:"FILE" help:"settings of this process"`
@@ -38,5 +43,7 @@
 	if err != nil {
 		return err
 	}
-	return server.Run(ctx, s, server.Options{Adapter: adapterOf(s), Log: os.Stdout})
+	out := obs.NewAsyncWriter(os.Stdout)
+	defer out.Close(logPatience)
+	return server.Run(ctx, s, server.Options{Adapter: adapterOf(s), Log: out})
 }
--- a/internal/control/commands.go
+++ b/internal/control/commands.go
@@ -35,7 +35,7 @@
 			Fence:   t.Fence,
 			Size:    t.Size,
 			Service: j.Spec.Service,
-			Payload: j.Spec.Payload,
+			Payload: l.payloadOf(j),
 		}, true
 	case model.TaskStopping:
 		return api.Command{Op: stopOp(j, t), Task: id, Fence: t.Fence, Reason: t.Stop.String()}, true
@@ -43,6 +43,18 @@
 	return api.Command{}, false
 }
 
+// payloadOf returns what the tasks of a job are given; a step's is kept with
+// its workflow.
+func (l *leader) payloadOf(j *state.Job) string {
+	if j.Step == nil {
+		return j.Spec.Payload
+	}
+	if w := l.c.machine.Workflow(j.Step.Workflow); w != nil {
+		return w.Spec.Payload
+	}
+	return ""
+}
+
 // task returns a task of a job that has not finished, or nil.
 func (l *leader) task(id model.TaskID) (*state.Job, *state.Task) {
 	j := l.c.machine.Job(id.Job)
--- a/internal/control/crew.go
+++ b/internal/control/crew.go
@@ -268,8 +268,8 @@
 		if t == nil {
 			continue // placed elsewhere since, or finished
 		}
-		c.l.c.log.Debug("Task ended.", "workflow", e.Run.Task.Workflow, "step", e.Run.Task.Step, "index", e.Run.Task.Index,
-			"attempt", e.Run.Attempt, "worker", m.to.Worker, "how", e.How)
+		c.l.c.log.Info("Task ended.", "workflow", e.Run.Task.Workflow, "step", e.Run.Task.Step, "index", e.Run.Task.Index,
+			"attempt", e.Run.Attempt, "worker", m.to.Worker, "how", e.How, "phase", t.Phase)
 		delete(m.orders, id)
 		c.note(m, api.Report{Task: id, Fence: t.Fence, State: reportOf(e.How), Checkpoint: e.Checkpoint})
 	}
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -75,15 +75,17 @@
 		c.withdraw(id, "the permit is not known")
 		return
 	}
-	w := c.l.c.machine.Workflow(j.Step.Workflow)
 	req := &courier.Start{
 		Run:        c.runOf(id, j, t),
-		Payload:    w.Spec.Payload,
+		Payload:    c.l.payloadOf(j),
 		Fence:      c.l.term,
 		LeaseUntil: until,
 		Checkpoint: j.Checkpoint(id.Index),
 		Permit:     permit,
 	}
+	c.l.c.log.Info("Start is sent.", "workflow", req.Run.Task.Workflow, "step", req.Run.Task.Step, "index", id.Index,
+		"attempt", t.Attempt, "worker", m.to.Worker, "size", t.Size, "fence", req.Fence, "lease_until", until,
+		"checkpoint", req.Checkpoint != "", "again", o.doubtful)
 	o.open, o.stop = true, false
 	c.call(func(ctx context.Context, caller courier.Caller) courier.Answer {
 		return caller.Start(ctx, m.to, req)
@@ -95,6 +97,8 @@
 
 func (c *crew) stopRun(m *calledWorker, id model.TaskID, o *order, j *state.Job, t *state.Task) {
 	req := &courier.Stop{Run: c.runOf(id, j, t), Fence: c.l.term}
+	c.l.c.log.Info("Stop is sent.", "workflow", req.Run.Task.Workflow, "step", req.Run.Task.Step, "index", id.Index,
+		"attempt", t.Attempt, "worker", m.to.Worker, "cause", t.Stop, "fence", req.Fence)
 	o.open, o.stop, o.confirmed = true, true, 0
 	c.call(func(ctx context.Context, caller courier.Caller) courier.Answer {
 		return caller.Stop(ctx, m.to, req)
--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -91,6 +91,16 @@
 	Broken // another member of the gang ended, or did not come in time
 )
 
+var howNames = [...]string{"succeeded", "failed", "stopped", "lapsed", "broken"}
+
+// String returns the name of h as logs show it.
+func (h How) String() string {
+	if int(h) >= len(howNames) {
+		return "unknown"
+	}
+	return howNames[h]
+}
+
 // Verdict is what a worker said to an order.
 type Verdict uint8
 
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -37,6 +37,9 @@
 	v1.DELETE("/jobs", s.caller(s.cancelJobs))
 	v1.GET("/jobs/:id", s.caller(s.getJob))
 	v1.DELETE("/jobs/:id", s.caller(s.cancelJob))
+	v1.POST("/workflows", s.caller(s.postWorkflow))
+	v1.GET("/workflows/:id", s.caller(s.getWorkflow))
+	v1.DELETE("/workflows/:id", s.caller(s.deleteWorkflow))
 	v1.POST("/services/:service/requests", s.caller(s.serveRequest))
 	v1.POST("/services/:service/requests/*", s.caller(s.serveRequest))
 
--- a/internal/entry/operate.go
+++ b/internal/entry/operate.go
@@ -44,8 +44,8 @@
 	if _, err := s.readJSON(c, &req.Apply); err != nil {
 		return err
 	}
-	if req.Apply.ApplyID == "" {
-		return errkind.New(errkind.BadRequest, "apply_id must be set, so that a resend is recognised")
+	if req.Apply.ApplyID == "" && req.Apply.Revision == 0 {
+		return errkind.New(errkind.BadRequest, "apply_id or revision must be set, so that a resend is recognised")
 	}
 	if problems := declare.Validate(&req.Apply.Declarations); len(problems) > 0 {
 		return errkind.New(errkind.BadDeclarations, "%s", problems.Error())
--- /dev/null
+++ b/internal/entry/workflows.go
@@ -0,0 +1,55 @@
+package entry
+
+import (
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/proto"
+)
+
+func (s *Server) postWorkflow(c echo.Context, caller proto.Caller) error {
+	var spec model.WorkflowSpec
+	if _, err := s.readJSON(c, &spec); err != nil {
+		return err
+	}
+	ctx, cancel := bounded(c, 0)
+	defer cancel()
+	view, err := s.SubmitWorkflow(ctx, caller, &spec)
+	if err != nil {
+		return err
+	}
+	status := http.StatusCreated
+	if view.Existing {
+		status = http.StatusOK
+	}
+	return c.JSON(status, workflowView(spec.ID, view))
+}
+
+func (s *Server) getWorkflow(c echo.Context, caller proto.Caller) error {
+	id := model.WorkflowID(c.Param("id"))
+	ctx, cancel := bounded(c, 0)
+	defer cancel()
+	view, err := s.Workflow(ctx, caller, id)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, workflowView(id, view))
+}
+
+func (s *Server) deleteWorkflow(c echo.Context, caller proto.Caller) error {
+	id := model.WorkflowID(c.Param("id"))
+	ctx, cancel := bounded(c, 0)
+	defer cancel()
+	view, err := s.CancelWorkflow(ctx, caller, id)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, workflowView(id, view))
+}
+
+func workflowView(id model.WorkflowID, v *proto.WorkflowView) api.WorkflowView {
+	return api.WorkflowView{ID: id, Phase: v.Phase, Existing: v.Existing}
+}
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -48,6 +48,40 @@
 	assert.Assert(t, strings.Contains(out.String(), "3 of 3 tasks succeeded"), out.String())
 }
 
+func TestAWorkflowRunsOnWorkersThatFetchTheirOrders(t *testing.T) {
+	d := startDev(t)
+	body := `{"id":"flow-1","queue":"example","payload":"{\"run_ms\":20}","steps":[
+{"policy":"batch","tasks":2,"size":{"cpu_milli":100,"memory_mib":10}},
+{"policy":"gang","tasks":2,"size":{"cpu_milli":100,"memory_mib":10},"after":[0]}]}`
+	status, answer := d.call(t, http.MethodPost, "/v1/workflows", body)
+	assert.Equal(t, status, http.StatusCreated, answer)
+	status, _ = d.call(t, http.MethodPost, "/v1/workflows", body)
+	assert.Equal(t, status, http.StatusOK, "a resend")
+	deadline := time.Now().Add(devTimeout)
+	for !strings.Contains(answer, "succeeded") {
+		assert.Assert(t, time.Now().Before(deadline), answer)
+		time.Sleep(20 * time.Millisecond)
+		_, answer = d.call(t, http.MethodGet, "/v1/workflows/flow-1", "")
+	}
+	status, _ = d.call(t, http.MethodGet, "/v1/workflows/other", "")
+	assert.Equal(t, status, http.StatusNotFound)
+}
+
+// call makes one call with the caller's key.
+func (d *dev) call(t *testing.T, method, path, body string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+d.address()+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+d.caller)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return resp.StatusCode, string(answer)
+}
+
 // jobBody is a valid job but for what edit changes.
 func jobBody(edit string) string {
 	job := map[string]json.RawMessage{}
