Take back starts that an earlier leader did not get through without a stop

Change: a list that was asked for under the new fence proves that the start never takes effect; a permit that would end before the start arrives is not used. Refused calls are logged with the age of the configuration.

--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -71,8 +71,7 @@
 	}
 	permit, permitted := c.l.policy.token(id.Job, m.to.Worker)
 	if !permitted {
-		// An earlier leader placed the task, and may have sent the start.
-		c.withdraw(id, "the permit is not known")
+		c.unpermitted(m, id, o, t)
 		return
 	}
 	req := &courier.Start{
@@ -174,6 +173,23 @@
 	c.note(m, api.Report{Task: id, Fence: t.Fence, State: api.ReportStopped, Reason: a.Reason})
 }
 
+// unpermitted deals with a task whose permit has ended or is not known. A start
+// that was never sent is taken back at once; of one that an earlier leader may
+// have sent, the next list tells.
+func (c *crew) unpermitted(m *calledWorker, id model.TaskID, o *order, t *state.Task) {
+	switch {
+	case o.doubtful:
+		c.withdraw(id, noPermit)
+	case !c.inherited(t):
+		c.note(m, api.Report{Task: id, Fence: t.Fence, State: api.ReportStopped, Reason: noPermit})
+	}
+}
+
+const noPermit = "the permit has ended or is not known"
+
+// inherited reports whether an earlier leader placed the attempt.
+func (c *crew) inherited(t *state.Task) bool { return t.Fence.Term < c.l.term }
+
 // withdraw stops a start that may have been sent without an answer. The task
 // waits again once the worker has confirmed that.
 func (c *crew) withdraw(id model.TaskID, reason string) {
@@ -252,7 +268,7 @@
 		}
 	case t.Phase == model.TaskStarting:
 		if o == nil || o.confirmed == 0 {
-			c.order(m, id)
+			c.startAgain(m, id, o, t)
 		}
 	case t.Phase == model.TaskRunning && !runs && known && t.Since < sent:
 		c.l.c.log.Warn("Worker no longer runs a task.", "task", id, "attempt", t.Attempt, "worker", m.to.Worker)
@@ -264,6 +280,18 @@
 	}
 }
 
+// startAgain deals with a start that the worker has not carried out. The list was
+// asked for under the fence of this leader, so that a start of an earlier one
+// that is still on its way never takes effect.
+func (c *crew) startAgain(m *calledWorker, id model.TaskID, o *order, t *state.Task) {
+	_, permitted := c.l.policy.token(id.Job, m.to.Worker)
+	if !permitted && c.inherited(t) && (o == nil || !o.doubtful) {
+		c.note(m, api.Report{Task: id, Fence: t.Fence, State: api.ReportStopped, Reason: noPermit})
+		return
+	}
+	c.order(m, id)
+}
+
 // confirm takes in that a start without an answer was carried out.
 func (c *crew) confirm(m *calledWorker, id model.TaskID, t *state.Task) {
 	m.orders[id] = &order{attempt: t.Attempt, confirmed: c.l.c.s.now()}
--- a/internal/control/policy.go
+++ b/internal/control/policy.go
@@ -169,7 +169,7 @@
 	if _, gated := p.costs[id]; !gated {
 		return "", true
 	}
-	token := p.desk.Token(id, worker)
+	token := p.desk.Token(id, worker, p.l.c.s.now())
 	return token, token != ""
 }
 
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -111,6 +111,17 @@
 	return c.version, c.digest
 }
 
+// age returns the version that is in force here, and how long ago a leader
+// confirmed it; negative where none has.
+func (c *configCopy) age() (uint64, time.Duration) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if c.confirmed.IsZero() {
+		return c.version, -1
+	}
+	return c.version, time.Since(c.confirmed).Round(time.Millisecond)
+}
+
 // fresh returns SettingsStale where no leader has confirmed the copy lately.
 func (c *configCopy) fresh() error {
 	c.mu.RLock()
--- a/internal/entry/gateway.go
+++ b/internal/entry/gateway.go
@@ -44,6 +44,16 @@
 	return proto.Caller{Team: k.Team, Operator: k.Operator, Key: k.Digest}, nil
 }
 
+// NoteRefused counts and logs that a call about a workflow was answered with an
+// error, with how old the configuration is that it was checked against.
+func (s *Server) NoteRefused(method string, id model.WorkflowID, err error) {
+	kind := errkind.Of(err)
+	s.metrics.refused(kind)
+	version, age := s.config.age()
+	s.log.Info("Call refused.", "workflow", id, "method", method, "kind", kind, "not_run", errkind.RowOf(kind).NotRun,
+		"config", version, "config_age", age, "err", err)
+}
+
 // SubmitWorkflow hands a workflow to the leader and returns after its commit.
 func (s *Server) SubmitWorkflow(ctx context.Context, caller proto.Caller, spec *model.WorkflowSpec) (*proto.WorkflowView, error) {
 	spec.Team = caller.Team
--- a/internal/permit/desk.go
+++ b/internal/permit/desk.go
@@ -20,6 +20,8 @@
 	// spare is how long before its end a permit is no longer used: a start has
 	// to reach the worker while it holds.
 	spare = 250 * time.Millisecond
+	// reach is what of it a start takes to the worker.
+	reach = 50 * time.Millisecond
 	// retryAfter is the time before a question without an answer is asked again.
 	retryAfter = 20 * time.Millisecond
 )
@@ -176,12 +178,13 @@
 	}
 }
 
-// Token returns the permit of a job for a worker, or "".
-func (d *Desk) Token(id model.JobID, worker model.WorkerID) string {
-	if e := d.jobs[id]; e != nil {
-		return e.tokens[worker].text
+// Token returns the permit of a job for a worker that holds at now, or "".
+func (d *Desk) Token(id model.JobID, worker model.WorkerID, now model.Time) string {
+	e := d.jobs[id]
+	if e == nil || now >= e.tokens[worker].until.Add(spare-reach) {
+		return ""
 	}
-	return ""
+	return e.tokens[worker].text
 }
 
 // Held is a permit that holds until a time.
