--- a/internal/command/app.go
+++ b/internal/command/app.go
@@ -148,17 +148,25 @@
 // maxInputBytes bounds a file or standard input that a command sends.
 const maxInputBytes = 64 << 20
 
+// open opens a file for reading, or standard input for "-".
+func (a *app) open(name string) (io.ReadCloser, error) {
+	if name == "-" {
+		return io.NopCloser(a.In), nil
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, usageErrorf("%v", err)
+	}
+	return f, nil
+}
+
 // readInput reads a file, or standard input for "-".
 func (a *app) readInput(name string) ([]byte, error) {
-	in := a.In
-	if name != "-" {
-		f, err := os.Open(name)
-		if err != nil {
-			return nil, usageErrorf("%v", err)
-		}
-		defer f.Close()
-		in = f
+	in, err := a.open(name)
+	if err != nil {
+		return nil, err
 	}
+	defer in.Close()
 	data, err := io.ReadAll(io.LimitReader(in, maxInputBytes+1))
 	if err != nil {
 		return nil, usageErrorf("%s cannot be read: %v", name, err)
--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"io"
-	"os"
 	"regexp"
 	"slices"
 	"strings"
@@ -85,15 +84,11 @@
 )
 
 func (c *explainCommand) read(a *app, name string) ([]logLine, error) {
-	in := a.In
-	if name != "-" {
-		f, err := os.Open(name)
-		if err != nil {
-			return nil, usageErrorf("%v", err)
-		}
-		defer f.Close()
-		in = f
+	in, err := a.open(name)
+	if err != nil {
+		return nil, err
 	}
+	defer in.Close()
 	id := regexp.MustCompile(`(^|[^0-9A-Za-z-])` + regexp.QuoteMeta(c.ID) + `($|[^0-9A-Za-z-])`)
 	scan := bufio.NewScanner(in)
 	scan.Buffer(nil, maxLogLine)
--- a/internal/wire/faults_test.go
+++ b/internal/wire/faults_test.go
@@ -371,6 +371,33 @@
 	assert.Equal(t, p.conn.remote.Started, again.self.Started)
 }
 
+// Messages may go over a connection that is not the one in the cache, as after
+// both ends have dialled at once.
+func TestEveryConnectionToAnEarlierLifeIsClosed(t *testing.T) {
+	a := listen(t, "a", func(o *Options) { o.Open = true })
+	b := listen(t, "b", func(o *Options) { o.Open = true })
+	handleEcho(a)
+	handleEcho(b)
+	assert.NilError(t, echo(testContext(t), a, b.Address(), "x"))
+	old := a.allConns()
+	assert.Equal(t, len(old), 1)
+	a.peer(b.Address()).drop(old[0]) // no longer the one in the cache
+	address := b.Address()
+	b.socket.Close()
+	again := listen(t, "b", func(o *Options) {
+		o.Address, o.Open = address, true
+		o.TLS = otherLocalTLS(t)
+	})
+	assert.NilError(t, echo(testContext(t), again, a.Address(), "back"))
+	ctx, cancel := context.WithTimeout(testContext(t), idleTimeout/2)
+	defer cancel()
+	select {
+	case <-old[0].qc.Context().Done():
+	case <-ctx.Done():
+		t.Fatal("the connection to the earlier life is still open")
+	}
+}
+
 // otherLocalTLS makes a certificate that no other endpoint of this process has.
 func otherLocalTLS(t *testing.T) *tls.Config {
 	t.Helper()
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -144,19 +144,26 @@
 }
 
 // offer makes an accepted connection the one to use. The peer dialled it, so it
-// held no older one, or has restarted since. After a restart an older one is
-// dead, though nothing has told so: what waits on it is set free.
+// held no older one, or has restarted since.
 func (p *peer) offer(c *conn) {
+	p.e.endEarlierLives(c.remote)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if old := p.conn; old != nil && old != c && old.remote.Started != c.remote.Started {
-		go old.close(codeClosed, "the peer has started again")
-	}
 	p.conn = c
 	p.failures = 0
 	p.nextDial = time.Time{}
 }
 
+// endEarlierLives closes the connections to earlier lives of a peer. They are
+// dead, though nothing has told so: what waits on them is set free.
+func (e *Endpoint) endEarlierLives(now Peer) {
+	for _, c := range e.allConns() {
+		if c.remote.Address == now.Address && c.remote.Started < now.Started {
+			go c.close(codeClosed, "the peer has started again")
+		}
+	}
+}
+
 func (p *peer) drop(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
