Prefer leaders in the larger region, and give starts to no worker that is not announced

A worker that had started again under its name took starts before its announcement was committed, whose tasks were then placed elsewhere as well (read, not seen).

--- a/internal/control/crew.go
+++ b/internal/control/crew.go
@@ -198,16 +198,15 @@
 		c.over(m)
 		return
 	}
+	if err == nil && seen.Incarnation != 0 && seen.Incarnation != m.to.Incarnation {
+		err = errNewLife // until its announcement is committed it gets no start
+	}
 	c.noteSilence(m, err)
 	if err != nil {
 		c.later(lookRetry, func() { c.look(m) })
 		return
 	}
 	m.clock.Observe(seen.Clock, c.l.c.s.now())
-	if seen.Incarnation != 0 && seen.Incarnation != m.to.Incarnation {
-		c.later(lookRetry, func() { c.look(m) }) // its announcement is on the way
-		return
-	}
 	c.takeEnds(m, seen.Ended)
 	c.reconcile(m, sent, seen)
 	if !renewed && m.greeted {
@@ -223,6 +222,9 @@
 	c.later(lookWait, func() { c.look(m) })
 }
 
+// errNewLife is the answer of a worker that has started again under its name.
+var errNewLife = errors.New("the worker has started again and is not announced yet")
+
 // noteSilence follows whether a worker answers.
 func (c *crew) noteSilence(m *calledWorker, err error) {
 	if silent := err != nil; silent != m.silent {
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -45,6 +45,10 @@
 	SendSnapshot(to string, chunk SnapshotChunk)
 }
 
+// reluctantTicks is what a reluctant replica waits beyond others: as long as the
+// spread of their timeouts.
+const reluctantTicks = raft.DefaultElectionTicks
+
 const (
 	// DefaultTick is the unit of the timeouts of elections and heartbeats.
 	DefaultTick = 50 * time.Millisecond
@@ -82,6 +86,9 @@
 	Logger     *log.Logger
 	Registerer prometheus.Registerer // nil: no metrics are registered
 	Seed       uint64                // for the jitter of elections
+	// Reluctant replicas call for an election later than others, so that one in a
+	// better place leads.
+	Reluctant bool
 	// SegmentBytes is the size of a log segment. Zero: 16 MiB.
 	SegmentBytes int64
 	// TrailingEntries stay in the log behind a snapshot. Zero: 10,000.
--- a/internal/replica/raft/core.go
+++ b/internal/replica/raft/core.go
@@ -18,10 +18,13 @@
 
 // Options sets up a core. Zero values mean the defaults.
 type Options struct {
-	ID               ID
-	Seed             uint64 // for the jitter of elections
-	ElectionTicks    int
-	HeartbeatTicks   int
+	ID             ID
+	Seed           uint64 // for the jitter of elections
+	ElectionTicks  int
+	HeartbeatTicks int
+	// WaitTicks is what this replica waits beyond others before it calls for an
+	// election, so that one in a better place leads.
+	WaitTicks        int
 	MaxAppendBytes   int // data of one Append
 	MaxInflightBytes int // appended to one peer and not yet acknowledged
 	MaxTailBytes     int // entries kept in memory that are committed and durable
--- a/internal/replica/raft/election.go
+++ b/internal/replica/raft/election.go
@@ -38,7 +38,7 @@
 
 func (c *Core) resetElection() {
 	c.electionElapsed = 0
-	c.electionTimeout = c.opts.ElectionTicks + c.rng.IntN(c.opts.ElectionTicks)
+	c.electionTimeout = c.opts.ElectionTicks + c.opts.WaitTicks + c.rng.IntN(c.opts.ElectionTicks)
 }
 
 // StepDown makes a leader a follower of the same term. The owner calls it where
--- a/internal/replica/raft/scenario_test.go
+++ b/internal/replica/raft/scenario_test.go
@@ -287,6 +287,17 @@
 	}
 }
 
+// A replica that waits longer than the spread of the others' timeouts never calls
+// for an election before them.
+func TestAReplicaThatWaitsCallsForElectionsAfterTheOthers(t *testing.T) {
+	for seed := range uint64(200) {
+		eager := New(Options{ID: 1, Seed: seed}, Restored{})
+		waits := New(Options{ID: 2, Seed: seed + 1, WaitTicks: DefaultElectionTicks}, Restored{})
+		assert.Assert(t, eager.electionTimeout < 2*DefaultElectionTicks)
+		assert.Assert(t, waits.electionTimeout >= 2*DefaultElectionTicks)
+	}
+}
+
 // A learner that is one round behind for good, since proposals never pause, is
 // promoted all the same.
 func TestADistantLearnerIsPromotedUnderLoad(t *testing.T) {
--- a/internal/replica/restore.go
+++ b/internal/replica/restore.go
@@ -34,7 +34,11 @@
 	if n.identity.Formed && n.log.Last().Index == 0 {
 		return &storage.CorruptError{File: n.opts.Dir, Reason: "the log has lost all its entries"}
 	}
-	n.core = raft.New(raft.Options{ID: n.identity.ID, Seed: n.opts.Seed}, r)
+	o := raft.Options{ID: n.identity.ID, Seed: n.opts.Seed}
+	if n.opts.Reluctant {
+		o.WaitTicks = reluctantTicks
+	}
+	n.core = raft.New(o, r)
 	n.formed.Store(n.identity.Formed)
 	if !n.identity.Formed && r.Last == 0 && !n.opts.Join {
 		n.founding, err = newFounding(n.opts)
--- a/internal/schedule/apply.go
+++ b/internal/schedule/apply.go
@@ -80,6 +80,9 @@
 // close drops all that is pending of a job.
 func (s *Scheduler) close(j *job) {
 	j.cancelled = true
+	if j.hold != nil {
+		s.dropHold(j.hold)
+	}
 	s.addReady(j, -j.ready)
 	s.waitingTasks -= int64(j.waiting)
 	j.waiting = 0
--- /dev/null
+++ b/internal/server/outlying_test.go
@@ -0,0 +1,19 @@
+package server
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/filbertmast/filbertmast/internal/settings"
+)
+
+func TestTheSmallerRegionIsOutlying(t *testing.T) {
+	regions := map[string]string{"selfoss": "south", "hvolsvollur": "south", "akureyri": "north"}
+	for region, want := range map[string]bool{"south": false, "north": true} {
+		set := settings.Default()
+		set.Region, set.Platform.Regions = region, regions
+		assert.Equal(t, outlying(set), want, region)
+	}
+	assert.Assert(t, !outlying(settings.Default()), "nothing is known of regions")
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -148,6 +148,7 @@
 		Founders:   founders,
 		Join:       p.set.Control.Join,
 		Tick:       p.set.Control.Tick.Std(),
+		Reluctant:  outlying(p.set),
 		Transport:  replicaTransport{p.endpoint},
 		Logger:     p.log,
 		Registerer: p.registry,
@@ -213,6 +214,22 @@
 	}
 }
 
+// outlying reports whether the process is in a region with fewer failure domains
+// than another has. A leader there would need the link between regions for
+// every commit.
+func outlying(set *settings.Settings) bool {
+	domains := map[string]int{}
+	for _, region := range set.Platform.Regions {
+		domains[region]++
+	}
+	for _, n := range domains {
+		if n > domains[set.Region] {
+			return true
+		}
+	}
+	return false
+}
+
 func stateOptions(set *settings.Settings) state.Options {
 	return state.Options{KeepFinished: set.Limits.KeepFinished, Journal: journal.Options{
 		Keep:       set.Limits.JournalKeep.Std(),
