--- /dev/null
+++ b/internal/client/workflows.go
@@ -0,0 +1,33 @@
+package client
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// SubmitWorkflow submits a workflow. Its ID makes a resend safe.
+func (c *Client) SubmitWorkflow(ctx context.Context, spec model.WorkflowSpec) (api.WorkflowView, error) {
+	var view api.WorkflowView
+	err := c.call(ctx, call{method: http.MethodPost, path: "/v1/workflows"}, spec, &view)
+	return view, err
+}
+
+// Workflow returns where a workflow stands.
+func (c *Client) Workflow(ctx context.Context, id model.WorkflowID) (api.WorkflowView, error) {
+	var view api.WorkflowView
+	err := c.call(ctx, call{method: http.MethodGet, path: workflowPath(id), read: true}, nil, &view)
+	return view, err
+}
+
+// CancelWorkflow cancels a workflow. One that has ended stays as it is.
+func (c *Client) CancelWorkflow(ctx context.Context, id model.WorkflowID) (api.WorkflowView, error) {
+	var view api.WorkflowView
+	err := c.call(ctx, call{method: http.MethodDelete, path: workflowPath(id)}, nil, &view)
+	return view, err
+}
+
+func workflowPath(id model.WorkflowID) string { return "/v1/workflows/" + url.PathEscape(string(id)) }
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -35,6 +35,7 @@
 	Get          *getCommand          `arg:"subcommand:get" help:"show jobs, and why they wait"`
 	Wait         *waitCommand         `arg:"subcommand:wait" help:"wait for the end of a job"`
 	Cancel       *cancelCommand       `arg:"subcommand:cancel" help:"cancel jobs"`
+	Workflow     *workflowCommand     `arg:"subcommand:workflow" help:"submit, show and cancel workflows"`
 	Request      *requestCommand      `arg:"subcommand:request" help:"send a request to a service"`
 	Workers      *workersCommand      `arg:"subcommand:workers" help:"list workers"`
 	Cordon       *cordonCommand       `arg:"subcommand:cordon" help:"give workers no new work"`
--- a/internal/command/examples_test.go
+++ b/internal/command/examples_test.go
@@ -114,6 +114,11 @@
 		}
 	}
 	readJob(t, filepath.Join(examples, "hello.json"))
+	data, err := os.ReadFile(filepath.Join(examples, "workflow.json"))
+	assert.NilError(t, err)
+	var flow model.WorkflowSpec
+	assert.NilError(t, strict.Decode("workflow.json", data, &flow).Err())
+	assert.NilError(t, flow.Validate())
 }
 
 func readJob(t *testing.T, file string) model.JobSpec {
--- /dev/null
+++ b/internal/command/workflow.go
@@ -0,0 +1,90 @@
+package command
+
+import (
+	"context"
+
+	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/client"
+	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/strict"
+)
+
+// workflowCommand submits, shows and cancels workflows.
+type workflowCommand struct {
+	Submit *workflowSubmitCommand `arg:"subcommand:submit" help:"submit a workflow"`
+	Get    *workflowGetCommand    `arg:"subcommand:get" help:"show where a workflow stands"`
+	Cancel *workflowCancelCommand `arg:"subcommand:cancel" help:"cancel a workflow"`
+}
+
+func (*workflowCommand) describe() string {
+	return `A workflow is a set of steps under an ID of the caller's own; a step starts once
+the steps in its "after" have succeeded. To submit it again under its ID is safe.
+`
+}
+
+func (*workflowCommand) run(context.Context, *app) error {
+	return usageErrorf("name one of submit, get, cancel")
+}
+
+type workflowSubmitCommand struct {
+	File string `arg:"positional,required" placeholder:"FILE" help:"workflow in JSON, or - for standard input"`
+	connection
+	output
+}
+
+func (c *workflowSubmitCommand) run(ctx context.Context, a *app) error {
+	data, err := a.readInput(c.File)
+	if err != nil {
+		return err
+	}
+	var spec model.WorkflowSpec
+	if err := strict.Decode(c.File, data, &spec).Err(); err != nil {
+		return err
+	}
+	return c.workflow(ctx, a, c.output, func(ctx context.Context, cl *client.Client) (api.WorkflowView, error) {
+		return cl.SubmitWorkflow(ctx, spec)
+	})
+}
+
+type workflowGetCommand struct {
+	ID string `arg:"positional,required" help:"ID of the workflow"`
+	connection
+	output
+}
+
+func (c *workflowGetCommand) run(ctx context.Context, a *app) error {
+	return c.workflow(ctx, a, c.output, func(ctx context.Context, cl *client.Client) (api.WorkflowView, error) {
+		return cl.Workflow(ctx, model.WorkflowID(c.ID))
+	})
+}
+
+type workflowCancelCommand struct {
+	ID string `arg:"positional,required" help:"ID of the workflow"`
+	connection
+	output
+}
+
+func (c *workflowCancelCommand) run(ctx context.Context, a *app) error {
+	return c.workflow(ctx, a, c.output, func(ctx context.Context, cl *client.Client) (api.WorkflowView, error) {
+		return cl.CancelWorkflow(ctx, model.WorkflowID(c.ID))
+	})
+}
+
+// workflow makes one call about a workflow and tells its phase.
+func (c *connection) workflow(ctx context.Context, a *app, o output,
+	do func(context.Context, *client.Client) (api.WorkflowView, error)) error {
+	ctx, cancel, cl, err := c.dial(ctx, a, o)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	view, err := do(ctx, cl)
+	if err != nil {
+		return err
+	}
+	if a.json {
+		return a.writeJSON(view)
+	}
+	a.printf("%s  %s\n", view.ID, view.Phase)
+	return nil
+}
