--- a/internal/control/crew.go
+++ b/internal/control/crew.go
@@ -32,7 +32,7 @@
 // What is sent follows from the state; what comes back becomes reports.
 type crew struct {
 	l       *leader
-	members map[model.WorkerID]*calledWorker
+	workers map[model.WorkerID]*calledWorker
 	clocks  map[model.WorkerID]courier.Clock // of announcements that are not committed yet
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -68,7 +68,7 @@
 
 // taken is an end that is on its way to be committed.
 type taken struct {
-	member *calledWorker
+	worker *calledWorker
 	number uint64
 }
 
@@ -76,7 +76,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &crew{
 		l:       l,
-		members: map[model.WorkerID]*calledWorker{},
+		workers: map[model.WorkerID]*calledWorker{},
 		clocks:  map[model.WorkerID]courier.Clock{},
 		ctx:     ctx,
 		cancel:  cancel,
@@ -90,10 +90,10 @@
 
 // drop forgets a worker that is lost.
 func (c *crew) drop(id model.WorkerID) {
-	if m := c.members[id]; m != nil && m.silent {
+	if m := c.workers[id]; m != nil && m.silent {
 		c.l.c.s.metrics.silent.Dec()
 	}
-	delete(c.members, id)
+	delete(c.workers, id)
 }
 
 // begin reaches the workers that the state knows at the start of a term.
@@ -103,7 +103,7 @@
 			c.add(&w.Spec, w.Session)
 		}
 	}
-	c.l.c.log.Info("Inherited workers are called.", "workers", len(c.members), "term", c.l.term)
+	c.l.c.log.Info("Inherited workers are called.", "workers", len(c.workers), "term", c.l.term)
 }
 
 // heard keeps the clock that an announcement tells until it is committed.
@@ -120,7 +120,7 @@
 		c.l.policy.desk.Forget(e.Spec.ID)
 		return
 	}
-	if m := c.members[e.Spec.ID]; m != nil && m.session == e.Session {
+	if m := c.workers[e.Spec.ID]; m != nil && m.session == e.Session {
 		return
 	}
 	c.l.policy.desk.Forget(e.Spec.ID)
@@ -141,7 +141,7 @@
 	}
 	delete(c.clocks, spec.ID)
 	c.drop(spec.ID)
-	c.members[spec.ID] = m
+	c.workers[spec.ID] = m
 	claim := lease.Claim{Worker: spec.ID, Session: session}
 	if !c.l.leases.Holds(claim) {
 		if err := c.l.leases.Grant(claim, c.l.c.s.now()); err != nil {
@@ -153,7 +153,7 @@
 }
 
 // current reports whether m is still the life of the worker that is called.
-func (c *crew) current(m *calledWorker) bool { return c.l.c.lead == c.l && c.members[m.to.Worker] == m }
+func (c *crew) current(m *calledWorker) bool { return c.l.c.lead == c.l && c.workers[m.to.Worker] == m }
 
 // grant renews the lease of a worker and returns its end on the worker's clock;
 // zero where nothing may be renewed.
@@ -345,11 +345,11 @@
 // committed acknowledges ends with the next look.
 func (c *crew) committed(ends []taken) {
 	for _, e := range ends {
-		e.member.cursor = max(e.member.cursor, e.number)
+		e.worker.cursor = max(e.worker.cursor, e.number)
 	}
 	for _, e := range ends {
-		if e.member.cursor == e.member.offered {
-			c.look(e.member)
+		if e.worker.cursor == e.worker.offered {
+			c.look(e.worker)
 		}
 	}
 }
@@ -357,7 +357,7 @@
 // forget has ends told again whose commit failed.
 func (c *crew) forget(ends []taken) {
 	for _, e := range ends {
-		e.member.offered = e.member.cursor
-		c.later(lookRetry, func() { c.look(e.member) })
+		e.worker.offered = e.worker.cursor
+		c.later(lookRetry, func() { c.look(e.worker) })
 	}
 }
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -11,7 +11,7 @@
 
 // taskChanged sends the order that a committed change calls for.
 func (c *crew) taskChanged(e *state.TaskChanged) {
-	m := c.members[e.Worker]
+	m := c.workers[e.Worker]
 	if m == nil {
 		return
 	}
--- a/internal/model/workflow.go
+++ b/internal/model/workflow.go
@@ -11,6 +11,15 @@
 // WorkflowID names a workflow. The caller chooses it; it is unique in a cell.
 type WorkflowID string
 
+// The phases of a job and of a workflow, as the API shows them.
+const (
+	PhaseWaiting   = "waiting"
+	PhaseRunning   = "running"
+	PhaseSucceeded = "succeeded"
+	PhaseFailed    = "failed"
+	PhaseCancelled = "cancelled"
+)
+
 // Bounds of a workflow.
 const (
 	MaxSteps      = 256
--- a/internal/state/job.go
+++ b/internal/state/job.go
@@ -121,15 +121,15 @@
 func (j *Job) Phase() string {
 	switch {
 	case j.Finished == 0 && j.held() > 0:
-		return "running"
+		return model.PhaseRunning
 	case j.Finished == 0:
-		return "waiting"
+		return model.PhaseWaiting
 	case j.counts[model.TaskFailed] > 0:
-		return "failed"
+		return model.PhaseFailed
 	case j.Cancelled:
-		return "cancelled"
+		return model.PhaseCancelled
 	default:
-		return "succeeded"
+		return model.PhaseSucceeded
 	}
 }
 
--- a/internal/state/runs.go
+++ b/internal/state/runs.go
@@ -66,7 +66,7 @@
 		return
 	}
 	switch {
-	case run.Phase() == "succeeded":
+	case run.Phase() == model.PhaseSucceeded:
 		w.Done++
 	case !w.Cancelled && !w.Failed:
 		w.Failed = true
--- a/internal/state/workflow.go
+++ b/internal/state/workflow.go
@@ -42,15 +42,15 @@
 func (w *Workflow) Phase() string {
 	switch {
 	case w.Cancelled:
-		return "cancelled"
+		return model.PhaseCancelled
 	case w.Failed:
-		return "failed"
+		return model.PhaseFailed
 	case w.Finished != 0:
-		return "succeeded"
+		return model.PhaseSucceeded
 	case w.Started:
-		return "running"
+		return model.PhaseRunning
 	}
-	return "waiting"
+	return model.PhaseWaiting
 }
 
 // Workflow returns the workflow id, or nil. The caller must not change it.
@@ -129,7 +129,7 @@
 		return false
 	}
 	j := m.jobs[w.Jobs[i]]
-	return j == nil || j.Phase() == "succeeded"
+	return j == nil || j.Phase() == model.PhaseSucceeded
 }
 
 func (m *Machine) releaseStep(w *Workflow, i int32) {
@@ -188,7 +188,7 @@
 	}
 	switch {
 	case w.Cancelled || w.Failed:
-	case j.Phase() == "succeeded":
+	case j.Phase() == model.PhaseSucceeded:
 		w.Left--
 		m.releaseSteps(w)
 	default:
