--- a/internal/command/apply.go
+++ b/internal/command/apply.go
@@ -36,11 +36,7 @@
 		return err
 	}
 	defer cancel()
-	wanted, err := c.load()
-	if err != nil {
-		return err
-	}
-	cmp, err := c.compare(ctx, cl, wanted)
+	cmp, err := c.compare(ctx, cl)
 	if err != nil {
 		return err
 	}
@@ -54,7 +50,7 @@
 		if c.Base != nil {
 			base = *c.Base
 		}
-		result.Applied, err = cl.Apply(ctx, api.Apply{Base: base, ApplyID: c.ApplyID, Declarations: wanted})
+		result.Applied, err = cl.Apply(ctx, api.Apply{Base: base, ApplyID: c.ApplyID, Declarations: cmp.wanted})
 		if err != nil {
 			return err
 		}
--- a/internal/command/declarations.go
+++ b/internal/command/declarations.go
@@ -27,7 +27,12 @@
 	return d, problems.Err()
 }
 
-func (o declarationsOptions) compare(ctx context.Context, cl *client.Client, wanted model.Declarations) (comparison, error) {
+// compare loads the folder and holds it against what is in force.
+func (o declarationsOptions) compare(ctx context.Context, cl *client.Client) (comparison, error) {
+	wanted, err := o.load()
+	if err != nil {
+		return comparison{}, err
+	}
 	view, err := cl.Declarations(ctx)
 	if err != nil {
 		return comparison{}, err
--- a/internal/command/diff.go
+++ b/internal/command/diff.go
@@ -33,11 +33,7 @@
 		return err
 	}
 	defer cancel()
-	wanted, err := c.load()
-	if err != nil {
-		return err
-	}
-	cmp, err := c.compare(ctx, cl, wanted)
+	cmp, err := c.compare(ctx, cl)
 	if err != nil {
 		return err
 	}
--- a/internal/control/crew.go
+++ b/internal/control/crew.go
@@ -57,6 +57,12 @@
 	orders map[model.TaskID]*order
 }
 
+// fields names a run on the worker in a log line, followed by more.
+func (m *calledWorker) fields(r *courier.Run, more ...any) []any {
+	run := []any{"workflow", r.Task.Workflow, "step", r.Task.Step, "index", r.Task.Index, "attempt", r.Attempt, "worker", m.to.Worker}
+	return append(run, more...)
+}
+
 // order is what the leader knows of the orders for one held task.
 type order struct {
 	attempt   uint32
@@ -270,8 +276,7 @@
 		if t == nil {
 			continue // placed elsewhere since, or finished
 		}
-		c.l.c.log.Info("Task ended.", "workflow", e.Run.Task.Workflow, "step", e.Run.Task.Step, "index", e.Run.Task.Index,
-			"attempt", e.Run.Attempt, "worker", m.to.Worker, "how", e.How, "phase", t.Phase)
+		c.l.c.log.Info("Task ended.", m.fields(&e.Run, "how", e.How, "phase", t.Phase)...)
 		delete(m.orders, id)
 		c.note(m, api.Report{Task: id, Fence: t.Fence, State: reportOf(e.How), Checkpoint: e.Checkpoint})
 	}
--- a/internal/control/late.go
+++ b/internal/control/late.go
@@ -27,8 +27,8 @@
 func (p *policy) tellLate(now model.Time) {
 	told, more := 0, 0
 	for _, id := range p.desk.Jobs() {
-		j := p.l.c.machine.Job(id)
-		if j == nil || j.Finished != 0 || j.Count(model.TaskPending) == 0 || now < j.StartBy.Add(lateAfter) {
+		j := p.waiting(id)
+		if j == nil || now < j.StartBy.Add(lateAfter) {
 			continue
 		}
 		if told == maxLateTold {
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -82,9 +82,8 @@
 		Checkpoint: j.Checkpoint(id.Index),
 		Permit:     permit,
 	}
-	c.l.c.log.Info("Start is sent.", "workflow", req.Run.Task.Workflow, "step", req.Run.Task.Step, "index", id.Index,
-		"attempt", t.Attempt, "worker", m.to.Worker, "size", t.Size, "fence", req.Fence, "lease_until", until,
-		"checkpoint", req.Checkpoint != "", "again", o.doubtful)
+	c.l.c.log.Info("Start is sent.", m.fields(&req.Run, "size", t.Size, "fence", req.Fence, "lease_until", until,
+		"checkpoint", req.Checkpoint != "", "again", o.doubtful)...)
 	o.open, o.stop = true, false
 	c.call(func(ctx context.Context, caller courier.Caller) courier.Answer {
 		return caller.Start(ctx, m.to, req)
@@ -96,8 +95,7 @@
 
 func (c *crew) stopRun(m *calledWorker, id model.TaskID, o *order, j *state.Job, t *state.Task) {
 	req := &courier.Stop{Run: c.runOf(id, j, t), Fence: c.l.term}
-	c.l.c.log.Info("Stop is sent.", "workflow", req.Run.Task.Workflow, "step", req.Run.Task.Step, "index", id.Index,
-		"attempt", t.Attempt, "worker", m.to.Worker, "cause", t.Stop, "fence", req.Fence)
+	c.l.c.log.Info("Stop is sent.", m.fields(&req.Run, "cause", t.Stop, "fence", req.Fence)...)
 	o.open, o.stop, o.confirmed = true, true, 0
 	c.call(func(ctx context.Context, caller courier.Caller) courier.Answer {
 		return caller.Stop(ctx, m.to, req)
@@ -143,8 +141,7 @@
 		return
 	}
 	if a.Verdict != courier.Accepted {
-		c.l.c.log.Info("Start not confirmed.", "workflow", run.Task.Workflow, "step", run.Task.Step, "index", run.Task.Index,
-			"attempt", run.Attempt, "worker", m.to.Worker, "verdict", a.Verdict, "reason", a.Reason)
+		c.l.c.log.Info("Start not confirmed.", m.fields(run, "verdict", a.Verdict, "reason", a.Reason)...)
 	}
 	switch a.Verdict {
 	case courier.Accepted:
@@ -170,7 +167,13 @@
 		c.withdraw(id, a.Reason)
 		return
 	}
-	c.note(m, api.Report{Task: id, Fence: t.Fence, State: api.ReportStopped, Reason: a.Reason})
+	c.notStarted(m, id, t, a.Reason)
+}
+
+// notStarted notes that a start was not carried out and never will be: the task
+// waits again.
+func (c *crew) notStarted(m *calledWorker, id model.TaskID, t *state.Task, reason string) {
+	c.note(m, api.Report{Task: id, Fence: t.Fence, State: api.ReportStopped, Reason: reason})
 }
 
 // unpermitted deals with a task whose permit has ended or is not known. A start
@@ -181,7 +184,7 @@
 	case o.doubtful:
 		c.withdraw(id, noPermit)
 	case !c.inherited(t):
-		c.note(m, api.Report{Task: id, Fence: t.Fence, State: api.ReportStopped, Reason: noPermit})
+		c.notStarted(m, id, t, noPermit)
 	}
 }
 
@@ -286,7 +289,7 @@
 func (c *crew) startAgain(m *calledWorker, id model.TaskID, o *order, t *state.Task) {
 	_, permitted := c.l.policy.token(id.Job, m.to.Worker)
 	if !permitted && c.inherited(t) && (o == nil || !o.doubtful) {
-		c.note(m, api.Report{Task: id, Fence: t.Fence, State: api.ReportStopped, Reason: noPermit})
+		c.notStarted(m, id, t, noPermit)
 		return
 	}
 	c.order(m, id)
@@ -300,8 +303,7 @@
 
 // stopStray stops a run that the state does not hold on the worker.
 func (c *crew) stopStray(m *calledWorker, r *courier.Run) {
-	c.l.c.log.Info("Run is stopped that the state does not hold here.", "workflow", r.Task.Workflow, "step", r.Task.Step,
-		"index", r.Task.Index, "attempt", r.Attempt, "worker", m.to.Worker)
+	c.l.c.log.Info("Run is stopped that the state does not hold here.", m.fields(r)...)
 	req := &courier.Stop{Run: *r, Fence: c.l.term}
 	c.call(func(ctx context.Context, caller courier.Caller) courier.Answer {
 		return caller.Stop(ctx, m.to, req)
--- a/internal/control/policy.go
+++ b/internal/control/policy.go
@@ -71,8 +71,16 @@
 
 // Waits implements permit.Cell.
 func (p *policy) Waits(id model.JobID) bool {
+	return p.waiting(id) != nil
+}
+
+// waiting returns a job that has tasks to place; nil where it has none.
+func (p *policy) waiting(id model.JobID) *state.Job {
 	j := p.l.c.machine.Job(id)
-	return j != nil && j.Finished == 0 && j.Count(model.TaskPending) > 0
+	if j == nil || j.Finished != 0 || j.Count(model.TaskPending) == 0 {
+		return nil
+	}
+	return j
 }
 
 // Candidates implements permit.Cell.
--- a/internal/e2e/cell_test.go
+++ b/internal/e2e/cell_test.go
@@ -22,6 +22,7 @@
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/settings"
 	"github.com/filbertmast/filbertmast/internal/standin"
+	"github.com/filbertmast/filbertmast/internal/testwait"
 )
 
 // patience bounds every wait for an event; a run that needs more has failed.
@@ -221,17 +222,7 @@
 // await calls check until it returns nil.
 func (c *cell) await(what string, check func() error) {
 	c.t.Helper()
-	deadline := time.Now().Add(patience)
-	for {
-		err := check()
-		if err == nil {
-			return
-		}
-		if time.Now().After(deadline) {
-			c.t.Fatalf("%s: %v", what, err)
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
+	testwait.Until(c.t, patience, what, check)
 }
 
 // clientOf returns a client of the given processes, or of all.
--- a/internal/server/adapter.go
+++ b/internal/server/adapter.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 
-	"github.com/charmbracelet/log"
-
 	"github.com/filbertmast/filbertmast/internal/courier"
 	"github.com/filbertmast/filbertmast/internal/entry"
 	"github.com/filbertmast/filbertmast/internal/errkind"
-	"github.com/filbertmast/filbertmast/internal/obs"
 )
 
 // Adapter joins a process to an interface that is not the product's own. It
@@ -53,20 +49,9 @@
 		if err != nil {
 			return errkind.Wrap(errkind.Internal, err, "adapter address")
 		}
-		srv := &http.Server{
-			Handler:           l.Handler,
-			ReadHeaderTimeout: p.set.Outer.ReadHeaderTimeout.Std(),
-			ReadTimeout:       p.set.Outer.ReadTimeout.Std(),
-			IdleTimeout:       p.set.Outer.IdleTimeout.Std(),
-			MaxHeaderBytes:    p.set.Outer.MaxHeaderBytes,
-			ErrorLog:          p.log.WithPrefix(obs.PrefixServer).StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
-		}
+		srv := p.newHTTPServer(l.Handler)
 		p.adapted = append(p.adapted, srv)
-		p.spawn(func() {
-			if err := srv.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-				p.failed <- err
-			}
-		})
+		p.serveHTTP(func() error { return srv.Serve(listener) })
 	}
 	return nil
 }
--- a/internal/server/partition_test.go
+++ b/internal/server/partition_test.go
@@ -19,6 +19,7 @@
 	"github.com/filbertmast/filbertmast/internal/errkind"
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/settings"
+	"github.com/filbertmast/filbertmast/internal/testwait"
 	"github.com/filbertmast/filbertmast/internal/wire"
 )
 
@@ -93,17 +94,7 @@
 
 func (g *group) await(what string, check func() error) {
 	g.t.Helper()
-	deadline := time.Now().Add(eventTimeout)
-	for {
-		err := check()
-		if err == nil {
-			return
-		}
-		if time.Now().After(deadline) {
-			g.t.Fatalf("%s: %v", what, err)
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
+	testwait.Until(g.t, eventTimeout, what, check)
 }
 
 func (g *group) declare() {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -275,15 +275,8 @@
 	}
 	p.outer = listener
 	limited := netutil.LimitListener(listener, o.MaxConnections)
-	p.http = &http.Server{
-		Handler:           p.handler(),
-		ReadHeaderTimeout: o.ReadHeaderTimeout.Std(),
-		ReadTimeout:       o.ReadTimeout.Std(),
-		WriteTimeout:      o.WriteTimeout.Std(),
-		IdleTimeout:       o.IdleTimeout.Std(),
-		MaxHeaderBytes:    o.MaxHeaderBytes,
-		ErrorLog:          p.log.WithPrefix(obs.PrefixServer).StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
-	}
+	p.http = p.newHTTPServer(p.handler())
+	p.http.WriteTimeout = o.WriteTimeout.Std()
 	serve := func() error { return p.http.Serve(limited) }
 	if o.TLS() {
 		conf, err := certs.LoadServerTLS(o.Certificate, o.Key)
@@ -293,12 +286,30 @@
 		p.http.TLSConfig = conf
 		serve = func() error { return p.http.ServeTLS(limited, "", "") }
 	}
+	p.serveHTTP(serve)
+	return nil
+}
+
+// newHTTPServer returns a server of handler with the limits for callers.
+func (p *Process) newHTTPServer(handler http.Handler) *http.Server {
+	o := &p.set.Outer
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: o.ReadHeaderTimeout.Std(),
+		ReadTimeout:       o.ReadTimeout.Std(),
+		IdleTimeout:       o.IdleTimeout.Std(),
+		MaxHeaderBytes:    o.MaxHeaderBytes,
+		ErrorLog:          p.log.WithPrefix(obs.PrefixServer).StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+	}
+}
+
+// serveHTTP runs serve until its server is closed. Any other end fails the process.
+func (p *Process) serveHTTP(serve func() error) {
 	p.spawn(func() {
 		if err := serve(); !errors.Is(err, http.ErrServerClosed) {
 			p.failed <- err
 		}
 	})
-	return nil
 }
 
 func (p *Process) spawn(fn func()) {
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"os"
@@ -16,6 +17,7 @@
 	"github.com/filbertmast/filbertmast/internal/api"
 	"github.com/filbertmast/filbertmast/internal/errkind"
 	"github.com/filbertmast/filbertmast/internal/obs"
+	"github.com/filbertmast/filbertmast/internal/testwait"
 )
 
 // startDev runs the embedded default up to the end of its example job.
@@ -57,12 +59,13 @@
 	assert.Equal(t, status, http.StatusCreated, answer)
 	status, _ = d.call(t, http.MethodPost, "/v1/workflows", body)
 	assert.Equal(t, status, http.StatusOK, "a resend")
-	deadline := time.Now().Add(devTimeout)
-	for !strings.Contains(answer, "succeeded") {
-		assert.Assert(t, time.Now().Before(deadline), answer)
-		time.Sleep(20 * time.Millisecond)
-		_, answer = d.call(t, http.MethodGet, "/v1/workflows/flow-1", "")
-	}
+	testwait.Until(t, devTimeout, "a workflow that succeeded", func() error {
+		_, answer := d.call(t, http.MethodGet, "/v1/workflows/flow-1", "")
+		if !strings.Contains(answer, "succeeded") {
+			return errors.New(answer)
+		}
+		return nil
+	})
 	status, _ = d.call(t, http.MethodGet, "/v1/workflows/other", "")
 	assert.Equal(t, status, http.StatusNotFound)
 }
