A request to a frozen entry ends a second after its deadline

Cause: the client waited for an answer as long as the caller's context lasted. A frozen entry keeps its connections open and answers nothing, so a request with a deadline and a context without one hung for ever, and the callers that failures had moved on to that entry with it. Ruled out: a retry after the deadline, since the caller has given that up; a bound on calls without a deadline, which may wait long on purpose. Change: one sending of a request is given up a second after its deadline, as deadline_exceeded (may have run), and the next call goes to the next address. The client test hung until its own context ended before, and passes now.

--- a/internal/client/call.go
+++ b/internal/client/call.go
@@ -24,6 +24,8 @@
 	header http.Header
 	body   []byte
 	read   bool // changes nothing
+	// within bounds one sending; 0: it ends with the caller's context.
+	within time.Duration
 	// passThrough calls may bring an executor's own error status.
 	passThrough bool
 }
@@ -70,6 +72,11 @@
 
 // send sends call once.
 func (c *Client) send(ctx context.Context, call call, base *url.URL) (*Answer, *failure) {
+	if call.within > 0 {
+		bounded, cancel := context.WithTimeout(ctx, call.within)
+		defer cancel()
+		ctx = bounded
+	}
 	traced, connected := traceConnection(ctx)
 	req, err := c.request(traced, call, base)
 	if err != nil {
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -19,7 +19,10 @@
 	defaultBackoff  = 100 * time.Millisecond
 	maxBackoff      = 5 * time.Second
 	dialTimeout     = 3 * time.Second
-	maxAnswerBytes  = 64 << 20
+	// answerGrace is the time for an answer to arrive after the deadline of its
+	// request. An entry answers by the deadline, unless it is frozen or cut off.
+	answerGrace    = time.Second
+	maxAnswerBytes = 64 << 20
 )
 
 // Options describe a client.
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -237,6 +237,23 @@
 	assert.Equal(t, e.calls(), 1)
 }
 
+// A frozen process takes a request and never answers it: its connection stays open.
+func TestARequestIsNotWaitedForLongAfterItsDeadline(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	frozen := newEntry(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	good := newEntry(t, answer("done"))
+	c := newClient(t, nil, frozen.URL, good.URL)
+	o := RequestOptions{Deadline: model.Duration(10 * time.Millisecond)}
+	_, err := c.Request(ctx, "lookup", o)
+	assert.Equal(t, errkind.Of(err), errkind.DeadlineExceeded)
+	assert.Equal(t, BodyOf(err).NotRun, false)
+	assert.NilError(t, ctx.Err(), "the caller's own context has not ended")
+	_, err = c.Request(ctx, "lookup", o)
+	assert.NilError(t, err, "the next request goes to the other address")
+	assert.Equal(t, frozen.calls(), 1)
+}
+
 func TestARetryThatCannotEndInTimeIsNotMade(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
--- a/internal/client/request.go
+++ b/internal/client/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/url"
+	"time"
 
 	"github.com/filbertmast/filbertmast/internal/api"
 	"github.com/filbertmast/filbertmast/internal/model"
@@ -23,17 +24,27 @@
 
 // Request sends a request to a service and returns the executor's whole
 // answer, whatever its status. The error is one that the system told, or one
-// of the connection.
+// of the connection; deadline_exceeded when no answer came by the deadline of
+// the request.
 func (c *Client) Request(ctx context.Context, service string, o RequestOptions) (*Answer, error) {
 	return c.do(ctx, call{
 		method:      http.MethodPost,
 		path:        "/v1/services/" + url.PathEscape(service) + "/requests",
 		header:      o.header(),
 		body:        o.Body,
+		within:      o.answerWithin(),
 		passThrough: true,
 	})
 }
 
+// answerWithin is how long an answer is waited for; 0 without a deadline.
+func (o RequestOptions) answerWithin() time.Duration {
+	if o.Deadline <= 0 {
+		return 0
+	}
+	return o.Deadline.Std() + answerGrace
+}
+
 // header writes the options as headers. A request that may run only once is
 // safe to send again, since the system keeps its key and answer.
 func (o RequestOptions) header() http.Header {
