Place nothing on a worker that does not answer

Cause: a lost worker that still announces itself is taken in as open once its lease has ended. Ruled out: refusing its announcement, since a worker that was cut off one way must be taken in again once it answers; the order of permits; the lease. Change: the crew tells the scheduler whether a worker answers (false from an announcement to the first answer, and while the last look had none). Such a worker is offered to no plan, hold or preemption, and named in Why as 'silent'. What a new leader inherits is taken to answer. The first look at a life is not held back by the worker, so that it is heard at once. The differential test of plans knows silent workers.

--- a/internal/control/crew.go
+++ b/internal/control/crew.go
@@ -10,6 +10,7 @@
 	"github.com/filbertmast/filbertmast/internal/lease"
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/proto"
+	"github.com/filbertmast/filbertmast/internal/schedule"
 	"github.com/filbertmast/filbertmast/internal/state"
 )
 
@@ -54,7 +55,10 @@
 	// silent is set while the last look had no answer. Nothing is renewed then:
 	// a lease that is granted to nobody would never end.
 	silent bool
-	orders map[model.TaskID]*order
+	// unheard is set from an announcement to the first answer. Nothing is placed
+	// on the worker then, nor while it is silent.
+	unheard bool
+	orders  map[model.TaskID]*order
 }
 
 // fields names a run on the worker in a log line, followed by more.
@@ -106,7 +110,7 @@
 func (c *crew) begin() {
 	for _, w := range c.l.c.machine.Workers() {
 		if w.Mode != model.WorkerLost {
-			c.add(&w.Spec, w.Session)
+			c.add(&w.Spec, w.Session, false)
 		}
 	}
 	c.l.c.log.Info("Inherited workers are called.", "workers", len(c.workers), "term", c.l.term)
@@ -132,10 +136,12 @@
 	c.l.policy.desk.Forget(e.Spec.ID)
 	c.l.c.log.Info("Worker announced itself.", "worker", e.Spec.ID, "address", e.Spec.Address, "incarnation", e.Spec.Incarnation,
 		"capacity", e.Spec.Capacity, "mode", e.Mode)
-	c.add(&e.Spec, e.Session)
+	c.add(&e.Spec, e.Session, true)
 }
 
-func (c *crew) add(spec *model.WorkerSpec, session uint64) {
+// add begins to call a life of a worker. Unheard, an announcement is all there
+// is of it: a worker that no order reaches may go on announcing itself.
+func (c *crew) add(spec *model.WorkerSpec, session uint64, unheard bool) {
 	if spec.Address == "" || c.l.c.s.opts.Caller == nil {
 		return
 	}
@@ -143,11 +149,13 @@
 		to:      courier.Target{Worker: spec.ID, Address: spec.Address, Incarnation: spec.Incarnation},
 		session: session,
 		clock:   c.clocks[spec.ID],
+		unheard: unheard,
 		orders:  map[model.TaskID]*order{},
 	}
 	delete(c.clocks, spec.ID)
 	c.drop(spec.ID)
 	c.workers[spec.ID] = m
+	c.tellAnswers(m)
 	claim := lease.Claim{Worker: spec.ID, Session: session}
 	if !c.l.leases.Holds(claim) {
 		if err := c.l.leases.Grant(claim, c.l.c.s.now()); err != nil {
@@ -181,7 +189,7 @@
 	}
 	m.looking = true
 	req := &courier.Look{Fence: c.l.term, LeaseUntil: c.grant(m), Cursor: m.cursor}
-	if req.LeaseUntil != 0 {
+	if req.LeaseUntil != 0 && m.greeted {
 		req.Wait = lookWait
 	}
 	sent := c.l.c.s.now()
@@ -231,18 +239,36 @@
 // errNewLife is the answer of a worker that has started again under its name.
 var errNewLife = errors.New("the worker has started again and is not announced yet")
 
-// noteSilence follows whether a worker answers.
+// noteSilence follows whether a worker answers, and with it whether work may be
+// placed there.
 func (c *crew) noteSilence(m *calledWorker, err error) {
-	if silent := err != nil; silent != m.silent {
-		m.silent = silent
-		if silent {
-			c.l.c.s.metrics.silent.Inc()
-			c.l.c.log.Warn("Worker does not answer, its lease is not renewed.", "worker", m.to.Worker, "address", m.to.Address, "err", err)
-		} else {
-			c.l.c.s.metrics.silent.Dec()
-			c.l.c.log.Info("Worker answers again.", "worker", m.to.Worker)
-		}
+	silent := err != nil
+	if silent == m.silent && (silent || !m.unheard) {
+		return
+	}
+	if silent != m.silent {
+		c.logSilence(m, err)
+	}
+	m.silent = silent
+	m.unheard = m.unheard && silent
+	c.tellAnswers(m)
+}
+
+func (c *crew) logSilence(m *calledWorker, err error) {
+	if err == nil {
+		c.l.c.s.metrics.silent.Dec()
+		c.l.c.log.Info("Worker answers again.", "worker", m.to.Worker)
+		return
 	}
+	c.l.c.s.metrics.silent.Inc()
+	c.l.c.log.Warn("Worker does not answer, its lease is not renewed.",
+		"worker", m.to.Worker, "address", m.to.Address, "err", err)
+}
+
+// tellAnswers tells the scheduler whether orders reach a worker.
+func (c *crew) tellAnswers(m *calledWorker) {
+	c.l.dirty = true
+	c.l.sched.Apply(schedule.WorkerAnswers{Worker: m.to.Worker, Answers: !m.silent && !m.unheard})
 }
 
 // over takes in that a life of a worker has ended, which another one at its
--- a/internal/schedule/apply.go
+++ b/internal/schedule/apply.go
@@ -17,6 +17,8 @@
 		s.workerUp(e)
 	case WorkerModeChanged:
 		s.workerMode(e)
+	case WorkerAnswers:
+		s.workerAnswers(e)
 	case WorkersGone:
 		s.workersGone(e.Workers)
 	case JobSubmitted:
--- a/internal/schedule/cell.go
+++ b/internal/schedule/cell.go
@@ -135,11 +135,21 @@
 	s.index(slot)
 }
 
+func (s *Scheduler) workerAnswers(e WorkerAnswers) {
+	slot, ok := s.workerByID[e.Worker]
+	if !ok || s.workers[slot].silent == !e.Answers {
+		return
+	}
+	s.workers[slot].silent = !e.Answers
+	s.index(slot)
+}
+
 // setMode changes the mode of a worker. One that was lost starts with a clean slate.
 func (s *Scheduler) setMode(slot int32, mode model.WorkerMode) {
 	w := &s.workers[slot]
 	w.mode = mode
 	if mode == model.WorkerLost {
+		w.silent = false
 		s.acquit(w)
 	}
 	if w.draining() {
--- a/internal/schedule/differential_test.go
+++ b/internal/schedule/differential_test.go
@@ -28,6 +28,7 @@
 	permits map[string]int64
 	workers map[model.WorkerID]model.WorkerSpec
 	modes   map[model.WorkerID]model.WorkerMode
+	silent  map[model.WorkerID]bool
 	jobs    map[model.JobID]model.JobSpec
 	pending map[model.TaskID]bool
 	held    map[model.TaskID]Placement
@@ -41,7 +42,8 @@
 		t: t, now: 1_000_000, fast: New(o), plain: New(o),
 		permits: map[string]int64{},
 		workers: map[model.WorkerID]model.WorkerSpec{}, modes: map[model.WorkerID]model.WorkerMode{},
-		jobs: map[model.JobID]model.JobSpec{}, pending: map[model.TaskID]bool{},
+		silent: map[model.WorkerID]bool{},
+		jobs:   map[model.JobID]model.JobSpec{}, pending: map[model.TaskID]bool{},
 		held: map[model.TaskID]Placement{}, moving: map[model.TaskID]bool{},
 	}
 	h.fast.bins.shared = int32(pick(h, "separate", maxSeparateClasses, 1, 0))
@@ -119,6 +121,9 @@
 		return
 	}
 	h.modes[id] = mode
+	if mode == model.WorkerLost {
+		delete(h.silent, id)
+	}
 	h.apply(WorkerModeChanged{Worker: id, Mode: mode, At: h.now})
 	if mode != model.WorkerLost {
 		return
@@ -130,6 +135,16 @@
 	}
 }
 
+func (h *history) workerAnswers() {
+	keys := sortedKeys(h.modes, cmp.Compare[model.WorkerID])
+	if len(keys) == 0 {
+		return
+	}
+	id := pick(h, "which", keys...)
+	h.silent[id] = pick(h, "silent", true, false, false)
+	h.apply(WorkerAnswers{Worker: id, Answers: !h.silent[id]})
+}
+
 func (h *history) submit() {
 	h.nextJob++
 	spec := model.JobSpec{
@@ -201,6 +216,7 @@
 		if h.modes[id] == model.WorkerLost {
 			ids = append(ids, id)
 			delete(h.modes, id)
+			delete(h.silent, id)
 		}
 	}
 	h.apply(WorkersGone{Workers: ids})
@@ -264,6 +280,7 @@
 func (h *history) checkPlacement(e Placement) {
 	assert.Assert(h.t, h.pending[e.Task], "%s is not pending", e.Task)
 	assert.Equal(h.t, h.modes[e.Worker], model.WorkerOpen)
+	assert.Assert(h.t, !h.silent[e.Worker], "%s does not answer", e.Worker)
 	spec := h.jobs[e.Task.Job]
 	assert.Assert(h.t, spec.Size.Fits(e.Size))
 	sel, err := model.ParseSelector(spec.Selector)
@@ -329,7 +346,7 @@
 		for range rapid.IntRange(5, 150).Draw(t, "steps") {
 			step := pick(h, "step",
 				h.submit, h.submit, h.submit, h.endSome, h.endSome, h.endMany, h.endMoving, h.workersGone, h.workerUp,
-				h.workerMode, h.cancel, h.use, h.permit, h.configure, func() {})
+				h.workerMode, h.workerAnswers, h.cancel, h.use, h.permit, h.configure, func() {})
 			step()
 			h.now = h.now.Add(pick(h, "passes", 0, 100*time.Millisecond, time.Second, time.Minute))
 			h.plan()
--- a/internal/schedule/event.go
+++ b/internal/schedule/event.go
@@ -31,6 +31,14 @@
 	At     model.Time
 }
 
+// WorkerAnswers says whether a worker answers orders. One that does not is given
+// nothing, also while its mode is open; what it holds stays there until its loss
+// is told. Every worker is taken to answer until it is told otherwise.
+type WorkerAnswers struct {
+	Worker  model.WorkerID
+	Answers bool
+}
+
 // WorkersGone forgets workers. A task that is still held there is released as lost.
 type WorkersGone struct{ Workers []model.WorkerID }
 
@@ -110,6 +118,7 @@
 func (ConfigChanged) isEvent()     {}
 func (WorkerUp) isEvent()          {}
 func (WorkerModeChanged) isEvent() {}
+func (WorkerAnswers) isEvent()     {}
 func (WorkersGone) isEvent()       {}
 func (JobSubmitted) isEvent()      {}
 func (JobPermitted) isEvent()      {}
--- a/internal/schedule/policy_test.go
+++ b/internal/schedule/policy_test.go
@@ -194,6 +194,39 @@
 	assert.Assert(t, !probation)
 }
 
+func TestAWorkerThatDoesNotAnswerIsGivenNothingAndKeepsWhatItHolds(t *testing.T) {
+	c := newCell(twoTeams()...)
+	c.worker("w1", "d0", "r0", cores(4), nil)
+	c.job(model.JobSpec{Tasks: 2, Size: cores(1), Patience: 24 * hour, Checkpointable: true})
+	assert.Equal(t, len(c.plan().Placements), 2)
+	c.s.Apply(WorkerAnswers{Worker: "w1"})
+	want := c.job(model.JobSpec{Team: "b", Tasks: 2, Size: cores(2)})
+	p := c.plan()
+	assert.Equal(t, len(p.Placements)+len(p.Preemptions), 0, "no order reaches it")
+	assert.Equal(t, len(c.s.Candidates(want)), 0)
+	assert.Equal(t, c.s.Stats().Running, int64(2))
+	assert.Equal(t, c.s.Why(want, c.now)[0].Reason, whySilent)
+	c.s.Apply(WorkerAnswers{Worker: "w1", Answers: true})
+	assert.Equal(t, len(c.plan().Placements), 1, "the other one needs room")
+}
+
+func TestTheHoldOfAGangMovesOffAWorkerThatFallsSilent(t *testing.T) {
+	c := newCell()
+	c.workers(2, cores(4))
+	c.job(model.JobSpec{Tasks: 2, Size: cores(3)})
+	assert.Equal(t, len(c.plan().Placements), 2)
+	gang := c.job(model.JobSpec{Tasks: 2, Size: cores(2), Policy: model.PolicyGang})
+	c.plan()
+	c.s.Apply(WorkerAnswers{Worker: "w000"})
+	c.worker("w9", "d0", "r0", cores(4), nil)
+	placed := c.plan().Placements
+	assert.Equal(t, len(placed), 2)
+	for _, p := range placed {
+		assert.Equal(t, p.Task.Job, gang)
+		assert.Equal(t, p.Worker, model.WorkerID("w9"))
+	}
+}
+
 func TestTaskWhoseStopWasTakenBackMayBeStoppedAgain(t *testing.T) {
 	c := newCell()
 	c.workers(2, cores(4))
--- a/internal/schedule/why.go
+++ b/internal/schedule/why.go
@@ -16,6 +16,7 @@
 	whySelector    = "selector"    // workers whose labels do not match
 	whySize        = "size"        // workers that are too small
 	whyMode        = "mode"        // workers that take no new work
+	whySilent      = "silent"      // workers that do not answer orders
 	whyProbation   = "probation"   // workers on probation
 	whyReservation = "reservation" // workers kept clear for another job
 	whyExclusive   = "exclusive"   // workers that run a task of the job
@@ -103,6 +104,7 @@
 	w.add(whySelector, counts[whySelector], "workers do not match the selector")
 	w.add(whySize, counts[whySize], "workers are smaller than a task, %s", size)
 	w.add(whyMode, counts[whyMode], "workers take no new work")
+	w.add(whySilent, counts[whySilent], "workers do not answer orders")
 	w.add(whyProbation, counts[whyProbation], "workers are on probation")
 	w.add(whyExclusive, counts[whyExclusive], "workers run a task of the job")
 	w.add(whyReservation, counts[whyReservation], "workers are kept clear for jobs that wait longer")
@@ -118,8 +120,10 @@
 		return whySelector
 	case !size.Fits(at.capacity):
 		return whySize
-	case !at.open():
+	case at.mode != model.WorkerOpen:
 		return whyMode
+	case at.silent:
+		return whySilent
 	case at.onProbation():
 		return whyProbation
 	case w.j.group.exclusive && c.onWorker[slot]:
--- a/internal/schedule/worker.go
+++ b/internal/schedule/worker.go
@@ -28,6 +28,7 @@
 	region   int32
 	mode     model.WorkerMode
 	known    bool
+	silent   bool    // does not answer orders
 	health   *health // nil without early failures
 	hold     *hold   // the reservation that keeps it clear, or nil
 }
@@ -44,7 +45,8 @@
 	}
 }
 
-func (w *worker) open() bool { return w.known && w.mode == model.WorkerOpen }
+// open reports whether w may be given work.
+func (w *worker) open() bool { return w.known && w.mode == model.WorkerOpen && !w.silent }
 
 func (w *worker) removeTask(j *job, index int32) {
 	i := slices.Index(w.tasks, taskRef{j, index})
