--- a/internal/command/explain_test.go
+++ b/internal/command/explain_test.go
@@ -23,7 +23,7 @@
 time=2026-12-04T06:00:09.000Z level=warn prefix=control msg="Worker leases expired." workers=9
 `
 
-func explain(t *testing.T, id string, logs map[string]string) (string, int) {
+func explainID(t *testing.T, id string, logs map[string]string) (string, int) {
 	t.Helper()
 	dir := t.TempDir()
 	args := []string{"explain"}
@@ -38,7 +38,7 @@
 }
 
 func TestExplainTellsTheStoryOfOneIDOverSeveralProcesses(t *testing.T) {
-	got, code := explain(t, "5c0e", map[string]string{"a.log": leaderLog, "b.log": nextLog})
+	got, code := explainID(t, "5c0e", map[string]string{"a.log": leaderLog, "b.log": nextLog})
 	assert.Equal(t, code, 0, got)
 	var story []string
 	for _, line := range strings.Split(strings.TrimSpace(got), "\n") {
@@ -54,13 +54,13 @@
 }
 
 func TestExplainNamesTheProcessThatACollectorHasAdded(t *testing.T) {
-	got, code := explain(t, "5c0e", map[string]string{"all": "  12.3456 core-1 " + strings.SplitN(leaderLog, "\n", 2)[0]})
+	got, code := explainID(t, "5c0e", map[string]string{"all": "  12.3456 core-1 " + strings.SplitN(leaderLog, "\n", 2)[0]})
 	assert.Equal(t, code, 0, got)
 	assert.Assert(t, strings.Contains(got, "06:00:00.100  core-1 "), got)
 }
 
 func TestExplainOfAnUnknownIDSaysSo(t *testing.T) {
-	got, code := explain(t, "none", map[string]string{"a.log": leaderLog})
+	got, code := explainID(t, "none", map[string]string{"a.log": leaderLog})
 	assert.Equal(t, code, 1)
 	assert.Assert(t, strings.Contains(got, "no line names none"), got)
 }
