--- a/internal/obs/async.go
+++ b/internal/obs/async.go
@@ -1,7 +1,6 @@
 package obs
 
 import (
-	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -12,21 +11,22 @@
 const queuedLines = 4096
 
 // AsyncWriter passes lines on without ever making their writer wait. Lines for
-// which there is no room are left out, and the next one that is written is
-// preceded by a line that tells how many.
+// which there is no room, and those of a kind that comes too often, are left out,
+// and the next one that is written is preceded by a line that tells how many.
 type AsyncWriter struct {
 	out   io.Writer
 	lines chan []byte
 	done  chan struct{}
 
 	mu      sync.Mutex
-	left    int // lines left out since the last that was queued
+	left    int // lines left out for want of room since the last that was queued
+	kinds   *kindLimits
 	stopped bool
 }
 
 // NewAsyncWriter returns a writer to out. Close must be called at the end.
 func NewAsyncWriter(out io.Writer) *AsyncWriter {
-	w := &AsyncWriter{out: out, lines: make(chan []byte, queuedLines), done: make(chan struct{})}
+	w := &AsyncWriter{out: out, lines: make(chan []byte, queuedLines), done: make(chan struct{}), kinds: newKindLimits()}
 	go w.run()
 	return w
 }
@@ -38,11 +38,20 @@
 	if w.stopped {
 		return len(p), nil
 	}
-	line := bytes.Clone(p)
+	now := time.Now()
+	kind := kindOf(p)
+	ofKind, ok := w.kinds.admit(kind, now)
+	if !ok {
+		return len(p), nil
+	}
+	var line []byte
 	if w.left > 0 {
-		told := fmt.Sprintf("time=%s level=warn msg=\"Log lines were left out.\" lines=%d\n", time.Now().UTC().Format(time.RFC3339Nano), w.left)
-		line = append([]byte(told), line...)
+		line = fmt.Appendf(line, "time=%s level=warn msg=\"Log lines were left out.\" lines=%d\n", now.UTC().Format(time.RFC3339Nano), w.left)
+	}
+	if ofKind > 0 {
+		line = fmt.Appendf(line, "time=%s level=warn msg=\"Log lines were left out.\" lines=%d of=%q\n", now.UTC().Format(time.RFC3339Nano), ofKind, kind)
 	}
+	line = append(line, p...)
 	select {
 	case w.lines <- line:
 		w.left = 0
--- /dev/null
+++ b/internal/obs/kinds_test.go
@@ -0,0 +1,66 @@
+package obs
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestLinesOfAKindThatComeTooOftenAreLeftOutAndCounted(t *testing.T) {
+	k := newKindLimits()
+	now := time.Unix(1000, 0)
+	passed := 0
+	for range kindBurst + 300 {
+		if _, ok := k.admit([]byte("Start is sent."), now); ok {
+			passed++
+		}
+	}
+	assert.Equal(t, passed, kindBurst)
+	_, ok := k.admit([]byte("This process leads."), now)
+	assert.Assert(t, ok, "other kinds have room of their own")
+	left, ok := k.admit([]byte("Start is sent."), now.Add(time.Second))
+	assert.Assert(t, ok)
+	assert.Equal(t, left, 300)
+	left, _ = k.admit([]byte("Start is sent."), now.Add(time.Second))
+	assert.Equal(t, left, 0)
+	for range 2 * kindBurst {
+		_, ok = k.admit(nil, now)
+		assert.Assert(t, ok, "a line without a kind")
+	}
+}
+
+func TestTheKindsThatAreToldApartAreBounded(t *testing.T) {
+	k := newKindLimits()
+	for i := range 2 * maxKinds {
+		_, ok := k.admit([]byte(strings.Repeat("x", i+1)), time.Unix(1000, 0))
+		assert.Assert(t, ok)
+	}
+	assert.Equal(t, len(k.kinds), maxKinds)
+}
+
+func TestTheKindOfALineIsItsMessage(t *testing.T) {
+	for _, format := range []string{"logfmt", "json"} {
+		for _, message := range []string{"Start is sent.", "draining"} {
+			var out bytes.Buffer
+			NewLogger(&out, "info", format).WithPrefix(PrefixControl).Info(message, "msg2", "other", "worker", "i-1")
+			assert.Equal(t, string(kindOf(out.Bytes())), message, "%s: %s", format, out.String())
+		}
+	}
+	assert.Equal(t, len(kindOf([]byte("12:00 INFO control: Start is sent. worker=i-1\n"))), 0)
+}
+
+func TestWhatWasLeftOutOfAKindIsToldInTheNextLine(t *testing.T) {
+	var out bytes.Buffer
+	w := NewAsyncWriter(&out)
+	l := NewLogger(w, "info", "logfmt")
+	w.kinds.kinds["Start is sent."] = &kindLimit{limiter: newKindLimiter(), left: 7}
+	l.Info("Start is sent.", "worker", "i-1")
+	w.Close(time.Minute)
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	assert.Equal(t, len(lines), 2, out.String())
+	assert.Assert(t, strings.Contains(lines[0], `lines=7 of="Start is sent."`), lines[0])
+	assert.Assert(t, strings.Contains(lines[1], "worker=i-1"), lines[1])
+}
