Repeat calls to workers that have no answer yet

A start without an answer was sent again after 1.05 s, long enough for gangs to break while they waited. Ruled out: shorter timeouts, which would take slow workers for silent ones and let their leases lapse; permanently short looks, which are paid for. Change: a look is repeated 0.2 s after its wait and again every 0.2 s; any answer ends the row, three without an answer are silence as before. While answers get lost, busy workers are asked to hold theirs back for 0.25 s in place of 1 s. An order is sent a second time after 0.25 s beside the first; the first answer decides. courier.Looks and courier.Sending hold these decisions, without clock or network; their tests play lost, late and old answers.

--- a/internal/control/crew.go
+++ b/internal/control/crew.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/api"
@@ -10,21 +9,17 @@
 	"github.com/filbertmast/filbertmast/internal/lease"
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/proto"
-	"github.com/filbertmast/filbertmast/internal/schedule"
 	"github.com/filbertmast/filbertmast/internal/state"
 )
 
 const (
-	// lookWait is how long a worker may hold its answer back for an end.
-	lookWait = time.Second
-	// lookSlack is what a look may take beyond lookWait.
-	lookSlack = 700 * time.Millisecond
 	// orderTimeout bounds one order. Without an answer it may still be carried out.
 	orderTimeout = time.Second
+	// orderRepeat is the time without an answer after which an order is sent a
+	// second time, beside the first: an order that is there already is no error.
+	orderRepeat = 250 * time.Millisecond
 	// orderRetry is the time before a start without an answer is sent again.
 	orderRetry = 50 * time.Millisecond
-	// lookRetry is the time before a look that failed is tried again.
-	lookRetry = 200 * time.Millisecond
 	// maxReportsInFlight bounds the commits of reports that are on their way.
 	maxReportsInFlight = 2
 )
@@ -41,6 +36,7 @@
 	reports  []state.WorkerReport // to be committed
 	taken    []taken              // ends among them
 	inFlight int
+	losses   courier.Losses // of answers to looks
 }
 
 // calledWorker is one life of a called worker.
@@ -50,8 +46,9 @@
 	clock   courier.Clock
 	cursor  uint64 // ends up to it are committed
 	offered uint64 // ends up to it are on their way to be committed
-	looking bool
-	greeted bool // it has answered once, and told its clock
+	looks   courier.Looks
+	repeat  *time.Timer // of the newest look
+	greeted bool        // it has answered once, and told its clock
 	// silent is set while the last look had no answer. Nothing is renewed then:
 	// a lease that is granted to nobody would never end.
 	silent bool
@@ -70,10 +67,11 @@
 // order is what the leader knows of the orders for one held task.
 type order struct {
 	attempt   uint32
-	open      bool       // a call is on its way
-	doubtful  bool       // a start had no answer, and may still be carried out
-	confirmed model.Time // when the worker confirmed the last order; zero: it did not
-	stop      bool       // that order was a stop
+	sending   courier.Sending
+	repeat    *time.Timer // of what was sent last
+	doubtful  bool        // a start had no answer, and may still be carried out
+	confirmed model.Time  // when the worker confirmed the last order; zero: it did not
+	stop      bool        // that order was a stop
 }
 
 // taken is an end that is on its way to be committed.
@@ -182,95 +180,6 @@
 	return m.clock.LeaseUntil(now, c.l.leases.Length())
 }
 
-// look renews the lease of a worker and waits for what it tells.
-func (c *crew) look(m *calledWorker) {
-	if m.looking || !c.current(m) {
-		return
-	}
-	m.looking = true
-	req := &courier.Look{Fence: c.l.term, LeaseUntil: c.grant(m), Cursor: m.cursor}
-	if req.LeaseUntil != 0 && m.greeted {
-		req.Wait = lookWait
-	}
-	sent := c.l.c.s.now()
-	s := c.l.c.s
-	go func() {
-		ctx, cancel := context.WithTimeout(c.ctx, req.Wait+lookSlack)
-		defer cancel()
-		seen, err := s.opts.Caller.Look(ctx, m.to, req)
-		s.run(func(*core) {
-			m.looking = false
-			if c.current(m) {
-				c.looked(m, sent, req.LeaseUntil != 0, seen, err)
-			}
-		})
-	}()
-}
-
-func (c *crew) looked(m *calledWorker, sent model.Time, renewed bool, seen *courier.Seen, err error) {
-	if errors.Is(err, courier.ErrOtherLife) {
-		c.over(m)
-		return
-	}
-	if err == nil && seen.Incarnation != 0 && seen.Incarnation != m.to.Incarnation {
-		err = errNewLife // until its announcement is committed it gets no start
-	}
-	c.noteSilence(m, err)
-	if err != nil {
-		c.later(lookRetry, func() { c.look(m) })
-		return
-	}
-	m.clock.Observe(seen.Clock, c.l.c.s.now())
-	c.takeEnds(m, seen.Ended)
-	c.reconcile(m, sent, seen)
-	if !renewed && m.greeted {
-		c.later(lookRetry, func() { c.look(m) })
-		return
-	}
-	m.greeted = true
-	if m.offered == m.cursor {
-		c.look(m)
-		return
-	}
-	// The commit starts the next look; the lease is renewed also if it takes long.
-	c.later(lookWait, func() { c.look(m) })
-}
-
-// errNewLife is the answer of a worker that has started again under its name.
-var errNewLife = errors.New("the worker has started again and is not announced yet")
-
-// noteSilence follows whether a worker answers, and with it whether work may be
-// placed there.
-func (c *crew) noteSilence(m *calledWorker, err error) {
-	silent := err != nil
-	if silent == m.silent && (silent || !m.unheard) {
-		return
-	}
-	if silent != m.silent {
-		c.logSilence(m, err)
-	}
-	m.silent = silent
-	m.unheard = m.unheard && silent
-	c.tellAnswers(m)
-}
-
-func (c *crew) logSilence(m *calledWorker, err error) {
-	if err == nil {
-		c.l.c.s.metrics.silent.Dec()
-		c.l.c.log.Info("Worker answers again.", "worker", m.to.Worker)
-		return
-	}
-	c.l.c.s.metrics.silent.Inc()
-	c.l.c.log.Warn("Worker does not answer, its lease is not renewed.",
-		"worker", m.to.Worker, "address", m.to.Address, "err", err)
-}
-
-// tellAnswers tells the scheduler whether orders reach a worker.
-func (c *crew) tellAnswers(m *calledWorker) {
-	c.l.dirty = true
-	c.l.sched.Apply(schedule.WorkerAnswers{Worker: m.to.Worker, Answers: !m.silent && !m.unheard})
-}
-
 // over takes in that a life of a worker has ended, which another one at its
 // address proves. Nothing of it runs any more.
 func (c *crew) over(m *calledWorker) {
@@ -284,8 +193,8 @@
 }
 
 // later runs fn in the control goroutine after d.
-func (c *crew) later(d time.Duration, fn func()) {
-	time.AfterFunc(d, func() { c.l.c.s.run(func(*core) { fn() }) })
+func (c *crew) later(d time.Duration, fn func()) *time.Timer {
+	return time.AfterFunc(d, func() { c.l.c.s.run(func(*core) { fn() }) })
 }
 
 // takeEnds turns ends that are new into reports. The worker forgets them once
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -20,6 +20,7 @@
 	orders       *prometheus.CounterVec
 	questions    *prometheus.CounterVec
 	silent       prometheus.Gauge
+	lostLooks    prometheus.Counter
 	firstSeconds prometheus.Histogram
 	flowSeconds  *prometheus.HistogramVec
 }
@@ -52,6 +53,8 @@
 			[]string{"result"}),
 		silent: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "filbertmast_control_workers_silent", Help: "Called workers that did not answer the last call."}),
+		lostLooks: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "filbertmast_control_looks_lost_total", Help: "Looks at called workers whose answer was lost: a second look was answered first."}),
 		firstSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "filbertmast_control_first_start_seconds", Help: "From the submission of a workflow to the first confirmed start.",
 			Buckets: prometheus.ExponentialBuckets(0.025, 2, 12)}),
@@ -59,7 +62,7 @@
 			Name: "filbertmast_control_workflow_seconds", Help: "From the submission of a workflow to its end, by how it ended.",
 			Buckets: prometheus.ExponentialBuckets(0.25, 2, 12)}, []string{"phase"}),
 	}
-	r.MustRegister(m.orders, m.questions, m.silent, m.firstSeconds, m.flowSeconds)
+	r.MustRegister(m.orders, m.questions, m.silent, m.lostLooks, m.firstSeconds, m.flowSeconds)
 	r.MustRegister(m.leads, m.refusals, m.placements, m.unplaced, m.preemptions, m.lost, m.planSeconds)
 	return m
 }
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -35,7 +35,7 @@
 		o = &order{attempt: t.Attempt}
 		m.orders[id] = o
 	}
-	if o.open {
+	if o.sending.Open() {
 		return
 	}
 	switch t.Phase {
@@ -84,27 +84,64 @@
 	}
 	c.l.c.log.Info("Start is sent.", m.fields(&req.Run, "size", t.Size, "fence", req.Fence, "lease_until", until,
 		"checkpoint", req.Checkpoint != "", "again", o.doubtful)...)
-	o.open, o.stop = true, false
-	c.call(func(ctx context.Context, caller courier.Caller) courier.Answer {
-		return caller.Start(ctx, m.to, req)
-	}, func(a courier.Answer) {
-		c.count(orderStart, a)
-		c.started(m, id, o, &req.Run, a)
+	o.stop = false
+	c.deliver(m, id, o, &delivery{
+		name: orderStart,
+		do: func(ctx context.Context, caller courier.Caller) courier.Answer {
+			return caller.Start(ctx, m.to, req)
+		},
+		then: func(a courier.Answer) { c.started(m, id, o, &req.Run, a) },
 	})
 }
 
 func (c *crew) stopRun(m *calledWorker, id model.TaskID, o *order, j *state.Job, t *state.Task) {
 	req := &courier.Stop{Run: c.runOf(id, j, t), Fence: c.l.term}
 	c.l.c.log.Info("Stop is sent.", m.fields(&req.Run, "cause", t.Stop, "fence", req.Fence)...)
-	o.open, o.stop, o.confirmed = true, true, 0
-	c.call(func(ctx context.Context, caller courier.Caller) courier.Answer {
-		return caller.Stop(ctx, m.to, req)
-	}, func(a courier.Answer) {
-		c.count(orderStop, a)
-		c.stopped(m, id, o, a)
+	o.stop, o.confirmed = true, 0
+	c.deliver(m, id, o, &delivery{
+		name: orderStop,
+		do: func(ctx context.Context, caller courier.Caller) courier.Answer {
+			return caller.Stop(ctx, m.to, req)
+		},
+		then: func(a courier.Answer) { c.stopped(o, a) },
+	})
+}
+
+// delivery is an order that is sent until it has an answer.
+type delivery struct {
+	name string // for metrics
+	do   func(context.Context, courier.Caller) courier.Answer
+	then func(courier.Answer)
+}
+
+// deliver sends an order, and a second time where no answer comes soon.
+func (c *crew) deliver(m *calledWorker, id model.TaskID, o *order, d *delivery) {
+	round := o.sending.Begin()
+	send := func() {
+		c.call(d.do, func(a courier.Answer) {
+			c.count(d.name, a)
+			m.clock.Observe(a.Clock, c.l.c.s.now())
+			if c.newest(m, id, o) && o.sending.End(round, a.Verdict) {
+				o.repeat.Stop()
+				d.then(a)
+			}
+		})
+	}
+	send()
+	o.repeat = c.later(orderRepeat, func() {
+		if c.newest(m, id, o) && o.sending.Repeat(round) {
+			o.doubtful = true
+			send()
+		}
 	})
 }
 
+// newest reports whether an order is still the one for a task of a worker that
+// is called.
+func (c *crew) newest(m *calledWorker, id model.TaskID, o *order) bool {
+	return c.current(m) && m.orders[id] == o
+}
+
 // The orders, as metrics name them.
 const (
 	orderStart = "start"
@@ -128,10 +165,6 @@
 
 // started takes in the answer to a start.
 func (c *crew) started(m *calledWorker, id model.TaskID, o *order, run *courier.Run, a courier.Answer) {
-	o.open = false
-	if !c.answered(m, id, o, a) {
-		return
-	}
 	_, t := c.task(m, run)
 	if t == nil {
 		return
@@ -201,23 +234,12 @@
 }
 
 // stopped takes in the answer to a stop. The end comes with a list.
-func (c *crew) stopped(m *calledWorker, id model.TaskID, o *order, a courier.Answer) {
-	o.open = false
-	if !c.answered(m, id, o, a) {
-		return
-	}
+func (c *crew) stopped(o *order, a courier.Answer) {
 	if a.Verdict == courier.Accepted {
 		o.confirmed = c.l.c.s.now()
 	}
 }
 
-// answered takes in the clock of an answer, and reports whether the order is
-// still the newest for a worker that is called.
-func (c *crew) answered(m *calledWorker, id model.TaskID, o *order, a courier.Answer) bool {
-	m.clock.Observe(a.Clock, c.l.c.s.now())
-	return c.current(m) && m.orders[id] == o
-}
-
 // reconcile compares what a worker runs with what the state holds there. Sent
 // is when the list was asked for: it says nothing of later orders.
 func (c *crew) reconcile(m *calledWorker, sent model.Time, seen *courier.Seen) {
@@ -260,7 +282,7 @@
 // settle brings one held task in step with whether the worker runs it.
 func (c *crew) settle(m *calledWorker, sent model.Time, id model.TaskID, t *state.Task, runs bool) {
 	o := m.orders[id]
-	if o != nil && o.open {
+	if o != nil && o.sending.Open() {
 		return
 	}
 	known := o == nil || o.confirmed != 0 && o.confirmed < sent
