Choose the entry of a question in a decision of its own

That entries which give no answer are avoided had no test, since it was part of the control goroutine. permit.Lines now decides which entry is asked, how long its answer may take and how long it is avoided; an answer ends the avoiding at once, which is new.

--- a/internal/control/policy.go
+++ b/internal/control/policy.go
@@ -1,9 +1,7 @@
 package control
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/courier"
@@ -19,11 +17,6 @@
 const (
 	// maxQuestions bounds the questions that are on their way to the policy service.
 	maxQuestions = 48
-	// questionSlack is what a question may take beyond one and a half times the
-	// service time of those that are open at the same entry.
-	questionSlack = 400 * time.Millisecond
-	// avoidFor is how long an entry is not asked after it gave no answer.
-	avoidFor = 2 * time.Second
 	// askEvery is the time between looks at which jobs need permits.
 	askEvery = 20 * time.Millisecond
 )
@@ -33,9 +26,8 @@
 	l     *leader
 	desk  *permit.Desk
 	costs map[model.JobID]model.PolicyCosts
-	open  map[string]time.Duration // service time of open questions, by entry address
-	avoid map[string]model.Time    // entries that gave no answer, until when
-	count int                      // open questions
+	lines *permit.Lines // entries by inner address
+	count int           // open questions
 	next  model.Time
 }
 
@@ -44,8 +36,7 @@
 		l:     l,
 		desk:  permit.NewDesk(),
 		costs: map[model.JobID]model.PolicyCosts{},
-		open:  map[string]time.Duration{},
-		avoid: map[string]model.Time{},
+		lines: permit.NewLines(),
 	}
 }
 
@@ -88,7 +79,7 @@
 	return p.l.sched.Candidates(id)
 }
 
-// ask puts the questions that are due to the entries with the least open ones.
+// ask puts the questions that are due to entries.
 func (p *policy) ask(now model.Time) {
 	if now < p.next || p.count >= maxQuestions {
 		return
@@ -101,35 +92,27 @@
 	for _, q := range p.desk.Questions(now, p, maxQuestions-p.count) {
 		c := p.costs[q.Job]
 		cost := c.Base.Std() + time.Duration(len(q.Workers))*c.PerWorker.Std()
-		at := slices.MinFunc(entries, func(a, b string) int { return cmp.Compare(p.open[a], p.open[b]) })
-		p.send(&q, at, cost)
+		if at, ok := p.lines.Choose(entries, now); ok {
+			p.send(&q, at, cost)
+		}
 	}
 }
 
-// entries returns the inner addresses of the entries that were heard lately,
-// without those that gave no answer if there are others.
+// entries returns the inner addresses of the entries that were heard lately.
 func (p *policy) entries(now model.Time) []string {
-	var all, good []string
+	var out []string
 	for _, e := range p.l.members.Entries(now) {
-		if e.Leaving || e.Age >= p.l.c.s.opts.Times.RequestLease/2 {
-			continue
-		}
-		all = append(all, e.Member.Inner)
-		if now >= p.avoid[e.Member.Inner] {
-			good = append(good, e.Member.Inner)
+		if !e.Leaving && e.Age < p.l.c.s.opts.Times.RequestLease/2 {
+			out = append(out, e.Member.Inner)
 		}
 	}
-	if len(good) == 0 {
-		return all
-	}
-	return good
+	return out
 }
 
 func (p *policy) send(q *permit.Question, to string, cost time.Duration) {
 	p.count++
-	p.open[to] += cost
+	timeout := p.lines.Begin(to, cost)
 	s := p.l.c.s
-	timeout := p.open[to]*3/2 + questionSlack
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
@@ -137,10 +120,7 @@
 		a, err := wire.Call[proto.Advise, courier.Advice](ctx, s.opts.Endpoint, to, wire.KindAdvise, req)
 		s.run(func(*core) {
 			p.count--
-			p.open[to] -= cost
-			if err != nil {
-				p.avoid[to] = s.now().Add(avoidFor)
-			}
+			p.lines.End(to, cost, err == nil, s.now())
 			p.answered(q, a, err)
 		})
 	}()
--- /dev/null
+++ b/internal/permit/lines.go
@@ -0,0 +1,66 @@
+package permit
+
+import (
+	"time"
+
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+const (
+	// questionSlack is what a question may take beyond one and a half times the
+	// service time of those that are open at the same entry.
+	questionSlack = 400 * time.Millisecond
+	// avoidFor is how long an entry is not asked after it gave no answer.
+	avoidFor = 2 * time.Second
+)
+
+// Lines tells through which entry a question goes. The policy service answers the
+// questions of one entry in turn, so that each goes to the entry with the least
+// service time open; one that gave no answer is passed by for a while.
+type Lines struct {
+	open  map[string]time.Duration // service time of open questions, by entry
+	avoid map[string]model.Time    // until when
+}
+
+// NewLines returns lines without open questions.
+func NewLines() *Lines {
+	return &Lines{open: map[string]time.Duration{}, avoid: map[string]model.Time{}}
+}
+
+// Choose returns the entry that is to be asked now; false without entries. Where
+// all gave no answer lately, they are asked all the same.
+func (l *Lines) Choose(entries []string, now model.Time) (string, bool) {
+	if e, ok := l.least(entries, func(e string) bool { return now >= l.avoid[e] }); ok {
+		return e, true
+	}
+	return l.least(entries, func(string) bool { return true })
+}
+
+func (l *Lines) least(entries []string, may func(string) bool) (best string, found bool) {
+	for _, e := range entries {
+		if may(e) && (!found || l.open[e] < l.open[best]) {
+			best, found = e, true
+		}
+	}
+	return best, found
+}
+
+// Begin notes a question of the given service time and returns how long its
+// answer may take.
+func (l *Lines) Begin(entry string, cost time.Duration) time.Duration {
+	l.open[entry] += cost
+	return l.open[entry]*3/2 + questionSlack
+}
+
+// End notes that a question was answered or given up.
+func (l *Lines) End(entry string, cost time.Duration, answered bool, now model.Time) {
+	l.open[entry] -= cost
+	if l.open[entry] <= 0 {
+		delete(l.open, entry)
+	}
+	if answered {
+		delete(l.avoid, entry)
+	} else {
+		l.avoid[entry] = now.Add(avoidFor)
+	}
+}
