Stop a task while its start has no answer; ports of tests below the system's

First: a stop waited until the open call of the start was answered or given up, up to 1 s, though a stop keeps a start that is on its way from taking effect. It is sent at once now, and no start follows it. Cause found by reading what a repeated start may meet. Test: TestATaskIsStoppedWhileItsStartHasNoAnswer, red before ('given up run-start' came first), green 9 of 9 with its neighbours. Second: one of those runs failed with 'address already in use'. Tests asked the system for a free port and gave it back before the process under test took it; meanwhile a connection of another test could get it. testport hands out ports below the range of connections, each once, to the tests of platform and e2e.

--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -24,7 +24,9 @@
 	}
 }
 
-// order sends what the phase of a task calls for, unless a call for it is on its way.
+// order sends what the phase of a task calls for, unless a call for it is on its
+// way. A stop does not wait for the answer to a start, which it keeps from taking
+// effect.
 func (c *crew) order(m *calledWorker, id model.TaskID) {
 	j, t := c.l.task(id)
 	if t == nil || j.Step == nil || !c.current(m) {
@@ -35,7 +37,7 @@
 		o = &order{attempt: t.Attempt}
 		m.orders[id] = o
 	}
-	if o.sending.Open() {
+	if o.sending.Open() && (o.stop || t.Phase != model.TaskStopping) {
 		return
 	}
 	switch t.Phase {
@@ -116,6 +118,9 @@
 
 // deliver sends an order, and a second time where no answer comes soon.
 func (c *crew) deliver(m *calledWorker, id model.TaskID, o *order, d *delivery) {
+	if o.repeat != nil {
+		o.repeat.Stop()
+	}
 	round := o.sending.Begin()
 	send := func() {
 		c.call(d.do, func(a courier.Answer) {
--- a/internal/e2e/cell_test.go
+++ b/internal/e2e/cell_test.go
@@ -22,6 +22,7 @@
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/settings"
 	"github.com/filbertmast/filbertmast/internal/standin"
+	"github.com/filbertmast/filbertmast/internal/testport"
 	"github.com/filbertmast/filbertmast/internal/testwait"
 )
 
@@ -346,17 +347,7 @@
 	t.Helper()
 	out := make([]string, n)
 	for i := range n {
-		if network == "udp" {
-			l, err := net.ListenPacket("udp", "127.0.0.1:0")
-			assert.NilError(t, err)
-			defer l.Close()
-			out[i] = l.LocalAddr().String()
-			continue
-		}
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		defer l.Close()
-		out[i] = l.Addr().String()
+		out[i] = testport.Free(t, network)
 	}
 	return out
 }
