Refuse query parameters that a call does not know

An unknown one was ignored with 200: a list by a misspelt label returned all jobs, and a cancellation with dry_run cancelled. Each route names its parameters; those of requests to services pass as before.

--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -32,23 +33,23 @@
 	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(s.opts.Gatherer, promhttp.HandlerOpts{})))
 
 	v1 := e.Group("/v1")
-	v1.POST("/jobs", s.caller(s.submitJob))
-	v1.GET("/jobs", s.caller(s.listJobs))
-	v1.DELETE("/jobs", s.caller(s.cancelJobs))
-	v1.GET("/jobs/:id", s.caller(s.getJob))
+	v1.POST("/jobs", s.caller(s.submitJob, "dry_run"))
+	v1.GET("/jobs", s.caller(s.listJobs, "selector", "limit", "after"))
+	v1.DELETE("/jobs", s.caller(s.cancelJobs, "selector"))
+	v1.GET("/jobs/:id", s.caller(s.getJob, "wait", "since", "why"))
 	v1.DELETE("/jobs/:id", s.caller(s.cancelJob))
 	v1.POST("/workflows", s.caller(s.postWorkflow))
 	v1.GET("/workflows/:id", s.caller(s.getWorkflow))
 	v1.DELETE("/workflows/:id", s.caller(s.deleteWorkflow))
-	v1.POST("/services/:service/requests", s.caller(s.serveRequest))
-	v1.POST("/services/:service/requests/*", s.caller(s.serveRequest))
+	v1.POST("/services/:service/requests", s.caller(s.serveRequest, anyQuery))
+	v1.POST("/services/:service/requests/*", s.caller(s.serveRequest, anyQuery))
 
 	v1.POST("/workers", s.worker(s.announceWorker))
 	v1.POST("/workers/:id/heartbeat", s.worker(s.heartbeat))
-	v1.GET("/workers/:id/commands", s.worker(s.workerCommands))
+	v1.GET("/workers/:id/commands", s.worker(s.workerCommands, "session", "wait"))
 	v1.POST("/workers/:id/reports", s.worker(s.workerReports))
 
-	v1.GET("/workers", s.operator(s.listWorkers))
+	v1.GET("/workers", s.operator(s.listWorkers, "selector"))
 	v1.POST("/workers/:id/cordon", s.operator(s.setMode(model.WorkerCordoned)))
 	v1.POST("/workers/:id/drain", s.operator(s.setMode(model.WorkerDraining)))
 	v1.POST("/workers/:id/open", s.operator(s.setMode(model.WorkerOpen)))
@@ -87,23 +88,26 @@
 // handler is a route that needs a key.
 type handler func(c echo.Context, caller proto.Caller) error
 
-// caller admits team keys and operator keys.
-func (s *Server) caller(h handler) echo.HandlerFunc {
-	return s.keyed(h, func(k model.Key) bool { return k.Team != "" || k.Operator })
+// anyQuery admits every query parameter.
+const anyQuery = "*"
+
+// caller admits team keys and operator keys, and the query parameters named.
+func (s *Server) caller(h handler, query ...string) echo.HandlerFunc {
+	return s.keyed(h, func(k model.Key) bool { return k.Team != "" || k.Operator }, query)
 }
 
-// worker admits worker keys.
-func (s *Server) worker(h handler) echo.HandlerFunc {
-	return s.keyed(h, func(k model.Key) bool { return k.Worker })
+// worker admits worker keys, and the query parameters named.
+func (s *Server) worker(h handler, query ...string) echo.HandlerFunc {
+	return s.keyed(h, func(k model.Key) bool { return k.Worker }, query)
 }
 
-// operator admits operator keys.
-func (s *Server) operator(h handler) echo.HandlerFunc {
-	return s.keyed(h, func(k model.Key) bool { return k.Operator })
+// operator admits operator keys, and the query parameters named.
+func (s *Server) operator(h handler, query ...string) echo.HandlerFunc {
+	return s.keyed(h, func(k model.Key) bool { return k.Operator }, query)
 }
 
 // keyed checks the key against the configuration in force before anything else is done.
-func (s *Server) keyed(h handler, allowed func(model.Key) bool) echo.HandlerFunc {
+func (s *Server) keyed(h handler, allowed func(model.Key) bool, query []string) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		k, err := s.authenticate(c.Request())
 		if err != nil {
@@ -112,10 +116,27 @@
 		if !allowed(k) {
 			return errkind.New(errkind.Forbidden, "the key does not have the right for this call")
 		}
+		if err := checkQuery(c, query); err != nil {
+			return err
+		}
 		return h(c, proto.Caller{Team: k.Team, Operator: k.Operator, Key: k.Digest})
 	}
 }
 
+// checkQuery refuses a query parameter that the route does not know: a misspelt
+// one would otherwise change nothing, and a list or a cancel take in too much.
+func checkQuery(c echo.Context, known []string) error {
+	if slices.Contains(known, anyQuery) {
+		return nil
+	}
+	for name := range c.QueryParams() {
+		if !slices.Contains(known, name) {
+			return errkind.New(errkind.BadRequest, "unknown query parameter %q", name)
+		}
+	}
+	return nil
+}
+
 func (s *Server) authenticate(r *http.Request) (model.Key, error) {
 	key, ok := strings.CutPrefix(r.Header.Get(echo.HeaderAuthorization), "Bearer ")
 	if !ok || key == "" {
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -128,6 +128,8 @@
 		{"a job ID of another form", d.caller, http.MethodGet, "/v1/jobs/7", "", "", errkind.BadRequest},
 		{"a wait that is no duration", d.caller, http.MethodGet, "/v1/jobs/j-1?wait=soon", "", "", errkind.BadRequest},
 		{"a cancellation of everything", d.caller, http.MethodDelete, jobs, "", "", errkind.BadRequest},
+		{"a list by a parameter that does not exist", d.caller, http.MethodGet, jobs + "?label=x", "", "", errkind.BadRequest},
+		{"a cancellation with a parameter that does not exist", d.caller, http.MethodDelete, jobs + "?selector=a%3Db&dry_run=true", "", "", errkind.BadRequest},
 		{"an unknown service", d.caller, http.MethodPost, "/v1/services/none/requests", "", "", errkind.UnknownService},
 		{"an operator's call with a caller's key", d.caller, http.MethodGet, "/v1/status", "", "", errkind.Forbidden},
 		{"a worker's call with a caller's key", d.caller, http.MethodPost, "/v1/workers", "", "{}", errkind.Forbidden},
