--- a/internal/schedule/hold.go
+++ b/internal/schedule/hold.go
@@ -192,11 +192,6 @@
 // work has ended: the emptiest ones of one failure domain if that is enough,
 // else of all. It returns nil when they are not enough.
 func (p *planner) pickClaims(j *job, size model.Resources, need int64) []claim {
-	if p.s.opts.KeepRunning && j.group.policy == gang {
-		if claims := p.coverReady(j, size, need); claims != nil {
-			return claims
-		}
-	}
 	bins, exact := p.s.binsFor(nil, j.group.selector)
 	accept := p.accept(j, exact)
 	found := p.emptiest(bins, int(need)+holdScanSpare, accept)
--- a/internal/schedule/options.go
+++ b/internal/schedule/options.go
@@ -26,9 +26,7 @@
 	// job late. Zero: a missed promise stands.
 	LateShift time.Duration
 	LateGrace time.Duration
-	// KeepRunning stops work to make room for other work only where nothing is lost
-	// by it: batch work that saves what it has done and can still be in time, for a
-	// gang.
+	// KeepRunning stops no work to make room for other work of any team.
 	KeepRunning bool
 }
 
--- a/internal/schedule/planner.go
+++ b/internal/schedule/planner.go
@@ -113,7 +113,7 @@
 		return
 	}
 	p.reserveAhead(j, size)
-	if j.hold != nil && j.group.policy == gang {
+	if j.hold != nil && j.group.policy == gang && !p.s.opts.KeepRunning {
 		p.pursueClaims(j, size)
 	}
 }
--- a/internal/schedule/preempt.go
+++ b/internal/schedule/preempt.go
@@ -86,9 +86,6 @@
 	if v == q.j || !v.group.repeatable {
 		return false
 	}
-	if q.p.s.opts.KeepRunning {
-		return q.p.yields(v)
-	}
 	if v.group.team == q.j.group.team {
 		return v.patience() > sameTeamPatience*q.j.patience()
 	}
