Ask the policy service by the promise of the job, long questions on half of the entries

Cause: after a change of the leader every job that waits has to be asked for anew. Ruled out: the election (0.54 s from the start of the processes, two timeouts), a full cell (88% reserved), the way to the leader (0.28 s). Change: jobs that can be in time come first, by promise, late ones after them; an entry with 0.1 s of service time open is asked nothing more, since what is sent keeps its place; long questions take half of the entries at most.

--- a/internal/control/policy.go
+++ b/internal/control/policy.go
@@ -49,7 +49,7 @@
 	if q == nil || !q.Policy.Required() {
 		return false
 	}
-	p.desk.Add(j.ID, p.l.stepName(j))
+	p.desk.Add(j.ID, p.l.stepName(j), j.StartBy)
 	p.costs[j.ID] = q.Policy
 	p.next = 0
 	return true
@@ -89,13 +89,19 @@
 	if len(entries) == 0 {
 		return
 	}
-	for _, q := range p.desk.Questions(now, p, maxQuestions-p.count) {
-		c := p.costs[q.Job]
-		cost := c.Base.Std() + time.Duration(len(q.Workers))*c.PerWorker.Std()
-		if at, ok := p.lines.Choose(entries, now); ok {
+	p.desk.Questions(now, p, func(q permit.Question) bool {
+		cost := p.cost(&q)
+		if at, ok := p.lines.Choose(entries, cost, now); ok {
 			p.send(&q, at, cost)
 		}
-	}
+		return p.count < maxQuestions
+	})
+}
+
+// cost returns the service time of a question.
+func (p *policy) cost(q *permit.Question) time.Duration {
+	c := p.costs[q.Job]
+	return c.Base.Std() + time.Duration(len(q.Workers))*c.PerWorker.Std()
 }
 
 // entries returns the inner addresses of the entries that were heard lately.
@@ -111,6 +117,7 @@
 
 func (p *policy) send(q *permit.Question, to string, cost time.Duration) {
 	p.count++
+	p.desk.Asked(q)
 	timeout := p.lines.Begin(to, cost)
 	s := p.l.c.s
 	go func() {
--- a/internal/permit/desk.go
+++ b/internal/permit/desk.go
@@ -4,6 +4,7 @@
 package permit
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -36,12 +37,13 @@
 // Desk keeps the permits of the jobs that need them.
 type Desk struct {
 	jobs  map[model.JobID]*docket
-	order []model.JobID // oldest first
+	order []model.JobID // earliest promise first
 }
 
 // docket is what is known of one job.
 type docket struct {
 	step   courier.TaskName
+	by     model.Time // when its start is promised
 	asked  map[model.WorkerID]bool
 	good   []model.WorkerID
 	tokens map[model.WorkerID]token
@@ -57,13 +59,19 @@
 // NewDesk returns an empty desk.
 func NewDesk() *Desk { return &Desk{jobs: map[model.JobID]*docket{}} }
 
-// Add notes a job that needs permits.
-func (d *Desk) Add(id model.JobID, step courier.TaskName) {
+// Add notes a job that needs permits, with the time by which its start is promised.
+func (d *Desk) Add(id model.JobID, step courier.TaskName, by model.Time) {
 	if d.jobs[id] != nil {
 		return
 	}
-	d.jobs[id] = &docket{step: step, asked: map[model.WorkerID]bool{}, tokens: map[model.WorkerID]token{}}
-	d.order = append(d.order, id)
+	d.jobs[id] = &docket{step: step, by: by, asked: map[model.WorkerID]bool{}, tokens: map[model.WorkerID]token{}}
+	at, _ := slices.BinarySearchFunc(d.order, id, d.compare)
+	d.order = slices.Insert(d.order, at, id)
+}
+
+// compare orders jobs by promise, then by age.
+func (d *Desk) compare(a, b model.JobID) int {
+	return cmp.Or(cmp.Compare(d.jobs[a].by, d.jobs[b].by), cmp.Compare(a, b))
 }
 
 // Remove forgets a job.
@@ -84,26 +92,40 @@
 	Candidates(model.JobID) []model.WorkerID
 }
 
-// Questions returns what should be asked now, the oldest job first, at most max
-// questions.
-func (d *Desk) Questions(now model.Time, cell Cell, max int) []Question {
-	var out []Question
-	for _, id := range d.order {
-		if len(out) >= max {
-			break
-		}
-		e := d.jobs[id]
-		if e.open || now < e.askAt || e.permitted(now) || !cell.Waits(id) {
-			continue
-		}
-		workers := e.choose(cell.Candidates(id))
-		if len(workers) == 0 {
-			continue
+// Questions offers to send what should be asked now; send says by Asked what it
+// takes, and ends the offers by false. Jobs
+// that can still start in time come first, by promise, and those that are late
+// after them. That answers the load after a change of the leader, when every job
+// that waits has to be asked for anew: the answers that short work needs at once
+// do not queue behind those for work that is late or has time.
+func (d *Desk) Questions(now model.Time, cell Cell, send func(Question) bool) {
+	first, _ := slices.BinarySearchFunc(d.order, now, func(id model.JobID, now model.Time) int {
+		return cmp.Compare(d.jobs[id].by, now)
+	})
+	for _, part := range [][]model.JobID{d.order[first:], d.order[:first]} {
+		for _, id := range part {
+			if q, ok := d.question(id, now, cell); ok && !send(q) {
+				return
+			}
 		}
+	}
+}
+
+// question returns what should be asked for a job, if anything.
+func (d *Desk) question(id model.JobID, now model.Time, cell Cell) (Question, bool) {
+	e := d.jobs[id]
+	if e.open || now < e.askAt || e.permitted(now) || !cell.Waits(id) {
+		return Question{}, false
+	}
+	workers := e.choose(cell.Candidates(id))
+	return Question{Job: id, Step: e.step, Workers: workers}, len(workers) > 0
+}
+
+// Asked notes that a question is on its way.
+func (d *Desk) Asked(q *Question) {
+	if e := d.jobs[q.Job]; e != nil {
 		e.open = true
-		out = append(out, Question{Job: id, Step: e.step, Workers: workers})
 	}
-	return out
 }
 
 // permitted reports whether any permit holds now.
@@ -208,5 +230,5 @@
 	return out
 }
 
-// Jobs returns the jobs that need permits, oldest first. The caller must not change it.
+// Jobs returns the jobs that need permits, the earliest promise first. The caller must not change it.
 func (d *Desk) Jobs() []model.JobID { return d.order }
--- a/internal/permit/lines.go
+++ b/internal/permit/lines.go
@@ -10,6 +10,12 @@
 	// questionSlack is what a question may take beyond one and a half times the
 	// service time of those that are open at the same entry.
 	questionSlack = 400 * time.Millisecond
+	// fullAt is the service time open at an entry from which on it is asked nothing
+	// more: what is sent has its place in the order for good.
+	fullAt = long
+	// long is the service time from which on a question is a long one. Long ones
+	// take half of the entries at most, so that short ones need not wait for them.
+	long = 100 * time.Millisecond
 	// avoidFor is how long an entry is not asked after it gave no answer.
 	avoidFor = 2 * time.Second
 )
@@ -27,13 +33,27 @@
 	return &Lines{open: map[string]time.Duration{}, avoid: map[string]model.Time{}}
 }
 
-// Choose returns the entry that is to be asked now; false without entries. Where
-// all gave no answer lately, they are asked all the same.
-func (l *Lines) Choose(entries []string, now model.Time) (string, bool) {
-	if e, ok := l.least(entries, func(e string) bool { return now >= l.avoid[e] }); ok {
-		return e, true
+// Choose returns the entry for a question of the given service time; false where
+// it has to wait. Where all gave no answer lately, they are asked all the same.
+func (l *Lines) Choose(entries []string, cost time.Duration, now model.Time) (string, bool) {
+	if cost >= long && 2*l.full(entries) >= len(entries) {
+		return "", false
 	}
-	return l.least(entries, func(string) bool { return true })
+	best, ok := l.least(entries, func(e string) bool { return now >= l.avoid[e] })
+	if !ok {
+		best, ok = l.least(entries, func(string) bool { return true })
+	}
+	return best, ok && l.open[best] < fullAt
+}
+
+// full returns how many entries are asked nothing more.
+func (l *Lines) full(entries []string) (n int) {
+	for _, e := range entries {
+		if l.open[e] >= fullAt {
+			n++
+		}
+	}
+	return n
 }
 
 func (l *Lines) least(entries []string, may func(string) bool) (best string, found bool) {
