--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -89,6 +89,7 @@
 	o.stop = false
 	c.deliver(m, id, o, &delivery{
 		name: orderStart,
+		run:  req.Run,
 		do: func(ctx context.Context, caller courier.Caller) courier.Answer {
 			return caller.Start(ctx, m.to, req)
 		},
@@ -102,6 +103,7 @@
 	o.stop, o.confirmed = true, 0
 	c.deliver(m, id, o, &delivery{
 		name: orderStop,
+		run:  req.Run,
 		do: func(ctx context.Context, caller courier.Caller) courier.Answer {
 			return caller.Stop(ctx, m.to, req)
 		},
@@ -111,7 +113,8 @@
 
 // delivery is an order that is sent until it has an answer.
 type delivery struct {
-	name string // for metrics
+	name string // for metrics and logs
+	run  courier.Run
 	do   func(context.Context, courier.Caller) courier.Answer
 	then func(courier.Answer)
 }
@@ -134,10 +137,12 @@
 	}
 	send()
 	o.repeat = c.later(orderRepeat, func() {
-		if c.newest(m, id, o) && o.sending.Repeat(round) {
-			o.doubtful = true
-			send()
+		if _, err := c.l.c.leading(); err != nil || !c.newest(m, id, o) || !o.sending.Repeat(round) {
+			return
 		}
+		c.l.c.log.Info("Order is sent a second time.", m.fields(&d.run, "order", d.name)...)
+		o.doubtful = true
+		send()
 	})
 }
 
