--- a/internal/obs/kinds.go
+++ b/internal/obs/kinds.go
@@ -10,8 +10,8 @@
 const (
 	// kindRate and kindBurst bound the lines of one kind, a second and at once. The
 	// kind of a line is its message.
-	kindRate  rate.Limit = 400
-	kindBurst            = 1600
+	kindRate  = 400
+	kindBurst = 1600
 	// maxKinds bounds the kinds that are told apart; messages are constants.
 	maxKinds = 256
 )
