One place for what the change had twice; no search when no entry is free

- Questions to the policy service: while no entry could take one, the desk still looked up the workers of every waiting job, 50 times a second.
Lines.Free ends that; what is asked, where and in which order is the same.
- The clock of an answer to an order is taken in by call, not by each caller.
- Reading and cancelling a workflow are one route; metrics are registered once.
- The tests that lose or cancel a running task share runTask.

Behaviour, bounds and assertions are the same.

--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -62,8 +62,8 @@
 			Name: "filbertmast_control_workflow_seconds", Help: "From the submission of a workflow to its end, by how it ended.",
 			Buckets: prometheus.ExponentialBuckets(0.25, 2, 12)}, []string{"phase"}),
 	}
-	r.MustRegister(m.orders, m.questions, m.silent, m.lostLooks, m.firstSeconds, m.flowSeconds)
-	r.MustRegister(m.leads, m.refusals, m.placements, m.unplaced, m.preemptions, m.lost, m.planSeconds)
+	r.MustRegister(m.leads, m.refusals, m.placements, m.unplaced, m.preemptions, m.lost, m.planSeconds,
+		m.orders, m.questions, m.silent, m.lostLooks, m.firstSeconds, m.flowSeconds)
 	return m
 }
 
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -126,9 +126,8 @@
 	}
 	round := o.sending.Begin()
 	send := func() {
-		c.call(d.do, func(a courier.Answer) {
+		c.call(m, d.do, func(a courier.Answer) {
 			c.count(d.name, a)
-			m.clock.Observe(a.Clock, c.l.c.s.now())
 			if c.newest(m, id, o) && o.sending.End(round, a.Verdict) {
 				o.repeat.Stop()
 				d.then(a)
@@ -162,14 +161,18 @@
 	c.l.c.s.metrics.orders.WithLabelValues(order, a.Verdict.String()).Inc()
 }
 
-// call runs one order outside of the control goroutine and its answer inside.
-func (c *crew) call(do func(context.Context, courier.Caller) courier.Answer, then func(courier.Answer)) {
+// call runs one order outside of the control goroutine, and inside takes in the
+// worker's clock and the answer.
+func (c *crew) call(m *calledWorker, do func(context.Context, courier.Caller) courier.Answer, then func(courier.Answer)) {
 	s := c.l.c.s
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, orderTimeout)
 		defer cancel()
 		a := do(ctx, s.opts.Caller)
-		s.run(func(*core) { then(a) })
+		s.run(func(*core) {
+			m.clock.Observe(a.Clock, s.now())
+			then(a)
+		})
 	}()
 }
 
@@ -337,7 +340,7 @@
 func (c *crew) stopStray(m *calledWorker, r *courier.Run) {
 	c.l.c.log.Info("Run is stopped that the state does not hold here.", m.fields(r)...)
 	req := &courier.Stop{Run: *r, Fence: c.l.term}
-	c.call(func(ctx context.Context, caller courier.Caller) courier.Answer {
+	c.call(m, func(ctx context.Context, caller courier.Caller) courier.Answer {
 		return caller.Stop(ctx, m.to, req)
-	}, func(a courier.Answer) { m.clock.Observe(a.Clock, c.l.c.s.now()) })
+	}, func(courier.Answer) {})
 }
--- a/internal/control/policy.go
+++ b/internal/control/policy.go
@@ -86,7 +86,7 @@
 	}
 	p.next = now.Add(askEvery)
 	entries := p.entries(now)
-	if len(entries) == 0 {
+	if !p.lines.Free(entries, now) {
 		return
 	}
 	p.desk.Questions(now, p, func(q permit.Question) bool {
@@ -94,7 +94,7 @@
 		if at, ok := p.lines.Choose(entries, cost, now); ok {
 			p.send(&q, at, cost)
 		}
-		return p.count < maxQuestions
+		return p.count < maxQuestions && p.lines.Free(entries, now)
 	})
 }
 
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -39,8 +39,8 @@
 	v1.GET("/jobs/:id", s.caller(s.getJob, "wait", "since", "why"))
 	v1.DELETE("/jobs/:id", s.caller(s.cancelJob))
 	v1.POST("/workflows", s.caller(s.postWorkflow))
-	v1.GET("/workflows/:id", s.caller(s.getWorkflow))
-	v1.DELETE("/workflows/:id", s.caller(s.deleteWorkflow))
+	v1.GET("/workflows/:id", s.caller(s.onWorkflow(s.Workflow)))
+	v1.DELETE("/workflows/:id", s.caller(s.onWorkflow(s.CancelWorkflow)))
 	v1.POST("/services/:service/requests", s.caller(s.serveRequest, anyQuery))
 	v1.POST("/services/:service/requests/*", s.caller(s.serveRequest, anyQuery))
 
--- a/internal/entry/workflows.go
+++ b/internal/entry/workflows.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/labstack/echo/v4"
@@ -28,26 +29,18 @@
 	return c.JSON(status, workflowView(spec.ID, view))
 }
 
-func (s *Server) getWorkflow(c echo.Context, caller proto.Caller) error {
-	id := model.WorkflowID(c.Param("id"))
-	ctx, cancel := bounded(c, 0)
-	defer cancel()
-	view, err := s.Workflow(ctx, caller, id)
-	if err != nil {
-		return err
-	}
-	return c.JSON(http.StatusOK, workflowView(id, view))
-}
-
-func (s *Server) deleteWorkflow(c echo.Context, caller proto.Caller) error {
-	id := model.WorkflowID(c.Param("id"))
-	ctx, cancel := bounded(c, 0)
-	defer cancel()
-	view, err := s.CancelWorkflow(ctx, caller, id)
-	if err != nil {
-		return err
+// onWorkflow is the route of a call about one workflow.
+func (s *Server) onWorkflow(do func(context.Context, proto.Caller, model.WorkflowID) (*proto.WorkflowView, error)) handler {
+	return func(c echo.Context, caller proto.Caller) error {
+		id := model.WorkflowID(c.Param("id"))
+		ctx, cancel := bounded(c, 0)
+		defer cancel()
+		view, err := do(ctx, caller, id)
+		if err != nil {
+			return err
+		}
+		return c.JSON(http.StatusOK, workflowView(id, view))
 	}
-	return c.JSON(http.StatusOK, workflowView(id, view))
 }
 
 func workflowView(id model.WorkflowID, v *proto.WorkflowView) api.WorkflowView {
--- a/internal/permit/lines.go
+++ b/internal/permit/lines.go
@@ -46,6 +46,12 @@
 	return best, ok && l.open[best] < fullAt
 }
 
+// Free reports whether any question may be sent now.
+func (l *Lines) Free(entries []string, now model.Time) bool {
+	_, ok := l.Choose(entries, 0, now)
+	return ok
+}
+
 // full returns how many entries are asked nothing more.
 func (l *Lines) full(entries []string) (n int) {
 	for _, e := range entries {
