--- /dev/null
+++ b/internal/permit/gang_test.go
@@ -0,0 +1,199 @@
+package permit
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/schedule"
+	"github.com/filbertmast/filbertmast/internal/workerclient"
+)
+
+// permitCell joins a Tracker, a scheduler and a policy service that permits one worker
+// in three, as a leader does. Time passes in steps of cellStep.
+type permitCell struct {
+	t       *testing.T
+	now     model.Time
+	tracker *Tracker
+	sched   *schedule.Scheduler
+	pending map[model.JobID]bool
+	answers map[model.Time][]Query // by when the policy service responds
+	running []runningTask          // oldest first
+	valid   time.Duration          // of a permit
+	cost    func(workers int) time.Duration
+}
+
+type runningTask struct {
+	id    model.TaskID
+	since model.Time
+}
+
+const (
+	cellStep      = 20 // ms
+	cellStart     = model.Time(1_000_000)
+	permittedOf   = 3 // one worker of this many is permitted
+	gangID        = model.JobID(2)
+	gangTasks     = 35
+	fillerID      = model.JobID(1)
+	workerCPU     = 16_000
+	workerMemory  = 32_768
+	workersInRack = 12
+	// maxReservations is the number of reservations at once.
+	maxReservations = 2
+)
+
+func newPermitCell(t *testing.T, workers int) *permitCell {
+	c := &permitCell{
+		t:       t,
+		now:     cellStart,
+		tracker: NewTracker(),
+		sched:   schedule.New(schedule.Options{Seed: 1, KeepRunning: true, MaxReservations: maxReservations, PressingSlack: 4 * time.Second}),
+		pending: map[model.JobID]bool{},
+		answers: map[model.Time][]Query{},
+		valid:   2 * time.Second,
+		cost:    func(n int) time.Duration { return 440*time.Millisecond + time.Duration(n)*6200*time.Microsecond },
+	}
+	c.sched.Apply(schedule.ConfigChanged{Teams: []model.Team{{Name: "a", Share: 1, MaxRunning: 10_000}}})
+	for i := range workers {
+		domain := fmt.Sprintf("d%d", i/workersInRack%3)
+		c.sched.Apply(schedule.WorkerUp{Spec: model.WorkerSpec{
+			ID:            model.WorkerID(fmt.Sprintf("w%03d", i)),
+			Capacity:      model.Resources{CPU: workerCPU, Memory: workerMemory},
+			Region:        "r",
+			FailureDomain: domain,
+			Rack:          fmt.Sprintf("r%d", i/workersInRack),
+		}})
+	}
+	return c
+}
+
+// HasPendingTasks implements Scheduler.
+func (c *permitCell) HasPendingTasks(id model.JobID) bool { return c.pending[id] }
+
+// Candidates implements Scheduler.
+func (c *permitCell) Candidates(id model.JobID) []model.WorkerID { return c.sched.Candidates(id) }
+
+// submit adds a job. Jobs that need permits are tracked.
+func (c *permitCell) submit(id model.JobID, spec model.JobSpec, needsPermit bool) {
+	spec.Team = "a"
+	startBy := c.now.Add(spec.Patience.Std())
+	c.sched.Apply(schedule.JobSubmitted{ID: id, Spec: spec, Team: "a", At: c.now, StartBy: startBy, NeedsPermit: needsPermit})
+	if needsPermit {
+		c.pending[id] = true
+		c.tracker.Add(id, workerclient.TaskName{Workflow: model.WorkflowID(spec.Name)}, startBy)
+	}
+}
+
+// step lets cellStep pass: responses arrive, queries are sent and a plan is carried out.
+func (c *permitCell) step() {
+	c.now += cellStep
+	for _, q := range c.answers[c.now] {
+		c.answer(&q)
+	}
+	c.tracker.EachDueQuery(c.now, c, func(q Query) bool {
+		c.tracker.MarkSent(&q)
+		at := c.now.Add(c.cost(len(q.Workers)))
+		at += (cellStep - at%cellStep) % cellStep
+		c.answers[at] = append(c.answers[at], q)
+		return true
+	})
+	for _, p := range c.sched.Plan(c.now, 1000).Placements {
+		c.sched.Apply(schedule.TaskPlaced{Task: p.Task, Worker: p.Worker, Size: p.Size, At: c.now})
+		c.sched.Apply(schedule.TaskRunning{Task: p.Task, At: c.now})
+		delete(c.pending, p.Task.Job)
+		c.running = append(c.running, runningTask{p.Task, c.now})
+	}
+}
+
+func (c *permitCell) answer(q *Query) {
+	advice := &workerclient.Advice{Valid: model.Duration(c.valid)}
+	for _, w := range q.Workers {
+		number, err := strconv.Atoi(strings.TrimPrefix(string(w), "w"))
+		assert.NilError(c.t, err)
+		if number%permittedOf == 0 {
+			advice.Permits = append(advice.Permits, workerclient.Permit{Worker: w, Token: string(w)})
+		}
+	}
+	c.tracker.ApplyAdvice(q, advice, c.now)
+	ev := schedule.JobPermitsChanged{ID: q.Job}
+	for _, g := range c.tracker.Permits(q.Job) {
+		ev.Permits = append(ev.Permits, schedule.Permit(g))
+	}
+	c.sched.Apply(ev)
+}
+
+// end ends the tasks that have run for d.
+func (c *permitCell) end(d time.Duration) {
+	for len(c.running) > 0 && c.now.Sub(c.running[0].since) >= d {
+		c.sched.Apply(schedule.TaskEnded{Task: c.running[0].id, Outcome: schedule.Succeeded, RanFor: d, At: c.now, Final: true})
+		c.running = c.running[1:]
+	}
+}
+
+// runFor lets d pass, in which each task ends after taskTime. It returns early when the
+// gang starts, with the time; else zero.
+func (c *permitCell) runFor(d, taskTime time.Duration) model.Time {
+	waits := c.pending[gangID]
+	for end := c.now.Add(d); c.now < end; {
+		c.end(taskTime)
+		c.step()
+		if waits && !c.pending[gangID] {
+			return c.now
+		}
+	}
+	return 0
+}
+
+// submitGang submits a gang whose tasks fit twice on an idle worker.
+func (c *permitCell) submitGang(patience time.Duration) {
+	c.submit(gangID, model.JobSpec{
+		Name:     "gang",
+		Tasks:    gangTasks,
+		Policy:   model.PolicyGang,
+		Size:     model.Resources{CPU: 6750, Memory: 6320},
+		Patience: model.Duration(patience),
+	}, true)
+}
+
+// startLimit is how long a job may wait while the free capacity is twice what it needs.
+const startLimit = 3 * time.Second
+
+func TestGangWiderThanOneRenewalStartsOnceWorkersAreFree(t *testing.T) {
+	const workers = 120
+	c := newPermitCell(t, workers)
+	whole := model.Resources{CPU: workerCPU, Memory: workerMemory}
+	c.submit(fillerID, model.JobSpec{Name: "filler", Tasks: workers, Size: whole, Patience: model.Duration(time.Hour)}, false)
+	c.step()
+	assert.Equal(t, len(c.running), workers, "the cell is full")
+	c.submitGang(time.Second)
+	assert.Equal(t, c.runFor(20*time.Second, time.Hour), model.Time(0), "no worker has room")
+	c.end(0)
+	free := c.now
+	started := c.runFor(30*time.Second, time.Hour)
+	assert.Assert(t, started != 0, "the gang never starts; 40 permitted workers hold 80 tasks")
+	assert.Assert(t, started.Sub(free) <= startLimit, "the gang started %s after the workers were free", started.Sub(free))
+}
+
+func TestWideGangIsNotStarvedBySmallTasksInBusyCell(t *testing.T) {
+	const (
+		workers  = 120
+		taskTime = 5 * time.Second
+		patience = 30 * time.Second
+		queries  = 2 // to learn the allowed workers, and to renew the permits of the reserved ones
+	)
+	c := newPermitCell(t, workers)
+	c.submit(fillerID, model.JobSpec{Name: "small", Tasks: 100_000, Size: model.Resources{CPU: 2000, Memory: 4096}, Patience: model.Duration(time.Hour)}, false)
+	c.runFor(2*taskTime, taskTime)
+	c.submitGang(patience)
+	submitted := c.now
+	// The starvation bound of the scheduler for one team, and the time of the queries.
+	limit := patience + (maxReservations+1)*taskTime + queries*c.cost(MaxQueryWorkers)
+	started := c.runFor(2*limit, taskTime)
+	assert.Assert(t, started != 0, "the gang never starts")
+	assert.Assert(t, started.Sub(submitted) <= limit, "the gang started after %s, limit %s", started.Sub(submitted), limit)
+}
