Name missing permits and gangs without room among the reasons why tasks wait

Cause: a gang that waits for permits was shown as waiting for 'next' only, with hundreds of workers that have room. Change: WaitReasons counts the workers that have room but no valid permit, told apart into never permitted and expired ('permit'), and the tasks of a gang for which the remaining workers have no room at the same time ('gang'). 'next' no longer counts workers without a valid permit. GET /v1/jobs/{id}?why=true and the field 'why' of 'Step is late.' show both. Placement is unchanged: the planner uses the same two checks, which moved to the permit set and to the job.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -57,8 +57,8 @@
 
 // WhyNot is one reason why tasks are waiting.
 type WhyNot struct {
-	Reason string `json:"reason"` // share, limit, selector, size, reservation, queue, backoff
-	Count  int64  `json:"count"`  // workers that are ruled out, or tasks over the limit
+	Reason string `json:"reason"` // share, limit, selector, size, reservation, permit, gang, queue, backoff
+	Count  int64  `json:"count"`  // workers that are ruled out, or tasks over the limit or without room
 	Detail string `json:"detail,omitempty"`
 }
 
--- a/internal/schedule/gang.go
+++ b/internal/schedule/gang.go
@@ -111,7 +111,7 @@
 	c.clear(len(p.s.racks.byName))
 	add := func(slot int32, free model.Resources) {
 		if accept == nil || accept(slot) {
-			c.add(&p.s.workers[slot], slot, p.tasksThatFit(j, size, free))
+			c.add(&p.s.workers[slot], slot, j.tasksThatFit(size, free))
 		}
 	}
 	for _, domain := range p.s.domainsFor(j) {
@@ -157,7 +157,7 @@
 }
 
 // tasksThatFit returns how many tasks of j fit into free on one worker.
-func (p *planner) tasksThatFit(j *job, size, free model.Resources) int64 {
+func (j *job) tasksThatFit(size, free model.Resources) int64 {
 	if j.group.exclusive {
 		return 1
 	}
--- a/internal/schedule/permit.go
+++ b/internal/schedule/permit.go
@@ -21,6 +21,12 @@
 	return &permitSet{}
 }
 
+// valid reports whether the set permits a worker at now. A nil set permits every
+// worker.
+func (g *permitSet) valid(worker model.WorkerID, now model.Time) bool {
+	return g == nil || now < g.until[worker]
+}
+
 // setPermits replaces the permits of a job that needs them.
 func (s *Scheduler) setPermits(e JobPermitsChanged) {
 	j := s.jobs[e.ID]
@@ -41,7 +47,7 @@
 
 // permitted reports whether j may be placed on a worker now.
 func (p *planner) permitted(j *job, slot int32) bool {
-	return j.permits == nil || p.now < j.permits.until[p.s.workers[slot].id]
+	return j.permits.valid(p.s.workers[slot].id, p.now)
 }
 
 // Candidates returns the open and responsive workers that match the selectors of a
--- a/internal/schedule/waitreason.go
+++ b/internal/schedule/waitreason.go
@@ -21,6 +21,8 @@
 	waitReservation  = "reservation" // workers reserved for another job
 	waitExclusive    = "exclusive"   // workers that run a task of the job
 	waitShare        = "share"       // workers that are full
+	waitPermit       = "permit"      // workers with room for a task but without a valid permit
+	waitGang         = "gang"        // tasks for which the workers of waitNext have no room at the same time
 	waitNext         = "next"        // workers with room for a task
 )
 
@@ -32,8 +34,8 @@
 	if j == nil || j.ready+j.waiting == 0 {
 		return nil
 	}
-	w := waitReasons{s: s, j: j}
-	w.tasks(now)
+	w := waitReasons{s: s, j: j, now: now}
+	w.tasks()
 	if j.ready > 0 {
 		w.team()
 		w.workers()
@@ -44,6 +46,7 @@
 type waitReasons struct {
 	s   *Scheduler
 	j   *job
+	now model.Time
 	out []api.WhyNot
 }
 
@@ -53,7 +56,7 @@
 	}
 }
 
-func (w *waitReasons) tasks(now model.Time) {
+func (w *waitReasons) tasks() {
 	var exhausted, inBackoff int64
 	var next model.Time
 	for i := range w.j.tasks {
@@ -68,7 +71,7 @@
 		}
 	}
 	w.add(waitBudget, exhausted, "tasks have no restart left")
-	w.add(waitBackoff, inBackoff, "tasks are in backoff; the next may start in %s", max(next.Sub(now), 0))
+	w.add(waitBackoff, inBackoff, "tasks are in backoff; the next may start in %s", max(next.Sub(w.now), 0))
 }
 
 func (w *waitReasons) team() {
@@ -91,26 +94,67 @@
 }
 
 func (w *waitReasons) workers() {
-	s, g := w.s, w.j.group
-	size := s.sizeFor(g)
+	size := w.s.sizeFor(w.j.group)
+	n := w.countWorkers(size)
+	t := w.s.teams[w.j.group.team]
+	w.add(waitSelector, n.byReason[waitSelector], "workers do not match the selector")
+	w.add(waitSize, n.byReason[waitSize], "workers are smaller than a task, which needs %s", size)
+	w.add(waitMode, n.byReason[waitMode], "workers are not open to new tasks")
+	w.add(waitUnresponsive, n.byReason[waitUnresponsive], "workers do not respond to commands")
+	w.add(waitProbation, n.byReason[waitProbation], "workers are on probation")
+	w.add(waitExclusive, n.byReason[waitExclusive], "workers already run a task of this exclusive job")
+	w.add(waitReservation, n.byReason[waitReservation], "workers are reserved for other waiting jobs")
+	w.add(waitShare, n.byReason[waitShare], "workers have too little free capacity; team %s uses %d%% of its share", t.name, w.s.load(t, model.Resources{})/(ppm/100))
+	w.permits(&n)
+	w.gangRoom(&n)
+	w.add(waitNext, n.byReason[""], "workers have enough free capacity for a task")
+}
+
+// workerCounts are the workers of the cell by what rules them out for a task.
+type workerCounts struct {
+	byReason map[string]int64 // "": nothing rules them out
+	expired  int64            // those of waitPermit whose permit has expired
+	room     int64            // tasks that fit at the same time on the workers that nothing rules out
+}
+
+func (w *waitReasons) countWorkers(size model.Resources) workerCounts {
 	var c spread
-	c.load(s, w.j)
-	counts := map[string]int64{}
-	for i := range s.workers {
-		if s.workers[i].known {
-			counts[w.worker(int32(i), size, &c)]++
+	c.load(w.s, w.j)
+	n := workerCounts{byReason: map[string]int64{}}
+	for i := range w.s.workers {
+		at := &w.s.workers[i]
+		if !at.known {
+			continue
+		}
+		reason := w.worker(int32(i), size, &c)
+		n.byReason[reason]++
+		switch {
+		case reason == waitPermit && w.j.permits.until[at.id] != 0:
+			n.expired++
+		case reason == "":
+			n.room += w.j.tasksThatFit(size, at.free)
 		}
 	}
-	t := s.teams[g.team]
-	w.add(waitSelector, counts[waitSelector], "workers do not match the selector")
-	w.add(waitSize, counts[waitSize], "workers are smaller than a task, which needs %s", size)
-	w.add(waitMode, counts[waitMode], "workers are not open to new tasks")
-	w.add(waitUnresponsive, counts[waitUnresponsive], "workers do not respond to commands")
-	w.add(waitProbation, counts[waitProbation], "workers are on probation")
-	w.add(waitExclusive, counts[waitExclusive], "workers already run a task of this exclusive job")
-	w.add(waitReservation, counts[waitReservation], "workers are reserved for other waiting jobs")
-	w.add(waitShare, counts[waitShare], "workers have too little free capacity; team %s uses %d%% of its share", t.name, s.load(t, model.Resources{})/(ppm/100))
-	w.add(waitNext, counts[""], "workers have enough free capacity for a task")
+	return n
+}
+
+// permits adds the workers for which the job has no valid permit.
+func (w *waitReasons) permits(n *workerCounts) {
+	without := n.byReason[waitPermit]
+	w.add(waitPermit, without, "workers have enough free capacity but no valid permit (never permitted: %d, expired: %d)", without-n.expired, n.expired)
+}
+
+// gangRoom adds the tasks of a gang for which there is no room. A gang starts only as a
+// whole, so that workers with enough free capacity for a task do not suffice.
+func (w *waitReasons) gangRoom(n *workerCounts) {
+	if w.j.group.policy != gang {
+		return
+	}
+	workers := "the workers with enough free capacity"
+	if w.j.permits != nil {
+		workers += " and a valid permit"
+	}
+	w.add(waitGang, int64(w.j.ready)-n.room, "tasks of the gang have no room: %s hold %d of %d tasks", workers, n.room, w.j.ready)
 }
 
 // worker returns the first reason that rules a worker out; "" for none.
@@ -133,6 +177,8 @@
 		return waitReservation
 	case !size.Fits(at.free):
 		return waitShare
+	case !w.j.permits.valid(at.id, w.now):
+		return waitPermit
 	}
 	return ""
 }
