Log valid permits and the state of the queries of a late step

Cause: 'permits' of 'Step is late.' counts expired permits too, so that the log does not show whether a step waits for permits, for an answer or for room. Change: the line also has how many permits are valid now ('valid'), how many workers are allowed of how many queried ('allowed', 'queried'), whether a query is in flight ('in_flight') and how long ago the last one was answered ('answered'). permit.Tracker gets the method Status for it; the time of the last answer is kept by the leader's policy.

--- a/internal/control/backlog.go
+++ b/internal/control/backlog.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/state"
 )
 
 const (
@@ -36,11 +37,19 @@
 			continue
 		}
 		logged++
-		p.l.c.log.Info("Step is late.", "workflow", j.Step.Workflow, "step", j.Step.Step, "team", j.Team,
-			"behind", now.Sub(j.StartBy), "pending", j.Count(model.TaskPending), "held", j.Held(),
-			"permits", len(p.tracker.Permits(id)), "why", p.l.sched.WaitReasons(id, now))
+		p.logLateStep(j, now)
 	}
 	if omitted > 0 {
 		p.l.c.log.Info("Further steps are late.", "steps", omitted)
 	}
 }
+
+// logLateStep logs a step that has not started by its deadline, with its permits and
+// why it waits.
+func (p *policy) logLateStep(j *state.Job, now model.Time) {
+	permits := p.tracker.Status(j.ID, now)
+	p.l.c.log.Info("Step is late.", "workflow", j.Step.Workflow, "step", j.Step.Step, "team", j.Team,
+		"behind", now.Sub(j.StartBy), "pending", j.Count(model.TaskPending), "held", j.Held(),
+		"permits", permits.Known, "valid", permits.Valid, "allowed", permits.Allowed, "queried", permits.Queried,
+		"in_flight", permits.InFlight, "answered", p.sinceAnswer(j.ID, now), "why", p.l.sched.WaitReasons(j.ID, now))
+}
--- a/internal/control/policy.go
+++ b/internal/control/policy.go
@@ -27,6 +27,7 @@
 	l         *leader
 	tracker   *permit.Tracker
 	costs     map[model.JobID]model.PolicyCosts
+	answered  map[model.JobID]model.Time // when the last query of a job was answered
 	balancer  *permit.Balancer // entries by inner address
 	inFlight  int              // queries in flight
 	nextQuery model.Time
@@ -37,6 +38,7 @@
 		l:        l,
 		tracker:  permit.NewTracker(),
 		costs:    map[model.JobID]model.PolicyCosts{},
+		answered: map[model.JobID]model.Time{},
 		balancer: permit.NewBalancer(),
 	}
 }
@@ -59,6 +61,7 @@
 func (p *policy) remove(id model.JobID) {
 	p.tracker.Remove(id)
 	delete(p.costs, id)
+	delete(p.answered, id)
 }
 
 // HasPendingTasks implements permit.Scheduler.
@@ -144,11 +147,24 @@
 		return
 	}
 	p.l.c.s.metrics.policyQueries.WithLabelValues("ok").Inc()
+	if _, tracked := p.costs[q.Job]; tracked {
+		p.answered[q.Job] = now
+	}
 	p.tracker.ApplyAdvice(q, advice, now)
 	p.l.c.log.Debug("Workers permitted.", "workflow", q.Step.Workflow, "step", q.Step.Step, "asked", len(q.Workers), "good", len(advice.Permits))
 	p.updateScheduler(q.Job)
 }
 
+// sinceAnswer returns how long ago the last query of a job was answered, and "never"
+// if this leader has received no answer.
+func (p *policy) sinceAnswer(id model.JobID, now model.Time) string {
+	at, ok := p.answered[id]
+	if !ok {
+		return "never"
+	}
+	return now.Sub(at).String()
+}
+
 // updateScheduler passes the permits of a job to the scheduler.
 func (p *policy) updateScheduler(id model.JobID) {
 	grants := p.tracker.Permits(id)
--- a/internal/permit/tracker_test.go
+++ b/internal/permit/tracker_test.go
@@ -177,3 +177,45 @@
 		assert.Assert(t, sent[id] != "" && !busy[sent[id]], "job %d was sent to %q", id, sent[id])
 	}
 }
+
+func TestStatusCountsPermitsOfJob(t *testing.T) {
+	const validFor = 2 * time.Second
+	expiry := model.Time(1000).Add(validFor - placementMargin)
+	answered := func(tracker *Tracker, workers ...model.WorkerID) {
+		q := sendQueries(tracker, 1000, newFakeScheduler(4), 9)
+		tracker.ApplyAdvice(&q[0], adviceOf(validFor, workers...), 1000)
+	}
+	rows := []struct {
+		name    string
+		prepare func(*Tracker)
+		now     model.Time
+		want    Status
+	}{
+		{"a job that was not queried has no permits", func(*Tracker) {}, 1000, Status{}},
+		{"a query is in flight", func(tracker *Tracker) { sendQueries(tracker, 1000, newFakeScheduler(4), 9) }, 1000, Status{InFlight: true}},
+		{"a failed query is not in flight", func(tracker *Tracker) {
+			q := sendQueries(tracker, 1000, newFakeScheduler(4), 9)
+			tracker.MarkFailed(&q[0], 1000)
+		}, 1000, Status{}},
+		{"some of the queried workers are allowed", func(tracker *Tracker) { answered(tracker, "w01", "w02") }, expiry - 1, Status{Known: 2, Valid: 2, Allowed: 2, Queried: 4}},
+		{"no queried worker is allowed", func(tracker *Tracker) { answered(tracker) }, 1000, Status{Queried: 4}},
+		{"permits have expired", func(tracker *Tracker) { answered(tracker, "w01", "w02") }, expiry, Status{Known: 2, Allowed: 2, Queried: 4}},
+		{"a worker rejected its permit", func(tracker *Tracker) {
+			answered(tracker, "w01", "w02")
+			tracker.Invalidate(1, "w01")
+		}, 1000, Status{Known: 1, Valid: 1, Allowed: 2, Queried: 4}},
+		{"a permitted worker has restarted", func(tracker *Tracker) {
+			answered(tracker, "w01", "w02")
+			tracker.ForgetWorker("w01")
+		}, 1000, Status{Known: 1, Valid: 1, Allowed: 1, Queried: 3}},
+		{"a job that is not tracked has no permits", func(tracker *Tracker) { tracker.Remove(1) }, 1000, Status{}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			tracker := NewTracker()
+			tracker.Add(1, workerclient.TaskName{Workflow: "f"}, 0)
+			row.prepare(tracker)
+			assert.Equal(t, tracker.Status(1, row.now), row.want)
+		})
+	}
+}
