Measure on what the control goroutine spends its time

Cause: a leader that falls behind does not show which work fills its processor time. Change: the counter filbertmast_control_busy_seconds_total has the wall time of the control goroutine by kind of work, the gauge filbertmast_control_calls_queued the length of its queue. Queued closures carry their kind, so that responses of workers, of the policy service and calls of entries are told apart.

--- a/internal/control/backlog.go
+++ b/internal/control/backlog.go
@@ -24,6 +24,13 @@
 		"workers", st.Workers, "clear_for", st.Reservations)
 }
 
+// logLoad logs on what the control goroutine has spent its time since the last line.
+func (c *core) logLoad() {
+	now := time.Now()
+	r := c.load.take(now)
+	c.log.Info("Control goroutine load.", r.fields(now)...)
+}
+
 // logLateSteps logs the steps that have not started by their deadline, and why.
 func (p *policy) logLateSteps(now model.Time) {
 	logged, omitted := 0, 0
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/charmbracelet/log"
 
@@ -25,6 +26,7 @@
 	proposals       proposals
 	snapshotIndex   uint64 // index of the last snapshot
 	snapshotRunning bool   // a snapshot is being written
+	load            *load
 }
 
 func newCore(s *Server) *core {
@@ -33,6 +35,7 @@
 		log:       s.log,
 		machine:   state.New(s.opts.State),
 		proposals: newProposals(uint64(s.opts.Log.Status().ID), uint64(s.startTime.UnixNano())),
+		load:      newLoad(s.metrics.busySeconds),
 	}
 }
 
@@ -86,6 +89,7 @@
 	}
 	if leads && c.leader == nil {
 		c.leader = newLeader(c, l.Term)
+		c.load.take(time.Now()) // drops the load before this process led
 		c.leader.polled.addInherited()
 		c.log.Info("This process leads.", "term", l.Term, "index", c.machine.Index())
 	}
@@ -176,10 +180,7 @@
 	if err != nil {
 		s.log.Warn("Snapshot could not be saved.", "index", index, "err", err)
 	}
-	select {
-	case s.calls <- func(c *core) { c.snapshotRunning = false }:
-	case <-s.stopped:
-	}
+	s.post(workUpdates, func(c *core) { c.snapshotRunning = false })
 }
 
 func (c *core) tick() {
--- a/internal/control/dispatch.go
+++ b/internal/control/dispatch.go
@@ -171,7 +171,7 @@
 		ctx, cancel := context.WithTimeout(p.ctx, commandTimeout)
 		defer cancel()
 		resp := send(ctx, s.opts.WorkerClient)
-		s.post(func(*core) {
+		s.post(workCommands, func(*core) {
 			pw.clock.Observe(resp.Clock, s.now())
 			onResponse(resp)
 		})
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -186,6 +186,7 @@
 		l.nextExpiry = now.Add(expiryInterval)
 		l.syncAllRequestPermits()
 		l.logBacklog()
+		l.c.logLoad()
 		l.policy.logLateSteps(now)
 		if l.c.machine.ExpireDue(now) {
 			l.c.propose(&state.Command{Expire: &state.Expire{}}, func(state.Result, error) {})
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -16,6 +16,7 @@
 	preemptions       *prometheus.CounterVec
 	workersLost       prometheus.Counter
 	planSeconds       prometheus.Histogram
+	busySeconds       *prometheus.CounterVec
 
 	commands          *prometheus.CounterVec
 	policyQueries     *prometheus.CounterVec
@@ -25,7 +26,9 @@
 	workflowSeconds   *prometheus.HistogramVec
 }
 
-func newMetrics(r prometheus.Registerer) *metrics {
+// newMetrics registers the metrics. Queued returns the number of closures that wait for
+// the control goroutine.
+func newMetrics(r prometheus.Registerer, queued func() float64) *metrics {
 	m := &metrics{
 		leads: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "filbertmast_control_leads", Help: "1 while this process leads, else 0."}),
@@ -45,6 +48,9 @@
 		planSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "filbertmast_control_plan_seconds", Help: "Time to make one plan.",
 			Buckets: prometheus.ExponentialBuckets(10e-6, 4, 8)}),
+		busySeconds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertmast_control_busy_seconds_total", Help: "Time that the control goroutine has worked, by kind of work."},
+			[]string{"work"}),
 		commands: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "filbertmast_control_orders_total", Help: "Orders to workers that are called, by order and what the worker said."},
 			[]string{"order", "verdict"}),
@@ -62,7 +68,9 @@
 			Name: "filbertmast_control_workflow_seconds", Help: "From the submission of a workflow to its end, by how it ended.",
 			Buckets: prometheus.ExponentialBuckets(0.25, 2, 12)}, []string{"phase"}),
 	}
-	r.MustRegister(m.leads, m.callsRefused, m.placements, m.placementsRefused, m.preemptions, m.workersLost, m.planSeconds,
+	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "filbertmast_control_calls_queued", Help: "Calls that wait for the control goroutine."}, queued))
+	r.MustRegister(m.leads, m.callsRefused, m.placements, m.placementsRefused, m.preemptions, m.workersLost, m.planSeconds, m.busySeconds,
 		m.commands, m.policyQueries, m.unresponsive, m.lostPolls, m.firstStartSeconds, m.workflowSeconds)
 	return m
 }
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -13,12 +13,21 @@
 	maxPlansInFlight = 4    // proposed placement commands that are not committed yet
 )
 
-// schedule makes a plan if one is due and proposes it. The scheduler counts the
-// resources of the plan as used at once, so that the next plan cannot use them again; a
-// refused placement or a failed proposal frees them.
+// schedule commits reports, sends the queries that are due and makes a plan if one is
+// due.
 func (l *leader) schedule(now model.Time) {
 	l.polled.commitReports()
+	l.c.load.end(workReports, time.Now())
 	l.policy.sendQueries(now)
+	l.c.load.end(workQueries, time.Now())
+	l.planIfDue(now)
+	l.c.load.end(workPlans, time.Now())
+}
+
+// planIfDue makes a plan if one is due and proposes it. The scheduler counts the
+// resources of the plan as used at once, so that the next plan cannot use them again; a
+// refused placement or a failed proposal frees them.
+func (l *leader) planIfDue(now model.Time) {
 	due := l.dirty || (l.nextPlan != 0 && now >= l.nextPlan)
 	if !due || l.plansInFlight >= maxPlansInFlight {
 		return
--- a/internal/control/policy.go
+++ b/internal/control/policy.go
@@ -130,7 +130,7 @@
 		defer cancel()
 		req := &proto.Advise{Step: q.Step, Workers: q.Workers}
 		advice, err := wire.Call[proto.Advise, workerclient.Advice](ctx, s.opts.Endpoint, entry, wire.KindPolicyQuery, req)
-		s.post(func(*core) {
+		s.post(workAdvice, func(*core) {
 			p.inFlight--
 			p.balancer.End(entry, cost, err == nil, s.now())
 			p.queryAnswered(q, advice, err)
--- a/internal/control/polled.go
+++ b/internal/control/polled.go
@@ -201,7 +201,7 @@
 
 // after runs fn in the control goroutine after d.
 func (p *polledWorkers) after(d time.Duration, fn func()) *time.Timer {
-	return time.AfterFunc(d, func() { p.l.c.s.post(func(*core) { fn() }) })
+	return time.AfterFunc(d, func() { p.l.c.s.post(workTimers, func(*core) { fn() }) })
 }
 
 // recordEnds turns newly ended attempts into reports. The worker forgets them once
--- a/internal/control/polls.go
+++ b/internal/control/polls.go
@@ -77,7 +77,7 @@
 		ctx, cancel := context.WithTimeout(p.ctx, req.Wait+pollSlack)
 		defer cancel()
 		resp, err := s.opts.WorkerClient.Poll(ctx, pw.target, req)
-		s.post(func(*core) {
+		s.post(workPolls, func(*core) {
 			if p.current(pw) {
 				p.pollAnswered(pw, &poll, resp, err)
 			}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -92,7 +92,7 @@
 	opts      Options
 	log       *log.Logger
 	metrics   *metrics
-	calls     chan func(*core)
+	calls     chan call
 	stopped   chan struct{}
 	startTime time.Time
 	bootTime  time.Duration // time since the machine booted, at startTime
@@ -104,11 +104,12 @@
 	if o.SnapshotEntries == 0 {
 		o.SnapshotEntries = defaultSnapshotEntries
 	}
+	calls := make(chan call, callQueue)
 	s := &Server{
 		opts:      o,
 		log:       o.Logger.WithPrefix("control"),
-		metrics:   newMetrics(o.Registerer),
-		calls:     make(chan func(*core), callQueue),
+		metrics:   newMetrics(o.Registerer, func() float64 { return float64(len(calls)) }),
+		calls:     calls,
 		stopped:   make(chan struct{}),
 		startTime: time.Now(),
 		bootTime:  replica.BootTime(),
@@ -141,23 +142,39 @@
 				c.stepDown("the log has closed")
 				return
 			}
+			c.load.begin(time.Now(), len(s.calls))
 			c.update(&u)
-		case fn := <-s.calls:
-			fn(c)
+			c.load.end(workUpdates, time.Now())
+		case next := <-s.calls:
+			c.load.begin(time.Now(), len(s.calls)+1)
+			c.run(next)
 			c.runQueuedCalls(s.calls)
 		case <-tick.C:
+			c.load.begin(time.Now(), len(s.calls))
 			c.tick()
+			c.load.end(workTicks, time.Now())
 		}
 		c.schedule()
 	}
 }
 
+// call is a closure that runs in the control goroutine.
+type call struct {
+	kind workKind
+	fn   func(*core)
+}
+
+func (c *core) run(next call) {
+	next.fn(c)
+	c.load.end(next.kind, time.Now())
+}
+
 // runQueuedCalls runs closures that are already queued, so that their proposals share a commit.
-func (c *core) runQueuedCalls(calls <-chan func(*core)) {
+func (c *core) runQueuedCalls(calls <-chan call) {
 	for range maxCallsPerTurn {
 		select {
-		case fn := <-calls:
-			fn(c)
+		case next := <-calls:
+			c.run(next)
 		default:
 			return
 		}
@@ -165,9 +182,9 @@
 }
 
 // post queues fn for the control goroutine, or drops it if the process is stopping.
-func (s *Server) post(fn func(*core)) {
+func (s *Server) post(kind workKind, fn func(*core)) {
 	select {
-	case s.calls <- fn:
+	case s.calls <- call{kind, fn}:
 	case <-s.stopped:
 	}
 }
@@ -186,7 +203,7 @@
 	answer := make(chan outcome, 1)
 	done := func(v *T, err error) { answer <- outcome{v, err} }
 	select {
-	case s.calls <- func(c *core) { fn(c, done) }:
+	case s.calls <- call{workCalls, func(c *core) { fn(c, done) }}:
 	case <-s.stopped:
 		return nil, errkind.New(errkind.NoLeader, "the control process is stopping")
 	case <-ctx.Done():
