Count late steps, and queries to the policy service that wait

Cause: nothing shows whether queries for late steps wait for an entry. Change: filbertmast_control_policy_queries_unsent_total counts by reason the checks, at most one each 20 ms, at which a due query was not sent; filbertmast_control_policy_queries_in_flight the queries without an answer, and filbertmast_control_late_steps the steps and jobs past the deadline of their start that have pending tasks. The line 'Policy queries wait.' has the same reasons every 2 s, if there are any. Which queries are sent, and when, is unchanged.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -101,6 +101,7 @@
 
 // stop ends the calls to polled workers and fails the calls that wait for a job.
 func (l *leader) stop() {
+	l.c.s.metrics.lateSteps.Set(0)
 	l.polled.stop()
 	l.waits.failAll()
 }
@@ -188,6 +189,8 @@
 		l.logBacklog()
 		l.c.logLoad()
 		l.policy.logLateSteps(now)
+		l.policy.logUnsent()
+		l.c.s.metrics.lateSteps.Set(float64(l.sched.LateJobs(now)))
 		if l.c.machine.ExpireDue(now) {
 			l.c.propose(&state.Command{Expire: &state.Expire{}}, func(state.Result, error) {})
 		}
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -20,6 +20,9 @@
 
 	commands          *prometheus.CounterVec
 	policyQueries     *prometheus.CounterVec
+	policyUnsent      *prometheus.CounterVec
+	policyInFlight    prometheus.Gauge
+	lateSteps         prometheus.Gauge
 	unresponsive      prometheus.Gauge
 	lostPolls         prometheus.Counter
 	firstStartSeconds prometheus.Histogram
@@ -57,6 +60,13 @@
 		policyQueries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "filbertmast_control_policy_questions_total", Help: "Questions to the policy service, by result."},
 			[]string{"result"}),
+		policyUnsent: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertmast_control_policy_queries_unsent_total", Help: "Checks, 20 ms apart, at which a due query to the policy service was not sent, by reason."},
+			[]string{"reason"}),
+		policyInFlight: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "filbertmast_control_policy_queries_in_flight", Help: "Queries to the policy service that are not answered yet."}),
+		lateSteps: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "filbertmast_control_late_steps", Help: "Steps and jobs past the deadline of their start that have pending tasks."}),
 		unresponsive: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "filbertmast_control_workers_silent", Help: "Called workers that did not answer the last call."}),
 		lostPolls: prometheus.NewCounter(prometheus.CounterOpts{
@@ -71,7 +81,7 @@
 	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "filbertmast_control_calls_queued", Help: "Calls that wait for the control goroutine."}, queued))
 	r.MustRegister(m.leads, m.callsRefused, m.placements, m.placementsRefused, m.preemptions, m.workersLost, m.planSeconds, m.busySeconds,
-		m.commands, m.policyQueries, m.unresponsive, m.lostPolls, m.firstStartSeconds, m.workflowSeconds)
+		m.commands, m.policyQueries, m.policyUnsent, m.policyInFlight, m.lateSteps, m.unresponsive, m.lostPolls, m.firstStartSeconds, m.workflowSeconds)
 	return m
 }
 
--- a/internal/control/policy.go
+++ b/internal/control/policy.go
@@ -31,6 +31,7 @@
 	balancer  *permit.Balancer // entries by inner address
 	inFlight  int              // queries in flight
 	nextQuery model.Time
+	unsent    unsentQueries
 }
 
 func newPolicy(l *leader) *policy {
@@ -40,6 +41,7 @@
 		costs:    map[model.JobID]model.PolicyCosts{},
 		answered: map[model.JobID]model.Time{},
 		balancer: permit.NewBalancer(),
+		unsent:   newUnsentQueries(l.c.s.metrics.policyUnsent),
 	}
 }
 
@@ -85,21 +87,40 @@
 
 // sendQueries sends the queries that are due to entries.
 func (p *policy) sendQueries(now model.Time) {
-	if now < p.nextQuery || p.inFlight >= maxQueries {
+	if now < p.nextQuery {
+		return
+	}
+	if p.inFlight >= maxQueries {
+		p.countUnsent(unsentInFlightLimit, now)
 		return
 	}
 	p.nextQuery = now.Add(queryInterval)
 	entries := p.entries(now)
-	if !p.balancer.Available(entries, now) {
-		return
+	switch {
+	case len(entries) == 0:
+		p.countUnsent(unsentNoEntry, now)
+	case !p.balancer.Available(entries, now):
+		p.countUnsent(unsentSaturated, now)
+	default:
+		p.sendTo(entries, now)
 	}
+}
+
+// sendTo sends the queries that are due to the given entries.
+func (p *policy) sendTo(entries []string, now model.Time) {
+	longQueryWaits := false
 	p.tracker.EachDueQuery(now, p, func(q permit.Query) bool {
 		cost := p.cost(&q)
 		if entry, ok := p.balancer.Choose(entries, cost, now); ok {
 			p.send(&q, entry, cost)
+		} else {
+			longQueryWaits = true // shorter ones can be sent
 		}
 		return p.inFlight < maxQueries && p.balancer.Available(entries, now)
 	})
+	if longQueryWaits && p.unsent.due(now) {
+		p.unsent.add(unsentLongQueries)
+	}
 }
 
 // cost returns the time that the policy service takes for a query.
@@ -122,6 +143,7 @@
 
 func (p *policy) send(q *permit.Query, entry string, cost time.Duration) {
 	p.inFlight++
+	p.l.c.s.metrics.policyInFlight.Inc()
 	p.tracker.MarkSent(q)
 	timeout := p.balancer.Begin(entry, cost)
 	s := p.l.c.s
@@ -132,6 +154,7 @@
 		advice, err := wire.Call[proto.Advise, workerclient.Advice](ctx, s.opts.Endpoint, entry, wire.KindPolicyQuery, req)
 		s.post(workAdvice, func(*core) {
 			p.inFlight--
+			s.metrics.policyInFlight.Dec()
 			p.balancer.End(entry, cost, err == nil, s.now())
 			p.queryAnswered(q, advice, err)
 		})
--- a/internal/schedule/late.go
+++ b/internal/schedule/late.go
@@ -35,3 +35,15 @@
 	g.add(j)
 	s.markStale(g)
 }
+
+// LateJobs returns the number of jobs that have pending tasks at now, after their
+// promised start.
+func (s *Scheduler) LateJobs(now model.Time) int {
+	n := 0
+	for _, j := range s.jobs {
+		if j.ready+j.waiting > 0 && j.promisedStart < now {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/schedule/permit_test.go
+++ b/internal/schedule/permit_test.go
@@ -151,6 +151,18 @@
 	assert.Equal(t, len(c.plan().Failures), 0)
 }
 
+func TestLateJobsCountsJobsThatWaitPastTheirPromisedStart(t *testing.T) {
+	c := newCell()
+	c.workers(1, cores(4))
+	c.job(model.JobSpec{Tasks: 1, Size: cores(4), Patience: model.Duration(time.Second)})
+	c.plan()
+	c.job(model.JobSpec{Tasks: 1, Size: cores(4), Patience: model.Duration(time.Second)})
+	c.job(model.JobSpec{Tasks: 1, Size: cores(4), Patience: hour})
+	promised := c.now.Add(time.Second)
+	assert.Equal(t, c.s.LateJobs(promised), 0)
+	assert.Equal(t, c.s.LateJobs(promised+1), 1, "the first job runs, the last one has time")
+}
+
 // Twice the capacity of the cell is submitted for 20 s, then nothing. Each job
 // runs for 1 s and is in time if it starts within 2 s. Ordering by promised start
 // alone makes nearly all jobs late; the test compares it with ordering by promised
