--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -16,16 +16,22 @@
 	preemptions       *prometheus.CounterVec
 	workersLost       prometheus.Counter
 	planSeconds       prometheus.Histogram
+	busySeconds       *prometheus.CounterVec
 
 	commands          *prometheus.CounterVec
 	policyQueries     *prometheus.CounterVec
+	policyUnsent      *prometheus.CounterVec
+	policyInFlight    prometheus.Gauge
+	lateSteps         prometheus.Gauge
 	unresponsive      prometheus.Gauge
 	lostPolls         prometheus.Counter
 	firstStartSeconds prometheus.Histogram
 	workflowSeconds   *prometheus.HistogramVec
 }
 
-func newMetrics(r prometheus.Registerer) *metrics {
+// newMetrics registers the metrics. Queued returns the number of closures that wait for
+// the control goroutine.
+func newMetrics(r prometheus.Registerer, queued func() float64) *metrics {
 	m := &metrics{
 		leads: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "filbertmast_control_leads", Help: "1 while this process leads, else 0."}),
@@ -45,12 +51,22 @@
 		planSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "filbertmast_control_plan_seconds", Help: "Time to make one plan.",
 			Buckets: prometheus.ExponentialBuckets(10e-6, 4, 8)}),
+		busySeconds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertmast_control_busy_seconds_total", Help: "Time that the control goroutine has worked, by kind of work."},
+			[]string{"work"}),
 		commands: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "filbertmast_control_orders_total", Help: "Orders to workers that are called, by order and what the worker said."},
 			[]string{"order", "verdict"}),
 		policyQueries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "filbertmast_control_policy_questions_total", Help: "Questions to the policy service, by result."},
 			[]string{"result"}),
+		policyUnsent: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertmast_control_policy_queries_unsent_total", Help: "Checks, 20 ms apart, at which a due query to the policy service was not sent, by reason."},
+			[]string{"reason"}),
+		policyInFlight: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "filbertmast_control_policy_queries_in_flight", Help: "Queries to the policy service that are not answered yet."}),
+		lateSteps: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "filbertmast_control_late_steps", Help: "Steps and jobs past the deadline of their start that have pending tasks."}),
 		unresponsive: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "filbertmast_control_workers_silent", Help: "Called workers that did not answer the last call."}),
 		lostPolls: prometheus.NewCounter(prometheus.CounterOpts{
@@ -62,8 +78,10 @@
 			Name: "filbertmast_control_workflow_seconds", Help: "From the submission of a workflow to its end, by how it ended.",
 			Buckets: prometheus.ExponentialBuckets(0.25, 2, 12)}, []string{"phase"}),
 	}
-	r.MustRegister(m.leads, m.callsRefused, m.placements, m.placementsRefused, m.preemptions, m.workersLost, m.planSeconds,
-		m.commands, m.policyQueries, m.unresponsive, m.lostPolls, m.firstStartSeconds, m.workflowSeconds)
+	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "filbertmast_control_calls_queued", Help: "Calls that wait for the control goroutine."}, queued))
+	r.MustRegister(m.leads, m.callsRefused, m.placements, m.placementsRefused, m.preemptions, m.workersLost, m.planSeconds, m.busySeconds,
+		m.commands, m.policyQueries, m.policyUnsent, m.policyInFlight, m.lateSteps, m.unresponsive, m.lostPolls, m.firstStartSeconds, m.workflowSeconds)
 	return m
 }
 
