--- a/internal/control/policy.go
+++ b/internal/control/policy.go
@@ -28,10 +28,13 @@
 	tracker   *permit.Tracker
 	costs     map[model.JobID]model.PolicyCosts
 	answered  map[model.JobID]model.Time // when the last query of a job was answered
-	balancer  *permit.Balancer // entries by inner address
-	inFlight  int              // queries in flight
+	balancer  *permit.Balancer           // entries by inner address
+	inFlight  int                        // queries in flight
 	nextQuery model.Time
 	unsent    unsentQueries
+
+	takesLong bool // an entry can take a long query
+	longWaits bool // a long query has found no entry since the last check began
 }
 
 func newPolicy(l *leader) *policy {
@@ -66,9 +69,13 @@
 	delete(p.answered, id)
 }
 
-// HasPendingTasks implements permit.Scheduler.
-func (p *policy) HasPendingTasks(id model.JobID) bool {
-	return p.pendingJob(id) != nil
+// Demand implements permit.Scheduler.
+func (p *policy) Demand(id model.JobID) permit.Demand {
+	j := p.pendingJob(id)
+	if j == nil {
+		return permit.Demand{}
+	}
+	return permit.Demand{Tasks: int64(j.Count(model.TaskPending)), AllAtOnce: j.Spec.Policy == model.PolicyGang}
 }
 
 // pendingJob returns the job if it has tasks to place, else nil.
@@ -81,10 +88,17 @@
 }
 
 // Candidates implements permit.Scheduler.
-func (p *policy) Candidates(id model.JobID) []model.WorkerID {
+func (p *policy) Candidates(id model.JobID) []schedule.Candidate {
 	return p.l.sched.Candidates(id)
 }
 
+// CanSend implements permit.Scheduler.
+func (p *policy) CanSend(id model.JobID) bool {
+	ok := p.takesLong || !permit.IsLong(p.costs[id].Base.Std())
+	p.longWaits = p.longWaits || !ok
+	return ok
+}
+
 // sendQueries sends the queries that are due to entries.
 func (p *policy) sendQueries(now model.Time) {
 	if now < p.nextQuery {
@@ -99,7 +113,7 @@
 	switch {
 	case len(entries) == 0:
 		p.countUnsent(unsentNoEntry, now)
-	case !p.balancer.Available(entries, now):
+	case !p.updateAvailable(entries, now):
 		p.countUnsent(unsentSaturated, now)
 	default:
 		p.sendTo(entries, now)
@@ -108,21 +122,28 @@
 
 // sendTo sends the queries that are due to the given entries.
 func (p *policy) sendTo(entries []string, now model.Time) {
-	longQueryWaits := false
+	p.longWaits = false
 	p.tracker.EachDueQuery(now, p, func(q permit.Query) bool {
 		cost := p.cost(&q)
 		if entry, ok := p.balancer.Choose(entries, cost, now); ok {
 			p.send(&q, entry, cost)
 		} else {
-			longQueryWaits = true // shorter ones can be sent
+			p.longWaits = true // shorter ones can be sent
 		}
-		return p.inFlight < maxQueries && p.balancer.Available(entries, now)
+		return p.inFlight < maxQueries && p.updateAvailable(entries, now)
 	})
-	if longQueryWaits && p.unsent.due(now) {
+	if p.longWaits && p.unsent.due(now) {
 		p.unsent.add(unsentLongQueries)
 	}
 }
 
+// updateAvailable determines which queries the entries can take, and reports whether
+// they can take any.
+func (p *policy) updateAvailable(entries []string, now model.Time) (anyQuery bool) {
+	anyQuery, p.takesLong = p.balancer.Available(entries, now)
+	return anyQuery
+}
+
 // cost returns the time that the policy service takes for a query.
 func (p *policy) cost(q *permit.Query) time.Duration {
 	c := p.costs[q.Job]
--- a/internal/permit/balancer.go
+++ b/internal/permit/balancer.go
@@ -48,12 +48,16 @@
 	return best, ok && b.outstanding[best] < saturationCost
 }
 
-// Available reports whether any query may be sent at now.
-func (b *Balancer) Available(entries []string, now model.Time) bool {
-	_, ok := b.Choose(entries, 0, now)
-	return ok
+// Available reports whether any query may be sent at now, and whether a long one may.
+func (b *Balancer) Available(entries []string, now model.Time) (anyQuery, longQuery bool) {
+	_, anyQuery = b.Choose(entries, 0, now)
+	_, longQuery = b.Choose(entries, longQueryCost, now)
+	return anyQuery, longQuery
 }
 
+// IsLong reports whether a query of the given service time is a long one.
+func IsLong(cost time.Duration) bool { return cost >= longQueryCost }
+
 // saturated returns how many entries get no further query.
 func (b *Balancer) saturated(entries []string) (n int) {
 	for _, e := range entries {
--- a/internal/permit/gang_test.go
+++ b/internal/permit/gang_test.go
@@ -72,11 +72,19 @@
 	return c
 }
 
-// HasPendingTasks implements Scheduler.
-func (c *permitCell) HasPendingTasks(id model.JobID) bool { return c.pending[id] }
+// Demand implements Scheduler.
+func (c *permitCell) Demand(id model.JobID) Demand {
+	if !c.pending[id] {
+		return Demand{}
+	}
+	return Demand{Tasks: gangTasks, AllAtOnce: true}
+}
 
 // Candidates implements Scheduler.
-func (c *permitCell) Candidates(id model.JobID) []model.WorkerID { return c.sched.Candidates(id) }
+func (c *permitCell) Candidates(id model.JobID) []schedule.Candidate { return c.sched.Candidates(id) }
+
+// CanSend implements Scheduler.
+func (c *permitCell) CanSend(model.JobID) bool { return true }
 
 // submit adds a job. Jobs that need permits are tracked.
 func (c *permitCell) submit(id model.JobID, spec model.JobSpec, needsPermit bool) {
--- /dev/null
+++ b/internal/permit/options_test.go
@@ -0,0 +1,114 @@
+package permit
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/schedule"
+)
+
+// candidateSet is a number of alike candidates.
+type candidateSet struct {
+	workers  int
+	room     int64 // of each
+	queried  bool
+	allowed  bool
+	valid    bool // the permit is valid
+	reserved bool
+}
+
+const optionsNow = model.Time(1000)
+
+// optionsOf returns the options of a job with the given candidates. Workers are named
+// by the index of their set, then by number.
+func optionsOf(sets []candidateSet) *options {
+	j := &jobPermits{queried: map[model.WorkerID]bool{}, allowed: map[model.WorkerID]bool{}, tokens: map[model.WorkerID]token{}}
+	var candidates []schedule.Candidate
+	for i, set := range sets {
+		for n := range set.workers {
+			w := model.WorkerID(fmt.Sprintf("%d-%03d", i, n))
+			candidates = append(candidates, schedule.Candidate{Worker: w, Room: set.room, Reserved: set.reserved})
+			if set.queried {
+				j.queried[w] = true
+			}
+			if set.allowed {
+				j.allowed[w] = true
+				j.tokens[w] = token{until: optionsNow}
+			}
+			if set.valid {
+				j.tokens[w] = token{until: optionsNow + 1}
+			}
+		}
+	}
+	return j.options(candidates, optionsNow)
+}
+
+func validSet(workers int, room int64) candidateSet {
+	return candidateSet{workers: workers, room: room, queried: true, allowed: true, valid: true}
+}
+
+func expiredSet(workers int, room int64) candidateSet {
+	return candidateSet{workers: workers, room: room, queried: true, allowed: true}
+}
+
+func freshSet(workers int, room int64) candidateSet {
+	return candidateSet{workers: workers, room: room}
+}
+
+func TestQueryIsDueOnlyIfItHelps(t *testing.T) {
+	gang, batch := Demand{Tasks: 35, AllAtOnce: true}, Demand{Tasks: 35}
+	for _, row := range []struct {
+		name   string
+		sets   []candidateSet
+		demand Demand
+		want   bool
+	}{
+		{"nothing is known yet", []candidateSet{freshSet(100, 2)}, gang, true},
+		{"the permits have expired in a full cell", []candidateSet{expiredSet(40, 0)}, gang, true},
+		{"valid permits hold the gang", []candidateSet{validSet(18, 2), expiredSet(80, 2)}, gang, false},
+		{"valid permits hold part of the gang, expired ones the rest", []candidateSet{validSet(12, 2), expiredSet(80, 2)}, gang, true},
+		{"valid permits hold part of the gang, workers not queried yet the rest", []candidateSet{validSet(12, 2), freshSet(80, 2)}, gang, true},
+		{"all workers together do not hold the gang", []candidateSet{validSet(12, 2), expiredSet(5, 2), freshSet(80, 0)}, gang, false},
+		{"valid permits hold part of a batch, expired ones a part", []candidateSet{validSet(12, 2), expiredSet(5, 1)}, batch, true},
+		{"no worker without a permit has room for a batch", []candidateSet{validSet(12, 1), expiredSet(5, 0), freshSet(80, 0)}, batch, false},
+		{"valid permits hold a batch", []candidateSet{validSet(40, 1), freshSet(80, 3)}, batch, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			assert.Equal(t, optionsOf(row.sets).queryHelps(row.demand), row.want)
+		})
+	}
+}
+
+func TestQueryNamesWorkersThatHoldTheDemand(t *testing.T) {
+	gang := Demand{Tasks: 35, AllAtOnce: true}
+	reserved := candidateSet{workers: 20, queried: true, allowed: true, reserved: true}
+	for _, row := range []struct {
+		name string
+		sets []candidateSet
+		want []int // workers of each set
+	}{
+		{"allowed workers with half as much room again", []candidateSet{expiredSet(90, 2)}, []int{26}},
+		{"workers with room before full ones", []candidateSet{expiredSet(40, 0), expiredSet(40, 2)}, []int{0, 26}},
+		{"some allowed workers in a full cell", []candidateSet{expiredSet(90, 0)}, []int{minRenewalWorkers}},
+		{"all reserved workers in a full cell", []candidateSet{reserved, expiredSet(90, 0)}, []int{20, 0}},
+		{"allowed workers before those not queried yet", []candidateSet{expiredSet(90, 1), freshSet(90, 1)}, []int{52, 0}},
+		{"workers not queried yet if the allowed ones do not hold the gang", []candidateSet{expiredSet(10, 2), freshSet(200, 1)}, []int{0, MaxQueryWorkers}},
+		{"allowed workers if few others are left", []candidateSet{expiredSet(10, 2), freshSet(11, 2)}, []int{10, 0}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			got := make([]int, len(row.sets))
+			for _, w := range optionsOf(row.sets).selectWorkers(gang) {
+				got[w[0]-'0']++
+			}
+			assert.DeepEqual(t, got, row.want)
+		})
+	}
+}
+
+func TestQueryNamesAtMostMaxQueryWorkers(t *testing.T) {
+	wide := Demand{Tasks: 300, AllAtOnce: true}
+	assert.Equal(t, len(optionsOf([]candidateSet{expiredSet(350, 1)}).selectWorkers(wide)), MaxQueryWorkers)
+}
--- a/internal/permit/tracker.go
+++ b/internal/permit/tracker.go
@@ -10,15 +10,19 @@
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/schedule"
 	"github.com/filbertmast/filbertmast/internal/workerclient"
 )
 
 const (
 	// MaxQueryWorkers bounds the workers in one query.
 	MaxQueryWorkers = 100
-	// maxRenewalWorkers bounds the workers in a query that renews permits, since a
-	// waiting job needs few workers.
-	maxRenewalWorkers = 12
+	// minRenewalWorkers is the least number of workers in a query that renews permits,
+	// if as many are allowed.
+	minRenewalWorkers = 12
+	// roomFactorPercent is how much room a renewal covers, in percent of what the
+	// pending tasks need: other jobs take some of it before the response arrives.
+	roomFactorPercent = 150
 	// placementMargin is how long before its expiry a permit is no longer used for
 	// placements: the start must reach the worker while the permit is valid.
 	placementMargin = 250 * time.Millisecond
@@ -27,6 +31,9 @@
 	startMargin = 50 * time.Millisecond
 	// retryAfter is the time before a failed query is sent again.
 	retryAfter = 20 * time.Millisecond
+	// recheckAfter is the time before a job that needs no query is examined again,
+	// unless all of its permits end sooner.
+	recheckAfter = 250 * time.Millisecond
 )
 
 // Query asks which workers may run the tasks of a job.
@@ -47,7 +54,7 @@
 	step      workerclient.TaskName
 	startBy   model.Time // deadline of the start
 	queried   map[model.WorkerID]bool
-	allowed   []model.WorkerID
+	allowed   map[model.WorkerID]bool
 	tokens    map[model.WorkerID]token
 	inFlight  bool       // a query is in flight
 	nextQuery model.Time // earliest time of the next query
@@ -67,7 +74,13 @@
 	if t.jobs[id] != nil {
 		return
 	}
-	t.jobs[id] = &jobPermits{step: step, startBy: startBy, queried: map[model.WorkerID]bool{}, tokens: map[model.WorkerID]token{}}
+	t.jobs[id] = &jobPermits{
+		step:    step,
+		startBy: startBy,
+		queried: map[model.WorkerID]bool{},
+		allowed: map[model.WorkerID]bool{},
+		tokens:  map[model.WorkerID]token{},
+	}
 	at, _ := slices.BinarySearchFunc(t.byDeadline, id, t.compare)
 	t.byDeadline = slices.Insert(t.byDeadline, at, id)
 }
@@ -86,13 +99,20 @@
 	t.byDeadline = slices.DeleteFunc(t.byDeadline, func(o model.JobID) bool { return o == id })
 }
 
+// Demand is what a job waits to place.
+type Demand struct {
+	Tasks     int64 // pending tasks
+	AllAtOnce bool  // the tasks are placed together or not at all
+}
+
 // Scheduler is what the Tracker needs to know of the jobs and workers.
 type Scheduler interface {
-	// HasPendingTasks reports whether the job has tasks to place.
-	HasPendingTasks(model.JobID) bool
-	// Candidates returns the workers that the job's selectors match, those with
-	// the most free capacity first.
-	Candidates(model.JobID) []model.WorkerID
+	// Demand returns what the job has to place; no tasks if it has none.
+	Demand(model.JobID) Demand
+	// Candidates returns the workers that the job's selectors match, in any order.
+	Candidates(model.JobID) []schedule.Candidate
+	// CanSend reports whether a query for the job, which is due, can be sent now.
+	CanSend(model.JobID) bool
 }
 
 // EachDueQuery calls send for each query that is due at now, until send returns
@@ -117,10 +137,19 @@
 // dueQuery returns the query of a job that is due at now, if there is one.
 func (t *Tracker) dueQuery(id model.JobID, now model.Time, scheduler Scheduler) (Query, bool) {
 	j := t.jobs[id]
-	if j.inFlight || now < j.nextQuery || j.hasValidPermit(now) || !scheduler.HasPendingTasks(id) {
+	if j.inFlight || now < j.nextQuery {
+		return Query{}, false
+	}
+	demand := scheduler.Demand(id)
+	if demand.Tasks == 0 || !scheduler.CanSend(id) {
 		return Query{}, false
 	}
-	workers := j.selectWorkers(scheduler.Candidates(id))
+	o := j.options(scheduler.Candidates(id), now)
+	if !o.queryHelps(demand) {
+		j.nextQuery = o.recheckAt(now)
+		return Query{}, false
+	}
+	workers := o.selectWorkers(demand)
 	return Query{Job: id, Step: j.step, Workers: workers}, len(workers) > 0
 }
 
@@ -131,35 +160,6 @@
 	}
 }
 
-// hasValidPermit reports whether any permit can be used for a placement at now.
-func (j *jobPermits) hasValidPermit(now model.Time) bool {
-	for _, t := range j.tokens {
-		if now < t.until {
-			return true
-		}
-	}
-	return false
-}
-
-// selectWorkers returns the workers to query. If at least one candidate is known
-// to be allowed and fewer than maxRenewalWorkers have not been queried yet, these
-// are the allowed ones with the most free capacity; otherwise those not queried yet.
-func (j *jobPermits) selectWorkers(candidates []model.WorkerID) []model.WorkerID {
-	var fresh, known []model.WorkerID
-	for _, w := range candidates {
-		switch {
-		case !j.queried[w]:
-			fresh = append(fresh, w)
-		case slices.Contains(j.allowed, w):
-			known = append(known, w)
-		}
-	}
-	if len(known) > 0 && len(fresh) < maxRenewalWorkers {
-		return known[:min(len(known), maxRenewalWorkers)]
-	}
-	return fresh[:min(len(fresh), MaxQueryWorkers)]
-}
-
 // ApplyAdvice records the response to a query, received at now.
 func (t *Tracker) ApplyAdvice(q *Query, advice *workerclient.Advice, now model.Time) {
 	j := t.jobs[q.Job]
@@ -173,9 +173,7 @@
 	until := now.Add(advice.Valid.Std() - placementMargin)
 	for _, p := range advice.Permits {
 		j.tokens[p.Worker] = token{value: p.Token, until: until}
-		if !slices.Contains(j.allowed, p.Worker) {
-			j.allowed = append(j.allowed, p.Worker)
-		}
+		j.allowed[p.Worker] = true
 	}
 }
 
@@ -193,7 +191,7 @@
 	for _, j := range t.jobs {
 		delete(j.tokens, worker)
 		delete(j.queried, worker)
-		j.allowed = slices.DeleteFunc(j.allowed, func(w model.WorkerID) bool { return w == worker })
+		delete(j.allowed, worker)
 	}
 }
 
@@ -220,17 +218,15 @@
 	Until  model.Time
 }
 
-// Permits returns the permits of a job, by worker; expired ones are included.
+// Permits returns the permits of a job, in no order; expired ones are included.
 func (t *Tracker) Permits(id model.JobID) []Grant {
 	j := t.jobs[id]
 	if j == nil {
 		return nil
 	}
 	out := make([]Grant, 0, len(j.tokens))
-	for _, w := range j.allowed {
-		if token, ok := j.tokens[w]; ok {
-			out = append(out, Grant{w, token.until})
-		}
+	for w, token := range j.tokens {
+		out = append(out, Grant{w, token.until})
 	}
 	return out
 }
--- a/internal/permit/tracker_test.go
+++ b/internal/permit/tracker_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/schedule"
 	"github.com/filbertmast/filbertmast/internal/workerclient"
 )
 
@@ -17,8 +18,23 @@
 	idle    map[model.JobID]bool
 }
 
-func (s *fakeScheduler) HasPendingTasks(id model.JobID) bool     { return !s.idle[id] }
-func (s *fakeScheduler) Candidates(model.JobID) []model.WorkerID { return s.workers }
+func (s *fakeScheduler) CanSend(model.JobID) bool { return true }
+
+func (s *fakeScheduler) Demand(id model.JobID) Demand {
+	if s.idle[id] {
+		return Demand{}
+	}
+	return Demand{Tasks: 1}
+}
+
+// Candidates returns workers with room for one task each.
+func (s *fakeScheduler) Candidates(model.JobID) []schedule.Candidate {
+	out := make([]schedule.Candidate, len(s.workers))
+	for i, w := range s.workers {
+		out[i] = schedule.Candidate{Worker: w, Room: 1, FreeCPU: 1000}
+	}
+	return out
+}
 
 func newFakeScheduler(n int) *fakeScheduler {
 	s := &fakeScheduler{idle: map[model.JobID]bool{}}
--- a/internal/schedule/naive_test.go
+++ b/internal/schedule/naive_test.go
@@ -300,7 +300,7 @@
 		if byRack[w.rack] == nil {
 			byRack[w.rack] = &gangRack{rack: w.rack, domain: w.domain, region: w.region, tie: w.tie}
 		}
-		r, tasks := byRack[w.rack], n.tasksThatFit(j, size, n.free(slot))
+		r, tasks := byRack[w.rack], j.tasksThatFit(size, n.free(slot))
 		r.tasks += tasks
 		r.tie = min(r.tie, w.tie)
 		on[w.rack] = append(on[w.rack], gangWorker{slot, noGangWorker, tasks})
--- a/internal/schedule/permit.go
+++ b/internal/schedule/permit.go
@@ -1,9 +1,6 @@
 package schedule
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/filbertmast/filbertmast/internal/model"
 )
 
@@ -50,27 +47,40 @@
 	return j.permits.valid(p.s.workers[slot].id, p.now)
 }
 
+// Candidate is a worker on which tasks of a job may run, now or later.
+type Candidate struct {
+	Worker   model.WorkerID
+	Room     int64 // number of tasks of the job that fit into its free capacity
+	FreeCPU  int64 // in thousandths of a core
+	Reserved bool  // reserved for the job
+}
+
 // Candidates returns the open and responsive workers that match the selectors of a
-// job and are large enough for one of its tasks, those with most free CPU first.
-// It returns nil if the job is unknown.
-func (s *Scheduler) Candidates(id model.JobID) []model.WorkerID {
+// job and are large enough for one of its tasks, in no order. A worker that is
+// reserved for another job or on probation has no room. It returns nil if the job is
+// unknown.
+func (s *Scheduler) Candidates(id model.JobID) []Candidate {
 	j := s.jobs[id]
 	if j == nil {
 		return nil
 	}
-	var slots []int32
+	var placed spread
+	if j.group.exclusive {
+		placed.load(s, j)
+	}
+	size := s.sizeFor(j.group)
+	out := make([]Candidate, 0, len(s.workers))
 	for slot := range s.workers {
 		w := &s.workers[slot]
-		if w.known && w.open() && j.group.size.Fits(w.capacity) && s.matches(j.group.selector, w.class) {
-			slots = append(slots, int32(slot))
+		if !w.known || !w.open() || !j.group.size.Fits(w.capacity) || !s.matches(j.group.selector, w.class) {
+			continue
 		}
-	}
-	slices.SortStableFunc(slots, func(a, b int32) int {
-		return cmp.Compare(s.workers[b].free.CPU, s.workers[a].free.CPU)
-	})
-	out := make([]model.WorkerID, len(slots))
-	for i, slot := range slots {
-		out[i] = s.workers[slot].id
+		c := Candidate{Worker: w.id, FreeCPU: w.free.CPU, Reserved: w.reservation != nil && w.reservation.job == j}
+		taken := j.group.exclusive && placed.onWorker[slot]
+		if (w.available() || c.Reserved) && !taken && size.Fits(w.free) {
+			c.Room = j.tasksThatFit(size, w.free)
+		}
+		out = append(out, c)
 	}
 	return out
 }
--- a/internal/schedule/permit_test.go
+++ b/internal/schedule/permit_test.go
@@ -204,3 +204,29 @@
 	t.Logf("in time: %d ordered by promised start alone, %d with LateShift", withoutShift, withShift)
 	assert.Assert(t, withShift >= 2*withoutShift)
 }
+
+func TestCandidatesReportRoomForTasks(t *testing.T) {
+	c := newCell()
+	c.worker("empty", "d0", "r0", cores(8), nil)
+	c.worker("small", "d0", "r0", cores(1), nil)
+	c.worker("partly", "d0", "r0", cores(9), nil)
+	c.job(model.JobSpec{Tasks: 1, Size: cores(5)})
+	assert.Equal(t, c.plan().Placements[0].Worker, model.WorkerID("empty"), "the tightest")
+	for _, row := range []struct {
+		name string
+		spec model.JobSpec
+		want map[model.WorkerID]int64
+	}{
+		{"as many as fit", model.JobSpec{Tasks: 9, Size: cores(3)}, map[model.WorkerID]int64{"empty": 1, "partly": 3}},
+		{"one each of an exclusive job", model.JobSpec{Tasks: 9, Size: cores(3), Exclusive: true}, map[model.WorkerID]int64{"empty": 1, "partly": 1}},
+		{"none on a full worker", model.JobSpec{Tasks: 9, Size: cores(4)}, map[model.WorkerID]int64{"empty": 0, "partly": 2}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			got := map[model.WorkerID]int64{}
+			for _, w := range c.s.Candidates(c.jobNeedingPermit(row.spec)) {
+				got[w.Worker] = w.Room
+			}
+			assert.DeepEqual(t, got, row.want)
+		})
+	}
+}
