--- a/internal/schedule/find.go
+++ b/internal/schedule/find.go
@@ -66,12 +66,22 @@
 // accept returns the filter for workers on which a task of j may run, or nil if
 // all workers of the searched bins qualify.
 func (p *planner) accept(j *job, exact bool) func(int32) bool {
+	return p.acceptWith(j, exact, p.permitted)
+}
+
+// acceptAllowed returns the filter of accept for workers whose permit may have expired.
+func (p *planner) acceptAllowed(j *job, exact bool) func(int32) bool {
+	return p.acceptWith(j, exact, p.allowed)
+}
+
+// acceptWith returns the filter of accept with the given check for permits.
+func (p *planner) acceptWith(j *job, exact bool, permitted func(*job, int32) bool) func(int32) bool {
 	base := p.acceptWithoutPermit(j, exact)
 	if j.permits == nil {
 		return base
 	}
 	return func(slot int32) bool {
-		return p.permitted(j, slot) && (base == nil || base(slot))
+		return permitted(j, slot) && (base == nil || base(slot))
 	}
 }
 
--- a/internal/schedule/permit.go
+++ b/internal/schedule/permit.go
@@ -47,6 +47,16 @@
 	return j.permits.valid(p.s.workers[slot].id, p.now)
 }
 
+// allowed reports whether j has or had a permit for a worker. An expired permit can be
+// renewed, so that such a worker may be reserved for j.
+func (p *planner) allowed(j *job, slot int32) bool {
+	if j.permits == nil {
+		return true
+	}
+	_, ok := j.permits.until[p.s.workers[slot].id]
+	return ok
+}
+
 // Candidate is a worker on which tasks of a job may run, now or later.
 type Candidate struct {
 	Worker   model.WorkerID
--- a/internal/schedule/planner.go
+++ b/internal/schedule/planner.go
@@ -76,6 +76,7 @@
 	j := g.head()
 	size := p.s.sizeFor(g)
 	if !p.mayPlace(j) {
+		p.reserveWithoutPermit(j, size)
 		p.skipHead(g)
 		return
 	}
@@ -120,6 +121,19 @@
 	}
 }
 
+// reserveWithoutPermit reserves workers for a gang that has waited long and whose
+// permits have all expired, so that they can be renewed for these workers.
+func (p *planner) reserveWithoutPermit(j *job, size model.Resources) {
+	if j.group.policy != gang || len(j.permits.until) == 0 || !p.pressing(j) {
+		return
+	}
+	t := p.s.teams[j.group.team]
+	n := int64(j.ready)
+	if t.headroom() >= n && t.withinMaxResources(size.Mul(n)) {
+		p.reserveWorkers(j, size)
+	}
+}
+
 // withinLimits reports whether the limits of the team allow the head of g to
 // start. If not, it excludes the group, or the whole team, from the rest of the
 // plan.
--- a/internal/schedule/reservation.go
+++ b/internal/schedule/reservation.go
@@ -197,7 +197,7 @@
 // of all. It returns nil if they do not suffice.
 func (p *planner) chooseClaims(j *job, size model.Resources, need int64) []claim {
 	bins, exact := p.s.binsFor(nil, j.group.selector)
-	accept := p.accept(j, exact)
+	accept := p.acceptAllowed(j, exact)
 	found := p.emptiest(bins, int(need)+reservationScanSpare, accept)
 	byDomain := slices.Clone(found)
 	slices.SortStableFunc(byDomain, func(a, b int32) int {
