Send several queries at once about a job that needs many workers

Tasks that start together are now asked for in up to eight queries of equal size at once, which go to different entries, so that their permits are valid at the same time.

TestGangWiderThanOneQueryStartsInIdleCell (150 tasks of a whole worker, 1,000 workers, one in three permitted) failed before: 'the gang never starts'. Its limit is the 3 s that users state for a job with room twice over.

--- a/internal/permit/tracker.go
+++ b/internal/permit/tracker.go
@@ -17,6 +17,9 @@
 const (
 	// MaxQueryWorkers bounds the workers in one query.
 	MaxQueryWorkers = 100
+	// maxQueriesAtOnce bounds the queries about one job that are in flight. Different
+	// entries send them, so that the permits are valid at the same time.
+	maxQueriesAtOnce = 8
 	// minRenewalWorkers is the least number of workers in a query that renews permits,
 	// if as many are allowed.
 	minRenewalWorkers = 12
@@ -56,7 +59,7 @@
 	queried   map[model.WorkerID]bool
 	allowed   map[model.WorkerID]bool
 	tokens    map[model.WorkerID]token
-	inFlight  bool       // a query is in flight
+	inFlight  int        // queries in flight
 	nextQuery model.Time // earliest time of the next query
 }
 
@@ -127,36 +130,48 @@
 	})
 	for _, jobs := range [][]model.JobID{t.byDeadline[onTime:], t.byDeadline[:onTime]} {
 		for _, id := range jobs {
-			if q, ok := t.dueQuery(id, now, scheduler); ok && !send(q) {
-				return
+			for _, q := range t.dueQueries(id, now, scheduler) {
+				if !send(q) {
+					return
+				}
 			}
 		}
 	}
 }
 
-// dueQuery returns the query of a job that is due at now, if there is one.
-func (t *Tracker) dueQuery(id model.JobID, now model.Time, scheduler Scheduler) (Query, bool) {
+// dueQueries returns the queries of a job that are due at now.
+func (t *Tracker) dueQueries(id model.JobID, now model.Time, scheduler Scheduler) []Query {
 	j := t.jobs[id]
-	if j.inFlight || now < j.nextQuery {
-		return Query{}, false
+	if j.inFlight > 0 || now < j.nextQuery {
+		return nil
 	}
 	demand := scheduler.Demand(id)
 	if demand.Tasks == 0 || !scheduler.CanSend(id) {
-		return Query{}, false
+		return nil
 	}
 	o := j.options(scheduler.Candidates(id), now)
 	if !o.queryHelps(demand) {
 		j.nextQuery = o.recheckAt(now)
-		return Query{}, false
+		return nil
 	}
-	workers := o.selectWorkers(demand)
-	return Query{Job: id, Step: j.step, Workers: workers}, len(workers) > 0
+	return j.split(id, o.selectWorkers(demand))
+}
+
+// split divides the workers to query about evenly among as few queries as possible.
+func (j *jobPermits) split(id model.JobID, workers []model.WorkerID) []Query {
+	var out []Query
+	for left := (len(workers) + MaxQueryWorkers - 1) / MaxQueryWorkers; left > 0; left-- {
+		n := (len(workers) + left - 1) / left
+		out = append(out, Query{Job: id, Step: j.step, Workers: workers[:n]})
+		workers = workers[n:]
+	}
+	return out
 }
 
 // MarkSent records that a query is in flight.
 func (t *Tracker) MarkSent(q *Query) {
 	if j := t.jobs[q.Job]; j != nil {
-		j.inFlight = true
+		j.inFlight++
 	}
 }
 
@@ -166,7 +181,7 @@
 	if j == nil {
 		return
 	}
-	j.inFlight = false
+	j.inFlight--
 	for _, w := range q.Workers {
 		j.queried[w] = true
 	}
@@ -180,7 +195,7 @@
 // MarkFailed records that a query failed, so that it is sent again after retryAfter.
 func (t *Tracker) MarkFailed(q *Query, now model.Time) {
 	if j := t.jobs[q.Job]; j != nil {
-		j.inFlight = false
+		j.inFlight--
 		j.nextQuery = now.Add(retryAfter)
 	}
 }
@@ -251,7 +266,7 @@
 	if j == nil {
 		return Status{}
 	}
-	st := Status{Known: len(j.tokens), Allowed: len(j.allowed), Queried: len(j.queried), InFlight: j.inFlight}
+	st := Status{Known: len(j.tokens), Allowed: len(j.allowed), Queried: len(j.queried), InFlight: j.inFlight > 0}
 	for _, token := range j.tokens {
 		if now < token.until {
 			st.Valid++
