Leave out log lines of whole workflows instead of single tasks

Cause: above 400 lines a second of one message, single lines of 'Start is sent.' and 'Task ended.' were dropped after they had been formatted, so that hardly any timeline of a workflow was complete and the leader spent the time anyway. Change: above about 400 lines a second of both together, the leader keeps the lines of a share of the workflows, chosen by a hash of their IDs, and drops the others before they are formatted. One line a second tells how many were left out and which share is kept. Other messages keep their limit.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -11,11 +11,15 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/obs"
 	"github.com/filbertmast/filbertmast/internal/replica"
 	"github.com/filbertmast/filbertmast/internal/replica/raft"
 	"github.com/filbertmast/filbertmast/internal/state"
 )
 
+// maxTaskLines bounds the log lines per second about starts and ends of single tasks.
+const maxTaskLines = 400
+
 // core is the state that only the control goroutine accesses.
 type core struct {
 	s               *Server
@@ -27,6 +31,7 @@
 	snapshotIndex   uint64 // index of the last snapshot
 	snapshotRunning bool   // a snapshot is being written
 	load            *load
+	taskLines       *obs.Sampler // of the log lines about each start and end of a task
 }
 
 func newCore(s *Server) *core {
@@ -36,6 +41,7 @@
 		machine:   state.New(s.opts.State),
 		proposals: newProposals(uint64(s.opts.Log.Status().ID), uint64(s.startTime.UnixNano())),
 		load:      newLoad(s.metrics.busySeconds),
+		taskLines: obs.NewSampler(s.log, maxTaskLines),
 	}
 }
 
--- a/internal/control/dispatch.go
+++ b/internal/control/dispatch.go
@@ -85,8 +85,10 @@
 		Checkpoint: j.Checkpoint(id.Index),
 		Permit:     permit,
 	}
-	p.l.c.log.Info("Start is sent.", pw.fields(&req.Attempt, "size", t.Size, "fence", req.Fence, "lease_until", until,
-		"checkpoint", req.Checkpoint != "", "again", cmd.maybeStarted)...)
+	if p.logsTasks(&req.Attempt) {
+		p.l.c.log.Info("Start is sent.", pw.fields(&req.Attempt, "size", t.Size, "fence", req.Fence, "lease_until", until,
+			"checkpoint", req.Checkpoint != "", "again", cmd.maybeStarted)...)
+	}
 	cmd.isStop = false
 	p.dispatch(pw, id, cmd, &commandCall{
 		name:    commandStart,
--- a/internal/control/polled.go
+++ b/internal/control/polled.go
@@ -218,12 +218,20 @@
 		if t == nil {
 			continue // the task was placed elsewhere since, or has finished
 		}
-		p.l.c.log.Info("Task ended.", pw.fields(&e.Attempt, "how", e.Outcome, "phase", t.Phase)...)
+		if p.logsTasks(&e.Attempt) {
+			p.l.c.log.Info("Task ended.", pw.fields(&e.Attempt, "how", e.Outcome, "phase", t.Phase)...)
+		}
 		delete(pw.commands, id)
 		p.addReport(pw, api.Report{Task: id, Fence: t.Fence, State: reportOf(e.Outcome), Checkpoint: e.Checkpoint})
 	}
 }
 
+// logsTasks reports whether each start and end of a task is logged for the workflow of
+// an attempt.
+func (p *polledWorkers) logsTasks(attempt *workerclient.Attempt) bool {
+	return p.l.c.taskLines.Keep(string(attempt.Task.Workflow), time.Now())
+}
+
 func reportOf(outcome workerclient.Outcome) api.ReportState {
 	switch outcome {
 	case workerclient.Succeeded:
