--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -25,6 +26,18 @@
 // logFlushTimeout bounds the wait for the last log lines to be written at exit.
 const logFlushTimeout = time.Second
 
+// softLimitPercent is the part of the memory limit that the garbage collector aims to
+// stay below. The rest is for memory that it does not count, and for bursts.
+const softLimitPercent = 75
+
+// configureGC applies the settings of the garbage collector.
+func configureGC(m settings.Memory) {
+	debug.SetGCPercent(m.GCPercent)
+	if m.LimitMB > 0 {
+		debug.SetMemoryLimit(m.LimitMB << 20 / 100 * softLimitPercent)
+	}
+}
+
 // serveCommand runs one process of a deployment.
 type serveCommand struct {
 	Settings string `arg:"-s,--settings,required" placeholder:"FILE" help:"settings of this process"`
@@ -43,6 +56,7 @@
 	if err != nil {
 		return err
 	}
+	configureGC(s.Memory)
 	out := obs.NewAsyncWriter(os.Stdout)
 	defer out.Close(logFlushTimeout)
 	return server.Run(ctx, s, server.Options{Adapter: adapterOf(s), Log: out})
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -51,6 +51,14 @@
 	c.bootstrap(s.Bootstrap)
 	c.platform(s)
 	c.scheduling(s.Scheduling)
+	c.memory(s.Memory)
+}
+
+func (c *checker) memory(m Memory) {
+	if m.LimitMB != 0 {
+		c.between("$.memory.limit_mb", m.LimitMB, 32, 1<<20)
+	}
+	c.between("$.memory.gc_percent", int64(m.GCPercent), 10, 1000)
 }
 
 func (c *checker) scheduling(s Scheduling) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,6 +44,17 @@
 	Platform      Platform  `json:"platform"`
 
 	Scheduling Scheduling `json:"scheduling"`
+	Memory     Memory     `json:"memory"`
+}
+
+// Memory configures the garbage collector.
+type Memory struct {
+	// LimitMB is the memory above which the process is killed, in MiB. Zero: none. The
+	// garbage collector runs more often before it is reached.
+	LimitMB int64 `json:"limit_mb"`
+	// GCPercent is how much the heap may grow between collections, in percent of what the
+	// last one has left. More costs memory and saves processor time.
+	GCPercent int `json:"gc_percent"`
 }
 
 // Scheduling configures how the leader orders jobs and preempts tasks. It must be
@@ -225,7 +236,8 @@
 
 			MaxReservations: 8,
 		},
-		Log: Log{Level: "info", Format: "text"},
+		Log:    Log{Level: "info", Format: "text"},
+		Memory: Memory{GCPercent: 100},
 	}
 }
 
