--- a/internal/permit/gang_test.go
+++ b/internal/permit/gang_test.go
@@ -17,7 +17,7 @@
 // permitCell joins a Tracker, a scheduler and a policy service that permits one worker
 // in three, as a leader does. Time passes in steps of cellStep.
 type permitCell struct {
-	t       *testing.T
+	t       testing.TB
 	now     model.Time
 	tracker *Tracker
 	sched   *schedule.Scheduler
@@ -47,7 +47,7 @@
 	maxReservations = 2
 )
 
-func newPermitCell(t *testing.T, workers int) *permitCell {
+func newPermitCell(t testing.TB, workers int) *permitCell {
 	c := &permitCell{
 		t:       t,
 		now:     cellStart,
--- /dev/null
+++ b/internal/permit/room.go
@@ -0,0 +1,160 @@
+package permit
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/schedule"
+)
+
+// room counts how many tasks of a job fit into free capacity now, by what is known of
+// the permits for the workers.
+type room struct {
+	valid      int64      // on allowed workers with a valid permit
+	allowed    int64      // on all allowed workers
+	fresh      int64      // on workers about which no query was sent
+	validUntil model.Time // latest end of a valid permit; zero if none is valid
+
+	allowedWorkers int
+	queriedWorkers int
+}
+
+// roomOn returns the room on the candidates of a job at now.
+func (j *jobPermits) roomOn(candidates []schedule.Candidate, now model.Time) *room {
+	r := &room{}
+	for i := range candidates {
+		c := &candidates[i]
+		w, queried := j.workers[c.Worker]
+		if !queried {
+			r.fresh += c.Room
+			continue
+		}
+		r.queriedWorkers++
+		if !w.allowed {
+			continue
+		}
+		r.allowedWorkers++
+		r.allowed += c.Room
+		if now < w.until {
+			r.valid += c.Room
+			r.validUntil = max(r.validUntil, w.until)
+		}
+	}
+	return r
+}
+
+// queryHelps reports whether a response could let tasks start that the valid permits
+// do not. Without a valid permit it always may: the job must be ready for capacity
+// that becomes free.
+func (r *room) queryHelps(d Demand) bool {
+	switch {
+	case r.validUntil == 0:
+		return true
+	case r.valid >= d.Tasks:
+		return false
+	case d.AllAtOnce:
+		return r.allowed+r.fresh >= d.Tasks
+	}
+	return r.allowed+r.fresh > r.valid
+}
+
+// recheckAt returns when to examine a job again that needs no query at now. Tasks that
+// start one by one use the valid permits as capacity becomes free.
+func (r *room) recheckAt(d Demand, now model.Time) model.Time {
+	if d.AllAtOnce {
+		return min(now.Add(recheckAfter), r.validUntil)
+	}
+	return r.validUntil
+}
+
+// maxWorkers returns how many workers may be queried about at once. More than one query
+// serves only tasks that start at the same time.
+func (d Demand) maxWorkers() int {
+	if d.AllAtOnce {
+		return maxQueriesAtOnce * MaxQueryWorkers
+	}
+	return MaxQueryWorkers
+}
+
+// selectWorkers returns the workers to query: allowed ones if they have room for all
+// pending tasks or if few others are left, else those not queried yet.
+func (j *jobPermits) selectWorkers(candidates []schedule.Candidate, r *room, d Demand) []model.WorkerID {
+	target := d.Tasks * roomFactorPercent / 100
+	fresh := len(candidates) - r.queriedWorkers
+	if r.allowedWorkers > 0 && (r.allowed >= d.Tasks || fresh < minRenewalWorkers) {
+		return cover(j.filter(candidates, r.allowedWorkers, func(w workerState, _ bool) bool { return w.allowed }), target, d.maxWorkers())
+	}
+	return r.freshToQuery(j.filter(candidates, fresh, func(_ workerState, queried bool) bool { return !queried }), target, d.maxWorkers())
+}
+
+// filter returns the candidates of whose state keep approves, n in number, those with
+// the most room first.
+func (j *jobPermits) filter(candidates []schedule.Candidate, n int, keep func(w workerState, queried bool) bool) []schedule.Candidate {
+	out := make([]schedule.Candidate, 0, n)
+	for _, c := range candidates {
+		if w, queried := j.workers[c.Worker]; keep(w, queried) {
+			out = append(out, c)
+		}
+	}
+	sortByRoom(out)
+	return out
+}
+
+// freshToQuery returns the workers to query for the first time: those of one query, or
+// as many as probably have the missing room, judged by the share of the workers queried
+// so far that are allowed, but at most limit.
+func (r *room) freshToQuery(fresh []schedule.Candidate, target int64, limit int) []model.WorkerID {
+	n := min(len(fresh), MaxQueryWorkers)
+	missing := (target - r.allowed) * int64(r.queriedWorkers+1)
+	for at := range fresh[:min(len(fresh), limit)] {
+		if missing <= 0 || fresh[at].Room == 0 {
+			break
+		}
+		missing -= fresh[at].Room * int64(r.allowedWorkers+1)
+		n = max(n, at+1)
+	}
+	return workersOf(fresh[:n])
+}
+
+// cover returns the workers that are reserved for the job, and of the others those
+// with the most room until all together have the target room. It returns at least
+// minRenewalWorkers and at most limit.
+func cover(allowed []schedule.Candidate, target int64, limit int) []model.WorkerID {
+	n := 0
+	for n < min(len(allowed), limit) {
+		c := &allowed[n]
+		if n >= minRenewalWorkers && !c.Reserved && (target <= 0 || c.Room == 0) {
+			break
+		}
+		target -= c.Room
+		n++
+	}
+	return workersOf(allowed[:n])
+}
+
+// sortByRoom orders candidates: reserved ones first, then by room and free capacity,
+// the most first.
+func sortByRoom(candidates []schedule.Candidate) {
+	slices.SortFunc(candidates, func(a, b schedule.Candidate) int {
+		switch {
+		case a.Reserved && !b.Reserved:
+			return -1
+		case b.Reserved && !a.Reserved:
+			return 1
+		case a.Room != b.Room:
+			return cmp.Compare(b.Room, a.Room)
+		case a.FreeCPU != b.FreeCPU:
+			return cmp.Compare(b.FreeCPU, a.FreeCPU)
+		}
+		return cmp.Compare(a.Worker, b.Worker)
+	})
+}
+
+func workersOf(candidates []schedule.Candidate) []model.WorkerID {
+	out := make([]model.WorkerID, len(candidates))
+	for i := range candidates {
+		out[i] = candidates[i].Worker
+	}
+	return out
+}
--- a/internal/permit/options_test.go
+++ b/internal/permit/room_test.go
@@ -16,42 +16,41 @@
 	room     int64 // of each
 	queried  bool
 	allowed  bool
-	valid    bool // the permit is valid
+	until    model.Time // end of the permits
 	reserved bool
 }
 
 const optionsNow = model.Time(1000)
 
-// optionsOf returns the options of a job with the given candidates. Workers are named
-// by the index of their set, then by number.
-func optionsOf(sets []candidateSet) *options {
-	j := &jobPermits{queried: map[model.WorkerID]bool{}, allowed: map[model.WorkerID]bool{}, tokens: map[model.WorkerID]token{}}
+// jobWith returns a job and its candidates. Workers are named by the index of their
+// set, then by number.
+func jobWith(sets []candidateSet) (*jobPermits, []schedule.Candidate) {
+	j := &jobPermits{workers: map[model.WorkerID]workerState{}}
 	var candidates []schedule.Candidate
 	for i, set := range sets {
 		for n := range set.workers {
 			w := model.WorkerID(fmt.Sprintf("%d-%03d", i, n))
 			candidates = append(candidates, schedule.Candidate{Worker: w, Room: set.room, Reserved: set.reserved})
 			if set.queried {
-				j.queried[w] = true
-			}
-			if set.allowed {
-				j.allowed[w] = true
-				j.tokens[w] = token{until: optionsNow}
-			}
-			if set.valid {
-				j.tokens[w] = token{until: optionsNow + 1}
+				j.workers[w] = workerState{allowed: set.allowed, until: set.until}
 			}
 		}
 	}
-	return j.options(candidates, optionsNow)
+	return j, candidates
+}
+
+// selected returns the workers that a job with the given candidates queries about.
+func selected(sets []candidateSet, d Demand) []model.WorkerID {
+	j, candidates := jobWith(sets)
+	return j.selectWorkers(candidates, j.roomOn(candidates, optionsNow), d)
 }
 
 func validSet(workers int, room int64) candidateSet {
-	return candidateSet{workers: workers, room: room, queried: true, allowed: true, valid: true}
+	return candidateSet{workers: workers, room: room, queried: true, allowed: true, until: optionsNow + 1}
 }
 
 func expiredSet(workers int, room int64) candidateSet {
-	return candidateSet{workers: workers, room: room, queried: true, allowed: true}
+	return candidateSet{workers: workers, room: room, queried: true, allowed: true, until: optionsNow}
 }
 
 func freshSet(workers int, room int64) candidateSet {
@@ -77,7 +76,8 @@
 		{"valid permits hold a batch", []candidateSet{validSet(40, 1), freshSet(80, 3)}, batch, false},
 	} {
 		t.Run(row.name, func(t *testing.T) {
-			assert.Equal(t, optionsOf(row.sets).queryHelps(row.demand), row.want)
+			j, candidates := jobWith(row.sets)
+			assert.Equal(t, j.roomOn(candidates, optionsNow).queryHelps(row.demand), row.want)
 		})
 	}
 }
@@ -100,7 +100,7 @@
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			got := make([]int, len(row.sets))
-			for _, w := range optionsOf(row.sets).selectWorkers(gang) {
+			for _, w := range selected(row.sets, gang) {
 				got[w[0]-'0']++
 			}
 			assert.DeepEqual(t, got, row.want)
@@ -110,11 +110,11 @@
 
 func TestQueriesOfOneJobAreBounded(t *testing.T) {
 	wide := Demand{Tasks: 10_000, AllAtOnce: true}
-	assert.Equal(t, len(optionsOf([]candidateSet{expiredSet(12_000, 1)}).selectWorkers(wide)), maxQueriesAtOnce*MaxQueryWorkers)
-	assert.Equal(t, len(optionsOf([]candidateSet{freshSet(12_000, 1)}).selectWorkers(wide)), maxQueriesAtOnce*MaxQueryWorkers)
+	assert.Equal(t, len(selected([]candidateSet{expiredSet(12_000, 1)}, wide)), maxQueriesAtOnce*MaxQueryWorkers)
+	assert.Equal(t, len(selected([]candidateSet{freshSet(12_000, 1)}, wide)), maxQueriesAtOnce*MaxQueryWorkers)
 	batch := Demand{Tasks: 10_000}
-	assert.Equal(t, len(optionsOf([]candidateSet{freshSet(12_000, 1)}).selectWorkers(batch)), MaxQueryWorkers)
-	assert.Equal(t, len(optionsOf([]candidateSet{expiredSet(12_000, 1)}).selectWorkers(batch)), MaxQueryWorkers)
+	assert.Equal(t, len(selected([]candidateSet{freshSet(12_000, 1)}, batch)), MaxQueryWorkers)
+	assert.Equal(t, len(selected([]candidateSet{expiredSet(12_000, 1)}, batch)), MaxQueryWorkers)
 }
 
 func TestWorkersAreSplitAmongQueries(t *testing.T) {
--- a/internal/permit/tracker.go
+++ b/internal/permit/tracker.go
@@ -34,8 +34,8 @@
 	startMargin = 50 * time.Millisecond
 	// retryAfter is the time before a failed query is sent again.
 	retryAfter = 20 * time.Millisecond
-	// recheckAfter is the time before a job that needs no query is examined again,
-	// unless all of its permits end sooner.
+	// recheckAfter is the time before a job whose tasks start together and that needs no
+	// query is examined again, unless all of its permits end sooner.
 	recheckAfter = 250 * time.Millisecond
 )
 
@@ -55,17 +55,18 @@
 // jobPermits are the permits and queries of one job.
 type jobPermits struct {
 	step      workerclient.TaskName
-	startBy   model.Time // deadline of the start
-	queried   map[model.WorkerID]bool
-	allowed   map[model.WorkerID]bool
-	tokens    map[model.WorkerID]token
-	inFlight  int        // queries in flight
-	nextQuery model.Time // earliest time of the next query
+	startBy   model.Time                     // deadline of the start
+	workers   map[model.WorkerID]workerState // that the policy service was queried about
+	inFlight  int                            // queries in flight
+	nextQuery model.Time                     // earliest time of the next query
 }
 
-type token struct {
-	value string
-	until model.Time
+// workerState is what is known of one worker for a job. A permit that the worker has
+// rejected is empty.
+type workerState struct {
+	allowed bool // the policy service permits the worker
+	permit  string
+	until   model.Time // end of the permit
 }
 
 // NewTracker returns an empty Tracker.
@@ -77,13 +78,7 @@
 	if t.jobs[id] != nil {
 		return
 	}
-	t.jobs[id] = &jobPermits{
-		step:    step,
-		startBy: startBy,
-		queried: map[model.WorkerID]bool{},
-		allowed: map[model.WorkerID]bool{},
-		tokens:  map[model.WorkerID]token{},
-	}
+	t.jobs[id] = &jobPermits{step: step, startBy: startBy, workers: map[model.WorkerID]workerState{}}
 	at, _ := slices.BinarySearchFunc(t.byDeadline, id, t.compare)
 	t.byDeadline = slices.Insert(t.byDeadline, at, id)
 }
@@ -112,7 +107,8 @@
 type Scheduler interface {
 	// Demand returns what the job has to place; no tasks if it has none.
 	Demand(model.JobID) Demand
-	// Candidates returns the workers that the job's selectors match, in any order.
+	// Candidates returns the workers that the job's selectors match, in any order. The
+	// result is valid until the next call.
 	Candidates(model.JobID) []schedule.Candidate
 	// CanSend reports whether a query for the job, which is due, can be sent now.
 	CanSend(model.JobID) bool
@@ -149,12 +145,13 @@
 	if demand.Tasks == 0 || !scheduler.CanSend(id) {
 		return nil
 	}
-	o := j.options(scheduler.Candidates(id), now)
-	if !o.queryHelps(demand) {
-		j.nextQuery = o.recheckAt(now)
+	candidates := scheduler.Candidates(id)
+	r := j.roomOn(candidates, now)
+	if !r.queryHelps(demand) {
+		j.nextQuery = r.recheckAt(demand, now)
 		return nil
 	}
-	return j.split(id, o.selectWorkers(demand))
+	return j.split(id, j.selectWorkers(candidates, r, demand))
 }
 
 // split divides the workers to query about evenly among as few queries as possible.
@@ -183,12 +180,11 @@
 	}
 	j.inFlight--
 	for _, w := range q.Workers {
-		j.queried[w] = true
+		j.workers[w] = j.workers[w] // queried, whether it is permitted or not
 	}
 	until := now.Add(advice.Valid.Std() - placementMargin)
 	for _, p := range advice.Permits {
-		j.tokens[p.Worker] = token{value: p.Token, until: until}
-		j.allowed[p.Worker] = true
+		j.workers[p.Worker] = workerState{allowed: true, permit: p.Token, until: until}
 	}
 }
 
@@ -204,16 +200,14 @@
 // the policy service must be queried about the worker again.
 func (t *Tracker) ForgetWorker(worker model.WorkerID) {
 	for _, j := range t.jobs {
-		delete(j.tokens, worker)
-		delete(j.queried, worker)
-		delete(j.allowed, worker)
+		delete(j.workers, worker)
 	}
 }
 
 // Invalidate drops one permit that a worker rejected.
 func (t *Tracker) Invalidate(id model.JobID, worker model.WorkerID) {
-	if j := t.jobs[id]; j != nil {
-		delete(j.tokens, worker)
+	if j := t.jobs[id]; j != nil && j.workers[worker].allowed {
+		j.workers[worker] = workerState{allowed: true}
 	}
 }
 
@@ -221,10 +215,14 @@
 // at now to start a task.
 func (t *Tracker) Token(id model.JobID, worker model.WorkerID, now model.Time) string {
 	j := t.jobs[id]
-	if j == nil || now >= j.tokens[worker].until.Add(placementMargin-startMargin) {
+	if j == nil {
+		return ""
+	}
+	w := j.workers[worker]
+	if now >= w.until.Add(placementMargin-startMargin) {
 		return ""
 	}
-	return j.tokens[worker].value
+	return w.permit
 }
 
 // Grant is a permit to place tasks on a worker until a time.
@@ -239,9 +237,11 @@
 	if j == nil {
 		return nil
 	}
-	out := make([]Grant, 0, len(j.tokens))
-	for w, token := range j.tokens {
-		out = append(out, Grant{w, token.until})
+	var out []Grant
+	for id, w := range j.workers {
+		if w.permit != "" {
+			out = append(out, Grant{id, w.until})
+		}
 	}
 	return out
 }
@@ -266,9 +266,15 @@
 	if j == nil {
 		return Status{}
 	}
-	st := Status{Known: len(j.tokens), Allowed: len(j.allowed), Queried: len(j.queried), InFlight: j.inFlight > 0}
-	for _, token := range j.tokens {
-		if now < token.until {
+	st := Status{Queried: len(j.workers), InFlight: j.inFlight > 0}
+	for _, w := range j.workers {
+		if w.allowed {
+			st.Allowed++
+		}
+		if w.permit != "" {
+			st.Known++
+		}
+		if now < w.until {
 			st.Valid++
 		}
 	}
--- a/internal/schedule/permit.go
+++ b/internal/schedule/permit.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"slices"
+
 	"github.com/filbertmast/filbertmast/internal/model"
 )
 
@@ -68,7 +70,7 @@
 // Candidates returns the open and responsive workers that match the selectors of a
 // job and are large enough for one of its tasks, in no order. A worker that is
 // reserved for another job or on probation has no room. It returns nil if the job is
-// unknown.
+// unknown. The result is valid until the next call.
 func (s *Scheduler) Candidates(id model.JobID) []Candidate {
 	j := s.jobs[id]
 	if j == nil {
@@ -79,18 +81,23 @@
 		placed.load(s, j)
 	}
 	size := s.sizeFor(j.group)
-	out := make([]Candidate, 0, len(s.workers))
+	classes := s.matching(j.group.selector)
+	out := s.candidates[:0]
 	for slot := range s.workers {
 		w := &s.workers[slot]
-		if !w.known || !w.open() || !j.group.size.Fits(w.capacity) || !s.matches(j.group.selector, w.class) {
+		if !w.open() || !j.group.size.Fits(w.capacity) {
+			continue
+		}
+		if _, ok := slices.BinarySearch(classes, w.class); !ok {
 			continue
 		}
 		c := Candidate{Worker: w.id, FreeCPU: w.free.CPU, Reserved: w.reservation != nil && w.reservation.job == j}
 		taken := j.group.exclusive && placed.onWorker[slot]
-		if (w.available() || c.Reserved) && !taken && size.Fits(w.free) {
+		if !taken && size.Fits(w.free) && (c.Reserved || w.available()) {
 			c.Room = j.tasksThatFit(size, w.free)
 		}
 		out = append(out, c)
 	}
+	s.candidates = out
 	return out
 }
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -41,6 +41,7 @@
 	unreportedFitFailures bool            // some group has a fit failure that was not reported
 	planSeq               uint64          // number of the current plan
 	gangWorkers           gangWorkers     // scratch space of a plan
+	candidates            []Candidate     // scratch space of Candidates
 	spread                spread          // scratch space of a plan
 	rollingBack           bool            // the placements of a plan are being undone
 	cellVersion           uint64          // incremented when limits or the set of worker shapes change
