--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -38,6 +38,7 @@
 		l.policy.remove(e.ID)
 	case state.PlacementRefused:
 		l.sched.Apply(schedule.TaskEnded{Task: e.Task, Outcome: schedule.NotStarted, At: e.At})
+		l.policy.tracker.Wake(e.Task.Job)
 		l.markTeam(e.Task.Job)
 	case state.CeilingChanged:
 		l.permits.SetCeiling(e.Team, e.Permits)
@@ -86,6 +87,7 @@
 			At:      e.At,
 			Final:   e.To.Done(),
 		})
+		l.policy.tracker.Wake(e.Task.Job)
 	}
 	l.markTeam(e.Task.Job)
 }
--- a/internal/permit/bench_test.go
+++ b/internal/permit/bench_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/workerclient"
 )
 
 const benchmarkWorkers = 350
@@ -15,7 +16,7 @@
 	c.submitGang(35, half, time.Second)
 	b.ReportAllocs()
 	for b.Loop() {
-		c.tracker.dueQueries(gangID, c.now, c)
+		c.tracker.jobs[gangID].dueQueries(c.now, c)
 	}
 }
 
@@ -26,12 +27,26 @@
 	c.submit(fillerID, model.JobSpec{Name: "filler", Tasks: benchmarkWorkers, Size: whole, Patience: model.Duration(time.Hour)}, false)
 	c.step()
 	c.submitGang(35, half, time.Second)
-	q := c.tracker.dueQueries(gangID, c.now, c)
+	q := c.tracker.jobs[gangID].dueQueries(c.now, c)
 	c.tracker.MarkSent(&q[0])
 	c.answer(&q[0])
 	b.ReportAllocs()
 	for b.Loop() {
 		c.tracker.jobs[gangID].nextQuery = 0
-		c.tracker.dueQueries(gangID, c.now, c)
+		c.tracker.jobs[gangID].dueQueries(c.now, c)
+	}
+}
+
+// BenchmarkEachDueQueryOfPlacedJobs looks for due queries among jobs whose tasks are
+// all placed.
+func BenchmarkEachDueQueryOfPlacedJobs(b *testing.B) {
+	const jobs = 1000
+	c := newPermitCell(b, benchmarkWorkers)
+	for id := range model.JobID(jobs) {
+		c.tracker.Add(id+1, workerclient.TaskName{}, c.now)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		c.tracker.EachDueQuery(c.now, c, func(Query) bool { return true })
 	}
 }
--- a/internal/permit/room_test.go
+++ b/internal/permit/room_test.go
@@ -120,7 +120,7 @@
 func TestWorkersAreSplitAmongQueries(t *testing.T) {
 	for workers, want := range map[int][]int{0: nil, 1: {1}, 100: {100}, 101: {51, 50}, 350: {88, 88, 87, 87}} {
 		var got []int
-		for _, q := range (&jobPermits{}).split(1, make([]model.WorkerID, workers)) {
+		for _, q := range (&jobPermits{}).split(make([]model.WorkerID, workers)) {
 			got = append(got, len(q.Workers))
 		}
 		assert.DeepEqual(t, got, want)
--- a/internal/permit/tracker.go
+++ b/internal/permit/tracker.go
@@ -50,15 +50,18 @@
 type Tracker struct {
 	jobs       map[model.JobID]*jobPermits
 	byDeadline []model.JobID // earliest deadline for the start first
+	waiting    []*jobPermits // jobs that may have tasks to place, in the same order
 }
 
 // jobPermits are the permits and queries of one job.
 type jobPermits struct {
+	id        model.JobID
 	step      workerclient.TaskName
 	startBy   model.Time                     // deadline of the start
 	workers   map[model.WorkerID]workerState // that the policy service was queried about
 	inFlight  int                            // queries in flight
 	nextQuery model.Time                     // earliest time of the next query
+	idle      bool                           // all tasks are placed
 }
 
 // workerState is what is known of one worker for a job. A permit that the worker has
@@ -78,14 +81,34 @@
 	if t.jobs[id] != nil {
 		return
 	}
-	t.jobs[id] = &jobPermits{step: step, startBy: startBy, workers: map[model.WorkerID]workerState{}}
-	at, _ := slices.BinarySearchFunc(t.byDeadline, id, t.compare)
+	j := &jobPermits{id: id, step: step, startBy: startBy, workers: map[model.WorkerID]workerState{}}
+	t.jobs[id] = j
+	at, _ := slices.BinarySearchFunc(t.byDeadline, j, func(id model.JobID, j *jobPermits) int { return compareJobs(t.jobs[id], j) })
 	t.byDeadline = slices.Insert(t.byDeadline, at, id)
+	t.addWaiting(j)
 }
 
-// compare orders jobs by the deadline of their start, then by age.
-func (t *Tracker) compare(a, b model.JobID) int {
-	return cmp.Or(cmp.Compare(t.jobs[a].startBy, t.jobs[b].startBy), cmp.Compare(a, b))
+// compareJobs orders jobs by the deadline of their start, then by age.
+func compareJobs(a, b *jobPermits) int {
+	if a.startBy != b.startBy {
+		return cmp.Compare(a.startBy, b.startBy)
+	}
+	return cmp.Compare(a.id, b.id)
+}
+
+func (t *Tracker) addWaiting(j *jobPermits) {
+	if at, found := slices.BinarySearchFunc(t.waiting, j, compareJobs); !found {
+		t.waiting = slices.Insert(t.waiting, at, j)
+	}
+}
+
+// Wake records that a job may have tasks to place again. A job that had none is not
+// examined before.
+func (t *Tracker) Wake(id model.JobID) {
+	if j := t.jobs[id]; j != nil && j.idle {
+		j.idle = false
+		t.addWaiting(j)
+	}
 }
 
 // Remove removes a job and its permits.
@@ -94,6 +117,7 @@
 		return
 	}
 	delete(t.jobs, id)
+	t.waiting = slices.DeleteFunc(t.waiting, func(j *jobPermits) bool { return j.id == id })
 	t.byDeadline = slices.DeleteFunc(t.byDeadline, func(o model.JobID) bool { return o == id })
 }
 
@@ -121,12 +145,13 @@
 // queries for short jobs, which need a response at once, do not queue behind those
 // for jobs that are late or have time.
 func (t *Tracker) EachDueQuery(now model.Time, scheduler Scheduler, send func(Query) bool) {
-	onTime, _ := slices.BinarySearchFunc(t.byDeadline, now, func(id model.JobID, now model.Time) int {
-		return cmp.Compare(t.jobs[id].startBy, now)
+	defer t.dropIdle()
+	onTime, _ := slices.BinarySearchFunc(t.waiting, now, func(j *jobPermits, now model.Time) int {
+		return cmp.Compare(j.startBy, now)
 	})
-	for _, jobs := range [][]model.JobID{t.byDeadline[onTime:], t.byDeadline[:onTime]} {
-		for _, id := range jobs {
-			for _, q := range t.dueQueries(id, now, scheduler) {
+	for _, jobs := range [][]*jobPermits{t.waiting[onTime:], t.waiting[:onTime]} {
+		for _, j := range jobs {
+			for _, q := range j.dueQueries(now, scheduler) {
 				if !send(q) {
 					return
 				}
@@ -135,31 +160,36 @@
 	}
 }
 
+// dropIdle removes the jobs whose tasks are all placed from those that wait.
+func (t *Tracker) dropIdle() {
+	t.waiting = slices.DeleteFunc(t.waiting, func(j *jobPermits) bool { return j.idle })
+}
+
 // dueQueries returns the queries of a job that are due at now.
-func (t *Tracker) dueQueries(id model.JobID, now model.Time, scheduler Scheduler) []Query {
-	j := t.jobs[id]
+func (j *jobPermits) dueQueries(now model.Time, scheduler Scheduler) []Query {
 	if j.inFlight > 0 || now < j.nextQuery {
 		return nil
 	}
-	demand := scheduler.Demand(id)
-	if demand.Tasks == 0 || !scheduler.CanSend(id) {
+	demand := scheduler.Demand(j.id)
+	j.idle = demand.Tasks == 0
+	if j.idle || !scheduler.CanSend(j.id) {
 		return nil
 	}
-	candidates := scheduler.Candidates(id)
+	candidates := scheduler.Candidates(j.id)
 	r := j.roomOn(candidates, now)
 	if !r.queryHelps(demand) {
 		j.nextQuery = r.recheckAt(demand, now)
 		return nil
 	}
-	return j.split(id, j.selectWorkers(candidates, r, demand))
+	return j.split(j.selectWorkers(candidates, r, demand))
 }
 
 // split divides the workers to query about evenly among as few queries as possible.
-func (j *jobPermits) split(id model.JobID, workers []model.WorkerID) []Query {
+func (j *jobPermits) split(workers []model.WorkerID) []Query {
 	var out []Query
 	for left := (len(workers) + MaxQueryWorkers - 1) / MaxQueryWorkers; left > 0; left-- {
 		n := (len(workers) + left - 1) / left
-		out = append(out, Query{Job: id, Step: j.step, Workers: workers[:n]})
+		out = append(out, Query{Job: j.id, Step: j.step, Workers: workers[:n]})
 		workers = workers[n:]
 	}
 	return out
--- a/internal/permit/tracker_test.go
+++ b/internal/permit/tracker_test.go
@@ -86,8 +86,12 @@
 	scheduler.idle[1] = true
 	assert.Equal(t, len(sendQueries(tracker, 1, scheduler, 9)), 0)
 	scheduler.idle[1] = false
+	tracker.Wake(1)
+	q := sendQueries(tracker, 2, scheduler, 9)
+	assert.Equal(t, len(q), 1)
+	tracker.MarkFailed(&q[0], 2)
 	tracker.Remove(1)
-	assert.Equal(t, len(sendQueries(tracker, 2, scheduler, 9)), 0)
+	assert.Equal(t, len(sendQueries(tracker, 1000, scheduler, 9)), 0)
 }
 
 func TestFailedQueryIsRetried(t *testing.T) {
