Say 'not permitted' where a worker may have lost its permit

Cause: a permit that a worker rejected or that ended with a restart of the worker is dropped; its worker was counted as 'never permitted'. Change: the detail of the reason 'permit' says 'not permitted' and 'expired'. The counts are unchanged.

--- a/internal/schedule/permit_test.go
+++ b/internal/schedule/permit_test.go
@@ -64,31 +64,31 @@
 		occupied int32 // workers that another job fills
 		want     []api.WhyNot
 	}{
-		{"workers were never permitted", model.JobSpec{Tasks: 1, Size: cores(2)}, false, nil, 0, []api.WhyNot{
-			{Reason: waitPermit, Count: 4, Detail: "workers have enough free capacity but no valid permit (never permitted: 4, expired: 0)"},
+		{"no worker is permitted", model.JobSpec{Tasks: 1, Size: cores(2)}, false, nil, 0, []api.WhyNot{
+			{Reason: waitPermit, Count: 4, Detail: "workers have enough free capacity but no valid permit (not permitted: 4, expired: 0)"},
 		}},
 		{"permits have expired", model.JobSpec{Tasks: 1, Size: cores(2)}, false, []Permit{expired("w000"), expired("w001"), expired("w002")}, 0, []api.WhyNot{
-			{Reason: waitPermit, Count: 4, Detail: "workers have enough free capacity but no valid permit (never permitted: 1, expired: 3)"},
+			{Reason: waitPermit, Count: 4, Detail: "workers have enough free capacity but no valid permit (not permitted: 1, expired: 3)"},
 		}},
 		{"a worker with a valid permit has room", model.JobSpec{Tasks: 1, Size: cores(2)}, false, []Permit{valid("w000"), expired("w001")}, 0, []api.WhyNot{
-			{Reason: waitPermit, Count: 3, Detail: "workers have enough free capacity but no valid permit (never permitted: 2, expired: 1)"},
+			{Reason: waitPermit, Count: 3, Detail: "workers have enough free capacity but no valid permit (not permitted: 2, expired: 1)"},
 			{Reason: waitNext, Count: 1, Detail: "workers have enough free capacity for a task"},
 		}},
 		{"full workers count as full, whatever their permits", model.JobSpec{Tasks: 1, Size: cores(2)}, false, nil, 4, []api.WhyNot{
 			{Reason: waitShare, Count: 4, Detail: "workers have too little free capacity; team a uses 100% of its share"},
 		}},
 		{"the workers with valid permits hold too few tasks of a gang", model.JobSpec{Policy: model.PolicyGang, Tasks: 5, Size: cores(2)}, false, []Permit{valid("w000"), valid("w001"), expired("w002")}, 0, []api.WhyNot{
-			{Reason: waitPermit, Count: 2, Detail: "workers have enough free capacity but no valid permit (never permitted: 1, expired: 1)"},
+			{Reason: waitPermit, Count: 2, Detail: "workers have enough free capacity but no valid permit (not permitted: 1, expired: 1)"},
 			{Reason: waitGang, Count: 1, Detail: "tasks of the gang have no room: the workers with enough free capacity and a valid permit hold 4 of 5 tasks"},
 			{Reason: waitNext, Count: 2, Detail: "workers have enough free capacity for a task"},
 		}},
 		{"the workers with valid permits hold one task each of an exclusive gang", model.JobSpec{Policy: model.PolicyGang, Tasks: 3, Size: cores(1), Exclusive: true}, false, []Permit{valid("w000"), valid("w001")}, 0, []api.WhyNot{
-			{Reason: waitPermit, Count: 2, Detail: "workers have enough free capacity but no valid permit (never permitted: 2, expired: 0)"},
+			{Reason: waitPermit, Count: 2, Detail: "workers have enough free capacity but no valid permit (not permitted: 2, expired: 0)"},
 			{Reason: waitGang, Count: 1, Detail: "tasks of the gang have no room: the workers with enough free capacity and a valid permit hold 2 of 3 tasks"},
 			{Reason: waitNext, Count: 2, Detail: "workers have enough free capacity for a task"},
 		}},
 		{"the workers with valid permits hold the whole gang", model.JobSpec{Policy: model.PolicyGang, Tasks: 4, Size: cores(2)}, false, []Permit{valid("w000"), valid("w001"), valid("w002")}, 0, []api.WhyNot{
-			{Reason: waitPermit, Count: 1, Detail: "workers have enough free capacity but no valid permit (never permitted: 1, expired: 0)"},
+			{Reason: waitPermit, Count: 1, Detail: "workers have enough free capacity but no valid permit (not permitted: 1, expired: 0)"},
 			{Reason: waitNext, Count: 3, Detail: "workers have enough free capacity for a task"},
 		}},
 		{"a gang that needs no permit is larger than the free capacity", model.JobSpec{Policy: model.PolicyGang, Tasks: 10, Size: cores(2)}, true, nil, 0, []api.WhyNot{
--- a/internal/schedule/waitreason.go
+++ b/internal/schedule/waitreason.go
@@ -141,7 +141,7 @@
 // permits adds the workers for which the job has no valid permit.
 func (w *waitReasons) permits(n *workerCounts) {
 	without := n.byReason[waitPermit]
-	w.add(waitPermit, without, "workers have enough free capacity but no valid permit (never permitted: %d, expired: %d)", without-n.expired, n.expired)
+	w.add(waitPermit, without, "workers have enough free capacity but no valid permit (not permitted: %d, expired: %d)", without-n.expired, n.expired)
 }
 
 // gangRoom adds the tasks of a gang for which there is no room. A gang starts only as a
