Take the permits for a worker that was lost or has restarted from the scheduler

Cause, found by reading: the tracker forgot the permits of such a worker, but the scheduler kept them until the next answer about the job. A gang could be placed on the worker in its new incarnation, where its start was taken back for want of a permit, and with it all others. Change: the scheduler is given the remaining permits of each job that had one there.

--- a/internal/control/policy.go
+++ b/internal/control/policy.go
@@ -235,3 +235,10 @@
 	p.tracker.Invalidate(id, worker)
 	p.updateScheduler(id)
 }
+
+// forgetWorker drops the permits for a worker that was lost or has restarted.
+func (p *policy) forgetWorker(worker model.WorkerID) {
+	for _, id := range p.tracker.ForgetWorker(worker) {
+		p.updateScheduler(id)
+	}
+}
--- a/internal/control/polled.go
+++ b/internal/control/polled.go
@@ -129,13 +129,13 @@
 func (p *polledWorkers) workerChanged(e *state.WorkerChanged) {
 	if e.Mode == model.WorkerLost {
 		p.drop(e.Spec.ID)
-		p.l.policy.tracker.ForgetWorker(e.Spec.ID)
+		p.l.policy.forgetWorker(e.Spec.ID)
 		return
 	}
 	if pw := p.workers[e.Spec.ID]; pw != nil && pw.session == e.Session {
 		return
 	}
-	p.l.policy.tracker.ForgetWorker(e.Spec.ID)
+	p.l.policy.forgetWorker(e.Spec.ID)
 	p.l.c.log.Info("Worker announced itself.", "worker", e.Spec.ID, "address", e.Spec.Address, "incarnation", e.Spec.Incarnation,
 		"capacity", e.Spec.Capacity, "mode", e.Mode)
 	p.add(&e.Spec, e.Session, true)
--- a/internal/permit/tracker.go
+++ b/internal/permit/tracker.go
@@ -210,7 +210,9 @@
 	}
 	j.inFlight--
 	for _, w := range q.Workers {
-		j.workers[w] = j.workers[w] // queried, whether it is permitted or not
+		if _, queried := j.workers[w]; !queried {
+			j.workers[w] = workerState{}
+		}
 	}
 	until := now.Add(advice.Valid.Std() - placementMargin)
 	for _, p := range advice.Permits {
@@ -227,11 +229,17 @@
 }
 
 // ForgetWorker drops all permits of a worker that has restarted: they are void, and
-// the policy service must be queried about the worker again.
-func (t *Tracker) ForgetWorker(worker model.WorkerID) {
-	for _, j := range t.jobs {
+// the policy service must be queried about the worker again. It returns the jobs that
+// had a permit, in no order.
+func (t *Tracker) ForgetWorker(worker model.WorkerID) []model.JobID {
+	var out []model.JobID
+	for id, j := range t.jobs {
+		if j.workers[worker].permit != "" {
+			out = append(out, id)
+		}
 		delete(j.workers, worker)
 	}
+	return out
 }
 
 // Invalidate drops one permit that a worker rejected.
