--- a/internal/replica/freeze_test.go
+++ b/internal/replica/freeze_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -9,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/filbertmast/filbertmast/internal/replica/raft"
+	"github.com/filbertmast/filbertmast/internal/testwait"
 )
 
 // freeze blocks the loop of m, as in a stopped process, until the returned
@@ -64,7 +66,7 @@
 		passes time.Duration // time that passes on the clock of the leader during the freeze
 		leads  bool
 	}{
-		{name: "running clock: the lease has expired and the leader steps down before it reads its queue", passes: time.Minute},
+		{name: "running clock: the lease has expired and the leader steps down before it handles queued calls", passes: time.Minute},
 		{name: "stopped clock: the leader still trusts its lease", passes: 0, leads: true},
 	}
 	for _, row := range rows {
@@ -106,3 +108,67 @@
 	}
 	assert.NilError(t, m.waitFor(testContext(t), func() (bool, error) { return m.lease.acked, nil }))
 }
+
+// loseProcessor lets the loop of a leader send a heartbeat round, and then wait until the
+// round is acknowledged. Wait passes before and after the round on the clock.
+func loseProcessor(t *testing.T, leader *member, clock *fakeTime, wait time.Duration) {
+	t.Helper()
+	sent := make(chan uint64)
+	release := make(chan struct{})
+	leader.inbox.addCall(func() {
+		clock.advance(wait)
+		for range raft.DefaultHeartbeatTicks {
+			leader.tick()
+		}
+		leader.processReady()
+		sent <- leader.core.Seq()
+		<-release
+	})
+	seq := <-sent
+	testwait.Until(t, 10*time.Second, "queued acknowledgement", func() error { return leader.hasQueuedAck(seq) })
+	clock.advance(wait)
+	close(release)
+}
+
+// hasQueuedAck returns nil if an acknowledgement of a round waits in the inbox of m.
+func (m *member) hasQueuedAck(seq uint64) error {
+	m.inbox.mu.Lock()
+	defer m.inbox.mu.Unlock()
+	for _, r := range m.inbox.next.messages {
+		if r.msg.Seq >= seq {
+			return nil
+		}
+	}
+	return fmt.Errorf("no message of round %d", seq)
+}
+
+func TestQueuedAcknowledgementCountsBeforeQuorumTimeout(t *testing.T) {
+	rows := []struct {
+		name  string
+		ticks float64 // before and after the acknowledged round is sent
+		leads bool
+	}{
+		{name: "the acknowledged round is younger than the election timeout", ticks: 0.7 * raft.DefaultElectionTicks, leads: true},
+		{name: "the acknowledged round is older than the election timeout", ticks: 1.2 * raft.DefaultElectionTicks},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			options := groupOptions(3)
+			clock := &fakeTime{}
+			clock.advance(time.Hour)
+			ticker := time.NewTicker(5 * time.Millisecond)
+			defer ticker.Stop()
+			options[0].Now = clock.read
+			options[0].Ticks = ticker.C
+			group := startAll(t, newNetwork(), options)
+			leader := group[0]
+			awaitLeadership(t, leader, group...)
+			ticker.Stop()
+
+			loseProcessor(t, leader, clock, time.Duration(row.ticks*float64(leader.opts.Tick)))
+			role := raft.Follower
+			assert.NilError(t, leader.call(func() { role = leader.core.Role() }))
+			assert.Equal(t, role == raft.Leader, row.leads)
+		})
+	}
+}
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -32,10 +32,9 @@
 			n.failWaiters()
 			return
 		case <-ticks:
-			n.checkQuorumTimeout()
+			n.handle(n.inbox.take())
 			n.tick()
 		case <-n.inbox.wake:
-			n.checkQuorumTimeout()
 			n.handle(n.inbox.take())
 		}
 		n.processReady()
@@ -61,13 +60,16 @@
 	}
 }
 
-// checkQuorumTimeout makes a leader step down if no quorum has acknowledged a
-// round for an election timeout, measured by the clock. It runs before queued
-// messages are handled: after a freeze those may be outdated acknowledgements.
+// checkQuorumTimeout makes a leader step down if the newest round that a quorum has
+// acknowledged was sent more than an election timeout ago, measured by the clock. It
+// runs after queued messages, which may be acknowledgements, and before queued
+// proposals and calls. An acknowledgement that was queued during a freeze extends
+// nothing, since rounds count from when they were sent.
 func (n *Node) checkQuorumTimeout() {
 	if n.core.Role() != raft.Leader || n.core.Config().Voters() == 1 {
 		return
 	}
+	n.lease.record(n.core, n.opts.Now())
 	limit := n.opts.Tick * raft.DefaultElectionTicks
 	if n.opts.Now()-n.lease.quorumSentAt > limit {
 		n.logger.Warn("no quorum within the election timeout; leader steps down", "term", n.core.Term())
@@ -96,6 +98,7 @@
 	for _, c := range b.chunks {
 		n.receiveChunk(c)
 	}
+	n.checkQuorumTimeout()
 	n.proposeAll(b.proposals)
 	for _, call := range b.calls {
 		call()
