--- a/internal/control/policy.go
+++ b/internal/control/policy.go
@@ -27,9 +27,14 @@
 	l         *leader
 	tracker   *permit.Tracker
 	costs     map[model.JobID]model.PolicyCosts
-	balancer  *permit.Balancer // entries by inner address
-	inFlight  int              // queries in flight
+	answered  map[model.JobID]model.Time // when the last query of a job was answered
+	balancer  *permit.Balancer           // entries by inner address
+	inFlight  int                        // queries in flight
 	nextQuery model.Time
+	unsent    unsentQueries
+
+	takesLong bool // an entry can take a long query
+	longWaits bool // a long query has found no entry since the last check began
 }
 
 func newPolicy(l *leader) *policy {
@@ -37,7 +42,9 @@
 		l:        l,
 		tracker:  permit.NewTracker(),
 		costs:    map[model.JobID]model.PolicyCosts{},
+		answered: map[model.JobID]model.Time{},
 		balancer: permit.NewBalancer(),
+		unsent:   newUnsentQueries(l.c.s.metrics.policyUnsent),
 	}
 }
 
@@ -59,11 +66,16 @@
 func (p *policy) remove(id model.JobID) {
 	p.tracker.Remove(id)
 	delete(p.costs, id)
+	delete(p.answered, id)
 }
 
-// HasPendingTasks implements permit.Scheduler.
-func (p *policy) HasPendingTasks(id model.JobID) bool {
-	return p.pendingJob(id) != nil
+// Demand implements permit.Scheduler.
+func (p *policy) Demand(id model.JobID) permit.Demand {
+	j := p.pendingJob(id)
+	if j == nil {
+		return permit.Demand{}
+	}
+	return permit.Demand{Tasks: int64(j.Count(model.TaskPending)), AllAtOnce: j.Spec.Policy == model.PolicyGang}
 }
 
 // pendingJob returns the job if it has tasks to place, else nil.
@@ -76,27 +88,60 @@
 }
 
 // Candidates implements permit.Scheduler.
-func (p *policy) Candidates(id model.JobID) []model.WorkerID {
+func (p *policy) Candidates(id model.JobID) []schedule.Candidate {
 	return p.l.sched.Candidates(id)
 }
 
+// CanSend implements permit.Scheduler.
+func (p *policy) CanSend(id model.JobID) bool {
+	ok := p.takesLong || !permit.IsLong(p.costs[id].Base.Std())
+	p.longWaits = p.longWaits || !ok
+	return ok
+}
+
 // sendQueries sends the queries that are due to entries.
 func (p *policy) sendQueries(now model.Time) {
-	if now < p.nextQuery || p.inFlight >= maxQueries {
+	if now < p.nextQuery {
+		return
+	}
+	if p.inFlight >= maxQueries {
+		p.countUnsent(unsentInFlightLimit, now)
 		return
 	}
 	p.nextQuery = now.Add(queryInterval)
 	entries := p.entries(now)
-	if !p.balancer.Available(entries, now) {
-		return
+	switch {
+	case len(entries) == 0:
+		p.countUnsent(unsentNoEntry, now)
+	case !p.updateAvailable(entries, now):
+		p.countUnsent(unsentSaturated, now)
+	default:
+		p.sendTo(entries, now)
 	}
+}
+
+// sendTo sends the queries that are due to the given entries.
+func (p *policy) sendTo(entries []string, now model.Time) {
+	p.longWaits = false
 	p.tracker.EachDueQuery(now, p, func(q permit.Query) bool {
 		cost := p.cost(&q)
 		if entry, ok := p.balancer.Choose(entries, cost, now); ok {
 			p.send(&q, entry, cost)
+		} else {
+			p.longWaits = true // shorter ones can be sent
 		}
-		return p.inFlight < maxQueries && p.balancer.Available(entries, now)
+		return p.inFlight < maxQueries && p.updateAvailable(entries, now)
 	})
+	if p.longWaits && p.unsent.due(now) {
+		p.unsent.add(unsentLongQueries)
+	}
+}
+
+// updateAvailable determines which queries the entries can take, and reports whether
+// they can take any.
+func (p *policy) updateAvailable(entries []string, now model.Time) (anyQuery bool) {
+	anyQuery, p.takesLong = p.balancer.Available(entries, now)
+	return anyQuery
 }
 
 // cost returns the time that the policy service takes for a query.
@@ -119,6 +164,7 @@
 
 func (p *policy) send(q *permit.Query, entry string, cost time.Duration) {
 	p.inFlight++
+	p.l.c.s.metrics.policyInFlight.Inc()
 	p.tracker.MarkSent(q)
 	timeout := p.balancer.Begin(entry, cost)
 	s := p.l.c.s
@@ -127,8 +173,9 @@
 		defer cancel()
 		req := &proto.Advise{Step: q.Step, Workers: q.Workers}
 		advice, err := wire.Call[proto.Advise, workerclient.Advice](ctx, s.opts.Endpoint, entry, wire.KindPolicyQuery, req)
-		s.post(func(*core) {
+		s.post(workAdvice, func(*core) {
 			p.inFlight--
+			s.metrics.policyInFlight.Dec()
 			p.balancer.End(entry, cost, err == nil, s.now())
 			p.queryAnswered(q, advice, err)
 		})
@@ -144,11 +191,24 @@
 		return
 	}
 	p.l.c.s.metrics.policyQueries.WithLabelValues("ok").Inc()
+	if _, tracked := p.costs[q.Job]; tracked {
+		p.answered[q.Job] = now
+	}
 	p.tracker.ApplyAdvice(q, advice, now)
 	p.l.c.log.Debug("Workers permitted.", "workflow", q.Step.Workflow, "step", q.Step.Step, "asked", len(q.Workers), "good", len(advice.Permits))
 	p.updateScheduler(q.Job)
 }
 
+// sinceAnswer returns how long ago the last query of a job was answered, and "never"
+// if this leader has received no answer.
+func (p *policy) sinceAnswer(id model.JobID, now model.Time) string {
+	at, ok := p.answered[id]
+	if !ok {
+		return "never"
+	}
+	return now.Sub(at).String()
+}
+
 // updateScheduler passes the permits of a job to the scheduler.
 func (p *policy) updateScheduler(id model.JobID) {
 	grants := p.tracker.Permits(id)
--- a/internal/permit/tracker.go
+++ b/internal/permit/tracker.go
@@ -10,15 +10,22 @@
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/schedule"
 	"github.com/filbertmast/filbertmast/internal/workerclient"
 )
 
 const (
 	// MaxQueryWorkers bounds the workers in one query.
 	MaxQueryWorkers = 100
-	// maxRenewalWorkers bounds the workers in a query that renews permits, since a
-	// waiting job needs few workers.
-	maxRenewalWorkers = 12
+	// maxQueriesAtOnce bounds the queries about one job that are in flight. Different
+	// entries send them, so that the permits are valid at the same time.
+	maxQueriesAtOnce = 8
+	// minRenewalWorkers is the least number of workers in a query that renews permits,
+	// if as many are allowed.
+	minRenewalWorkers = 12
+	// roomFactorPercent is how much room a renewal covers, in percent of what the
+	// pending tasks need: other jobs take some of it before the response arrives.
+	roomFactorPercent = 150
 	// placementMargin is how long before its expiry a permit is no longer used for
 	// placements: the start must reach the worker while the permit is valid.
 	placementMargin = 250 * time.Millisecond
@@ -27,6 +34,9 @@
 	startMargin = 50 * time.Millisecond
 	// retryAfter is the time before a failed query is sent again.
 	retryAfter = 20 * time.Millisecond
+	// recheckAfter is the time before a job that needs no query is examined again,
+	// unless all of its permits end sooner.
+	recheckAfter = 250 * time.Millisecond
 )
 
 // Query asks which workers may run the tasks of a job.
@@ -47,9 +57,9 @@
 	step      workerclient.TaskName
 	startBy   model.Time // deadline of the start
 	queried   map[model.WorkerID]bool
-	allowed   []model.WorkerID
+	allowed   map[model.WorkerID]bool
 	tokens    map[model.WorkerID]token
-	inFlight  bool       // a query is in flight
+	inFlight  int        // queries in flight
 	nextQuery model.Time // earliest time of the next query
 }
 
@@ -67,7 +77,13 @@
 	if t.jobs[id] != nil {
 		return
 	}
-	t.jobs[id] = &jobPermits{step: step, startBy: startBy, queried: map[model.WorkerID]bool{}, tokens: map[model.WorkerID]token{}}
+	t.jobs[id] = &jobPermits{
+		step:    step,
+		startBy: startBy,
+		queried: map[model.WorkerID]bool{},
+		allowed: map[model.WorkerID]bool{},
+		tokens:  map[model.WorkerID]token{},
+	}
 	at, _ := slices.BinarySearchFunc(t.byDeadline, id, t.compare)
 	t.byDeadline = slices.Insert(t.byDeadline, at, id)
 }
@@ -86,13 +102,20 @@
 	t.byDeadline = slices.DeleteFunc(t.byDeadline, func(o model.JobID) bool { return o == id })
 }
 
+// Demand is what a job waits to place.
+type Demand struct {
+	Tasks     int64 // pending tasks
+	AllAtOnce bool  // the tasks are placed together or not at all
+}
+
 // Scheduler is what the Tracker needs to know of the jobs and workers.
 type Scheduler interface {
-	// HasPendingTasks reports whether the job has tasks to place.
-	HasPendingTasks(model.JobID) bool
-	// Candidates returns the workers that the job's selectors match, those with
-	// the most free capacity first.
-	Candidates(model.JobID) []model.WorkerID
+	// Demand returns what the job has to place; no tasks if it has none.
+	Demand(model.JobID) Demand
+	// Candidates returns the workers that the job's selectors match, in any order.
+	Candidates(model.JobID) []schedule.Candidate
+	// CanSend reports whether a query for the job, which is due, can be sent now.
+	CanSend(model.JobID) bool
 }
 
 // EachDueQuery calls send for each query that is due at now, until send returns
@@ -107,57 +130,49 @@
 	})
 	for _, jobs := range [][]model.JobID{t.byDeadline[onTime:], t.byDeadline[:onTime]} {
 		for _, id := range jobs {
-			if q, ok := t.dueQuery(id, now, scheduler); ok && !send(q) {
-				return
+			for _, q := range t.dueQueries(id, now, scheduler) {
+				if !send(q) {
+					return
+				}
 			}
 		}
 	}
 }
 
-// dueQuery returns the query of a job that is due at now, if there is one.
-func (t *Tracker) dueQuery(id model.JobID, now model.Time, scheduler Scheduler) (Query, bool) {
+// dueQueries returns the queries of a job that are due at now.
+func (t *Tracker) dueQueries(id model.JobID, now model.Time, scheduler Scheduler) []Query {
 	j := t.jobs[id]
-	if j.inFlight || now < j.nextQuery || j.hasValidPermit(now) || !scheduler.HasPendingTasks(id) {
-		return Query{}, false
+	if j.inFlight > 0 || now < j.nextQuery {
+		return nil
 	}
-	workers := j.selectWorkers(scheduler.Candidates(id))
-	return Query{Job: id, Step: j.step, Workers: workers}, len(workers) > 0
-}
-
-// MarkSent records that a query is in flight.
-func (t *Tracker) MarkSent(q *Query) {
-	if j := t.jobs[q.Job]; j != nil {
-		j.inFlight = true
+	demand := scheduler.Demand(id)
+	if demand.Tasks == 0 || !scheduler.CanSend(id) {
+		return nil
+	}
+	o := j.options(scheduler.Candidates(id), now)
+	if !o.queryHelps(demand) {
+		j.nextQuery = o.recheckAt(now)
+		return nil
 	}
+	return j.split(id, o.selectWorkers(demand))
 }
 
-// hasValidPermit reports whether any permit can be used for a placement at now.
-func (j *jobPermits) hasValidPermit(now model.Time) bool {
-	for _, t := range j.tokens {
-		if now < t.until {
-			return true
-		}
+// split divides the workers to query about evenly among as few queries as possible.
+func (j *jobPermits) split(id model.JobID, workers []model.WorkerID) []Query {
+	var out []Query
+	for left := (len(workers) + MaxQueryWorkers - 1) / MaxQueryWorkers; left > 0; left-- {
+		n := (len(workers) + left - 1) / left
+		out = append(out, Query{Job: id, Step: j.step, Workers: workers[:n]})
+		workers = workers[n:]
 	}
-	return false
+	return out
 }
 
-// selectWorkers returns the workers to query. If at least one candidate is known
-// to be allowed and fewer than maxRenewalWorkers have not been queried yet, these
-// are the allowed ones with the most free capacity; otherwise those not queried yet.
-func (j *jobPermits) selectWorkers(candidates []model.WorkerID) []model.WorkerID {
-	var fresh, known []model.WorkerID
-	for _, w := range candidates {
-		switch {
-		case !j.queried[w]:
-			fresh = append(fresh, w)
-		case slices.Contains(j.allowed, w):
-			known = append(known, w)
-		}
-	}
-	if len(known) > 0 && len(fresh) < maxRenewalWorkers {
-		return known[:min(len(known), maxRenewalWorkers)]
+// MarkSent records that a query is in flight.
+func (t *Tracker) MarkSent(q *Query) {
+	if j := t.jobs[q.Job]; j != nil {
+		j.inFlight++
 	}
-	return fresh[:min(len(fresh), MaxQueryWorkers)]
 }
 
 // ApplyAdvice records the response to a query, received at now.
@@ -166,23 +181,21 @@
 	if j == nil {
 		return
 	}
-	j.inFlight = false
+	j.inFlight--
 	for _, w := range q.Workers {
 		j.queried[w] = true
 	}
 	until := now.Add(advice.Valid.Std() - placementMargin)
 	for _, p := range advice.Permits {
 		j.tokens[p.Worker] = token{value: p.Token, until: until}
-		if !slices.Contains(j.allowed, p.Worker) {
-			j.allowed = append(j.allowed, p.Worker)
-		}
+		j.allowed[p.Worker] = true
 	}
 }
 
 // MarkFailed records that a query failed, so that it is sent again after retryAfter.
 func (t *Tracker) MarkFailed(q *Query, now model.Time) {
 	if j := t.jobs[q.Job]; j != nil {
-		j.inFlight = false
+		j.inFlight--
 		j.nextQuery = now.Add(retryAfter)
 	}
 }
@@ -193,7 +206,7 @@
 	for _, j := range t.jobs {
 		delete(j.tokens, worker)
 		delete(j.queried, worker)
-		j.allowed = slices.DeleteFunc(j.allowed, func(w model.WorkerID) bool { return w == worker })
+		delete(j.allowed, worker)
 	}
 }
 
@@ -220,17 +233,15 @@
 	Until  model.Time
 }
 
-// Permits returns the permits of a job, by worker; expired ones are included.
+// Permits returns the permits of a job, in no order; expired ones are included.
 func (t *Tracker) Permits(id model.JobID) []Grant {
 	j := t.jobs[id]
 	if j == nil {
 		return nil
 	}
 	out := make([]Grant, 0, len(j.tokens))
-	for _, w := range j.allowed {
-		if token, ok := j.tokens[w]; ok {
-			out = append(out, Grant{w, token.until})
-		}
+	for w, token := range j.tokens {
+		out = append(out, Grant{w, token.until})
 	}
 	return out
 }
@@ -238,3 +249,28 @@
 // Jobs returns the jobs that need permits, the earliest deadline first. The caller
 // must not change the slice.
 func (t *Tracker) Jobs() []model.JobID { return t.byDeadline }
+
+// Status counts the permits of a job at a time.
+type Status struct {
+	Known    int  // permits, expired ones included
+	Valid    int  // permits that can be used for a placement
+	Allowed  int  // workers that the policy service has allowed
+	Queried  int  // workers about which the policy service has been queried
+	InFlight bool // a query is in flight
+}
+
+// Status returns the permits of a job at now. It returns the zero Status if the job is
+// not tracked.
+func (t *Tracker) Status(id model.JobID, now model.Time) Status {
+	j := t.jobs[id]
+	if j == nil {
+		return Status{}
+	}
+	st := Status{Known: len(j.tokens), Allowed: len(j.allowed), Queried: len(j.queried), InFlight: j.inFlight > 0}
+	for _, token := range j.tokens {
+		if now < token.until {
+			st.Valid++
+		}
+	}
+	return st
+}
--- a/internal/schedule/permit_test.go
+++ b/internal/schedule/permit_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/filbertmast/filbertmast/internal/api"
 	"github.com/filbertmast/filbertmast/internal/model"
 )
 
@@ -52,6 +53,68 @@
 	assert.Equal(t, len(c.plan().Placements), 1)
 }
 
+func TestWaitReasonsCountsWorkersWithoutValidPermit(t *testing.T) {
+	valid := func(w model.WorkerID) Permit { return Permit{Worker: w, Until: newCell().now + 1} }
+	expired := func(w model.WorkerID) Permit { return Permit{Worker: w, Until: newCell().now} }
+	rows := []struct {
+		name     string
+		spec     model.JobSpec
+		ungated  bool
+		permits  []Permit
+		occupied int32 // workers that another job fills
+		want     []api.WhyNot
+	}{
+		{"workers were never permitted", model.JobSpec{Tasks: 1, Size: cores(2)}, false, nil, 0, []api.WhyNot{
+			{Reason: waitPermit, Count: 4, Detail: "workers have enough free capacity but no valid permit (never permitted: 4, expired: 0)"},
+		}},
+		{"permits have expired", model.JobSpec{Tasks: 1, Size: cores(2)}, false, []Permit{expired("w000"), expired("w001"), expired("w002")}, 0, []api.WhyNot{
+			{Reason: waitPermit, Count: 4, Detail: "workers have enough free capacity but no valid permit (never permitted: 1, expired: 3)"},
+		}},
+		{"a worker with a valid permit has room", model.JobSpec{Tasks: 1, Size: cores(2)}, false, []Permit{valid("w000"), expired("w001")}, 0, []api.WhyNot{
+			{Reason: waitPermit, Count: 3, Detail: "workers have enough free capacity but no valid permit (never permitted: 2, expired: 1)"},
+			{Reason: waitNext, Count: 1, Detail: "workers have enough free capacity for a task"},
+		}},
+		{"full workers count as full, whatever their permits", model.JobSpec{Tasks: 1, Size: cores(2)}, false, nil, 4, []api.WhyNot{
+			{Reason: waitShare, Count: 4, Detail: "workers have too little free capacity; team a uses 100% of its share"},
+		}},
+		{"the workers with valid permits hold too few tasks of a gang", model.JobSpec{Policy: model.PolicyGang, Tasks: 5, Size: cores(2)}, false, []Permit{valid("w000"), valid("w001"), expired("w002")}, 0, []api.WhyNot{
+			{Reason: waitPermit, Count: 2, Detail: "workers have enough free capacity but no valid permit (never permitted: 1, expired: 1)"},
+			{Reason: waitGang, Count: 1, Detail: "tasks of the gang have no room: the workers with enough free capacity and a valid permit hold 4 of 5 tasks"},
+			{Reason: waitNext, Count: 2, Detail: "workers have enough free capacity for a task"},
+		}},
+		{"the workers with valid permits hold one task each of an exclusive gang", model.JobSpec{Policy: model.PolicyGang, Tasks: 3, Size: cores(1), Exclusive: true}, false, []Permit{valid("w000"), valid("w001")}, 0, []api.WhyNot{
+			{Reason: waitPermit, Count: 2, Detail: "workers have enough free capacity but no valid permit (never permitted: 2, expired: 0)"},
+			{Reason: waitGang, Count: 1, Detail: "tasks of the gang have no room: the workers with enough free capacity and a valid permit hold 2 of 3 tasks"},
+			{Reason: waitNext, Count: 2, Detail: "workers have enough free capacity for a task"},
+		}},
+		{"the workers with valid permits hold the whole gang", model.JobSpec{Policy: model.PolicyGang, Tasks: 4, Size: cores(2)}, false, []Permit{valid("w000"), valid("w001"), valid("w002")}, 0, []api.WhyNot{
+			{Reason: waitPermit, Count: 1, Detail: "workers have enough free capacity but no valid permit (never permitted: 1, expired: 0)"},
+			{Reason: waitNext, Count: 3, Detail: "workers have enough free capacity for a task"},
+		}},
+		{"a gang that needs no permit is larger than the free capacity", model.JobSpec{Policy: model.PolicyGang, Tasks: 10, Size: cores(2)}, true, nil, 0, []api.WhyNot{
+			{Reason: waitGang, Count: 2, Detail: "tasks of the gang have no room: the workers with enough free capacity hold 8 of 10 tasks"},
+			{Reason: waitNext, Count: 4, Detail: "workers have enough free capacity for a task"},
+		}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			c := newCell()
+			c.workers(4, cores(4))
+			if row.occupied > 0 {
+				c.job(model.JobSpec{Tasks: row.occupied, Size: cores(4)})
+				c.plan()
+			}
+			submit := c.jobNeedingPermit
+			if row.ungated {
+				submit = c.job
+			}
+			id := submit(row.spec)
+			c.s.Apply(JobPermitsChanged{ID: id, Permits: row.permits})
+			assert.DeepEqual(t, c.s.WaitReasons(id, c.now), row.want)
+		})
+	}
+}
+
 // A job that waits for its permit must not block another job of the same group.
 func TestJobWithoutPermitDoesNotBlockOthers(t *testing.T) {
 	c := newCell()
@@ -88,6 +151,18 @@
 	assert.Equal(t, len(c.plan().Failures), 0)
 }
 
+func TestLateJobsCountsJobsThatWaitPastTheirPromisedStart(t *testing.T) {
+	c := newCell()
+	c.workers(1, cores(4))
+	c.job(model.JobSpec{Tasks: 1, Size: cores(4), Patience: model.Duration(time.Second)})
+	c.plan()
+	c.job(model.JobSpec{Tasks: 1, Size: cores(4), Patience: model.Duration(time.Second)})
+	c.job(model.JobSpec{Tasks: 1, Size: cores(4), Patience: hour})
+	promised := c.now.Add(time.Second)
+	assert.Equal(t, c.s.LateJobs(promised), 0)
+	assert.Equal(t, c.s.LateJobs(promised+1), 1, "the first job runs, the last one has time")
+}
+
 // Twice the capacity of the cell is submitted for 20 s, then nothing. Each job
 // runs for 1 s and is in time if it starts within 2 s. Ordering by promised start
 // alone makes nearly all jobs late; the test compares it with ordering by promised
@@ -129,3 +204,29 @@
 	t.Logf("in time: %d ordered by promised start alone, %d with LateShift", withoutShift, withShift)
 	assert.Assert(t, withShift >= 2*withoutShift)
 }
+
+func TestCandidatesReportRoomForTasks(t *testing.T) {
+	c := newCell()
+	c.worker("empty", "d0", "r0", cores(8), nil)
+	c.worker("small", "d0", "r0", cores(1), nil)
+	c.worker("partly", "d0", "r0", cores(9), nil)
+	c.job(model.JobSpec{Tasks: 1, Size: cores(5)})
+	assert.Equal(t, c.plan().Placements[0].Worker, model.WorkerID("empty"), "the tightest")
+	for _, row := range []struct {
+		name string
+		spec model.JobSpec
+		want map[model.WorkerID]int64
+	}{
+		{"as many as fit", model.JobSpec{Tasks: 9, Size: cores(3)}, map[model.WorkerID]int64{"empty": 1, "partly": 3}},
+		{"one each of an exclusive job", model.JobSpec{Tasks: 9, Size: cores(3), Exclusive: true}, map[model.WorkerID]int64{"empty": 1, "partly": 1}},
+		{"none on a full worker", model.JobSpec{Tasks: 9, Size: cores(4)}, map[model.WorkerID]int64{"empty": 0, "partly": 2}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			got := map[model.WorkerID]int64{}
+			for _, w := range c.s.Candidates(c.jobNeedingPermit(row.spec)) {
+				got[w.Worker] = w.Room
+			}
+			assert.DeepEqual(t, got, row.want)
+		})
+	}
+}
