--- a/internal/permit/tracker.go
+++ b/internal/permit/tracker.go
@@ -34,8 +34,8 @@
 	startMargin = 50 * time.Millisecond
 	// retryAfter is the time before a failed query is sent again.
 	retryAfter = 20 * time.Millisecond
-	// recheckAfter is the time before a job that needs no query is examined again,
-	// unless all of its permits end sooner.
+	// recheckAfter is the time before a job whose tasks start together and that needs no
+	// query is examined again, unless all of its permits end sooner.
 	recheckAfter = 250 * time.Millisecond
 )
 
@@ -50,22 +50,26 @@
 type Tracker struct {
 	jobs       map[model.JobID]*jobPermits
 	byDeadline []model.JobID // earliest deadline for the start first
+	waiting    []*jobPermits // jobs that may have tasks to place, in the same order
 }
 
 // jobPermits are the permits and queries of one job.
 type jobPermits struct {
+	id        model.JobID
 	step      workerclient.TaskName
-	startBy   model.Time // deadline of the start
-	queried   map[model.WorkerID]bool
-	allowed   map[model.WorkerID]bool
-	tokens    map[model.WorkerID]token
-	inFlight  int        // queries in flight
-	nextQuery model.Time // earliest time of the next query
+	startBy   model.Time                     // deadline of the start
+	workers   map[model.WorkerID]workerState // that the policy service was queried about
+	inFlight  int                            // queries in flight
+	nextQuery model.Time                     // earliest time of the next query
+	idle      bool                           // all tasks are placed
 }
 
-type token struct {
-	value string
-	until model.Time
+// workerState is what is known of one worker for a job. A permit that the worker has
+// rejected is empty.
+type workerState struct {
+	allowed bool // the policy service permits the worker
+	permit  string
+	until   model.Time // end of the permit
 }
 
 // NewTracker returns an empty Tracker.
@@ -77,20 +81,34 @@
 	if t.jobs[id] != nil {
 		return
 	}
-	t.jobs[id] = &jobPermits{
-		step:    step,
-		startBy: startBy,
-		queried: map[model.WorkerID]bool{},
-		allowed: map[model.WorkerID]bool{},
-		tokens:  map[model.WorkerID]token{},
-	}
-	at, _ := slices.BinarySearchFunc(t.byDeadline, id, t.compare)
+	j := &jobPermits{id: id, step: step, startBy: startBy, workers: map[model.WorkerID]workerState{}}
+	t.jobs[id] = j
+	at, _ := slices.BinarySearchFunc(t.byDeadline, j, func(id model.JobID, j *jobPermits) int { return compareJobs(t.jobs[id], j) })
 	t.byDeadline = slices.Insert(t.byDeadline, at, id)
+	t.addWaiting(j)
+}
+
+// compareJobs orders jobs by the deadline of their start, then by age.
+func compareJobs(a, b *jobPermits) int {
+	if a.startBy != b.startBy {
+		return cmp.Compare(a.startBy, b.startBy)
+	}
+	return cmp.Compare(a.id, b.id)
+}
+
+func (t *Tracker) addWaiting(j *jobPermits) {
+	if at, found := slices.BinarySearchFunc(t.waiting, j, compareJobs); !found {
+		t.waiting = slices.Insert(t.waiting, at, j)
+	}
 }
 
-// compare orders jobs by the deadline of their start, then by age.
-func (t *Tracker) compare(a, b model.JobID) int {
-	return cmp.Or(cmp.Compare(t.jobs[a].startBy, t.jobs[b].startBy), cmp.Compare(a, b))
+// Wake records that a job may have tasks to place again. A job that had none is not
+// examined before.
+func (t *Tracker) Wake(id model.JobID) {
+	if j := t.jobs[id]; j != nil && j.idle {
+		j.idle = false
+		t.addWaiting(j)
+	}
 }
 
 // Remove removes a job and its permits.
@@ -99,6 +117,7 @@
 		return
 	}
 	delete(t.jobs, id)
+	t.waiting = slices.DeleteFunc(t.waiting, func(j *jobPermits) bool { return j.id == id })
 	t.byDeadline = slices.DeleteFunc(t.byDeadline, func(o model.JobID) bool { return o == id })
 }
 
@@ -112,7 +131,8 @@
 type Scheduler interface {
 	// Demand returns what the job has to place; no tasks if it has none.
 	Demand(model.JobID) Demand
-	// Candidates returns the workers that the job's selectors match, in any order.
+	// Candidates returns the workers that the job's selectors match, in any order. The
+	// result is valid until the next call.
 	Candidates(model.JobID) []schedule.Candidate
 	// CanSend reports whether a query for the job, which is due, can be sent now.
 	CanSend(model.JobID) bool
@@ -125,12 +145,13 @@
 // queries for short jobs, which need a response at once, do not queue behind those
 // for jobs that are late or have time.
 func (t *Tracker) EachDueQuery(now model.Time, scheduler Scheduler, send func(Query) bool) {
-	onTime, _ := slices.BinarySearchFunc(t.byDeadline, now, func(id model.JobID, now model.Time) int {
-		return cmp.Compare(t.jobs[id].startBy, now)
+	defer t.dropIdle()
+	onTime, _ := slices.BinarySearchFunc(t.waiting, now, func(j *jobPermits, now model.Time) int {
+		return cmp.Compare(j.startBy, now)
 	})
-	for _, jobs := range [][]model.JobID{t.byDeadline[onTime:], t.byDeadline[:onTime]} {
-		for _, id := range jobs {
-			for _, q := range t.dueQueries(id, now, scheduler) {
+	for _, jobs := range [][]*jobPermits{t.waiting[onTime:], t.waiting[:onTime]} {
+		for _, j := range jobs {
+			for _, q := range j.dueQueries(now, scheduler) {
 				if !send(q) {
 					return
 				}
@@ -139,30 +160,36 @@
 	}
 }
 
+// dropIdle removes the jobs whose tasks are all placed from those that wait.
+func (t *Tracker) dropIdle() {
+	t.waiting = slices.DeleteFunc(t.waiting, func(j *jobPermits) bool { return j.idle })
+}
+
 // dueQueries returns the queries of a job that are due at now.
-func (t *Tracker) dueQueries(id model.JobID, now model.Time, scheduler Scheduler) []Query {
-	j := t.jobs[id]
+func (j *jobPermits) dueQueries(now model.Time, scheduler Scheduler) []Query {
 	if j.inFlight > 0 || now < j.nextQuery {
 		return nil
 	}
-	demand := scheduler.Demand(id)
-	if demand.Tasks == 0 || !scheduler.CanSend(id) {
+	demand := scheduler.Demand(j.id)
+	j.idle = demand.Tasks == 0
+	if j.idle || !scheduler.CanSend(j.id) {
 		return nil
 	}
-	o := j.options(scheduler.Candidates(id), now)
-	if !o.queryHelps(demand) {
-		j.nextQuery = o.recheckAt(now)
+	candidates := scheduler.Candidates(j.id)
+	r := j.roomOn(candidates, now)
+	if !r.queryHelps(demand) {
+		j.nextQuery = r.recheckAt(demand, now)
 		return nil
 	}
-	return j.split(id, o.selectWorkers(demand))
+	return j.split(j.selectWorkers(candidates, r, demand))
 }
 
 // split divides the workers to query about evenly among as few queries as possible.
-func (j *jobPermits) split(id model.JobID, workers []model.WorkerID) []Query {
+func (j *jobPermits) split(workers []model.WorkerID) []Query {
 	var out []Query
 	for left := (len(workers) + MaxQueryWorkers - 1) / MaxQueryWorkers; left > 0; left-- {
 		n := (len(workers) + left - 1) / left
-		out = append(out, Query{Job: id, Step: j.step, Workers: workers[:n]})
+		out = append(out, Query{Job: j.id, Step: j.step, Workers: workers[:n]})
 		workers = workers[n:]
 	}
 	return out
@@ -183,12 +210,13 @@
 	}
 	j.inFlight--
 	for _, w := range q.Workers {
-		j.queried[w] = true
+		if _, queried := j.workers[w]; !queried {
+			j.workers[w] = workerState{}
+		}
 	}
 	until := now.Add(advice.Valid.Std() - placementMargin)
 	for _, p := range advice.Permits {
-		j.tokens[p.Worker] = token{value: p.Token, until: until}
-		j.allowed[p.Worker] = true
+		j.workers[p.Worker] = workerState{allowed: true, permit: p.Token, until: until}
 	}
 }
 
@@ -201,19 +229,23 @@
 }
 
 // ForgetWorker drops all permits of a worker that has restarted: they are void, and
-// the policy service must be queried about the worker again.
-func (t *Tracker) ForgetWorker(worker model.WorkerID) {
-	for _, j := range t.jobs {
-		delete(j.tokens, worker)
-		delete(j.queried, worker)
-		delete(j.allowed, worker)
+// the policy service must be queried about the worker again. It returns the jobs that
+// had a permit, in no order.
+func (t *Tracker) ForgetWorker(worker model.WorkerID) []model.JobID {
+	var out []model.JobID
+	for id, j := range t.jobs {
+		if j.workers[worker].permit != "" {
+			out = append(out, id)
+		}
+		delete(j.workers, worker)
 	}
+	return out
 }
 
 // Invalidate drops one permit that a worker rejected.
 func (t *Tracker) Invalidate(id model.JobID, worker model.WorkerID) {
-	if j := t.jobs[id]; j != nil {
-		delete(j.tokens, worker)
+	if j := t.jobs[id]; j != nil && j.workers[worker].allowed {
+		j.workers[worker] = workerState{allowed: true}
 	}
 }
 
@@ -221,10 +253,14 @@
 // at now to start a task.
 func (t *Tracker) Token(id model.JobID, worker model.WorkerID, now model.Time) string {
 	j := t.jobs[id]
-	if j == nil || now >= j.tokens[worker].until.Add(placementMargin-startMargin) {
+	if j == nil {
 		return ""
 	}
-	return j.tokens[worker].value
+	w := j.workers[worker]
+	if now >= w.until.Add(placementMargin-startMargin) {
+		return ""
+	}
+	return w.permit
 }
 
 // Grant is a permit to place tasks on a worker until a time.
@@ -239,9 +275,11 @@
 	if j == nil {
 		return nil
 	}
-	out := make([]Grant, 0, len(j.tokens))
-	for w, token := range j.tokens {
-		out = append(out, Grant{w, token.until})
+	var out []Grant
+	for id, w := range j.workers {
+		if w.permit != "" {
+			out = append(out, Grant{id, w.until})
+		}
 	}
 	return out
 }
@@ -266,9 +304,15 @@
 	if j == nil {
 		return Status{}
 	}
-	st := Status{Known: len(j.tokens), Allowed: len(j.allowed), Queried: len(j.queried), InFlight: j.inFlight > 0}
-	for _, token := range j.tokens {
-		if now < token.until {
+	st := Status{Queried: len(j.workers), InFlight: j.inFlight > 0}
+	for _, w := range j.workers {
+		if w.allowed {
+			st.Allowed++
+		}
+		if w.permit != "" {
+			st.Known++
+		}
+		if now < w.until {
 			st.Valid++
 		}
 	}
--- a/internal/permit/tracker_test.go
+++ b/internal/permit/tracker_test.go
@@ -86,8 +86,12 @@
 	scheduler.idle[1] = true
 	assert.Equal(t, len(sendQueries(tracker, 1, scheduler, 9)), 0)
 	scheduler.idle[1] = false
+	tracker.Wake(1)
+	q := sendQueries(tracker, 2, scheduler, 9)
+	assert.Equal(t, len(q), 1)
+	tracker.MarkFailed(&q[0], 2)
 	tracker.Remove(1)
-	assert.Equal(t, len(sendQueries(tracker, 2, scheduler, 9)), 0)
+	assert.Equal(t, len(sendQueries(tracker, 1000, scheduler, 9)), 0)
 }
 
 func TestFailedQueryIsRetried(t *testing.T) {
@@ -116,7 +120,8 @@
 	tracker.Add(1, workerclient.TaskName{}, 0)
 	q := sendQueries(tracker, 1000, scheduler, 9)
 	tracker.ApplyAdvice(&q[0], adviceOf(time.Minute, "w00"), 1000)
-	tracker.ForgetWorker("w00")
+	assert.DeepEqual(t, tracker.ForgetWorker("w00"), []model.JobID{1})
+	assert.Equal(t, len(tracker.ForgetWorker("w00")), 0)
 	assert.Equal(t, tracker.Token(1, "w00", 1001), "")
 	assert.Equal(t, len(tracker.Permits(1)), 0)
 	assert.Equal(t, len(sendQueries(tracker, 1001, scheduler, 9)), 1)
