Let the failover test fail an entry only once every worker runs a task

Seen: on a busy machine the case "an entry dies and its workers move to another" of TestNoTaskRunsOnTwoWorkersDuringLeaseFailures waited until its timeout. Cause, in the test: the leader of the test placed all tasks on the first worker that announced itself. Every task could run, and the entry was stopped, before the other workers had the answer to their announcement. They announced themselves again through the other entry, which is right. The wait demanded sessions of the first three announcements, so it could not end. Mend: the leader places tasks only once all workers have announced themselves, so each has two, and a started task shows that its worker has its session. Sessions are compared with those just before the failure instead of the number of workers. As strict: the case passes only if every worker renews through the other entry with the session it had and no task starts again. A new announcement now fails the test at once instead of leaving it waiting; the case of the new leader checks this as well. The workers that move now always have tasks, which they had only by chance before.

--- a/internal/session/failover_test.go
+++ b/internal/session/failover_test.go
@@ -51,6 +51,7 @@
 	fence    uint64
 	sessions map[model.WorkerID]testSession
 	tasks    map[model.TaskID]*testTask
+	complete bool // every worker has announced itself; no task is placed before
 	changed  chan struct{}
 }
 
@@ -126,7 +127,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	fn()
-	l.place()
+	l.complete = l.complete || len(l.sessions) == workerCount
+	if l.complete {
+		l.place()
+	}
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
@@ -424,12 +428,23 @@
 	return n
 }
 
+// sessionNumbers returns the session of every worker.
+func (l *testLeader) sessionNumbers() map[model.WorkerID]uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[model.WorkerID]uint64)
+	for id, s := range l.sessions {
+		out[id] = s.number
+	}
+	return out
+}
+
 // allMoved reports whether every worker has either renewed through the given
-// entry or, unless sameSession is set, announced itself again. l.mu is held.
-func (l *testLeader) allMoved(to *testEntry, sameSession bool) bool {
-	for _, s := range l.sessions {
-		renewed := s.number > workerCount
-		if renewed && sameSession || !renewed && s.entry != to.endpoint.Address() {
+// entry or announced itself again since it had the session in before. l.mu is
+// held.
+func (l *testLeader) allMoved(to *testEntry, before map[model.WorkerID]uint64) bool {
+	for id, s := range l.sessions {
+		if s.number == before[id] && s.entry != to.endpoint.Address() {
 			return false
 		}
 	}
@@ -449,32 +464,33 @@
 }
 
 func TestNoTaskRunsOnTwoWorkersDuringLeaseFailures(t *testing.T) {
-	type failure func(l *testLeader, a, b *testEntry) (heal func(), recovered func() bool)
+	type sessions = map[model.WorkerID]uint64
+	type failure func(l *testLeader, a, b *testEntry, before sessions) (heal func(), recovered func() bool)
 	for name, row := range map[string]struct {
 		fail      failure
-		tasksStay bool // no task is stopped or started again
+		tasksStay bool // no worker announces itself again, and no task is started again
 	}{
-		"an entry dies and its workers move to another": {func(l *testLeader, a, b *testEntry) (func(), func() bool) {
+		"an entry dies and its workers move to another": {func(l *testLeader, a, b *testEntry, before sessions) (func(), func() bool) {
 			a.CloseClientConnections()
 			a.Listener.Close()
 			a.endpoint.Close()
-			return func() {}, func() bool { return l.allMoved(b, true) }
+			return func() {}, func() bool { return l.allMoved(b, before) }
 		}, true},
-		"a new leader knows of no renewals": {func(l *testLeader, _, _ *testEntry) (func(), func() bool) {
+		"a new leader knows of no renewals": {func(l *testLeader, _, _ *testEntry, _ sessions) (func(), func() bool) {
 			l.beginTerm()
 			end := l.now().Add(testLease + testDrift + 2*testTick)
 			return func() {}, func() bool { return l.now() > end }
 		}, true},
-		"an entry is partitioned from the leader in both directions": {func(l *testLeader, a, b *testEntry) (func(), func() bool) {
+		"an entry is partitioned from the leader in both directions": {func(l *testLeader, a, b *testEntry, before sessions) (func(), func() bool) {
 			a.faults.Partition(l.endpoint.Address())
-			return a.faults.Heal, func() bool { return l.allMoved(b, false) }
+			return a.faults.Heal, func() bool { return l.allMoved(b, before) }
 		}, false},
-		"an entry is partitioned from the leader in one direction": {func(l *testLeader, a, b *testEntry) (func(), func() bool) {
+		"an entry is partitioned from the leader in one direction": {func(l *testLeader, a, b *testEntry, before sessions) (func(), func() bool) {
 			a.faults.DropFrom(l.endpoint.Address())
-			return a.faults.Heal, func() bool { return l.allMoved(b, false) }
+			return a.faults.Heal, func() bool { return l.allMoved(b, before) }
 		}, false},
-		"an entry freezes and resumes after the leases expired": {func(l *testLeader, a, b *testEntry) (func(), func() bool) {
-			return a.freeze(), func() bool { return l.allMoved(b, false) }
+		"an entry freezes and resumes after the leases expired": {func(l *testLeader, a, b *testEntry, before sessions) (func(), func() bool) {
+			return a.freeze(), func() bool { return l.allMoved(b, before) }
 		}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -483,14 +499,15 @@
 			a, b := newTestEntry(t, "a", l), newTestEntry(t, "b", l)
 			path := startWorkers(t, a.URL, b.URL)
 			l.waitRunning(func() bool { return len(l.sessions) == workerCount })
-			before := countStarts(t, path)
-			heal, recovered := row.fail(l, a, b)
+			starts, before := countStarts(t, path), l.sessionNumbers()
+			heal, recovered := row.fail(l, a, b, before)
 			t.Cleanup(heal)
 			l.waitRunning(recovered)
 			heal()
 			l.waitRunning(func() bool { return len(l.sessions) == workerCount })
 			if row.tasksStay {
-				assert.Equal(t, countStarts(t, path), before)
+				assert.DeepEqual(t, l.sessionNumbers(), before)
+				assert.Equal(t, countStarts(t, path), starts)
 			}
 			events, err := standin.ReadHistory(path)
 			assert.NilError(t, err)
