Read on after a failed write, so that a slot becomes free when its executor ends

Seen: after a caller left between the headers and the body of its request, the slot stayed taken until the deadline plus Linger, and the next request was told "no executor slot became free in time". The same happens if a body breaks off. Cause: an abandoned exchange closes its connection for writing, so the write of the body fails. http.Transport then closes the whole connection, and the end of the executor can no longer be seen. Mend: an exchange holds its connection. While it does, Close only closes it for writing, and the exchange reads on until the executor closes its end, at most until the deadline plus Linger as before. The connection is closed when the slot is released. Errors and their kinds are unchanged.

--- a/internal/route/conn.go
+++ b/internal/route/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -16,8 +17,23 @@
 	net.Conn
 	written     atomic.Int64
 	writeClosed atomic.Bool // closed for writing
-	peerClosed  atomic.Bool // the target has closed the connection
 	sendLimit   atomic.Pointer[sendLimit]
+
+	peerClosed     chan struct{} // closed once the target has closed the connection
+	markPeerClosed func()
+
+	mu     sync.Mutex
+	holder *exchange // keeps the connection open for reading; nil if none
+	closed bool      // Close was called
+}
+
+func newTrackedConn(c net.Conn) *trackedConn {
+	peerClosed := make(chan struct{})
+	return &trackedConn{
+		Conn:           c,
+		peerClosed:     peerClosed,
+		markPeerClosed: sync.OnceFunc(func() { close(peerClosed) }),
+	}
 }
 
 // sendLimit is the latest time at which an exchange may begin to send, and the
@@ -49,11 +65,53 @@
 func (c *trackedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
-		c.peerClosed.Store(true)
+		c.markPeerClosed()
 	}
 	return n, err
 }
 
+// hold makes Close leave the connection open for reading until e releases it.
+func (c *trackedConn) hold(e *exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.holder = e
+}
+
+// release ends the hold of e, and closes the connection if Close was called
+// meanwhile. It does nothing if another exchange holds the connection.
+func (c *trackedConn) release(e *exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.holder != e {
+		return
+	}
+	c.holder = nil
+	if c.closed {
+		_ = c.Conn.Close()
+	}
+}
+
+// Close implements net.Conn. While an exchange holds the connection, Close
+// closes it for writing only: http.Transport closes a connection when a write
+// fails, but the executor may be running the part of the request that it has.
+func (c *trackedConn) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	if c.holder == nil {
+		return c.Conn.Close()
+	}
+	c.halfClose()
+	return nil
+}
+
+// discardUntilPeerCloses reads the connection until the target closes it or it
+// is closed here.
+func (c *trackedConn) discardUntilPeerCloses() {
+	// The error only ends the loop: Read has recorded what it means.
+	_, _ = io.Copy(io.Discard, c)
+}
+
 // isPast reports whether t has passed by the wall clock or by the monotonic
 // clock. The monotonic clock may stop while a VM is paused.
 func isPast(t time.Time) bool {
@@ -81,6 +139,6 @@
 		if err != nil {
 			return nil, err
 		}
-		return &trackedConn{Conn: c}, nil
+		return newTrackedConn(c), nil
 	}
 }
--- a/internal/route/executor.go
+++ b/internal/route/executor.go
@@ -95,6 +95,9 @@
 // cleanUp releases the context and the connection that only this exchange uses.
 func (e *exchange) cleanUp() {
 	e.cancel()
+	e.mu.Lock()
+	e.releaseConn()
+	e.mu.Unlock()
 	if e.ownsTransport {
 		e.transport.CloseIdleConnections()
 	}
@@ -127,9 +130,26 @@
 	if !e.sent() {
 		return true
 	}
+	select {
+	case <-e.currentConn().peerClosed:
+		return true
+	default:
+		return false
+	}
+}
+
+// currentConn returns the connection of the exchange, or nil.
+func (e *exchange) currentConn() *trackedConn {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.conn.peerClosed.Load()
+	return e.conn
+}
+
+// releaseConn ends the hold on the connection. e.mu is held.
+func (e *exchange) releaseConn() {
+	if e.conn != nil {
+		e.conn.release(e)
+	}
 }
 
 // roundTrip sends the request and waits for the status and header of the
@@ -167,8 +187,10 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.releaseConn() // http.Transport tries another one if it could send nothing
 	e.writtenBefore = c.written.Load()
 	e.conn = c
+	c.hold(e)
 	c.sendLimit.Store(&sendLimit{writtenBefore: e.writtenBefore, notAfter: e.notAfter})
 	if e.abandoned {
 		c.halfClose()
--- a/internal/route/failure_test.go
+++ b/internal/route/failure_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -9,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"gotest.tools/v3/assert"
 
 	"github.com/filbertmast/filbertmast/internal/api"
@@ -239,6 +241,78 @@
 	assert.Equal(t, c.history.maxRunning["x1"], 1)
 }
 
+func TestSlotOfPartlySentRequestIsFreedWhenExecutorEnds(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		err  error // with which the body ends after its caller has left
+	}{
+		{"the rest of the body follows after the caller has left", nil},
+		{"the body breaks off", io.ErrUnexpectedEOF},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			c := newTestCluster(t, 100, "a")
+			started, cutOff, release := make(chan struct{}), make(chan struct{}), make(chan struct{})
+			c.announce(newStandIn(t, c.history, "x1", func(w http.ResponseWriter, r *http.Request) {
+				id := r.Header.Get(api.HeaderRequestID)
+				if id == "slow" {
+					close(started)
+					_, _ = io.Copy(io.Discard, r.Body)
+					close(cutOff)
+					<-release
+				}
+				fmt.Fprintf(w, "answer to %s", id)
+			}).spec(testService, 1, 60))
+			ctx, cancel := context.WithCancel(context.Background())
+			resume := make(chan struct{})
+			slow := request("slow", true, longTimeout)
+			slow.Size = 2 * replayBytes
+			slow.Body = io.MultiReader(zeros(replayBytes+1), &lateReader{resume, row.err, zeros(replayBytes - 1)})
+			ended := make(chan error, 1)
+			go func() {
+				_, err := c.entries["a"].router.Serve(ctx, slow)
+				ended <- err
+			}()
+			<-started
+			cancel()
+			assert.Equal(t, errkind.Of(<-ended), errkind.CallerGone)
+			<-cutOff
+			close(resume)
+			c.waitUntil(func() bool {
+				return testutil.ToFloat64(c.entries["a"].owner.metrics.abandoned.WithLabelValues("broken")) == 1
+			})
+			next := make(chan string, 1)
+			go func() {
+				got, err := c.entries["a"].send("next", true, longTimeout/2)
+				next <- got + errText(err)
+			}()
+			// The only slot is held until the executor has finished the first request.
+			c.waitUntil(func() bool { return c.entries["a"].owner.pool(testService).queueLen() == 1 })
+			close(release)
+			assert.Equal(t, <-next, "answer to next")
+			assert.Equal(t, c.history.maxRunning["x1"], 1)
+		})
+	}
+}
+
+func zeros(n int) io.Reader { return bytes.NewReader(make([]byte, n)) }
+
+// lateReader waits until resume is closed. It then fails with err or, if that is
+// nil, reads from rest.
+type lateReader struct {
+	resume <-chan struct{}
+	err    error
+	rest   io.Reader
+}
+
+// Read implements io.Reader.
+func (r *lateReader) Read(p []byte) (int, error) {
+	<-r.resume
+	if r.err != nil {
+		return 0, r.err
+	}
+	return r.rest.Read(p)
+}
+
 func errText(err error) string {
 	if err == nil {
 		return ""
--- a/internal/route/linger.go
+++ b/internal/route/linger.go
@@ -47,16 +47,30 @@
 }
 
 // endWithoutAnswer ends an exchange without an answer. Unless the exchange has
-// provably ended, the slot is held until Linger after the deadline, when the
-// executor must have ended it.
+// provably ended, the slot is held until it has.
 func (h *heldSlot) endWithoutAnswer(err error) {
 	if h.exchange.provenEnded() {
 		h.releaseSlot(false, err)
 		return
 	}
+	go h.awaitEnd(err)
+}
+
+// awaitEnd holds the slot until the executor closes the connection, but no
+// longer than until Linger after the deadline, when the executor must have ended
+// the exchange.
+func (h *heldSlot) awaitEnd(err error) {
 	s := h.request
 	last := s.deadline.Add(s.owner.opts.Linger)
-	time.AfterFunc(last.Sub(s.owner.opts.Now()), func() { h.releaseSlot(false, err) })
+	timer := time.NewTimer(last.Sub(s.owner.opts.Now()))
+	defer timer.Stop()
+	conn := h.exchange.currentConn()
+	go conn.discardUntilPeerCloses()
+	select {
+	case <-conn.peerClosed:
+	case <-timer.C:
+	}
+	h.releaseSlot(false, err)
 }
 
 // drainBody reads an unwanted answer to its end, which proves that the executor
