--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -32,7 +32,6 @@
 	snapshotRunning bool   // a snapshot is being written
 	load            *load
 	taskLines       *obs.Sampler // of the log lines about each start and end of a task
-	overload        overload
 }
 
 func newCore(s *Server) *core {
@@ -43,7 +42,6 @@
 		proposals: newProposals(uint64(s.opts.Log.Status().ID), uint64(s.startTime.UnixNano())),
 		load:      newLoad(s.metrics.busySeconds),
 		taskLines: obs.NewSampler(s.log, maxTaskLines),
-		overload:  overload{maxDelay: s.opts.Times.MaxDelay},
 	}
 }
 
@@ -191,11 +189,7 @@
 	s.post(workUpdates, func(c *core) { c.snapshotRunning = false })
 }
 
-// tick checks everything that becomes due with time. The tick was due at the given time.
-func (c *core) tick(due time.Time) {
-	if now := time.Now(); c.overload.observe(due, now) && c.leader != nil {
-		c.log.Warn("New workflows are refused: the process gets too little processor time.", "tick_late_by", now.Sub(due), "for", overloadHold)
-	}
+func (c *core) tick() {
 	if c.leader != nil {
 		c.leader.tick(c.s.now())
 	}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -34,8 +34,7 @@
 	changedTeams  map[string]struct{} // teams whose tasks have changed since syncLimits last ran
 	polled        *polledWorkers      // workers that the leader calls
 	policy        *policy
-	startingRuns  bool                     // a proposal to start due runs is not committed yet
-	submitting    map[model.WorkflowID]int // proposals of workflows that are not committed yet
+	startingRuns  bool // a proposal to start due runs is not committed yet
 }
 
 // attachment is a worker's session and the entry that holds it.
@@ -66,7 +65,6 @@
 		waits:        newJobWaits(),
 		dirty:        true,
 		changedTeams: make(map[string]struct{}),
-		submitting:   make(map[model.WorkflowID]int),
 	}
 	l.polled = newPolledWorkers(l)
 	l.policy = newPolicy(l)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -68,9 +68,6 @@
 	MaxRequestDeadline time.Duration // the longest deadline that a request may have
 	Drift              time.Duration // added to every lease for the drift between two clocks
 	Tick               time.Duration // between checks of the lease tables
-	// MaxDelay is how late a tick may be handled before new workflows are refused. Zero:
-	// none are.
-	MaxDelay time.Duration
 }
 
 // DefaultTimes returns the Times for regions about 20 ms apart.
@@ -152,9 +149,9 @@
 			c.load.begin(time.Now(), len(s.calls)+1)
 			c.run(next)
 			c.runQueuedCalls(s.calls)
-		case due := <-tick.C:
+		case <-tick.C:
 			c.load.begin(time.Now(), len(s.calls))
-			c.tick(due)
+			c.tick()
 			c.load.end(workTicks, time.Now())
 		}
 		c.schedule()
--- a/internal/control/workflows.go
+++ b/internal/control/workflows.go
@@ -8,17 +8,10 @@
 	"github.com/filbertmast/filbertmast/internal/wire"
 )
 
-// submitWorkflow commits a workflow and responds after the commit. It refuses a new one
-// while the process is overloaded.
+// submitWorkflow commits a workflow and responds after the commit.
 func (l *leader) submitWorkflow(_ wire.Peer, req *proto.SubmitWorkflow, done reply[proto.WorkflowView]) {
-	if err := l.admitWorkflow(req.Spec.ID); err != nil {
-		done(nil, err)
-		return
-	}
-	l.submitting[req.Spec.ID]++
 	cmd := &state.SubmitWorkflow{Spec: req.Spec}
 	l.c.propose(&state.Command{SubmitWorkflow: cmd}, func(r state.Result, err error) {
-		l.submitted(req.Spec.ID)
 		if err != nil {
 			done(nil, err)
 			return
@@ -30,14 +23,6 @@
 	})
 }
 
-// submitted records that a proposal of a workflow was committed or has failed.
-func (l *leader) submitted(id model.WorkflowID) {
-	l.submitting[id]--
-	if l.submitting[id] == 0 {
-		delete(l.submitting, id)
-	}
-}
-
 // workflowOf returns a workflow of the caller's team. A workflow of another team gets
 // the same error as an unknown one.
 func (l *leader) workflowOf(req *proto.Workflow) (*state.Workflow, error) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -248,7 +248,6 @@
 	t.WorkerLease = set.Limits.WorkerLease.Std()
 	t.RequestLease = set.Limits.RequestLease.Std()
 	t.MaxRequestDeadline = set.Limits.MaxDeadline.Std()
-	t.MaxDelay = set.Control.MaxDelay.Std()
 	return t
 }
 
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -210,7 +210,6 @@
 	founders := s.Control.Founders
 	seeded := len(s.Control.Seeds) > 0
 	c.duration("$.control.tick", s.Control.Tick, durationRange{10 * time.Millisecond, time.Second})
-	c.duration("$.control.max_delay", s.Control.MaxDelay, durationRange{0, time.Minute})
 	c.between("$.control.tolerate", int64(s.Control.Tolerate), 0, maxFounders/2)
 	c.addresses("$.control.seeds", s.Control.Seeds)
 	if n := len(founders); !seeded && (n%2 == 0 || n > maxFounders) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -150,9 +150,6 @@
 	// Tick is the time unit of elections and heartbeats: a follower starts an election
 	// after 10 to 20 ticks without a message from the leader.
 	Tick model.Duration `json:"tick"`
-	// MaxDelay is how long the leader may wait for its processor before it refuses new
-	// workflows. Zero: it refuses none for that reason.
-	MaxDelay model.Duration `json:"max_delay"`
 }
 
 // Limits configures leases, timeouts, size limits and network budgets.
