--- a/internal/control/polled.go
+++ b/internal/control/polled.go
@@ -21,9 +21,6 @@
 	commandRepeatAfter = 250 * time.Millisecond
 	// startRetryAfter is the time before a start without a response is sent again.
 	startRetryAfter = 50 * time.Millisecond
-	// maxFirstPollGap is the longest time between the first polls of two inherited
-	// workers.
-	maxFirstPollGap = time.Millisecond
 	// maxReportsInFlight bounds the proposed reports that are not committed yet.
 	maxReportsInFlight = 2
 )
@@ -110,20 +107,11 @@
 	delete(p.workers, id)
 }
 
-// addInherited adds the workers that are in the state at the start of a term. Their first
-// polls are spread over time: the leader has no connections yet, and its heartbeats must
-// not wait behind hundreds of calls.
+// addInherited adds the workers that are in the state at the start of a term.
 func (p *polledWorkers) addInherited() {
-	workers := p.l.c.machine.Workers()
-	gap := firstPollGap(len(workers), p.l.leases.Duration())
-	at := time.Duration(0)
-	for _, w := range workers {
-		if w.Mode == model.WorkerLost {
-			continue
-		}
-		if pw := p.add(&w.Spec, w.Session, false); pw != nil {
-			p.after(at, func() { p.poll(pw) })
-			at += gap
+	for _, w := range p.l.c.machine.Workers() {
+		if w.Mode != model.WorkerLost {
+			p.add(&w.Spec, w.Session, false)
 		}
 	}
 	p.l.c.log.Info("Leader polls the inherited workers.", "workers", len(p.workers), "term", p.l.term)
@@ -150,24 +138,14 @@
 	p.l.policy.forgetWorker(e.Spec.ID)
 	p.l.c.log.Info("Worker announced itself.", "worker", e.Spec.ID, "address", e.Spec.Address, "incarnation", e.Spec.Incarnation,
 		"capacity", e.Spec.Capacity, "mode", e.Mode)
-	if pw := p.add(&e.Spec, e.Session, true); pw != nil {
-		p.poll(pw)
-	}
+	p.add(&e.Spec, e.Session, true)
 }
 
-// firstPollGap returns the time between the first polls of inherited workers: all of
-// them are sent within an eighth of a lease.
-func firstPollGap(workers int, lease time.Duration) time.Duration {
-	const leasePart = 8
-	return min(maxFirstPollGap, lease/leasePart/time.Duration(max(workers, 1)))
-}
-
-// add adds an incarnation of a worker and returns it, or nil if it is not a polled one.
-// Unverified means that only its announcement is known: a worker that cannot be called
-// may still announce itself.
-func (p *polledWorkers) add(spec *model.WorkerSpec, session uint64, unverified bool) *polledWorker {
+// add starts to poll an incarnation of a worker. Unverified means that only its
+// announcement is known: a worker that cannot be called may still announce itself.
+func (p *polledWorkers) add(spec *model.WorkerSpec, session uint64, unverified bool) {
 	if spec.Address == "" || p.l.c.s.opts.WorkerClient == nil {
-		return nil
+		return
 	}
 	pw := &polledWorker{
 		target:     workerclient.Target{Worker: spec.ID, Address: spec.Address, Incarnation: spec.Incarnation},
@@ -187,7 +165,7 @@
 		}
 	}
 	p.l.c.log.Debug("Leader polls a worker.", "worker", spec.ID, "address", spec.Address, "incarnation", spec.Incarnation, "capacity", spec.Capacity)
-	return pw
+	p.poll(pw)
 }
 
 // current reports whether this process still leads and pw is the incarnation of the
