Query the last workers that were never asked about

Found in review: a job whose allowed workers do not hold it renewed their permits for ever while 1 to 11 workers were left that it had not asked about, though these could hold the rest: after a rack has restarted, with a few new workers, or at the end of the rounds of 100. Change: allowed workers are renewed if they have room for all pending tasks, or if no others are left. TestQueryNamesWorkersThatHoldTheDemand: the row that expected the renewal was wrong and is replaced by two that are as strict; the first failed before.

--- a/internal/permit/room.go
+++ b/internal/permit/room.go
@@ -78,11 +78,11 @@
 }
 
 // selectWorkers returns the workers to query: allowed ones if they have room for all
-// pending tasks or if few others are left, else those not queried yet.
+// pending tasks or if no others are left, else those not queried yet.
 func (j *jobPermits) selectWorkers(candidates []schedule.Candidate, r *room, d Demand) []model.WorkerID {
 	target := d.Tasks * roomFactorPercent / 100
 	fresh := len(candidates) - r.queriedWorkers
-	if r.allowedWorkers > 0 && (r.allowed >= d.Tasks || fresh < minRenewalWorkers) {
+	if r.allowedWorkers > 0 && (r.allowed >= d.Tasks || fresh == 0) {
 		return cover(j.filter(candidates, r.allowedWorkers, func(w workerState, _ bool) bool { return w.allowed }), target, d.maxWorkers())
 	}
 	return r.freshToQuery(j.filter(candidates, fresh, func(_ workerState, queried bool) bool { return !queried }), target, d.maxWorkers())
