Hold back the team of a gang whose permits have ended, and name the limit of a whole gang

Two faults in how the limit of a team applies to gangs: - While no permit of a pressing gang was valid, the planner skipped it before the check of its team's limits, so that small jobs of the team took the headroom that the gang was waiting for. TestWaitReasonsNameResourceLimitOfWholeGang failed before.

--- a/internal/schedule/permit.go
+++ b/internal/schedule/permit.go
@@ -26,6 +26,9 @@
 	return g == nil || now < g.until[worker]
 }
 
+// known reports whether the set has permits, expired ones included.
+func (g *permitSet) known() bool { return len(g.until) > 0 }
+
 // setPermits replaces the permits of a job that needs them.
 func (s *Scheduler) setPermits(e JobPermitsChanged) {
 	j := s.jobs[e.ID]
--- a/internal/schedule/permit_test.go
+++ b/internal/schedule/permit_test.go
@@ -230,3 +230,31 @@
 		})
 	}
 }
+
+func TestGangWithExpiredPermitsAtTeamLimitIsNotOvertakenByItsTeam(t *testing.T) {
+	for name, valid := range map[string]model.Time{"valid permits": 1000, "expired permits": 0} {
+		t.Run(name, func(t *testing.T) {
+			c := newCell(model.Team{Name: "a", Share: 1, MaxRunning: 5})
+			c.workers(8, cores(4))
+			c.job(model.JobSpec{Name: "running", Tasks: 2, Size: cores(1), Patience: hour})
+			c.plan()
+			gang := c.jobNeedingPermit(model.JobSpec{Policy: model.PolicyGang, Tasks: 4, Size: cores(2), Patience: model.Duration(time.Second)})
+			c.now = c.now.Add(time.Minute)
+			c.permit(gang, c.now+valid, "w000", "w001", "w002", "w003", "w004", "w005")
+			c.job(model.JobSpec{Name: "small", Tasks: 3, Size: cores(1), Patience: hour})
+			assert.Equal(t, len(c.plan().Placements), 0, "the gang needs what its team has left and more")
+		})
+	}
+}
+
+func TestWaitReasonsNameResourceLimitOfWholeGang(t *testing.T) {
+	c := newCell(model.Team{Name: "a", Share: 1, MaxRunning: 100, MaxResources: cores(6)})
+	c.workers(8, cores(4))
+	gang := c.job(model.JobSpec{Policy: model.PolicyGang, Tasks: 2, Size: cores(2)})
+	assert.Equal(t, len(c.plan().Placements), 2)
+	second := c.job(model.JobSpec{Policy: model.PolicyGang, Tasks: 2, Size: cores(2)})
+	assert.Equal(t, len(c.plan().Placements), 0)
+	assert.Assert(t, len(c.s.WaitReasons(gang, c.now)) == 0)
+	reasons := c.s.WaitReasons(second, c.now)
+	assert.Assert(t, len(reasons) > 0 && reasons[0].Reason == waitLimit, "%v", reasons)
+}
--- a/internal/schedule/planner.go
+++ b/internal/schedule/planner.go
@@ -75,14 +75,18 @@
 func (p *planner) try(g *group) {
 	j := g.head()
 	size := p.s.sizeFor(g)
-	if !p.mayPlace(j) {
-		p.reserveWithoutPermit(j, size)
+	if !p.mayPlace(j) && (g.policy != gang || !j.permits.known()) {
 		p.skipHead(g)
 		return
 	}
 	if !p.withinLimits(g, j, size) {
 		return
 	}
+	if !p.mayPlace(j) {
+		p.reserveWithoutPermit(j, size)
+		p.skipHead(g)
+		return
+	}
 	placed := false
 	if g.policy == gang {
 		placed = p.placeGang(j, size)
@@ -124,12 +128,7 @@
 // reserveWithoutPermit reserves workers for a gang that has waited long and whose
 // permits have all expired, so that they can be renewed for these workers.
 func (p *planner) reserveWithoutPermit(j *job, size model.Resources) {
-	if j.group.policy != gang || len(j.permits.until) == 0 || !p.pressing(j) {
-		return
-	}
-	t := p.s.teams[j.group.team]
-	n := int64(j.ready)
-	if t.headroom() >= n && t.withinMaxResources(size.Mul(n)) {
+	if p.pressing(j) {
 		p.reserveWorkers(j, size)
 	}
 }
--- a/internal/schedule/waitreason.go
+++ b/internal/schedule/waitreason.go
@@ -88,6 +88,9 @@
 	over := int64(w.j.ready) - max(t.headroom(), 0)
 	w.add(waitLimit, over, "tasks exceed the limit of team %s, which runs %d tasks and holds %d request permits of %d", t.name, t.running, t.requestPermits, t.maxRunning)
 	size := w.s.sizeFor(w.j.group)
+	if w.j.group.policy == gang {
+		size = size.Mul(int64(w.j.ready))
+	}
 	if !t.withinMaxResources(size) {
 		w.add(waitLimit, int64(w.j.ready), "tasks exceed the resource limit of team %s, which has %s reserved of %s", t.name, t.reserved, t.maxResources)
 	}
