--- a/internal/permit/room.go
+++ b/internal/permit/room.go
@@ -101,12 +101,12 @@
 	return out
 }
 
-// freshToQuery returns the workers to query for the first time: those of one query, or
-// as many as probably have the missing room, judged by the share of the workers queried
-// so far that are allowed, but at most limit.
+// freshToQuery returns the workers to query for the first time: as many as probably have
+// the missing room, judged by the share of the workers queried so far that are allowed
+// (a third if none was), but at least minFreshWorkers and at most limit.
 func (r *room) freshToQuery(fresh []schedule.Candidate, target int64, limit int) []model.WorkerID {
-	n := min(len(fresh), MaxQueryWorkers)
-	missing := (target - r.allowed) * int64(r.queriedWorkers+1)
+	n := min(len(fresh), minFreshWorkers)
+	missing := (target - r.allowed) * int64(r.queriedWorkers+3)
 	for at := range fresh[:min(len(fresh), limit)] {
 		if missing <= 0 || fresh[at].Room == 0 {
 			break
--- a/internal/permit/tracker.go
+++ b/internal/permit/tracker.go
@@ -23,6 +23,9 @@
 	// minRenewalWorkers is the least number of workers in a query that renews permits,
 	// if as many are allowed.
 	minRenewalWorkers = 12
+	// minFreshWorkers is the least number of workers in a first query, if there are as
+	// many: some of them are not permitted, and others fill up before the response.
+	minFreshWorkers = 40
 	// roomFactorPercent is how much room a renewal covers, in percent of what the
 	// pending tasks need: other jobs take some of it before the response arrives.
 	roomFactorPercent = 150
