Let a process of one come back at another inner address

Cause: a replica told the address of itself as the leader from the stored membership, which names the address of its first start; and each start of dev made a new operator key, while only the first one is declared. A replica now tells its own address as it is; dev stores its operator key in the data folder.

--- a/internal/replica/inbox.go
+++ b/internal/replica/inbox.go
@@ -166,9 +166,11 @@
 
 // addressTable maps replicas to their addresses.
 type addressTable struct {
-	mu      sync.Mutex
-	config  raft.Config
-	learned map[ID]string
+	self        ID     // this replica
+	selfAddress string // may differ from the one in config after a restart
+	mu          sync.Mutex
+	config      raft.Config
+	learned     map[ID]string
 }
 
 func (a *addressTable) setConfig(c raft.Config) {
@@ -192,6 +194,9 @@
 }
 
 func (a *addressTable) find(id ID) (string, bool) {
+	if id == a.self {
+		return a.selfAddress, true
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if p, ok := a.config.Find(id); ok {
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -190,6 +190,7 @@
 		n.closeFiles()
 		return nil, err
 	}
+	n.addrs.self, n.addrs.selfAddress = n.identity.ID, o.Address
 	n.writer = newWriter(n)
 	n.deliver = newDeliverer(n)
 	n.reader = newReader(n)
--- a/internal/server/dev.go
+++ b/internal/server/dev.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -76,11 +79,12 @@
 
 func (d *dev) address() string { return d.process.OuterAddress() }
 
-// start starts the process with a new operator key. A reused data folder keeps
-// the operator key of its first start, so the new one is not valid there.
+// start starts the process with the operator key of the data folder.
 func (d *dev) start() error {
-	var digest model.KeyDigest
-	d.operatorKey, digest = declare.NewKey()
+	var err error
+	if d.operatorKey, err = devOperatorKey(d.opts.DataDir); err != nil {
+		return err
+	}
 	inner, err := freeUDP()
 	if err != nil {
 		return err
@@ -95,7 +99,7 @@
 	set.Control.Founders = []string{inner}
 	set.Limits.ShutdownDelay = 0
 	set.Log.Level = "warn"
-	set.Bootstrap.OperatorKeyDigest = string(digest)
+	set.Bootstrap.OperatorKeyDigest = string(declare.DigestKey(d.operatorKey))
 	conf, err := certs.SelfSigned(net.IPv4(127, 0, 0, 1))
 	if err != nil {
 		return err
@@ -104,6 +108,34 @@
 	return err
 }
 
+// devOperatorKeyFile is the name of the file with the operator key in the data folder.
+const devOperatorKeyFile = "operator-key"
+
+// devOperatorKey returns the operator key that an earlier start stored in the data
+// folder, since only that one is declared there, or stores a new one. It returns an
+// error of kind BadRequest if the stored key is empty.
+func devOperatorKey(dir string) (string, error) {
+	path := filepath.Join(dir, devOperatorKeyFile)
+	stored, err := os.ReadFile(path)
+	if err == nil {
+		if key := strings.TrimSpace(string(stored)); key != "" {
+			return key, nil
+		}
+		return "", errkind.New(errkind.BadRequest, "%s is empty; remove the data folder to begin anew", path)
+	}
+	if !errors.Is(err, fs.ErrNotExist) {
+		return "", errkind.Wrap(errkind.Internal, err, "read the operator key")
+	}
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return "", errkind.Wrap(errkind.Internal, err, "create the data folder")
+	}
+	key, _ := declare.NewKey()
+	if err := os.WriteFile(path, []byte(key+"\n"), 0o600); err != nil {
+		return "", errkind.Wrap(errkind.Internal, err, "store the operator key")
+	}
+	return key, nil
+}
+
 // freeUDP returns a loopback IP:port that is free for UDP at the moment.
 func freeUDP() (string, error) {
 	c, err := net.ListenPacket("udp", "127.0.0.1:0")
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -23,7 +23,13 @@
 // startDev starts a dev deployment and returns once its example job has ended.
 func startDev(t *testing.T) *dev {
 	t.Helper()
-	d := &dev{opts: DevOptions{DataDir: t.TempDir(), Address: "127.0.0.1:0", Out: io.Discard}}
+	return startDevIn(t, t.TempDir())
+}
+
+// startDevIn is startDev with a given data folder.
+func startDevIn(t *testing.T, dir string) *dev {
+	t.Helper()
+	d := &dev{opts: DevOptions{DataDir: dir, Address: "127.0.0.1:0", Out: io.Discard}}
 	assert.NilError(t, d.start())
 	ctx, cancel := context.WithCancel(context.Background())
 	worker := d.startWorker(ctx)
@@ -50,6 +56,18 @@
 	assert.Assert(t, strings.Contains(out.String(), "3 of 3 tasks succeeded"), out.String())
 }
 
+// A second start has another inner address than the stored membership names.
+func TestDevRunsAgainOnItsDataFolder(t *testing.T) {
+	o := DevOptions{DataDir: t.TempDir(), Address: "127.0.0.1:0", Once: true, Out: io.Discard}
+	assert.NilError(t, Dev(context.Background(), o))
+	d := startDevIn(t, o.DataDir)
+	status, answer := d.call(t, http.MethodGet, "/v1/jobs", "")
+	assert.Equal(t, status, http.StatusOK, answer)
+	var jobs api.JobList
+	assert.NilError(t, json.Unmarshal([]byte(answer), &jobs))
+	assert.Equal(t, len(jobs.Jobs), 2, "the job of the first start is no longer known: %s", answer)
+}
+
 func TestWorkflowRunsOnPollingWorkers(t *testing.T) {
 	d := startDev(t)
 	body := `{"id":"flow-1","queue":"example","payload":"{\"run_ms\":20}","steps":[
