--- a/internal/control/dispatch.go
+++ b/internal/control/dispatch.go
@@ -277,27 +277,12 @@
 		running[id] = true
 	}
 	for _, id := range append([]model.TaskID(nil), w.Held...) {
-		if _, t := p.l.task(id); t != nil && !p.endInFlight(pw, id) {
+		if _, t := p.l.task(id); t != nil && !p.reports.isEnding(id) {
 			p.reconcileTask(pw, sentAt, id, t, running[id])
 		}
 	}
 }
 
-// endInFlight reports whether an end of the task is about to be committed.
-func (p *polledWorkers) endInFlight(pw *polledWorker, id model.TaskID) bool {
-	for i := range p.reports {
-		if p.reports[i].Worker != pw.target.Worker {
-			continue
-		}
-		for _, r := range p.reports[i].Reports {
-			if r.Task == id && r.State != api.ReportStarted {
-				return true
-			}
-		}
-	}
-	return pw.commands[id] == nil && p.reportsInFlight > 0
-}
-
 // reconcileTask reconciles one task that the worker holds with whether it runs there.
 func (p *polledWorkers) reconcileTask(pw *polledWorker, sentAt model.Time, id model.TaskID, t *state.Task, running bool) {
 	cmd := pw.commands[id]
--- a/internal/control/polled.go
+++ b/internal/control/polled.go
@@ -21,8 +21,6 @@
 	commandRepeatAfter = 250 * time.Millisecond
 	// startRetryAfter is the time before a start without a response is sent again.
 	startRetryAfter = 50 * time.Millisecond
-	// maxReportsInFlight bounds the proposed reports that are not committed yet.
-	maxReportsInFlight = 2
 )
 
 // polledWorkers are the workers that the leader polls, as opposed to those with a
@@ -35,10 +33,8 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 
-	reports         []state.WorkerReport     // to be proposed
-	uncommitted     []uncommittedEnd         // ended attempts to acknowledge after the commit of reports
-	reportsInFlight int                      // proposals of reports that are not committed yet
-	losses          workerclient.LossTracker // of responses to polls
+	reports reportQueue
+	losses  workerclient.LossTracker // of responses to polls
 }
 
 // polledWorker is one incarnation of a polled worker.
@@ -77,18 +73,13 @@
 	isStop       bool        // the last command was a stop
 }
 
-// uncommittedEnd is an ended attempt that is not acknowledged to its worker yet.
-type uncommittedEnd struct {
-	worker *polledWorker
-	number uint64
-}
-
 func newPolledWorkers(l *leader) *polledWorkers {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &polledWorkers{
 		l:       l,
 		workers: map[model.WorkerID]*polledWorker{},
 		clocks:  map[model.WorkerID]workerclient.Clock{},
+		reports: newReportQueue(),
 		ctx:     ctx,
 		cancel:  cancel,
 	}
@@ -213,7 +204,7 @@
 			continue
 		}
 		pw.proposed = e.Number
-		p.uncommitted = append(p.uncommitted, uncommittedEnd{pw, e.Number})
+		p.reports.addEnd(uncommittedEnd{pw, e.Number})
 		id, t := p.currentTask(pw, &e.Attempt)
 		if t == nil {
 			continue // the task was placed elsewhere since, or has finished
@@ -260,61 +251,3 @@
 	}
 	return id, t
 }
-
-// addReport keeps a report for the next proposal of reports.
-func (p *polledWorkers) addReport(pw *polledWorker, r api.Report) {
-	last := len(p.reports) - 1
-	if last < 0 || p.reports[last].Worker != pw.target.Worker || p.reports[last].Session != pw.session {
-		p.reports = append(p.reports, state.WorkerReport{Worker: pw.target.Worker, Session: pw.session})
-		last++
-	}
-	p.reports[last].Reports = append(p.reports[last].Reports, r)
-}
-
-// commitReports proposes the reports that have accumulated. Ended attempts are
-// acknowledged to the workers after the commit.
-func (p *polledWorkers) commitReports() {
-	if p.reportsInFlight >= maxReportsInFlight || len(p.reports)+len(p.uncommitted) == 0 {
-		return
-	}
-	reports, ends := p.reports, p.uncommitted
-	p.reports, p.uncommitted = nil, nil
-	if len(reports) == 0 {
-		p.acknowledge(ends)
-		return
-	}
-	p.reportsInFlight++
-	p.l.c.propose(&state.Command{Report: &state.Report{Reports: reports}}, func(_ state.Result, err error) {
-		p.reportsInFlight--
-		if p.l.c.leader != p.l {
-			return // the workers report again to the next leader
-		}
-		if err != nil {
-			p.l.c.log.Warn("Reports were not committed; the workers will send them again.", "err", err)
-			p.resetProposed(ends)
-			return
-		}
-		p.acknowledge(ends)
-	})
-}
-
-// acknowledge advances the cursors of the workers past the ended attempts. The next
-// poll carries the cursor.
-func (p *polledWorkers) acknowledge(ends []uncommittedEnd) {
-	for _, e := range ends {
-		e.worker.cursor = max(e.worker.cursor, e.number)
-	}
-	for _, e := range ends {
-		if e.worker.cursor == e.worker.proposed {
-			p.poll(e.worker)
-		}
-	}
-}
-
-// resetProposed makes the workers report ended attempts again whose commit failed.
-func (p *polledWorkers) resetProposed(ends []uncommittedEnd) {
-	for _, e := range ends {
-		e.worker.proposed = e.worker.cursor
-		p.after(pollRetryAfter, func() { p.poll(e.worker) })
-	}
-}
