--- a/internal/control/policy.go
+++ b/internal/control/policy.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	// maxQueries bounds the queries to the policy service that are in flight.
-	maxQueries = 48
+	// maxQueriesPerEntry bounds the queries to the policy service that are in flight,
+	// together with the number of entries. It lies below the number of calls that the
+	// service lets one machine queue.
+	maxQueriesPerEntry = 16
 	// queryInterval is the time between checks for jobs that need permits.
 	queryInterval = 20 * time.Millisecond
 )
@@ -38,9 +40,10 @@
 }
 
 func newPolicy(l *leader) *policy {
+	scheduling := &l.c.s.opts.Scheduling
 	return &policy{
 		l:        l,
-		tracker:  permit.NewTracker(),
+		tracker:  permit.NewTracker(permit.Options{LateShift: scheduling.LateShift, LateGrace: scheduling.LateGrace}),
 		costs:    map[model.JobID]model.PolicyCosts{},
 		answered: map[model.JobID]model.Time{},
 		balancer: permit.NewBalancer(),
@@ -104,13 +107,11 @@
 	if now < p.nextQuery {
 		return
 	}
-	if p.inFlight >= maxQueries {
-		p.countUnsent(unsentInFlightLimit, now)
-		return
-	}
 	p.nextQuery = now.Add(queryInterval)
 	entries := p.entries(now)
 	switch {
+	case len(entries) > 0 && p.inFlight >= maxQueries(entries):
+		p.countUnsent(unsentInFlightLimit, now)
 	case len(entries) == 0:
 		p.countUnsent(unsentNoEntry, now)
 	case !p.updateAvailable(entries, now):
@@ -120,6 +121,9 @@
 	}
 }
 
+// maxQueries returns how many queries may be in flight through the given entries.
+func maxQueries(entries []string) int { return maxQueriesPerEntry * len(entries) }
+
 // sendTo sends the queries that are due to the given entries.
 func (p *policy) sendTo(entries []string, now model.Time) {
 	p.longWaits = false
@@ -130,7 +134,7 @@
 		} else {
 			p.longWaits = true // shorter ones can be sent
 		}
-		return p.inFlight < maxQueries && p.updateAvailable(entries, now)
+		return p.inFlight < maxQueries(entries) && p.updateAvailable(entries, now)
 	})
 	if p.longWaits && p.unsent.due(now) {
 		p.unsent.add(unsentLongQueries)
--- a/internal/permit/room.go
+++ b/internal/permit/room.go
@@ -15,9 +15,12 @@
 	allowed    int64      // on all allowed workers
 	fresh      int64      // on workers about which no query was sent
 	validUntil model.Time // latest end of a valid permit; zero if none is valid
+	whenIdle   int64      // on all allowed workers once they are idle
+	reserved   bool       // workers are reserved for the job
 
 	allowedWorkers int
 	queriedWorkers int
+	freshWorkers   int // about which no query was sent
 }
 
 // roomOn returns the room on the candidates of a job at now.
@@ -25,8 +28,10 @@
 	r := &room{}
 	for i := range candidates {
 		c := &candidates[i]
+		r.reserved = r.reserved || c.Reserved
 		w, queried := j.workers[c.Worker]
 		if !queried {
+			r.freshWorkers++
 			r.fresh += c.Room
 			continue
 		}
@@ -36,6 +41,7 @@
 		}
 		r.allowedWorkers++
 		r.allowed += c.Room
+		r.whenIdle += c.RoomWhenIdle
 		if now < w.until {
 			r.valid += c.Room
 			r.validUntil = max(r.validUntil, w.until)
@@ -45,29 +51,43 @@
 }
 
 // queryHelps reports whether a response could let tasks start that the valid permits
-// do not. Without a valid permit it always may: the job must be ready for capacity
-// that becomes free.
+// do not. Without a valid permit it always may, for tasks that start one by one: they
+// must be ready for capacity that becomes free.
 func (r *room) queryHelps(d Demand) bool {
 	switch {
-	case r.validUntil == 0:
-		return true
 	case r.valid >= d.Tasks:
 		return false
 	case d.AllAtOnce:
-		return r.allowed+r.fresh >= d.Tasks
+		return r.allowed+r.fresh >= d.Tasks || r.validUntil == 0 && r.helpsReserve(d)
+	case r.validUntil == 0:
+		return true
 	}
 	return r.allowed+r.fresh > r.valid
 }
 
+// helpsReserve reports whether a query helps tasks that start together and for which
+// there is no room now: it finds the workers to reserve, or renews the permits of the
+// reserved ones. Other queries would only occupy entries that jobs with room need.
+func (r *room) helpsReserve(d Demand) bool {
+	return r.reserved || r.whenIdle < d.targetRoom() && r.freshWorkers > 0
+}
+
 // recheckAt returns when to examine a job again that needs no query at now. Tasks that
 // start one by one use the valid permits as capacity becomes free.
 func (r *room) recheckAt(d Demand, now model.Time) model.Time {
-	if d.AllAtOnce {
-		return min(now.Add(recheckAfter), r.validUntil)
+	recheck := now.Add(recheckAfter)
+	switch {
+	case !d.AllAtOnce:
+		return r.validUntil
+	case r.validUntil == 0:
+		return recheck
 	}
-	return r.validUntil
+	return min(recheck, r.validUntil)
 }
 
+// targetRoom returns for how many tasks there should be room on the workers of a query.
+func (d Demand) targetRoom() int64 { return d.Tasks * roomFactorPercent / 100 }
+
 // maxWorkers returns how many workers may be queried about at once. More than one query
 // serves only tasks that start at the same time.
 func (d Demand) maxWorkers() int {
@@ -80,12 +100,11 @@
 // selectWorkers returns the workers to query: allowed ones if they have room for all
 // pending tasks or if no others are left, else those not queried yet.
 func (j *jobPermits) selectWorkers(candidates []schedule.Candidate, r *room, d Demand) []model.WorkerID {
-	target := d.Tasks * roomFactorPercent / 100
-	fresh := len(candidates) - r.queriedWorkers
-	if r.allowedWorkers > 0 && (r.allowed >= d.Tasks || fresh == 0) {
+	target := d.targetRoom()
+	if r.allowedWorkers > 0 && (r.allowed >= d.Tasks || r.freshWorkers == 0) {
 		return cover(j.filter(candidates, r.allowedWorkers, func(w workerState, _ bool) bool { return w.allowed }), target, d.maxWorkers())
 	}
-	return r.freshToQuery(j.filter(candidates, fresh, func(_ workerState, queried bool) bool { return !queried }), target, d.maxWorkers())
+	return r.freshToQuery(j.filter(candidates, r.freshWorkers, func(_ workerState, queried bool) bool { return !queried }), target, d.maxWorkers())
 }
 
 // filter returns the candidates of whose state keep approves, n in number, those with
--- a/internal/permit/tracker.go
+++ b/internal/permit/tracker.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 
@@ -49,8 +50,18 @@
 	Workers []model.WorkerID
 }
 
+// Options configure a Tracker. They are those of the scheduler with the same names, so
+// that queries are sent in the order in which jobs are placed.
+type Options struct {
+	// LateShift is added to the deadline of a job in the order of queries once the job
+	// has missed it by LateGrace.
+	LateShift time.Duration
+	LateGrace time.Duration
+}
+
 // Tracker holds the permits of the jobs that need them.
 type Tracker struct {
+	opts       Options
 	jobs       map[model.JobID]*jobPermits
 	byDeadline []model.JobID // earliest deadline for the start first
 	waiting    []*jobPermits // jobs that may have tasks to place, in the same order
@@ -76,7 +87,9 @@
 }
 
 // NewTracker returns an empty Tracker.
-func NewTracker() *Tracker { return &Tracker{jobs: map[model.JobID]*jobPermits{}} }
+func NewTracker(o Options) *Tracker {
+	return &Tracker{opts: o, jobs: map[model.JobID]*jobPermits{}}
+}
 
 // Add adds a job that needs permits and must start by startBy. It does nothing if
 // the job is tracked already.
@@ -142,22 +155,39 @@
 }
 
 // EachDueQuery calls send for each query that is due at now, until send returns
-// false. If send takes a query it must call MarkSent. Jobs that can still start by
-// their deadline come first, by deadline, then those that are late. After a change
-// of the leader every waiting job must be queried again; with this order the
-// queries for short jobs, which need a response at once, do not queue behind those
-// for jobs that are late or have time.
+// false. If send takes a query it must call MarkSent. Jobs come in the order of their
+// deadlines, late ones as if their deadlines were LateShift later. After a change of
+// the leader every waiting job must be queried again; with this order the queries for
+// jobs that can still start in time go first, and those for late jobs wait LateShift at
+// most.
 func (t *Tracker) EachDueQuery(now model.Time, scheduler Scheduler, send func(Query) bool) {
 	defer t.dropIdle()
-	onTime, _ := slices.BinarySearchFunc(t.waiting, now, func(j *jobPermits, now model.Time) int {
-		return cmp.Compare(j.startBy, now)
+	for j := range t.inOrder(now) {
+		for _, q := range j.dueQueries(now, scheduler) {
+			if !send(q) {
+				return
+			}
+		}
+	}
+}
+
+// inOrder returns the waiting jobs in the order in which their queries are sent.
+func (t *Tracker) inOrder(now model.Time) iter.Seq[*jobPermits] {
+	graceEnd := now.Add(-t.opts.LateGrace)
+	n, _ := slices.BinarySearchFunc(t.waiting, graceEnd, func(j *jobPermits, at model.Time) int {
+		return cmp.Compare(j.startBy, at)
 	})
-	for _, jobs := range [][]*jobPermits{t.waiting[onTime:], t.waiting[:onTime]} {
-		for _, j := range jobs {
-			for _, q := range j.dueQueries(now, scheduler) {
-				if !send(q) {
-					return
-				}
+	late, others := t.waiting[:n], t.waiting[n:]
+	return func(yield func(*jobPermits) bool) {
+		for len(late)+len(others) > 0 {
+			from := &others
+			if len(others) == 0 || len(late) > 0 && late[0].startBy.Add(t.opts.LateShift) <= others[0].startBy {
+				from = &late
+			}
+			j := (*from)[0]
+			*from = (*from)[1:]
+			if !yield(j) {
+				return
 			}
 		}
 	}
--- a/internal/schedule/permit.go
+++ b/internal/schedule/permit.go
@@ -64,10 +64,11 @@
 
 // Candidate is a worker on which tasks of a job may run, now or later.
 type Candidate struct {
-	Worker   model.WorkerID
-	Room     int64 // number of tasks of the job that fit into its free capacity
-	FreeCPU  int64 // in thousandths of a core
-	Reserved bool  // reserved for the job
+	Worker       model.WorkerID
+	Room         int64 // number of tasks of the job that fit into its free capacity
+	RoomWhenIdle int64 // number of tasks of the job that fit into its whole capacity
+	FreeCPU      int64 // in thousandths of a core
+	Reserved     bool  // reserved for the job
 }
 
 // Candidates returns the open and responsive workers that match the selectors of a
@@ -94,7 +95,12 @@
 		if _, ok := slices.BinarySearch(classes, w.class); !ok {
 			continue
 		}
-		c := Candidate{Worker: w.id, FreeCPU: w.free.CPU, Reserved: w.reservation != nil && w.reservation.job == j}
+		c := Candidate{
+			Worker:       w.id,
+			RoomWhenIdle: j.tasksThatFit(size, w.capacity),
+			FreeCPU:      w.free.CPU,
+			Reserved:     w.reservation != nil && w.reservation.job == j,
+		}
 		taken := j.group.exclusive && placed.onWorker[slot]
 		if !taken && size.Fits(w.free) && (c.Reserved || w.available()) {
 			c.Room = j.tasksThatFit(size, w.free)
