Query the workers that fewer other queries are about

What callers saw: a gang held 25 of 27, 23 of 24 or 68 of 74 tasks for many seconds and did not start. Cause: all jobs named the workers with the most room, ties by name, so what one response permitted was taken by another job before the next one arrived. Each query in flight about a worker now counts as taking room for one task there. TestQueryNamesLeastContendedWorkers failed before: two queries that follow each other named the same 40 of 80 workers.

--- a/internal/permit/room.go
+++ b/internal/permit/room.go
@@ -108,11 +108,13 @@
 }
 
 // filter returns the candidates of whose state keep approves, n in number, those with
-// the most room first.
+// the most room first. Each query in flight about a worker is counted as taking room for
+// one task there, so that jobs are not sent to the same workers.
 func (j *jobPermits) filter(candidates []schedule.Candidate, n int, keep func(w workerState, queried bool) bool) []schedule.Candidate {
 	out := make([]schedule.Candidate, 0, n)
 	for _, c := range candidates {
 		if w, queried := j.workers[c.Worker]; keep(w, queried) {
+			c.Room = max(c.Room-j.contended[c.Worker], 0)
 			out = append(out, c)
 		}
 	}
--- a/internal/permit/room_test.go
+++ b/internal/permit/room_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/schedule"
+	"github.com/filbertmast/filbertmast/internal/workerclient"
 )
 
 // candidateSet is a number of alike candidates.
@@ -133,3 +136,20 @@
 		assert.DeepEqual(t, got, want)
 	}
 }
+
+func TestQueryNamesLeastContendedWorkers(t *testing.T) {
+	tracker, scheduler := NewTracker(Options{}), newFakeScheduler(2*minFreshWorkers)
+	for id := range model.JobID(2) {
+		tracker.Add(id+1, workerclient.TaskName{}, 0)
+	}
+	first := sendQueries(tracker, 1000, scheduler, 1)
+	second := sendQueries(tracker, 1000, scheduler, 1)
+	assert.Equal(t, len(second[0].Workers), minFreshWorkers)
+	for _, w := range second[0].Workers {
+		assert.Assert(t, !slices.Contains(first[0].Workers, w), "both queries name %s", w)
+	}
+	tracker.MarkFailed(&first[0], 1000)
+	tracker.Remove(2)
+	tracker.ApplyAdvice(&second[0], adviceOf(time.Second), 1000)
+	assert.Equal(t, len(tracker.contended), 0, "no query is in flight")
+}
--- a/internal/permit/tracker.go
+++ b/internal/permit/tracker.go
@@ -65,6 +65,26 @@
 	jobs       map[model.JobID]*jobPermits
 	byDeadline []model.JobID // earliest deadline for the start first
 	waiting    []*jobPermits // jobs that may have tasks to place, in the same order
+	contended  contention    // by the queries of all jobs
+}
+
+// contention counts the queries in flight about each worker.
+type contention map[model.WorkerID]int64
+
+// add counts a query about the given workers.
+func (c contention) add(workers []model.WorkerID) {
+	for _, w := range workers {
+		c[w]++
+	}
+}
+
+// remove ends the count of a query about the given workers.
+func (c contention) remove(workers []model.WorkerID) {
+	for _, w := range workers {
+		if c[w]--; c[w] <= 0 {
+			delete(c, w)
+		}
+	}
 }
 
 // jobPermits are the permits and queries of one job.
@@ -76,6 +96,7 @@
 	inFlight  int                            // queries in flight
 	nextQuery model.Time                     // earliest time of the next query
 	idle      bool                           // all tasks are placed
+	contended contention                     // by the queries of all jobs
 }
 
 // workerState is what is known of one worker for a job. A permit that the worker has
@@ -88,7 +109,7 @@
 
 // NewTracker returns an empty Tracker.
 func NewTracker(o Options) *Tracker {
-	return &Tracker{opts: o, jobs: map[model.JobID]*jobPermits{}}
+	return &Tracker{opts: o, jobs: map[model.JobID]*jobPermits{}, contended: contention{}}
 }
 
 // Add adds a job that needs permits and must start by startBy. It does nothing if
@@ -97,7 +118,7 @@
 	if t.jobs[id] != nil {
 		return
 	}
-	j := &jobPermits{id: id, step: step, startBy: startBy, workers: map[model.WorkerID]workerState{}}
+	j := &jobPermits{id: id, step: step, startBy: startBy, workers: map[model.WorkerID]workerState{}, contended: t.contended}
 	t.jobs[id] = j
 	at, _ := slices.BinarySearchFunc(t.byDeadline, j, func(id model.JobID, j *jobPermits) int { return compareJobs(t.jobs[id], j) })
 	t.byDeadline = slices.Insert(t.byDeadline, at, id)
@@ -230,6 +251,7 @@
 
 // MarkSent records that a query is in flight.
 func (t *Tracker) MarkSent(q *Query) {
+	t.contended.add(q.Workers)
 	if j := t.jobs[q.Job]; j != nil {
 		j.inFlight++
 	}
@@ -237,6 +259,7 @@
 
 // ApplyAdvice records the response to a query, received at now.
 func (t *Tracker) ApplyAdvice(q *Query, advice *workerclient.Advice, now model.Time) {
+	t.contended.remove(q.Workers)
 	j := t.jobs[q.Job]
 	if j == nil {
 		return
@@ -255,6 +278,7 @@
 
 // MarkFailed records that a query failed, so that it is sent again after retryAfter.
 func (t *Tracker) MarkFailed(q *Query, now model.Time) {
+	t.contended.remove(q.Workers)
 	if j := t.jobs[q.Job]; j != nil {
 		j.inFlight--
 		j.nextQuery = now.Add(retryAfter)
