--- a/internal/permit/balancer.go
+++ b/internal/permit/balancer.go
@@ -13,10 +13,11 @@
 	// saturationCost is the service time outstanding at an entry from which on it
 	// gets no further query: a query that has been sent cannot be reordered.
 	saturationCost = longQueryCost
-	// longQueryCost is the service time from which on a query is a long one. Long
-	// queries occupy at most half of the entries (rounded up), so that short ones
-	// need not wait for them.
+	// longQueryCost is the service time from which on a query is a long one.
 	longQueryCost = 100 * time.Millisecond
+	// maxLongPercent is the part of the entries (rounded up) that long queries may
+	// occupy, so that short ones need not wait for them.
+	maxLongPercent = 75
 	// failureCooldown is how long an entry gets no query after one has failed.
 	failureCooldown = 2 * time.Second
 )
@@ -38,7 +39,7 @@
 // Choose returns the entry for a query of the given service time, or false if the
 // query must wait. If all entries have failed recently, it chooses among them all.
 func (b *Balancer) Choose(entries []string, cost time.Duration, now model.Time) (string, bool) {
-	if cost >= longQueryCost && 2*b.saturated(entries) >= len(entries) {
+	if cost >= longQueryCost && 100*b.saturated(entries) >= maxLongPercent*len(entries) {
 		return "", false
 	}
 	best, ok := b.leastLoaded(entries, func(e string) bool { return now >= b.avoidUntil[e] })
