--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -16,9 +16,9 @@
 
 // adapterOf returns the adapter to the external platform, or nil if the settings
 // do not enable it.
-func adapterOf(s *settings.Settings) server.Adapter {
+func adapterOf(s *settings.Settings) (server.Adapter, error) {
 	if !s.Platform.Enabled() {
-		return nil
+		return nil, nil
 	}
 	return platform.New(s)
 }
@@ -59,5 +59,9 @@
 	configureGC(s.Memory)
 	out := obs.NewAsyncWriter(os.Stdout)
 	defer out.Close(logFlushTimeout)
-	return server.Run(ctx, s, server.Options{Adapter: adapterOf(s), Log: out})
+	adapter, err := adapterOf(s)
+	if err != nil {
+		return err
+	}
+	return server.Run(ctx, s, server.Options{Adapter: adapter, Log: out})
 }
