--- a/internal/link/budget.go
+++ b/internal/link/budget.go
@@ -77,20 +77,6 @@
 	}
 }
 
-// SetRate changes this process's share of the link to one region, for example
-// because the number of processes that share the link has changed.
-func (b *Budget) SetRate(to string, rate int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.rates == nil {
-		b.rates = make(map[string]int64)
-	}
-	b.rates[to] = rate
-	if r := b.regions[to]; r != nil {
-		r.bucket.rate = rate
-	}
-}
-
 func (b *Budget) rateOf(region string) int64 {
 	if rate, ok := b.rates[region]; ok {
 		return rate
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -173,9 +173,6 @@
 	}
 	assert.Assert(t, tryRequest(b, 2*burstBytes))
 	assert.Assert(t, !tryRequest(b, 1))
-	b.SetRate(north, 100*testRate)
-	c.now = c.now.Add(burstTime + time.Millisecond)
-	assert.Assert(t, tryRequest(b, 100*burstBytes)) // repaid within burstTime at the new rate
 	c.now = c.now.Add(burstTime + time.Millisecond)
 	assert.Assert(t, tryRequest(b, 1))
 }
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -106,14 +106,6 @@
 	assert.Equal(t, len(table.MarkLost(at(time.Second+testLease+testDrift))), 0)
 }
 
-func TestBehindReturnsEntriesWithOlderConfiguration(t *testing.T) {
-	table := newTable(testMember("a", 1), testMember("b", 1), testMember("c", 1))
-	table.Renew("a", 1, 6, false, at(leaseEnd))
-	table.Renew("b", 1, 7, true, at(leaseEnd))
-	table.MarkLost(at(leaseEnd))
-	assert.DeepEqual(t, table.Behind(7), []string{"a"})
-}
-
 // testDeclarations returns 50 teams, the first n of which have share 2.
 func testDeclarations(n int) *model.Declarations {
 	d := &model.Declarations{}
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -168,19 +168,6 @@
 	return out
 }
 
-// Behind returns the sorted names of the entries that are not lost and have
-// last reported a configuration older than version.
-func (t *Table) Behind(version uint64) []string {
-	var out []string
-	for name, e := range t.entries {
-		if !e.lost && e.version < version {
-			out = append(out, name)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
-
 func (t *Table) advance(now model.Time) { t.latest = max(t.latest, now) }
 
 func sortMembers(list []state.Member) {
--- a/internal/owner/table.go
+++ b/internal/owner/table.go
@@ -251,15 +251,6 @@
 	}
 }
 
-// Release records that an entry sends no more requests to an executor and that none
-// of its requests is running there.
-func (t *Table) Release(entryID, executorID string) {
-	e, ok := t.executors[executorID]
-	if ok && e.owner == entryID && !e.orphan() {
-		t.free(e)
-	}
-}
-
 func (t *Table) responseTo(n *entry, r *Renewal) RenewalResponse {
 	if !n.heldReported {
 		return RenewalResponse{Seq: r.Seq, WantHeld: true}
--- a/internal/permit/tracker.go
+++ b/internal/permit/tracker.go
@@ -6,7 +6,6 @@
 
 import (
 	"cmp"
-	"iter"
 	"slices"
 	"time"
 
@@ -43,13 +42,6 @@
 	recheckAfter = 250 * time.Millisecond
 )
 
-// Query asks which workers may run the tasks of a job.
-type Query struct {
-	Job     model.JobID
-	Step    workerclient.TaskName
-	Workers []model.WorkerID
-}
-
 // Options configure a Tracker. They are those of the scheduler with the same names, so
 // that queries are sent in the order in which jobs are placed.
 type Options struct {
@@ -68,25 +60,6 @@
 	contended  contention    // by the queries of all jobs
 }
 
-// contention counts the queries in flight about each worker.
-type contention map[model.WorkerID]int64
-
-// add counts a query about the given workers.
-func (c contention) add(workers []model.WorkerID) {
-	for _, w := range workers {
-		c[w]++
-	}
-}
-
-// remove ends the count of a query about the given workers.
-func (c contention) remove(workers []model.WorkerID) {
-	for _, w := range workers {
-		if c[w]--; c[w] <= 0 {
-			delete(c, w)
-		}
-	}
-}
-
 // jobPermits are the permits and queries of one job.
 type jobPermits struct {
 	id        model.JobID
@@ -175,80 +148,11 @@
 	CanSend(model.JobID) bool
 }
 
-// EachDueQuery calls send for each query that is due at now, until send returns
-// false. If send takes a query it must call MarkSent. Jobs come in the order of their
-// deadlines, late ones as if their deadlines were LateShift later. After a change of
-// the leader every waiting job must be queried again; with this order the queries for
-// jobs that can still start in time go first, and those for late jobs wait LateShift at
-// most.
-func (t *Tracker) EachDueQuery(now model.Time, scheduler Scheduler, send func(Query) bool) {
-	defer t.dropIdle()
-	for j := range t.inOrder(now) {
-		for _, q := range j.dueQueries(now, scheduler) {
-			if !send(q) {
-				return
-			}
-		}
-	}
-}
-
-// inOrder returns the waiting jobs in the order in which their queries are sent.
-func (t *Tracker) inOrder(now model.Time) iter.Seq[*jobPermits] {
-	graceEnd := now.Add(-t.opts.LateGrace)
-	n, _ := slices.BinarySearchFunc(t.waiting, graceEnd, func(j *jobPermits, at model.Time) int {
-		return cmp.Compare(j.startBy, at)
-	})
-	late, others := t.waiting[:n], t.waiting[n:]
-	return func(yield func(*jobPermits) bool) {
-		for len(late)+len(others) > 0 {
-			from := &others
-			if len(others) == 0 || len(late) > 0 && late[0].startBy.Add(t.opts.LateShift) <= others[0].startBy {
-				from = &late
-			}
-			j := (*from)[0]
-			*from = (*from)[1:]
-			if !yield(j) {
-				return
-			}
-		}
-	}
-}
-
 // dropIdle removes the jobs whose tasks are all placed from those that wait.
 func (t *Tracker) dropIdle() {
 	t.waiting = slices.DeleteFunc(t.waiting, func(j *jobPermits) bool { return j.idle })
 }
 
-// dueQueries returns the queries of a job that are due at now.
-func (j *jobPermits) dueQueries(now model.Time, scheduler Scheduler) []Query {
-	if j.inFlight > 0 || now < j.nextQuery {
-		return nil
-	}
-	demand := scheduler.Demand(j.id)
-	j.idle = demand.Tasks == 0
-	if j.idle || !scheduler.CanSend(j.id) {
-		return nil
-	}
-	candidates := scheduler.Candidates(j.id)
-	r := j.roomOn(candidates, now)
-	if !r.queryHelps(demand) {
-		j.nextQuery = r.recheckAt(demand, now)
-		return nil
-	}
-	return j.split(j.selectWorkers(candidates, r, demand))
-}
-
-// split divides the workers to query about evenly among as few queries as possible.
-func (j *jobPermits) split(workers []model.WorkerID) []Query {
-	var out []Query
-	for left := (len(workers) + MaxQueryWorkers - 1) / MaxQueryWorkers; left > 0; left-- {
-		n := (len(workers) + left - 1) / left
-		out = append(out, Query{Job: j.id, Step: j.step, Workers: workers[:n]})
-		workers = workers[n:]
-	}
-	return out
-}
-
 // MarkSent records that a query is in flight.
 func (t *Tracker) MarkSent(q *Query) {
 	t.contended.add(q.Workers)
