--- a/internal/control/policy.go
+++ b/internal/control/policy.go
@@ -14,14 +14,8 @@
 	"github.com/filbertmast/filbertmast/internal/workerclient"
 )
 
-const (
-	// maxQueriesPerEntry bounds the queries to the policy service that are in flight,
-	// together with the number of entries. It lies below the number of calls that the
-	// service lets one machine queue.
-	maxQueriesPerEntry = 16
-	// queryInterval is the time between checks for jobs that need permits.
-	queryInterval = 20 * time.Millisecond
-)
+// queryInterval is the time between checks for jobs that need permits.
+const queryInterval = 20 * time.Millisecond
 
 // policy gets the permits for the jobs of queues that require them. Entries forward
 // its queries to the policy service.
@@ -35,8 +29,10 @@
 	nextQuery model.Time
 	unsent    unsentQueries
 
-	takesLong bool // an entry can take a long query
-	longWaits bool // a long query has found no entry since the last check began
+	takesShort bool // a short query can be sent
+	takesLong  bool // a long query can be sent
+	shortWaits bool // a short query could not be sent since the last check began
+	longWaits  bool // a long query could not be sent since the last check began
 }
 
 func newPolicy(l *leader) *policy {
@@ -97,9 +93,12 @@
 
 // CanSend implements permit.Scheduler.
 func (p *policy) CanSend(id model.JobID) bool {
-	ok := p.takesLong || !permit.IsLong(p.costs[id].Base.Std())
-	p.longWaits = p.longWaits || !ok
-	return ok
+	if permit.IsLong(p.costs[id].Base.Std()) {
+		p.longWaits = p.longWaits || !p.takesLong
+		return p.takesLong
+	}
+	p.shortWaits = p.shortWaits || !p.takesShort
+	return p.takesShort
 }
 
 // sendQueries sends the queries that are due to entries.
@@ -110,8 +109,6 @@
 	p.nextQuery = now.Add(queryInterval)
 	entries := p.entries(now)
 	switch {
-	case len(entries) > 0 && p.inFlight >= maxQueries(entries):
-		p.countUnsent(unsentInFlightLimit, now)
 	case len(entries) == 0:
 		p.countUnsent(unsentNoEntry, now)
 	case !p.updateAvailable(entries, now):
@@ -121,22 +118,34 @@
 	}
 }
 
-// maxQueries returns how many queries may be in flight through the given entries.
-func maxQueries(entries []string) int { return maxQueriesPerEntry * len(entries) }
-
 // sendTo sends the queries that are due to the given entries.
 func (p *policy) sendTo(entries []string, now model.Time) {
-	p.longWaits = false
+	p.shortWaits, p.longWaits = false, false
 	p.tracker.EachDueQuery(now, p, func(q permit.Query) bool {
 		cost := p.cost(&q)
-		if entry, ok := p.balancer.Choose(entries, cost, now); ok {
+		entry, ok := p.balancer.Choose(entries, cost, now)
+		switch {
+		case ok:
 			p.send(&q, entry, cost)
-		} else {
-			p.longWaits = true // shorter ones can be sent
+		case permit.IsLong(cost):
+			p.longWaits = true
+		default:
+			p.shortWaits = true
 		}
-		return p.inFlight < maxQueries(entries) && p.updateAvailable(entries, now)
+		return p.updateAvailable(entries, now)
 	})
-	if p.longWaits && p.unsent.due(now) {
+	p.countWaits(now)
+}
+
+// countWaits counts the last check if a due query could not be sent.
+func (p *policy) countWaits(now model.Time) {
+	if !p.shortWaits && !p.longWaits || !p.unsent.due(now) {
+		return
+	}
+	if p.shortWaits {
+		p.unsent.add(unsentInFlightLimit)
+	}
+	if p.longWaits {
 		p.unsent.add(unsentLongQueries)
 	}
 }
@@ -144,8 +153,8 @@
 // updateAvailable determines which queries the entries can take, and reports whether
 // they can take any.
 func (p *policy) updateAvailable(entries []string, now model.Time) (anyQuery bool) {
-	anyQuery, p.takesLong = p.balancer.Available(entries, now)
-	return anyQuery
+	p.takesShort, p.takesLong = p.balancer.Available(entries, now)
+	return p.takesShort || p.takesLong
 }
 
 // cost returns the time that the policy service takes for a query.
--- a/internal/control/unsent.go
+++ b/internal/control/unsent.go
@@ -14,7 +14,7 @@
 	unsentNoEntry       unsentReason = iota // no entry has renewed recently
 	unsentSaturated                         // every entry has as much service time outstanding as it may have
 	unsentLongQueries                       // long queries occupy their part of the entries; shorter ones are sent
-	unsentInFlightLimit                     // as many are in flight as may be
+	unsentInFlightLimit                     // as many short queries are in flight as may be
 	unsentReasons                           // number of reasons
 )
 
@@ -70,6 +70,7 @@
 	if !p.unsent.due(now) {
 		return
 	}
+	p.takesShort, p.takesLong = true, true // only to find a query that is due
 	p.tracker.EachDueQuery(now, p, func(permit.Query) bool {
 		p.unsent.add(reason)
 		return false
--- a/internal/permit/balancer.go
+++ b/internal/permit/balancer.go
@@ -18,6 +18,9 @@
 	// maxLongPercent is the part of the entries (rounded up) that long queries may
 	// occupy, so that short ones need not wait for them.
 	maxLongPercent = 75
+	// maxShortQueries bounds the short queries in flight. A new leader has one to send
+	// for each waiting job, and must keep time for the messages of its group.
+	maxShortQueries = 48
 	// failureCooldown is how long an entry gets no query after one has failed.
 	failureCooldown = 2 * time.Second
 )
@@ -29,6 +32,7 @@
 type Balancer struct {
 	outstanding map[string]time.Duration // service time of queries in flight, by entry
 	avoidUntil  map[string]model.Time    // end of the cooldown, by entry
+	short       int                      // short queries in flight
 }
 
 // NewBalancer returns a Balancer without queries in flight.
@@ -39,7 +43,10 @@
 // Choose returns the entry for a query of the given service time, or false if the
 // query must wait. If all entries have failed recently, it chooses among them all.
 func (b *Balancer) Choose(entries []string, cost time.Duration, now model.Time) (string, bool) {
-	if cost >= longQueryCost && 100*b.saturated(entries) >= maxLongPercent*len(entries) {
+	if IsLong(cost) && 100*b.saturated(entries) >= maxLongPercent*len(entries) {
+		return "", false
+	}
+	if !IsLong(cost) && b.short >= maxShortQueries {
 		return "", false
 	}
 	best, ok := b.leastLoaded(entries, func(e string) bool { return now >= b.avoidUntil[e] })
@@ -49,11 +56,11 @@
 	return best, ok && b.outstanding[best] < saturationCost
 }
 
-// Available reports whether any query may be sent at now, and whether a long one may.
-func (b *Balancer) Available(entries []string, now model.Time) (anyQuery, longQuery bool) {
-	_, anyQuery = b.Choose(entries, 0, now)
-	_, longQuery = b.Choose(entries, longQueryCost, now)
-	return anyQuery, longQuery
+// Available reports whether a short query may be sent at now, and whether a long one may.
+func (b *Balancer) Available(entries []string, now model.Time) (short, long bool) {
+	_, short = b.Choose(entries, 0, now)
+	_, long = b.Choose(entries, longQueryCost, now)
+	return short, long
 }
 
 // IsLong reports whether a query of the given service time is a long one.
@@ -81,11 +88,17 @@
 // Begin records a query of the given service time and returns its timeout.
 func (b *Balancer) Begin(entry string, cost time.Duration) time.Duration {
 	b.outstanding[entry] += cost
+	if !IsLong(cost) {
+		b.short++
+	}
 	return b.outstanding[entry]*3/2 + querySlack
 }
 
 // End records that a query was answered or has failed.
 func (b *Balancer) End(entry string, cost time.Duration, answered bool, now model.Time) {
+	if !IsLong(cost) {
+		b.short--
+	}
 	b.outstanding[entry] -= cost
 	if b.outstanding[entry] <= 0 {
 		delete(b.outstanding, entry)
--- a/internal/permit/balancer_test.go
+++ b/internal/permit/balancer_test.go
@@ -1,6 +1,7 @@
 package permit
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -86,3 +87,23 @@
 	_, ok = b.Choose(entries, longQueryCost-1, 1000)
 	assert.Assert(t, ok)
 }
+
+// Guards against a new leader that sends a query for each of many waiting jobs at once
+// and loses its quorum meanwhile.
+func TestShortQueriesInFlightAreBounded(t *testing.T) {
+	const cost = time.Millisecond
+	b := NewBalancer()
+	var entries []string
+	for i := range 100 {
+		entries = append(entries, fmt.Sprint(i))
+	}
+	for range maxShortQueries {
+		b.Begin(choose(t, b, 1000, entries...), cost)
+	}
+	short, long := b.Available(entries, 1000)
+	assert.Assert(t, !short)
+	assert.Assert(t, long, "a long query need not wait for short ones")
+	b.End("0", cost, true, 1000)
+	short, _ = b.Available(entries, 1000)
+	assert.Assert(t, short)
+}
