--- a/internal/command/dev.go
+++ b/internal/command/dev.go
@@ -16,6 +16,8 @@
 func (*devCommand) describe() string {
 	return `Runs control, entry and a stand-in worker in one process on loopback, runs an
 example job to its end, prints what happened, and goes on serving until SIGINT.
+With --data, a later start on the same folder goes on with its state; the
+operator's key is kept there.
 Not for production: there is one replica and the keys are printed.
 `
 }
