Bound all queries in flight again, and let the bound grow over the first second of a leader

Cause, suspected: the quorum is lost under load on that site, and each new leader meets the burst of first queries; more of them in flight, and long ones on three quarters of the entries, make the next loss likelier. Both are taken back: at most 48 queries, or one for each entry if there are more, and half of the entries for long ones. New: the bound is 4 when a leader begins and grows by one each 25 ms.

--- a/internal/control/policy.go
+++ b/internal/control/policy.go
@@ -42,7 +42,7 @@
 		tracker:  permit.NewTracker(permit.Options{LateShift: scheduling.LateShift, LateGrace: scheduling.LateGrace}),
 		costs:    map[model.JobID]model.PolicyCosts{},
 		answered: map[model.JobID]model.Time{},
-		balancer: permit.NewBalancer(),
+		balancer: permit.NewBalancer(l.c.s.now()),
 		unsent:   newUnsentQueries(l.c.s.metrics.policyUnsent),
 	}
 }
@@ -111,6 +111,8 @@
 	switch {
 	case len(entries) == 0:
 		p.countUnsent(unsentNoEntry, now)
+	case p.balancer.Full(entries, now):
+		p.countUnsent(unsentInFlightLimit, now)
 	case !p.updateAvailable(entries, now):
 		p.countUnsent(unsentSaturated, now)
 	default:
--- a/internal/control/unsent.go
+++ b/internal/control/unsent.go
@@ -14,7 +14,7 @@
 	unsentNoEntry       unsentReason = iota // no entry has renewed recently
 	unsentSaturated                         // every entry has as much service time outstanding as it may have
 	unsentLongQueries                       // long queries occupy their part of the entries; shorter ones are sent
-	unsentInFlightLimit                     // as many short queries are in flight as may be
+	unsentInFlightLimit                     // as many are in flight as may be
 	unsentReasons                           // number of reasons
 )
 
--- a/internal/permit/balancer.go
+++ b/internal/permit/balancer.go
@@ -17,10 +17,14 @@
 	longQueryCost = 100 * time.Millisecond
 	// maxLongPercent is the part of the entries (rounded up) that long queries may
 	// occupy, so that short ones need not wait for them.
-	maxLongPercent = 75
-	// maxShortQueries bounds the short queries in flight. A new leader has one to send
-	// for each waiting job, and must keep time for the messages of its group.
-	maxShortQueries = 48
+	maxLongPercent = 50
+	// maxQueries bounds the queries in flight, unless there are more entries.
+	maxQueries = 48
+	// firstQueries is the bound when a Balancer is new, and rampInterval the time after
+	// which it grows by one query. A new leader has a query to send for each waiting job,
+	// and must keep time for the messages of its group.
+	firstQueries = 4
+	rampInterval = 25 * time.Millisecond
 	// failureCooldown is how long an entry gets no query after one has failed.
 	failureCooldown = 2 * time.Second
 )
@@ -32,12 +36,24 @@
 type Balancer struct {
 	outstanding map[string]time.Duration // service time of queries in flight, by entry
 	avoidUntil  map[string]model.Time    // end of the cooldown, by entry
-	short       int                      // short queries in flight
+	inFlight    int                      // queries in flight
+	since       model.Time               // when the Balancer was made
 }
 
-// NewBalancer returns a Balancer without queries in flight.
-func NewBalancer() *Balancer {
-	return &Balancer{outstanding: map[string]time.Duration{}, avoidUntil: map[string]model.Time{}}
+// NewBalancer returns a Balancer without queries in flight, made at now.
+func NewBalancer(now model.Time) *Balancer {
+	return &Balancer{outstanding: map[string]time.Duration{}, avoidUntil: map[string]model.Time{}, since: now}
+}
+
+// Full reports whether as many queries are in flight as may be at now.
+func (b *Balancer) Full(entries []string, now model.Time) bool {
+	return b.inFlight >= b.bound(entries, now)
+}
+
+// bound returns how many queries may be in flight at now.
+func (b *Balancer) bound(entries []string, now model.Time) int {
+	ramp := firstQueries + int(now.Sub(b.since)/rampInterval)
+	return min(ramp, max(maxQueries, len(entries)))
 }
 
 // Choose returns the entry for a query of the given service time, or false if the
@@ -46,7 +62,7 @@
 	if IsLong(cost) && 100*b.saturated(entries) >= maxLongPercent*len(entries) {
 		return "", false
 	}
-	if !IsLong(cost) && b.short >= maxShortQueries {
+	if b.Full(entries, now) {
 		return "", false
 	}
 	best, ok := b.leastLoaded(entries, func(e string) bool { return now >= b.avoidUntil[e] })
@@ -88,17 +104,13 @@
 // Begin records a query of the given service time and returns its timeout.
 func (b *Balancer) Begin(entry string, cost time.Duration) time.Duration {
 	b.outstanding[entry] += cost
-	if !IsLong(cost) {
-		b.short++
-	}
+	b.inFlight++
 	return b.outstanding[entry]*3/2 + querySlack
 }
 
 // End records that a query was answered or has failed.
 func (b *Balancer) End(entry string, cost time.Duration, answered bool, now model.Time) {
-	if !IsLong(cost) {
-		b.short--
-	}
+	b.inFlight--
 	b.outstanding[entry] -= cost
 	if b.outstanding[entry] <= 0 {
 		delete(b.outstanding, entry)
