--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")" || exit 2
 export TROUBLE="${TROUBLE:-1}"
 [ -x ../../target/review/kit ] || { echo "run review/build.sh first"; exit 2; }
-exec ../../target/review/kit route-removed
+exec ../../target/review/kit gang-starves
--- a/review/kit/executor.go
+++ b/review/kit/executor.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -55,27 +56,34 @@
 	controls []string
 	behave   func(task string, number int, spec string) plan
 	onStart  func(x *executor, task string, number int, spec string) // after a run has begun
-
-	mu       sync.Mutex
-	server   *http.Server
-	conns    map[net.Conn]chan struct{} // open connections, with the life in which they were opened
-	up       bool
-	cut      bool
-	quiet    bool // sends no heartbeats of its own
-	tickets  bool // starts need a ticket of the policy service
-	draining bool
-	born     int64
-	booted   time.Time
-	sequence int64
-	fence    uint64
-	until    int64 // end of the lease on the executor's clock
-	active   map[string]*run
-	past     map[string]int // highest run that was stopped or has ended, by task
-	ends     []end
-	lastEnd  uint64
-	cursor   uint64
-	changed  chan struct{} // closed at the next end
-	life     chan struct{} // closed when this life ends
+	onAck    func(x *executor, cursor uint64, ends []end)            // before ends are forgotten
+
+	mu     sync.Mutex
+	server *http.Server
+	conns  map[net.Conn]chan struct{} // open connections, with the life in which they were opened
+
+	bootTime    time.Duration // from the start of a life to its first report
+	delay       chan struct{} // the next response to a hold that waited is on its way until this is closed; nil: no delay
+	waiting     chan struct{} // closed once a hold waits; nil: no one asks
+	delayed     chan struct{} // closed once that response has been sent
+	delayedConn net.Conn      // its connection
+	up          bool
+	cut         bool
+	quiet       bool // sends no heartbeats of its own
+	tickets     bool // starts need a ticket of the policy service
+	draining    bool
+	born        int64
+	booted      time.Time
+	sequence    int64
+	fence       uint64
+	until       int64 // end of the lease on the executor's clock
+	active      map[string]*run
+	past        map[string]int // highest run that was stopped or has ended, by task
+	ends        []end
+	lastEnd     uint64
+	cursor      uint64
+	changed     chan struct{} // closed at the next end
+	life        chan struct{} // closed when this life ends
 }
 
 // boot starts a life of the executor.
@@ -113,6 +121,9 @@
 	mux.HandleFunc("POST /api/hold", x.hold)
 	x.server = &http.Server{
 		ConnState: x.trackConn,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			x.serve(mux, w, r)
 		}),
@@ -121,6 +132,9 @@
 	return nil
 }
 
+// connKey is the key of a call's connection in its context.
+type connKey struct{}
+
 func (x *executor) serve(mux http.Handler, w http.ResponseWriter, r *http.Request) {
 	x.mu.Lock()
 	up, cut := x.up, x.cut
@@ -162,7 +176,7 @@
 	x.mu.Lock()
 	var stale []net.Conn
 	for c, life := range x.conns {
-		if !x.cut && (life != x.life || !x.up) {
+		if !x.cut && (life != x.life || !x.up) && c != x.delayedConn {
 			stale = append(stale, c)
 		}
 	}
@@ -232,6 +246,7 @@
 
 // beat sends a heartbeat at each interval until the life ends.
 func (x *executor) beat(life chan struct{}) {
+	time.Sleep(x.bootTime)
 	for {
 		x.mu.Lock()
 		silent := x.quiet || x.cut
@@ -495,6 +510,9 @@
 	if o.UntilMS != 0 {
 		x.extend(o.UntilMS)
 	}
+	if o.AckCursor > x.cursor && x.onAck != nil {
+		x.onAck(x, o.AckCursor, x.ends)
+	}
 	x.cursor = max(x.cursor, o.AckCursor)
 	for len(x.ends) > 0 && x.ends[0].n <= x.cursor {
 		x.ends = x.ends[1:]
@@ -502,6 +520,10 @@
 	life := x.life
 	if len(x.ends) == 0 && o.WaitMS > 0 {
 		changed := x.changed
+		if x.waiting != nil {
+			close(x.waiting)
+			x.waiting = nil
+		}
 		x.mu.Unlock()
 		select {
 		case <-changed:
@@ -520,7 +542,35 @@
 		}
 		panic(http.ErrAbortHandler)
 	}
-	x.reply(w, http.StatusOK, x.lists())
+	if x.delay == nil || o.WaitMS == 0 {
+		x.reply(w, http.StatusOK, x.lists())
+		return
+	}
+	x.replyLate(w, r, x.lists())
+}
+
+// replyLate sends a response that is on its way for some time, also if the executor crashes
+// meanwhile. The caller holds the lock.
+func (x *executor) replyLate(w http.ResponseWriter, r *http.Request, lists map[string]any) {
+	body := map[string]any{"clock_ms": x.clock(), "born": x.born}
+	for k, v := range lists {
+		body[k] = v
+	}
+	b, _ := json.Marshal(body)
+	arrives := x.delay
+	x.delay = nil
+	x.delayedConn, _ = r.Context().Value(connKey{}).(net.Conn)
+	x.rec.add(x.id, "a response to a hold is sent, and delayed on its way")
+	close(x.delayed)
+	x.mu.Unlock()
+	<-arrives
+	x.mu.Lock()
+	x.delayedConn = nil
+	x.rec.add(x.id, "the delayed response arrives")
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Connection", "close") // its sender has ended
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	_, _ = w.Write(b)
 }
 
 func (x *executor) lists() map[string]any {
