--- a/review/kit/cell.go
+++ b/review/kit/cell.go
@@ -199,13 +199,6 @@
 	return nil
 }
 
-// kill ends a process with SIGKILL.
-func (c *cell) kill(n *node) {
-	_ = n.cmd.Process.Signal(syscall.SIGKILL)
-	<-n.exited
-	c.rec.add("platform", "process %s was killed", n.name)
-}
-
 // stopAll ends every process that the cell has started.
 func (c *cell) stopAll() {
 	for _, name := range sortedNames(c.nodes) {
--- a/review/kit/executor.go
+++ b/review/kit/executor.go
@@ -69,9 +69,7 @@
 	delayedConn net.Conn      // its connection
 	up          bool
 	cut         bool
-	quiet       bool // sends no heartbeats of its own
 	tickets     bool // starts need a ticket of the policy service
-	draining    bool
 	born        int64
 	booted      time.Time
 	sequence    int64
@@ -81,7 +79,6 @@
 	past        map[string]int // highest run that was stopped or has ended, by task
 	ends        []end
 	lastEnd     uint64
-	cursor      uint64
 	changed     chan struct{} // closed at the next end
 	life        chan struct{} // closed when this life ends
 }
@@ -94,9 +91,9 @@
 		}
 	}
 	x.mu.Lock()
-	x.up, x.draining = true, false
+	x.up = true
 	x.born, x.booted = time.Now().UnixMilli(), time.Now()
-	x.sequence, x.fence, x.until, x.lastEnd, x.cursor = 0, 0, 0, 0, 0
+	x.sequence, x.fence, x.until, x.lastEnd = 0, 0, 0, 0
 	x.active, x.past, x.ends = map[string]*run{}, map[string]int{}, nil
 	x.changed, x.life = make(chan struct{}), make(chan struct{})
 	life := x.life
@@ -222,26 +219,22 @@
 
 func (x *executor) clock() int64 { return 1000 + time.Since(x.booted).Milliseconds() }
 
-// report is the executor's report about itself with the given sequence and state.
-func (x *executor) report(sequence int64, state string) []byte {
+// report is the executor's report about itself with the given sequence.
+func (x *executor) report(sequence int64) []byte {
 	b, _ := json.Marshal(map[string]any{
 		"service": x.service, "address": x.address, "zone": x.zone, "version": "v1", "slots": 8,
-		"state": state, "cold_remaining_ms": 0, "capacity": x.capacity, "labels": x.labels,
+		"state": "ready", "cold_remaining_ms": 0, "capacity": x.capacity, "labels": x.labels,
 		"clock_ms": x.clock(), "sequence": sequence, "born": x.born,
 	})
 	return b
 }
 
 // nextReport returns the next report and its sequence.
-func (x *executor) nextReport() ([]byte, int64, string) {
+func (x *executor) nextReport() ([]byte, int64) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.sequence++
-	state := "ready"
-	if x.draining {
-		state = "draining"
-	}
-	return x.report(x.sequence, state), x.sequence, state
+	return x.report(x.sequence), x.sequence
 }
 
 // beat sends a heartbeat at each interval until the life ends.
@@ -249,7 +242,7 @@
 	time.Sleep(x.bootTime)
 	for {
 		x.mu.Lock()
-		silent := x.quiet || x.cut
+		silent := x.cut
 		x.mu.Unlock()
 		if !silent {
 			x.sendBeat(life)
@@ -265,7 +258,7 @@
 // sendBeat sends one report to one control address after the other until one acknowledges
 // it. It returns whether one did.
 func (x *executor) sendBeat(life chan struct{}) bool {
-	body, sequence, state := x.nextReport()
+	body, sequence := x.nextReport()
 	for i := range x.controls {
 		select {
 		case <-life:
@@ -274,9 +267,6 @@
 		}
 		to := x.controls[(int(sequence)+i)%len(x.controls)]
 		if status := x.postBeat(to, body); status/100 == 2 {
-			if state == "draining" {
-				x.rec.add(x.id, "report %d (%s) is acknowledged", sequence, state)
-			}
 			return true
 		}
 	}
@@ -302,22 +292,6 @@
 	return resp.StatusCode
 }
 
-// drain makes the executor report that it is draining, and returns once that is
-// acknowledged.
-func (x *executor) drain() bool {
-	x.mu.Lock()
-	x.draining = true
-	life := x.life
-	x.mu.Unlock()
-	for range 20 {
-		if x.sendBeat(life) {
-			return true
-		}
-		time.Sleep(100 * time.Millisecond)
-	}
-	return false
-}
-
 // watchLease ends everything that runs once the lease is over.
 func (x *executor) watchLease(life chan struct{}) {
 	for {
@@ -510,11 +484,10 @@
 	if o.UntilMS != 0 {
 		x.extend(o.UntilMS)
 	}
-	if o.AckCursor > x.cursor && x.onAck != nil {
+	if len(x.ends) > 0 && x.onAck != nil {
 		x.onAck(x, o.AckCursor, x.ends)
 	}
-	x.cursor = max(x.cursor, o.AckCursor)
-	for len(x.ends) > 0 && x.ends[0].n <= x.cursor {
+	for len(x.ends) > 0 && x.ends[0].n <= o.AckCursor {
 		x.ends = x.ends[1:]
 	}
 	life := x.life
