Do not refuse jobs as matching no worker while the only worker leaves

Callers saw a job refused for good (no worker matches the selectors) while the only worker of a cell was being replaced. A worker that leaves counted as known but not as one that may be given tasks, so that no shape was left to compare with. TestJobIsNotRefusedWhileOnlyWorkerLeaves fails on the code before.

--- a/internal/schedule/check.go
+++ b/internal/schedule/check.go
@@ -8,7 +8,7 @@
 // Check reports whether a job could ever run on the workers known now. The error
 // has kind NoMatchingWorker or NeverFits; the latter names the missing amount and,
 // if no worker is large enough for one task, the closest worker. Check returns nil
-// while no worker is known. q may be nil.
+// while no known worker may be given tasks, as when the only one leaves. q may be nil.
 func (s *Scheduler) Check(spec *model.JobSpec, q *model.Queue) error {
 	queue := ""
 	if q != nil {
@@ -28,9 +28,9 @@
 }
 
 // fitFailure returns why n tasks cannot run anywhere at once; its Err is nil if
-// they can.
+// they can, or if no known worker may be given tasks.
 func (s *Scheduler) fitFailure(selector int32, size model.Resources, n int64, exclusive bool) FitFailure {
-	if s.workerCount == 0 {
+	if len(s.shapes) == 0 {
 		return FitFailure{}
 	}
 	if s.slotsFor(selector, size, exclusive) >= n {
--- a/internal/schedule/scheduler_test.go
+++ b/internal/schedule/scheduler_test.go
@@ -137,6 +137,19 @@
 	assert.NilError(t, c.s.Check(&model.JobSpec{Tasks: 1, Size: cores(16), Selector: "disk=ssd"}, nil))
 }
 
+// Guards against a refusal of jobs as matching no worker while the only worker is replaced.
+func TestJobIsNotRefusedWhileOnlyWorkerLeaves(t *testing.T) {
+	c := newCell()
+	c.worker("w0", "d0", "r0", cores(4), nil)
+	c.s.Apply(WorkerModeChanged{Worker: "w0", Mode: model.WorkerLeaving, At: c.now})
+	small := model.JobSpec{Tasks: 1, Size: cores(1)}
+	assert.NilError(t, c.s.Check(&small, nil))
+	c.job(small)
+	assert.Equal(t, len(c.plan().NeverFits), 0)
+	c.worker("w1", "d0", "r0", cores(4), nil)
+	assert.Equal(t, len(c.plan().Placements), 1)
+}
+
 // Guards against a report that names a worker as the closest that has shrunk since.
 func TestFitFailureNamesClosestWorkerByCurrentCapacity(t *testing.T) {
 	c := newCell()
