Keep one way to apply a delta of declarations

Apply, which computed the digest itself, was used by tests only. The one that takes the digest has its name now; its callers in tests compute it.

--- a/internal/declare/bench_test.go
+++ b/internal/declare/bench_test.go
@@ -80,23 +80,12 @@
 	}
 }
 
-func BenchmarkApplyTo(b *testing.B) {
-	d := largeDeclarations()
-	e := withChangedShare(d)
-	delta := DeltaOf(&d, &e)
-	for b.Loop() {
-		if _, err := ApplyTo(&d, delta.From, delta); err != nil {
-			b.Fatal(err)
-		}
-	}
-}
-
 func BenchmarkApply(b *testing.B) {
 	d := largeDeclarations()
 	e := withChangedShare(d)
 	delta := DeltaOf(&d, &e)
 	for b.Loop() {
-		if _, err := Apply(&d, delta); err != nil {
+		if _, err := Apply(&d, delta.From, delta); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/declare/declare_test.go
+++ b/internal/declare/declare_test.go
@@ -126,11 +126,11 @@
 	a, b := parseValid(t), parseValid(t)
 	b.Teams[0].Share = 5
 	delta := DeltaOf(&a, &b)
-	_, err := Apply(&b, delta)
+	_, err := Apply(&b, Digest(&b), delta)
 	var mismatch *MismatchError
 	assert.Assert(t, errors.As(err, &mismatch))
 	delta.To = strings.Repeat("0", 64)
-	_, err = Apply(&a, delta)
+	_, err = Apply(&a, Digest(&a), delta)
 	assert.Assert(t, errors.As(err, &mismatch))
 }
 
--- a/internal/declare/delta.go
+++ b/internal/declare/delta.go
@@ -63,15 +63,10 @@
 	return d
 }
 
-// Apply returns the normalized result of applying delta to d. It does not modify
-// d, which others may be reading. The error is a *MismatchError.
-func Apply(d *model.Declarations, delta Delta) (model.Declarations, error) {
-	return ApplyTo(d, Digest(d), delta)
-}
-
-// ApplyTo is Apply for declarations whose digest is known. The result has the
-// digest delta.To.
-func ApplyTo(d *model.Declarations, digest string, delta Delta) (model.Declarations, error) {
+// Apply returns the normalized result of applying delta to d, whose digest is the given
+// one. It does not modify d, which others may be reading. The result has the digest
+// delta.To. The error is a *MismatchError.
+func Apply(d *model.Declarations, digest string, delta Delta) (model.Declarations, error) {
 	if digest != delta.From {
 		return model.Declarations{}, &MismatchError{Want: delta.From, Have: digest}
 	}
--- a/internal/declare/delta_test.go
+++ b/internal/declare/delta_test.go
@@ -53,7 +53,7 @@
 		assert.NilError(t, err)
 		var delta Delta
 		assert.NilError(t, cbor.Unmarshal(data, &delta))
-		got, err := Apply(&before, delta)
+		got, err := Apply(&before, Digest(&before), delta)
 		assert.NilError(t, err)
 		Normalize(&after)
 		assert.DeepEqual(t, got, after)
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -81,7 +81,7 @@
 func (c *configCopy) declarationsFrom(a *proto.Registered) (model.Declarations, string, error) {
 	switch {
 	case a.Delta != nil:
-		next, err := declare.ApplyTo(&c.decl, c.digest, *a.Delta)
+		next, err := declare.Apply(&c.decl, c.digest, *a.Delta)
 		if err != nil {
 			return next, "", errkind.Wrap(errkind.Internal, err, "apply the delta of the configuration")
 		}
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -145,7 +145,8 @@
 		assert.Equal(t, u.Delta != nil, row.delta, name)
 		assert.Equal(t, u.Full != nil, row.full, name)
 		if u.Delta != nil {
-			got, err := declare.Apply(testDeclarations(int(row.version)), *u.Delta)
+			before := testDeclarations(int(row.version))
+			got, err := declare.Apply(before, declare.Digest(before), *u.Delta)
 			assert.NilError(t, err)
 			assert.Equal(t, declare.Digest(&got), digests[30], name)
 		}
