permit: a response about an ended incarnation counts for nothing

Callers saw starts that were rejected for their permit, and steps that did not use workers with room. Cause: a worker restarts under its ID while a query about it is in flight. ForgetWorker drops what is known of it, and the response that arrives later puts it back: a permit that is void, or a refusal that is kept until the worker restarts once more.

TestResponseAboutEndedIncarnationCountsForNothing fails on the code before (the void permit is used; the refusal is kept). Each query now carries how often workers had been forgotten when it was sent, so that its response is ignored for workers that were forgotten since. They count as not queried and are asked about again. The record is kept only while queries are in flight.

--- a/internal/permit/query.go
+++ b/internal/permit/query.go
@@ -14,6 +14,8 @@
 	Job     model.JobID
 	Step    workerclient.TaskName
 	Workers []model.WorkerID
+
+	forgets uint64 // calls of ForgetWorker before it was sent
 }
 
 // contention counts the queries in flight about each worker.
--- a/internal/permit/tracker.go
+++ b/internal/permit/tracker.go
@@ -58,6 +58,10 @@
 	byDeadline []model.JobID // earliest deadline for the start first
 	waiting    []*jobPermits // jobs that may have tasks to place, in the same order
 	contended  contention    // by the queries of all jobs
+
+	inFlight  int                       // queries of all jobs in flight
+	forgets   uint64                    // calls of ForgetWorker so far
+	forgotten map[model.WorkerID]uint64 // number of the last call, of the workers forgotten while queries are in flight
 }
 
 // jobPermits are the permits and queries of one job.
@@ -82,7 +86,7 @@
 
 // NewTracker returns an empty Tracker.
 func NewTracker(o Options) *Tracker {
-	return &Tracker{opts: o, jobs: map[model.JobID]*jobPermits{}, contended: contention{}}
+	return &Tracker{opts: o, jobs: map[model.JobID]*jobPermits{}, contended: contention{}, forgotten: map[model.WorkerID]uint64{}}
 }
 
 // Add adds a job that needs permits and must start by startBy. It does nothing if
@@ -156,35 +160,62 @@
 // MarkSent records that a query is in flight.
 func (t *Tracker) MarkSent(q *Query) {
 	t.contended.add(q.Workers)
+	t.inFlight++
+	q.forgets = t.forgets
 	if j := t.jobs[q.Job]; j != nil {
 		j.inFlight++
 	}
 }
 
-// ApplyAdvice records the response to a query, received at now.
-func (t *Tracker) ApplyAdvice(q *Query, advice *workerclient.Advice, now model.Time) {
+// markEnded records that a query is no longer in flight. It returns the job, or nil if it
+// is not tracked any more.
+func (t *Tracker) markEnded(q *Query) *jobPermits {
 	t.contended.remove(q.Workers)
+	if t.inFlight--; t.inFlight == 0 {
+		clear(t.forgotten)
+	}
 	j := t.jobs[q.Job]
+	if j != nil {
+		j.inFlight--
+	}
+	return j
+}
+
+// isOutdated reports whether a worker has restarted since a query was sent, so that the
+// response is about an incarnation that has ended.
+func (t *Tracker) isOutdated(q *Query, worker model.WorkerID) bool {
+	return t.forgotten[worker] > q.forgets
+}
+
+// ApplyAdvice records the response to a query, received at now. What it tells of workers
+// that have restarted since the query was sent counts for nothing.
+func (t *Tracker) ApplyAdvice(q *Query, advice *workerclient.Advice, now model.Time) {
+	outdated := make(map[model.WorkerID]bool)
+	for _, w := range q.Workers {
+		if t.isOutdated(q, w) {
+			outdated[w] = true
+		}
+	}
+	j := t.markEnded(q)
 	if j == nil {
 		return
 	}
-	j.inFlight--
 	for _, w := range q.Workers {
-		if _, queried := j.workers[w]; !queried {
+		if _, queried := j.workers[w]; !queried && !outdated[w] {
 			j.workers[w] = workerState{}
 		}
 	}
 	until := now.Add(advice.Valid.Std() - placementMargin)
 	for _, p := range advice.Permits {
-		j.workers[p.Worker] = workerState{allowed: true, permit: p.Token, until: until}
+		if !outdated[p.Worker] {
+			j.workers[p.Worker] = workerState{allowed: true, permit: p.Token, until: until}
+		}
 	}
 }
 
 // MarkFailed records that a query failed, so that it is sent again after retryAfter.
 func (t *Tracker) MarkFailed(q *Query, now model.Time) {
-	t.contended.remove(q.Workers)
-	if j := t.jobs[q.Job]; j != nil {
-		j.inFlight--
+	if j := t.markEnded(q); j != nil {
 		j.nextQuery = now.Add(retryAfter)
 	}
 }
@@ -193,6 +224,9 @@
 // the policy service must be queried about the worker again. It returns the jobs that
 // had a permit, in no order.
 func (t *Tracker) ForgetWorker(worker model.WorkerID) []model.JobID {
+	if t.forgets++; t.inFlight > 0 {
+		t.forgotten[worker] = t.forgets
+	}
 	var out []model.JobID
 	for id, j := range t.jobs {
 		if j.workers[worker].permit != "" {
--- a/internal/permit/tracker_test.go
+++ b/internal/permit/tracker_test.go
@@ -127,6 +127,34 @@
 	assert.Equal(t, len(sendQueries(tracker, 1001, scheduler, 9)), 1)
 }
 
+// Guards against a worker that is refused, or has a void permit, since it restarted while a query was in flight.
+func TestResponseAboutEndedIncarnationCountsForNothing(t *testing.T) {
+	rows := []struct {
+		name      string
+		permitted []model.WorkerID
+	}{
+		{"with a permit", []model.WorkerID{"w00", "w01"}},
+		{"without a permit", []model.WorkerID{"w01"}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			tracker, scheduler := NewTracker(Options{}), newFakeScheduler(2)
+			tracker.Add(1, workerclient.TaskName{}, 0)
+			q := sendQueries(tracker, 1000, scheduler, 9)
+			tracker.ForgetWorker("w00")
+			tracker.ApplyAdvice(&q[0], adviceOf(time.Minute, row.permitted...), 1100)
+			assert.Equal(t, tracker.Token(1, "w00", 1100), "")
+			assert.Equal(t, tracker.Status(1, 1100).Queried, 1)
+			scheduler.workers = scheduler.workers[:1]
+			again := sendQueries(tracker, 1120, scheduler, 9)
+			assert.Equal(t, len(again), 1)
+			assert.DeepEqual(t, again[0].Workers, []model.WorkerID{"w00"})
+			tracker.ApplyAdvice(&again[0], adviceOf(time.Minute, "w00"), 1200)
+			assert.Equal(t, tracker.Token(1, "w00", 1200), "t-w00", "the later response is about the current incarnation")
+		})
+	}
+}
+
 func TestPermitsExpireAndCanBeInvalidated(t *testing.T) {
 	tracker, scheduler := NewTracker(Options{}), newFakeScheduler(3)
 	tracker.Add(1, workerclient.TaskName{}, 0)
