permit: a refused worker is queried about again

Callers saw an accepted step that never starts although most workers are idle. Cause: each worker that a query names and its response does not is kept as refused until it restarts. A response that was cut short, or given while the policy service did not know the workers, therefore rules them out for the rest of the leader's term. Once all are ruled out no query is sent any more, and nothing is logged.

A refusal is now checked again after 1.1 s, and after twice as long with each further one, where only refused workers have room, twice over, for what must start at once. In a full cell and while allowed workers have room nothing is sent. The delay is at most 16 s, or 1.5 s for a job that its allowed workers cannot hold even when idle, since nothing else lets that one start.

--- a/internal/permit/query.go
+++ b/internal/permit/query.go
@@ -88,11 +88,18 @@
 	}
 	candidates := scheduler.Candidates(j.id)
 	r := j.roomOn(candidates, now)
+	if workers := j.refusedToCheck(candidates, r, demand, now); len(workers) > 0 {
+		return j.split(workers)
+	}
 	if !r.queryHelps(demand) {
 		j.nextQuery = r.recheckAt(demand, now)
 		return nil
 	}
-	return j.split(j.selectWorkers(candidates, r, demand))
+	workers := j.selectWorkers(candidates, r, demand)
+	if len(workers) == 0 {
+		j.nextQuery = r.recheckAt(demand, now)
+	}
+	return j.split(workers)
 }
 
 // split divides the workers to query about evenly among as few queries as possible.
--- a/internal/permit/room.go
+++ b/internal/permit/room.go
@@ -17,6 +17,8 @@
 	validUntil model.Time // latest end of a valid permit; zero if none is valid
 	whenIdle   int64      // on all allowed workers once they are idle
 	reserved   bool       // workers are reserved for the job
+	refused    int64      // on workers that the last response did not permit
+	refusedDue model.Time // earliest check of one of them that is not due yet; zero: none is needed
 
 	allowedWorkers int
 	queriedWorkers int
@@ -37,6 +39,7 @@
 		}
 		r.queriedWorkers++
 		if !w.allowed {
+			r.refused += c.Room
 			continue
 		}
 		r.allowedWorkers++
@@ -75,14 +78,16 @@
 // recheckAt returns when to examine a job again that needs no query at now. Tasks that
 // start one by one use the valid permits as capacity becomes free.
 func (r *room) recheckAt(d Demand, now model.Time) model.Time {
-	recheck := now.Add(recheckAfter)
-	switch {
-	case !d.AllAtOnce:
-		return r.validUntil
-	case r.validUntil == 0:
-		return recheck
+	next := now.Add(recheckAfter)
+	if !d.AllAtOnce && r.validUntil != 0 {
+		next = r.validUntil
+	} else if r.validUntil != 0 {
+		next = min(next, r.validUntil)
+	}
+	if r.refusedDue != 0 {
+		next = min(next, r.refusedDue)
 	}
-	return min(recheck, r.validUntil)
+	return next
 }
 
 // targetRoom returns for how many tasks there should be room on the workers of a query.
--- a/internal/permit/tracker.go
+++ b/internal/permit/tracker.go
@@ -1,7 +1,8 @@
 // Package permit decides what to query from a policy service outside of the cell:
 // for which steps, about which workers, and when to query again. Permits expire;
-// the set of workers that a step may use does not change. The package reads no
-// clock.
+// the set of workers that a step may use does not change, but a response may be cut
+// short or come from a service that does not know a worker yet, so that a refusal is
+// checked again. The package reads no clock.
 package permit
 
 import (
@@ -79,9 +80,20 @@
 // workerState is what is known of one worker for a job. A permit that the worker has
 // rejected is empty.
 type workerState struct {
-	allowed bool // the policy service permits the worker
-	permit  string
-	until   model.Time // end of the permit
+	allowed   bool // by the last response, the policy service permits the worker
+	permit    string
+	until     model.Time // end of the permit
+	refusals  int        // responses in a row without a permit for the worker
+	refusedAt model.Time // when the last of them was received
+}
+
+// refused returns the state after a response without a permit for the worker. An earlier
+// permit stays valid until it ends.
+func (w workerState) refused(now model.Time) workerState {
+	w.allowed = false
+	w.refusals++
+	w.refusedAt = now
+	return w
 }
 
 // NewTracker returns an empty Tracker.
@@ -200,17 +212,19 @@
 	if j == nil {
 		return
 	}
-	for _, w := range q.Workers {
-		if _, queried := j.workers[w]; !queried && !outdated[w] {
-			j.workers[w] = workerState{}
-		}
-	}
+	permitted := make(map[model.WorkerID]bool, len(advice.Permits))
 	until := now.Add(advice.Valid.Std() - placementMargin)
 	for _, p := range advice.Permits {
+		permitted[p.Worker] = true
 		if !outdated[p.Worker] {
 			j.workers[p.Worker] = workerState{allowed: true, permit: p.Token, until: until}
 		}
 	}
+	for _, w := range q.Workers {
+		if !permitted[w] && !outdated[w] {
+			j.workers[w] = j.workers[w].refused(now)
+		}
+	}
 }
 
 // MarkFailed records that a query failed, so that it is sent again after retryAfter.
