control: say why a job stands still, and count such jobs

An accepted job that never starts in a cell with room left no trace of its cause: a step whose workers were all refused looked like one whose permits had expired, attempts that are not confirmed were not shown at all, and the job that holds a reservation or comes first in its team was not named.

why of a job and "Step is late." now have the refused workers, the attempts that wait for their workers with the last command and its response, and the names of the jobs that come first. A step is late, too, if nothing but such attempts is left of it. filbertmast_control_stalled_jobs counts by reason the jobs of which no task runs although at most half of the cell is reserved.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -57,8 +57,8 @@
 
 // WhyNot is one reason why tasks are waiting.
 type WhyNot struct {
-	Reason string `json:"reason"` // share, limit, selector, size, reservation, permit, gang, queue, backoff
-	Count  int64  `json:"count"`  // workers that are ruled out, or tasks over the limit or without room
+	Reason string `json:"reason"` // share, limit, selector, size, reservation, permit, refused, gang, queue, backoff, starting, stopping
+	Count  int64  `json:"count"`  // workers that are ruled out, tasks over the limit or without room, or attempts that are not confirmed
 	Detail string `json:"detail,omitempty"`
 }
 
--- a/internal/control/backlog.go
+++ b/internal/control/backlog.go
@@ -35,8 +35,8 @@
 func (p *policy) logLateSteps(now model.Time) {
 	logged, omitted := 0, 0
 	for _, id := range p.tracker.Jobs() {
-		j := p.pendingJob(id)
-		if j == nil || now < j.StartBy.Add(lateThreshold) {
+		j := p.lateJob(id, now)
+		if j == nil {
 			continue
 		}
 		if logged == maxLateLogged {
@@ -51,6 +51,31 @@
 	}
 }
 
+// lateJob returns the job if it is late: it has pending tasks, or its only attempts have
+// waited for their workers for long. Else it returns nil.
+func (p *policy) lateJob(id model.JobID, now model.Time) *state.Job {
+	j := p.l.c.machine.Job(id)
+	since := now.Add(-lateThreshold)
+	if j == nil || j.Finished != 0 || j.StartBy > since {
+		return nil
+	}
+	if j.Count(model.TaskPending) > 0 || j.Count(model.TaskRunning) == 0 && hasUnconfirmed(j, since) {
+		return j
+	}
+	return nil
+}
+
+// hasUnconfirmed reports whether an attempt of a job has waited for its worker since the
+// given time.
+func hasUnconfirmed(j *state.Job, since model.Time) bool {
+	for _, phase := range [...]model.TaskPhase{model.TaskStarting, model.TaskStopping} {
+		if u := unconfirmedIn(j, phase); u.count > 0 && u.since <= since {
+			return true
+		}
+	}
+	return false
+}
+
 // logLateStep logs a step that has not started by its deadline, with its permits and
 // why it waits.
 func (p *policy) logLateStep(j *state.Job, now model.Time) {
@@ -58,5 +83,5 @@
 	p.l.c.log.Info("Step is late.", "workflow", j.Step.Workflow, "step", j.Step.Step, "team", j.Team,
 		"behind", now.Sub(j.StartBy), "pending", j.Count(model.TaskPending), "held", j.Held(),
 		"permits", permits.Known, "valid", permits.Valid, "allowed", permits.Allowed, "queried", permits.Queried,
-		"in_flight", permits.InFlight, "answered", p.sinceAnswer(j.ID, now), "why", p.l.sched.WaitReasons(j.ID, now))
+		"in_flight", permits.InFlight, "answered", p.sinceAnswer(j.ID, now), "why", p.l.waitReasons(j, now))
 }
--- a/internal/control/dispatch.go
+++ b/internal/control/dispatch.go
@@ -139,11 +139,13 @@
 	round := cmd.dispatch.Begin()
 	send := func() {
 		sentAt := p.l.c.s.now()
+		cmd.sent++
 		if call.name == commandStart {
 			cmd.calls.inFlight++
 		}
 		p.call(pw, call.send, func(resp workerclient.Response) {
 			p.countCommand(call.name, resp)
+			cmd.last = &resp
 			if call.name == commandStart {
 				cmd.calls.ended(pw, resp, sentAt, p.l.c.s.now())
 			}
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -202,7 +202,7 @@
 		Created:  j.Submitted,
 	}
 	if why && j.Finished == 0 {
-		v.Why = l.sched.WaitReasons(j.ID, l.c.s.now())
+		v.Why = l.waitReasons(j, l.c.s.now())
 	}
 	v.Tasks = l.taskViews(j)
 	return v
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -35,6 +35,7 @@
 	polled        *polledWorkers      // workers that the leader calls
 	policy        *policy
 	heartbeats    receivedHeartbeats
+	stalled       stalledJobs
 	startingRuns  bool // a proposal to start due runs is not committed yet
 }
 
@@ -104,6 +105,7 @@
 // stop ends the calls to polled workers and fails the calls that wait for a job.
 func (l *leader) stop() {
 	l.c.s.metrics.lateSteps.Set(0)
+	l.c.s.metrics.setStalled(nil)
 	l.polled.stop()
 	l.waits.failAll()
 }
@@ -197,6 +199,7 @@
 		l.policy.logLateSteps(now)
 		l.policy.logUnsent()
 		l.c.s.metrics.lateSteps.Set(float64(l.sched.LateJobs(now)))
+		l.countStalled(now)
 		if l.c.machine.ExpireDue(now) {
 			l.c.propose(&state.Command{Expire: &state.Expire{}}, func(state.Result, error) {})
 		}
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -31,6 +31,7 @@
 	policyUnsent      *prometheus.CounterVec
 	policyInFlight    prometheus.Gauge
 	lateSteps         prometheus.Gauge
+	stalledJobs       *prometheus.GaugeVec
 	unresponsive      prometheus.Gauge
 	lostPolls         prometheus.Counter
 	firstStartSeconds prometheus.Histogram
@@ -94,6 +95,9 @@
 			Name: "filbertmast_control_policy_queries_in_flight", Help: "Queries to the policy service that are not answered yet."}),
 		lateSteps: f.NewGauge(prometheus.GaugeOpts{
 			Name: "filbertmast_control_late_steps", Help: "Steps and jobs past the deadline of their start that have pending tasks."}),
+		stalledJobs: f.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "filbertmast_control_stalled_jobs", Help: "Jobs of which no task runs although at most half of the cell is in use, by reason."},
+			[]string{"reason"}),
 		unresponsive: f.NewGauge(prometheus.GaugeOpts{
 			Name: "filbertmast_control_workers_silent", Help: "Called workers that did not answer the last call."}),
 		lostPolls: f.NewCounter(prometheus.CounterOpts{
--- a/internal/control/polled.go
+++ b/internal/control/polled.go
@@ -83,6 +83,17 @@
 	isStop       bool        // the last command was a stop
 	accepted     bool        // a start was accepted, perhaps by a later incarnation
 	calls        startCalls
+
+	sent int                    // calls of commands for the attempt
+	last *workerclient.Response // the last response; nil: none was received
+}
+
+// lastResponse describes the last response to a command.
+func (c *workerCommand) lastResponse() string {
+	if c.last == nil {
+		return "none"
+	}
+	return c.last.Verdict.String() + " " + c.last.Reason
 }
 
 func newPolledWorkers(l *leader) *polledWorkers {
--- a/internal/schedule/late.go
+++ b/internal/schedule/late.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"container/heap"
 	"slices"
 
@@ -36,6 +37,25 @@
 	s.markStale(g)
 }
 
+// NotRunning returns the jobs whose promised start was before a time and of which no task
+// runs, although some are pending or assigned. The earliest promised start comes first.
+func (s *Scheduler) NotRunning(before model.Time) []model.JobID {
+	var found []*job
+	for _, j := range s.jobs {
+		if j.running == 0 && j.ready+j.waiting+j.assigned > 0 && j.promisedStart < before {
+			found = append(found, j)
+		}
+	}
+	slices.SortFunc(found, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(a.promisedStart, b.promisedStart), cmp.Compare(a.id, b.id))
+	})
+	out := make([]model.JobID, len(found))
+	for i, j := range found {
+		out[i] = j.id
+	}
+	return out
+}
+
 // LateJobs returns the number of jobs that have pending tasks at now, after their
 // promised start.
 func (s *Scheduler) LateJobs(now model.Time) int {
--- a/internal/schedule/permit_test.go
+++ b/internal/schedule/permit_test.go
@@ -258,3 +258,33 @@
 	reasons := c.s.WaitReasons(second, c.now)
 	assert.Assert(t, len(reasons) > 0 && reasons[0].Reason == waitLimit, "%v", reasons)
 }
+
+func TestWaitReasonsNameTheJobsThatComeFirst(t *testing.T) {
+	c := newCell()
+	c.workers(2, cores(4))
+	c.job(model.JobSpec{Tasks: 2, Size: cores(3), Patience: hour})
+	c.plan()
+	gang := c.job(model.JobSpec{Policy: model.PolicyGang, Tasks: 2, Size: cores(4)})
+	c.now = c.now.Add(time.Minute)
+	c.plan()
+	assert.Equal(t, c.s.Stats().Reservations, 1)
+	waits := c.job(model.JobSpec{Tasks: 1, Size: cores(1), Patience: hour})
+	details := map[string]string{}
+	for _, w := range c.s.WaitReasons(waits, c.now) {
+		details[w.Reason] = w.Detail
+	}
+	assert.Equal(t, details[waitReservation], "workers are reserved for other waiting jobs: "+gang.String()+" (team a, 2 workers)")
+	assert.Equal(t, details[waitQueue], "jobs of team a have an earlier promised start; the first is job "+gang.String()+", which no other job of the team may overtake")
+}
+
+func TestJobsWithoutRunningTaskAreListedByPromisedStart(t *testing.T) {
+	c := newCell()
+	c.workers(1, cores(4))
+	running := c.job(model.JobSpec{Tasks: 1, Size: cores(3), Patience: hour})
+	c.plan()
+	c.s.Apply(TaskRunning{Task: model.TaskID{Job: running}, At: c.now})
+	later := c.job(model.JobSpec{Tasks: 1, Size: cores(3), Patience: model.Duration(2 * time.Second)})
+	sooner := c.job(model.JobSpec{Tasks: 1, Size: cores(3), Patience: model.Duration(time.Second)})
+	assert.DeepEqual(t, c.s.NotRunning(c.now.Add(time.Minute)), []model.JobID{sooner, later})
+	assert.Equal(t, len(c.s.NotRunning(c.now)), 0, "they are not late yet")
+}
--- a/internal/schedule/waitreason.go
+++ b/internal/schedule/waitreason.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/filbertmast/filbertmast/internal/api"
 	"github.com/filbertmast/filbertmast/internal/model"
@@ -76,15 +77,8 @@
 
 func (w *waitReasons) team() {
 	t := w.s.teams[w.j.group.team]
-	ahead := int64(0)
-	for i := range t.queue.entries {
-		for _, o := range t.queue.entries[i].group.jobs {
-			if o.ready > 0 && o.less(w.j) {
-				ahead++
-			}
-		}
-	}
-	w.add(waitQueue, ahead, "jobs of team %s have an earlier promised start", t.name)
+	ahead, first := w.ahead(t)
+	w.add(waitQueue, ahead, "jobs of team %s have an earlier promised start%s", t.name, w.describeFirst(first))
 	over := int64(w.j.ready) - max(t.headroom(), 0)
 	w.add(waitLimit, over, "tasks exceed the limit of team %s, which runs %d tasks and holds %d request permits of %d", t.name, t.running, t.requestPermits, t.maxRunning)
 	size := w.s.sizeFor(w.j.group)
@@ -96,6 +90,46 @@
 	}
 }
 
+// ahead returns how many jobs of the team come before the job, and the first of them.
+func (w *waitReasons) ahead(t *team) (n int64, first *job) {
+	for i := range t.queue.entries {
+		for _, o := range t.queue.entries[i].group.jobs {
+			if o.ready == 0 || !o.less(w.j) {
+				continue
+			}
+			n++
+			if first == nil || o.less(first) {
+				first = o
+			}
+		}
+	}
+	return n, first
+}
+
+// describeFirst names the job that comes before the others of its team, and whether they
+// may overtake it.
+func (w *waitReasons) describeFirst(first *job) string {
+	if first == nil {
+		return ""
+	}
+	p := planner{s: w.s, now: w.now}
+	if p.pressing(first) {
+		return fmt.Sprintf("; the first is job %s, which no other job of the team may overtake", first.id)
+	}
+	return fmt.Sprintf("; the first is job %s", first.id)
+}
+
+// reservingJobs names the jobs for which workers are reserved that match the job.
+func (w *waitReasons) reservingJobs() string {
+	var names []string
+	for _, r := range w.s.reservations {
+		if r.job != w.j {
+			names = append(names, fmt.Sprintf("%s (team %s, %d workers)", r.job.id, w.s.teams[r.job.group.team].name, len(r.claims)))
+		}
+	}
+	return strings.Join(names, ", ")
+}
+
 func (w *waitReasons) workers() {
 	size := w.s.sizeFor(w.j.group)
 	n := w.countWorkers(size)
@@ -106,7 +140,7 @@
 	w.add(waitUnresponsive, n.byReason[waitUnresponsive], "workers do not respond to commands")
 	w.add(waitProbation, n.byReason[waitProbation], "workers are on probation")
 	w.add(waitExclusive, n.byReason[waitExclusive], "workers already run a task of this exclusive job")
-	w.add(waitReservation, n.byReason[waitReservation], "workers are reserved for other waiting jobs")
+	w.add(waitReservation, n.byReason[waitReservation], "workers are reserved for other waiting jobs: %s", w.reservingJobs())
 	w.add(waitShare, n.byReason[waitShare], "workers have too little free capacity; team %s uses %d%% of its share", t.name, w.s.load(t, model.Resources{})/(ppm/100))
 	w.permits(&n)
 	w.gangRoom(&n)
