control: a confirmed start whose report was not committed is reported again

An attempt counted as starting for as long as it ran: its job was not shown as running, and a crash of its worker was blamed on its start. Cause: the leader marks a start as confirmed when it queues the report. If the log takes no proposal, the mark stays, and neither the responses to polls nor a second start were considered for that attempt any more.

TestConfirmedStartIsReportedAgainIfItsReportWasNotCommitted fails on the code before (starting != running). The mark is now taken back with the failed batch, so that the next response of the worker confirms the start again. TestOutdatedStartIsSentAgainIfItsStopWasNotCommitted passes before, too: it guards the same path for a stop.

--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -101,6 +101,7 @@
 		}
 		if err != nil {
 			p.l.c.log.Warn("Reports were not committed; the workers will send them again.", "err", err)
+			p.startsNotCommitted(batch.reports)
 			p.endsNotCommitted(batch.ends)
 			return
 		}
@@ -140,6 +141,22 @@
 	}
 }
 
+// startsNotCommitted records that confirmed starts were not committed. The next response
+// of the worker confirms them again.
+func (p *polledWorkers) startsNotCommitted(reports []state.WorkerReport) {
+	for i := range reports {
+		pw := p.workers[reports[i].Worker]
+		if pw == nil || pw.session != reports[i].Session {
+			continue
+		}
+		for _, r := range reports[i].Reports {
+			if cmd := pw.commands[r.Task]; cmd != nil && !cmd.isStop && r.State == api.ReportStarted {
+				cmd.confirmedAt = 0
+			}
+		}
+	}
+}
+
 // The steps of an end, as metrics name them.
 const (
 	endStepListed       = "listed"
