control: decisions whose proposal has failed are made again

Cause: the result of some proposals was ignored, although nothing decides them again. A job that the scheduler has given up, and plans no more, stayed pending for the rest of the leader's term; a refund for a missed start was never made; a start that a leaving worker had not confirmed was not stopped.

TestFailureOfJobIsProposedAgainIfItWasNotCommitted, TestRefundIsProposedAgainIfItWasNotCommitted and TestStartsOfLeavingWorkerAreRevokedAgainIfTheirStopWasNotCommitted fail on the code before, each with the phase or record unchanged. The leader now keeps such decisions and proposes them again with the next tick. The starts of a leaving worker are looked up anew, so that no later attempt is stopped.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -29,7 +29,9 @@
 	waits         jobWaits
 	dirty         bool // something has changed since the last plan
 	nextPlan      model.Time
-	plansInFlight int // proposed placement commands that are not committed yet
+	uncommitted   []*state.Command // decisions of the scheduler whose proposals have failed
+	unrevoked     []model.WorkerID // leaving workers whose unconfirmed starts could not be stopped
+	plansInFlight int              // proposed placement commands that are not committed yet
 	nextExpiry    model.Time
 	changedTeams  map[string]struct{} // teams whose tasks have changed since syncLimits last ran
 	polled        *polledWorkers      // workers that the leader calls
@@ -166,13 +168,21 @@
 // entry no longer forwards them, so they would never be confirmed.
 func (l *leader) revokeUnconfirmedStarts(id model.WorkerID) {
 	cmd := &state.Stop{}
-	for _, task := range l.c.machine.Worker(id).Held {
+	w := l.c.machine.Worker(id)
+	if w == nil || w.Mode != model.WorkerLeaving {
+		return
+	}
+	for _, task := range w.Held {
 		if _, t := l.task(task); t != nil && t.Phase == model.TaskStarting {
 			cmd.Tasks = append(cmd.Tasks, state.TaskStop{Task: task, Cause: state.StopDrained, Reason: "the worker leaves"})
 		}
 	}
 	if len(cmd.Tasks) > 0 {
-		l.c.propose(&state.Command{Stop: cmd}, func(state.Result, error) {})
+		l.c.propose(&state.Command{Stop: cmd}, func(_ state.Result, err error) {
+			if err != nil && l.c.leader == l {
+				l.unrevoked = append(l.unrevoked, id)
+			}
+		})
 	}
 }
 
@@ -185,6 +195,7 @@
 		return
 	}
 	l.proposeLosses(now)
+	l.proposeUncommitted()
 	l.expireEntries(now)
 	l.permits.Tick(now)
 	l.proposeCeilings()
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -111,11 +111,35 @@
 	}
 }
 
+// proposeUntilCommitted proposes a decision that the scheduler reports only once. If the
+// proposal fails, it is made again with the next tick.
+func (l *leader) proposeUntilCommitted(cmd *state.Command) {
+	l.c.propose(cmd, func(_ state.Result, err error) {
+		if err != nil && l.c.leader == l {
+			l.uncommitted = append(l.uncommitted, cmd)
+		}
+	})
+}
+
+// proposeUncommitted proposes the decisions again whose proposals have failed.
+func (l *leader) proposeUncommitted() {
+	cmds := l.uncommitted
+	l.uncommitted = nil
+	for _, cmd := range cmds {
+		l.proposeUntilCommitted(cmd)
+	}
+	workers := l.unrevoked
+	l.unrevoked = nil
+	for _, id := range workers {
+		l.revokeUnconfirmedStarts(id)
+	}
+}
+
 func (l *leader) proposeFailures(p *schedule.Plan) {
 	for _, f := range p.Failures {
 		l.c.log.Info("Scheduler gave up on a job or task; it will be marked as failed.", "job", f.Job, "task", f.Task, "reason", f.Reason)
 		cmd := &state.Fail{Job: f.Job, Task: f.Task, Reason: string(f.Reason)}
-		l.c.propose(&state.Command{Fail: cmd}, func(state.Result, error) {})
+		l.proposeUntilCommitted(&state.Command{Fail: cmd})
 	}
 }
 
@@ -127,7 +151,7 @@
 	for _, r := range refunds {
 		cmd.Jobs = append(cmd.Jobs, r.Job)
 	}
-	l.c.propose(&state.Command{Refund: cmd}, func(state.Result, error) {})
+	l.proposeUntilCommitted(&state.Command{Refund: cmd})
 }
 
 func (l *leader) logFitFailures(failures []schedule.FitFailure) {
--- a/internal/control/retaken_test.go
+++ b/internal/control/retaken_test.go
@@ -6,6 +6,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/schedule"
+	"github.com/filbertmast/filbertmast/internal/state"
 	"github.com/filbertmast/filbertmast/internal/workerclient"
 )
 
@@ -30,6 +32,43 @@
 	assert.Equal(t, h.phase(task), model.TaskRunning)
 }
 
+// Guards against a job that stays pending although the scheduler has given it up and plans it no more.
+func TestFailureOfJobIsProposedAgainIfItWasNotCommitted(t *testing.T) {
+	h, task := newLeaderHarness(t)
+	h.lead()
+	h.log.full = true
+	h.core.leader.proposeFailures(&schedule.Plan{Failures: []schedule.Failure{{Job: task.Job, Task: schedule.WholeJob, Reason: schedule.ReasonBadJob}}})
+	h.log.full = false
+	h.core.tick()
+	h.commitAll()
+	assert.Equal(t, h.phase(task), model.TaskStopping)
+}
+
+// Guards against a caller who is not refunded for a missed start.
+func TestRefundIsProposedAgainIfItWasNotCommitted(t *testing.T) {
+	h, task := newLeaderHarness(t)
+	h.lead()
+	h.log.full = true
+	h.core.leader.proposeRefunds([]schedule.Refund{{Job: task.Job}})
+	h.log.full = false
+	h.core.tick()
+	h.commitAll()
+	assert.Assert(t, h.core.machine.Job(task.Job).StartMissed)
+}
+
+// Guards against a start that a leaving worker is never told to stop.
+func TestStartsOfLeavingWorkerAreRevokedAgainIfTheirStopWasNotCommitted(t *testing.T) {
+	h, task := newLeaderHarness(t)
+	h.lead()
+	h.log.full = true
+	w := h.core.machine.Worker("w")
+	h.apply(&state.Command{SetMode: &state.SetMode{Worker: "w", Mode: model.WorkerLeaving, Session: w.Session}})
+	h.log.full = false
+	h.core.tick()
+	h.commitAll()
+	assert.Equal(t, h.phase(task), model.TaskStopping)
+}
+
 // Guards against a start that is neither executed nor taken back.
 func TestOutdatedStartIsSentAgainIfItsStopWasNotCommitted(t *testing.T) {
 	h, _ := newLeaderHarness(t)
