platform, control: a row that cannot be read does not end the poll

What callers saw: a worker whose lists had one row that could not be read (nested, a number out of range, an unknown word) was lost with all its tasks. Its lease was not renewed, its other ends were not taken, the row came back with each poll, and so again after each change of the leader.

Cause: pollResponse failed as a whole for the first row of either list that could not be decoded, and a list of another type failed the whole response.

Fix: rows are decoded one by one. One that cannot be read is left out and counted, and the others hold, so that the lease goes on. What the row may have stood for is decided in control: for 3 s the lists count as incomplete, so that nothing is released for not being listed and nothing is acknowledged; after that the row counts as absent, and an end of which only the number can be read is acknowledged, with a line and a count, once all lower ones are committed. Its task runs again. An end that can be read later, or a misread number that is not listed again, is handled as if nothing had been.

A worker's clock outside of 1 to 2^42 ms makes the response that of no worker, since leases are counted on it.

--- a/internal/control/ends.go
+++ b/internal/control/ends.go
@@ -10,9 +10,10 @@
 type endState uint8
 
 const (
-	endProposed  endState = iota // its report is queued or proposed
-	endFailed                    // its report was not committed; the worker's next response reports it again
-	endCommitted                 // the state has recorded it
+	endProposed   endState = iota // its report is queued or proposed
+	endFailed                     // its report was not committed; the worker's next response reports it again
+	endUnreadable                 // no more than its number can be read in the worker's last response
+	endCommitted                  // the state has recorded it, or it is passed unread
 )
 
 // endTracker tracks the ended attempts of one worker incarnation until they are
@@ -42,13 +43,36 @@
 		t.open = slices.Insert(t.open, i, openEnd{number: number, task: task})
 		return true
 	}
-	if t.open[i].state != endFailed {
+	if s := t.open[i].state; s != endFailed && s != endUnreadable {
 		return false
 	}
-	t.open[i].state = endProposed
+	t.open[i] = openEnd{number: number, task: task}
 	return true
 }
 
+// setUnreadable sets the ends that cannot be read in the worker's last response.
+func (t *endTracker) setUnreadable(numbers []uint64) {
+	t.open = slices.DeleteFunc(t.open, func(e openEnd) bool { return e.state == endUnreadable })
+	for _, number := range numbers {
+		if i, known := t.find(number); !known && number > t.cursor {
+			t.open = slices.Insert(t.open, i, openEnd{number: number, state: endUnreadable})
+		}
+	}
+	t.advance()
+}
+
+// passUnreadable lets the cursor pass the ends that cannot be read, and returns their numbers.
+func (t *endTracker) passUnreadable() (passed []uint64) {
+	for i := range t.open {
+		if t.open[i].state == endUnreadable {
+			t.open[i].state = endCommitted
+			passed = append(passed, t.open[i].number)
+		}
+	}
+	t.advance()
+	return passed
+}
+
 // fail records that the report of the end was not committed.
 func (t *endTracker) fail(number uint64) {
 	if i, known := t.find(number); known && t.open[i].state == endProposed {
@@ -62,6 +86,11 @@
 	if i, known := t.find(number); known {
 		t.open[i].state = endCommitted
 	}
+	t.advance()
+}
+
+// advance moves the cursor past the ends below the lowest one that is not committed.
+func (t *endTracker) advance() {
 	for len(t.open) > 0 && t.open[0].state == endCommitted {
 		t.cursor = t.open[0].number
 		t.open = t.open[1:]
--- a/internal/control/ends_test.go
+++ b/internal/control/ends_test.go
@@ -60,6 +60,34 @@
 	assert.Equal(t, ends.cursor, uint64(2))
 }
 
+// Guards against a cursor that an end which nobody could read, or a misread number, keeps back for good.
+func TestUnreadableEndHoldsCursorUntilItIsReadOrPassedOrGone(t *testing.T) {
+	listed := func() *endTracker {
+		var ends endTracker
+		ends.setUnreadable([]uint64{4})
+		ends.propose(5, model.TaskID{})
+		ends.commit(5)
+		assert.Equal(t, ends.cursor, uint64(0))
+		ends.setUnreadable([]uint64{4})
+		assert.Equal(t, ends.cursor, uint64(0))
+		return &ends
+	}
+	ends := listed()
+	assert.Assert(t, ends.propose(4, model.TaskID{}), "it can be read now")
+	ends.setUnreadable(nil)
+	assert.Equal(t, ends.cursor, uint64(0), "its report is in flight")
+	ends.commit(4)
+	assert.Equal(t, ends.cursor, uint64(5))
+	ends = listed()
+	assert.DeepEqual(t, ends.passUnreadable(), []uint64{4})
+	assert.Equal(t, ends.cursor, uint64(5))
+	ends.setUnreadable([]uint64{4})
+	assert.Assert(t, ends.settled(), "listed in a delayed response")
+	ends = listed()
+	ends.setUnreadable(nil)
+	assert.Equal(t, ends.cursor, uint64(5), "the number was misread")
+}
+
 // Guards against a task that is started again, or released as not started, after its worker has listed its end.
 func TestTaskWithListedEndIsNotStartedAgainWhileItsCommitFails(t *testing.T) {
 	h, task := newLeaderHarness(t)
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -33,6 +33,7 @@
 	lateSteps         prometheus.Gauge
 	unresponsive      prometheus.Gauge
 	lostPolls         prometheus.Counter
+	unreadableRows    *prometheus.CounterVec
 	firstStartSeconds prometheus.Histogram
 	workflowSeconds   *prometheus.HistogramVec
 }
@@ -98,6 +99,9 @@
 			Name: "filbertmast_control_workers_silent", Help: "Called workers that did not answer the last call."}),
 		lostPolls: f.NewCounter(prometheus.CounterOpts{
 			Name: "filbertmast_control_looks_lost_total", Help: "Looks at called workers whose answer was lost: a second look was answered first."}),
+		unreadableRows: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertmast_control_unreadable_rows_total", Help: "Rows that could not be read in lists from outside, by list."},
+			[]string{"list"}),
 		firstStartSeconds: f.NewHistogram(prometheus.HistogramOpts{
 			Name: "filbertmast_control_first_start_seconds", Help: "From the submission of a workflow to the first confirmed start.",
 			Buckets: prometheus.ExponentialBuckets(0.025, 2, 12)}),
--- a/internal/control/polled.go
+++ b/internal/control/polled.go
@@ -62,7 +62,10 @@
 	unverified bool
 	answeredAt model.Time // when the last poll was sent that it has answered; zero: none was
 	grantedAt  model.Time // the last time at which a lease may have been sent to it
-	commands   map[model.TaskID]*workerCommand
+	// unreadableSince is since when each response has had rows that cannot be read; zero:
+	// the last one had none.
+	unreadableSince model.Time
+	commands        map[model.TaskID]*workerCommand
 }
 
 // fields returns the log fields that identify an attempt on the worker, followed by
--- a/internal/control/polls.go
+++ b/internal/control/polls.go
@@ -47,9 +47,10 @@
 }
 
 // acknowledged returns the number up to which the next poll may acknowledge ends: none
-// if a later incarnation may answer it, since that one counts its ends anew.
+// if a later incarnation may answer it, since that one counts its ends anew, or while the
+// list may lack ends.
 func (p *polledWorkers) acknowledged(pw *polledWorker) uint64 {
-	if pw.unresponsive || pw.replaced {
+	if pw.unresponsive || pw.replaced || p.listsIncomplete(pw) {
 		return 0
 	}
 	return pw.ends.cursor
@@ -108,7 +109,9 @@
 	if err == nil {
 		pw.clock.ObserveResponse(resp.Clock, poll.sentAt, p.l.c.s.now())
 		pw.answeredAt = max(pw.answeredAt, poll.sentAt)
+		p.recordUnreadable(pw, resp)
 		p.recordEnds(pw, resp.Ended)
+		p.passUnreadable(pw, &resp.Unreadable)
 	}
 	if !ends {
 		return
@@ -138,6 +141,11 @@
 		return
 	}
 	pw.clockReported = true
+	if resp.Unreadable.Ended > 0 {
+		// The worker does not wait before it lists such an end again.
+		p.after(pollRetryAfter, func() { p.poll(pw) })
+		return
+	}
 	if pw.ends.settled() {
 		p.poll(pw)
 		return
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -145,4 +145,5 @@
 	endStepListed       = "listed"
 	endStepCommitted    = "committed"
 	endStepNotCommitted = "not_committed"
+	endStepUnreadable   = "unreadable"
 )
--- a/internal/model/cell.go
+++ b/internal/model/cell.go
@@ -21,6 +21,9 @@
 	Address string `json:"address,omitempty" cbor:"9,keyasint,omitempty"`
 }
 
+// MaxWorkerClock is the maximum reading of a worker's clock in milliseconds, about 139 years.
+const MaxWorkerClock = 1 << 42
+
 // ExecutorSpec describes a target of requests.
 type ExecutorSpec struct {
 	ID          string `json:"id" cbor:"1,keyasint"` // unique in a cell
--- a/internal/workerclient/client.go
+++ b/internal/workerclient/client.go
@@ -65,7 +65,23 @@
 	Incarnation uint64
 	Active      []ActiveAttempt
 	Ended       []EndedAttempt
-	MoreEnds    bool // further ended attempts are listed once these are acknowledged
+	MoreEnds    bool // the lists are incomplete: further ended attempts are listed once these are acknowledged
+	Unreadable  UnreadableRows
+}
+
+// UnreadableRows are the rows of a response that cannot be read. They are in no list.
+type UnreadableRows struct {
+	Active     int      // number of rows about active attempts
+	Ended      int      // number of rows about ended attempts
+	EndNumbers []uint64 // of those rows about ended attempts of which no more than the number can be read
+	First      error    // why the first row cannot be read; nil if every row can be
+}
+
+// Record records why a row cannot be read.
+func (u *UnreadableRows) Record(err error) {
+	if u.First == nil {
+		u.First = err
+	}
 }
 
 // ActiveAttempt is an attempt that runs on a worker.
