platform: a permit that cannot be read leaves the others usable

What callers saw: with one short row, or one with a value of another type, in the answer of the policy service, the step got no permit of that answer and waited; with such a row in each answer its job never started.

Cause: Advise failed as a whole for one row.

A worker whose row is left out is not known to be refused: Advice.Unreadable tells the leader so.

--- a/internal/control/policy.go
+++ b/internal/control/policy.go
@@ -206,6 +206,10 @@
 		return
 	}
 	p.l.c.s.metrics.policyQueries.WithLabelValues("ok").Inc()
+	if advice.Unreadable > 0 {
+		p.l.c.s.metrics.unreadableRows.WithLabelValues(listPermits).Add(float64(advice.Unreadable))
+		p.l.c.log.Warn("Permits cannot be read; they are left out.", "workflow", q.Step.Workflow, "step", q.Step.Step, "unreadable", advice.Unreadable)
+	}
 	if _, tracked := p.costs[q.Job]; tracked {
 		p.answered[q.Job] = now
 	}
--- a/internal/control/unreadable.go
+++ b/internal/control/unreadable.go
@@ -19,8 +19,9 @@
 
 // The lists with rows that cannot be read, as metrics name them.
 const (
-	listActive = "active"
-	listEnded  = "ended"
+	listActive  = "active"
+	listEnded   = "ended"
+	listPermits = "permits"
 )
 
 // recordUnreadable counts the rows of a response that cannot be read, and marks its lists as
--- a/internal/workerclient/client.go
+++ b/internal/workerclient/client.go
@@ -179,6 +179,9 @@
 type Advice struct {
 	Permits []Permit       `cbor:"1,keyasint,omitempty"`
 	Valid   model.Duration `cbor:"2,keyasint"`
+	// Unreadable is the number of permits that could not be read. They may be for any of
+	// the workers that the query named.
+	Unreadable int `cbor:"3,keyasint,omitempty"`
 }
 
 // Permit allows the tasks of a step to start on a worker.
