platform, proto: refuse a heartbeat that cannot be that of a worker

What callers saw: one odd heartbeat under the ID of a worker stopped its tasks and cost it 4.6 s, and all later changes of its capacity were ignored; one under a new ID with a huge capacity made sums over the workers overflow, and all work seemed to fit there.

Cause: the address was only parsed, and capacity, incarnation, sequence and clock were taken as they came. A start of 2^64-1 made the true heartbeats those of an earlier incarnation, until the lease had ended; a label named like the reserved one replaced the service.

Errors repeat at most 80 characters of a value.

--- a/internal/entry/adapter.go
+++ b/internal/entry/adapter.go
@@ -89,9 +89,10 @@
 	return resp.Waiting, nil
 }
 
-// Heartbeat forwards the heartbeat of a polled worker to the leader.
+// Heartbeat forwards the heartbeat of a polled worker to the leader. The error is BadRequest
+// if it names no worker that could be used.
 func (s *Server) Heartbeat(ctx context.Context, b *proto.Heartbeat) error {
-	if err := b.Spec.Validate(); err != nil {
+	if err := b.Validate(time.Now()); err != nil {
 		return errkind.Wrap(errkind.BadRequest, err, "worker")
 	}
 	_, err := callLeader[proto.Heartbeat, proto.Empty](ctx, s.leader, wire.KindHeartbeat, b, 0)
--- a/internal/model/resources.go
+++ b/internal/model/resources.go
@@ -12,6 +12,15 @@
 	Accelerators int64 `json:"accelerators,omitempty" cbor:"3,keyasint,omitempty"` // whole devices
 }
 
+// MaxResource is the maximum of each component of a worker's capacity, a task's size and a
+// team's limit. Sums over a million workers, or over the tasks of a job, stay within 64 bits.
+const MaxResource = 1_000_000_000_000
+
+// InRange reports whether every component is from 0 to MaxResource.
+func (r Resources) InRange() bool {
+	return !r.Negative() && r.CPU <= MaxResource && r.Memory <= MaxResource && r.Accelerators <= MaxResource
+}
+
 // Add returns r + o.
 func (r Resources) Add(o Resources) Resources {
 	return Resources{r.CPU + o.CPU, r.Memory + o.Memory, r.Accelerators + o.Accelerators}
--- a/internal/model/validate.go
+++ b/internal/model/validate.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/netip"
 )
 
 // Limits of a job.
@@ -55,15 +56,18 @@
 func (s *WorkerSpec) Validate() error {
 	var errs []error
 	addError := func(format string, args ...any) { errs = append(errs, fmt.Errorf(format, args...)) }
-	if s.ID == "" || len(s.ID) > MaxNameLength {
-		addError("id must have 1 to %d characters", MaxNameLength)
+	if s.ID == "" || !isLabelText(string(s.ID)) {
+		addError("id must have 1 to %d letters, digits, - _ . and /", MaxNameLength)
 	}
-	if s.Capacity.Negative() {
-		addError("capacity must not be negative, got %s", s.Capacity)
+	if !s.Capacity.InRange() {
+		addError("each part of the capacity must be from 0 to %d, got %s", int64(MaxResource), s.Capacity)
 	}
 	if s.Region == "" || s.FailureDomain == "" {
 		addError("region and failure_domain must be set")
 	}
+	if s.Address != "" {
+		errs = append(errs, checkAddress(s.Address))
+	}
 	errs = append(errs, s.Labels.validate())
 	for i := range s.Executors {
 		errs = append(errs, s.Executors[i].Validate())
@@ -71,6 +75,19 @@
 	return errors.Join(errs...)
 }
 
+// checkAddress returns why no worker can be called at an address, or nil.
+func checkAddress(address string) error {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return fmt.Errorf("address must be IP:port: %w", err)
+	}
+	ip := a.Addr().Unmap()
+	if a.Port() == 0 || ip.IsUnspecified() || ip.IsMulticast() || ip == netip.AddrFrom4([4]byte{255, 255, 255, 255}) {
+		return fmt.Errorf("address %s is not that of one host and port", a)
+	}
+	return nil
+}
+
 // Validate returns all violated rules of an executor, joined into one error, or nil.
 func (e *ExecutorSpec) Validate() error {
 	var errs []error
@@ -89,7 +106,7 @@
 	}
 	for k, v := range l {
 		if !isLabelText(k) || k == "" || !isLabelText(v) {
-			return fmt.Errorf("label %q=%q has characters outside letters, digits, - _ . and /", k, v)
+			return fmt.Errorf("label %.80q=%.80q has characters outside letters, digits, - _ . and /, or more than %d", k, v, MaxNameLength)
 		}
 	}
 	return nil
