control: follow the capacity of a worker after an incarnation that never was

What callers saw: after one heartbeat of a later incarnation under the ID of a worker, by another writer, the changes of that worker's capacity were ignored until the leader changed: starts went beyond a smaller capacity, and a larger one was not used.

Cause: the leader kept the order of heartbeats for the highest incarnation that it had heard of, and took all others for outdated, also once the worker was followed again.

Fix: the order is kept for the incarnation that the last heartbeat was of. A delayed one of an earlier incarnation begins the order anew, so that the next one may reduce the capacity and not raise it; it changes nothing by itself, since only the known incarnation's capacity is updated.

Evidence: TestCapacityIsFollowedAfterIncarnationThatNeverWas, run on the code before: fails (no commit for the raised capacity).

--- a/internal/control/capacity.go
+++ b/internal/control/capacity.go
@@ -14,11 +14,12 @@
 const (
 	heartbeatUnordered heartbeatOrder = iota // the first that this leader receives: a later one may have been sent before it
 	heartbeatNewest
-	heartbeatOutdated // a later one was received before
+	heartbeatOutdated // a later one of its incarnation was received before
 )
 
 // receivedHeartbeats holds the heartbeat with the highest sequence that this leader has
-// received from each worker.
+// received from each worker, of the incarnation that it last received one of. That need not be
+// the latest: a heartbeat of an incarnation that never was must not make true ones outdated.
 type receivedHeartbeats map[model.WorkerID]receivedHeartbeat
 
 type receivedHeartbeat struct {
@@ -34,9 +35,9 @@
 	last, known := r[hb.Spec.ID]
 	next := receivedHeartbeat{incarnation: hb.Spec.Incarnation, sequence: hb.Sequence, order: heartbeatNewest}
 	switch {
-	case !known || last.incarnation < next.incarnation:
+	case !known || last.incarnation != next.incarnation:
 		next.order = heartbeatUnordered
-	case last.incarnation > next.incarnation || last.sequence > next.sequence:
+	case last.sequence > next.sequence:
 		return heartbeatOutdated
 	case last.sequence == next.sequence:
 		return last.order // it was sent again
--- a/internal/control/capacity_test.go
+++ b/internal/control/capacity_test.go
@@ -221,6 +221,18 @@
 	assert.Equal(t, h.cpu(), int64(3000))
 }
 
+// Guards against a worker whose changes of capacity are ignored since another writer has announced a later incarnation of it.
+func TestCapacityIsFollowedAfterIncarnationThatNeverWas(t *testing.T) {
+	h := newLeaderTest(t)
+	h.heartbeat(7, 1, 4000)
+	assert.Equal(t, h.heartbeat(1<<40, 9, 4000), 1, "the announcement")
+	session := h.c.machine.Worker("w1").Session
+	h.apply(&state.Command{MarkWorkersLost: &state.MarkWorkersLost{Workers: []state.LostWorker{{ID: "w1", Session: session}}}})
+	assert.Equal(t, h.heartbeat(7, 2, 4000), 1, "the true one is announced again")
+	assert.Equal(t, h.heartbeat(7, 3, 6000), 1)
+	assert.Equal(t, h.cpu(), int64(6000))
+}
+
 func TestNewCapacityByOrderOfHeartbeat(t *testing.T) {
 	current, reported := model.Resources{CPU: 4000, Memory: 100}, model.Resources{CPU: 2000, Memory: 200, Accelerators: 1}
 	assert.Equal(t, newCapacity(current, reported, heartbeatNewest), reported)
