workerclient: drop a clock that the worker's own has not reached

What callers saw: nothing yet. A heartbeat by another writer with a high clock made every lease of that incarnation end far ahead, as long as the worker grants itself, so that a worker which is lost runs its tasks on longer than the leader waits.

Cause: a clock only ever rises, and the reading of an announcement counted as much as that of a response of the worker.

Fix: a response bounds the clock from above. A reading that exceeds the bound cannot be the worker's and is replaced by that of the response.

Evidence: TestReadingThatClockCannotHaveShownIsDropped, run on the code before: fails ("LeaseUntil(1020, 1s) is greater than 1500").

--- a/internal/workerclient/clock.go
+++ b/internal/workerclient/clock.go
@@ -32,12 +32,16 @@
 }
 
 // ObserveResponse records the reading of a response to a call that was sent at sentAt. It
-// bounds the clock from above, too, since the worker read it after that.
+// bounds the clock from above, too, since the worker read it after that. An earlier reading
+// that exceeds the bound was not the worker's and is dropped.
 func (c *Clock) ObserveResponse(reading int64, sentAt, now model.Time) {
 	c.Observe(reading, now)
 	if reading != 0 && (c.highest == 0 || reading < c.atMost(sentAt)) {
 		c.highest, c.highestAt = reading, sentAt
 	}
+	if reading != 0 && c.AtLeast(now) > c.atMost(now) {
+		c.reading, c.observedAt = reading, now
+	}
 }
 
 // Matches reports whether a reading in the response to a call that was sent at sentAt can
--- a/internal/workerclient/clock_test.go
+++ b/internal/workerclient/clock_test.go
@@ -55,3 +55,13 @@
 		}
 	}
 }
+
+// Guards against a lease without end: another writer has announced a clock that the worker's own has not reached.
+func TestReadingThatClockCannotHaveShownIsDropped(t *testing.T) {
+	var c Clock
+	c.Observe(1<<40, 1000)
+	c.ObserveResponse(500, 1000, 1020)
+	assert.Assert(t, c.LeaseUntil(1020, time.Second) <= 1500)
+	c.ObserveResponse(1500, 2000, 2020)
+	assert.Assert(t, c.AtLeast(2020) >= 1480 && c.AtLeast(2020) <= 1520)
+}
