model, platform: bound the numbers that callers and operators set

What callers saw: a task of 2^63-1 thousandths of a core was accepted, and sums over the tasks of its job overflowed, so that it seemed to fit; an estimate or an interval of 2^63-1 ms became another time by overflow, and so did a target of a manifest, with which every job of that queue was late or never due.

Cause: sizes were only checked for a sign, milliseconds were multiplied without a check, and fractions were converted to 64 bits whatever they were.

Fix: conversions saturate, and what is out of range is refused as a whole: each part of a size, as of a capacity and a limit, from 0 to 10^12, a duration up to 366 days, a time up to 2109. With these, the sums over the steps of a workflow, the tasks of a job and a million workers stay within 64 bits; the time that a workflow may take, which a queue stretches by up to a million, is bounded by itself. Within the bounds all results are as before.

--- a/internal/declare/validate.go
+++ b/internal/declare/validate.go
@@ -14,8 +14,8 @@
 const (
 	maxShare    = 1_000_000_000
 	maxCount    = 1_000_000_000
-	maxCPU      = 1_000_000_000_000 // thousandths of a core
-	maxMemory   = 1_000_000_000_000 // MiB
+	maxCPU      = model.MaxResource // thousandths of a core
+	maxMemory   = model.MaxResource // MiB
 	maxBodySize = 1 << 30           // bytes
 )
 
@@ -109,6 +109,12 @@
 	}
 }
 
+func (v *validator) duration(field string, d model.Duration) {
+	if !d.InRange() {
+		v.addProblem(field, d, "must be from 0s to %s", model.MaxDuration)
+	}
+}
+
 func (v *validator) labels(labels model.Labels) {
 	keys := make([]string, 0, len(labels))
 	for k := range labels {
@@ -209,6 +215,10 @@
 		v.between("max_pending", q.MaxPending, 0, maxCount)
 		v.between("max_attempts", int64(q.MaxAttempts), 0, model.MaxRestartLimit)
 		v.between("stretch_permille", q.StretchPermille, 0, maxCount)
+		v.duration("allowance", q.Allowance)
+		v.duration("policy.base", q.Policy.Base)
+		v.duration("policy.per_worker", q.Policy.PerWorker)
+		v.duration("policy.valid", q.Policy.Valid)
 		v.route(routes, q.Route)
 	}
 }
--- a/internal/model/duration.go
+++ b/internal/model/duration.go
@@ -10,6 +10,13 @@
 // as "1m30s".
 type Duration time.Duration
 
+// MaxDuration is the maximum of a duration that callers and operators set. The sum over the
+// steps of a workflow stays within 64 bits.
+const MaxDuration = Duration(366 * 24 * time.Hour)
+
+// InRange reports whether d is from zero to MaxDuration.
+func (d Duration) InRange() bool { return d >= 0 && d <= MaxDuration }
+
 // Std returns d as a time.Duration.
 func (d Duration) Std() time.Duration { return time.Duration(d) }
 
@@ -40,6 +47,10 @@
 // leader. Deterministic packages receive it as an argument instead of using a clock.
 type Time int64
 
+// MaxTime is the latest time that callers set, in the year 2109. Its distance from any time
+// since 1970 is within the range of a duration.
+const MaxTime Time = 1 << 42
+
 // TimeOf converts t to a Time, truncated to milliseconds.
 func TimeOf(t time.Time) Time { return Time(t.UnixMilli()) }
 
--- a/internal/model/validate.go
+++ b/internal/model/validate.go
@@ -30,11 +30,11 @@
 	if s.Tasks < 1 || s.Tasks > MaxTasks {
 		addError("tasks must be 1 to %d, got %d", MaxTasks, s.Tasks)
 	}
-	if s.Size.Negative() || s.Size.IsZero() {
-		addError("size must be above zero and have no negative part, got %s", s.Size)
+	if !s.Size.InRange() || s.Size.IsZero() {
+		addError("size must be above zero, and each part from 0 to %d, got %s", int64(MaxResource), s.Size)
 	}
-	if s.RunTime < 0 || s.Patience < 0 {
-		addError("run_time and patience must not be negative")
+	if !s.RunTime.InRange() || !s.Patience.InRange() {
+		addError("run_time and patience must be from 0 to %s", MaxDuration)
 	}
 	if s.MaxRestarts < 0 || s.MaxRestarts > MaxRestartLimit {
 		addError("max_restarts must be 0 to %d, got %d", MaxRestartLimit, s.MaxRestarts)
--- a/internal/model/workflow.go
+++ b/internal/model/workflow.go
@@ -82,8 +82,8 @@
 	if s.ID == "" || len(s.ID) > MaxWorkflowID || strings.Contains(string(s.ID), runSeparator) {
 		addError("id must have 1 to %d characters, and no %q", MaxWorkflowID, runSeparator)
 	}
-	if s.Runs < 0 || s.Runs > MaxRuns || s.FirstAt < 0 || s.Every < 0 {
-		addError("runs must be 0 to %d, first_at_ms and every not negative", MaxRuns)
+	if s.Runs < 0 || s.Runs > MaxRuns || s.FirstAt < 0 || s.FirstAt > MaxTime || !s.Every.InRange() {
+		addError("runs must be 0 to %d, first_at_ms 0 to %d and every 0 to %s", MaxRuns, MaxTime, MaxDuration)
 	}
 	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
 		addError("steps must be 1 to %d, got %d", MaxSteps, len(s.Steps))
--- a/internal/state/workflow.go
+++ b/internal/state/workflow.go
@@ -97,6 +97,9 @@
 	m.createReadySteps(w)
 }
 
+// maxAllowedTime bounds the stretched part of the time that a workflow may take.
+const maxAllowedTime = 100 * model.MaxDuration
+
 // allowedTime returns how long a workflow of the queue may take if its longest
 // chain of steps takes chain.
 func allowedTime(q *model.Queue, chain time.Duration) time.Duration {
@@ -104,7 +107,11 @@
 	if stretch == 0 {
 		stretch = 1000
 	}
-	return chain*time.Duration(stretch)/1000 + q.Allowance.Std()
+	const permille = 1000
+	if chain > maxAllowedTime.Std()/time.Duration(stretch)*permille {
+		return maxAllowedTime.Std()
+	}
+	return chain/permille*time.Duration(stretch) + chain%permille*time.Duration(stretch)/permille + q.Allowance.Std()
 }
 
 // createReadySteps creates the jobs of the steps whose predecessors have all
--- a/internal/state/workflow_test.go
+++ b/internal/state/workflow_test.go
@@ -270,3 +270,24 @@
 	assert.Equal(t, s.m.Workflow("f").Spec.Payload, "")
 	assert.Assert(t, s.apply(submit).Existing, "it is still known")
 }
+
+// Guards against a deadline that has overflowed into the past.
+func TestDeadlineOfLongestWorkflowIsInTheFuture(t *testing.T) {
+	steps := make([]model.Step, model.MaxSteps)
+	for i := range steps {
+		steps[i] = model.Step{Policy: model.PolicyBatch, Tasks: 1, Size: model.Resources{CPU: 1}, RunTime: model.MaxDuration}
+		if i > 0 {
+			steps[i].After = []int32{int32(i - 1)}
+		}
+	}
+	spec := model.WorkflowSpec{ID: "w", Queue: "q", Team: "t", Steps: steps}
+	assert.NilError(t, spec.Validate())
+	longest := spec.CriticalPaths()[0]
+	assert.Assert(t, longest > 0)
+	for _, stretch := range []int64{0, 1, 2200, 1_000_000_000} {
+		q := &model.Queue{StretchPermille: stretch, Allowance: model.MaxDuration}
+		assert.Assert(t, allowedTime(q, longest) > 0, "stretch %d", stretch)
+	}
+	q := &model.Queue{StretchPermille: 2200, Allowance: 5}
+	assert.Equal(t, allowedTime(q, 1_234_567), allowedTime(q, 0)+1_234_567*2200/1000)
+}
