state, wire: what can be written can be read

What callers saw: nothing yet. A string that is not UTF-8, as in an idempotency key, was written to the log and could not be read: each replica skipped the entry with an error, and the caller waited for its timeout.

Cause: the decoders have limits that the encoders do not have.

Fix: the decoders of the state accept what its encoder writes: all strings, and lists up to the decoder's own maximum; the bytes are this program's and have a checksum. The messages between processes accept all strings; their limits on sizes stay, since they bound what a peer can make a process allocate.

--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -1,6 +1,8 @@
 package state
 
 import (
+	"math"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/filbertmast/filbertmast/internal/api"
@@ -276,21 +278,36 @@
 	return m
 }()
 
-// decMode limits the sizes of arrays and maps in a log entry.
+// decMode decodes whatever encMode encodes: what was written and cannot be read would end
+// every replica, also after each restart. The bytes are this program's own and checked by the
+// log, so that its limits are those of the decoder.
 var decMode = func() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxArrayElements: maxElements, MaxMapPairs: maxElements}.DecMode()
+	m, err := cbor.DecOptions{
+		MaxArrayElements: math.MaxInt32,
+		MaxMapPairs:      math.MaxInt32,
+		MaxNestedLevels:  maxNesting,
+		UTF8:             cbor.UTF8DecodeInvalid,
+	}.DecMode()
 	if err != nil {
 		panic(err) // the options are constant
 	}
 	return m
 }()
 
-// maxElements bounds the elements of one array or map in an encoded command or snapshot record.
-const maxElements = 1 << 22
+// maxNesting bounds the nesting of a command or a snapshot record.
+const maxNesting = 64
 
-// Encode returns the encoding of c for the replicated log.
+// Encode returns the encoding of c for the replicated log. The error is of kind Internal if it
+// could not be decoded.
 func (c *Command) Encode() ([]byte, error) {
-	return encMode.Marshal(c)
+	data, err := encMode.Marshal(c)
+	if err == nil {
+		err = decMode.Wellformed(data)
+	}
+	if err != nil {
+		return nil, errkind.Wrap(errkind.Internal, err, "encode command")
+	}
+	return data, nil
 }
 
 // Decode decodes a command of the replicated log. The error is of kind Internal.
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -35,7 +35,8 @@
 }
 
 // mustDecMode limits how much memory a peer can make this process allocate.
-// Unknown fields are ignored, so that newer versions can add fields.
+// Unknown fields are ignored, so that newer versions can add fields. Strings that are not
+// UTF-8 are accepted, since every encoder writes them: the receiver decides what they mean.
 func mustDecMode() cbor.DecMode {
 	m, err := cbor.DecOptions{
 		MaxArrayElements: maxListLength,
@@ -43,6 +44,7 @@
 		MaxNestedLevels:  maxNesting,
 		IndefLength:      cbor.IndefLengthForbidden,
 		TagsMd:           cbor.TagsForbidden,
+		UTF8:             cbor.UTF8DecodeInvalid,
 	}.DecMode()
 	if err != nil {
 		panic(err)
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -221,3 +221,15 @@
 		}
 	}
 }
+
+// Guards against a message that is sent and that no receiver can read.
+func TestStringsThatAreNotUTF8ArriveAsTheyWereSent(t *testing.T) {
+	type message struct {
+		Text string `cbor:"1,keyasint"`
+	}
+	frame, err := appendFrame(nil, &message{"\xff\xfe"})
+	assert.NilError(t, err)
+	got, err := decode[message](frame[frameHeader:])
+	assert.NilError(t, err)
+	assert.Equal(t, got.Text, "\xff\xfe")
+}
