--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -35,6 +35,7 @@
 	unresponsive      prometheus.Gauge
 	lostPolls         prometheus.Counter
 	workerPauses      prometheus.Counter
+	unreadableRows    *prometheus.CounterVec
 	firstStartSeconds prometheus.Histogram
 	workflowSeconds   *prometheus.HistogramVec
 }
@@ -105,6 +106,9 @@
 			Name: "filbertmast_control_looks_lost_total", Help: "Looks at called workers whose answer was lost: a second look was answered first."}),
 		workerPauses: f.NewCounter(prometheus.CounterOpts{
 			Name: "filbertmast_control_worker_pauses_total", Help: "Pauses in which a called worker is given no tasks, since it has refused a start."}),
+		unreadableRows: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertmast_control_unreadable_rows_total", Help: "Rows that could not be read in lists from outside, by list."},
+			[]string{"list"}),
 		firstStartSeconds: f.NewHistogram(prometheus.HistogramOpts{
 			Name: "filbertmast_control_first_start_seconds", Help: "From the submission of a workflow to the first confirmed start.",
 			Buckets: prometheus.ExponentialBuckets(0.025, 2, 12)}),
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -162,4 +162,5 @@
 	endStepListed       = "listed"
 	endStepCommitted    = "committed"
 	endStepNotCommitted = "not_committed"
+	endStepUnreadable   = "unreadable"
 )
