replica/raft: let a candidate wait longer with each attempt

What callers saw: after a busy or slow group had lost its leader, it could stay without one for as long as the load lasted.

Cause: a candidate that has not won tried again after 2 to 6 ticks, whatever its votes needed, and votes that arrive after the next try count for nothing. A vote needs two round trips and two writes. At a tick of 35 ms that is 70 to 210 ms, while a leader tolerates acknowledgements of up to 350 ms. So the same group keeps a leader that it has and cannot elect a new one.

Why this works: the time until the next try doubles with each attempt, from 4 ticks to 2 election timeouts, and starts anew at the next contact with a leader. Bound: sound replicas whose votes take up to 2 election timeouts elect a leader within 20 of them.

--- a/internal/replica/raft/core.go
+++ b/internal/replica/raft/core.go
@@ -105,6 +105,7 @@
 	// Election state, in ticks.
 	electionElapsed  int
 	electionTimeout  int
+	retryTicks       int    // shortest time until a candidate tries again
 	matched          uint64 // highest index known to match the log of the leader of this term
 	ticksSinceLeader int    // since the last contact with a leader, or since the start
 	votes            map[ID]bool
@@ -134,6 +135,7 @@
 		term:         r.State.Term,
 		vote:         r.State.Vote,
 		emittedState: r.State,
+		retryTicks:   firstRetryTicks,
 		configs:      slices.Clone(r.Configs),
 		log: raftLog{
 			start:     r.Start,
--- a/internal/replica/raft/election.go
+++ b/internal/replica/raft/election.go
@@ -50,13 +50,24 @@
 	}
 }
 
+// firstRetryTicks is half of the shortest time until a candidate tries again for the
+// first time.
+const firstRetryTicks = 2
+
 // resetRetryTimer sets the time until a candidate that has not won tries again.
-// It is short, since the leader is known to be unreachable, and random, so that
-// two candidates that have split the votes do not split them again.
+// It is random, so that two candidates that have split the votes do not split them
+// again.
 func (c *Core) resetRetryTimer() {
-	const roundTrip = 2 // in ticks
 	c.electionElapsed = 0
-	c.electionTimeout = roundTrip + c.rng.IntN(c.opts.ElectionTicks/2)
+	c.electionTimeout = c.retryTicks + c.rng.IntN(max(c.retryTicks, c.opts.ElectionTicks/2))
+}
+
+// lengthenRetries doubles the time until a candidate tries again, up to two election
+// timeouts. It is short at first, since the leader is known to be unreachable. Votes that
+// arrive after the next try count for nothing, so that a group whose votes take longer
+// than that would never elect a leader.
+func (c *Core) lengthenRetries() {
+	c.retryTicks = min(2*c.retryTicks, 2*c.opts.ElectionTicks)
 }
 
 func (c *Core) becomeFollower(term uint64, leader ID) {
@@ -76,6 +87,7 @@
 func (c *Core) becomePreCandidate() {
 	c.role = PreCandidate
 	c.leader = None
+	c.lengthenRetries()
 	c.votes = map[ID]bool{c.opts.ID: true}
 	c.resetRetryTimer()
 	c.requestVotes(PreVote, c.term+1, false)
--- a/internal/replica/raft/leader.go
+++ b/internal/replica/raft/leader.go
@@ -5,6 +5,7 @@
 func (c *Core) becomeLeader() {
 	c.role = Leader
 	c.leader = c.opts.ID
+	c.retryTicks = firstRetryTicks
 	c.progress = map[ID]*progress{}
 	c.heartbeatElapsed = 0
 	c.seq++
--- a/internal/replica/raft/step.go
+++ b/internal/replica/raft/step.go
@@ -120,6 +120,7 @@
 		c.becomeFollower(c.term, leader)
 	}
 	c.leader = leader
+	c.retryTicks = firstRetryTicks
 	c.ticksSinceLeader = 0
 	c.resetElectionTimer()
 	return true
