replica: write more than there is room for in the test of a full disk

TestLeaderWithFullDiskTransfersLeadership/with_a_reserve_of_1_bytes hung once for 8 minutes. It is the test, not the group.

Cause: the test leaves 100 bytes of room and proposes 13 bytes. If all entries before are already durable, the write takes 87 bytes and fits; 13 bytes are left, which is more than the reserve of 1. The disk is not full, so the leader rightly goes on leading, and the test waits for another one forever. In most runs earlier entries were still to be written and filled the disk.

In the trace of the first all three writers wait for work, none for room, and the test waits in awaitLeader.

The proposal is now larger than the room, so that the disk is full in each run. What the test asks of the group is unchanged.

--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -213,7 +213,7 @@
 			proposeMany(10, group...)
 			full := awaitLeader(group...)
 			fillDisks(full)
-			_ = full.Propose([]byte("finds no room"))
+			_ = full.Propose(make([]byte, 2*roomLeft))
 			next := awaitLeader(others(group, full)...)
 			proposeUntilAccepted("accepted meanwhile", next)
 			awaitFollower(t, full)
@@ -229,11 +229,14 @@
 	assert.NilError(t, m.waitFor(testContext(t), func() (bool, error) { return m.core.Role() == raft.Follower, nil }))
 }
 
+// roomLeft is the room that fillDisks leaves on a disk, in bytes.
+const roomLeft = 100
+
 // fillDisks leaves the disks of the members hardly any room.
 func fillDisks(members ...*member) {
 	for _, m := range members {
 		disk := m.opts.FS.(*faultfs.FS)
-		disk.SetCapacity(disk.Used() + 100)
+		disk.SetCapacity(disk.Used() + roomLeft)
 	}
 }
 
