control: propose a repeated submission once

Cause: callers that get no response in time submit again, entries as well, and the leader proposed each repeat with its whole body, also if the workflow was committed or its proposal was still waiting. The messages waited over a second in the send queues to the other region, so commits took longer than the 1.5 s of an attempt, and all was submitted again. The load kept itself up after its cause had ended.

Why this works: a workflow that exists is answered from the state, and a submission that waits for its commit takes further callers. So the log grows with what is new, however often callers repeat it. Another team's submission of the same ID is still decided by the state.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -35,6 +35,7 @@
 	polled        *polledWorkers      // workers that the leader calls
 	policy        *policy
 	heartbeats    receivedHeartbeats
+	submissions   submissions
 	startingRuns  bool // a proposal to start due runs is not committed yet
 }
 
@@ -67,6 +68,7 @@
 		dirty:        true,
 		changedTeams: make(map[string]struct{}),
 		heartbeats:   receivedHeartbeats{},
+		submissions:  submissions{},
 	}
 	l.polled = newPolledWorkers(l)
 	l.policy = newPolicy(l)
--- a/internal/control/workflows.go
+++ b/internal/control/workflows.go
@@ -8,18 +8,49 @@
 	"github.com/filbertmast/filbertmast/internal/wire"
 )
 
-// submitWorkflow commits a workflow and responds after the commit.
+// submissionKey identifies the submission of a workflow. Another team's submission of the
+// same ID is another one, which the state refuses.
+type submissionKey struct {
+	team string
+	id   model.WorkflowID
+}
+
+// submissions are the calls that wait for the commit of a submission.
+type submissions map[submissionKey][]reply[proto.WorkflowView]
+
+// submitWorkflow commits a workflow and responds after the commit. A submission that is
+// repeated is not proposed again: callers repeat what takes long, so that a busy log would
+// become busier.
 func (l *leader) submitWorkflow(_ wire.Peer, req *proto.SubmitWorkflow, done reply[proto.WorkflowView]) {
-	cmd := &state.SubmitWorkflow{Spec: req.Spec}
+	if w := l.c.machine.Workflow(req.Spec.ID); w != nil && w.Spec.Team == req.Spec.Team {
+		replyIfLeading(l.c, done, &proto.WorkflowView{Phase: w.Phase(), Existing: true})
+		return
+	}
+	key := submissionKey{req.Spec.Team, req.Spec.ID}
+	waiting, proposed := l.submissions[key]
+	l.submissions[key] = append(waiting, done)
+	if !proposed {
+		l.proposeSubmission(key, &state.SubmitWorkflow{Spec: req.Spec})
+	}
+}
+
+// proposeSubmission proposes a workflow and answers all calls that wait for it.
+func (l *leader) proposeSubmission(key submissionKey, cmd *state.SubmitWorkflow) {
 	l.c.propose(&state.Command{SubmitWorkflow: cmd}, func(r state.Result, err error) {
+		waiting := l.submissions[key]
+		delete(l.submissions, key)
 		if err != nil {
-			done(nil, err)
+			for _, done := range waiting {
+				done(nil, err)
+			}
 			return
 		}
-		w := l.c.machine.Workflow(req.Spec.ID)
-		l.c.log.Info("Workflow accepted.", "workflow", req.Spec.ID, "queue", req.Spec.Queue, "team", req.Spec.Team,
+		w := l.c.machine.Workflow(key.id)
+		l.c.log.Info("Workflow accepted.", "workflow", key.id, "queue", cmd.Spec.Queue, "team", key.team,
 			"existing", r.Existing, "due_in", w.DueBy.Sub(l.c.s.now()))
-		done(&proto.WorkflowView{Phase: w.Phase(), Existing: r.Existing}, nil)
+		for i, done := range waiting {
+			done(&proto.WorkflowView{Phase: w.Phase(), Existing: r.Existing || i > 0}, nil)
+		}
 	})
 }
 
