control: let plans take at most half of the control goroutine

Cause: a plan follows each turn of the control goroutine in which anything has changed. With thousands of waiting jobs a plan takes 50 to 150 ms, and something has always changed: plans took 1.7 to 2.0 s of each 2 s, 2,000 to 3,800 calls waited in the queue, and calls, polls and commits took seconds. Callers gave up and called again, work was not started in time for its permits (1,468 starts refused), and the jobs that waited kept the plans long.

Why this works: after a plan that took more than 10 ms none is made for as long again (500 ms at most). The turns between cost little, so that the queue is empty before each plan. A plan then sees all of them at once.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -30,13 +30,15 @@
 	dirty         bool // something has changed since the last plan
 	nextPlan      model.Time
 	plansInFlight int // proposed placement commands that are not committed yet
-	nextExpiry    model.Time
-	changedTeams  map[string]struct{} // teams whose tasks have changed since syncLimits last ran
-	polled        *polledWorkers      // workers that the leader calls
-	policy        *policy
-	heartbeats    receivedHeartbeats
-	submissions   submissions
-	startingRuns  bool // a proposal to start due runs is not committed yet
+	// planPausedUntil is when the next plan may be made after one that took long.
+	planPausedUntil model.Time
+	nextExpiry      model.Time
+	changedTeams    map[string]struct{} // teams whose tasks have changed since syncLimits last ran
+	polled          *polledWorkers      // workers that the leader calls
+	policy          *policy
+	heartbeats      receivedHeartbeats
+	submissions     submissions
+	startingRuns    bool // a proposal to start due runs is not committed yet
 }
 
 // attachment is a worker's session and the entry that holds it.
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -11,6 +11,10 @@
 const (
 	maxPlacements    = 1024 // placements in one plan
 	maxPlansInFlight = 4    // proposed placement commands that are not committed yet
+	// shortPlan is how long a plan may take to be followed by another one at once.
+	shortPlan = 10 * time.Millisecond
+	// maxPlanPause bounds the time without a plan after a plan that took long.
+	maxPlanPause = 500 * time.Millisecond
 )
 
 // schedule commits reports, sends the queries that are due and makes a plan if one is
@@ -29,15 +33,15 @@
 // refused placement or a failed proposal frees them.
 func (l *leader) planIfDue(now model.Time) {
 	due := l.dirty || (l.nextPlan != 0 && now >= l.nextPlan)
-	if !due || l.plansInFlight >= maxPlansInFlight {
+	if !due || now < l.planPausedUntil || l.plansInFlight >= maxPlansInFlight {
 		return
 	}
 	if _, err := l.c.leading(); err != nil {
 		return
 	}
-	began := time.Now()
+	began := l.c.s.now()
 	p := l.sched.Plan(now, maxPlacements)
-	l.c.s.metrics.planSeconds.Observe(time.Since(began).Seconds())
+	l.recordPlan(began, l.c.s.now())
 	l.dirty = len(p.Placements) >= maxPlacements
 	l.nextPlan = p.NextWake
 	l.proposePlacements(p.Placements, now)
@@ -49,6 +53,17 @@
 	l.syncLimits()
 }
 
+// recordPlan records how long a plan took. After one that took long, none is made for as
+// long again, so that plans take at most half of the time of the control goroutine: calls,
+// polls and commits would otherwise wait behind them, and what waits makes plans longer.
+func (l *leader) recordPlan(began, ended model.Time) {
+	took := ended.Sub(began)
+	l.c.s.metrics.planSeconds.Observe(took.Seconds())
+	if took > shortPlan {
+		l.planPausedUntil = ended.Add(min(took, maxPlanPause))
+	}
+}
+
 func (l *leader) proposePlacements(ps []schedule.Placement, now model.Time) {
 	if len(ps) == 0 {
 		return
