control: do not run queued calls whose callers have left

What callers saw: a busy leader answered ever later, as it also worked on calls that nobody waited for any more, beside the same calls sent again.

Cause: a call stayed in the queue of the control goroutine after its deadline had passed or its caller had cancelled it, and was run all the same, with its proposal.

Why this works: the caller has got an error that says that the outcome is not known; a call that is not run is one of the outcomes. What is in the queue is then bounded by what callers still wait for.

--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -207,7 +207,11 @@
 	answer := make(chan outcome, 1)
 	done := func(v *T, err error) { answer <- outcome{v, err} }
 	select {
-	case s.calls <- call{workCalls, func(c *core) { fn(c, done) }}:
+	case s.calls <- call{workCalls, func(c *core) {
+		if ctx.Err() == nil { // else the caller waits no longer, and may have called again
+			fn(c, done)
+		}
+	}}:
 	case <-s.stopped:
 		return nil, errkind.New(errkind.NoLeader, "the control process is stopping")
 	case <-ctx.Done():
