entry: share the search for a leader among all calls that wait

What callers saw: while there was no leader, or one that had no lease for a moment, all control processes were busy with questions who leads, the one that was to be elected and the new leader among them.

Why this works: one search is under way at a time, and calls wait for its result.

--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/filbertmast/filbertmast/internal/discover"
 	"github.com/filbertmast/filbertmast/internal/errkind"
 	"github.com/filbertmast/filbertmast/internal/wire"
 )
@@ -30,10 +29,17 @@
 	mu         sync.Mutex
 	control    []string // inner addresses of control processes
 	leadership leadership
+	searches   searches
 }
 
 func newLeaderClient(e *wire.Endpoint, founders []string, m *metrics) *leaderClient {
-	return &leaderClient{endpoint: e, control: founders, metrics: m, leadership: newLeadership("")}
+	return &leaderClient{
+		endpoint:   e,
+		metrics:    m,
+		control:    founders,
+		leadership: newLeadership(""),
+		searches:   searches{pause: minSearchPause},
+	}
 }
 
 // callLeader sends req to the leader and retries, with a new leader if it has
@@ -66,7 +72,10 @@
 	tryCtx, stop := l.bind(ctx, current, attemptTimeout+wait)
 	defer stop()
 	resp, err := wire.Call[Req, Resp](tryCtx, l.endpoint, current.address, k, req)
-	if err != nil && retryable(errkind.Of(err)) {
+	switch {
+	case err == nil:
+		l.resetSearchPause()
+	case retryable(errkind.Of(err)):
 		l.forget(current.address)
 	}
 	return resp, err
@@ -100,21 +109,17 @@
 	return errkind.Wrap(errkind.NoLeader, last, "no leader responded before the deadline")
 }
 
-// find returns the leadership that calls go to. If no leader is known, it probes
-// every control process.
+// find returns the leadership that calls go to. If no leader is known, it waits for the
+// next search.
 func (l *leaderClient) find(ctx context.Context) (leadership, error) {
 	l.mu.Lock()
-	current, control := l.leadership, l.control
-	l.mu.Unlock()
-	if current.address != "" {
-		return current, nil
+	if l.leadership.address != "" {
+		defer l.mu.Unlock()
+		return l.leadership, nil
 	}
-	found, err := discover.Leader(ctx, l.endpoint, control)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.addControl(found.Peers)
-	l.setLeader(found.Leader)
-	return l.leadership, err
+	s := l.joinSearch()
+	l.mu.Unlock()
+	return s.await(ctx)
 }
 
 // addControl adds control processes that have joined since the settings were
