--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -32,13 +32,16 @@
 	uncommitted   []*state.Command // decisions of the scheduler whose proposals have failed
 	unrevoked     []model.WorkerID // leaving workers whose unconfirmed starts could not be stopped
 	plansInFlight int              // proposed placement commands that are not committed yet
-	nextExpiry    model.Time
-	changedTeams  map[string]struct{} // teams whose tasks have changed since syncLimits last ran
-	polled        *polledWorkers      // workers that the leader calls
-	policy        *policy
-	heartbeats    receivedHeartbeats
-	stalled       stalledJobs
-	startingRuns  bool // a proposal to start due runs is not committed yet
+	// planPausedUntil is when the next plan may be made after one that took long.
+	planPausedUntil model.Time
+	nextExpiry      model.Time
+	changedTeams    map[string]struct{} // teams whose tasks have changed since syncLimits last ran
+	polled          *polledWorkers      // workers that the leader calls
+	policy          *policy
+	heartbeats      receivedHeartbeats
+	submissions     submissions
+	stalled         stalledJobs
+	startingRuns    bool // a proposal to start due runs is not committed yet
 }
 
 // attachment is a worker's session and the entry that holds it.
@@ -70,6 +73,7 @@
 		dirty:        true,
 		changedTeams: make(map[string]struct{}),
 		heartbeats:   receivedHeartbeats{},
+		submissions:  submissions{},
 	}
 	l.polled = newPolledWorkers(l)
 	l.policy = newPolicy(l)
