schedule: end reservations whose job cannot start

Cause: a reservation was checked only for a ready task and open workers. What rules the job out (limits of its team, services of its team that leave too little of them, a member of its gang in backoff, a permit that is gone) was looked at where jobs are placed, and not where workers are kept for them. So workers stayed reserved for a job that the planner no longer tried.

Fix: each plan first brings the fit failures of the groups up to date and then drops every reservation whose job cannot start once work other than services has ended, or whose worker has lost the permission. As no reservation outlives the ability to run, the number of such jobs does not matter.

The differential test of plans holds with the naive planner changed in the same way; the audit also sums up the services of each team again.

--- a/internal/schedule/apply.go
+++ b/internal/schedule/apply.go
@@ -253,8 +253,7 @@
 	j.assigned++
 	s.assignedTasks++
 	tm := s.teams[j.group.team]
-	tm.running++
-	tm.reserved = tm.reserved.Add(size)
+	tm.addTask(j.group, size)
 	w := &s.workers[slot]
 	w.tasks = append(w.tasks, taskRef{j, index})
 	s.isolate(slot, taskRef{j, index})
@@ -285,8 +284,7 @@
 	if j.assigned == 0 {
 		tm.victims.Delete(j)
 	}
-	tm.running--
-	tm.reserved = tm.reserved.Sub(t.size)
+	tm.removeTask(j.group, t.size)
 	w := &s.workers[t.worker]
 	w.removeTask(j, index)
 	s.endIsolation(t.worker, taskRef{j, index})
--- a/internal/schedule/audit_test.go
+++ b/internal/schedule/audit_test.go
@@ -21,6 +21,8 @@
 		sum, running := n.use(int32(i))
 		assigned, reserved = assigned+running, reserved.Add(sum)
 		check(sum == t.reserved && running == t.running, "use of team "+t.name)
+		services, tasks := n.servicesOf(int32(i))
+		check(services == t.services && tasks == t.serviceTasks, "services of team "+t.name)
 	}
 	check(assigned == s.assignedTasks && reserved == s.reserved, "totals of the cell")
 	isolated := int64(0)
--- a/internal/schedule/job.go
+++ b/internal/schedule/job.go
@@ -78,6 +78,14 @@
 	return j.ready > 0 && (j.group.policy != gang || j.waiting == 0 && j.assigned == 0)
 }
 
+// tasksAtOnce returns how many tasks of j must start together.
+func (j *job) tasksAtOnce() int64 {
+	if j.group.policy == gang {
+		return int64(j.ready)
+	}
+	return 1
+}
+
 // less orders the jobs of a team by startBy, then by submission.
 func (j *job) less(o *job) bool {
 	if j.startBy != o.startBy {
--- a/internal/schedule/naive_test.go
+++ b/internal/schedule/naive_test.go
@@ -21,7 +21,6 @@
 func naivePlan(s *Scheduler, now model.Time, max int) Plan {
 	s.endBackoffs(now)
 	s.passProbes(now)
-	s.dropInvalidReservations()
 	n := &naive{planner{s: s, now: now, max: max, spread: &s.spread}, map[*group]bool{}, map[int32]bool{}, map[*reservation]model.Time{}, map[*job]bool{}}
 	for _, t := range s.teams {
 		t.plannedStops = model.Resources{}
@@ -29,6 +28,7 @@
 	for _, j := range n.jobs() {
 		s.evaluateGroup(j.group)
 	}
+	s.dropInvalidReservations()
 	for _, r := range s.reservations {
 		r.startKnown = false
 		n.reservationStarts[r] = s.reservationStart(r, now)
@@ -113,9 +113,18 @@
 // use returns the sum of the resources reserved by a team and the number of its
 // assigned tasks.
 func (n *naive) use(team int32) (sum model.Resources, running int64) {
+	return n.useOf(func(j *job) bool { return j.group.team == team })
+}
+
+// servicesOf returns what use returns, for the services of the team only.
+func (n *naive) servicesOf(team int32) (sum model.Resources, running int64) {
+	return n.useOf(func(j *job) bool { return j.group.team == team && j.group.policy == service })
+}
+
+func (n *naive) useOf(counts func(*job) bool) (sum model.Resources, running int64) {
 	for _, j := range n.s.jobs {
 		for i := range j.tasks {
-			if j.group.team == team && j.tasks[i].state.assigned() {
+			if counts(j) && j.tasks[i].state.assigned() {
 				sum = sum.Add(j.tasks[i].size)
 				running++
 			}
--- a/internal/schedule/order.go
+++ b/internal/schedule/order.go
@@ -10,7 +10,6 @@
 		t.plannedStops = model.Resources{}
 		t.ranked = false
 	}
-	p.s.evaluateGroups()
 	p.beginBackfill()
 	p.probesDue = p.s.probeDue(p.now)
 }
--- a/internal/schedule/permit.go
+++ b/internal/schedule/permit.go
@@ -26,6 +26,16 @@
 	return g == nil || now < g.until[worker]
 }
 
+// allowed reports whether the set has a permit for a worker, valid or expired. An
+// expired permit can be renewed. A nil set allows every worker.
+func (g *permitSet) allowed(worker model.WorkerID) bool {
+	if g == nil {
+		return true
+	}
+	_, ok := g.until[worker]
+	return ok
+}
+
 // known reports whether the set has permits, expired ones included.
 func (g *permitSet) known() bool { return len(g.until) > 0 }
 
@@ -52,14 +62,10 @@
 	return j.permits.valid(p.s.workers[slot].id, p.now)
 }
 
-// allowed reports whether j has or had a permit for a worker. An expired permit can be
-// renewed, so that such a worker may be reserved for j.
+// allowed reports whether j has or had a permit for a worker, so that it may be reserved
+// for j.
 func (p *planner) allowed(j *job, slot int32) bool {
-	if j.permits == nil {
-		return true
-	}
-	_, ok := j.permits.until[p.s.workers[slot].id]
-	return ok
+	return j.permits.allowed(p.s.workers[slot].id)
 }
 
 // Candidate is a worker on which tasks of a job may run, now or later.
--- a/internal/schedule/planner.go
+++ b/internal/schedule/planner.go
@@ -32,6 +32,7 @@
 	s.endBackoffs(now)
 	s.shiftLate(now)
 	s.passProbes(now)
+	s.evaluateGroups()
 	s.dropInvalidReservations()
 	s.revalidateFitBounds()
 	p := planner{s: s, now: now, max: max, spread: &s.spread}
@@ -142,10 +143,7 @@
 // plan.
 func (p *planner) withinLimits(g *group, j *job, size model.Resources) bool {
 	t := p.s.teams[g.team]
-	n := int64(1)
-	if g.policy == gang {
-		n = int64(j.ready)
-	}
+	n := j.tasksAtOnce()
 	if t.headroom() < n {
 		t.blocked = n == 1 || p.pressing(j)
 		p.skipGroup(g)
--- a/internal/schedule/reservation.go
+++ b/internal/schedule/reservation.go
@@ -35,8 +35,8 @@
 	reservationRetryMillis = 1000
 )
 
-// dropInvalidReservations drops the reservations whose job has no ready task or
-// whose workers cannot be used any more.
+// dropInvalidReservations drops the reservations whose job cannot start or whose
+// workers cannot be used for it any more.
 func (s *Scheduler) dropInvalidReservations() {
 	for _, r := range slices.Clone(s.reservations) {
 		if !s.reservationValid(r) {
@@ -46,18 +46,25 @@
 }
 
 func (s *Scheduler) reservationValid(r *reservation) bool {
-	if r.job.ready == 0 || len(r.claims) == 0 {
+	if len(r.claims) == 0 || !s.mayStart(r.job) {
 		return false
 	}
 	for _, c := range r.claims {
 		w := &s.workers[c.slot]
-		if !w.open() || w.onProbation() || w.reservation != r {
+		if !w.open() || w.onProbation() || w.reservation != r || !r.job.permits.allowed(w.id) {
 			return false
 		}
 	}
 	return true
 }
 
+// mayStart reports whether j can start once work other than services has ended. The
+// groups must have been evaluated.
+func (s *Scheduler) mayStart(j *job) bool {
+	g := j.group
+	return j.startable() && g.fitFailure.Err == nil && s.teams[g.team].fitsBesideServices(j.tasksAtOnce(), s.sizeFor(g))
+}
+
 func (s *Scheduler) dropReservation(r *reservation) {
 	for _, c := range r.claims {
 		if w := &s.workers[c.slot]; w.reservation == r {
--- a/internal/schedule/team.go
+++ b/internal/schedule/team.go
@@ -21,6 +21,8 @@
 	requestPermits int64 // outstanding request permits
 	reserved       model.Resources
 	stopping       model.Resources // part of reserved, of tasks that are stopping
+	serviceTasks   int64           // part of running, of services
+	services       model.Resources // part of reserved, of services
 	plannedStops   model.Resources // part of reserved, of tasks that the current plan stops
 
 	queue   teamQueue           // groups with a ready task
@@ -46,6 +48,32 @@
 	return within(t.reserved.Add(size), t.maxResources)
 }
 
+// fitsBesideServices reports whether the limits of the team allow n tasks of the given
+// size beside its services alone, which do not end by themselves.
+func (t *team) fitsBesideServices(n int64, size model.Resources) bool {
+	return t.serviceTasks+n <= t.maxRunning && within(t.services.Add(size.Mul(n)), t.maxResources)
+}
+
+// addTask counts an assigned task of a job of g.
+func (t *team) addTask(g *group, size model.Resources) {
+	t.running++
+	t.reserved = t.reserved.Add(size)
+	if g.policy == service {
+		t.serviceTasks++
+		t.services = t.services.Add(size)
+	}
+}
+
+// removeTask undoes addTask.
+func (t *team) removeTask(g *group, size model.Resources) {
+	t.running--
+	t.reserved = t.reserved.Sub(size)
+	if g.policy == service {
+		t.serviceTasks--
+		t.services = t.services.Sub(size)
+	}
+}
+
 // within reports whether use stays within b, whose zero components are no limit.
 func within(use, b model.Resources) bool {
 	return (b.CPU == 0 || use.CPU <= b.CPU) &&
