schedule: a job that its team's limit holds up stops its team in turns

Cause: a pressing job that the limit of its team held up stopped all later jobs of the team for as long as it waited, whether or not what it waited for ever ends. Services do not end, and a task that hangs does not either.

Fix: such a job stops later jobs of its team in turns. The first lasts 5 s, each further one of the same job twice as long as its last, and a pause of the same length follows, in which the others may start. So the others are never stopped without end, and a turn becomes as long as what runs needs to end, so that the job is not starved. It stops nobody where the services of the team alone leave too little of the limit.

Evidence: TestGangThatFitsItsLimitOnlyWithoutServiceStopsNoOtherJob and TestGangHeldUpByItsLimitForGoodStopsItsTeamInTurnsOnly fail on the code before (0 of 20 tasks placed; others stopped for 19m59s of 20 minutes). The naive planner of the differential test sums up services by itself and shares only the turn that is on.

--- a/internal/schedule/apply.go
+++ b/internal/schedule/apply.go
@@ -104,6 +104,7 @@
 	s.assign(j, e.Task.Index, w, e.Size, e.At)
 	s.consumeClaim(j, w)
 	j.started = true
+	j.limitTurns = 0
 }
 
 func (s *Scheduler) taskRunning(e TaskRunning) {
--- a/internal/schedule/job.go
+++ b/internal/schedule/job.go
@@ -61,6 +61,7 @@
 	done               int32
 	next               int32 // no ready task is below this position
 	maxRestarts        int32
+	limitTurns         uint8  // turns of limitHold without a start of one of its tasks
 	reportedFitFailure uint32 // fitFailureVersion of the group that was reported
 
 	queued     bool // in group.jobs
--- /dev/null
+++ b/internal/schedule/limithold_test.go
@@ -0,0 +1,135 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// Guards against a gang that can never start beside a service of its team and stops all other jobs of the team.
+func TestGangThatFitsItsLimitOnlyWithoutServiceStopsNoOtherJob(t *testing.T) {
+	c := newCell(model.Team{Name: "a", Share: 1, MaxRunning: 1000, MaxResources: model.Resources{CPU: 40_000}})
+	c.workers(8, cores(16))
+	c.job(model.JobSpec{Name: "lasts", Policy: model.PolicyService, Tasks: 1, Size: cores(10)})
+	assert.Equal(t, len(c.plan().Placements), 1)
+	c.job(model.JobSpec{Name: "gang", Policy: model.PolicyGang, Tasks: 5, Size: cores(7)})
+	assert.Equal(t, len(c.plan().Placements), 0)
+	c.now = c.now.Add(34 * time.Second)
+	c.job(model.JobSpec{Name: "small", Tasks: 20, Size: cores(1)})
+	assert.Equal(t, len(c.plan().Placements), 20)
+}
+
+// busyTeam is a cell in which team a always has small tasks to start, and a gang that fits
+// the limit of the team only alone.
+type busyTeam struct {
+	*fakeLeader
+	ends      map[model.TaskID]model.Time
+	run       map[model.JobID]time.Duration // longest of the tasks of a job; those of other jobs never end
+	gang      model.JobID
+	firstHeld model.Time // when the gang came
+	started   bool       // the gang has started
+	stretch   time.Duration
+	longest   time.Duration // longest time for which a small task could not start although the limit allowed it
+	tooLong   time.Duration // longest excess of such a time over LimitHold and half of the time before it
+}
+
+const (
+	busyStep     = 250 * time.Millisecond
+	busyMaxCores = 8
+	busyOffsets  = 11 // different run times of small tasks
+)
+
+func newBusyTeam(workers int, run time.Duration) *busyTeam {
+	limit := model.Resources{CPU: busyMaxCores * 1000}
+	c := &busyTeam{
+		fakeLeader: newCell(model.Team{Name: "a", Share: 1, MaxRunning: 1000, MaxResources: limit}, model.Team{Name: "b", Share: 1, MaxRunning: 1000}),
+		ends:       map[model.TaskID]model.Time{}, run: map[model.JobID]time.Duration{},
+	}
+	c.workers(workers, cores(4))
+	c.run[c.job(model.JobSpec{Name: "small", Tasks: 10_000, Size: cores(1), Patience: 24 * hour})] = run
+	return c
+}
+
+func (c *busyTeam) submitGang(run time.Duration) {
+	c.gang = c.job(model.JobSpec{Name: "gang", Policy: model.PolicyGang, Tasks: 2, Size: cores(busyMaxCores / 2)})
+	c.run[c.gang] = run
+	c.firstHeld = c.now
+}
+
+// step ends the tasks that are due, makes a plan and lets busyStep pass.
+func (c *busyTeam) step() {
+	for _, id := range sortedKeys(c.ends, compareTasks) {
+		if c.ends[id] <= c.now {
+			delete(c.ends, id)
+			c.end(id, Succeeded, c.run[id.Job], true)
+		}
+	}
+	for _, p := range c.plan().Placements {
+		if run := c.run[p.Task.Job]; run > 0 {
+			shorter := run / 2 * time.Duration(p.Task.Index%busyOffsets) / busyOffsets // so that they do not end together
+			c.ends[p.Task] = c.now.Add(run - shorter)
+		}
+		c.started = c.started || p.Task.Job == c.gang
+	}
+	c.stretch += busyStep
+	if c.started || !c.s.team("a").allows(1, cores(1)) {
+		c.stretch = 0
+	}
+	c.now = c.now.Add(busyStep)
+	c.longest = max(c.longest, c.stretch)
+	c.tooLong = max(c.tooLong, c.stretch-DefaultLimitHold-(c.now.Sub(c.firstHeld)-c.stretch)/2)
+}
+
+// Guards against a gang that its busy team starves, and against a gang that holds the others up for longer than its bound.
+func TestGangThatFitsItsLimitOnlyAloneStartsWithinItsBound(t *testing.T) {
+	rows := []struct {
+		name    string
+		workers int
+		others  int32 // tasks of another team in the cell, of the same run time
+		run     time.Duration
+		bound   int // of the start of the gang, in run times
+	}{
+		{"tasks end within the first turn", 4, 0, 3 * time.Second, 1},
+		{"tasks take several turns", 4, 0, 20 * time.Second, 5},
+		{"tasks take minutes", 4, 0, 3 * time.Minute, 5},
+		{"another team takes the room, too", 2, 400, 20 * time.Second, 15},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			c := newBusyTeam(row.workers, row.run)
+			if row.others > 0 {
+				c.run[c.job(model.JobSpec{Team: "b", Name: "other", Tasks: row.others, Size: cores(1), Patience: hour})] = row.run
+			}
+			for range 8 {
+				c.step()
+			}
+			c.submitGang(row.run)
+			for !c.started && c.now.Sub(c.firstHeld) < 30*row.run {
+				c.step()
+			}
+			took := c.now.Sub(c.firstHeld)
+			assert.Assert(t, c.started && took <= time.Duration(row.bound)*row.run+2*busyStep, "started: %t, after %s", c.started, took)
+			bound := max(DefaultLimitHold, 2*row.run) + 2*busyStep
+			assert.Assert(t, c.longest <= bound, "others waited for %s with room, more than %s", c.longest, bound)
+		})
+	}
+}
+
+// Guards against a gang that waits for a task that never ends and stops all other jobs of its team for as long.
+func TestGangHeldUpByItsLimitForGoodStopsItsTeamInTurnsOnly(t *testing.T) {
+	const run = 2 * time.Second
+	c := newBusyTeam(4, run)
+	stuck := c.job(model.JobSpec{Name: "stuck", Tasks: 1, Size: cores(1)})
+	c.step()
+	c.submitGang(run)
+	for range 20 * time.Minute / busyStep {
+		c.step()
+	}
+	assert.Equal(t, c.s.jobs[stuck].running, int32(1))
+	assert.Assert(t, !c.started, "the limit has no room for the gang")
+	assert.Assert(t, c.tooLong <= 2*busyStep, "others waited for %s with room, %s too long", c.longest, c.tooLong)
+	assert.Equal(t, len(audit(c.s)), 0)
+}
--- a/internal/schedule/naive_test.go
+++ b/internal/schedule/naive_test.go
@@ -28,7 +28,7 @@
 	for _, j := range n.jobs() {
 		s.evaluateGroup(j.group)
 	}
-	s.dropInvalidReservations()
+	s.dropInvalidReservations(now)
 	for _, r := range s.reservations {
 		r.startKnown = false
 		n.reservationStarts[r] = s.reservationStart(r, now)
@@ -169,13 +169,10 @@
 	}
 	t := n.s.teams[g.team]
 	use, running := n.use(g.team)
-	if running+t.requestPermits+count > t.maxRunning {
-		n.blockedTeam[g.team] = count == 1 || n.pressing(j)
-		n.blockedGroup[g] = true
-		return
-	}
-	if !within(use.Add(size.Mul(count)), t.maxResources) {
-		n.blockedTeam[g.team] = n.pressing(j)
+	atMaxRunning := running+t.requestPermits+count > t.maxRunning
+	if atMaxRunning || !within(use.Add(size.Mul(count)), t.maxResources) {
+		held := n.holds(j, size, count)
+		n.blockedTeam[g.team] = held || count == 1 && atMaxRunning
 		n.blockedGroup[g] = true
 		return
 	}
@@ -197,6 +194,32 @@
 	n.blockedGroup[g] = true
 }
 
+// holds reports whether j, which the limits of its team hold up, keeps later jobs of the
+// team from starting.
+func (n *naive) holds(j *job, size model.Resources, count int64) bool {
+	t := n.s.teams[j.group.team]
+	use, running := n.servicesOf(j.group.team)
+	if n.now < j.startBy-max(j.patience()/2, model.Time(n.s.opts.PressingSlack.Milliseconds())) {
+		return false
+	}
+	if running+count > t.maxRunning || !within(use.Add(size.Mul(count)), t.maxResources) {
+		return false
+	}
+	if n.now >= t.hold.until && n.now < t.hold.resume {
+		return false
+	}
+	if n.now >= t.hold.resume {
+		length := n.s.opts.LimitHold
+		for range min(j.limitTurns, maxDoublings) {
+			length *= 2
+		}
+		j.limitTurns++
+		t.hold = limitHold{n.now.Add(length), n.now.Add(2 * length)}
+	}
+	n.wakeAt(t.hold.until)
+	return true
+}
+
 // best returns the least of the workers that may accepts.
 func (n *naive) best(may func(int32) bool, less func(a, b int32) bool) int32 {
 	best := noSlot
--- a/internal/schedule/options.go
+++ b/internal/schedule/options.go
@@ -7,6 +7,7 @@
 	Seed uint64 // seeds the tie-breaks between equal workers and the backoff jitter
 
 	PressingSlack          time.Duration // jobs with less slack may reserve workers and preempt
+	LimitHold              time.Duration // first turn in which a job that the limits of its team hold up stops later ones of the team
 	AgeingSpan             time.Duration // lateness that offsets one whole share in the order of teams
 	BackoffBase            time.Duration // delay before the first restart
 	BackoffCap             time.Duration // longest delay between restarts
@@ -33,6 +34,7 @@
 // Defaults of Options.
 const (
 	DefaultPressingSlack          = 5 * time.Second
+	DefaultLimitHold              = 5 * time.Second
 	DefaultAgeingSpan             = 10 * time.Minute
 	DefaultBackoffBase            = time.Second
 	DefaultBackoffCap             = 5 * time.Minute
@@ -49,6 +51,7 @@
 
 func (o Options) withDefaults() Options {
 	orDefault(&o.PressingSlack, DefaultPressingSlack)
+	orDefault(&o.LimitHold, DefaultLimitHold)
 	orDefault(&o.AgeingSpan, DefaultAgeingSpan)
 	orDefault(&o.BackoffBase, DefaultBackoffBase)
 	orDefault(&o.BackoffCap, DefaultBackoffCap)
--- a/internal/schedule/planner.go
+++ b/internal/schedule/planner.go
@@ -33,7 +33,7 @@
 	s.shiftLate(now)
 	s.passProbes(now)
 	s.evaluateGroups()
-	s.dropInvalidReservations()
+	s.dropInvalidReservations(now)
 	s.revalidateFitBounds()
 	p := planner{s: s, now: now, max: max, spread: &s.spread}
 	p.begin()
@@ -144,21 +144,17 @@
 func (p *planner) withinLimits(g *group, j *job, size model.Resources) bool {
 	t := p.s.teams[g.team]
 	n := j.tasksAtOnce()
-	if t.headroom() < n {
-		t.blocked = n == 1 || p.pressing(j)
-		p.skipGroup(g)
-		return false
-	}
-	if !t.withinMaxResources(size.Mul(n)) {
-		t.blocked = p.pressing(j)
-		p.skipGroup(g)
-		return false
+	if t.allows(n, size) {
+		return true
 	}
-	return true
+	held := p.holdsLimit(t, j, size)
+	t.blocked = held || n == 1 && t.headroom() < 1
+	p.skipGroup(g)
+	return false
 }
 
-// pressing reports whether j has waited so long that other jobs of its team may no
-// longer overtake it.
+// pressing reports whether j has waited so long that it may keep others from starting:
+// by reserving workers, and in turns by the limits of its team.
 func (p *planner) pressing(j *job) bool { return p.now >= p.pressingFrom(j) }
 
 // pressingFrom returns the time before startBy at which half of the patience of j,
--- a/internal/schedule/reservation.go
+++ b/internal/schedule/reservation.go
@@ -37,16 +37,16 @@
 
 // dropInvalidReservations drops the reservations whose job cannot start or whose
 // workers cannot be used for it any more.
-func (s *Scheduler) dropInvalidReservations() {
+func (s *Scheduler) dropInvalidReservations(now model.Time) {
 	for _, r := range slices.Clone(s.reservations) {
-		if !s.reservationValid(r) {
+		if !s.reservationValid(r, now) {
 			s.dropReservation(r)
 		}
 	}
 }
 
-func (s *Scheduler) reservationValid(r *reservation) bool {
-	if len(r.claims) == 0 || !s.mayStart(r.job) {
+func (s *Scheduler) reservationValid(r *reservation, now model.Time) bool {
+	if len(r.claims) == 0 || !s.mayStart(r.job, now) {
 		return false
 	}
 	for _, c := range r.claims {
@@ -58,11 +58,16 @@
 	return true
 }
 
-// mayStart reports whether j can start once work other than services has ended. The
-// groups must have been evaluated.
-func (s *Scheduler) mayStart(j *job) bool {
-	g := j.group
-	return j.startable() && g.fitFailure.Err == nil && s.teams[g.team].fitsBesideServices(j.tasksAtOnce(), s.sizeFor(g))
+// mayStart reports whether j can start once work other than services has ended. It
+// cannot while the limits of its team hold it up and it has no turn. The groups must have
+// been evaluated.
+func (s *Scheduler) mayStart(j *job, now model.Time) bool {
+	g, t := j.group, s.teams[j.group.team]
+	if !j.startable() || g.fitFailure.Err != nil {
+		return false
+	}
+	n, size := j.tasksAtOnce(), s.sizeFor(g)
+	return t.allows(n, size) || t.fitsBesideServices(n, size) && !t.hold.paused(now)
 }
 
 func (s *Scheduler) dropReservation(r *reservation) {
--- a/internal/schedule/team.go
+++ b/internal/schedule/team.go
@@ -21,8 +21,6 @@
 	requestPermits int64 // outstanding request permits
 	reserved       model.Resources
 	stopping       model.Resources // part of reserved, of tasks that are stopping
-	serviceTasks   int64           // part of running, of services
-	services       model.Resources // part of reserved, of services
 	plannedStops   model.Resources // part of reserved, of tasks that the current plan stops
 
 	queue   teamQueue           // groups with a ready task
@@ -31,6 +29,11 @@
 	ranked  bool                // first and key are up to date
 	first   int32               // index in queue; -1 for none
 	key     int64               // precedence; the least comes first
+
+	// The rest is not read for every team in every plan.
+	hold         limitHold       // the last turn of a job that the limits hold up
+	serviceTasks int64           // part of running, of services
+	services     model.Resources // part of reserved, of services
 }
 
 // TeamUsage is the current usage of a team.
@@ -48,6 +51,11 @@
 	return within(t.reserved.Add(size), t.maxResources)
 }
 
+// allows reports whether the limits of the team allow n more tasks of the given size now.
+func (t *team) allows(n int64, size model.Resources) bool {
+	return t.headroom() >= n && t.withinMaxResources(size.Mul(n))
+}
+
 // fitsBesideServices reports whether the limits of the team allow n tasks of the given
 // size beside its services alone, which do not end by themselves.
 func (t *team) fitsBesideServices(n int64, size model.Resources) bool {
