state, control: accepted work keeps the terms of a withdrawn queue

Callers saw: the operator withdrew a queue while an accepted workflow ran. They were also given up after one failure.

Cause: service, need of permits and attempts were looked up in the declarations in force when a step got its job, and again by each new leader. For a queue that is not there, the defaults stood in: any worker, no permit, one attempt. The need of permits was looked at only once, so that a change of the queue did not reach waiting jobs.

So accepted work goes on by the terms under which it was accepted, and a queue that is back counts by its new declaration.

Not changed: the attempts of a step stay those of the time at which it got its job, and a waiting job stays with the service that its queue had then, until the leader changes.

--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -12,7 +12,7 @@
 	l.dirty = true
 	switch e := ev.(type) {
 	case state.ConfigChanged:
-		l.applyConfig(e.Declarations)
+		l.applyConfig(&e)
 		l.recordConfig(e.Version)
 	case state.WorkerChanged:
 		l.applyWorker(&e)
@@ -51,8 +51,11 @@
 	}
 }
 
-func (l *leader) applyConfig(d *model.Declarations) {
-	l.sched.Apply(schedule.ConfigChanged{Teams: d.Teams, Queues: d.Queues, Prices: d.Prices})
+func (l *leader) applyConfig(e *state.ConfigChanged) {
+	d := e.Declarations
+	queues := e.ServedQueues()
+	l.sched.Apply(schedule.ConfigChanged{Teams: d.Teams, Queues: queues, Prices: d.Prices})
+	l.policy.queuesChanged(queues)
 	for _, t := range d.Teams {
 		l.permits.SetLimit(t.Name, t.MaxRunning)
 	}
--- a/internal/control/policy.go
+++ b/internal/control/policy.go
@@ -23,9 +23,10 @@
 	l         *leader
 	tracker   *permit.Tracker
 	costs     map[model.JobID]model.PolicyCosts
-	answered  map[model.JobID]model.Time // when the last query of a job was answered
-	balancer  *permit.Balancer           // entries by inner address
-	inFlight  int                        // queries in flight
+	byQueue   map[string]model.PolicyCosts // of the queues with work
+	answered  map[model.JobID]model.Time   // when the last query of a job was answered
+	balancer  *permit.Balancer             // entries by inner address
+	inFlight  int                          // queries in flight
 	nextQuery model.Time
 	unsent    unsentQueries
 
@@ -52,7 +53,7 @@
 	if j.Step == nil {
 		return false
 	}
-	q := p.l.c.machine.Queue(j.Spec.Queue)
+	q := p.l.c.machine.ServedQueue(j.Spec.Queue)
 	if q == nil || !q.Policy.Required() {
 		return false
 	}
--- a/internal/measure/cell.go
+++ b/internal/measure/cell.go
@@ -169,7 +169,7 @@
 	switch e := ev.(type) {
 	case state.ConfigChanged:
 		d := e.Declarations
-		s.Apply(schedule.ConfigChanged{Teams: d.Teams, Queues: d.Queues, Prices: d.Prices})
+		s.Apply(schedule.ConfigChanged{Teams: d.Teams, Queues: e.ServedQueues(), Prices: d.Prices})
 	case state.WorkerChanged:
 		s.Apply(schedule.WorkerUp{Spec: e.Spec, Mode: e.Mode})
 	case state.JobSubmitted:
--- a/internal/schedule/apply.go
+++ b/internal/schedule/apply.go
@@ -27,6 +27,8 @@
 		s.submit(e)
 	case JobPermitsChanged:
 		s.setPermits(e)
+	case JobPermitNeedChanged:
+		s.setPermitNeed(e)
 	case JobsCancelled:
 		s.cancel(e.IDs)
 	case TaskPlaced:
--- a/internal/schedule/event.go
+++ b/internal/schedule/event.go
@@ -72,6 +72,13 @@
 	Permits []Permit
 }
 
+// JobPermitNeedChanged records whether a job needs permits. One that has come to need them
+// has none.
+type JobPermitNeedChanged struct {
+	ID          model.JobID
+	NeedsPermit bool
+}
+
 // Permit allows the placement of a job on a worker until a time, exclusive.
 type Permit struct {
 	Worker model.WorkerID
@@ -154,6 +161,7 @@
 func (WorkersRemoved) isEvent()              {}
 func (JobSubmitted) isEvent()                {}
 func (JobPermitsChanged) isEvent()           {}
+func (JobPermitNeedChanged) isEvent()        {}
 func (JobsCancelled) isEvent()               {}
 func (TaskPlaced) isEvent()                  {}
 func (TaskRunning) isEvent()                 {}
--- a/internal/schedule/permit.go
+++ b/internal/schedule/permit.go
@@ -54,6 +54,16 @@
 	s.markStale(j.group)
 }
 
+// setPermitNeed changes whether a job needs permits.
+func (s *Scheduler) setPermitNeed(e JobPermitNeedChanged) {
+	j := s.jobs[e.ID]
+	if j == nil || (j.permits != nil) == e.NeedsPermit {
+		return
+	}
+	j.permits = newPermitSet(e.NeedsPermit)
+	s.markStale(j.group)
+}
+
 // mayPlace reports whether j needs no permit or has one that has not expired.
 func (p *planner) mayPlace(j *job) bool { return j.permits == nil || p.now < j.permits.latest }
 
--- a/internal/state/config.go
+++ b/internal/state/config.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/filbertmast/filbertmast/internal/declare"
@@ -22,6 +23,10 @@
 	Revision     uint64             `cbor:"6,keyasint,omitempty"`
 	Document     []byte             `cbor:"7,keyasint,omitempty"` // as the operator sent it
 
+	// WithdrawnQueues are the last declarations of the queues that are not declared any
+	// more but have unfinished work. Sorted by name.
+	WithdrawnQueues []model.Queue `cbor:"8,keyasint,omitempty"`
+
 	keys      map[model.KeyDigest]model.Key // index of Declarations.Keys
 	operators int                           // number of operator keys
 }
@@ -189,11 +194,54 @@
 			m.config.Withdrawn = slices.Insert(m.config.Withdrawn, i, k)
 		}
 	}
+	m.config.WithdrawnQueues = m.withdrawnQueues(d.Queues)
 	m.config.Declarations = d
 	m.config.rebuildIndexes()
 	m.config.Version++
 	m.config.Digest = declare.Digest(&d)
-	m.emit(ConfigChanged{Version: m.config.Version, Declarations: &m.config.Declarations})
+	m.emit(m.configEvent())
+}
+
+func (m *Machine) configEvent() ConfigChanged {
+	return ConfigChanged{
+		Version:         m.config.Version,
+		Declarations:    &m.config.Declarations,
+		WithdrawnQueues: m.config.WithdrawnQueues,
+	}
+}
+
+// withdrawnQueues returns the queues known so far that are not among those declared next
+// and have unfinished work, sorted by name.
+func (m *Machine) withdrawnQueues(next []model.Queue) []model.Queue {
+	declared := make(map[string]bool, len(next))
+	for i := range next {
+		declared[next[i].Name] = true
+	}
+	known := slices.Concat(m.config.WithdrawnQueues, m.config.Declarations.Queues)
+	withdrawn := slices.DeleteFunc(known, func(q model.Queue) bool { return declared[q.Name] })
+	if len(withdrawn) == 0 {
+		return nil
+	}
+	inUse := m.queuesInUse()
+	withdrawn = slices.DeleteFunc(withdrawn, func(q model.Queue) bool { return !inUse[q.Name] })
+	slices.SortFunc(withdrawn, func(a, b model.Queue) int { return cmp.Compare(a.Name, b.Name) })
+	return withdrawn
+}
+
+// queuesInUse returns the names of the queues with unfinished jobs or workflows.
+func (m *Machine) queuesInUse() map[string]bool {
+	inUse := map[string]bool{}
+	for _, w := range m.workflows {
+		if w.Finished == 0 {
+			inUse[w.Spec.Queue] = true
+		}
+	}
+	for _, j := range m.jobs {
+		if j.Finished == 0 {
+			inUse[j.Spec.Queue] = true
+		}
+	}
+	return inUse
 }
 
 func removedKeys(old, new []model.Key) []model.KeyDigest {
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"slices"
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/model"
@@ -14,6 +15,14 @@
 type ConfigChanged struct {
 	Version      uint64
 	Declarations *model.Declarations // shared; must not be modified
+	// WithdrawnQueues are the last declarations of withdrawn queues with unfinished work.
+	// Shared; must not be modified.
+	WithdrawnQueues []model.Queue
+}
+
+// ServedQueues returns the declared queues and the withdrawn ones with unfinished work.
+func (e *ConfigChanged) ServedQueues() []model.Queue {
+	return slices.Concat(e.Declarations.Queues, e.WithdrawnQueues)
 }
 
 // WorkerChanged reports a new specification, mode or session of a worker.
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -171,7 +171,7 @@
 // Replay calls fn with the events that bring an empty scheduler and empty tables
 // to the state of m, in a fixed order.
 func (m *Machine) Replay(fn func(Event)) {
-	fn(ConfigChanged{Version: m.config.Version, Declarations: &m.config.Declarations})
+	fn(m.configEvent())
 	for _, team := range sortedKeys(m.ceilings) {
 		fn(CeilingChanged{Team: team, Permits: m.ceilings[team]})
 	}
--- a/internal/state/runs.go
+++ b/internal/state/runs.go
@@ -51,9 +51,9 @@
 	if !w.hasRunsToStart() {
 		delete(m.recurring, w.key())
 	}
-	q := m.Queue(w.Spec.Queue)
+	q := m.ServedQueue(w.Spec.Queue)
 	if q == nil {
-		q = &model.Queue{Name: w.Spec.Queue} // the queue has been withdrawn; an accepted workflow still runs
+		q = &model.Queue{Name: w.Spec.Queue}
 	}
 	run := &Workflow{Spec: w.Spec, Team: w.Team, Submitted: m.now, Parent: w.Spec.ID, Run: k}
 	run.Spec.Runs = 0
--- a/internal/state/submit.go
+++ b/internal/state/submit.go
@@ -14,8 +14,21 @@
 
 // Queue returns the declared queue, or nil.
 func (m *Machine) Queue(name string) *model.Queue {
-	for i := range m.config.Declarations.Queues {
-		if q := &m.config.Declarations.Queues[i]; q.Name == name {
+	return findQueue(m.config.Declarations.Queues, name)
+}
+
+// ServedQueue returns the queue by whose terms accepted work runs: the declared one or,
+// if it has been withdrawn, its last declaration. It returns nil if there is neither.
+func (m *Machine) ServedQueue(name string) *model.Queue {
+	if q := m.Queue(name); q != nil {
+		return q
+	}
+	return findQueue(m.config.WithdrawnQueues, name)
+}
+
+func findQueue(queues []model.Queue, name string) *model.Queue {
+	for i := range queues {
+		if q := &queues[i]; q.Name == name {
 			return q
 		}
 	}
--- a/internal/state/workflow.go
+++ b/internal/state/workflow.go
@@ -137,7 +137,7 @@
 }
 
 func (m *Machine) createStepJob(w *Workflow, i int32) {
-	q := m.Queue(w.Spec.Queue)
+	q := m.ServedQueue(w.Spec.Queue)
 	spec := w.Spec.StepJob(int(i))
 	if q != nil {
 		spec.MaxRestarts = max(q.MaxAttempts-1, 0)
--- a/internal/state/workflow_test.go
+++ b/internal/state/workflow_test.go
@@ -270,3 +270,40 @@
 	assert.Equal(t, s.m.Workflow("f").Spec.Payload, "")
 	assert.Assert(t, s.apply(submit).Existing, "it is still known")
 }
+
+// Guards against steps of a withdrawn queue that are given up after their first failure.
+func TestStepOfWithdrawnQueueKeepsItsAttempts(t *testing.T) {
+	s := newWorkflowHarness(t)
+	s.submit("f", newStep(model.PolicyBatch, 1), newStep(model.PolicyBatch, 1, 0))
+	assert.NilError(t, s.apply(&Command{Declare: &Declare{ApplyID: "second", Base: 1, Declarations: testDeclarations()}}).Err)
+	s.report(s.place("f", 0), 0, api.ReportSucceeded)
+	assert.Equal(t, s.m.Job(s.m.Workflow("f").Jobs[1]).Spec.MaxRestarts, int32(2))
+}
+
+func TestWithdrawnQueueIsKeptUntilItsWorkHasEnded(t *testing.T) {
+	s := newWorkflowHarness(t)
+	s.submit("f", newStep(model.PolicyBatch, 1))
+	version := uint64(1)
+	withdraw := func(id string) {
+		assert.NilError(t, s.apply(&Command{Declare: &Declare{ApplyID: id, Base: version, Declarations: testDeclarations()}}).Err)
+		version++
+	}
+	withdraw("second")
+	withdraw("third")
+	assert.Assert(t, s.m.Queue("flows") == nil)
+	var snapshot bytes.Buffer
+	assert.NilError(t, s.m.WriteSnapshot(&snapshot))
+	restored, err := ReadSnapshot(testOptions(), &snapshot)
+	assert.NilError(t, err)
+	for _, m := range []*Machine{s.m, restored} {
+		assert.Equal(t, m.ServedQueue("flows").MaxAttempts, int32(3))
+		m.Replay(func(ev Event) {
+			if e, ok := ev.(ConfigChanged); ok {
+				assert.Equal(t, len(e.ServedQueues()), len(testDeclarations().Queues)+1)
+			}
+		})
+	}
+	s.report(s.place("f", 0), 0, api.ReportSucceeded)
+	withdraw("fourth")
+	assert.Assert(t, s.m.ServedQueue("flows") == nil)
+}
