schedule: end reservations on workers that a learned size has outgrown

Workers that are reserved for a job stayed so after its class had learned a size that does not fit there, so that no job could use them and the job itself did not look elsewhere.

Cause: claims were compared with the size of a task when they were made and when a worker's capacity changed, not when the size changed.

Fix: a reservation notes the size that its claims were made for. A plan that finds a larger one compares the claims with the workers again, and drops the reservation if they do not hold them. Nothing is compared while the size stays.

Evidence: TestReservationEndsOnceItsWorkersAreTooSmallForLearnedSize fails without the check (0 placements of 1).

--- a/internal/schedule/reservation.go
+++ b/internal/schedule/reservation.go
@@ -13,8 +13,9 @@
 type reservation struct {
 	job          *job
 	claims       []claim
-	advance      bool       // waits for tasks to end; otherwise tasks are preempted for it
-	preemptAfter model.Time // earliest next preemption for it
+	size         model.Resources // of a task, when the claims were made
+	advance      bool            // waits for tasks to end; otherwise tasks are preempted for it
+	preemptAfter model.Time      // earliest next preemption for it
 
 	start           model.Time // expected time of enough free capacity; zero if unknown or now
 	startKnown      bool       // start is up to date, subject to the two fields below
@@ -46,7 +47,7 @@
 }
 
 func (s *Scheduler) reservationValid(r *reservation, now model.Time) bool {
-	if len(r.claims) == 0 || !s.mayStart(r.job, now) {
+	if len(r.claims) == 0 || !s.mayStart(r.job, now) || r.advance && !s.holdsTasks(r) {
 		return false
 	}
 	for _, c := range r.claims {
@@ -58,6 +59,22 @@
 	return true
 }
 
+// holdsTasks reports whether the reserved workers still hold the claimed tasks once their
+// batch tasks have ended, after the size of a task may have been learned anew.
+func (s *Scheduler) holdsTasks(r *reservation) bool {
+	size := s.sizeFor(r.job.group)
+	if size.Fits(r.size) {
+		return true
+	}
+	for _, c := range r.claims {
+		if copies(size, s.freeWithoutBatch(c.slot)) < c.tasks {
+			return false
+		}
+	}
+	r.size = size
+	return true
+}
+
 // mayStart reports whether j can start once work other than services has ended. It
 // cannot while the limits of its team hold it up and it has no turn. The groups must have
 // been evaluated.
@@ -129,7 +146,7 @@
 func (s *Scheduler) addClaim(j *job, slot int32, n int64) {
 	r := j.reservation
 	if r == nil {
-		r = &reservation{job: j}
+		r = &reservation{job: j, size: s.sizeFor(j.group)}
 		j.reservation = r
 		s.markStale(j.group)
 		s.reservations = append(s.reservations, r)
--- a/internal/schedule/reservation_test.go
+++ b/internal/schedule/reservation_test.go
@@ -65,3 +65,25 @@
 		})
 	}
 }
+
+// Guards against workers that stay reserved for a job although its tasks have grown beyond them.
+func TestReservationEndsOnceItsWorkersAreTooSmallForLearnedSize(t *testing.T) {
+	c := newCell()
+	c.worker("large", "d0", "r0", cores(8), nil)
+	grown := c.job(model.JobSpec{Name: "grows", Policy: model.PolicyService, Tasks: 8, Size: cores(1)})
+	assert.Equal(t, len(c.plan().Placements), 8)
+	c.worker("w000", "d0", "r0", cores(4), nil)
+	fill := c.job(model.JobSpec{Name: "fill", Tasks: 1, Size: cores(4)})
+	c.plan()
+	c.job(model.JobSpec{Name: "grows", Tasks: 1, Size: cores(4)})
+	c.plan()
+	assert.Equal(t, c.s.Stats().Reservations, 1)
+	for i := range int32(8) {
+		c.s.Apply(TaskUsageReported{Task: model.TaskID{Job: grown, Index: i}, Used: cores(6), At: c.now})
+	}
+	c.end(model.TaskID{Job: fill}, Succeeded, 0, true)
+	small := c.job(model.JobSpec{Name: "small", Tasks: 1, Size: cores(4)})
+	placed := c.plan().Placements
+	assert.Equal(t, len(placed), 1)
+	assert.Equal(t, placed[0].Task.Job, small)
+}
