schedule: end reservations whose permits nobody renews

A job that needs permits kept its reserved workers for good when the policy service stopped answering, also from teams whose queues need no permits.

Cause: a permit counted as renewable however long ago it had expired.

Fix: it counts so for 30 s, far longer than a query and its retries take. After that the worker is reserved for the job no more, and a plan is requested for that time. Once the permit is renewed, the job may reserve again.

Evidence: TestReservationEndsOnceItsPermitsAreNotRenewed fails when permits stay renewable (no small task is placed within 60 s).

--- a/internal/schedule/order.go
+++ b/internal/schedule/order.go
@@ -122,6 +122,9 @@
 		if r.preemptAfter > p.now {
 			p.wakeAt(r.preemptAfter)
 		}
+		if r.job.permits != nil {
+			p.wakeWhenPermitsLapse(r)
+		}
 	}
 	for _, t := range p.s.teams {
 		for i := range t.queue.entries {
@@ -130,6 +133,14 @@
 	}
 }
 
+// wakeWhenPermitsLapse requests a plan for when a reservation ends since a permit was not
+// renewed.
+func (p *planner) wakeWhenPermitsLapse(r *reservation) {
+	for _, c := range r.claims {
+		p.wakeAt(r.job.permits.renewableUntil(p.s.workers[c.slot].id))
+	}
+}
+
 func (p *planner) wakeForGroup(g *group) {
 	g.cursor = 0
 	j := g.head()
--- a/internal/schedule/permit.go
+++ b/internal/schedule/permit.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/filbertmast/filbertmast/internal/model"
 )
@@ -26,14 +27,23 @@
 	return g == nil || now < g.until[worker]
 }
 
-// allowed reports whether the set has a permit for a worker, valid or expired. An
-// expired permit can be renewed. A nil set allows every worker.
-func (g *permitSet) allowed(worker model.WorkerID) bool {
-	if g == nil {
-		return true
+// permitRenewal is how long an expired permit counts as one that is being renewed.
+const permitRenewal = 30 * time.Second
+
+// allowed reports whether the set has a permit for a worker that is valid at now or may
+// still be renewed. A nil set allows every worker.
+func (g *permitSet) allowed(worker model.WorkerID, now model.Time) bool {
+	return g == nil || now < g.renewableUntil(worker)
+}
+
+// renewableUntil returns when a permit for a worker no longer counts as one that is being
+// renewed; zero if there is none.
+func (g *permitSet) renewableUntil(worker model.WorkerID) model.Time {
+	until, ok := g.until[worker]
+	if !ok {
+		return 0
 	}
-	_, ok := g.until[worker]
-	return ok
+	return until.Add(permitRenewal)
 }
 
 // known reports whether the set has permits, expired ones included.
@@ -72,10 +82,10 @@
 	return j.permits.valid(p.s.workers[slot].id, p.now)
 }
 
-// allowed reports whether j has or had a permit for a worker, so that it may be reserved
-// for j.
+// allowed reports whether j has a permit for a worker, or had one lately, so that the
+// worker may be reserved for j.
 func (p *planner) allowed(j *job, slot int32) bool {
-	return j.permits.allowed(p.s.workers[slot].id)
+	return j.permits.allowed(p.s.workers[slot].id, p.now)
 }
 
 // Candidate is a worker on which tasks of a job may run, now or later.
--- a/internal/schedule/reservation.go
+++ b/internal/schedule/reservation.go
@@ -52,7 +52,7 @@
 	}
 	for _, c := range r.claims {
 		w := &s.workers[c.slot]
-		if !w.open() || w.onProbation() || w.reservation != r || !r.job.permits.allowed(w.id) {
+		if !w.open() || w.onProbation() || w.reservation != r || !r.job.permits.allowed(w.id, now) {
 			return false
 		}
 	}
--- a/internal/schedule/reservation_test.go
+++ b/internal/schedule/reservation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -87,3 +88,27 @@
 	assert.Equal(t, len(placed), 1)
 	assert.Equal(t, placed[0].Task.Job, small)
 }
+
+// Guards against workers that stay reserved for a job whose permits nobody renews.
+func TestReservationEndsOnceItsPermitsAreNotRenewed(t *testing.T) {
+	c := newCell()
+	c.workers(2, cores(4))
+	c.job(model.JobSpec{Name: "fill", Tasks: 2, Size: cores(4)})
+	running := c.plan().Placements
+	gang := c.jobNeedingPermit(model.JobSpec{Policy: model.PolicyGang, Tasks: 2, Size: cores(4)})
+	c.permit(gang, c.now+1000, "w000", "w001")
+	c.plan()
+	c.now += 1000
+	for _, p := range running {
+		c.end(p.Task, Succeeded, 0, true)
+	}
+	c.job(model.JobSpec{Name: "small", Tasks: 2, Size: cores(4)})
+	p := c.plan()
+	assert.Equal(t, len(p.Placements), 0, "the permits may be renewed")
+	for len(p.Placements) == 0 && p.NextWake > c.now && p.NextWake < 1_000_000+60_000 {
+		c.now = p.NextWake
+		p = c.plan()
+	}
+	assert.Equal(t, len(p.Placements), 2)
+	assert.Equal(t, c.now.Sub(1_000_000), time.Second+permitRenewal)
+}
