--- a/internal/schedule/apply.go
+++ b/internal/schedule/apply.go
@@ -27,6 +27,8 @@
 		s.submit(e)
 	case JobPermitsChanged:
 		s.setPermits(e)
+	case JobPermitNeedChanged:
+		s.setPermitNeed(e)
 	case JobsCancelled:
 		s.cancel(e.IDs)
 	case TaskPlaced:
@@ -104,6 +106,7 @@
 	s.assign(j, e.Task.Index, w, e.Size, e.At)
 	s.consumeClaim(j, w)
 	j.started = true
+	j.limitTurns = 0
 }
 
 func (s *Scheduler) taskRunning(e TaskRunning) {
@@ -253,8 +256,7 @@
 	j.assigned++
 	s.assignedTasks++
 	tm := s.teams[j.group.team]
-	tm.running++
-	tm.reserved = tm.reserved.Add(size)
+	tm.addTask(j.group, size)
 	w := &s.workers[slot]
 	w.tasks = append(w.tasks, taskRef{j, index})
 	s.isolate(slot, taskRef{j, index})
@@ -285,8 +287,7 @@
 	if j.assigned == 0 {
 		tm.victims.Delete(j)
 	}
-	tm.running--
-	tm.reserved = tm.reserved.Sub(t.size)
+	tm.removeTask(j.group, t.size)
 	w := &s.workers[t.worker]
 	w.removeTask(j, index)
 	s.endIsolation(t.worker, taskRef{j, index})
--- a/internal/schedule/naive_test.go
+++ b/internal/schedule/naive_test.go
@@ -21,7 +21,6 @@
 func naivePlan(s *Scheduler, now model.Time, max int) Plan {
 	s.endBackoffs(now)
 	s.passProbes(now)
-	s.dropInvalidReservations()
 	n := &naive{planner{s: s, now: now, max: max, spread: &s.spread}, map[*group]bool{}, map[int32]bool{}, map[*reservation]model.Time{}, map[*job]bool{}}
 	for _, t := range s.teams {
 		t.plannedStops = model.Resources{}
@@ -29,6 +28,7 @@
 	for _, j := range n.jobs() {
 		s.evaluateGroup(j.group)
 	}
+	s.dropInvalidReservations(now)
 	for _, r := range s.reservations {
 		r.startKnown = false
 		n.reservationStarts[r] = s.reservationStart(r, now)
@@ -118,9 +118,18 @@
 // use returns the sum of the resources reserved by a team and the number of its
 // assigned tasks.
 func (n *naive) use(team int32) (sum model.Resources, running int64) {
+	return n.useOf(func(j *job) bool { return j.group.team == team })
+}
+
+// servicesOf returns what use returns, for the services of the team only.
+func (n *naive) servicesOf(team int32) (sum model.Resources, running int64) {
+	return n.useOf(func(j *job) bool { return j.group.team == team && j.group.policy == service })
+}
+
+func (n *naive) useOf(counts func(*job) bool) (sum model.Resources, running int64) {
 	for _, j := range n.s.jobs {
 		for i := range j.tasks {
-			if j.group.team == team && j.tasks[i].state.assigned() {
+			if counts(j) && j.tasks[i].state.assigned() {
 				sum = sum.Add(j.tasks[i].size)
 				running++
 			}
@@ -165,13 +174,10 @@
 	}
 	t := n.s.teams[g.team]
 	use, running := n.use(g.team)
-	if running+t.requestPermits+count > t.maxRunning {
-		n.blockedTeam[g.team] = count == 1 || n.pressing(j)
-		n.blockedGroup[g] = true
-		return
-	}
-	if !within(use.Add(size.Mul(count)), t.maxResources) {
-		n.blockedTeam[g.team] = n.pressing(j)
+	atMaxRunning := running+t.requestPermits+count > t.maxRunning
+	if atMaxRunning || !within(use.Add(size.Mul(count)), t.maxResources) {
+		held := n.holds(j, size, count)
+		n.blockedTeam[g.team] = held || count == 1 && atMaxRunning
 		n.blockedGroup[g] = true
 		return
 	}
@@ -193,6 +199,32 @@
 	n.blockedGroup[g] = true
 }
 
+// holds reports whether j, which the limits of its team hold up, keeps later jobs of the
+// team from starting.
+func (n *naive) holds(j *job, size model.Resources, count int64) bool {
+	t := n.s.teams[j.group.team]
+	use, running := n.servicesOf(j.group.team)
+	if n.now < j.startBy-max(j.patience()/2, model.Time(n.s.opts.PressingSlack.Milliseconds())) {
+		return false
+	}
+	if running+count > t.maxRunning || !within(use.Add(size.Mul(count)), t.maxResources) {
+		return false
+	}
+	if n.now >= t.hold.until && n.now < t.hold.resume {
+		return false
+	}
+	if n.now >= t.hold.resume {
+		length := n.s.opts.LimitHold
+		for range min(j.limitTurns, maxDoublings) {
+			length *= 2
+		}
+		j.limitTurns++
+		t.hold = limitHold{n.now.Add(length), n.now.Add(2 * length)}
+	}
+	n.wakeAt(t.hold.until)
+	return true
+}
+
 // best returns the least of the workers that may accepts.
 func (n *naive) best(may func(int32) bool, less func(a, b int32) bool) int32 {
 	best := noSlot
--- a/internal/schedule/permit.go
+++ b/internal/schedule/permit.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/filbertmast/filbertmast/internal/model"
 )
@@ -26,6 +27,25 @@
 	return g == nil || now < g.until[worker]
 }
 
+// permitRenewal is how long an expired permit counts as one that is being renewed.
+const permitRenewal = 30 * time.Second
+
+// allowed reports whether the set has a permit for a worker that is valid at now or may
+// still be renewed. A nil set allows every worker.
+func (g *permitSet) allowed(worker model.WorkerID, now model.Time) bool {
+	return g == nil || now < g.renewableUntil(worker)
+}
+
+// renewableUntil returns when a permit for a worker no longer counts as one that is being
+// renewed; zero if there is none.
+func (g *permitSet) renewableUntil(worker model.WorkerID) model.Time {
+	until, ok := g.until[worker]
+	if !ok {
+		return 0
+	}
+	return until.Add(permitRenewal)
+}
+
 // known reports whether the set has permits, expired ones included.
 func (g *permitSet) known() bool { return len(g.until) > 0 }
 
@@ -44,6 +64,16 @@
 	s.markStale(j.group)
 }
 
+// setPermitNeed changes whether a job needs permits.
+func (s *Scheduler) setPermitNeed(e JobPermitNeedChanged) {
+	j := s.jobs[e.ID]
+	if j == nil || (j.permits != nil) == e.NeedsPermit {
+		return
+	}
+	j.permits = newPermitSet(e.NeedsPermit)
+	s.markStale(j.group)
+}
+
 // mayPlace reports whether j needs no permit or has one that has not expired.
 func (p *planner) mayPlace(j *job) bool { return j.permits == nil || p.now < j.permits.latest }
 
@@ -52,14 +82,10 @@
 	return j.permits.valid(p.s.workers[slot].id, p.now)
 }
 
-// allowed reports whether j has or had a permit for a worker. An expired permit can be
-// renewed, so that such a worker may be reserved for j.
+// allowed reports whether j has a permit for a worker, or had one lately, so that the
+// worker may be reserved for j.
 func (p *planner) allowed(j *job, slot int32) bool {
-	if j.permits == nil {
-		return true
-	}
-	_, ok := j.permits.until[p.s.workers[slot].id]
-	return ok
+	return j.permits.allowed(p.s.workers[slot].id, p.now)
 }
 
 // Candidate is a worker on which tasks of a job may run, now or later.
--- a/internal/schedule/planner.go
+++ b/internal/schedule/planner.go
@@ -32,7 +32,8 @@
 	s.endBackoffs(now)
 	s.shiftLate(now)
 	s.passProbes(now)
-	s.dropInvalidReservations()
+	s.evaluateGroups()
+	s.dropInvalidReservations(now)
 	s.revalidateFitBounds()
 	p := planner{s: s, now: now, max: max, spread: &s.spread}
 	p.begin()
@@ -142,25 +143,18 @@
 // plan.
 func (p *planner) withinLimits(g *group, j *job, size model.Resources) bool {
 	t := p.s.teams[g.team]
-	n := int64(1)
-	if g.policy == gang {
-		n = int64(j.ready)
-	}
-	if t.headroom() < n {
-		t.blocked = n == 1 || p.pressing(j)
-		p.skipGroup(g)
-		return false
+	n := j.tasksAtOnce()
+	if t.allows(n, size) {
+		return true
 	}
-	if !t.withinMaxResources(size.Mul(n)) {
-		t.blocked = p.pressing(j)
-		p.skipGroup(g)
-		return false
-	}
-	return true
+	held := p.holdsLimit(t, j, size)
+	t.blocked = held || n == 1 && t.headroom() < 1
+	p.skipGroup(g)
+	return false
 }
 
-// pressing reports whether j has waited so long that other jobs of its team may no
-// longer overtake it.
+// pressing reports whether j has waited so long that it may keep others from starting:
+// by reserving workers, and in turns by the limits of its team.
 func (p *planner) pressing(j *job) bool { return p.now >= p.pressingFrom(j) }
 
 // pressingFrom returns the time before startBy at which half of the patience of j,
--- a/internal/schedule/team.go
+++ b/internal/schedule/team.go
@@ -29,6 +29,11 @@
 	ranked  bool                // first and key are up to date
 	first   int32               // index in queue; -1 for none
 	key     int64               // precedence; the least comes first
+
+	// The rest is not read for every team in every plan.
+	hold         limitHold       // the last turn of a job that the limits hold up
+	serviceTasks int64           // part of running, of services
+	services     model.Resources // part of reserved, of services
 }
 
 // TeamUsage is the current usage of a team.
@@ -46,6 +51,37 @@
 	return within(t.reserved.Add(size), t.maxResources)
 }
 
+// allows reports whether the limits of the team allow n more tasks of the given size now.
+func (t *team) allows(n int64, size model.Resources) bool {
+	return t.headroom() >= n && t.withinMaxResources(size.Mul(n))
+}
+
+// fitsBesideServices reports whether the limits of the team allow n tasks of the given
+// size beside its services alone, which do not end by themselves.
+func (t *team) fitsBesideServices(n int64, size model.Resources) bool {
+	return t.serviceTasks+n <= t.maxRunning && within(t.services.Add(size.Mul(n)), t.maxResources)
+}
+
+// addTask counts an assigned task of a job of g.
+func (t *team) addTask(g *group, size model.Resources) {
+	t.running++
+	t.reserved = t.reserved.Add(size)
+	if g.policy == service {
+		t.serviceTasks++
+		t.services = t.services.Add(size)
+	}
+}
+
+// removeTask undoes addTask.
+func (t *team) removeTask(g *group, size model.Resources) {
+	t.running--
+	t.reserved = t.reserved.Sub(size)
+	if g.policy == service {
+		t.serviceTasks--
+		t.services = t.services.Sub(size)
+	}
+}
+
 // within reports whether use stays within b, whose zero components are no limit.
 func within(use, b model.Resources) bool {
 	return (b.CPU == 0 || use.CPU <= b.CPU) &&
