state: count a crash only against tasks whose start the worker has got

Cause: when a worker started again, every task whose start it had not confirmed was taken for a possible cause of the crash. A start that was lost on a cut link counted like one that the worker had got. Two such losses, or three beside other jobs, failed the job.

A start without a response stays a possible cause when it is decided whether a crash has only one.

--- a/internal/state/crash.go
+++ b/internal/state/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/model"
@@ -13,7 +14,8 @@
 // incarnation, or another worker answers at its address. A worker whose lease has
 // expired may also have been cut off; until it is heard of again, the loss is
 // unexplained and delays further starts of its tasks for at most crashHold. Losses that
-// stay unexplained count at higher limits.
+// stay unexplained count at higher limits. A task is suspected only if its worker has got
+// its start: a start without a response may have been lost on its way.
 
 const (
 	// maxCrashes is the number of crashes from which on a task is not started again. A
@@ -128,7 +130,8 @@
 }
 
 // suspectsOn returns the tasks that may have crashed w, which are those that were
-// starting when it did. It returns nil if there are none or if w ends as planned.
+// starting when it did and whose starts it has got. It returns nil if there are none or if
+// w ends as planned.
 func (m *Machine) suspectsOn(w *Worker) []lostAttempt {
 	if len(w.Held) == 0 || w.Mode == model.WorkerLeaving || w.Mode == model.WorkerDraining {
 		return nil
@@ -141,8 +144,8 @@
 			out = append(out, lostAttempt{id, e})
 		}
 	}
-	markSole(out)
-	return out
+	markSole(out) // a start of which it is not known that it was got may be the cause, too
+	return slices.DeleteFunc(out, func(a lostAttempt) bool { return !m.jobs[a.Task.Job].Tasks[a.Task.Index].Received })
 }
 
 // evidenceAgainst returns how likely it is that t caused a crash of its worker at a time.
