--- a/internal/schedule/naive_test.go
+++ b/internal/schedule/naive_test.go
@@ -343,6 +343,9 @@
 	if slot == noSlot {
 		slot = n.backfill(j, size)
 	}
+	if slot == noSlot {
+		slot = n.findOverdueProbe(j, size)
+	}
 	if slot == noSlot {
 		return false
 	}
--- a/internal/schedule/options.go
+++ b/internal/schedule/options.go
@@ -11,9 +11,11 @@
 	AgeingSpan             time.Duration // lateness that offsets one whole share in the order of teams
 	BackoffBase            time.Duration // delay before the first restart
 	BackoffCap             time.Duration // longest delay between restarts
+	ServiceBackoffCap      time.Duration // the same for services without a restart budget
 	EarlyFailure           time.Duration // a failure after a shorter run counts against the worker
 	ProbationJobs          int           // distinct jobs failing early in a row that put a worker on probation
 	ProbeInterval          time.Duration // delay between probes of a worker on probation
+	ProbeWait              time.Duration // time for which a probe waits for a task that may fail once more
 	BadJobWorkers          int           // good workers on which a job fails until it is reported with ReasonBadJob
 	ThrottleGrace          time.Duration // time from throttle to stop for a task that exceeds its size
 	MaxUnavailablePermille int32         // per mille of a service's tasks that may be unavailable in a drain; at least one task
@@ -38,9 +40,11 @@
 	DefaultAgeingSpan             = 10 * time.Minute
 	DefaultBackoffBase            = time.Second
 	DefaultBackoffCap             = 5 * time.Minute
+	DefaultServiceBackoffCap      = 5 * time.Second
 	DefaultEarlyFailure           = 30 * time.Second
 	DefaultProbationJobs          = 3
 	DefaultProbeInterval          = 30 * time.Second
+	DefaultProbeWait              = 10 * time.Second
 	DefaultBadJobWorkers          = 5
 	DefaultThrottleGrace          = 30 * time.Second
 	DefaultMaxUnavailablePermille = 100
@@ -55,9 +59,11 @@
 	orDefault(&o.AgeingSpan, DefaultAgeingSpan)
 	orDefault(&o.BackoffBase, DefaultBackoffBase)
 	orDefault(&o.BackoffCap, DefaultBackoffCap)
+	orDefault(&o.ServiceBackoffCap, DefaultServiceBackoffCap)
 	orDefault(&o.EarlyFailure, DefaultEarlyFailure)
 	orDefault(&o.ProbationJobs, DefaultProbationJobs)
 	orDefault(&o.ProbeInterval, DefaultProbeInterval)
+	orDefault(&o.ProbeWait, DefaultProbeWait)
 	orDefault(&o.BadJobWorkers, DefaultBadJobWorkers)
 	orDefault(&o.ThrottleGrace, DefaultThrottleGrace)
 	orDefault(&o.MaxUnavailablePermille, DefaultMaxUnavailablePermille)
