schedule: a job that fits nowhere does not block jobs with other workers

Callers saw a job wait although workers that it may use are idle. Cause: jobs of one team, class and size wait in one group, and when the first one does not fit, the whole group is left out of the plan. That holds only if all of them may use the same workers. A job whose permitted workers are full, or an exclusive one that is on all workers, kept the jobs behind it waiting for as long as that lasted.

TestJobWhosePermittedWorkersAreFullDoesNotBlockOthers (batch and gang) and TestExclusiveJobThatIsOnAllWorkersDoesNotBlockOthers fail on the code before. Where workers differ from job to job, only the job itself is now left out.

--- a/internal/schedule/group.go
+++ b/internal/schedule/group.go
@@ -9,7 +9,7 @@
 
 // groupKey holds all that determines where a task of a job may run. Jobs with
 // equal keys wait in one group: when the first one does not fit, neither do the
-// others.
+// others, but for those with permits of their own and exclusive ones.
 type groupKey struct {
 	team       int32
 	selector   int32
--- a/internal/schedule/job.go
+++ b/internal/schedule/job.go
@@ -78,6 +78,10 @@
 	return j.ready > 0 && (j.group.policy != gang || j.waiting == 0 && j.assigned == 0)
 }
 
+// fitsAsGroup reports whether no other job of the group fits where j does not. Permits, and
+// the workers that an exclusive job is on, differ from job to job.
+func (j *job) fitsAsGroup() bool { return j.permits == nil && !j.group.exclusive }
+
 // less orders the jobs of a team by startBy, then by submission.
 func (j *job) less(o *job) bool {
 	if j.startBy != o.startBy {
--- a/internal/schedule/permit_test.go
+++ b/internal/schedule/permit_test.go
@@ -288,3 +288,36 @@
 	assert.DeepEqual(t, c.s.NotRunning(c.now.Add(time.Minute)), []model.JobID{sooner, later})
 	assert.Equal(t, len(c.s.NotRunning(c.now)), 0, "they are not late yet")
 }
+
+// Guards against the same behind an exclusive job whose tasks are on all workers.
+func TestExclusiveJobThatIsOnAllWorkersDoesNotBlockOthers(t *testing.T) {
+	c := newCell()
+	c.workers(2, cores(4))
+	spec := model.JobSpec{Tasks: 3, Size: cores(1), Exclusive: true, Patience: hour}
+	first, second := c.job(spec), c.job(spec)
+	perJob := map[model.JobID]int{}
+	for _, p := range c.plan().Placements {
+		perJob[p.Task.Job]++
+	}
+	assert.DeepEqual(t, perJob, map[model.JobID]int{first: 2, second: 2})
+}
+
+// Guards against a job that never starts on a worker with room behind one whose permitted workers are full.
+func TestJobWhosePermittedWorkersAreFullDoesNotBlockOthers(t *testing.T) {
+	for _, policy := range []model.Policy{model.PolicyBatch, model.PolicyGang} {
+		t.Run(string(policy), func(t *testing.T) {
+			c := newCell()
+			c.workers(1, cores(4))
+			c.job(model.JobSpec{Tasks: 1, Size: cores(4), Patience: hour})
+			assert.Equal(t, len(c.plan().Placements), 1)
+			c.worker("w001", "d0", "r0", cores(4), nil)
+			spec := model.JobSpec{Tasks: 2, Size: cores(2), Policy: policy, Patience: hour}
+			first, second := c.jobNeedingPermit(spec), c.jobNeedingPermit(spec)
+			c.permit(first, c.now+1000, "w000")
+			c.permit(second, c.now+1000, "w001")
+			p := c.plan()
+			assert.Equal(t, len(p.Placements), 2)
+			assert.Equal(t, p.Placements[0].Task.Job, second)
+		})
+	}
+}
--- a/internal/schedule/planner.go
+++ b/internal/schedule/planner.go
@@ -71,7 +71,7 @@
 }
 
 // try places the next task of the head of g, or the whole gang. If it does not
-// fit, the group is excluded from the rest of the plan.
+// fit, the group is excluded from the rest of the plan, unless another job of it may.
 func (p *planner) try(g *group) {
 	j := g.head()
 	size := p.s.sizeFor(g)
@@ -101,7 +101,7 @@
 		return
 	}
 	p.handleUnplaced(j, size)
-	if j.reservation != nil && !j.reservation.advance {
+	if j.reservation != nil && !j.reservation.advance || !j.fitsAsGroup() {
 		p.skipHead(g)
 		return
 	}
