--- a/internal/schedule/job.go
+++ b/internal/schedule/job.go
@@ -87,6 +87,10 @@
 	return 1
 }
 
+// fitsAsGroup reports whether no other job of the group fits where j does not. Permits, and
+// the workers that an exclusive job is on, differ from job to job.
+func (j *job) fitsAsGroup() bool { return j.permits == nil && !j.group.exclusive }
+
 // less orders the jobs of a team by startBy, then by submission.
 func (j *job) less(o *job) bool {
 	if j.startBy != o.startBy {
