replica/raft: test that a candidate with a full disk does not prevent an election

Cause: a replica that cannot write becomes a candidate again and again and raises its term in memory; its rejections of pre-votes carry that term and end the attempts of the others before they have their votes.

In the test's group, a batch without writes waits only for earlier ones.

--- a/internal/replica/raft/slow_election_test.go
+++ b/internal/replica/raft/slow_election_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -10,6 +11,7 @@
 // slowGroup is a group in which each message and each write takes a number of ticks.
 type slowGroup struct {
 	messageTicks, writeTicks int
+	fullDisk                 ID // a replica whose writes never end; None: none
 
 	now      int
 	cores    map[ID]*Core
@@ -24,7 +26,7 @@
 
 type slowWrite struct {
 	due   int
-	id    ID
+	core  *Core
 	ready Ready
 }
 
@@ -46,12 +48,7 @@
 // tick advances the time by one tick and returns the leader, or nil.
 func (g *slowGroup) tick() *Core {
 	g.now++
-	for len(g.writes) > 0 && g.writes[0].due <= g.now {
-		w := g.writes[0]
-		g.writes = g.writes[1:]
-		g.send(w.ready.AfterPersist)
-		g.cores[w.id].Persisted(w.ready.Mark)
-	}
+	g.endWrites()
 	for len(g.messages) > 0 && g.messages[0].due <= g.now {
 		m := g.messages[0]
 		g.messages = g.messages[1:]
@@ -63,7 +60,7 @@
 		c.Tick()
 		r := c.Ready()
 		g.send(r.Messages)
-		g.writes = append(g.writes, slowWrite{due: g.now + g.writeTicks, id: id + 1, ready: r})
+		g.write(c, r)
 		if c.Role() == Leader {
 			leader = c
 		}
@@ -71,6 +68,36 @@
 	return leader
 }
 
+// write queues a batch behind the earlier ones of its replica.
+func (g *slowGroup) write(c *Core, r Ready) {
+	w := slowWrite{due: g.now, core: c, ready: r}
+	for _, earlier := range g.writes {
+		if earlier.core == c {
+			w.due = max(w.due, earlier.due)
+		}
+	}
+	if r.Writes() {
+		w.due += g.writeTicks
+	}
+	if r.Writes() && c.ID() == g.fullDisk {
+		w.due = math.MaxInt
+	}
+	g.writes = append(g.writes, w)
+}
+
+func (g *slowGroup) endWrites() {
+	var left []slowWrite
+	for _, w := range g.writes {
+		if w.due > g.now {
+			left = append(left, w)
+			continue
+		}
+		g.send(w.ready.AfterPersist)
+		w.core.Persisted(w.ready.Mark)
+	}
+	g.writes = left
+}
+
 func (g *slowGroup) send(msgs []Message) {
 	for _, m := range msgs {
 		g.messages = append(g.messages, slowMessage{due: g.now + g.messageTicks, Message: m})
@@ -91,3 +118,17 @@
 		})
 	}
 }
+
+// The term of a candidate that cannot write counts for nobody else.
+func TestCandidateWithFullDiskDoesNotPreventElection(t *testing.T) {
+	const maxTicks = 20 * DefaultElectionTicks
+	for _, size := range []int{3, 5} {
+		for seed := range uint64(200) {
+			g := newSlowGroup(size, seed, 1, 1)
+			g.fullDisk = 1
+			for g.tick() == nil {
+				assert.Assert(t, g.now < maxTicks, "%d replicas, seed %d", size, seed)
+			}
+		}
+	}
+}
