--- a/internal/control/polls.go
+++ b/internal/control/polls.go
@@ -64,10 +64,11 @@
 	p.sendPoll(pw, pw.polls.Begin(), wait, p.acknowledged(pw))
 }
 
-// acknowledged returns the number up to which the next poll may acknowledge ends: none
-// if that may harm a later incarnation, or while the list may lack ends.
+// acknowledged returns the number up to which the next poll may acknowledge ends: none if
+// it would acknowledge none anew, if that may harm a later incarnation, or while the list
+// may lack ends.
 func (p *polledWorkers) acknowledged(pw *polledWorker) uint64 {
-	if pw.unresponsive || pw.replaced || p.listsIncomplete(pw) || !p.mayAcknowledge(pw) {
+	if pw.ends.cursor <= pw.acknowledged || pw.unresponsive || pw.replaced || p.listsIncomplete(pw) || !p.mayAcknowledge(pw) {
 		return 0
 	}
 	return pw.ends.cursor
