state: count a crash only against tasks whose start the worker has got

Cause: when a worker started again, every task whose start it had not confirmed was taken for a possible cause of the crash. A start that was lost on a cut link counted like one that the worker had got. Two such losses, or three beside other jobs, failed the job.

A task is now suspected only if its worker is known to have got the start of the current attempt: the worker confirmed it, or the connection ended before the response while the worker was in touch. The leader commits the second as a report of its own, so that the next leader knows it, too. A task whose start may not have been received is placed apart from others, but nothing is counted against it, and it stays a possible cause when it is decided whether a crash has only one. Losses that are not explained follow the same rule, so that such a task is not held either.

One presumption is left: if the leader that placed the attempt has been lost since, nobody can say whether its call had a response, and the start counts as received, though never as the only cause, so that three such crashes are needed.

Why the bound on deadly tasks holds: a worker that a task crashes either confirms the start first or ends the connection of the call.

Changed tests: the simulated workers of control/crash_test.go end their connections when they crash, which the leader records; two tests of state/crash_test.go whose starts were not confirmed report that they were received. Their bounds are as before.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -152,8 +152,14 @@
 	ReportStopped   ReportState = "stopped" // after a stop or checkpoint command, or after a refused fence
 	ReportLapsed    ReportState = "lapsed"  // the task ended because the worker's lease expired
 	ReportBroken    ReportState = "broken"  // the task of a gang ended because another one did
+	// ReportReceived is not reported by workers. The leader records it for a worker that
+	// has certainly received a start and has not confirmed it.
+	ReportReceived ReportState = "received"
 )
 
+// Ends reports whether an attempt has ended by a report with this state.
+func (s ReportState) Ends() bool { return s != ReportStarted && s != ReportReceived }
+
 // Report is the outcome or progress of one task. Reports are idempotent.
 type Report struct {
 	Task   model.TaskID    `json:"task" cbor:"1,keyasint"`
--- a/internal/control/crash.go
+++ b/internal/control/crash.go
@@ -1,10 +1,13 @@
 package control
 
 import (
+	"time"
+
 	"github.com/filbertmast/filbertmast/internal/api"
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/schedule"
 	"github.com/filbertmast/filbertmast/internal/state"
+	"github.com/filbertmast/filbertmast/internal/workerclient"
 )
 
 // The reasons for which tasks are given up, as metrics name them.
@@ -14,6 +17,22 @@
 	givenUpSoleSuspect = "sole_suspect" // no other job can have caused the last crash
 )
 
+// heardWithin is the time since the last response of a worker for which it is taken to be
+// in touch. It is more than a poll may wait.
+const heardWithin = 1250 * time.Millisecond
+
+// recordBroken records that a worker has got a start, if the connection ended before the
+// response. If nothing was heard of the worker for some time, the start may have been lost
+// on its way, and the connection ended by the next incarnation.
+func (p *polledWorkers) recordBroken(pw *polledWorker, id model.TaskID, cmd *workerCommand, resp workerclient.Response) {
+	if !resp.Broken || !p.isCurrent(pw, id, cmd) || p.l.c.s.now().Sub(pw.heardAt) > heardWithin {
+		return
+	}
+	if _, t := p.l.task(id); t != nil && t.Attempt == cmd.attempt && t.Phase.HoldsResources() && !t.Received {
+		p.addReport(pw, api.Report{Task: id, Fence: t.Fence, State: api.ReportReceived})
+	}
+}
+
 // reportSettled reports that a suspected task has run past its start, so that it did
 // not crash its worker. SentAt is when the poll was sent that lists it.
 func (p *polledWorkers) reportSettled(pw *polledWorker, sentAt model.Time, id model.TaskID, t *state.Task) {
--- a/internal/control/crash_test.go
+++ b/internal/control/crash_test.go
@@ -16,6 +16,7 @@
 	"github.com/filbertmast/filbertmast/internal/replica"
 	"github.com/filbertmast/filbertmast/internal/schedule"
 	"github.com/filbertmast/filbertmast/internal/state"
+	"github.com/filbertmast/filbertmast/internal/workerclient"
 )
 
 const (
@@ -191,10 +192,13 @@
 	}
 }
 
-// crash ends a worker with all that it runs.
+// crash ends a worker with all that it runs. The leader sees that its connections end.
 func (s *crashSim) crash(w *crashWorker) {
-	for id := range w.running {
+	for id, a := range w.running {
 		s.crashes[id]++
+		if !a.confirmed {
+			s.report(w, id, a.fence, api.ReportReceived)
+		}
 	}
 	w.running = map[model.TaskID]crashAttempt{}
 	w.downUntil = s.now.Add(s.minDown + time.Duration(s.rng.Int64N(int64(s.maxDown-s.minDown))))
@@ -370,6 +374,36 @@
 	return n
 }
 
+// Guards against a task that is blamed for the crash of a worker which its start never reached, and one that goes without blame.
+func TestStartIsRecordedAsReceivedIfConnectionOfWorkerInTouchEnds(t *testing.T) {
+	rows := []struct {
+		name   string
+		resp   workerclient.Response
+		silent time.Duration // since the worker was heard of
+		want   bool
+	}{
+		{"the connection ends", workerclient.Response{Broken: true}, 0, true},
+		{"there is no response", workerclient.Response{}, 0, false},
+		{"no connection could be opened", workerclient.Response{NotSent: true}, 0, false},
+		{"the connection ends after a cut", workerclient.Response{Broken: true}, 2 * time.Second, false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			h := newLeaderTest(t)
+			passed := time.Duration(0)
+			h.c.s.clock = func() time.Duration { return replica.BootTime() + passed }
+			h.heartbeat(7, 1, 4000)
+			h.answerPolls(idle, h.clockReported)
+			task := model.TaskID{Job: h.place("f1", 1)}
+			passed = row.silent
+			row.resp.Verdict = workerclient.Unknown
+			h.c.leader.polled.recordBroken(h.polled(), task, h.polled().commands[task], row.resp)
+			h.commitReports()
+			assert.Equal(t, h.c.machine.Job(task.Job).Task(0).Received, row.want)
+		})
+	}
+}
+
 // A task must not crash worker after worker, nor be given up without two crashes.
 func TestDeadlyTasksAreGivenUpAndTheirNeighboursAreNot(t *testing.T) {
 	for _, share := range []float64{0.02, 0.1} {
--- a/internal/control/dispatch.go
+++ b/internal/control/dispatch.go
@@ -146,6 +146,7 @@
 			p.countCommand(call.name, resp)
 			if call.name == commandStart {
 				cmd.calls.ended(pw, resp, sentAt, p.l.c.s.now())
+				p.recordBroken(pw, id, cmd, resp)
 			}
 			if p.isCurrent(pw, id, cmd) && cmd.dispatch.End(round, resp.Verdict) {
 				cmd.repeatTimer.Stop()
--- a/internal/control/polled.go
+++ b/internal/control/polled.go
@@ -61,6 +61,7 @@
 	// on the worker meanwhile, nor while it is unresponsive.
 	unverified bool
 	answeredAt model.Time // when the last poll was sent that it has answered; zero: none was
+	heardAt    model.Time // when its last response to a poll arrived; zero: none has
 	grantedAt  model.Time // the last time at which a lease may have been sent to it
 	commands   map[model.TaskID]*workerCommand
 }
--- a/internal/control/polls.go
+++ b/internal/control/polls.go
@@ -107,7 +107,7 @@
 	}
 	if err == nil {
 		pw.clock.ObserveResponse(resp.Clock, poll.sentAt, p.l.c.s.now())
-		pw.answeredAt = max(pw.answeredAt, poll.sentAt)
+		pw.answeredAt, pw.heardAt = max(pw.answeredAt, poll.sentAt), p.l.c.s.now()
 		p.recordEnds(pw, resp.Ended)
 	}
 	if !ends {
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -42,7 +42,7 @@
 		last++
 	}
 	q.next.reports[last].Reports = append(q.next.reports[last].Reports, r)
-	if r.State != api.ReportStarted {
+	if r.State.Ends() {
 		q.ending[r.Task]++
 	}
 }
@@ -67,7 +67,7 @@
 	q.inFlight--
 	for i := range b.reports {
 		for _, r := range b.reports[i].Reports {
-			if r.State != api.ReportStarted {
+			if r.State.Ends() {
 				q.removeEnding(r.Task)
 			}
 		}
--- a/internal/state/crash.go
+++ b/internal/state/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/model"
@@ -13,7 +14,9 @@
 // incarnation, or another worker answers at its address. A worker whose lease has
 // expired may also have been cut off; until it is heard of again, the loss is
 // unexplained and delays further starts of its tasks for at most crashHold. Losses that
-// stay unexplained count at higher limits.
+// stay unexplained count at higher limits. Both count only against tasks whose start the
+// worker has got: a start without a response may have been lost on its way. If the leader
+// that sent the start was lost, the start counts as received, but never as the only cause.
 
 const (
 	// maxCrashes is the number of crashes from which on a task is not started again. A
@@ -47,6 +50,7 @@
 	Near        bool       `cbor:"4,keyasint,omitempty"` // a worker crashed soon after the start
 	Silent      uint16     `cbor:"5,keyasint,omitempty"` // those of Unexplained that were lost in the start
 	SoleSilent  bool       `cbor:"6,keyasint,omitempty"` // and of a later one of them it is the only possible cause
+	Unreceived  bool       `cbor:"7,keyasint,omitempty"` // a worker crashed that may not have got its start
 }
 
 // lostAttempt is a task under which a worker may have crashed.
@@ -59,9 +63,10 @@
 type evidence uint8
 
 const (
-	evidenceNear   evidence = iota // it was started some time before the crash, or after it
-	evidenceLikely                 // it was started when the worker crashed
-	evidenceSole                   // so, and no task of another job was
+	evidenceNear       evidence = iota // it was started some time before the crash, or after it
+	evidenceLikely                     // it was started when the worker crashed
+	evidenceSole                       // so, and no task of another job was
+	evidenceUnreceived                 // it is not known that the worker got its start
 )
 
 // limit returns the number of crashes from which on a task is given up.
@@ -141,7 +146,17 @@
 			out = append(out, lostAttempt{id, e})
 		}
 	}
-	markSole(out)
+	markSole(out) // a task whose start may not have been received may be the cause, too
+	for i := range out {
+		a := &out[i]
+		switch t := &m.jobs[a.Task.Job].Tasks[a.Task.Index]; {
+		case t.Received:
+		case t.Fence.Term < m.fence().Term:
+			a.Evidence = min(a.Evidence, evidenceLikely) // its leader was lost with what it knew
+		default:
+			a.Evidence = evidenceUnreceived
+		}
+	}
 	return out
 }
 
@@ -184,13 +199,17 @@
 }
 
 // recordCrash counts a certain crash under each of the tasks. Near tasks are only placed
-// apart until another one follows.
+// apart until another one follows, and those whose start may not have been received until
+// they have run.
 func (m *Machine) recordCrash(id model.WorkerID, attempts []lostAttempt) {
-	if len(attempts) == 0 {
-		return
+	if received := received(attempts); len(received) > 0 {
+		m.emit(WorkerCrashed{Worker: id, Suspects: len(received)})
 	}
-	m.emit(WorkerCrashed{Worker: id, Suspects: len(attempts)})
 	for _, a := range attempts {
+		if a.Evidence == evidenceUnreceived {
+			m.updateSuspicion(a.Task, evidenceNear, func(s *suspicion) { s.Unreceived = true })
+			continue
+		}
 		m.updateSuspicion(a.Task, a.Evidence, func(s *suspicion) {
 			if a.Evidence != evidenceNear || s.Near || s.Crashes > 0 {
 				s.Crashes = addSaturating(s.Crashes)
@@ -200,10 +219,15 @@
 	}
 }
 
+// received returns the tasks whose start the worker has got.
+func received(attempts []lostAttempt) []lostAttempt {
+	return slices.DeleteFunc(slices.Clone(attempts), func(a lostAttempt) bool { return a.Evidence == evidenceUnreceived })
+}
+
 // recordUnexplained records that w was lost and may have crashed under its tasks.
 func (m *Machine) recordUnexplained(w *Worker, attempts []lostAttempt) {
 	w.Lost = attempts
-	for _, a := range attempts {
+	for _, a := range received(attempts) {
 		m.updateSuspicion(a.Task, evidenceNear, func(s *suspicion) {
 			s.addUnexplained(a.Evidence)
 			s.HeldUntil = m.now.Add(crashHold)
@@ -215,7 +239,7 @@
 func (m *Machine) explainLoss(w *Worker, crashed bool) {
 	attempts := w.Lost
 	w.Lost = nil
-	for _, a := range attempts {
+	for _, a := range received(attempts) {
 		m.updateSuspicion(a.Task, evidenceNear, func(s *suspicion) { s.removeUnexplained(a.Evidence) })
 	}
 	if crashed {
@@ -312,7 +336,7 @@
 	s := j.Suspicions[index]
 	t := &j.Tasks[index]
 	return TaskSuspected{Task: model.TaskID{Job: j.ID, Index: index}, Worker: m.TaskWorker(t), Crashes: int(s.Crashes),
-		Unexplained: int(s.Unexplained), Near: s.Near, HeldUntil: s.HeldUntil, At: m.now}
+		Unexplained: int(s.Unexplained), Near: s.Near || s.Unreceived, HeldUntil: s.HeldUntil, At: m.now}
 }
 
 // replaySuspicions emits the suspicions of a job, for an empty scheduler.
--- a/internal/state/crash_test.go
+++ b/internal/state/crash_test.go
@@ -124,6 +124,68 @@
 	}
 }
 
+// A task must not be given up for crashes of workers of which it is not known that they got its start.
+func TestTaskIsNotGivenUpForCrashesOfWorkersThatItsStartNeverReached(t *testing.T) {
+	rows := []struct {
+		name  string
+		want  suspicion
+		crash func(s *crashHarness, worker model.WorkerID)
+	}{
+		{"workers start again within their lease", suspicion{Unreceived: true}, func(s *crashHarness, w model.WorkerID) { s.restart(w) }},
+		{"workers start again after their lease", suspicion{Unreceived: true}, func(s *crashHarness, w model.WorkerID) { s.lose(w, false); s.restart(w) }},
+		{"other workers answer at their addresses", suspicion{Unreceived: true}, func(s *crashHarness, w model.WorkerID) { s.lose(w, true); s.restart(w) }},
+		{"workers stay away", suspicion{}, func(s *crashHarness, w model.WorkerID) { s.lose(w, false); s.apply(announceCommand(w, 8000)) }},
+		{"the start is stopped before", suspicion{Unreceived: true}, func(s *crashHarness, w model.WorkerID) {
+			s.apply(&Command{Stop: &Stop{Tasks: []TaskStop{{Task: model.TaskID{Job: s.m.Workflow("f").Jobs[0]}, Cause: StopPreempted}}}})
+			s.restart(w)
+		}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			s := newCrashHarness(t)
+			s.submit("f", newStep(model.PolicyBatch, 1))
+			job := s.m.Workflow("f").Jobs[0]
+			for range 2 * maxSilent {
+				assert.Equal(t, s.apply(&Command{Place: &Place{Placements: []Placement{placement(job, 0, "w1", 1000)}}}).Count, 1)
+				row.crash(s, "w1")
+				assert.Equal(t, s.suspicion(job, 0), row.want, "it is placed apart, but nothing counts against it")
+				s.restart("w1")
+			}
+			assert.Equal(t, s.m.Workflow("f").Phase(), model.PhaseWaiting)
+			checkInvariants(t, s.m)
+		})
+	}
+}
+
+// A task must not crash worker after worker where each one ends before it confirms the start.
+func TestTaskWhoseStartWasReceivedAndNotConfirmedIsGivenUp(t *testing.T) {
+	s := newCrashHarness(t)
+	s.submit("deadly", newStep(model.PolicyBatch, 1))
+	job := s.m.Workflow("deadly").Jobs[0]
+	starts := 0
+	for ; s.m.Workflow("deadly").Phase() != model.PhaseFailed && starts < 6; starts++ {
+		assert.Equal(t, s.apply(&Command{Place: &Place{Placements: []Placement{placement(job, 0, "w1", 1000)}}}).Count, 1)
+		s.report(job, 0, api.ReportReceived)
+		s.m = mustRestore(t, s.m)
+		s.restart("w1")
+	}
+	assert.Equal(t, starts, maxSoleCrashes)
+}
+
+// A task must not crash worker after worker where each crash takes the leader along that could have heard of its start.
+func TestTaskWhoseLeadersAreLostWithItsWorkersIsGivenUp(t *testing.T) {
+	s := newCrashHarness(t)
+	s.submit("deadly", newStep(model.PolicyBatch, 1))
+	job := s.m.Workflow("deadly").Jobs[0]
+	starts := 0
+	for ; s.m.Workflow("deadly").Phase() != model.PhaseFailed && starts < 6; starts++ {
+		assert.Equal(t, s.apply(&Command{Place: &Place{Placements: []Placement{placement(job, 0, "w1", 1000)}}}).Count, 1)
+		s.m.Job(job).Tasks[0].Fence.Term-- // placed by an earlier leader
+		s.restart("w1")
+	}
+	assert.Equal(t, starts, maxCrashes)
+}
+
 // A task must not be started over and over while its workers may have crashed.
 func TestTaskIsHeldWhileLossesAreUnexplained(t *testing.T) {
 	s := newCrashHarness(t)
@@ -202,6 +264,7 @@
 	s.submit("service", newStep(model.PolicyService, 1))
 	for range maxSoleCrashes {
 		job := s.place("gang", 0)
+		s.report(job, 0, api.ReportReceived)
 		s.restart("w1")
 		if s.m.Job(job).Tasks[1].Phase == model.TaskStopping {
 			s.report(job, 1, api.ReportStopped)
@@ -272,6 +335,7 @@
 	s.at = s.at.Add(2 * SettledAfter)
 	deadly := s.m.Workflow("deadly").Jobs[0]
 	s.apply(&Command{Place: &Place{Placements: []Placement{placement(deadly, 0, "w1", 1000)}}})
+	s.report(deadly, 0, api.ReportReceived)
 	s.restart("w1")
 	assert.Equal(t, s.suspicion(deadly, 0), suspicion{Crashes: 1})
 	assert.Equal(t, s.suspicion(slow, 0), suspicion{})
--- a/internal/state/ending.go
+++ b/internal/state/ending.go
@@ -46,7 +46,7 @@
 // there is none.
 func (m *Machine) removeEnding(w *Worker, r *api.Report) bool {
 	i := slices.IndexFunc(w.Ending, func(a EndingAttempt) bool { return a.Task == r.Task && a.Fence == r.Fence })
-	if i < 0 || r.State == api.ReportStarted {
+	if i < 0 || !r.State.Ends() {
 		return false
 	}
 	w.Ending = slices.Delete(w.Ending, i, i+1)
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -95,7 +95,7 @@
 	Worker      model.WorkerID // of the current or last attempt
 	Crashes     int            // workers that certainly crashed
 	Unexplained int            // lost workers not heard of since
-	Near        bool           // a worker crashed soon after its start
+	Near        bool           // a worker crashed soon after its start, or may not have got it
 	HeldUntil   model.Time     // the task is not started before
 	At          model.Time
 }
--- a/internal/state/job.go
+++ b/internal/state/job.go
@@ -78,6 +78,8 @@
 	// Unconfirmed is when the current attempt was placed, if it was stopped before its
 	// worker confirmed the start, or if that took longer than model.StartSpan.
 	Unconfirmed model.Time `cbor:"10,keyasint,omitempty"`
+	// Received is set once it is known that the worker of the current attempt got its start.
+	Received bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Checkpoint returns the last checkpoint of a task, or "".
--- a/internal/state/place.go
+++ b/internal/state/place.go
@@ -133,7 +133,7 @@
 	_, t.Worker = m.workers.get(p.Worker)
 	t.Size = p.Size
 	t.Fence = m.fence()
-	t.Since, t.Unconfirmed = m.now, 0
+	t.Since, t.Unconfirmed, t.Received = m.now, 0, false
 	t.Stop = StopNone
 	t.Attempt++
 	m.setPhase(j, p.Task, model.TaskStarting)
--- a/internal/state/report.go
+++ b/internal/state/report.go
@@ -42,6 +42,10 @@
 	if t == nil || t.Worker != n || t.Fence != r.Fence || !t.takesReport(r.State) {
 		return false
 	}
+	if r.State == api.ReportReceived {
+		t.Received = true
+		return true
+	}
 	j.saveCheckpoint(r.Task.Index, r.Checkpoint)
 	if r.State != api.ReportStopped {
 		m.stepStarted(j)
@@ -85,7 +89,7 @@
 	if m.now.Sub(t.Since) > model.StartSpan {
 		t.Unconfirmed = t.Since
 	}
-	t.Since = m.now
+	t.Since, t.Received = m.now, true
 	m.setPhase(j, r.Task, model.TaskRunning)
 	ev.To = model.TaskRunning
 	m.emit(ev)
--- a/internal/workerclient/client.go
+++ b/internal/workerclient/client.go
@@ -135,6 +135,7 @@
 	Clock   int64 // milliseconds
 	Reason  string
 	NotSent bool // the verdict is Unknown and the worker got nothing of the command
+	Broken  bool // the verdict is Unknown and the connection ended after the command was sent
 }
 
 // Client implements the protocol of the workers. Its methods are safe for
