control: acknowledge ends only to the incarnation that counts them

Cause: a worker that has started again under its ID and address counts its ends anew. A start that was meant for the earlier incarnation may be executed by the later one. A late response of the earlier incarnation then set off a poll with its cursor, by which the later one forgot the end of that attempt before anybody had heard of it; the announcement released the attempt, and the task ran again.

A poll now acknowledges ends only until a response has shown that the worker has forgotten them, and nothing while a call of a start awaits its response or may have gone to a later incarnation, which the clock in the response or a later poll tells. A start that follows an acknowledgement has a higher fence than it, below that of any session to come. So once a later incarnation has executed a start, it refuses any earlier poll with a cursor, whatever connection carries it, and whichever leader has sent it, since the fence of the next leader is higher still. A worker that still lists ends responds at once; a poll that cannot acknowledge them therefore waits for the responses to the starts, for 100 ms at most. A poll that was overtaken by a start with a higher fence is repeated at once and does not make its worker count as silent.

Evidence: TestNothingIsAcknowledgedWhileStartMayHaveReachedLaterIncarnation and TestPollThatIsOvertakenByStartIsRepeated fail with the checks in mayAcknowledge, startFence and pollAnswered taken out.

The simulated worker refuses a poll by its fence with the error that the client returns for it.

--- a/internal/control/dispatch.go
+++ b/internal/control/dispatch.go
@@ -88,7 +88,7 @@
 	req := &workerclient.StartCommand{
 		Attempt:    p.attemptOf(id, j, t),
 		Payload:    p.l.payloadOf(j),
-		Fence:      pw.fence,
+		Fence:      p.startFence(pw),
 		LeaseUntil: until,
 		Checkpoint: j.Checkpoint(id.Index),
 		Permit:     permit,
@@ -153,6 +153,7 @@
 				call.onResponse(resp)
 			}
 			p.confirmAccepted(pw, id, cmd)
+			p.pollPostponed(pw)
 		})
 	}
 	send()
--- a/internal/control/polled.go
+++ b/internal/control/polled.go
@@ -63,7 +63,12 @@
 	answeredAt model.Time // when the last poll was sent that it has answered; zero: none was
 	heardAt    model.Time // when its last response to a poll arrived; zero: none has
 	grantedAt  model.Time // the last time at which a lease may have been sent to it
-	commands   map[model.TaskID]*workerCommand
+	// acknowledged is the highest cursor that it has answered, and acknowledgedBy the
+	// fence of the last poll with one.
+	acknowledged   uint64
+	acknowledgedBy uint64
+	postponed      bool // its next poll waits, since its ends cannot be acknowledged yet
+	commands       map[model.TaskID]*workerCommand
 }
 
 // fields returns the log fields that identify an attempt on the worker, followed by
--- a/internal/control/polls.go
+++ b/internal/control/polls.go
@@ -21,6 +21,9 @@
 	maxUnanswered = 3
 	// pollRetryAfter is the time before a new poll after one has failed.
 	pollRetryAfter = 200 * time.Millisecond
+	// acknowledgeWithin is how long a poll waits until it can acknowledge ends. A worker
+	// responds at once while it lists any.
+	acknowledgeWithin = 100 * time.Millisecond
 	// commitPollAfter is the time to the next poll while ended attempts are being
 	// committed.
 	commitPollAfter = time.Second
@@ -31,11 +34,26 @@
 	number  uint64
 	sentAt  model.Time
 	renewed bool // it carries a renewal of the lease
+	fence   uint64
+	cursor  uint64 // it acknowledges the ends up to this number
 }
 
 // poll starts a series of polls of a worker, unless one is in flight. A poll renews
 // the worker's lease and asks for its attempts.
 func (p *polledWorkers) poll(pw *polledWorker) {
+	if pw.polls.InFlight() || !p.current(pw) {
+		return
+	}
+	if pw.ends.cursor > pw.acknowledged && !pw.unresponsive && !pw.replaced && !p.mayAcknowledge(pw) {
+		p.postpone(pw)
+		return
+	}
+	p.pollNow(pw)
+}
+
+// pollNow starts a series of polls, also if ends cannot be acknowledged.
+func (p *polledWorkers) pollNow(pw *polledWorker) {
+	pw.postponed = false
 	if pw.polls.InFlight() || !p.current(pw) {
 		return
 	}
@@ -46,15 +64,68 @@
 	p.sendPoll(pw, pw.polls.Begin(), wait, p.acknowledged(pw))
 }
 
-// acknowledged returns the number up to which the next poll may acknowledge ends: none
-// if a later incarnation may answer it, since that one counts its ends anew.
+// acknowledged returns the number up to which the next poll may acknowledge ends; zero if
+// it acknowledges none anew.
 func (p *polledWorkers) acknowledged(pw *polledWorker) uint64 {
-	if pw.unresponsive || pw.replaced {
+	if pw.ends.cursor <= pw.acknowledged || pw.unresponsive || pw.replaced || !p.mayAcknowledge(pw) {
 		return 0
 	}
 	return pw.ends.cursor
 }
 
+// mayAcknowledge reports whether a poll with an acknowledgement cannot harm if a later
+// incarnation gets it. That one counts its ends anew, and would forget those of attempts
+// that it was sent by mistake. So none may have gone there, and any start that is sent
+// later has a higher fence: once it is executed, the poll is refused.
+func (p *polledWorkers) mayAcknowledge(pw *polledWorker) bool {
+	w := p.l.c.machine.Worker(pw.target.Worker)
+	return w != nil && p.nextFence() > pw.fence && !p.holdsMisdirected(pw, w)
+}
+
+// nextFence returns the highest fence that is lower than those of sessions to come.
+func (p *polledWorkers) nextFence() uint64 { return fenceOf(p.l.term, p.l.c.machine.Index()) }
+
+// startFence returns the fence of a start, which is higher than that of any earlier
+// acknowledgement.
+func (p *polledWorkers) startFence(pw *polledWorker) uint64 {
+	if pw.fence == pw.acknowledgedBy {
+		pw.fence = p.nextFence()
+	}
+	return pw.fence
+}
+
+// postpone polls a worker whose ends cannot be acknowledged yet once they can, but after
+// acknowledgeWithin at the latest.
+func (p *polledWorkers) postpone(pw *polledWorker) {
+	if pw.postponed {
+		return
+	}
+	pw.postponed = true
+	p.after(acknowledgeWithin, func() {
+		if pw.postponed {
+			p.pollNow(pw)
+		}
+	})
+}
+
+// pollPostponed polls a worker whose poll was postponed, once no start is in flight. If one
+// had no response, the response to the poll shows that it has gone nowhere else.
+func (p *polledWorkers) pollPostponed(pw *polledWorker) {
+	if pw.postponed && !pw.startInFlight() {
+		p.pollNow(pw)
+	}
+}
+
+// startInFlight reports whether a call of a start awaits its response.
+func (pw *polledWorker) startInFlight() bool {
+	for _, cmd := range pw.commands {
+		if cmd.calls.inFlight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // busy reports whether tasks are placed on a worker.
 func (p *polledWorkers) busy(pw *polledWorker) bool {
 	w := p.l.c.machine.Worker(pw.target.Worker)
@@ -80,7 +151,10 @@
 func (p *polledWorkers) sendPoll(pw *polledWorker, number uint64, wait time.Duration, cursor uint64) {
 	s := p.l.c.s
 	req := &workerclient.PollRequest{Fence: pw.fence, LeaseUntil: p.grant(pw), Cursor: cursor, Wait: wait}
-	poll := sentPoll{number: number, sentAt: s.now(), renewed: req.LeaseUntil != 0}
+	poll := sentPoll{number: number, sentAt: s.now(), renewed: req.LeaseUntil != 0, fence: pw.fence, cursor: cursor}
+	if cursor != 0 {
+		pw.acknowledgedBy = pw.fence
+	}
 	pw.repeatTimer = p.after(wait+pollRepeatAfter, func() { p.repeatPoll(pw, number) })
 	go func() {
 		ctx, cancel := context.WithTimeout(p.ctx, req.Wait+pollSlack)
@@ -100,7 +174,8 @@
 	if err == nil && resp.Incarnation != pw.target.Incarnation {
 		err = errNewIncarnation // it gets no start until its announcement is committed
 	}
-	ends, lost := pw.polls.End(poll.number, err == nil || otherIncarnation)
+	overtaken := errors.Is(err, workerclient.ErrFenced) && poll.fence < pw.fence // by a start
+	ends, lost := pw.polls.End(poll.number, err == nil || otherIncarnation || overtaken)
 	if lost {
 		p.losses.Record(p.l.c.s.now())
 		p.l.c.s.metrics.lostPolls.Inc()
@@ -108,6 +183,7 @@
 	if err == nil {
 		pw.clock.ObserveResponse(resp.Clock, poll.sentAt, p.l.c.s.now())
 		pw.answeredAt, pw.heardAt = max(pw.answeredAt, poll.sentAt), p.l.c.s.now()
+		pw.acknowledged = max(pw.acknowledged, poll.cursor)
 		p.recordEnds(pw, resp.Ended)
 	}
 	if !ends {
@@ -118,6 +194,10 @@
 		p.loseReplaced(pw)
 		return
 	}
+	if overtaken {
+		p.poll(pw)
+		return
+	}
 	p.continuePolling(pw, poll, resp, err)
 }
 
--- a/internal/control/restart_test.go
+++ b/internal/control/restart_test.go
@@ -200,6 +200,40 @@
 	assert.Assert(t, h.core.leader.polled.workers["w"].unresponsive)
 }
 
+// Guards against a task that runs twice: a restarted worker forgot the end of an attempt that was meant for its earlier incarnation.
+func TestNothingIsAcknowledgedWhileStartMayHaveReachedLaterIncarnation(t *testing.T) {
+	h, task := newLeaderHarness(t)
+	h.lead()
+	h.answer(h.nextPoll(), succeeded(1, "f", 1))
+	next := h.placeAnother("g")
+	h.commitAll()
+	assert.Equal(t, h.phase(task), model.TaskSucceeded)
+	poll := h.nextPoll()
+	assert.Equal(t, poll.Cursor, uint64(0), "a start is in flight")
+	h.core.leader.polled.workers["w"].commands[next].calls = startCalls{} // answered by the worker that was called
+	h.answer(poll, succeeded(1, "f", 1))
+	poll = h.nextPoll()
+	assert.Equal(t, poll.Cursor, uint64(1))
+	<-h.worker.starts
+	h.placeAnother("h")
+	assert.Assert(t, (<-h.worker.starts).Fence > poll.Fence, "a later incarnation that has executed the start refuses the poll")
+}
+
+// Guards against a worker that counts as silent since its poll was overtaken by a start with a higher fence.
+func TestPollThatIsOvertakenByStartIsRepeated(t *testing.T) {
+	h, _ := newLeaderHarness(t)
+	h.lead()
+	h.answer(h.nextPoll())
+	h.nextPoll()
+	p := h.core.leader.polled
+	pw := p.workers["w"]
+	p.pollAnswered(pw, &sentPoll{number: 2, fence: pw.fence - 1}, nil, workerclient.ErrFenced)
+	assert.Assert(t, !pw.unresponsive)
+	assert.Equal(t, h.nextPoll().Fence, pw.fence)
+	p.pollAnswered(pw, &sentPoll{number: 3, fence: pw.fence}, nil, workerclient.ErrFenced)
+	assert.Assert(t, pw.unresponsive, "another leader calls the worker")
+}
+
 // Guards against a success that is acknowledged and lost: the next attempt was placed before its report was committed.
 func TestSuccessOfReleasedAttemptCountsAlthoughItsTaskIsPlacedAgain(t *testing.T) {
 	h, task := newLeaderHarness(t)
--- a/internal/control/simworker_test.go
+++ b/internal/control/simworker_test.go
@@ -181,7 +181,7 @@
 func (w *simWorker) pollFor(call *simCall) {
 	q := call.poll
 	if !w.checkFence(q.Fence) {
-		call.answerPoll(nil, fmt.Errorf("fence"))
+		call.answerPoll(nil, workerclient.ErrFenced)
 		return
 	}
 	w.extend(q.LeaseUntil)
--- a/internal/workerclient/client.go
+++ b/internal/workerclient/client.go
@@ -145,7 +145,7 @@
 	Stop(ctx context.Context, to Target, cmd *StopCommand) Response
 	// Poll returns an error if the worker sent no list of attempts. The error is
 	// ErrOtherIncarnation if another incarnation of the worker, or another worker,
-	// answers at the address.
+	// answers at the address, and ErrFenced if the worker has seen a higher fence.
 	Poll(ctx context.Context, to Target, req *PollRequest) (*PollResponse, error)
 }
 
@@ -153,6 +153,9 @@
 // has ended.
 var ErrOtherIncarnation = errors.New("another incarnation answers at the worker's address")
 
+// ErrFenced reports that a worker refused a poll, since it has seen a higher fence.
+var ErrFenced = errors.New("the worker has seen a higher fence")
+
 // PolicyClient asks the policy service which workers may run the tasks of a step.
 type PolicyClient interface {
 	// Advise returns a permit for each of the workers that may run them, and how
