schedule: start services again however they end, within seconds

Cause: the job of a step got the attempts of its queue whatever its policy, and the scheduler took that for a budget of the service. A success ended a task of any policy. The delay before a restart doubled up to 5 minutes.

The attempts of a queue do not apply to services any more, and a task of a service that succeeds is pending again unless its job ends. The delay before its restart doubles with each end up to 5 s, which leaves a margin below the 6 s after which such a task has to run again, and begins anew after a run of 30 s.

--- a/internal/schedule/apply.go
+++ b/internal/schedule/apply.go
@@ -183,15 +183,19 @@
 }
 
 // delayRestart puts a released task into backoff if it failed, was stopped or did
-// not start. A task that failed or was stopped, such as for exceeding its size,
-// uses up one restart of its budget, unless its worker was on probation; once the
-// budget is exhausted the task stays waiting and a failure is reported.
+// not start, or if it succeeded and is a service. A task that failed or was stopped,
+// such as for exceeding its size, uses up one restart of its budget, unless its worker
+// was on probation; once the budget is exhausted the task stays waiting and a failure
+// is reported. The backoff of a service begins anew after a long run.
 func (s *Scheduler) delayRestart(j *job, index int32, e *TaskEnded, onProbation bool) {
-	atFault := e.Outcome == Failed || e.Outcome == Stopped
+	atFault := e.Outcome == Failed || e.Outcome == Stopped || e.Outcome == Succeeded && j.group.policy == service
 	if !atFault && e.Outcome != NotStarted {
 		return
 	}
 	t := &j.tasks[index]
+	if j.unlimitedRestarts() && e.RanFor >= s.opts.EarlyFailure {
+		t.restarts = 0
+	}
 	s.addReady(j, -1)
 	t.state = taskWaiting
 	t.since = 0
@@ -202,29 +206,32 @@
 			s.pendingReports.failures = append(s.pendingReports.failures, Failure{Job: j.id, Task: index, Reason: ReasonRestartBudget})
 			return
 		}
-		t.restarts++
+		t.restarts = min(t.restarts, maxRestartCount-1) + 1
 	}
 	t.since = e.At.Add(s.backoff(j, index))
 	s.timers.push(timer{at: t.since, job: j, index: index})
 }
 
 // restartsExhausted reports whether t may not be started again after a failure.
-// The restarts of a service without a declared budget are unlimited.
 func (j *job) restartsExhausted(t *task) bool {
-	if j.group.policy == service && j.maxRestarts == 0 {
-		return false
-	}
-	return int32(t.restarts) >= min(j.maxRestarts, maxRestartCount)
+	return !j.unlimitedRestarts() && int32(t.restarts) >= min(j.maxRestarts, maxRestartCount)
 }
 
+// unlimitedRestarts reports whether j is a service without a declared budget.
+func (j *job) unlimitedRestarts() bool { return j.group.policy == service && j.maxRestarts == 0 }
+
 // maxRestartCount is the largest number of failures counted for a task.
 const maxRestartCount = 1<<16 - 1
 
 // backoff returns the delay before the next attempt. It doubles with each failure
-// up to the cap and is reduced by a jitter of up to a half.
+// up to the cap, which is lower for a service that is to run at all times, and is reduced
+// by a jitter of up to a half.
 func (s *Scheduler) backoff(j *job, index int32) time.Duration {
 	n := min(max(int(j.tasks[index].restarts), 1)-1, maxDoublings)
 	d := min(s.opts.BackoffBase<<n, s.opts.BackoffCap)
+	if j.unlimitedRestarts() {
+		d = min(d, s.opts.ServiceBackoffCap)
+	}
 	h := s.hash(uint64(j.id), uint64(index), uint64(j.tasks[index].restarts))
 	return d - time.Duration(h%uint64(d/2+1))
 }
--- a/internal/schedule/options.go
+++ b/internal/schedule/options.go
@@ -10,6 +10,7 @@
 	AgeingSpan             time.Duration // lateness that offsets one whole share in the order of teams
 	BackoffBase            time.Duration // delay before the first restart
 	BackoffCap             time.Duration // longest delay between restarts
+	ServiceBackoffCap      time.Duration // the same for services without a restart budget
 	EarlyFailure           time.Duration // a failure after a shorter run counts against the worker
 	ProbationJobs          int           // distinct jobs failing early in a row that put a worker on probation
 	ProbeInterval          time.Duration // delay between probes of a worker on probation
@@ -36,6 +37,7 @@
 	DefaultAgeingSpan             = 10 * time.Minute
 	DefaultBackoffBase            = time.Second
 	DefaultBackoffCap             = 5 * time.Minute
+	DefaultServiceBackoffCap      = 5 * time.Second
 	DefaultEarlyFailure           = 30 * time.Second
 	DefaultProbationJobs          = 3
 	DefaultProbeInterval          = 30 * time.Second
@@ -52,6 +54,7 @@
 	orDefault(&o.AgeingSpan, DefaultAgeingSpan)
 	orDefault(&o.BackoffBase, DefaultBackoffBase)
 	orDefault(&o.BackoffCap, DefaultBackoffCap)
+	orDefault(&o.ServiceBackoffCap, DefaultServiceBackoffCap)
 	orDefault(&o.EarlyFailure, DefaultEarlyFailure)
 	orDefault(&o.ProbationJobs, DefaultProbationJobs)
 	orDefault(&o.ProbeInterval, DefaultProbeInterval)
--- a/internal/schedule/policy_test.go
+++ b/internal/schedule/policy_test.go
@@ -274,6 +274,35 @@
 	assert.Equal(t, c.s.Stats().Jobs, int64(0))
 }
 
+// Guards against a service that is given up, that stays ended, or that is not started again within seconds.
+func TestServiceIsRestartedAfterGrowingBoundedDelay(t *testing.T) {
+	for _, outcome := range []Outcome{Failed, Succeeded} {
+		c := newCell()
+		c.workers(1, cores(4))
+		id := c.job(model.JobSpec{Policy: model.PolicyService, Tasks: 1, Size: cores(1)})
+		task := model.TaskID{Job: id}
+		var delays []time.Duration
+		restart := func(ran time.Duration) {
+			c.end(task, outcome, ran, false)
+			p := c.plan()
+			assert.Equal(t, len(p.Placements)+len(p.Failures), 0)
+			delays = append(delays, p.NextWake.Sub(c.now))
+			c.now = p.NextWake
+			assert.Equal(t, len(c.plan().Placements), 1)
+		}
+		assert.Equal(t, len(c.plan().Placements), 1)
+		for range 20 {
+			restart(time.Second)
+		}
+		assert.Assert(t, delays[0] <= DefaultBackoffBase, "%v: %v", outcome, delays)
+		for _, d := range delays[3:] {
+			assert.Assert(t, d > DefaultBackoffBase && d <= DefaultServiceBackoffCap, "%v: %v", outcome, delays)
+		}
+		restart(time.Hour)
+		assert.Assert(t, delays[20] <= DefaultBackoffBase, "%v: %v", outcome, delays)
+	}
+}
+
 func TestTaskOverItsSizeIsThrottledThenStopped(t *testing.T) {
 	c := newCell()
 	c.workers(1, cores(4))
--- a/internal/state/gang.go
+++ b/internal/state/gang.go
@@ -19,8 +19,11 @@
 
 // handleSucceeded ends a task as succeeded, also if its attempt was released before. The
 // members of a gang succeed together, including a member whose worker has been marked as
-// lost meanwhile.
+// lost meanwhile. A task of a service is pending again.
 func (m *Machine) handleSucceeded(j *Job, r *api.Report) {
+	if j.Spec.Policy == model.PolicyService && m.restartService(j, r) {
+		return
+	}
 	attempt := j.Tasks[r.Task.Index].Attempt
 	if j.Tasks[r.Task.Index].Phase.HoldsResources() {
 		m.endAttempt(j, r.Task, model.TaskSucceeded, model.OutcomeSucceeded, r)
@@ -37,6 +40,19 @@
 	}
 }
 
+// restartService makes a task of a service pending after its attempt has succeeded. It
+// returns false if the task is to end.
+func (m *Machine) restartService(j *Job, r *api.Report) bool {
+	t := &j.Tasks[r.Task.Index]
+	if j.Cancelled || t.Stop == StopFailed {
+		return false
+	}
+	if t.Phase.HoldsResources() {
+		m.endAttempt(j, r.Task, model.TaskPending, model.OutcomeSucceeded, r)
+	}
+	return true
+}
+
 // succeedMember ends a gang member as succeeded after another member succeeded, or a
 // pending task whose released attempt has succeeded.
 func (m *Machine) succeedMember(j *Job, id model.TaskID) {
--- a/internal/state/workflow.go
+++ b/internal/state/workflow.go
@@ -139,7 +139,7 @@
 func (m *Machine) createStepJob(w *Workflow, i int32) {
 	q := m.Queue(w.Spec.Queue)
 	spec := w.Spec.StepJob(int(i))
-	if q != nil {
+	if q != nil && spec.Policy != model.PolicyService { // a service is restarted without limit
 		spec.MaxRestarts = max(q.MaxAttempts-1, 0)
 	}
 	startBy := w.DueBy.Add(-w.Spec.CriticalPaths()[i])
--- a/internal/state/workflow_test.go
+++ b/internal/state/workflow_test.go
@@ -270,3 +270,25 @@
 	assert.Equal(t, s.m.Workflow("f").Spec.Payload, "")
 	assert.Assert(t, s.apply(submit).Existing, "it is still known")
 }
+
+// Guards against a service that ends with its attempts although nobody has cancelled its workflow.
+func TestServiceOfWorkflowIsStartedAgainHoweverItEnds(t *testing.T) {
+	for _, end := range []api.ReportState{api.ReportSucceeded, api.ReportFailed, api.ReportStopped, api.ReportLapsed, api.ReportBroken} {
+		s := newWorkflowHarness(t)
+		assert.NilError(t, s.submit("f", newStep(model.PolicyService, 2)).Err)
+		job := s.m.Workflow("f").Jobs[0]
+		assert.Equal(t, s.m.Job(job).Spec.MaxRestarts, int32(0), "that of the queue does not apply")
+		for range 6 {
+			s.place("f", 0)
+			s.report(job, 0, api.ReportStarted)
+			s.report(job, 0, end)
+			assert.Equal(t, s.m.Job(job).Task(0).Phase, model.TaskPending, end)
+		}
+		s.place("f", 0)
+		s.apply(&Command{CancelWorkflow: &CancelWorkflow{Team: "stands", ID: "f"}})
+		s.report(job, 0, end)
+		s.report(job, 1, api.ReportStopped)
+		assert.Equal(t, s.m.Workflow("f").Phase(), model.PhaseCancelled, end)
+		checkInvariants(t, s.m)
+	}
+}
