control: check each start against the limit of its team in force

Cause: the limit of a team was checked when a placement was committed. A start that had no response was sent again with a check of permit and capacity only.

A start that is sent, for the first time or again, is now barred while what its team has exceeds the limit in force, as it was for the capacity of the worker: one that was never sent is withdrawn, one that may be executed late is stopped before its task is placed again, and one that runs goes on.

Evidence: TestUnansweredStartBeyondLoweredLimitOfTeamIsNotRepeated and TestUnsentStartBeyondLoweredLimitOfTeamIsNotSent fail without the check of the limit in startBarred (two of three cases and the second test; that what runs goes on held before).

--- a/internal/control/capacity.go
+++ b/internal/control/capacity.go
@@ -99,35 +99,45 @@
 	})
 }
 
-const noRoom = "the capacity of the worker was reduced"
+// The reasons for which a placed task is not started any more.
+const (
+	noRoom    = "the capacity of the worker was reduced"
+	overLimit = "the limit of the team was lowered"
+)
 
-// overCapacity reports whether what may run on a worker exceeds its capacity, which
-// was then reduced after they were placed.
-func (p *polledWorkers) overCapacity(pw *polledWorker) bool {
+// startBarred returns the reason for which a task that was placed on a worker is not
+// started any more, or "": what may run on the worker exceeds its capacity, or what the
+// team may have running exceeds its limit. Either was then lowered after the placement.
+func (p *polledWorkers) startBarred(pw *polledWorker, j *state.Job) string {
 	w := p.l.c.machine.Worker(pw.target.Worker)
-	return w != nil && !w.InUse().Fits(w.Spec.Capacity)
+	switch {
+	case w != nil && !w.InUse().Fits(w.Spec.Capacity):
+		return noRoom
+	case !p.l.c.machine.WithinLimit(j.Team):
+		return overLimit
+	}
+	return ""
 }
 
-// startWithoutRoom handles a start on a worker over its capacity. A start that was never
-// sent is reported as not executed. For any other, the next poll response shows whether
-// it runs.
-func (p *polledWorkers) startWithoutRoom(pw *polledWorker, id model.TaskID, cmd *workerCommand, t *state.Task) {
+// dropStart handles a start that is barred. A start that was never sent is reported as
+// not executed. For any other, the next poll response shows whether it runs.
+func (p *polledWorkers) dropStart(pw *polledWorker, id model.TaskID, cmd *workerCommand, t *state.Task, reason string) {
 	if !cmd.maybeStarted && !p.inherited(t) {
-		p.release(pw, id, t, &release{basis: basisNotSent, state: api.ReportStopped, reason: noRoom})
+		p.release(pw, id, t, &release{basis: basisNotSent, state: api.ReportStopped, reason: reason})
 	}
 }
 
-// withdrawStart handles a start that a worker over its capacity has not executed by the
-// response to a poll. One that may still be executed is stopped first.
-func (p *polledWorkers) withdrawStart(pw *polledWorker, view *polledView, id model.TaskID, cmd *workerCommand, t *state.Task) {
+// withdrawStart handles a start that is barred and that its worker has not executed by
+// the response to a poll. One that may still be executed is stopped first.
+func (p *polledWorkers) withdrawStart(pw *polledWorker, view *polledView, id model.TaskID, cmd *workerCommand, t *state.Task, reason string) {
 	switch {
 	case cmd != nil && cmd.maybeStarted:
 		if cmd.unansweredAt < view.poll.sentAt {
-			p.revokeStart(id, noRoom)
+			p.revokeStart(id, reason)
 		}
 	case p.inherited(t):
-		p.release(pw, id, t, &release{basis: basisNotExecuted, state: api.ReportStopped, reason: noRoom, view: view})
+		p.release(pw, id, t, &release{basis: basisNotExecuted, state: api.ReportStopped, reason: reason, view: view})
 	default:
-		p.release(pw, id, t, &release{basis: basisNotSent, state: api.ReportStopped, reason: noRoom})
+		p.release(pw, id, t, &release{basis: basisNotSent, state: api.ReportStopped, reason: reason})
 	}
 }
--- a/internal/control/capacity_test.go
+++ b/internal/control/capacity_test.go
@@ -293,3 +293,58 @@
 	assert.Equal(t, h.phase(job, 1), model.TaskPending)
 	assert.Equal(t, h.workers.starts.Load(), int32(0))
 }
+
+// Guards against starts that bring a team above its maximum: they had no response, and the maximum was lowered before they were sent again.
+func TestUnansweredStartBeyondLoweredLimitOfTeamIsNotRepeated(t *testing.T) {
+	attempt := workerclient.Attempt{Task: workerclient.TaskName{Workflow: "f1"}, Number: 1}
+	running := &workerclient.PollResponse{Incarnation: 7, Active: []workerclient.ActiveAttempt{{Attempt: attempt}}}
+	rows := []struct {
+		name  string
+		limit model.Team
+		resp  *workerclient.PollResponse
+		want  model.TaskPhase
+	}{
+		{"the maximum of resources; it runs and goes on", model.Team{MaxRunning: 100, MaxResources: model.Resources{CPU: 1000}}, running, model.TaskRunning},
+		{"the maximum of resources; it is stopped before it is carried out late", model.Team{MaxRunning: 100, MaxResources: model.Resources{CPU: 1000}}, idle, model.TaskStopping},
+		{"the number of tasks", model.Team{MaxRunning: 0}, idle, model.TaskStopping},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			h := newLeaderTest(t)
+			h.heartbeat(7, 1, 4000)
+			h.answerPolls(idle, h.clockReported)
+			h.workers.verdict = workerclient.Unknown
+			job := h.place("f1", 1)
+			cmd := h.polled().commands[model.TaskID{Job: job}]
+			h.answerPolls(idle, func() bool { return cmd.maybeStarted })
+			h.limitTeam(row.limit)
+			h.answerPolls(row.resp, func() bool { h.commitReports(); return h.phase(job, 0) != model.TaskStarting })
+			assert.Equal(t, h.phase(job, 0), row.want)
+			assert.Equal(t, h.workers.starts.Load(), int32(1))
+		})
+	}
+}
+
+// Guards against a start that is sent for the first time after the maximum of its team was lowered.
+func TestUnsentStartBeyondLoweredLimitOfTeamIsNotSent(t *testing.T) {
+	h := newLeaderTest(t)
+	h.heartbeat(7, 1, 4000)
+	job := h.place("f1", 1)
+	assert.Equal(t, h.phase(job, 0), model.TaskStarting, "the clock of the worker is not known, so that no start is sent")
+	h.limitTeam(model.Team{MaxRunning: 100, MaxResources: model.Resources{CPU: 1000}})
+	h.answerPolls(idle, h.clockReported)
+	h.commitReports()
+	assert.Equal(t, h.phase(job, 0), model.TaskPending)
+	assert.Equal(t, h.workers.starts.Load(), int32(0))
+}
+
+// limitTeam declares the limit of the harness's team.
+func (h *leaderTest) limitTeam(limit model.Team) {
+	h.t.Helper()
+	version, _, d := h.c.machine.Config()
+	next := *d
+	limit.Name, limit.Share = "stands", 1
+	next.Teams = []model.Team{limit}
+	h.apply(&state.Command{Declare: &state.Declare{Base: version, ApplyID: "limit", Declarations: next}})
+	assert.Equal(h.t, h.c.machine.Team("stands").MaxRunning, limit.MaxRunning)
+}
--- a/internal/control/dispatch.go
+++ b/internal/control/dispatch.go
@@ -81,8 +81,8 @@
 		p.startWithoutPermit(pw, id, cmd, t)
 		return
 	}
-	if p.overCapacity(pw) {
-		p.startWithoutRoom(pw, id, cmd, t)
+	if reason := p.startBarred(pw, j); reason != "" {
+		p.dropStart(pw, id, cmd, t, reason)
 		return
 	}
 	req := &workerclient.StartCommand{
@@ -344,11 +344,12 @@
 func (p *polledWorkers) resendStart(pw *polledWorker, view *polledView, id model.TaskID, cmd *workerCommand, t *state.Task) {
 	_, permitted := p.l.policy.token(id.Job, pw.target.Worker)
 	maybeStarted := cmd != nil && cmd.maybeStarted
+	barred := p.startBarred(pw, p.l.c.machine.Job(id.Job))
 	switch {
 	case !permitted && p.inherited(t) && !maybeStarted:
 		p.release(pw, id, t, &release{basis: basisNotExecuted, state: api.ReportStopped, reason: noPermit, view: view})
-	case permitted && p.overCapacity(pw):
-		p.withdrawStart(pw, view, id, cmd, t)
+	case permitted && barred != "":
+		p.withdrawStart(pw, view, id, cmd, t, barred)
 	default:
 		p.sendCommand(pw, id)
 	}
--- a/internal/state/place.go
+++ b/internal/state/place.go
@@ -102,19 +102,28 @@
 // Request permits are not counted here: the leader counts them against the same
 // limit and proposes no placement beyond it.
 func (m *Machine) withinLimit(name string, size model.Resources) bool {
+	held, reserved := m.TeamUsage(name)
+	return m.limitAllows(name, held+1, reserved.Add(size))
+}
+
+// WithinLimit reports whether the tasks that a team has are within its limit, which may
+// have been lowered after they were placed.
+func (m *Machine) WithinLimit(name string) bool {
+	held, reserved := m.TeamUsage(name)
+	return m.limitAllows(name, held, reserved)
+}
+
+// limitAllows reports whether the team may have so many tasks, which use the given sum of
+// resources.
+func (m *Machine) limitAllows(name string, tasks int64, use model.Resources) bool {
 	limit := m.Team(name)
-	if limit == nil {
-		return false
-	}
-	usage := m.team(name)
-	if usage.held+1 > limit.MaxRunning {
+	if limit == nil || tasks > limit.MaxRunning {
 		return false
 	}
-	after := usage.reserved.Add(size)
 	bound := limit.MaxResources
-	return (bound.CPU == 0 || after.CPU <= bound.CPU) &&
-		(bound.Memory == 0 || after.Memory <= bound.Memory) &&
-		(bound.Accelerators == 0 || after.Accelerators <= bound.Accelerators)
+	return (bound.CPU == 0 || use.CPU <= bound.CPU) &&
+		(bound.Memory == 0 || use.Memory <= bound.Memory) &&
+		(bound.Accelerators == 0 || use.Accelerators <= bound.Accelerators)
 }
 
 // Team returns the declared team, or nil.
