schedule: try a worker on probation where no task may fail once more

Callers saw jobs that never started although the worker that they need was idle and sound again (probation, LOST).

Cause: only tasks with a restart left were probes. Where every job has a single attempt, there are none, so that the worker stayed on probation for good. Services without a restart budget, which may always fail once more, were no probes either.

Services without a budget are probes now. Once a probe has been due for 10 s and no such task has come, a repeatable task that fits on no other worker is the probe, one at a time. A job with one attempt cannot bear the failure of any; waiting without end is worse for it, and a task that fits elsewhere is still kept away.

Evidence: TestWorkerOnProbationIsTriedAgainWhereNoTaskMayFailOnceMore and TestServiceWithoutRestartBudgetMayBeProbe fail with the changes of the logic taken out.

--- a/internal/schedule/health.go
+++ b/internal/schedule/health.go
@@ -203,16 +203,32 @@
 }
 
 // findProbe returns a worker on probation that is due for a probe and on which a
-// task of j fits, or noSlot. Only tasks with a restart left are used as probes.
+// task of j fits, or noSlot. Only tasks that may fail once more are used as probes.
 func (p *planner) findProbe(j *job, index int32, size model.Resources) int32 {
-	if len(p.s.probation) == 0 || !mayProbe(j, index) {
+	if len(p.s.probation) == 0 || !j.mayFail(index) {
 		return noSlot
 	}
+	return p.bestProbe(j, size, 0)
+}
+
+// findOverdueProbe returns a worker like findProbe whose probe has waited for ProbeWait
+// for a task that may fail once more. It is for a task that fits on no other worker, and
+// which would wait as long as all jobs lack restarts.
+func (p *planner) findOverdueProbe(j *job, size model.Resources) int32 {
+	if len(p.s.probation) == 0 || !j.group.repeatable {
+		return noSlot
+	}
+	return p.bestProbe(j, size, p.s.opts.ProbeWait)
+}
+
+// bestProbe returns a worker on which a task of j fits and whose probe has been due for
+// the given time, or noSlot.
+func (p *planner) bestProbe(j *job, size model.Resources, overdue time.Duration) int32 {
 	best := noSlot
 	for _, slot := range p.s.probation {
 		w := &p.s.workers[slot]
 		h := w.health
-		due := h.probe.job == nil && h.nextProbe <= p.now
+		due := h.probe.job == nil && h.nextProbe.Add(overdue) <= p.now
 		if !due || w.reservation != nil || !p.usable(j, slot, size) {
 			continue
 		}
@@ -223,8 +239,9 @@
 	return best
 }
 
-func mayProbe(j *job, index int32) bool {
-	return j.group.repeatable && int32(j.tasks[index].restarts) < j.maxRestarts
+// mayFail reports whether a task of j may fail once more without failing its job.
+func (j *job) mayFail(index int32) bool {
+	return j.group.repeatable && !j.restartsExhausted(&j.tasks[index])
 }
 
 // usable reports whether a task of j may run and fits on a worker, regardless of
--- a/internal/schedule/naive_test.go
+++ b/internal/schedule/naive_test.go
@@ -306,6 +306,9 @@
 	if slot == noSlot {
 		slot = n.backfill(j, size)
 	}
+	if slot == noSlot {
+		slot = n.findOverdueProbe(j, size)
+	}
 	if slot == noSlot {
 		return false
 	}
--- a/internal/schedule/options.go
+++ b/internal/schedule/options.go
@@ -14,6 +14,7 @@
 	EarlyFailure           time.Duration // a failure after a shorter run counts against the worker
 	ProbationJobs          int           // distinct jobs failing early in a row that put a worker on probation
 	ProbeInterval          time.Duration // delay between probes of a worker on probation
+	ProbeWait              time.Duration // time for which a probe waits for a task that may fail once more
 	BadJobWorkers          int           // good workers on which a job fails until it is reported with ReasonBadJob
 	ThrottleGrace          time.Duration // time from throttle to stop for a task that exceeds its size
 	MaxUnavailablePermille int32         // per mille of a service's tasks that may be unavailable in a drain; at least one task
@@ -41,6 +42,7 @@
 	DefaultEarlyFailure           = 30 * time.Second
 	DefaultProbationJobs          = 3
 	DefaultProbeInterval          = 30 * time.Second
+	DefaultProbeWait              = 10 * time.Second
 	DefaultBadJobWorkers          = 5
 	DefaultThrottleGrace          = 30 * time.Second
 	DefaultMaxUnavailablePermille = 100
@@ -58,6 +60,7 @@
 	orDefault(&o.EarlyFailure, DefaultEarlyFailure)
 	orDefault(&o.ProbationJobs, DefaultProbationJobs)
 	orDefault(&o.ProbeInterval, DefaultProbeInterval)
+	orDefault(&o.ProbeWait, DefaultProbeWait)
 	orDefault(&o.BadJobWorkers, DefaultBadJobWorkers)
 	orDefault(&o.ThrottleGrace, DefaultThrottleGrace)
 	orDefault(&o.MaxUnavailablePermille, DefaultMaxUnavailablePermille)
--- a/internal/schedule/planner.go
+++ b/internal/schedule/planner.go
@@ -186,6 +186,9 @@
 	if slot == noSlot {
 		slot = p.findBackfill(j, size)
 	}
+	if slot == noSlot {
+		slot = p.findOverdueProbe(j, size)
+	}
 	if slot == noSlot {
 		return false
 	}
--- a/internal/schedule/policy_test.go
+++ b/internal/schedule/policy_test.go
@@ -182,6 +182,53 @@
 	assert.Assert(t, !probation)
 }
 
+// Guards against a worker that stays on probation, and jobs that need it and never start, where no job may fail once more.
+func TestWorkerOnProbationIsTriedAgainWhereNoTaskMayFailOnceMore(t *testing.T) {
+	c := newCell()
+	c.workers(10, cores(4))
+	c.worker("bad", "d0", "r0", cores(8), nil)
+	for range 3 {
+		task := model.TaskID{Job: c.job(model.JobSpec{Tasks: 1, Size: cores(6)})}
+		assert.Equal(t, len(c.plan().Placements), 1)
+		c.end(task, Failed, time.Second, true)
+	}
+	_, _, probation, _ := c.s.Worker("bad")
+	assert.Assert(t, probation)
+	c.job(model.JobSpec{Tasks: 1, Size: cores(6), NotRepeatable: true})
+	waiting := c.job(model.JobSpec{Tasks: 2, Size: cores(6)})
+	c.now = c.now.Add(DefaultProbeInterval)
+	assert.Equal(t, len(c.plan().Placements), 0, "the probe waits for a task that may fail once more")
+	c.now = c.now.Add(DefaultProbeWait)
+	small := c.job(model.JobSpec{Tasks: 1, Size: cores(1)})
+	for _, p := range c.plan().Placements {
+		assert.Equal(t, p.Worker == "bad", p.Task.Job == waiting, "the small task fits elsewhere")
+		assert.Assert(t, p.Task.Job == small || p.Task.Job == waiting)
+	}
+	_, tasks, _, _ := c.s.Worker("bad")
+	assert.Equal(t, tasks, int32(1), "one probe at a time")
+	c.end(model.TaskID{Job: waiting}, Succeeded, time.Second, true)
+	_, _, probation, _ = c.s.Worker("bad")
+	assert.Assert(t, !probation)
+}
+
+// Guards against a probe that fails a job while a service, which is always restarted, could be the probe.
+func TestServiceWithoutRestartBudgetMayBeProbe(t *testing.T) {
+	c := newCell()
+	c.worker("bad", "d0", "r0", cores(8), nil)
+	for range 3 {
+		task := model.TaskID{Job: c.job(model.JobSpec{Tasks: 1, Size: cores(6)})}
+		c.plan()
+		c.end(task, Failed, time.Second, true)
+	}
+	c.job(model.JobSpec{Tasks: 1, Size: cores(6)})
+	service := c.job(model.JobSpec{Policy: model.PolicyService, Tasks: 1, Size: cores(1), Patience: hour})
+	assert.Equal(t, len(c.plan().Placements), 0)
+	c.now = c.now.Add(DefaultProbeInterval)
+	placed := c.plan().Placements
+	assert.Equal(t, len(placed), 1)
+	assert.Equal(t, placed[0].Task.Job, service)
+}
+
 func TestPlacementsThatNeverStartedPutNoWorkerOnProbation(t *testing.T) {
 	c := newCell()
 	c.workers(1, cores(16))
--- a/internal/schedule/teamqueue.go
+++ b/internal/schedule/teamqueue.go
@@ -83,7 +83,7 @@
 	}
 	e.neverFits = g.fitFailure.Err != nil
 	e.reserved = j.reservation != nil
-	e.mayProbe = g.repeatable && j.maxRestarts > 0
+	e.mayProbe = g.repeatable
 }
 
 // less orders entries by their heads, as job.less does.
