permit: check refusals of a job that no allowed worker can hold

What callers saw: nothing yet; found by reading what may still keep a refusal for good. A step of 100 tasks, one by one, in a cell with room for 20, or a gang of 15 there, was never queried about again after one response that permitted no worker, and never started with all workers idle.

Cause: refused workers were queried about again only where the cell had room for twice all pending tasks of the job. That rule spares a full cell queries which cannot help; but tasks that start one by one need room for one of them, and a job that its allowed workers cannot hold even when idle has nothing else to wait for.

Such a job is now checked again as soon as there is room for what must start at once. The rate is bounded as before by the delay of 1.1 to 1.5 s after a refusal. For a job that allowed workers will hold, the factor stays.

Evidence: TestRefusedJobThatNeedsMostOfTheRoomIsQueriedAgain fails on the code before (both rows: no query in 3s). The test of liveness holds.

Changed test: one row of TestRefusedWorkersAreCheckedOnlyIfTheyHaveTheRoomThatIsMissing demanded no query for six tasks with room for ten and no allowed worker, which is the fault. It demands that now for a job with allowed workers; three rows say what holds without, among them that a gang without room for it is not queried about.

--- a/internal/permit/refused.go
+++ b/internal/permit/refused.go
@@ -18,7 +18,8 @@
 	// MaxQueryWorkers it leaves such a job less than three seconds without a permit.
 	maxUrgentRefusalCheck = 1500 * time.Millisecond
 	// refusedRoomFactor is for how many times the pending tasks there must be room before
-	// refused workers are queried about: in a full cell, queries cannot help.
+	// refused workers are queried about for a job that its allowed workers will hold: in a
+	// full cell, such queries cannot help.
 	refusedRoomFactor = 2
 )
 
@@ -52,10 +53,14 @@
 // needsRefused reports whether only refused workers have room for what must start at
 // once.
 func (r *room) needsRefused(d Demand) bool {
-	if r.refused == 0 || r.allowed+r.fresh+r.refused < refusedRoomFactor*d.Tasks {
+	if r.refused == 0 || r.allowed+r.fresh >= d.atOnce() {
 		return false
 	}
-	return r.allowed+r.fresh < d.atOnce()
+	least := refusedRoomFactor * d.Tasks
+	if r.cannotStart(d) {
+		least = d.atOnce()
+	}
+	return r.allowed+r.fresh+r.refused >= least
 }
 
 // cannotStart reports whether the allowed workers are too few for what must start at
--- a/internal/permit/refused_test.go
+++ b/internal/permit/refused_test.go
@@ -35,6 +35,28 @@
 	assert.Equal(t, tracker.Token(1, "w03", asked[0]), "t-w03")
 }
 
+// demandScheduler has the same demand for every job.
+type demandScheduler struct {
+	*fakeScheduler
+	demand Demand
+}
+
+func (s demandScheduler) Demand(model.JobID) Demand { return s.demand }
+
+// Guards against a job that never starts since the free room is less than twice what all of its tasks need.
+func TestRefusedJobThatNeedsMostOfTheRoomIsQueriedAgain(t *testing.T) {
+	for name, d := range map[string]Demand{"one by one": {Tasks: 100}, "together": {Tasks: 15, AllAtOnce: true}} {
+		t.Run(name, func(t *testing.T) {
+			tracker, scheduler := NewTracker(Options{}), demandScheduler{newFakeScheduler(20), d}
+			tracker.Add(1, workerclient.TaskName{}, 0)
+			q := sendQueries(tracker, 1000, scheduler, 1)
+			tracker.ApplyAdvice(&q[0], adviceOf(2*time.Second), 1000)
+			asked := queriesOver(tracker, 1000, startLimit, scheduler, refuseAll)
+			assert.Assert(t, len(asked) > 0, "no query in %s", startLimit)
+		})
+	}
+}
+
 func TestChecksOfRefusedWorkersAreBoundedInRate(t *testing.T) {
 	tracker, scheduler := NewTracker(Options{}), newFakeScheduler(20)
 	tracker.Add(1, workerclient.TaskName{}, 0)
@@ -69,7 +91,10 @@
 	}{
 		{"no worker is allowed", []candidateSet{refusedSet(10, 4)}, Demand{Tasks: 5}, 10},
 		{"refused workers are full", []candidateSet{refusedSet(10, 0)}, Demand{Tasks: 5}, 0},
-		{"refused workers have less room than twice the tasks", []candidateSet{refusedSet(10, 1)}, Demand{Tasks: 6}, 0},
+		{"refused workers have less room than twice the tasks", []candidateSet{refusedSet(10, 1), allowedSet(0)}, Demand{Tasks: 6}, 0},
+		{"they have less, and no worker is allowed", []candidateSet{refusedSet(10, 1)}, Demand{Tasks: 6}, 10},
+		{"they have less than twice a gang, and no worker is allowed", []candidateSet{refusedSet(10, 1)}, Demand{Tasks: 6, AllAtOnce: true}, 10},
+		{"they have less than a gang, and no worker is allowed", []candidateSet{refusedSet(10, 1)}, Demand{Tasks: 11, AllAtOnce: true}, 0},
 		{"an allowed worker has room for a task", []candidateSet{refusedSet(10, 4), allowedSet(1)}, Demand{Tasks: 5}, 0},
 		{"an allowed worker has no room for a task", []candidateSet{refusedSet(10, 4), allowedSet(0)}, Demand{Tasks: 5}, 10},
 		{"a worker that was not queried about has room", []candidateSet{refusedSet(10, 4), freshSet(1, 1)}, Demand{Tasks: 5}, 0},
