control: conclude nothing from unreadable lists of a restarted worker

What callers saw: nothing yet; found by reading. A worker that has restarted under its ID may run attempts that were meant for its earlier incarnation. Before its announcement releases them, its lists are asked for. A row that could not be read in that response counted as absent at once: an attempt that ran was released, and a success was not recorded, so that the task was placed again (TWICE).

Cause: since a row that cannot be read no longer ends a poll, the lists of such a response are incomplete. The polls of a worker respect that for 3 s; the settlement of a restarted one polls by itself and did not.

A settlement now fails as long as such rows have been listed for less than 3 s, as it does for ends that are not listed, and the next heartbeat resumes it. After that the rows count as absent, so that they hold up the announcement for no longer.

Evidence: TestUnreadableRowOfRestartedWorkerReleasesNothingForAWhile fails on the code before, for a row of either list (the settlement succeeds).

--- a/internal/control/restart.go
+++ b/internal/control/restart.go
@@ -37,6 +37,8 @@
 	stopped map[workerclient.Attempt]struct{} // confirmed; kept when the settlement fails and is resumed
 	polls   int
 	waiting []func(error) // none: the settlement has failed, or has been replaced
+
+	unreadableSince model.Time // since when each response has had rows that cannot be read; zero: the last one had none
 }
 
 // settle calls done once no attempt of the earlier incarnation of a worker runs on the
@@ -234,6 +236,8 @@
 		s.finish(errkind.New(errkind.StaleLease, "another incarnation of worker %q answers, or another server", s.target.Worker))
 	case resp.MoreEnds:
 		s.finish(errkind.New(errkind.Overloaded, "worker %q has restarted and has more ends than it lists at a time", s.target.Worker))
+	case s.listsIncomplete(&resp.Unreadable):
+		s.finish(errkind.New(errkind.Overloaded, "worker %q has restarted and lists rows that cannot be read: %v", s.target.Worker, resp.Unreadable.First))
 	case len(s.unstopped()) > 0:
 		s.stopHeld()
 	case s.runsAny(resp) && s.polls < maxSettlePolls:
@@ -249,6 +253,21 @@
 	}
 }
 
+// listsIncomplete reports whether the lists of a response may lack attempts, since they have
+// rows that cannot be read. Such rows count as absent after unreadableGrace.
+func (s *settlement) listsIncomplete(rows *workerclient.UnreadableRows) bool {
+	if rows.Active+rows.Ended == 0 {
+		s.unreadableSince = 0
+		return false
+	}
+	s.p.countUnreadable(rows)
+	now := s.p.l.c.s.now()
+	if s.unreadableSince == 0 {
+		s.unreadableSince = now
+	}
+	return now.Sub(s.unreadableSince) < unreadableGrace
+}
+
 // heldTask returns the task that the earlier incarnation holds and whose current attempt
 // is the given one, or nil.
 func (s *settlement) heldTask(attempt *workerclient.Attempt) (model.TaskID, *state.Task) {
--- a/internal/control/unreadable.go
+++ b/internal/control/unreadable.go
@@ -33,8 +33,7 @@
 		pw.unreadableSince = 0
 		return
 	}
-	p.l.c.s.metrics.unreadableRows.WithLabelValues(listActive).Add(float64(rows.Active))
-	p.l.c.s.metrics.unreadableRows.WithLabelValues(listEnded).Add(float64(rows.Ended))
+	p.countUnreadable(rows)
 	if pw.unreadableSince == 0 {
 		pw.unreadableSince = p.l.c.s.now()
 		p.l.c.log.Warn("Worker lists rows that cannot be read; they are left out.",
@@ -43,6 +42,11 @@
 	resp.MoreEnds = resp.MoreEnds || p.listsIncomplete(pw)
 }
 
+func (p *polledWorkers) countUnreadable(rows *workerclient.UnreadableRows) {
+	p.l.c.s.metrics.unreadableRows.WithLabelValues(listActive).Add(float64(rows.Active))
+	p.l.c.s.metrics.unreadableRows.WithLabelValues(listEnded).Add(float64(rows.Ended))
+}
+
 // listsIncomplete reports whether the last lists of a worker may lack attempts, since they had
 // rows that could not be read.
 func (p *polledWorkers) listsIncomplete(pw *polledWorker) bool {
--- a/internal/control/unreadable_test.go
+++ b/internal/control/unreadable_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/errkind"
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/replica"
 	"github.com/filbertmast/filbertmast/internal/workerclient"
@@ -85,3 +86,34 @@
 		})
 	}
 }
+
+// Guards against attempts that are released for not being listed by a restarted worker, although their rows could not be read.
+func TestUnreadableRowOfRestartedWorkerReleasesNothingForAWhile(t *testing.T) {
+	for name, rows := range map[string]workerclient.UnreadableRows{
+		"active": {Active: 1, First: errors.New("row of another type")},
+		"ended":  {Ended: 1, First: errors.New("row of another type")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, task := newLeaderHarness(t)
+			h.report(task, api.ReportStarted)
+			pass := h.controlTime()
+			h.lead()
+			polled := func() error {
+				answers := h.heartbeat(2)
+				s := h.core.leader.polled.settlements["w"]
+				for _, attempt := range s.unstopped() {
+					s.stopped[attempt] = struct{}{}
+				}
+				s.polled(&workerclient.PollResponse{Clock: 5, Incarnation: 2, Unreadable: rows}, nil)
+				h.commitAll()
+				assert.Equal(t, len(*answers), 1)
+				return (*answers)[0]
+			}
+			assert.Assert(t, errkind.Is(polled(), errkind.Overloaded))
+			assert.Equal(t, h.phase(task), model.TaskRunning)
+			pass(unreadableGrace)
+			assert.NilError(t, polled())
+			assert.Equal(t, h.phase(task), model.TaskPending)
+		})
+	}
+}
