control: pause between polls while ends cannot be acknowledged

What callers saw: nothing yet; found by reading how two mends act together. While a worker lists an active attempt that cannot be read, its ends are not acknowledged for 3 s. A worker that lists ends responds to a poll at once, and once the ends were committed the next poll followed at once, without an acknowledgement: polls went back and forth without a pause for that time.

Cause: the pause after a response with unreadable rows was made for unreadable ends only.

The pause of 0.2 s is now made whenever the response lists ends that are not acknowledged since the lists count as incomplete.

Evidence: TestWorkerWhoseEndsCannotBeAcknowledgedIsPolledWithPauses fails on the code before (polled again after 28 µs).

--- a/internal/control/polls.go
+++ b/internal/control/polls.go
@@ -220,8 +220,8 @@
 		return
 	}
 	pw.clockReported = true
-	if resp.Unreadable.Ended > 0 {
-		// The worker does not wait before it lists such an end again.
+	if resp.Unreadable.Ended > 0 || len(resp.Ended) > 0 && p.listsIncomplete(pw) {
+		// The worker does not wait before it lists ends again that are not acknowledged.
 		p.after(pollRetryAfter, func() { p.poll(pw) })
 		return
 	}
--- a/internal/control/unreadable_test.go
+++ b/internal/control/unreadable_test.go
@@ -117,3 +117,18 @@
 		})
 	}
 }
+
+// Guards against polls without a pause: a worker does not wait while it lists ends, and none is acknowledged yet.
+func TestWorkerWhoseEndsCannotBeAcknowledgedIsPolledWithPauses(t *testing.T) {
+	h, task := newLeaderHarness(t)
+	h.lead()
+	rows := workerclient.UnreadableRows{Active: 1}
+	h.answerUnreadable(h.nextPoll(), rows, succeeded(1, "f", 1))
+	poll := h.nextPoll()
+	h.commitAll()
+	assert.Equal(t, h.phase(task), model.TaskSucceeded)
+	answered := time.Now()
+	h.answerUnreadable(poll, rows, succeeded(1, "f", 1))
+	assert.Equal(t, h.nextPoll().Cursor, uint64(0))
+	assert.Assert(t, time.Since(answered) >= pollRetryAfter, "polled again after %s", time.Since(answered))
+}
