control: propose a repeated submission of a job once

What callers saw: nothing yet; found by looking for what load may keep itself up elsewhere. Callers that get no response in time submit again, entries as well, and the leader proposed each repeat of a job with its whole specification, also if the job was committed or its proposal still waited. So the log grew with the calls while commits took long, as it did with workflows.

Cause: the idempotency key was only looked at when the entry was applied.

As for workflows, a job that exists is answered from the state, and a submission that waits for its commit takes further calls with the same team, key and body. Another body under the same key is still decided by the state. The calls that wait for one proposal are kept by one type for both.

--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -30,18 +30,53 @@
 		replyIfLeading(l.c, done, &proto.Submitted{Quote: l.quote(&spec, q)})
 		return
 	}
-	cmd := &state.Submit{Spec: spec, IdempotencyKey: req.IdempotencyKey, Digest: req.Digest}
+	l.commitJob(&state.Submit{Spec: spec, IdempotencyKey: req.IdempotencyKey, Digest: req.Digest}, done)
+}
+
+// jobSubmissionKey identifies the submission of a job that has an idempotency key.
+type jobSubmissionKey struct {
+	team           string
+	idempotencyKey string
+	digest         [32]byte
+}
+
+// commitJob commits a job and responds after the commit. Like that of a workflow, a
+// submission that is repeated is not proposed again.
+func (l *leader) commitJob(cmd *state.Submit, done reply[proto.Submitted]) {
+	if r, found := l.c.machine.FindResent(cmd); found && r.Err == nil {
+		replyIfLeading(l.c, done, l.submitted(r))
+		return
+	}
+	if cmd.IdempotencyKey == "" {
+		l.proposeJob(cmd, func() []reply[proto.Submitted] { return []reply[proto.Submitted]{done} })
+		return
+	}
+	key := jobSubmissionKey{cmd.Spec.Team, cmd.IdempotencyKey, cmd.Digest}
+	if l.jobSubmissions.join(key, done) {
+		l.proposeJob(cmd, func() []reply[proto.Submitted] { return l.jobSubmissions.take(key) })
+	}
+}
+
+// proposeJob proposes a job and answers the calls that wait for it then.
+func (l *leader) proposeJob(cmd *state.Submit, calls func() []reply[proto.Submitted]) {
 	l.c.propose(&state.Command{Submit: cmd}, func(r state.Result, err error) {
-		if err != nil {
-			done(nil, err)
-			return
+		for _, done := range calls() {
+			if err != nil {
+				done(nil, err)
+				continue
+			}
+			done(l.submitted(r), nil)
+			r.Existing = true // for the repeats
 		}
-		view := l.viewOf(l.c.machine.Job(r.Job), false)
-		view.Existing = r.Existing
-		done(&proto.Submitted{Job: view}, nil)
 	})
 }
 
+func (l *leader) submitted(r state.Result) *proto.Submitted {
+	view := l.viewOf(l.c.machine.Job(r.Job), false)
+	view.Existing = r.Existing
+	return &proto.Submitted{Job: view}
+}
+
 // queueFor returns the queue of a submission and sets it in spec if it is the default.
 func (l *leader) queueFor(spec *model.JobSpec) (*model.Queue, error) {
 	q := l.c.machine.Queue(spec.Queue)
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -8,6 +8,7 @@
 	"github.com/filbertmast/filbertmast/internal/member"
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/owner"
+	"github.com/filbertmast/filbertmast/internal/proto"
 	"github.com/filbertmast/filbertmast/internal/schedule"
 	"github.com/filbertmast/filbertmast/internal/state"
 )
@@ -39,7 +40,8 @@
 	polled          *polledWorkers      // workers that the leader calls
 	policy          *policy
 	heartbeats      receivedHeartbeats
-	submissions     submissions
+	submissions     sharedCalls[submissionKey, proto.WorkflowView]
+	jobSubmissions  sharedCalls[jobSubmissionKey, proto.Submitted]
 	stalled         stalledJobs
 	startingRuns    bool // a proposal to start due runs is not committed yet
 }
@@ -73,7 +75,9 @@
 		dirty:        true,
 		changedTeams: make(map[string]struct{}),
 		heartbeats:   receivedHeartbeats{},
-		submissions:  submissions{},
+		submissions:  sharedCalls[submissionKey, proto.WorkflowView]{},
+
+		jobSubmissions: sharedCalls[jobSubmissionKey, proto.Submitted]{},
 	}
 	l.polled = newPolledWorkers(l)
 	l.policy = newPolicy(l)
--- a/internal/control/workflows.go
+++ b/internal/control/workflows.go
@@ -15,9 +15,6 @@
 	id   model.WorkflowID
 }
 
-// submissions are the calls that wait for the commit of a submission.
-type submissions map[submissionKey][]reply[proto.WorkflowView]
-
 // submitWorkflow commits a workflow and responds after the commit. A submission that is
 // repeated is not proposed again: callers repeat what takes long, so that a busy log would
 // become busier.
@@ -27,9 +24,7 @@
 		return
 	}
 	key := submissionKey{req.Spec.Team, req.Spec.ID}
-	waiting, proposed := l.submissions[key]
-	l.submissions[key] = append(waiting, done)
-	if !proposed {
+	if l.submissions.join(key, done) {
 		l.proposeSubmission(key, &state.SubmitWorkflow{Spec: req.Spec})
 	}
 }
@@ -37,8 +32,7 @@
 // proposeSubmission proposes a workflow and answers all calls that wait for it.
 func (l *leader) proposeSubmission(key submissionKey, cmd *state.SubmitWorkflow) {
 	l.c.propose(&state.Command{SubmitWorkflow: cmd}, func(r state.Result, err error) {
-		waiting := l.submissions[key]
-		delete(l.submissions, key)
+		waiting := l.submissions.take(key)
 		if err != nil {
 			for _, done := range waiting {
 				done(nil, err)
--- a/internal/state/submit.go
+++ b/internal/state/submit.go
@@ -50,7 +50,7 @@
 // submissions and changes of the configuration.
 func (m *Machine) submit(c *Submit) Result {
 	if c.IdempotencyKey != "" {
-		if r, found := m.findResent(c); found {
+		if r, found := m.FindResent(c); found {
 			return r
 		}
 	}
@@ -73,9 +73,9 @@
 	return Result{Job: j.ID}
 }
 
-// findResent returns the result for a submission whose idempotency key is known,
+// FindResent returns the result for a submission whose idempotency key is known,
 // and whether it is.
-func (m *Machine) findResent(c *Submit) (Result, bool) {
+func (m *Machine) FindResent(c *Submit) (Result, bool) {
 	id, ok := m.submissions[submissionKey{c.Spec.Team, c.IdempotencyKey}]
 	if !ok {
 		return Result{}, false
