control: propose a ceiling of request permits once

What callers saw: nothing yet; found by looking for what load may keep itself up elsewhere. While commits took long, the leader proposed every ceiling that was not committed again with each tick, 20 times a second, and with each demand of an entry.

Cause: a ceiling is returned until it is committed, since its proposal may have been lost; that a proposal still waits was not known.

The leader now keeps which teams' ceilings are proposed, until the proposal is committed or has failed. A lost one is proposed again as before.

Evidence: TestCeilingIsNotProposedAgainBeforeItIsCommitted fails on the code before (2 proposals, not 1).

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -43,7 +43,9 @@
 	submissions     sharedCalls[submissionKey, proto.WorkflowView]
 	jobSubmissions  sharedCalls[jobSubmissionKey, proto.Submitted]
 	stalled         stalledJobs
-	startingRuns    bool // a proposal to start due runs is not committed yet
+	// proposedCeilings are the teams whose ceilings are proposed and not committed yet.
+	proposedCeilings map[string]struct{}
+	startingRuns     bool // a proposal to start due runs is not committed yet
 }
 
 // attachment is a worker's session and the entry that holds it.
@@ -77,7 +79,8 @@
 		heartbeats:   receivedHeartbeats{},
 		submissions:  sharedCalls[submissionKey, proto.WorkflowView]{},
 
-		jobSubmissions: sharedCalls[jobSubmissionKey, proto.Submitted]{},
+		jobSubmissions:   sharedCalls[jobSubmissionKey, proto.Submitted]{},
+		proposedCeilings: map[string]struct{}{},
 	}
 	l.polled = newPolledWorkers(l)
 	l.policy = newPolicy(l)
@@ -247,17 +250,23 @@
 }
 
 // proposeCeilings proposes new ceilings of request permits, which must be committed
-// before they are used.
+// before they are used. A ceiling is not proposed again while its proposal waits.
 func (l *leader) proposeCeilings() {
-	wanted := l.permits.Ceilings()
-	if len(wanted) == 0 {
-		return
-	}
 	cmd := &state.SetCeilings{}
-	for _, c := range wanted {
-		cmd.Ceilings = append(cmd.Ceilings, state.Ceiling(c))
+	for _, c := range l.permits.Ceilings() {
+		if _, proposed := l.proposedCeilings[c.Team]; !proposed {
+			cmd.Ceilings = append(cmd.Ceilings, state.Ceiling(c))
+			l.proposedCeilings[c.Team] = struct{}{}
+		}
 	}
-	l.c.propose(&state.Command{SetCeilings: cmd}, func(state.Result, error) {})
+	if len(cmd.Ceilings) == 0 {
+		return
+	}
+	l.c.propose(&state.Command{SetCeilings: cmd}, func(state.Result, error) {
+		for _, c := range cmd.Ceilings {
+			delete(l.proposedCeilings, c.Team)
+		}
+	})
 }
 
 // proposeLosses proposes the loss of workers whose leases have expired. If a proposal
