control: end a round of repeated proposals at the first refusal

What callers saw: nothing yet; found by reading. While the log takes no proposals, each tick of the leader encoded and proposed all decisions again whose proposals had failed.

Cause: the repeats had no bound in a tick.

A round ends with the first proposal that is refused at once, since the next ones would be, too. That one comes last in the next round, so that a proposal which is refused for a reason of its own holds up no others.

Evidence: TestDecisionsAreNotAllProposedAgainWhileLogIsFull fails on the code before (1,000,000 proposals in 1,000 ticks, not 1,000). The simulated log counts what it refuses.

--- a/internal/control/leader_test.go
+++ b/internal/control/leader_test.go
@@ -25,10 +25,12 @@
 	Log
 	proposed [][]byte
 	full     bool // proposals are refused
+	refused  int
 }
 
 func (l *heldLog) ProposeInTerm(_ uint64, data []byte) error {
 	if l.full {
+		l.refused++
 		return errkind.New(errkind.Overloaded, "the log takes no proposals")
 	}
 	l.proposed = append(l.proposed, data)
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/model"
@@ -136,12 +137,17 @@
 	})
 }
 
-// proposeUncommitted proposes the decisions again whose proposals have failed.
+// proposeUncommitted proposes the decisions again whose proposals have failed. The first
+// one that is refused at once ends the round, and comes last in the next.
 func (l *leader) proposeUncommitted() {
 	cmds := l.uncommitted
 	l.uncommitted = nil
-	for _, cmd := range cmds {
+	for i, cmd := range cmds {
 		l.proposeUntilCommitted(cmd)
+		if len(l.uncommitted) > 0 {
+			l.uncommitted = append(slices.Clone(cmds[i+1:]), l.uncommitted...)
+			break
+		}
 	}
 	workers := l.unrevoked
 	l.unrevoked = nil
--- a/internal/control/plan_test.go
+++ b/internal/control/plan_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/state"
 )
 
 // Without a pause, calls and commits wait behind one long plan after the other.
@@ -44,3 +47,24 @@
 		})
 	}
 }
+
+// Guards against a control goroutine that spends each tick on proposals which a full log refuses.
+func TestDecisionsAreNotAllProposedAgainWhileLogIsFull(t *testing.T) {
+	h, _ := newLeaderHarness(t)
+	h.lead()
+	l := h.core.leader
+	const decisions = 1000
+	for i := range decisions {
+		l.uncommitted = append(l.uncommitted, &state.Command{Fail: &state.Fail{Job: model.JobID(1000 + i), Task: state.WholeJob}})
+	}
+	h.log.full = true
+	for range decisions {
+		l.proposeUncommitted()
+	}
+	assert.Equal(t, h.log.refused, decisions)
+	assert.Equal(t, len(l.uncommitted), decisions)
+	h.log.full = false
+	before := len(h.log.proposed)
+	l.proposeUncommitted()
+	assert.Equal(t, len(h.log.proposed), before+decisions)
+}
