--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -8,6 +8,7 @@
 	"github.com/filbertmast/filbertmast/internal/member"
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/owner"
+	"github.com/filbertmast/filbertmast/internal/proto"
 	"github.com/filbertmast/filbertmast/internal/schedule"
 	"github.com/filbertmast/filbertmast/internal/state"
 )
@@ -39,9 +40,12 @@
 	polled          *polledWorkers      // workers that the leader calls
 	policy          *policy
 	heartbeats      receivedHeartbeats
-	submissions     submissions
+	submissions     sharedCalls[submissionKey, proto.WorkflowView]
+	jobSubmissions  sharedCalls[jobSubmissionKey, proto.Submitted]
 	stalled         stalledJobs
-	startingRuns    bool // a proposal to start due runs is not committed yet
+	// proposedCeilings are the teams whose ceilings are proposed and not committed yet.
+	proposedCeilings map[string]struct{}
+	startingRuns     bool // a proposal to start due runs is not committed yet
 }
 
 // attachment is a worker's session and the entry that holds it.
@@ -73,7 +77,10 @@
 		dirty:        true,
 		changedTeams: make(map[string]struct{}),
 		heartbeats:   receivedHeartbeats{},
-		submissions:  submissions{},
+		submissions:  sharedCalls[submissionKey, proto.WorkflowView]{},
+
+		jobSubmissions:   sharedCalls[jobSubmissionKey, proto.Submitted]{},
+		proposedCeilings: map[string]struct{}{},
 	}
 	l.polled = newPolledWorkers(l)
 	l.policy = newPolicy(l)
@@ -243,17 +250,23 @@
 }
 
 // proposeCeilings proposes new ceilings of request permits, which must be committed
-// before they are used.
+// before they are used. A ceiling is not proposed again while its proposal waits.
 func (l *leader) proposeCeilings() {
-	wanted := l.permits.Ceilings()
-	if len(wanted) == 0 {
-		return
-	}
 	cmd := &state.SetCeilings{}
-	for _, c := range wanted {
-		cmd.Ceilings = append(cmd.Ceilings, state.Ceiling(c))
+	for _, c := range l.permits.Ceilings() {
+		if _, proposed := l.proposedCeilings[c.Team]; !proposed {
+			cmd.Ceilings = append(cmd.Ceilings, state.Ceiling(c))
+			l.proposedCeilings[c.Team] = struct{}{}
+		}
 	}
-	l.c.propose(&state.Command{SetCeilings: cmd}, func(state.Result, error) {})
+	if len(cmd.Ceilings) == 0 {
+		return
+	}
+	l.c.propose(&state.Command{SetCeilings: cmd}, func(state.Result, error) {
+		for _, c := range cmd.Ceilings {
+			delete(l.proposedCeilings, c.Team)
+		}
+	})
 }
 
 // proposeLosses proposes the loss of workers whose leases have expired. If a proposal
