--- a/internal/control/refusal_test.go
+++ b/internal/control/refusal_test.go
@@ -44,3 +44,18 @@
 		})
 	}
 }
+
+// Guards against the same plan after a refusal, and against a worker that is left out for good.
+func TestWorkerThatRefusedStartIsLeftOutForItsPauseOnly(t *testing.T) {
+	h := newLeaderTest(t)
+	h.heartbeat(7, 1, 4000)
+	h.answerPolls(idle, h.clockReported)
+	h.workers.refuses = func(model.WorkerID) bool { return true }
+	job := h.place("f1", 1)
+	placeable := func() bool { return len(h.c.leader.sched.Candidates(job)) == 1 }
+	h.answerPolls(idle, func() bool { return h.polled().refusals.paused })
+	assert.Assert(t, !placeable())
+	h.answerPolls(idle, func() bool { return !h.polled().refusals.paused })
+	assert.Assert(t, placeable())
+	assert.Equal(t, h.polled().refusals.begin(), 2*refusalPause, "the next pause is longer")
+}
