state: take the loss of a leader for no evidence that a start was received

Cause: suspectsOn took each start of an earlier term for received, since the leader that could have known was lost. Now such a crash is doubtful. Doubtful crashes and losses that stay unexplained count together, with the certain ones, at five: callers tolerate two starts after a third crash, so a task whose five starts all crashed their workers must not get a sixth. Known crashes count at two or three, as before.

--- a/internal/control/crash.go
+++ b/internal/control/crash.go
@@ -14,6 +14,7 @@
 const (
 	givenUpCrashes     = "crashes"      // as many workers crashed as under no innocent task
 	givenUpLosses      = "losses"       // workers were lost in its starts and not heard of since
+	givenUpDoubtful    = "doubtful"     // workers crashed that may not have got its starts
 	givenUpSoleSuspect = "sole_suspect" // no other job can have caused the last crash
 )
 
@@ -48,7 +49,7 @@
 // is to be the only one on its worker, so that another crash has no other cause.
 func suspicionOf(e *state.TaskSuspected) schedule.Suspicion {
 	switch {
-	case e.Crashes > 0 || e.Unexplained > 1:
+	case e.Crashes+e.Doubtful > 0 || e.Unexplained > 1:
 		return schedule.KeepAlone
 	case e.Near:
 		return schedule.KeepIsolated
@@ -74,18 +75,20 @@
 			reason = givenUpSoleSuspect
 		case e.Silent > 0:
 			reason = givenUpLosses
+		case e.Doubtful > 0:
+			reason = givenUpDoubtful
 		}
 		l.c.s.metrics.tasksGivenUp.WithLabelValues(reason).Inc()
-		l.c.log.Warn("Task is given up: workers crash under it.", "task", e.Task, "worker", e.Worker, "crashes", e.Crashes, "silent", e.Silent, "reason", reason)
+		l.c.log.Warn("Task is given up: workers crash under it.", "task", e.Task, "worker", e.Worker, "crashes", e.Crashes, "doubtful", e.Doubtful, "silent", e.Silent, "reason", reason)
 	}
 }
 
 func (l *leader) recordSuspicion(e *state.TaskSuspected) {
-	fields := []any{"task", e.Task, "worker", e.Worker, "crashes", e.Crashes, "unexplained", e.Unexplained, "held", max(e.HeldUntil.Sub(e.At), 0)}
+	fields := []any{"task", e.Task, "worker", e.Worker, "crashes", e.Crashes, "doubtful", e.Doubtful, "unexplained", e.Unexplained, "held", max(e.HeldUntil.Sub(e.At), 0)}
 	if e.HeldUntil > e.At {
 		l.c.s.metrics.tasksHeld.Inc()
 	}
-	if e.Crashes == 0 && e.HeldUntil <= e.At {
+	if e.Crashes+e.Doubtful == 0 && e.HeldUntil <= e.At {
 		l.c.log.Debug("Task may run anywhere.", fields...)
 		return
 	}
--- a/internal/state/crash.go
+++ b/internal/state/crash.go
@@ -14,9 +14,10 @@
 // incarnation, or another worker answers at its address. A worker whose lease has
 // expired may also have been cut off; until it is heard of again, the loss is
 // unexplained and delays further starts of its tasks for at most crashHold. Losses that
-// stay unexplained count at higher limits. Both count only against tasks whose start the
+// stay unexplained count at a higher limit. Both count only against tasks whose start the
 // worker has got: a start without a response may have been lost on its way. If the leader
-// that sent the start was lost, the start counts as received, but never as the only cause.
+// that sent the start was lost, nobody knows whether the worker got it. Such a crash is
+// doubtful and counts at the higher limit, too.
 
 const (
 	// maxCrashes is the number of crashes from which on a task is not started again. A
@@ -25,10 +26,12 @@
 	maxCrashes = 3
 	// maxSoleCrashes replaces maxCrashes if the last crash has no other possible cause.
 	maxSoleCrashes = 2
-	// maxSilent replaces maxCrashes if workers count that were lost in the start of the task
-	// and not heard of since. Some of them may have been cut off.
-	maxSilent = maxCrashes + 2
-	// maxSoleSilent replaces maxSilent if a later one of the losses has no other possible cause.
+	// startsAfterLastCrash is how often a task may be started after maxCrashes workers have
+	// crashed under it, if it is not certain that they have.
+	startsAfterLastCrash = 2
+	// maxDoubtful replaces maxCrashes if doubtful crashes or silent losses count.
+	maxDoubtful = maxCrashes + startsAfterLastCrash
+	// maxSoleSilent replaces maxDoubtful if a later one of the silent losses has no other possible cause.
 	maxSoleSilent = maxCrashes + 1
 	// maxLosses is the number of crashes and unexplained losses from which on a task is
 	// held while one of them is unexplained: crashes that are learned late must not add up
@@ -51,6 +54,7 @@
 	Silent      uint16     `cbor:"5,keyasint,omitempty"` // those of Unexplained that were lost in the start
 	SoleSilent  bool       `cbor:"6,keyasint,omitempty"` // and of a later one of them it is the only possible cause
 	Unreceived  bool       `cbor:"7,keyasint,omitempty"` // a worker crashed that may not have got its start
+	Doubtful    uint16     `cbor:"8,keyasint,omitempty"` // crashes that it is not certain to have caused, nor to have been near
 }
 
 // lostAttempt is a task under which a worker may have crashed.
@@ -67,6 +71,7 @@
 	evidenceLikely                     // it was started when the worker crashed
 	evidenceSole                       // so, and no task of another job was
 	evidenceUnreceived                 // it is not known that the worker got its start
+	evidenceDoubtful                   // nor can it be known, since the leader that sent the start was lost
 )
 
 // limit returns the number of crashes from which on a task is given up.
@@ -152,7 +157,7 @@
 		switch t := &m.jobs[a.Task.Job].Tasks[a.Task.Index]; {
 		case t.Received:
 		case t.Fence.Term < m.fence().Term:
-			a.Evidence = min(a.Evidence, evidenceLikely) // its leader was lost with what it knew
+			a.Evidence = evidenceDoubtful
 		default:
 			a.Evidence = evidenceUnreceived
 		}
@@ -206,20 +211,28 @@
 		m.emit(WorkerCrashed{Worker: id, Suspects: len(received)})
 	}
 	for _, a := range attempts {
-		if a.Evidence == evidenceUnreceived {
-			m.updateSuspicion(a.Task, evidenceNear, func(s *suspicion) { s.Unreceived = true })
-			continue
+		m.updateSuspicion(a.Task, a.Evidence, func(s *suspicion) { s.addCrash(a.Evidence) })
+	}
+}
+
+// addCrash adds a certain crash.
+func (s *suspicion) addCrash(e evidence) {
+	switch e {
+	case evidenceUnreceived:
+		s.Unreceived = true
+	case evidenceDoubtful:
+		s.Doubtful = addSaturating(s.Doubtful)
+	case evidenceNear:
+		if s.Near || s.Crashes > 0 {
+			s.Crashes = addSaturating(s.Crashes)
 		}
-		m.updateSuspicion(a.Task, a.Evidence, func(s *suspicion) {
-			if a.Evidence != evidenceNear || s.Near || s.Crashes > 0 {
-				s.Crashes = addSaturating(s.Crashes)
-			}
-			s.Near = s.Near || a.Evidence == evidenceNear
-		})
+		s.Near = true
+	default:
+		s.Crashes = addSaturating(s.Crashes)
 	}
 }
 
-// received returns the tasks whose start the worker has got.
+// received returns the tasks whose start the worker has got, or may have got.
 func received(attempts []lostAttempt) []lostAttempt {
 	return slices.DeleteFunc(slices.Clone(attempts), func(a lostAttempt) bool { return a.Evidence == evidenceUnreceived })
 }
@@ -279,16 +292,18 @@
 
 // overLimit reports whether workers have crashed or were lost too often under a task.
 func (s *suspicion) overLimit(e evidence) bool {
-	return s.Crashes >= e.limit() || s.Silent > 0 && s.Crashes+s.Silent >= s.silentLimit()
+	return s.Crashes >= e.limit() || (s.Silent > 0 || s.Doubtful > 0) && s.possibleCrashes() >= s.doubtfulLimit()
 }
 
-// silentLimit returns the number of crashes and silent losses from which on a task is
-// given up.
-func (s *suspicion) silentLimit() uint16 {
+// possibleCrashes returns the number of crashes, doubtful ones and silent losses included.
+func (s *suspicion) possibleCrashes() int { return int(s.Crashes) + int(s.Silent) + int(s.Doubtful) }
+
+// doubtfulLimit returns the number of possible crashes from which on a task is given up.
+func (s *suspicion) doubtfulLimit() int {
 	if s.SoleSilent {
 		return maxSoleSilent
 	}
-	return maxSilent
+	return maxDoubtful
 }
 
 // updateSuspicion changes the suspicion of a task that has not ended. A pending task is
@@ -301,7 +316,7 @@
 	}
 	s := j.Suspicions[id.Index]
 	change(&s)
-	if s.Unexplained == 0 || int(s.Crashes)+int(s.Unexplained) < maxLosses {
+	if s.Unexplained == 0 || int(s.Crashes)+int(s.Doubtful)+int(s.Unexplained) < maxLosses {
 		s.HeldUntil = 0
 	}
 	j.setSuspicion(id.Index, s)
@@ -313,8 +328,8 @@
 
 // giveUp fails a task that crashes its workers, and with it a step or a gang.
 func (m *Machine) giveUp(j *Job, id model.TaskID, s *suspicion, sole bool) {
-	m.emit(TaskGivenUp{Task: id, Worker: m.TaskWorker(&j.Tasks[id.Index]), Crashes: int(s.Crashes), Silent: int(s.Silent), Sole: sole})
-	reason := fmt.Sprintf("task %d is given up: %d workers have crashed and %d were lost under it", id.Index, s.Crashes, s.Silent)
+	m.emit(TaskGivenUp{Task: id, Worker: m.TaskWorker(&j.Tasks[id.Index]), Crashes: int(s.Crashes), Doubtful: int(s.Doubtful), Silent: int(s.Silent), Sole: sole})
+	reason := fmt.Sprintf("task %d is given up: %d workers have crashed under it, %d may have, and %d were lost", id.Index, s.Crashes, s.Doubtful, s.Silent)
 	f := &Fail{Job: j.ID, Task: id.Index, Reason: reason}
 	if j.Step != nil || j.Spec.Policy == model.PolicyGang {
 		f.Task = WholeJob
@@ -336,7 +351,7 @@
 	s := j.Suspicions[index]
 	t := &j.Tasks[index]
 	return TaskSuspected{Task: model.TaskID{Job: j.ID, Index: index}, Worker: m.TaskWorker(t), Crashes: int(s.Crashes),
-		Unexplained: int(s.Unexplained), Near: s.Near || s.Unreceived, HeldUntil: s.HeldUntil, At: m.now}
+		Doubtful: int(s.Doubtful), Unexplained: int(s.Unexplained), Near: s.Near || s.Unreceived, HeldUntil: s.HeldUntil, At: m.now}
 }
 
 // replaySuspicions emits the suspicions of a job, for an empty scheduler.
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -103,6 +103,7 @@
 	Task        model.TaskID
 	Worker      model.WorkerID // of the current or last attempt
 	Crashes     int            // workers that certainly crashed
+	Doubtful    int            // crashes that the task may not have been part of
 	Unexplained int            // lost workers not heard of since
 	Near        bool           // a worker crashed soon after its start, or may not have got it
 	HeldUntil   model.Time     // the task is not started before
@@ -111,11 +112,12 @@
 
 // TaskGivenUp reports that a task is not started again, since workers crash under it.
 type TaskGivenUp struct {
-	Task    model.TaskID
-	Worker  model.WorkerID // of the last attempt
-	Crashes int
-	Silent  int  // workers that were lost in its start and not heard of since
-	Sole    bool // no task of another job can have caused the last crash
+	Task     model.TaskID
+	Worker   model.WorkerID // of the last attempt
+	Crashes  int
+	Doubtful int  // crashes that it may not have been part of
+	Silent   int  // workers that were lost in its start and not heard of since
+	Sole     bool // no task of another job can have caused the last crash
 }
 
 // PlacementRefused reports a placement that was not admitted.
