control, state: do not blame a task for a crash that other workers share

What callers saw: where many workers crash at one moment (a rack, a cut behind which they start again), innocent jobs were given up by the dozen, all with two crashes and reason=sole_suspect. Cause: each crash was judged alone. In a busy cell each of the workers has some task in its start, which then was its only possible cause. The leader now keeps when each worker stopped answering. If two others did at the same moment, none of them with a task of a job in its start, the crash is doubtful for that job: it counts at five, not at two or three. A job whose own tasks crash several workers at once is blamed as before. TestTasksAreNotGivenUpWhereManyWorkersCrashTogether fails without it.

--- a/internal/control/crash_test.go
+++ b/internal/control/crash_test.go
@@ -26,6 +26,8 @@
 	crashArrivals = 40 * time.Second // workflows are submitted until then
 	crashLease    = 4 * time.Second
 	crashSilence  = 300 * time.Millisecond // after a crash, until the worker counts as unresponsive
+	// commonCrashEvery is the time between crashes of several workers.
+	commonCrashEvery = 4 * time.Second
 	// maxStartsAfterThreeCrashes is the number of starts after three crashes that callers
 	// do not tolerate.
 	maxStartsAfterThreeCrashes = 3
@@ -52,6 +54,7 @@
 	minDown, maxDown time.Duration // from a crash to the next incarnation
 	cut              time.Duration // length of a cut
 	cutWorkers       int           // that are cut off together
+	crashTogether    int           // workers that crash together each commonCrashEvery
 }
 
 // crashWorker is a worker as it is, which the leader learns of only by its messages.
@@ -62,6 +65,7 @@
 	cutUntil    model.Time // its calls do not arrive
 	lastContact model.Time
 	nextName    bool // it is back under another ID
+	out         bool // the leader knows that it does not answer
 }
 
 type crashAttempt struct {
@@ -113,12 +117,25 @@
 }
 
 func (s *crashSim) announce(w *crashWorker) {
-	w.lastContact = s.now
+	w.lastContact, w.out = s.now, false
 	s.byID[w.spec.ID] = w
-	s.apply(&state.Command{Announce: &state.Announce{Spec: w.spec}})
+	s.apply(&state.Command{Announce: &state.Announce{Spec: w.spec, CommonCause: s.commonCause(w.spec.ID)}})
 	s.setResponsive(w, true)
 }
 
+func (s *crashSim) commonCause(id model.WorkerID) []model.JobID {
+	return s.c.leader.polled.outages.commonCause(s.c.machine, id)
+}
+
+// notice lets the leader know that a worker does not answer.
+func (s *crashSim) notice(w *crashWorker, from model.Time) {
+	if w.out {
+		return
+	}
+	w.out = true
+	s.c.leader.polled.outages.record(outage{w.spec.ID, from, s.now, s.c.machine.JobsInStart(w.spec.ID)})
+}
+
 func (s *crashSim) setResponsive(w *crashWorker, responsive bool) {
 	s.c.leader.sched.Apply(schedule.WorkerResponsivenessChanged{Worker: w.spec.ID, Responsive: responsive})
 }
@@ -201,6 +218,7 @@
 		}
 	}
 	w.running = map[model.TaskID]crashAttempt{}
+	s.notice(w, s.now)
 	w.downUntil = s.now.Add(s.minDown + time.Duration(s.rng.Int64N(int64(s.maxDown-s.minDown))))
 	w.nextName = s.rng.IntN(2) == 0
 }
@@ -257,6 +275,7 @@
 func (s *crashSim) expire(w *crashWorker) {
 	if s.now >= w.lastContact.Add(crashSilence) {
 		s.setResponsive(w, false)
+		s.notice(w, w.lastContact)
 	}
 	known := s.c.machine.Worker(w.spec.ID)
 	if s.now >= w.lastContact.Add(crashLease+500*time.Millisecond) && known.Mode != model.WorkerLost {
@@ -265,7 +284,7 @@
 }
 
 func (s *crashSim) markLost(w *state.Worker, replaced bool) {
-	s.apply(&state.Command{MarkWorkersLost: &state.MarkWorkersLost{Workers: []state.LostWorker{{ID: w.Spec.ID, Session: w.Session, Replaced: replaced}}}})
+	s.apply(&state.Command{MarkWorkersLost: &state.MarkWorkersLost{Workers: []state.LostWorker{{ID: w.Spec.ID, Session: w.Session, Replaced: replaced, CommonCause: s.commonCause(w.Spec.ID)}}}})
 }
 
 func (s *crashSim) runTasks(w *crashWorker) {
@@ -299,6 +318,21 @@
 		s.lead()
 		for _, w := range s.workers {
 			s.setResponsive(w, w.downUntil == 0 && w.cutUntil == 0)
+			if w.out = false; w.downUntil != 0 || w.cutUntil != 0 {
+				s.notice(w, s.now)
+			}
+		}
+	}
+	if elapsed < crashArrivals && elapsed%commonCrashEvery == 0 && s.crashTogether > 0 {
+		s.crashSome(s.rng.IntN(len(s.workers)))
+	}
+}
+
+// crashSome crashes workers at the same moment, from the one with the given number on.
+func (s *crashSim) crashSome(first int) {
+	for i := range s.crashTogether {
+		if w := s.workers[(first+i)%len(s.workers)]; w.downUntil == 0 && w.cutUntil == 0 {
+			s.crash(w)
 		}
 	}
 }
@@ -334,6 +368,7 @@
 	Innocent                int // workflows without a deadly task that succeeded
 	GivenUp                 int // workflows without a deadly task that failed
 	GivenUpEarly            int // of these, under less than two crashes
+	GivenUpSoon             int // of these, under less crashes than under which a task must be given up
 	Unfinished              int // other workflows that have not ended as they should
 }
 
@@ -356,6 +391,9 @@
 			if s.mostCrashes(w) < 2 {
 				r.GivenUpEarly++
 			}
+			if s.mostCrashes(w) < 2+maxStartsAfterThreeCrashes {
+				r.GivenUpSoon++
+			}
 		default:
 			r.Unfinished++
 		}
@@ -430,6 +468,31 @@
 	}
 }
 
+// A task must not be given up for workers that crash together in the starts of many jobs, as long as it may be started once more.
+func TestTasksAreNotGivenUpWhereManyWorkersCrashTogether(t *testing.T) {
+	for seed := range uint64(40) {
+		s := newCrashSim(t, seed)
+		s.crashTogether, s.cutWorkers, s.maxDown = 4, 0, 3*time.Second
+		s.play(0)
+		r := s.result()
+		t.Logf("seed %d: %+v", seed, r)
+		assert.Equal(t, r.GivenUpSoon+r.Unfinished, 0, "seed %d: %+v", seed, r)
+	}
+}
+
+// A task must not crash worker after worker, even where many workers crash together.
+func TestDeadlyTasksAreGivenUpWhereManyWorkersCrashTogether(t *testing.T) {
+	for seed := range uint64(40) {
+		s := newCrashSim(t, seed)
+		s.crashTogether = 4
+		s.play(0.1)
+		r := s.result()
+		t.Logf("seed %d: %+v", seed, r)
+		assert.Assert(t, r.LateStarts < maxStartsAfterThreeCrashes, "seed %d: %+v", seed, r)
+		assert.Equal(t, r.GivenUpEarly+r.Unfinished, 0, "seed %d: %+v", seed, r)
+	}
+}
+
 // A task must not crash worker after worker where they stay away, nor be given up for workers that are cut off.
 func TestDeadlyTasksAreGivenUpWhileTheirWorkersStayAway(t *testing.T) {
 	for _, share := range []float64{0.02, 0.1} {
--- /dev/null
+++ b/internal/control/outages_test.go
@@ -0,0 +1,43 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/filbertmast/filbertmast/internal/model"
+)
+
+// Guards against a task that is blamed for a crash that other workers share, and against one that goes without blame since other tasks of its job crash their workers, too.
+func TestJobsThatOtherOutagesAtTheSameMomentDoNotExplain(t *testing.T) {
+	const at = model.Time(1_000_000)
+	later := func(d time.Duration) model.Time { return at.Add(d) }
+	own := outage{"w1", at, at, []model.JobID{1}}
+	rows := []struct {
+		name   string
+		others outages
+		want   int
+	}{
+		{"no other worker", nil, 0},
+		{"two others at once, with other jobs", outages{{"w2", at, at, []model.JobID{2}}, {"w3", at, at, nil}}, 2},
+		{"two others at once, one with the job", outages{{"w2", at, at, []model.JobID{2}}, {"w3", at, at, []model.JobID{1}}}, 1},
+		{"two others a second later", outages{{"w2", later(time.Second), later(time.Second), nil}, {"w3", later(time.Second), later(time.Second), nil}}, 0},
+		{"two others that were silent at that time", outages{{"w2", later(-time.Second), later(time.Second), nil}, {"w3", at, later(time.Second), nil}}, 2},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			assert.Equal(t, append(outages{own}, row.others...).without(1, &own), row.want)
+		})
+	}
+}
+
+// Guards against outages that are kept for good while workers come and go.
+func TestOutagesAreForgotten(t *testing.T) {
+	var o outages
+	for i := range 1000 {
+		at := model.Time(1_000_000).Add(time.Duration(i) * time.Second)
+		o.record(outage{worker: "w1", from: at, to: at})
+	}
+	assert.Equal(t, len(o), int(outageRetention/time.Second)+1)
+}
--- a/internal/control/polled.go
+++ b/internal/control/polled.go
@@ -38,6 +38,7 @@
 	reports     reportQueue
 	losses      workerclient.LossTracker // of responses to polls
 	settlements map[model.WorkerID]*settlement
+	outages     outages
 }
 
 // polledWorker is one incarnation of a polled worker.
@@ -50,6 +51,7 @@
 	polls         workerclient.PollSeries
 	repeatTimer   *time.Timer // repeats the newest poll
 	clockReported bool        // the worker has answered a poll, and so reported its clock
+	addedAt       model.Time  // when this leader began to poll it
 	// unresponsive is set while the last poll has failed. The lease is not renewed
 	// meanwhile, since otherwise the lease of a dead worker would never expire.
 	unresponsive bool
@@ -198,6 +200,7 @@
 		fence:      fenceOf(p.l.term, session),
 		clock:      p.clockOf(spec),
 		unverified: unverified,
+		addedAt:    p.l.c.s.now(),
 		grantedAt:  p.l.c.s.now(), // by an earlier leader
 		commands:   map[model.TaskID]*workerCommand{},
 	}
@@ -239,7 +242,7 @@
 // its address, so that no attempt of it runs any more.
 func (p *polledWorkers) loseReplaced(pw *polledWorker) {
 	p.l.c.log.Warn("Worker incarnation ended: another one answers at its address.", "worker", pw.target.Worker, "address", pw.target.Address)
-	lost := []state.LostWorker{{ID: pw.target.Worker, Session: pw.session, Replaced: true}}
+	lost := []state.LostWorker{{ID: pw.target.Worker, Session: pw.session, Replaced: true, CommonCause: p.outages.commonCause(p.l.c.machine, pw.target.Worker)}}
 	p.l.c.propose(&state.Command{MarkWorkersLost: &state.MarkWorkersLost{Workers: lost}}, func(_ state.Result, err error) {
 		if err != nil {
 			p.after(pollRetryAfter, func() { p.poll(pw) })
--- a/internal/control/polls.go
+++ b/internal/control/polls.go
@@ -251,6 +251,9 @@
 	}
 	if unresponsive != pw.unresponsive {
 		p.logResponsiveness(pw, err)
+		if unresponsive {
+			p.recordOutage(pw, err)
+		}
 	}
 	pw.unresponsive = unresponsive
 	pw.unverified = pw.unverified && unresponsive
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -114,6 +114,9 @@
 type Announce struct {
 	Spec     model.WorkerSpec `cbor:"1,keyasint"`
 	Sequence uint64           `cbor:"2,keyasint,omitempty"` // of the heartbeat that announced it; zero: unknown
+	// CommonCause lists the jobs that are not likely to have crashed its earlier
+	// incarnation, since other workers without a task of them stopped at the same moment.
+	CommonCause []model.JobID `cbor:"3,keyasint,omitempty"`
 }
 
 // SetCapacity changes the capacity of a worker that keeps its session and its tasks.
@@ -145,6 +148,8 @@
 	Session uint64         `cbor:"2,keyasint"`
 	// Replaced is set if another worker answers at the address, so that this one has ended.
 	Replaced bool `cbor:"3,keyasint,omitempty"`
+	// CommonCause lists the jobs that are not likely to have crashed it, as in Announce.
+	CommonCause []model.JobID `cbor:"4,keyasint,omitempty"`
 }
 
 // Place starts tasks on workers. The placements of a gang must be complete and
--- a/internal/state/crash.go
+++ b/internal/state/crash.go
@@ -17,7 +17,8 @@
 // stay unexplained count at a higher limit. Both count only against tasks whose start the
 // worker has got: a start without a response may have been lost on its way. If the leader
 // that sent the start was lost, nobody knows whether the worker got it. Such a crash is
-// doubtful and counts at the higher limit, too.
+// doubtful and counts at the higher limit, too. So is one at the same moment as those of
+// other workers, on which the job was starting no task: it has a common cause with them.
 
 const (
 	// maxCrashes is the number of crashes from which on a task is not started again. A
@@ -71,7 +72,7 @@
 	evidenceLikely                     // it was started when the worker crashed
 	evidenceSole                       // so, and no task of another job was
 	evidenceUnreceived                 // it is not known that the worker got its start
-	evidenceDoubtful                   // nor can it be known, since the leader that sent the start was lost
+	evidenceDoubtful                   // the leader that sent the start was lost, or the crash may have a common cause with others
 )
 
 // limit returns the number of crashes from which on a task is given up.
@@ -138,8 +139,10 @@
 }
 
 // suspectsOn returns the tasks that may have crashed w, which are those that were
-// starting when it did. It returns nil if there are none or if w ends as planned.
-func (m *Machine) suspectsOn(w *Worker) []lostAttempt {
+// starting when it did. It returns nil if there are none or if w ends as planned. The
+// crash may have a cause that it shares with other workers rather than a task of the
+// given jobs.
+func (m *Machine) suspectsOn(w *Worker, commonCause []model.JobID) []lostAttempt {
 	if len(w.Held) == 0 || w.Mode == model.WorkerLeaving || w.Mode == model.WorkerDraining {
 		return nil
 	}
@@ -154,12 +157,29 @@
 	markSole(out) // a task whose start may not have been received may be the cause, too
 	for i := range out {
 		a := &out[i]
-		switch t := &m.jobs[a.Task.Job].Tasks[a.Task.Index]; {
-		case t.Received:
-		case t.Fence.Term < m.fence().Term:
-			a.Evidence = evidenceDoubtful
-		default:
+		t := &m.jobs[a.Task.Job].Tasks[a.Task.Index]
+		lost := !t.Received && t.Fence.Term < m.fence().Term
+		switch {
+		case !t.Received && !lost:
 			a.Evidence = evidenceUnreceived
+		case lost || slices.Contains(commonCause, a.Task.Job):
+			a.Evidence = evidenceDoubtful
+		}
+	}
+	return out
+}
+
+// JobsInStart returns the jobs that have tasks on a worker which may crash it in their
+// start.
+func (m *Machine) JobsInStart(id model.WorkerID) []model.JobID {
+	w := m.Worker(id)
+	if w == nil {
+		return nil
+	}
+	var out []model.JobID
+	for _, a := range m.suspectsOn(w, nil) {
+		if !slices.Contains(out, a.Task.Job) {
+			out = append(out, a.Task.Job)
 		}
 	}
 	return out
--- a/internal/state/worker.go
+++ b/internal/state/worker.go
@@ -130,7 +130,7 @@
 	crashed := known && w.Spec.Incarnation != 0 && c.Spec.Incarnation > w.Spec.Incarnation
 	m.explainLoss(w, crashed)
 	m.explainLossesAt(c.Spec.Address, w)
-	suspects := m.suspectsOn(w)
+	suspects := m.suspectsOn(w, c.CommonCause)
 	m.loseTasks(w, "the worker started again")
 	if crashed {
 		m.recordCrash(w.Spec.ID, suspects)
@@ -181,7 +181,7 @@
 			continue
 		}
 		n++
-		suspects := m.suspectsOn(w)
+		suspects := m.suspectsOn(w, lost.CommonCause)
 		m.loseTasks(w, "the worker was lost")
 		if lost.Replaced {
 			m.recordCrash(w.Spec.ID, suspects)
