control, platform: take a start for received only if its worker crashed in touch

What callers saw: nothing yet; a start that a cut or a reset has swallowed counted as received (hypothesis of the users). Cause: the end of the connection of a start within 1.25 s of the worker's last response counted as receipt. A connection is also reset while the worker goes on, and by its next incarnation after a short cut. Now the poll beside it must have lost its connection, too, and the worker must have answered nothing since. A process that ends takes all its connections along at once; behind a cut the poll times out.

--- a/internal/control/crash.go
+++ b/internal/control/crash.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"errors"
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/api"
@@ -22,11 +23,24 @@
 // in touch. It is more than a poll may wait.
 const heardWithin = 1250 * time.Millisecond
 
-// recordBroken records that a worker has got a start, if the connection ended before the
-// response. If nothing was heard of the worker for some time, the start may have been lost
-// on its way, and the connection ended by the next incarnation.
+// recordBroken records that the connection of a start ended before the response, and that
+// the worker has got the start if it also stopped answering. If nothing was heard of the
+// worker for some time, the start may have been lost on its way, and the connection ended
+// by the next incarnation.
 func (p *polledWorkers) recordBroken(pw *polledWorker, id model.TaskID, cmd *workerCommand, resp workerclient.Response) {
-	if !resp.Broken || !p.isCurrent(pw, id, cmd) || p.l.c.s.now().Sub(pw.heardAt) > heardWithin {
+	now := p.l.c.s.now()
+	if !resp.Broken || !p.isCurrent(pw, id, cmd) || now.Sub(pw.heardAt) > heardWithin {
+		return
+	}
+	cmd.brokenAt = now
+	p.recordReceived(pw, id, cmd)
+}
+
+// recordReceived records that a worker has got a start, if the connection of the start and
+// that of a poll ended and the worker has answered nothing since. It was in touch when it
+// crashed, then. A connection alone may also be reset while the worker goes on.
+func (p *polledWorkers) recordReceived(pw *polledWorker, id model.TaskID, cmd *workerCommand) {
+	if !pw.connectionEnded || cmd.brokenAt == 0 || cmd.brokenAt < pw.answeredAt {
 		return
 	}
 	if _, t := p.l.task(id); t != nil && t.Attempt == cmd.attempt && t.Phase.HoldsResources() && !t.Received {
@@ -34,6 +48,16 @@
 	}
 }
 
+// recordCrashed records that a worker in touch stopped answering, and so which starts it
+// has got.
+func (p *polledWorkers) recordCrashed(pw *polledWorker, err error) {
+	pw.connectionEnded = errors.Is(err, workerclient.ErrConnectionEnded)
+	for id, cmd := range pw.commands {
+		p.recordReceived(pw, id, cmd)
+	}
+	p.commitReports()
+}
+
 // reportSettled reports that a suspected task has run past its start, so that it did
 // not crash its worker. SentAt is when the poll was sent that lists it.
 func (p *polledWorkers) reportSettled(pw *polledWorker, sentAt model.Time, id model.TaskID, t *state.Task) {
--- a/internal/control/outages.go
+++ b/internal/control/outages.go
@@ -9,6 +9,7 @@
 
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/state"
+	"github.com/filbertmast/filbertmast/internal/workerclient"
 )
 
 // Workers that stop answering at one moment have a common cause, such as a rack without
@@ -76,12 +77,12 @@
 	return n
 }
 
-// recordOutage records that a worker stopped answering. A poll that failed before its time
-// was over shows the moment.
+// recordOutage records that a worker stopped answering. A connection that ended shows the
+// moment, unless the worker was not heard of before.
 func (p *polledWorkers) recordOutage(pw *polledWorker, err error) {
 	now := p.l.c.s.now()
 	e := outage{worker: pw.target.Worker, from: max(pw.heardAt, pw.addedAt), to: now, jobs: p.l.c.machine.JobsInStart(pw.target.Worker)}
-	if pw.heardAt != 0 && !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, errOverdue) && !errors.Is(err, errNewIncarnation) {
+	if pw.heardAt != 0 && errors.Is(err, workerclient.ErrConnectionEnded) && !errors.Is(err, context.DeadlineExceeded) {
 		e.from = now
 	}
 	p.outages.record(e)
--- a/internal/control/polled.go
+++ b/internal/control/polled.go
@@ -55,6 +55,9 @@
 	// unresponsive is set while the last poll has failed. The lease is not renewed
 	// meanwhile, since otherwise the lease of a dead worker would never expire.
 	unresponsive bool
+	// connectionEnded is set while the worker is unresponsive and its last poll has failed
+	// since the connection ended, as it does if the worker crashes.
+	connectionEnded bool
 	// replaced is set once a later incarnation is known. It may answer calls that are
 	// meant for this one.
 	replaced   bool
@@ -91,6 +94,7 @@
 	repeatTimer  *time.Timer // repeats the last command
 	maybeStarted bool        // a start had no response: the worker may have executed it or may still do so
 	unansweredAt model.Time  // when the last start without a response was given up; zero: none was
+	brokenAt     model.Time  // when the connection of a start ended before the response; zero: none did
 	confirmedAt  model.Time  // when the worker confirmed the last command; zero: it has not
 	isStop       bool        // the last command was a stop
 	accepted     bool        // a start was accepted, perhaps by a later incarnation
--- a/internal/control/polls.go
+++ b/internal/control/polls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/model"
@@ -174,6 +175,9 @@
 	otherIncarnation := errors.Is(err, workerclient.ErrOtherIncarnation)
 	if err == nil && resp.Incarnation != pw.target.Incarnation {
 		err = errNewIncarnation // it gets no start until its announcement is committed
+		if resp.ConnectionEnded {
+			err = fmt.Errorf("%w: %w", errNewIncarnation, workerclient.ErrConnectionEnded)
+		}
 	}
 	overtaken := errors.Is(err, workerclient.ErrFenced) && poll.fence < pw.fence // by a start
 	ends, lost := pw.polls.End(poll.number, err == nil || otherIncarnation || overtaken)
@@ -194,6 +198,7 @@
 	}
 	pw.repeatTimer.Stop()
 	if otherIncarnation {
+		p.recordCrashed(pw, err)
 		p.loseReplaced(pw)
 		return
 	}
@@ -253,9 +258,11 @@
 		p.logResponsiveness(pw, err)
 		if unresponsive {
 			p.recordOutage(pw, err)
+			p.recordCrashed(pw, err)
 		}
 	}
 	pw.unresponsive = unresponsive
+	pw.connectionEnded = pw.connectionEnded && unresponsive
 	pw.unverified = pw.unverified && unresponsive
 	p.updateScheduler(pw)
 }
--- a/internal/workerclient/client.go
+++ b/internal/workerclient/client.go
@@ -67,6 +67,8 @@
 	Ended       []EndedAttempt
 	MoreEnds    bool // the lists are incomplete: further ended attempts are listed once these are acknowledged
 	Unreadable  UnreadableRows
+	// ConnectionEnded is set if the connection of the poll ended and it was sent again.
+	ConnectionEnded bool
 }
 
 // UnreadableRows are the rows of a response that cannot be read. They are in no list.
@@ -170,6 +172,10 @@
 // has ended.
 var ErrOtherIncarnation = errors.New("another incarnation answers at the worker's address")
 
+// ErrConnectionEnded reports that the connection of a poll ended before the response, or
+// that none was accepted.
+var ErrConnectionEnded = errors.New("the connection to the worker ended, or it accepts none")
+
 // ErrFenced reports that a worker refused a poll, since it has seen a higher fence.
 var ErrFenced = errors.New("the worker has seen a higher fence")
 
