state: count silent losses at one limit

What callers saw: nothing yet; a task is given up after four of its workers were cut off and ran on. Cause: losses that stay unexplained counted at four if one of them had no other possible cause. Callers tolerate two starts after a third crash, so five losses are the first number that demands it, and a cut is no crash. The limit is five in all cases, and the state no longer keeps whether a loss had another possible cause. Evidence: rows of TestTaskWhoseWorkersStayAwayIsGivenUp ask for five starts where they asked for four, and for six where one of the workers was only cut off; they fail before.

--- a/internal/state/crash.go
+++ b/internal/state/crash.go
@@ -32,8 +32,6 @@
 	startsAfterLastCrash = 2
 	// maxDoubtful replaces maxCrashes if doubtful crashes or silent losses count.
 	maxDoubtful = maxCrashes + startsAfterLastCrash
-	// maxSoleSilent replaces maxDoubtful if a later one of the silent losses has no other possible cause.
-	maxSoleSilent = maxCrashes + 1
 	// maxLosses is the number of crashes and unexplained losses from which on a task is
 	// held while one of them is unexplained: crashes that are learned late must not add up
 	// to more starts than maxCrashes allows.
@@ -53,7 +51,6 @@
 	HeldUntil   model.Time `cbor:"3,keyasint,omitempty"` // the task is not started before
 	Near        bool       `cbor:"4,keyasint,omitempty"` // a worker crashed soon after the start
 	Silent      uint16     `cbor:"5,keyasint,omitempty"` // those of Unexplained that were lost in the start
-	SoleSilent  bool       `cbor:"6,keyasint,omitempty"` // and of a later one of them it is the only possible cause
 	Unreceived  bool       `cbor:"7,keyasint,omitempty"` // a worker crashed that may not have got its start
 	Doubtful    uint16     `cbor:"8,keyasint,omitempty"` // crashes that it is not certain to have caused, nor to have been near
 }
@@ -290,15 +287,12 @@
 	}
 }
 
-// addUnexplained adds a loss. The first one has often only one possible cause, so it is a
-// later one that sets SoleSilent.
+// addUnexplained adds a loss.
 func (s *suspicion) addUnexplained(e evidence) {
 	s.Unexplained = addSaturating(s.Unexplained)
-	if e == evidenceNear {
-		return
+	if e != evidenceNear {
+		s.Silent = addSaturating(s.Silent)
 	}
-	s.SoleSilent = s.SoleSilent || e == evidenceSole && s.Silent > 0
-	s.Silent = addSaturating(s.Silent)
 }
 
 // removeUnexplained removes a loss that is explained now.
@@ -307,23 +301,11 @@
 	if e != evidenceNear {
 		s.Silent = max(s.Silent, 1) - 1
 	}
-	s.SoleSilent = s.SoleSilent && s.Silent > 0
 }
 
 // overLimit reports whether workers have crashed or were lost too often under a task.
 func (s *suspicion) overLimit(e evidence) bool {
-	return s.Crashes >= e.limit() || (s.Silent > 0 || s.Doubtful > 0) && s.possibleCrashes() >= s.doubtfulLimit()
-}
-
-// possibleCrashes returns the number of crashes, doubtful ones and silent losses included.
-func (s *suspicion) possibleCrashes() int { return int(s.Crashes) + int(s.Silent) + int(s.Doubtful) }
-
-// doubtfulLimit returns the number of possible crashes from which on a task is given up.
-func (s *suspicion) doubtfulLimit() int {
-	if s.SoleSilent {
-		return maxSoleSilent
-	}
-	return maxDoubtful
+	return s.Crashes >= e.limit() || int(s.Crashes)+int(s.Silent)+int(s.Doubtful) >= maxDoubtful
 }
 
 // updateSuspicion changes the suspicion of a task that has not ended. A pending task is
