schedule: end a turn at a team's limit that keeps idle jobs waiting

Cause: a turn lasted 5 s, then 10 s and so on, however little the team ran; it was held for work that was known to outlast it; and it went on after its job was cancelled. Now a turn ends once it has kept a job of which nothing runs waiting for 2 s (MaxIdleWait) while the team uses less than half of its limits. Callers take such a job for lost after 3 s. The pause after it is as long as the turn was. A turn that the running work outlasts, by learned run times, is left out, and one whose job waits no longer ends. What a gang is still promised: its turns come back after pauses as long as they were, at full length while half of the limits or more is in use or all other jobs have work running; TestGangThatFitsItsLimitOnlyAloneStartsWithinItsBound holds as it was. Evidence: limithold_test.go; of the new tests TestGangHeldUpByItsLimitKeepsNoIdleJobWaitingForLong, TestTurnThatRunningWorkOutlastsIsLeftOut and TestTurnEndsWithItsJob fail before.

--- a/internal/schedule/backfill.go
+++ b/internal/schedule/backfill.go
@@ -116,22 +116,28 @@
 }
 
 // expectedEnds returns the expected ends of the tasks of w in order of time. It
-// leaves out tasks of services, tasks of classes without a learned run time, and
-// tasks that already run longer than learned.
+// leaves out tasks of services and those whose end is unknown.
 func (s *Scheduler) expectedEnds(w *worker, now model.Time) []expectedEnd {
 	var out []expectedEnd
 	for _, r := range w.tasks {
-		t := &r.job.tasks[r.index]
-		run := s.learnedRunTime(r.job.group)
-		at := t.since.Add(run)
-		if run > 0 && r.job.group.policy != service && at >= now {
-			out = append(out, expectedEnd{at, t.size})
+		if at := s.expectedEndOf(r.job, r.task(), now); at != 0 && r.job.group.policy != service {
+			out = append(out, expectedEnd{at, r.task().size})
 		}
 	}
 	slices.SortFunc(out, func(a, b expectedEnd) int { return cmp.Compare(a.at, b.at) })
 	return out
 }
 
+// expectedEndOf returns when an assigned task is expected to end. It returns zero if that is
+// unknown: its class has no learned run time, or it already runs for longer.
+func (s *Scheduler) expectedEndOf(j *job, t *task, now model.Time) model.Time {
+	run := s.learnedRunTime(j.group)
+	if at := t.since.Add(run); run > 0 && at >= now {
+		return at
+	}
+	return 0
+}
+
 // learnedRunTime returns the learned run time of g, or zero if there are too few
 // observations.
 func (s *Scheduler) learnedRunTime(g *group) time.Duration {
--- a/internal/schedule/limithold_test.go
+++ b/internal/schedule/limithold_test.go
@@ -133,3 +133,111 @@
 	assert.Assert(t, c.tooLong <= 2*busyStep, "others waited for %s with room, %s too long", c.longest, c.tooLong)
 	assert.Equal(t, len(audit(c.s)), 0)
 }
+
+// callersWait is how long a job that could run may have nothing running before callers take it for lost.
+const callersWait = 3 * time.Second
+
+// idleTeam is a cell in which team a uses a quarter of its limit, and a gang of the team fits the limit only alone.
+func idleTeam() *fakeLeader {
+	c := newCell(model.Team{Name: "a", Share: 1, MaxRunning: 1000, MaxResources: model.Resources{CPU: 40_000}})
+	c.workers(8, cores(16))
+	c.job(model.JobSpec{Name: "long", Tasks: 1, Size: cores(10)})
+	c.plan()
+	c.job(model.JobSpec{Name: "gang", Policy: model.PolicyGang, Tasks: 5, Size: cores(7)})
+	c.plan()
+	return c
+}
+
+// Guards against a team that stands still while the limits hold up one of its gangs, although most of them is unused.
+func TestGangHeldUpByItsLimitKeepsNoIdleJobWaitingForLong(t *testing.T) {
+	for _, row := range []struct {
+		name        string
+		after, over time.Duration // from the gang to the first job, and from that to the last
+	}{
+		{"at once", 50 * time.Second, 0},
+		{"a little earlier", 34 * time.Second, 0},
+		{"one by one", 96 * time.Second, 5 * time.Second},
+		{"one by one, later", 104 * time.Second, 5 * time.Second},
+		{"one by one, last", 112 * time.Second, 5 * time.Second},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			const jobs = 20
+			c := idleTeam()
+			from := c.now
+			submitted := map[model.JobID]model.Time{}
+			started := 0
+			for c.now.Sub(from) < row.after+row.over+2*callersWait {
+				due := row.after + row.over*time.Duration(len(submitted))/jobs
+				for ; len(submitted) < jobs && c.now.Sub(from) >= due; due = row.after + row.over*time.Duration(len(submitted))/jobs {
+					submitted[c.job(model.JobSpec{Name: "small", Tasks: 1, Size: cores(1)})] = c.now
+				}
+				for _, p := range c.plan().Placements {
+					started++
+					waited := c.now.Sub(submitted[p.Task.Job])
+					assert.Assert(t, waited < callersWait, "%s has waited for %s", p.Task.Job, waited)
+				}
+				c.now = c.now.Add(100 * time.Millisecond)
+			}
+			assert.Equal(t, started, jobs)
+		})
+	}
+}
+
+// Guards against a turn that keeps the jobs of a team waiting although the work that runs is known to outlast it.
+func TestTurnThatRunningWorkOutlastsIsLeftOut(t *testing.T) {
+	c := newCell(model.Team{Name: "a", Share: 1, MaxRunning: 1000, MaxResources: model.Resources{CPU: 40_000}})
+	c.workers(8, cores(16))
+	for range 8 {
+		id := c.job(model.JobSpec{Name: "long", Tasks: 1, Size: cores(1)})
+		c.plan()
+		c.end(model.TaskID{Job: id}, Succeeded, 400*time.Second, true)
+	}
+	c.job(model.JobSpec{Name: "long", Tasks: 2, Size: cores(12)})
+	assert.Equal(t, len(c.plan().Placements), 2)
+	c.job(model.JobSpec{Name: "gang", Policy: model.PolicyGang, Tasks: 5, Size: cores(7)})
+	c.plan()
+	c.now = c.now.Add(10 * time.Second)
+	c.job(model.JobSpec{Name: "small", Tasks: 16, Size: cores(1)})
+	assert.Equal(t, len(c.plan().Placements), 16)
+}
+
+// Guards against a gang that small jobs of its team starve in turn, since they always use some of its limit.
+func TestGangIsNotStarvedByShortJobsOfItsTeam(t *testing.T) {
+	const run = time.Second
+	c := newCell(model.Team{Name: "a", Share: 1, MaxRunning: 1000, MaxResources: model.Resources{CPU: 40_000}})
+	c.workers(8, cores(16))
+	ends := map[model.TaskID]model.Time{}
+	var gang model.JobID
+	for step := range 300 {
+		for _, id := range sortedKeys(ends, compareTasks) {
+			if ends[id] <= c.now {
+				delete(ends, id)
+				c.end(id, Succeeded, run, true)
+			}
+		}
+		c.job(model.JobSpec{Name: "small", Tasks: 1, Size: cores(1)})
+		if step == 50 {
+			gang = c.job(model.JobSpec{Name: "gang", Policy: model.PolicyGang, Tasks: 5, Size: cores(7)})
+		}
+		for _, p := range c.plan().Placements {
+			if p.Task.Job == gang {
+				return
+			}
+			ends[p.Task] = c.now.Add(run)
+		}
+		c.now = c.now.Add(100 * time.Millisecond)
+	}
+	t.Error("the gang has not started")
+}
+
+// Guards against a turn that goes on after its job was cancelled, for another job that the limits hold up.
+func TestTurnEndsWithItsJob(t *testing.T) {
+	c := idleTeam()
+	first := c.nextJob
+	c.job(model.JobSpec{Name: "next", Policy: model.PolicyGang, Tasks: 5, Size: cores(7)})
+	c.job(model.JobSpec{Name: "small", Tasks: 4, Size: cores(1)})
+	c.now = c.now.Add(time.Second)
+	assert.Equal(t, len(c.plan().Placements), 0)
+	c.s.Apply(JobsCancelled{IDs: []model.JobID{first}})
+	assert.Equal(t, len(c.plan().Placements), 4)
+}
--- a/internal/schedule/naive_test.go
+++ b/internal/schedule/naive_test.go
@@ -219,12 +219,82 @@
 			length *= 2
 		}
 		j.limitTurns++
-		t.hold = limitHold{n.now.Add(length), n.now.Add(2 * length)}
+		t.hold = limitHold{job: j, from: n.now, until: n.now.Add(length), resume: n.now.Add(2 * length)}
+		if n.limitsAllowAt(j, size, count) > t.hold.until {
+			t.hold.until = n.now
+		}
+	}
+	if n.now >= t.hold.until {
+		return false
+	}
+	h := &t.hold
+	if h.job != j && (n.ready(h.job) == 0 || h.job.group.policy == gang && (h.job.waiting > 0 || h.job.assigned > 0)) {
+		h.until, h.resume = n.now, 2*n.now-h.from
+		return false
+	}
+	if !n.keepsIdleJob(j.group.team) {
+		h.idleSince = 0
+	} else if h.idleSince == 0 {
+		h.idleSince = n.now
 	}
-	n.wakeAt(t.hold.until)
+	if due := h.idleSince.Add(n.s.opts.MaxIdleWait); h.idleSince != 0 && n.now < due {
+		n.wakeAt(due)
+	} else if h.idleSince != 0 {
+		h.job.limitTurns--
+		h.until, h.resume = n.now, 2*n.now-h.from
+		return false
+	}
+	n.wakeAt(h.until)
 	return true
 }
 
+// keepsIdleJob reports whether another job of a team than the one that has the turn could
+// run within the limits, and nothing of it runs, while most of the limits is unused.
+func (n *naive) keepsIdleJob(team int32) bool {
+	t := n.s.teams[team]
+	use, running := n.use(team)
+	if 2*running >= t.maxRunning || !withinHalf(use, t.maxResources) {
+		return false
+	}
+	return slices.ContainsFunc(n.jobs(), func(j *job) bool {
+		count := int64(1)
+		if j.group.policy == gang {
+			count = n.ready(j)
+		}
+		if j == t.hold.job || j.group.team != team || n.ready(j) == 0 || j.assigned > 0 || j.group.policy == gang && j.waiting > 0 {
+			return false
+		}
+		return j.group.fitFailure.Err == nil && running+t.requestPermits+count <= t.maxRunning && within(use.Add(n.size(j.group).Mul(count)), t.maxResources)
+	})
+}
+
+// limitsAllowAt returns when the limits are expected to allow count tasks of j.
+func (n *naive) limitsAllowAt(j *job, size model.Resources, count int64) model.Time {
+	t := n.s.teams[j.group.team]
+	use, running := n.use(j.group.team)
+	var ends []expectedEnd
+	for _, o := range n.jobs() {
+		for i := range o.tasks {
+			if k := &o.tasks[i]; k.state.assigned() && o.group.team == j.group.team && o.group.policy != service {
+				at := n.now
+				if run, ok := n.s.learned.Class(o.group.class).RunTime(); ok && k.since.Add(run) >= n.now {
+					at = k.since.Add(run)
+				}
+				ends = append(ends, expectedEnd{at, k.size})
+			}
+		}
+	}
+	slices.SortFunc(ends, func(a, b expectedEnd) int { return cmp.Compare(a.at, b.at) })
+	for _, e := range ends {
+		running--
+		use = use.Sub(e.size)
+		if running+t.requestPermits+count <= t.maxRunning && within(use.Add(size.Mul(count)), t.maxResources) {
+			return e.at
+		}
+	}
+	return maxTime
+}
+
 // best returns the least of the workers that may accepts.
 func (n *naive) best(may func(int32) bool, less func(a, b int32) bool) int32 {
 	best := noSlot
--- a/internal/schedule/options.go
+++ b/internal/schedule/options.go
@@ -8,6 +8,7 @@
 
 	PressingSlack          time.Duration // jobs with less slack may reserve workers and preempt
 	LimitHold              time.Duration // first turn in which a job that the limits of its team hold up stops later ones of the team
+	MaxIdleWait            time.Duration // for which room is kept from a job of which nothing runs, while less than half of the room is in use
 	AgeingSpan             time.Duration // lateness that offsets one whole share in the order of teams
 	BackoffBase            time.Duration // delay before the first restart
 	BackoffCap             time.Duration // longest delay between restarts
@@ -37,6 +38,7 @@
 const (
 	DefaultPressingSlack          = 5 * time.Second
 	DefaultLimitHold              = 5 * time.Second
+	DefaultMaxIdleWait            = 2 * time.Second // a second less than callers wait for a job that could run
 	DefaultAgeingSpan             = 10 * time.Minute
 	DefaultBackoffBase            = time.Second
 	DefaultBackoffCap             = 5 * time.Minute
@@ -56,6 +58,7 @@
 func (o Options) withDefaults() Options {
 	orDefault(&o.PressingSlack, DefaultPressingSlack)
 	orDefault(&o.LimitHold, DefaultLimitHold)
+	orDefault(&o.MaxIdleWait, DefaultMaxIdleWait)
 	orDefault(&o.AgeingSpan, DefaultAgeingSpan)
 	orDefault(&o.BackoffBase, DefaultBackoffBase)
 	orDefault(&o.BackoffCap, DefaultBackoffCap)
