schedule: lend reserved workers to jobs of which nothing runs

Backfill needs a known start, and there is none while no run time of the running work is learned; and reserved workers have no room for the permits of other jobs, so that none were asked for. Now a reservation lends: while less than half of the matching workers is in use, a job of which nothing runs, or a task of a service, gets reserved workers after it has waited for 2 s (MaxIdleWait). All that wait borrow at one moment, and the workers are kept again for 2 s, so that short work has ended before the next such moment. In a cell that is half in use or more nothing is lent. What the gang is still promised: it waits for what borrowed its workers to end, in a cell that is mostly idle; a service that borrows for good ends the reservation, and the gang reserves other workers.

--- a/internal/permit/gang_test.go
+++ b/internal/permit/gang_test.go
@@ -268,6 +268,28 @@
 	assert.Assert(t, c.now.Sub(late) <= lateShift+startLimit, "the late task started after %s", c.now.Sub(late))
 }
 
+// Guards against a gang that stands still since another one waits for the workers that it may use, which are mostly free.
+func TestGangStartsOnPermittedWorkersThatAnotherGangWaitsFor(t *testing.T) {
+	const (
+		workers   = 120
+		permitted = workers / permittedOf
+		secondID  = gangID + 1
+		long      = 2000 // CPU of a task that runs on
+	)
+	c := newPermitCell(t, workers)
+	c.submit(fillerID, model.JobSpec{Name: "long", Tasks: workers, Size: model.Resources{CPU: long, Memory: 4096}, Exclusive: true, Patience: model.Duration(time.Hour)}, false)
+	c.step()
+	c.submitGang(permitted, model.Resources{CPU: workerCPU - long/2, Memory: 4096}, time.Second)
+	assert.Equal(t, c.runFor(20*time.Second, time.Hour), model.Time(0), "no worker has room")
+	c.submit(secondID, gangSpec(permitted/2, half, time.Second), true)
+	submitted := c.now
+	for c.pending[secondID] && c.now.Sub(submitted) < time.Minute {
+		c.step()
+	}
+	limit := schedule.DefaultMaxIdleWait + c.cost(permitted)
+	assert.Assert(t, c.now.Sub(submitted) <= limit, "the gang started after %s, limit %s", c.now.Sub(submitted), limit)
+}
+
 // Guards against small tasks on idle workers while half-full ones have room for them.
 func TestSmallTasksLeaveIdleWorkersToGang(t *testing.T) {
 	const (
--- a/internal/schedule/gang.go
+++ b/internal/schedule/gang.go
@@ -71,10 +71,13 @@
 // them.
 func (p *planner) placeGang(j *job, size model.Resources) bool {
 	c := &p.s.gangWorkers
-	chosen := p.findRacks(j, size)
+	chosen := p.findRacks(j, size, j.claims())
 	if chosen == nil && !j.group.exclusive && j.reservation == nil && j.permits == nil {
 		p.s.fitBounds.lower(j.group.fit, tasksIn(c.racks))
 	}
+	if chosen == nil {
+		chosen = p.findBorrowedRacks(j, size)
+	}
 	if chosen == nil {
 		return false
 	}
@@ -103,7 +106,8 @@
 // findRacks chooses racks for the ready tasks of j; nil if they do not fit.
 // Failure domains are searched in an order specific to the job. The first one in
 // which a single rack holds all tasks is chosen, since no choice uses fewer racks.
-func (p *planner) findRacks(j *job, size model.Resources) []gangRack {
+// Reserved workers count if claims list them.
+func (p *planner) findRacks(j *job, size model.Resources, claims []claim) []gangRack {
 	bins, exact := p.s.binsFor(p.bins[:0], j.group.selector)
 	p.bins = bins
 	accept := p.accept(j, exact)
@@ -116,7 +120,7 @@
 	}
 	for _, domain := range p.s.domainsFor(j) {
 		from := len(c.racks)
-		p.findGangWorkers(j, size, domain, bins, add)
+		p.findGangWorkers(j, size, domain, bins, claims, add)
 		chosen := fewestRacks(slices.Clone(c.racks[from:]), int64(j.ready))
 		if len(chosen) == 1 {
 			return chosen
@@ -139,16 +143,13 @@
 
 // findGangWorkers calls add for the workers of one failure domain on which tasks
 // of j fit.
-func (p *planner) findGangWorkers(j *job, size model.Resources, domain int32, bins []int32, add func(int32, model.Resources)) {
+func (p *planner) findGangWorkers(j *job, size model.Resources, domain int32, bins []int32, claims []claim, add func(int32, model.Resources)) {
 	for _, bin := range bins {
 		if p.s.bins.keys[bin].domain == domain {
 			p.s.free.Each(bin, size, add)
 		}
 	}
-	if j.reservation == nil {
-		return
-	}
-	for _, claim := range j.reservation.claims {
+	for _, claim := range claims {
 		w := &p.s.workers[claim.slot]
 		if w.domain == domain && p.usable(j, claim.slot, size) {
 			add(claim.slot, w.free)
--- a/internal/schedule/health.go
+++ b/internal/schedule/health.go
@@ -247,8 +247,7 @@
 // usable reports whether a task of j may run and fits on a worker, regardless of
 // probation and reservations.
 func (p *planner) usable(j *job, slot int32, size model.Resources) bool {
-	w := &p.s.workers[slot]
-	if !w.open() || !size.Fits(w.free) || !p.s.matches(j.group.selector, w.class) || !p.permitted(j, slot) {
+	if !p.hasRoom(j, slot, size) || !p.permitted(j, slot) {
 		return false
 	}
 	if !j.group.exclusive {
@@ -257,3 +256,9 @@
 	p.spread.load(p.s, j)
 	return !p.spread.onWorker[slot]
 }
+
+// hasRoom reports whether a task of j fits on an open worker that its selectors match.
+func (p *planner) hasRoom(j *job, slot int32, size model.Resources) bool {
+	w := &p.s.workers[slot]
+	return w.open() && size.Fits(w.free) && p.s.matches(j.group.selector, w.class)
+}
--- a/internal/schedule/order.go
+++ b/internal/schedule/order.go
@@ -11,6 +11,7 @@
 		t.ranked = false
 	}
 	p.beginBackfill()
+	p.beginLending()
 	p.probesDue = p.s.probeDue(p.now)
 }
 
@@ -98,7 +99,7 @@
 		return false
 	}
 	g := e.group
-	if p.probesDue && e.mayProbe || p.mayBackfill(g, g.taskSize) {
+	if p.probesDue && e.mayProbe || p.mayBackfill(g, g.taskSize) || p.mayLend(g, g.taskSize) {
 		return false
 	}
 	if p.now < e.pressing {
--- a/internal/schedule/permit.go
+++ b/internal/schedule/permit.go
@@ -99,7 +99,7 @@
 
 // Candidates returns the open and responsive workers that match the selectors of a
 // job and are large enough for one of its tasks, in no order. A worker that is
-// reserved for another job or on probation has no room. It returns nil if the job is
+// reserved for another job, and may not be lent, or that is on probation has no room. It returns nil if the job is
 // unknown. The result is valid until the next call.
 func (s *Scheduler) Candidates(id model.JobID) []Candidate {
 	j := s.jobs[id]
@@ -112,6 +112,9 @@
 	}
 	size := s.sizeFor(j.group)
 	classes := s.matching(j.group.selector)
+	p := planner{s: s}
+	p.beginLending()
+	borrows := p.mayBorrow(j, size)
 	out := s.candidates[:0]
 	for slot := range s.workers {
 		w := &s.workers[slot]
@@ -128,7 +131,7 @@
 			Reserved:     w.reservation != nil && w.reservation.job == j,
 		}
 		taken := j.group.exclusive && placed.onWorker[slot]
-		if !taken && size.Fits(w.free) && (c.Reserved || w.available()) {
+		if !taken && size.Fits(w.free) && (c.Reserved || w.available() || borrows && w.reservedInAdvance()) {
 			c.Room = j.tasksThatFit(size, w.free)
 		}
 		out = append(out, c)
--- a/internal/schedule/planner.go
+++ b/internal/schedule/planner.go
@@ -22,6 +22,7 @@
 	searches         int
 	probesDue        bool // a worker on probation is due for a probe
 	backfill         backfill
+	lending          lending
 	wake             model.Time // when to plan again without a new event
 }
 
@@ -41,6 +42,7 @@
 	p.drain()
 	p.place()
 	p.rollBack()
+	p.endLending()
 	p.scheduleWakes()
 	p.plan.NextWake = p.nextWake()
 	return p.plan
@@ -76,6 +78,9 @@
 func (p *planner) try(g *group) {
 	j := g.head()
 	size := p.s.sizeFor(g)
+	if !p.mayPlace(j) {
+		p.recordWaiting(j, size)
+	}
 	if !p.mayPlace(j) && (g.policy != gang || !j.permits.known()) {
 		p.skipHead(g)
 		return
@@ -102,7 +107,7 @@
 		return
 	}
 	p.handleUnplaced(j, size)
-	if j.reservation != nil && !j.reservation.advance || !j.fitsAsGroup() {
+	if j.reservation != nil && !j.reservation.advance || !j.fitsAsGroup() || p.mayLend(g, size) {
 		p.skipHead(g)
 		return
 	}
@@ -180,6 +185,9 @@
 	if slot == noSlot {
 		slot = p.findBackfill(j, size)
 	}
+	if slot == noSlot {
+		slot = p.findBorrowed(j, size)
+	}
 	if slot == noSlot {
 		slot = p.findOverdueProbe(j, size)
 	}
--- a/internal/schedule/reservation.go
+++ b/internal/schedule/reservation.go
@@ -21,6 +21,11 @@
 	startKnown      bool       // start is up to date, subject to the two fields below
 	startValidUntil model.Time // start is valid until then, since a task is expected to end
 	startVersion    uint64     // version of the learned table that start is based on
+
+	keptSince      model.Time // since when it keeps a job waiting that may borrow its workers; zero: it does not
+	keptLast       model.Time // last plan in which it did
+	lent           bool       // the current plan lends its workers
+	servicesBorrow bool       // a service, which does not end, has borrowed a worker
 }
 
 // claim is the part of a reservation on one worker.
@@ -60,10 +65,11 @@
 }
 
 // holdsTasks reports whether the reserved workers still hold the claimed tasks once their
-// batch tasks have ended, after the size of a task may have been learned anew.
+// batch tasks have ended, after the size of a task may have been learned anew or a service
+// has borrowed a worker.
 func (s *Scheduler) holdsTasks(r *reservation) bool {
 	size := s.sizeFor(r.job.group)
-	if size.Fits(r.size) {
+	if size.Fits(r.size) && !r.servicesBorrow {
 		return true
 	}
 	for _, c := range r.claims {
@@ -194,14 +200,19 @@
 	}
 }
 
+// claims returns the workers that are reserved for j.
+func (j *job) claims() []claim {
+	if j.reservation == nil {
+		return nil
+	}
+	return j.reservation.claims
+}
+
 // findReserved returns the tightest worker reserved for j on which a task fits, or
 // noSlot.
 func (p *planner) findReserved(j *job, size model.Resources) int32 {
 	best := noSlot
-	if j.reservation == nil {
-		return best
-	}
-	for _, c := range j.reservation.claims {
+	for _, c := range j.claims() {
 		if p.usable(j, c.slot, size) && (best == noSlot || p.compareTight(c.slot, best) < 0) {
 			best = c.slot
 		}
--- a/internal/schedule/worker.go
+++ b/internal/schedule/worker.go
@@ -40,6 +40,9 @@
 	return w.open() && w.reservation == nil && !w.onProbation() && w.isolatedFor.job == nil
 }
 
+// reservedInAdvance reports whether w is reserved for a job that waits for tasks to end.
+func (w *worker) reservedInAdvance() bool { return w.reservation != nil && w.reservation.advance }
+
 func (w *worker) onProbation() bool { return w.health != nil && w.health.probation }
 
 // invalidateReservation makes the start of the reservation of w, if any, be
