--- a/internal/control/crash.go
+++ b/internal/control/crash.go
@@ -48,9 +48,9 @@
 	}
 }
 
-// recordCrashed records that a worker in touch stopped answering, and so which starts it
-// has got.
-func (p *polledWorkers) recordCrashed(pw *polledWorker, err error) {
+// recordReceivedStarts records which starts a worker has got that stopped answering with
+// an error of its last poll.
+func (p *polledWorkers) recordReceivedStarts(pw *polledWorker, err error) {
 	pw.connectionEnded = errors.Is(err, workerclient.ErrConnectionEnded)
 	for id, cmd := range pw.commands {
 		p.recordReceived(pw, id, cmd)
--- a/internal/control/outages.go
+++ b/internal/control/outages.go
@@ -61,20 +61,23 @@
 	}
 	first := sort.Search(len(o), func(i int) bool { return o[i].to.Add(outageMargin) >= own.from })
 	beside := o[first:]
-	return slices.DeleteFunc(m.JobsInStart(worker), func(job model.JobID) bool { return beside.without(job, own) < commonOutages })
+	return slices.DeleteFunc(m.JobsInStart(worker), func(job model.JobID) bool { return !beside.commonWithout(job, own) })
 }
 
-// without returns how many other workers stopped answering at the same moment as in own,
-// and had no task of a job in its start.
-func (o outages) without(job model.JobID, own *outage) int {
+// commonWithout reports whether commonOutages other workers stopped answering at the same
+// moment as in own, and had no task of a job in its start.
+func (o outages) commonWithout(job model.JobID, own *outage) bool {
 	n := 0
 	for i := range o {
 		e := &o[i]
 		if e.worker != own.worker && e.overlaps(own) && !slices.Contains(e.jobs, job) {
 			n++
 		}
+		if n == commonOutages {
+			return true
+		}
 	}
-	return n
+	return false
 }
 
 // recordOutage records that a worker stopped answering. A connection that ended shows the
--- a/internal/control/outages_test.go
+++ b/internal/control/outages_test.go
@@ -17,17 +17,17 @@
 	rows := []struct {
 		name   string
 		others outages
-		want   int
+		want   bool
 	}{
-		{"no other worker", nil, 0},
-		{"two others at once, with other jobs", outages{{"w2", at, at, []model.JobID{2}}, {"w3", at, at, nil}}, 2},
-		{"two others at once, one with the job", outages{{"w2", at, at, []model.JobID{2}}, {"w3", at, at, []model.JobID{1}}}, 1},
-		{"two others a second later", outages{{"w2", later(time.Second), later(time.Second), nil}, {"w3", later(time.Second), later(time.Second), nil}}, 0},
-		{"two others that were silent at that time", outages{{"w2", later(-time.Second), later(time.Second), nil}, {"w3", at, later(time.Second), nil}}, 2},
+		{"no other worker", nil, false},
+		{"two others at once, with other jobs", outages{{"w2", at, at, []model.JobID{2}}, {"w3", at, at, nil}}, true},
+		{"two others at once, one with the job", outages{{"w2", at, at, []model.JobID{2}}, {"w3", at, at, []model.JobID{1}}}, false},
+		{"two others a second later", outages{{"w2", later(time.Second), later(time.Second), nil}, {"w3", later(time.Second), later(time.Second), nil}}, false},
+		{"two others that were silent at that time", outages{{"w2", later(-time.Second), later(time.Second), nil}, {"w3", at, later(time.Second), nil}}, true},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
-			assert.Equal(t, append(outages{own}, row.others...).without(1, &own), row.want)
+			assert.Equal(t, append(outages{own}, row.others...).commonWithout(1, &own), row.want)
 		})
 	}
 }
--- a/internal/control/polls.go
+++ b/internal/control/polls.go
@@ -198,7 +198,7 @@
 	}
 	pw.repeatTimer.Stop()
 	if otherIncarnation {
-		p.recordCrashed(pw, err)
+		p.recordReceivedStarts(pw, err)
 		p.loseReplaced(pw)
 		return
 	}
@@ -258,7 +258,7 @@
 		p.logResponsiveness(pw, err)
 		if unresponsive {
 			p.recordOutage(pw, err)
-			p.recordCrashed(pw, err)
+			p.recordReceivedStarts(pw, err)
 		}
 	}
 	pw.unresponsive = unresponsive
--- a/internal/schedule/lend.go
+++ b/internal/schedule/lend.go
@@ -18,6 +18,7 @@
 type lending struct {
 	classes []classUse      // by label class; nil: nothing is reserved in advance
 	most    model.Resources // largest free amount of each component on reserved workers
+	idle    map[int32]bool  // whether less than half is in use on the workers of a selector
 }
 
 // beginLending determines what the plan may lend.
@@ -51,17 +52,27 @@
 	if p.lending.classes == nil || !size.Fits(p.lending.most) {
 		return false
 	}
-	if g.policy == service {
-		return true
+	return g.policy == service || p.mostlyIdle(g.selector)
+}
+
+// mostlyIdle reports whether less than half of each resource was in use on the workers that
+// a selector matches when the plan began.
+func (p *planner) mostlyIdle(selector int32) bool {
+	if idle, known := p.lending.idle[selector]; known {
+		return idle
 	}
 	var use classUse
-	for _, class := range p.s.matching(g.selector) {
+	for _, class := range p.s.matching(selector) {
 		if int(class) < len(p.lending.classes) {
 			c := &p.lending.classes[class]
 			use.used, use.total = use.used.Add(c.used), use.total.Add(c.total)
 		}
 	}
-	return withinHalf(use.used, use.total)
+	if p.lending.idle == nil {
+		p.lending.idle = map[int32]bool{}
+	}
+	p.lending.idle[selector] = withinHalf(use.used, use.total)
+	return p.lending.idle[selector]
 }
 
 // mayBorrow reports whether j may be lent reserved workers.
--- a/internal/schedule/limithold.go
+++ b/internal/schedule/limithold.go
@@ -119,12 +119,13 @@
 // limitsAllowAt returns the earliest time at which enough of what runs may have ended that
 // the limits of its team allow j. Work whose end is unknown may end at any moment.
 func (s *Scheduler) limitsAllowAt(t *team, j *job, size model.Resources, now model.Time) model.Time {
-	ends := s.expectedEndsOf(t, now)
-	left := *t
-	for _, e := range ends {
-		left.running--
-		left.reserved = left.reserved.Sub(e.size)
-		if left.allows(j.tasksAtOnce(), size) {
+	n := j.tasksAtOnce()
+	missing := n - t.headroom()
+	reserved := t.reserved.Add(size.Mul(n))
+	for _, e := range s.expectedEndsOf(t, now) {
+		missing--
+		reserved = reserved.Sub(e.size)
+		if missing <= 0 && within(reserved, t.maxResources) {
 			return e.at
 		}
 	}
--- a/internal/state/crash.go
+++ b/internal/state/crash.go
@@ -51,8 +51,9 @@
 	HeldUntil   model.Time `cbor:"3,keyasint,omitempty"` // the task is not started before
 	Near        bool       `cbor:"4,keyasint,omitempty"` // a worker crashed soon after the start
 	Silent      uint16     `cbor:"5,keyasint,omitempty"` // those of Unexplained that were lost in the start
-	Unreceived  bool       `cbor:"7,keyasint,omitempty"` // a worker crashed that may not have got its start
-	Doubtful    uint16     `cbor:"8,keyasint,omitempty"` // crashes that it is not certain to have caused, nor to have been near
+	// Key 6 was used by an earlier build.
+	Unreceived bool   `cbor:"7,keyasint,omitempty"` // a worker crashed that may not have got its start
+	Doubtful   uint16 `cbor:"8,keyasint,omitempty"` // crashes that it is not certain to have caused, nor to have been near
 }
 
 // lostAttempt is a task under which a worker may have crashed.
