schedule: the reference planner evaluates waiting groups only

The planner looks at groups with a ready task, and reports what it has not reported: nothing had changed for the caller. The reference now looks at the same groups.

--- a/internal/schedule/naive_test.go
+++ b/internal/schedule/naive_test.go
@@ -29,7 +29,9 @@
 		t.plannedStops = model.Resources{}
 	}
 	for _, j := range n.jobs() {
-		s.evaluateGroup(j.group)
+		if n.ready(j) > 0 {
+			s.evaluateGroup(j.group)
+		}
 	}
 	s.dropInvalidReservations(now)
 	for _, r := range s.reservations {
