--- a/internal/state/crash_test.go
+++ b/internal/state/crash_test.go
@@ -56,24 +56,26 @@
 	return s.m.Job(job).Suspicions[index]
 }
 
+// certainCrashes are the ways in which the state learns that a worker has crashed.
+var certainCrashes = []struct {
+	name  string
+	crash func(s *crashHarness, worker model.WorkerID)
+}{
+	{"workers start again within their lease", func(s *crashHarness, w model.WorkerID) { s.restart(w) }},
+	{"workers start again after their lease", func(s *crashHarness, w model.WorkerID) { s.lose(w, false); s.restart(w) }},
+	{"other workers answer at their addresses", func(s *crashHarness, w model.WorkerID) { s.lose(w, true); s.restart(w) }},
+	{"other workers announce themselves at their addresses", func(s *crashHarness, w model.WorkerID) {
+		s.lose(w, false)
+		c := incarnationCommand("new-"+w, 1)
+		c.Announce.Spec.Address = s.m.Worker(w).Spec.Address
+		s.apply(c)
+		s.restart(w)
+	}},
+}
+
 // A task must not crash worker after worker.
 func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
-	rows := []struct {
-		name  string
-		crash func(s *crashHarness, worker model.WorkerID)
-	}{
-		{"workers start again within their lease", func(s *crashHarness, w model.WorkerID) { s.restart(w) }},
-		{"workers start again after their lease", func(s *crashHarness, w model.WorkerID) { s.lose(w, false); s.restart(w) }},
-		{"other workers answer at their addresses", func(s *crashHarness, w model.WorkerID) { s.lose(w, true); s.restart(w) }},
-		{"other workers announce themselves at their addresses", func(s *crashHarness, w model.WorkerID) {
-			s.lose(w, false)
-			c := incarnationCommand("new-"+w, 1)
-			c.Announce.Spec.Address = s.m.Worker(w).Spec.Address
-			s.apply(c)
-			s.restart(w)
-		}},
-	}
-	for _, row := range rows {
+	for _, row := range certainCrashes {
 		t.Run(row.name, func(t *testing.T) {
 			s := newCrashHarness(t)
 			s.submit("deadly", newStep(model.PolicyBatch, 2), newStep(model.PolicyBatch, 1, 0))
@@ -181,15 +183,7 @@
 
 // A task must not be given up after one crash of a worker that had its start, for another one whose start a lost leader may not have sent.
 func TestLossOfLeaderIsNoEvidenceOfReceivedStart(t *testing.T) {
-	rows := []struct {
-		name  string
-		crash func(s *crashHarness, worker model.WorkerID)
-	}{
-		{"workers start again within their lease", func(s *crashHarness, w model.WorkerID) { s.restart(w) }},
-		{"workers start again after their lease", func(s *crashHarness, w model.WorkerID) { s.lose(w, false); s.restart(w) }},
-		{"other workers answer at their addresses", func(s *crashHarness, w model.WorkerID) { s.lose(w, true); s.restart(w) }},
-	}
-	for _, row := range rows {
+	for _, row := range certainCrashes {
 		t.Run(row.name, func(t *testing.T) {
 			s := newCrashHarness(t)
 			s.submit("f", newStep(model.PolicyBatch, 1))
@@ -213,6 +207,41 @@
 	}
 }
 
+// A task must not be given up for two crashes that other workers share, whenever the leader learns of them.
+func TestCrashThatOtherWorkersShareIsDoubtful(t *testing.T) {
+	rows := []struct {
+		name  string
+		crash func(s *crashHarness, job model.JobID)
+	}{
+		{"the worker starts again within its lease", func(s *crashHarness, job model.JobID) {
+			s.incarnation++
+			c := incarnationCommand("w1", s.incarnation)
+			c.Announce.CommonCause = []model.JobID{job}
+			s.apply(c)
+		}},
+		{"the worker starts again after its lease", func(s *crashHarness, job model.JobID) {
+			s.apply(&Command{MarkWorkersLost: &MarkWorkersLost{Workers: []LostWorker{
+				{ID: "w1", Session: s.m.Worker("w1").Session, CommonCause: []model.JobID{job}}}}})
+			s.m = mustRestore(s.t, s.m)
+			s.restart("w1")
+		}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			s := newCrashHarness(t)
+			s.submit("f", newStep(model.PolicyBatch, 1))
+			for n := range uint16(maxDoubtful) {
+				job := s.start("f", 0, "w1")
+				assert.Equal(t, s.suspicion(job, 0), suspicion{Doubtful: n})
+				row.crash(s, job)
+				s.at = s.at.Add(crashHold)
+			}
+			assert.Equal(t, s.m.Workflow("f").Phase(), model.PhaseFailed)
+			checkInvariants(t, s.m)
+		})
+	}
+}
+
 // A task must not be started a third time after three workers have crashed under it, though each crash takes the leader along that could have heard of its start.
 func TestTaskWhoseLeadersAreLostWithItsWorkersIsGivenUp(t *testing.T) {
 	s := newCrashHarness(t)
