--- a/internal/schedule/limithold.go
+++ b/internal/schedule/limithold.go
@@ -81,7 +81,7 @@
 		p.wakeAt(due)
 		return true
 	}
-	h.job.limitTurns-- // the next turn is no longer than this one was meant to be
+	h.job.limitTurns = max(h.job.limitTurns, 1) - 1 // the next turn is no longer than this one was meant to be
 	h.end(p.now)
 	return false
 }
--- a/internal/schedule/naive_test.go
+++ b/internal/schedule/naive_test.go
@@ -247,7 +247,7 @@
 	if due := h.idleSince.Add(n.s.opts.MaxIdleWait); h.idleSince != 0 && n.now < due {
 		n.wakeAt(due)
 	} else if h.idleSince != 0 {
-		h.job.limitTurns--
+		h.job.limitTurns = max(h.job.limitTurns, 1) - 1
 		h.until, h.resume = n.now, 2*n.now-h.from
 		return false
 	}
