--- a/internal/schedule/limithold.go
+++ b/internal/schedule/limithold.go
@@ -58,14 +58,14 @@
 	return h
 }
 
-// turnGoesOn reports whether the turn that is on goes on. It ends early if its job was
-// cancelled. Once its job has started, the next one that the limits hold up has the rest.
+// turnGoesOn reports whether the turn that is on goes on. It ends early if its job waits no
+// longer.
 func (p *planner) turnGoesOn(t *team, j *job) bool {
 	h := &t.hold
 	if h.until <= p.now {
 		return false
 	}
-	if h.job.cancelled {
+	if h.job != j && !h.job.startable() {
 		h.end(p.now)
 		return false
 	}
--- a/internal/schedule/naive_hold_test.go
+++ b/internal/schedule/naive_hold_test.go
@@ -39,7 +39,7 @@
 		return false
 	}
 	h := &t.hold
-	if h.job.cancelled {
+	if h.job != j && (n.ready(h.job) == 0 || h.job.group.policy == gang && (h.job.waiting > 0 || h.job.assigned > 0)) {
 		h.until, h.resume = n.now, 2*n.now-h.from
 		return false
 	}
