control: log how often the leader does what, and its processor time

Callers saw small jobs start late while the log showed only spans of the clock of the control goroutine, which contain the wait for a processor; the rest of the process had no figure at all. Work of the leader. counts plans, checks of queries, polls, commands, calls and proposals, and has the processor time of the process and of the collector.

--- a/internal/control/backlog.go
+++ b/internal/control/backlog.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/obs"
 	"github.com/filbertmast/filbertmast/internal/state"
 )
 
@@ -24,11 +25,25 @@
 		"workers", st.Workers, "clear_for", st.Reservations)
 }
 
-// logLoad logs on what the control goroutine has spent its time since the last line.
+// logLoad logs on what the control goroutine has spent its time since the last line, how
+// often it did what, and the processor time of the process.
 func (c *core) logLoad() {
 	now := time.Now()
 	r := c.load.take(now)
 	c.log.Info("Control goroutine load.", r.fields(now)...)
+	c.log.Info("Work of the leader.", append(r.counts(), c.processorFields()...)...)
+}
+
+// processorFields returns the processor time of the process since the last call as log
+// fields, in milliseconds.
+func (c *core) processorFields() []any {
+	read, err := obs.ReadProcessorTime()
+	if err != nil {
+		return []any{"processor_err", err}
+	}
+	took := read.Sub(c.processor)
+	c.processor = read
+	return []any{"processor_ms", took.All.Milliseconds(), "collector_ms", took.Collector.Milliseconds()}
 }
 
 // logLateSteps logs the steps that have not started by their deadline, and why.
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -31,7 +31,8 @@
 	snapshotIndex   uint64 // index of the last snapshot
 	snapshotRunning bool   // a snapshot is being written
 	load            *load
-	taskLines       *obs.Sampler // of the log lines about each start and end of a task
+	processor       obs.ProcessorTime // at the last line about the load
+	taskLines       *obs.Sampler      // of the log lines about each start and end of a task
 }
 
 func newCore(s *Server) *core {
@@ -154,6 +155,7 @@
 		onResult(state.Result{}, err)
 		return
 	}
+	c.load.since.proposals++
 	c.proposals.add(cmd.ID.Seq, onResult)
 }
 
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -40,6 +40,8 @@
 type loadReport struct {
 	from         time.Time
 	spent        [workKinds]time.Duration
+	runs         [workKinds]int // how often work of the kind was done
+	proposals    int            // commands proposed
 	longestTurn  time.Duration
 	longestQueue int // closures in the queue at the same time
 }
@@ -66,6 +68,7 @@
 	l.last = now
 	l.seconds[kind].Add(spent.Seconds())
 	l.since.spent[kind] += spent
+	l.since.runs[kind]++
 	l.since.longestTurn = max(l.since.longestTurn, now.Sub(l.turn))
 }
 
@@ -88,3 +91,12 @@
 	}
 	return append(out, "longest_turn_ms", r.longestTurn.Milliseconds(), "longest_queue", r.longestQueue)
 }
+
+// counts returns how often each kind of work was done as log fields.
+func (r *loadReport) counts() []any {
+	var out []any
+	for k, n := range r.runs {
+		out = append(out, workNames[k], n)
+	}
+	return append(out, "proposals", r.proposals)
+}
