control: let the events of an interval share plans, queries and reports

Cause: Run called schedule after every update and every call, and each new job reset the time of the next check of queries, so that plans and checks, which look at all that waits, and proposals of single reports ran for each event. Now a plan, a check of queries and a proposal of reports are at least 20, 20 and 10 ms apart, a timer of the control goroutine runs what waits, and each plan or check is followed by a pause of three times its length.

TestLongPlansTakeAtMostHalfOfControlGoroutine allowed plans half of the goroutine, which is the share that starved the rest; its successor demands a quarter and, in turn, allows a pause of three times a plan instead of one.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -203,6 +203,16 @@
 	}
 }
 
+// untilRun returns the time until schedule has something to do without another event; false
+// if it has not.
+func (c *core) untilRun() (time.Duration, bool) {
+	if c.leader == nil {
+		return 0, false
+	}
+	at, any := c.leader.nextRun()
+	return at - c.s.clock(), any
+}
+
 // proposals are the proposals of this process that await their commit.
 type proposals struct {
 	replica uint64
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -18,32 +18,32 @@
 // start of a term from the replicated state, and from what entries report when they
 // renew.
 type leader struct {
-	c             *core
-	term          uint64
-	sched         *schedule.Scheduler
-	leases        *lease.Table
-	permits       *limit.Granter
-	owners        *owner.Table
-	members       *member.Table
-	history       *member.History // of configurations, to send deltas
-	pendingLosses []lease.Holder  // expired, loss to be proposed
-	sessions      map[model.WorkerID]attachment
-	waits         jobWaits
-	dirty         bool // something has changed since the last plan
-	nextPlan      model.Time
-	uncommitted   []*state.Command // decisions of the scheduler whose proposals have failed
-	unrevoked     []model.WorkerID // leaving workers whose unconfirmed starts could not be stopped
-	plansInFlight int              // proposed placement commands that are not committed yet
-	// planPausedUntil is when the next plan may be made after one that took long.
-	planPausedUntil model.Time
-	nextExpiry      model.Time
-	changedTeams    map[string]struct{} // teams whose tasks have changed since syncLimits last ran
-	polled          *polledWorkers      // workers that the leader calls
-	policy          *policy
-	heartbeats      exchange.Heartbeats
-	submissions     sharedCalls[submissionKey, proto.WorkflowView]
-	jobSubmissions  sharedCalls[jobSubmissionKey, proto.Submitted]
-	stalled         stalledJobs
+	c              *core
+	term           uint64
+	sched          *schedule.Scheduler
+	leases         *lease.Table
+	permits        *limit.Granter
+	owners         *owner.Table
+	members        *member.Table
+	history        *member.History // of configurations, to send deltas
+	pendingLosses  []lease.Holder  // expired, loss to be proposed
+	sessions       map[model.WorkerID]attachment
+	waits          jobWaits
+	dirty          bool // something has changed since the last plan
+	nextPlan       model.Time
+	uncommitted    []*state.Command // decisions of the scheduler whose proposals have failed
+	unrevoked      []model.WorkerID // leaving workers whose unconfirmed starts could not be stopped
+	plansInFlight  int              // proposed placement commands that are not committed yet
+	reportPace     pace
+	planPace       pace
+	nextExpiry     model.Time
+	changedTeams   map[string]struct{} // teams whose tasks have changed since syncLimits last ran
+	polled         *polledWorkers      // workers that the leader calls
+	policy         *policy
+	heartbeats     exchange.Heartbeats
+	submissions    sharedCalls[submissionKey, proto.WorkflowView]
+	jobSubmissions sharedCalls[jobSubmissionKey, proto.Submitted]
+	stalled        stalledJobs
 	// proposedCeilings are the teams whose ceilings are proposed and not committed yet.
 	proposedCeilings map[string]struct{}
 	startingRuns     bool // a proposal to start due runs is not committed yet
@@ -76,6 +76,8 @@
 		sessions:     make(map[model.WorkerID]attachment),
 		waits:        newJobWaits(),
 		dirty:        true,
+		reportPace:   pace{interval: reportInterval},
+		planPace:     pace{interval: planInterval, rest: planRest},
 		changedTeams: make(map[string]struct{}),
 		heartbeats:   exchange.Heartbeats{},
 		submissions:  sharedCalls[submissionKey, proto.WorkflowView]{},
--- a/internal/control/leader_test.go
+++ b/internal/control/leader_test.go
@@ -172,6 +172,15 @@
 	h.core.update(&replica.Update{Leadership: &replica.Leadership{Role: raft.Leader, Term: h.term, Ready: true}})
 }
 
+// scheduleDue runs schedule as Server.Run does: at once, and again when something becomes due.
+func (c *core) scheduleDue() {
+	c.schedule()
+	if wait, any := c.untilRun(); any {
+		<-time.After(wait)
+		c.schedule()
+	}
+}
+
 // commitAll commits everything that is proposed.
 func (h *leaderHarness) commitAll() {
 	proposed := h.log.proposed
@@ -179,7 +188,7 @@
 	for _, data := range proposed {
 		h.commit(data)
 	}
-	h.core.schedule()
+	h.core.scheduleDue()
 }
 
 // nextPoll runs the control goroutine until the worker is polled.
@@ -192,7 +201,7 @@
 			return poll
 		case next := <-h.core.s.calls:
 			h.core.run(next)
-			h.core.schedule()
+			h.core.scheduleDue()
 		case <-timeout:
 			h.t.Fatal("the worker is not polled")
 		}
@@ -205,7 +214,7 @@
 	poll.answer <- &workerclient.PollResponse{Clock: h.worker.clock, Incarnation: 1, Ended: ended}
 	for next := range h.core.s.calls {
 		h.core.run(next)
-		h.core.schedule()
+		h.core.scheduleDue()
 		if next.kind == workPolls {
 			return
 		}
--- a/internal/control/misdirected_test.go
+++ b/internal/control/misdirected_test.go
@@ -23,7 +23,7 @@
 	return func(d time.Duration) {
 		passed += d
 		h.core.tick()
-		h.core.schedule()
+		h.core.scheduleDue()
 	}
 }
 
@@ -113,7 +113,7 @@
 				cmd.calls.End(&pw.clock, &row.calls[i], h.core.s.now(), h.core.s.now())
 				p.startAnswered(pw, task, cmd, &attempt, row.calls[i])
 			}
-			h.core.schedule()
+			h.core.scheduleDue()
 			h.commitAll()
 			assert.Equal(t, h.phase(task), row.want)
 		})
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -12,37 +12,58 @@
 const (
 	maxPlacements    = 1024 // placements in one plan
 	maxPlansInFlight = 4    // proposed placement commands that are not committed yet
-	// shortPlan is how long a plan may take to be followed by another one at once.
-	shortPlan = 10 * time.Millisecond
-	// maxPlanPause bounds the time without a plan after a plan that took long.
-	maxPlanPause = 500 * time.Millisecond
+	// planInterval is the least time from the begin of one plan to the next.
+	planInterval = 20 * time.Millisecond
+	// planRest is the pause after a plan, in multiples of the time that it took.
+	planRest = 3
+	// reportInterval is the least time from one proposal of reports to the next.
+	reportInterval = 10 * time.Millisecond
 )
 
-// schedule commits reports, sends the queries that are due and makes a plan if one is
-// due.
+// schedule commits reports, sends the queries that are due and makes a plan, each if it is
+// its time. The events of one interval share a run.
 func (l *leader) schedule(now model.Time) {
-	l.polled.commitReports()
-	l.c.load.end(workReports, time.Now())
-	l.policy.sendQueries(now)
-	l.c.load.end(workQueries, time.Now())
-	l.planIfDue(now)
-	l.c.load.end(workPlans, time.Now())
+	if at := l.c.s.clock(); l.reportPace.due(at) && l.polled.commitReports() {
+		l.reportPace.ran(at, at)
+		l.c.load.end(workReports, time.Now())
+	}
+	if l.policy.sendQueries(now) {
+		l.c.load.end(workQueries, time.Now())
+	}
+	if l.planIfDue(now) {
+		l.c.load.end(workPlans, time.Now())
+	}
+}
+
+// nextRun returns the time by the clock of the server at which schedule has something to do
+// without another event; false if it has not.
+func (l *leader) nextRun() (at time.Duration, any bool) {
+	first := func(waits bool, p *pace) {
+		if waits && (!any || p.next < at) {
+			at, any = p.next, true
+		}
+	}
+	first(l.polled.reports.Waits(), &l.reportPace)
+	first(l.policy.tracker.Waits(), &l.policy.pace)
+	first(l.dirty && l.plansInFlight < maxPlansInFlight, &l.planPace)
+	return at, any
 }
 
-// planIfDue makes a plan if one is due and proposes it. The scheduler counts the
+// planIfDue makes a plan if one is due, proposes it and reports whether it made one. The scheduler counts the
 // resources of the plan as used at once, so that the next plan cannot use them again; a
 // refused placement or a failed proposal frees them.
-func (l *leader) planIfDue(now model.Time) {
+func (l *leader) planIfDue(now model.Time) bool {
 	due := l.dirty || (l.nextPlan != 0 && now >= l.nextPlan)
-	if !due || now < l.planPausedUntil || l.plansInFlight >= maxPlansInFlight {
-		return
+	if !due || !l.planPace.due(l.c.s.clock()) || l.plansInFlight >= maxPlansInFlight {
+		return false
 	}
+	began := l.c.s.clock()
 	if _, err := l.c.leading(); err != nil {
-		return
+		l.planPace.ran(began, began)
+		return false
 	}
-	began := l.c.s.now()
 	p := l.sched.Plan(now, maxPlacements)
-	l.recordPlan(began, l.c.s.now())
+	l.recordPlan(began, l.c.s.clock())
 	l.dirty = len(p.Placements) >= maxPlacements
 	l.nextPlan = p.NextWake
 	l.proposePlacements(p.Placements, now)
@@ -52,17 +73,15 @@
 	l.sendThrottles(p.Throttles)
 	l.logFitFailures(p.NeverFits)
 	l.syncLimits()
+	return true
 }
 
-// recordPlan records how long a plan took. After one that took long, none is made for as
-// long again, so that plans take at most half of the time of the control goroutine: calls,
-// polls and commits would otherwise wait behind them, and what waits makes plans longer.
-func (l *leader) recordPlan(began, ended model.Time) {
-	took := ended.Sub(began)
-	l.c.s.metrics.planSeconds.Observe(took.Seconds())
-	if took > shortPlan {
-		l.planPausedUntil = ended.Add(min(took, maxPlanPause))
-	}
+// recordPlan records how long a plan took. The longer, the longer is the pause before the
+// next one: calls, polls and commits would otherwise wait behind plans, and what waits makes
+// plans longer.
+func (l *leader) recordPlan(began, ended time.Duration) {
+	l.c.s.metrics.planSeconds.Observe((ended - began).Seconds())
+	l.planPace.ran(began, ended)
 }
 
 func (l *leader) proposePlacements(ps []schedule.Placement, now model.Time) {
--- a/internal/control/plan_test.go
+++ b/internal/control/plan_test.go
@@ -10,16 +10,16 @@
 	"github.com/filbertmast/filbertmast/internal/state"
 )
 
-// Without a pause, calls and commits wait behind one long plan after the other.
-func TestLongPlansTakeAtMostHalfOfControlGoroutine(t *testing.T) {
+// Without pauses, calls and commits wait behind one plan after the other.
+func TestPlansTakeAtMostQuarterOfControlGoroutine(t *testing.T) {
 	const step = time.Millisecond
 	for _, row := range []struct {
 		name  string
 		takes time.Duration // by each plan
 		most  time.Duration // in plans of one second
 	}{
-		{"long plans", 100 * time.Millisecond, 550 * time.Millisecond},
-		{"short plans", 2 * time.Millisecond, time.Second},
+		{"long plans", 100 * time.Millisecond, 300 * time.Millisecond},
+		{"short plans", 2 * time.Millisecond, 250 * time.Millisecond},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			h, _ := newLeaderHarness(t)
@@ -38,12 +38,12 @@
 				}
 				pause = 0
 				inPlans += row.takes
-				began := h.core.s.now()
+				began := now
 				now += row.takes
-				l.recordPlan(began, h.core.s.now())
+				l.recordPlan(began, now)
 			}
 			assert.Assert(t, inPlans <= row.most, "%v in plans", inPlans)
-			assert.Assert(t, longestPause <= row.takes, "%v without a plan", longestPause)
+			assert.Assert(t, longestPause <= max(3*row.takes, 20*time.Millisecond), "%v without a plan", longestPause)
 		})
 	}
 }
--- a/internal/control/policy.go
+++ b/internal/control/policy.go
@@ -14,22 +14,26 @@
 	"github.com/filbertmast/filbertmast/internal/workerclient"
 )
 
-// queryInterval is the time between checks for jobs that need permits.
-const queryInterval = 20 * time.Millisecond
+const (
+	// queryInterval is the least time from one check for jobs that need permits to the next.
+	queryInterval = 20 * time.Millisecond
+	// queryRest is the pause after a check, in multiples of the time that it took.
+	queryRest = 3
+)
 
 // policy gets the permits for the jobs of queues that require them. Entries forward
 // its queries to the policy service.
 type policy struct {
-	l         *leader
-	tracker   *permit.Tracker
-	costs     map[model.JobID]model.PolicyCosts
-	byQueue   map[string]model.PolicyCosts // of the queues with work
-	answered  map[model.JobID]model.Time   // when the last query of a job was answered
-	balancer  *permit.Balancer             // entries by inner address
-	inFlight  int                          // queries in flight
-	nextQuery model.Time
-	unsent    unsentQueries
-	ended     queryResults // since the last line about them
+	l        *leader
+	tracker  *permit.Tracker
+	costs    map[model.JobID]model.PolicyCosts
+	byQueue  map[string]model.PolicyCosts // of the queues with work
+	answered map[model.JobID]model.Time   // when the last query of a job was answered
+	balancer *permit.Balancer             // entries by inner address
+	inFlight int                          // queries in flight
+	pace     pace
+	unsent   unsentQueries
+	ended    queryResults // since the last line about them
 
 	takesShort bool // a short query can be sent
 	takesLong  bool // a long query can be sent
@@ -45,6 +49,7 @@
 		costs:    map[model.JobID]model.PolicyCosts{},
 		answered: map[model.JobID]model.Time{},
 		balancer: permit.NewBalancer(l.c.s.now()),
+		pace:     pace{interval: queryInterval, rest: queryRest},
 		unsent:   newUnsentQueries(l.c.s.metrics.policyUnsent),
 	}
 }
@@ -60,7 +65,6 @@
 	}
 	p.tracker.Add(j.ID, p.l.stepName(j), j.StartBy)
 	p.costs[j.ID] = q.Policy
-	p.nextQuery = 0
 	return true
 }
 
@@ -106,12 +110,19 @@
 	return p.takesShort
 }
 
-// sendQueries sends the queries that are due to entries.
-func (p *policy) sendQueries(now model.Time) {
-	if now < p.nextQuery {
-		return
+// sendQueries sends the queries that are due to entries, and reports whether it looked for
+// any.
+func (p *policy) sendQueries(now model.Time) bool {
+	began := p.l.c.s.clock()
+	if !p.tracker.Waits() || !p.pace.due(began) {
+		return false
 	}
-	p.nextQuery = now.Add(queryInterval)
+	p.sendDue(now)
+	p.pace.ran(began, p.l.c.s.clock())
+	return true
+}
+
+func (p *policy) sendDue(now model.Time) {
 	entries := p.entries(now)
 	switch {
 	case len(entries) == 0:
--- a/internal/control/refusal_test.go
+++ b/internal/control/refusal_test.go
@@ -35,7 +35,7 @@
 			job := h.c.machine.Workflow("f1").Jobs[0]
 			submitted := time.Now()
 			h.answerPolls(idle, func() bool {
-				h.c.schedule()
+				h.c.scheduleDue()
 				h.commit()
 				running := h.phase(job, 0) == model.TaskRunning && h.phase(job, 1) == model.TaskRunning
 				return running || time.Since(submitted) > startLimit
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -18,11 +18,12 @@
 	p.reports.Add(pw.target.Worker, pw.session, r)
 }
 
-// commitReports proposes the reports that have accumulated.
-func (p *polledWorkers) commitReports() {
+// commitReports proposes the reports that have accumulated, and reports whether there were
+// any.
+func (p *polledWorkers) commitReports() bool {
 	batch, ok := p.reports.Take()
 	if !ok {
-		return
+		return false
 	}
 	p.l.c.propose(&state.Command{Report: &state.Report{Reports: batch.Reports}}, func(_ state.Result, err error) {
 		p.reports.Done(&batch)
@@ -37,6 +38,7 @@
 		}
 		p.endsCommitted(batch.Ends)
 	})
+	return true
 }
 
 // endsCommitted records that the reports of ended attempts are committed. The next poll
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -136,6 +136,8 @@
 	c := newCore(s)
 	tick := time.NewTicker(s.opts.Times.Tick)
 	defer tick.Stop()
+	due := time.NewTimer(0)
+	defer due.Stop()
 	go repair.Run(ctx, s.opts.Log, s.opts.Tolerate, s.log)
 	for {
 		select {
@@ -158,8 +160,13 @@
 			c.load.begin(time.Now(), len(s.calls))
 			c.tick()
 			c.load.end(workTicks, time.Now())
+		case <-due.C:
+			c.load.begin(time.Now(), len(s.calls))
 		}
 		c.schedule()
+		if wait, any := c.untilRun(); any {
+			due.Reset(wait)
+		}
 	}
 }
 
--- a/internal/exchange/reports.go
+++ b/internal/exchange/reports.go
@@ -47,15 +47,20 @@
 // Take returns the next batch, or false if it is empty or must wait. The caller must
 // call Done for it.
 func (q *ReportQueue[E]) Take() (ReportBatch[E], bool) {
-	b := q.next
-	if q.inFlight >= maxReportsInFlight || len(b.Reports) == 0 {
+	if !q.Waits() {
 		return ReportBatch[E]{}, false
 	}
+	b := q.next
 	q.next = ReportBatch[E]{}
 	q.inFlight++
 	return b, true
 }
 
+// Waits reports whether Take would return a batch.
+func (q *ReportQueue[E]) Waits() bool {
+	return q.inFlight < maxReportsInFlight && len(q.next.Reports) > 0
+}
+
 // Done records that the proposal of a batch was committed or has failed.
 func (q *ReportQueue[E]) Done(b *ReportBatch[E]) {
 	q.inFlight--
--- a/internal/permit/tracker.go
+++ b/internal/permit/tracker.go
@@ -178,6 +178,9 @@
 	CanSend(model.JobID) bool
 }
 
+// Waits reports whether any job may have tasks to place.
+func (t *Tracker) Waits() bool { return len(t.waiting) > 0 }
+
 // dropIdle removes the jobs whose tasks are all placed from those that wait.
 func (t *Tracker) dropIdle() {
 	t.waiting = slices.DeleteFunc(t.waiting, func(j *jobPermits) bool { return j.idle })
