replica: let proposals that arrive during a write share the next group

Cause, one of several, of a leader short of processor time: the loop took a group of proposals up to 200 times a second and sent each to every follower at once, although a disk of 9 ms a sync writes about 100. Proposals now wait for the write in progress, but 25 ms at most, and go out as one group.

TestProposalsDuringWriteShareOneGroup cannot be compiled on the code before; there take returns each proposal by itself.

--- a/internal/replica/inbox.go
+++ b/internal/replica/inbox.go
@@ -40,6 +40,9 @@
 	// groupRetry is the delay before the limit is checked again for waiting
 	// proposals.
 	groupRetry = time.Second / groupRate
+	// maxGroupWait bounds how long proposals wait for a write in progress, after which
+	// they share a group.
+	maxGroupWait = 25 * time.Millisecond
 )
 
 // inbox collects the input of the loop, within limits on its memory.
@@ -51,7 +54,9 @@
 	next          batch
 	messageBytes  int
 	proposalBytes int
-	wakeScheduled bool // a timer will signal the waiting proposals
+	waitingSince  time.Time // when the first waiting proposal was queued
+	unwritten     int       // batches of entries that are being written or wait for it
+	wakeScheduled bool      // a timer will signal the waiting proposals
 }
 
 func newInbox() inbox {
@@ -71,7 +76,7 @@
 	out := b.next
 	b.next = batch{}
 	b.messageBytes = 0
-	if len(out.proposals) > 0 && !b.groups.Allow() {
+	if len(out.proposals) > 0 && !b.mayPropose() {
 		b.next.proposals = out.proposals
 		out.proposals = nil
 		b.scheduleWake()
@@ -81,6 +86,23 @@
 	return out
 }
 
+// mayPropose reports whether the waiting proposals are taken as a group. While entries are
+// being written they wait, since they would be written after them anyway: one group then
+// takes the place of several, with its messages. The caller holds b.mu.
+func (b *inbox) mayPropose() bool {
+	if b.unwritten > 0 && time.Since(b.waitingSince) < maxGroupWait {
+		return false
+	}
+	return b.groups.Allow()
+}
+
+// addWrite counts a batch of entries that waits to be written.
+func (b *inbox) addWrite() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.unwritten++
+}
+
 // scheduleWake wakes the loop after groupRetry, for the waiting proposals. The
 // caller holds b.mu.
 func (b *inbox) scheduleWake() {
@@ -148,6 +170,9 @@
 	if b.proposalBytes+len(p.data)+uncommitted > maxUncommittedBytes {
 		return false
 	}
+	if len(b.next.proposals) == 0 {
+		b.waitingSince = time.Now()
+	}
 	b.proposalBytes += len(p.data)
 	b.next.proposals = append(b.next.proposals, p)
 	b.signal()
@@ -158,6 +183,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.next.marks = append(b.next.marks, m)
+	b.unwritten--
 	b.signal()
 }
 
--- a/internal/replica/inbox_test.go
+++ b/internal/replica/inbox_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"golang.org/x/time/rate"
 	"gotest.tools/v3/assert"
@@ -48,3 +49,28 @@
 	assert.Equal(t, len(b.take().proposals), 0)
 	assert.Assert(t, !b.addProposal(proposalOf(1), 0))
 }
+
+// Guards against a leader whose messages and syncs grow with the proposals, not with the writes of its disk.
+func TestProposalsDuringWriteShareOneGroup(t *testing.T) {
+	b := newInbox()
+	propose := func() { assert.Assert(t, b.addProposal(proposal{data: []byte("x")}, 0)) }
+	propose()
+	assert.Equal(t, len(b.take().proposals), 1)
+	b.addWrite()
+	for range 3 {
+		propose()
+		assert.Equal(t, len(b.take().proposals), 0)
+	}
+	b.addMark(raft.Mark{})
+	assert.Equal(t, len(b.take().proposals), 3)
+}
+
+func TestProposalsDoNotWaitForStalledWrite(t *testing.T) {
+	b := newInbox()
+	b.addWrite()
+	assert.Assert(t, b.addProposal(proposal{data: []byte("x")}, 0))
+	for len(b.take().proposals) == 0 {
+		<-b.wake
+	}
+	assert.Assert(t, time.Since(b.waitingSince) >= maxGroupWait)
+}
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -170,6 +170,9 @@
 	n.updateLease()
 	n.sendAll(rd.Messages)
 	if rd.Writes() || len(rd.AfterPersist) > 0 {
+		if rd.Writes() {
+			n.inbox.addWrite()
+		}
 		n.writer.add(n.newWriteRequest(rd))
 	}
 	for _, r := range rd.Reads {
