wire: count the streams of a connection without messages to the peer

Cause, one of several, of a leader short of processor time: QUIC tells the peer after each stream that ended how many more it may open, in a packet of its own, which the peer acknowledges with another. The limit of QUIC is off, and a stream beyond 4096 open ones is refused unread, so that the call counts as not run and is counted under too_many_streams.

--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -38,6 +38,7 @@
 	meter   *meter
 	lastUse atomic.Int64 // Unix nanoseconds of the last stream
 	calls   atomic.Int64 // open calls and exchanges that this end has started
+	served  atomic.Int64 // open calls and exchanges that the peer has started
 	retired atomic.Bool  // this end opens no more streams
 
 	mu           sync.Mutex
@@ -101,9 +102,15 @@
 			return
 		}
 		c.markUsed()
+		if c.served.Add(1) > maxStreams {
+			c.served.Add(-1)
+			c.refuse(s, reasonTooManyStreams)
+			continue
+		}
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
+			defer c.served.Add(-1)
 			c.serveStream(s)
 		}()
 	}
--- a/internal/wire/endpoint.go
+++ b/internal/wire/endpoint.go
@@ -114,7 +114,7 @@
 		HandshakeIdleTimeout:  handshakeTimeout,
 		MaxIdleTimeout:        idleTimeout,
 		KeepAlivePeriod:       keepAlivePeriod,
-		MaxIncomingStreams:    maxStreams,
+		MaxIncomingStreams:    unlimitedStreams,
 		MaxIncomingUniStreams: maxPostStreams,
 		EnableDatagrams:       true,
 	}
--- a/internal/wire/metrics.go
+++ b/internal/wire/metrics.go
@@ -25,18 +25,19 @@
 // Values of the label "reason" of refused streams and dropped messages, and
 // values of the label "outcome" of dials.
 const (
-	reasonUnknownKind = "unknown_kind"
-	reasonUnknownMode = "unknown_mode"
-	reasonUndecodable = "undecodable"
-	reasonTooLarge    = "too_large"
-	reasonNoHello     = "no_hello"
-	reasonDraining    = "draining"
-	reasonPanic       = "panic"
-	reasonQueueFull   = "queue_full"
-	reasonUnreachable = "unreachable"
-	reasonWriteFailed = "write_failed"
-	reasonBackingOff  = "backing_off"
-	reasonDialFailed  = "dial_failed"
+	reasonUnknownKind    = "unknown_kind"
+	reasonUnknownMode    = "unknown_mode"
+	reasonUndecodable    = "undecodable"
+	reasonTooLarge       = "too_large"
+	reasonNoHello        = "no_hello"
+	reasonDraining       = "draining"
+	reasonTooManyStreams = "too_many_streams"
+	reasonPanic          = "panic"
+	reasonQueueFull      = "queue_full"
+	reasonUnreachable    = "unreachable"
+	reasonWriteFailed    = "write_failed"
+	reasonBackingOff     = "backing_off"
+	reasonDialFailed     = "dial_failed"
 )
 
 type metrics struct {
--- a/internal/wire/options.go
+++ b/internal/wire/options.go
@@ -21,8 +21,11 @@
 	// shorter than a lease.
 	idleTimeout     = 3 * time.Second
 	keepAlivePeriod = time.Second
-	maxStreams      = 4096 // open calls and exchanges on one connection
-	maxPostStreams  = 64   // one for each kind, plus room for streams that replace others
+	maxStreams      = 4096 // open calls and exchanges on one connection; further ones are refused
+	// unlimitedStreams turns off the limit of QUIC, which costs a message and its
+	// acknowledgement for each stream that ends.
+	unlimitedStreams = 1 << 60
+	maxPostStreams   = 64 // one for each kind, plus room for streams that replace others
 
 	maxQueuedBytes    = 32 << 20 // queued one-way messages for one peer
 	maxQueuedMessages = 8192
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -233,3 +233,43 @@
 	assert.NilError(t, err)
 	assert.Equal(t, got.Text, "\xff\xfe")
 }
+
+// Guards against calls whose bookkeeping costs as many packets as the calls themselves.
+func TestCallsCostFewPackets(t *testing.T) {
+	const (
+		calls      = 100
+		maxPackets = 3 // of a call: the request, the answer and acknowledgements
+	)
+	a, b := listen(t, "a", nil), listen(t, "b", nil)
+	handleEcho(b)
+	assert.NilError(t, echo(t.Context(), a, b.Address(), "x"))
+	before := packetsSent(a) + packetsSent(b)
+	for range calls {
+		assert.NilError(t, echo(t.Context(), a, b.Address(), "x"))
+	}
+	sent := packetsSent(a) + packetsSent(b) - before
+	assert.Assert(t, sent <= maxPackets*calls, "%d packets for %d calls", sent, calls)
+}
+
+// packetsSent returns the packets that an endpoint has sent on its open connections.
+func packetsSent(e *Endpoint) (n uint64) {
+	for _, c := range e.allConns() {
+		n += c.qc.ConnectionStats().PacketsSent
+	}
+	return n
+}
+
+// Guards against a peer that opens calls without end.
+func TestCallsBeyondLimitOfConnectionAreRefusedUnread(t *testing.T) {
+	a, b := listen(t, "a", nil), listen(t, "b", nil)
+	handleEcho(b)
+	assert.NilError(t, echo(t.Context(), a, b.Address(), "x"))
+	for _, c := range b.allConns() {
+		c.served.Add(maxStreams)
+	}
+	assert.Equal(t, errkind.Of(echo(t.Context(), a, b.Address(), "x")), errkind.Unreachable)
+	for _, c := range b.allConns() {
+		c.served.Add(-maxStreams)
+	}
+	assert.NilError(t, echo(t.Context(), a, b.Address(), "x"))
+}
