relay: let followers make the calls to workers for the leader

Callers saw small jobs start late while the leader's processor was full. Cause, the largest one: the leader itself makes each poll, start and stop of 350 workers over HTTP. Now the leader sends the calls to a follower in the region of the worker, many with one message, and the follower makes them and sends the results back the same way. What is called, and with which fence, lease and cursor, is decided by the leader alone, so that a call through a relay is one on a slow network.

--- a/internal/control/dispatch.go
+++ b/internal/control/dispatch.go
@@ -101,8 +101,8 @@
 	p.dispatch(pw, id, cmd, &commandCall{
 		name:    commandStart,
 		attempt: req.Attempt,
-		send: func(ctx context.Context, client workerclient.Client) workerclient.Response {
-			return client.Start(ctx, pw.target, req)
+		send: func(ctx context.Context, client workerclient.Client, to workerclient.Target) workerclient.Response {
+			return client.Start(ctx, to, req)
 		},
 		onResponse: func(resp workerclient.Response) { p.startAnswered(pw, id, cmd, &req.Attempt, resp) },
 	})
@@ -115,18 +115,21 @@
 	p.dispatch(pw, id, cmd, &commandCall{
 		name:    commandStop,
 		attempt: req.Attempt,
-		send: func(ctx context.Context, client workerclient.Client) workerclient.Response {
-			return client.Stop(ctx, pw.target, req)
+		send: func(ctx context.Context, client workerclient.Client, to workerclient.Target) workerclient.Response {
+			return client.Stop(ctx, to, req)
 		},
 		onResponse: func(resp workerclient.Response) { p.stopAnswered(cmd, resp) },
 	})
 }
 
+// sendFunc makes the call of a command.
+type sendFunc func(context.Context, workerclient.Client, workerclient.Target) workerclient.Response
+
 // commandCall is a command that is sent at most twice until the worker responds.
 type commandCall struct {
 	name       string // in metrics and logs
 	attempt    workerclient.Attempt
-	send       func(context.Context, workerclient.Client) workerclient.Response
+	send       sendFunc
 	onResponse func(workerclient.Response)
 }
 
@@ -137,13 +140,13 @@
 		cmd.repeatTimer.Stop()
 	}
 	round := cmd.dispatch.Begin()
-	send := func() {
+	send := func(to workerclient.Target) {
 		sentAt := p.l.c.s.now()
 		cmd.sent++
 		if call.name == commandStart {
 			cmd.calls.Begin()
 		}
-		p.call(pw, call.send, func(resp workerclient.Response) {
+		p.call(pw, to, call.send, func(resp workerclient.Response) {
 			p.countCommand(call.name, resp)
 			cmd.last = &resp
 			if call.name == commandStart {
@@ -158,14 +161,14 @@
 			p.pollPostponed(pw)
 		})
 	}
-	send()
+	send(pw.target)
 	cmd.repeatTimer = p.after(commandRepeatAfter, func() {
 		if _, err := p.l.c.leading(); err != nil || pw.replaced || !p.isCurrent(pw, id, cmd) || !cmd.dispatch.Repeat(round) {
 			return
 		}
 		p.l.c.log.Info("Command is sent a second time.", pw.fields(&call.attempt, "order", call.name)...)
 		cmd.maybeStarted = true
-		send()
+		send(pw.target.Directly())
 	})
 }
 
@@ -187,12 +190,12 @@
 
 // call sends one command outside of the control goroutine, then records the worker's
 // clock and handles the response in it.
-func (p *polledWorkers) call(pw *polledWorker, send func(context.Context, workerclient.Client) workerclient.Response, onResponse func(workerclient.Response)) {
+func (p *polledWorkers) call(pw *polledWorker, to workerclient.Target, send sendFunc, onResponse func(workerclient.Response)) {
 	s := p.l.c.s
 	go func() {
 		ctx, cancel := context.WithTimeout(p.ctx, commandTimeout)
 		defer cancel()
-		resp := send(ctx, s.opts.WorkerClient)
+		resp := send(ctx, s.opts.WorkerClient, to)
 		s.post(workCommands, func(*core) {
 			pw.clock.Observe(resp.Clock, s.now())
 			onResponse(resp)
@@ -383,7 +386,7 @@
 func (p *polledWorkers) stopUnknown(pw *polledWorker, attempt *workerclient.Attempt) {
 	p.l.c.log.Info("Leader stops an attempt that the state does not place on this worker.", pw.fields(attempt)...)
 	req := &workerclient.StopCommand{Attempt: *attempt, Fence: pw.fence}
-	p.call(pw, func(ctx context.Context, client workerclient.Client) workerclient.Response {
-		return client.Stop(ctx, pw.target, req)
+	p.call(pw, pw.target, func(ctx context.Context, client workerclient.Client, to workerclient.Target) workerclient.Response {
+		return client.Stop(ctx, to, req)
 	}, func(workerclient.Response) {})
 }
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -37,6 +37,7 @@
 	reportPace     pace
 	planPace       pace
 	nextExpiry     model.Time
+	nextRelays     model.Time          // when relays are chosen again
 	changedTeams   map[string]struct{} // teams whose tasks have changed since syncLimits last ran
 	polled         *polledWorkers      // workers that the leader calls
 	policy         *policy
@@ -216,6 +217,7 @@
 	l.owners.Tick(now)
 	l.waits.expire(l.c, now)
 	l.startDueRuns(now)
+	l.chooseRelays(now)
 	if now >= l.nextExpiry {
 		l.nextExpiry = now.Add(expiryInterval)
 		l.syncAllRequestPermits()
--- a/internal/control/polled.go
+++ b/internal/control/polled.go
@@ -201,7 +201,7 @@
 		return
 	}
 	pw := &polledWorker{
-		target:     workerclient.Target{Worker: spec.ID, Address: spec.Address, Incarnation: spec.Incarnation},
+		target:     workerclient.Target{Worker: spec.ID, Address: spec.Address, Incarnation: spec.Incarnation, Region: spec.Region},
 		session:    session,
 		fence:      exchange.FenceOf(p.l.term, session),
 		clock:      p.clockOf(spec),
--- a/internal/control/polls.go
+++ b/internal/control/polls.go
@@ -63,7 +63,7 @@
 	if pw.clockReported && !pw.unresponsive {
 		wait = p.losses.PollWait(p.l.c.s.now(), p.busy(pw))
 	}
-	p.sendPoll(pw, pw.polls.Begin(), wait, p.acknowledged(pw))
+	p.sendPoll(pw, pw.target, pw.polls.Begin(), wait, p.acknowledged(pw))
 }
 
 // acknowledged returns the number up to which the next poll may acknowledge ends: none if
@@ -148,10 +148,10 @@
 	if unanswered >= maxUnanswered {
 		p.recordPollResult(pw, errOverdue)
 	}
-	p.sendPoll(pw, next, 0, 0)
+	p.sendPoll(pw, pw.target.Directly(), next, 0, 0)
 }
 
-func (p *polledWorkers) sendPoll(pw *polledWorker, number uint64, wait time.Duration, cursor uint64) {
+func (p *polledWorkers) sendPoll(pw *polledWorker, to workerclient.Target, number uint64, wait time.Duration, cursor uint64) {
 	s := p.l.c.s
 	req := &workerclient.PollRequest{Fence: pw.fence, LeaseUntil: p.grant(pw), Cursor: cursor, Wait: wait}
 	poll := sentPoll{number: number, sentAt: s.now(), renewed: req.LeaseUntil != 0, fence: pw.fence, cursor: cursor}
@@ -162,7 +162,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(p.ctx, req.Wait+pollSlack)
 		defer cancel()
-		resp, err := s.opts.WorkerClient.Poll(ctx, pw.target, req)
+		resp, err := s.opts.WorkerClient.Poll(ctx, to, req)
 		s.post(workPolls, func(*core) {
 			if p.current(pw) {
 				p.pollAnswered(pw, &poll, resp, err)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -60,6 +60,9 @@
 	Tolerate int
 	// WorkerClient calls the polled workers. Nil: there are none.
 	WorkerClient workerclient.Client
+	// Relays are the processes through which WorkerClient may call workers. Nil: it calls them
+	// itself.
+	Relays Relays
 }
 
 // Times are the lease lengths and other durations that the leader uses.
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,165 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"gotest.tools/v3/assert"
+
+	"github.com/filbertmast/filbertmast/internal/wire"
+	"github.com/filbertmast/filbertmast/internal/workerclient"
+)
+
+// worker counts the calls that it gets and answers them, unless it is silent.
+type worker struct {
+	starts, stops, polls atomic.Int32
+	lastPoll             atomic.Pointer[workerclient.PollRequest]
+	silent               bool
+	pollErr              error
+}
+
+func (w *worker) Start(ctx context.Context, _ workerclient.Target, cmd *workerclient.StartCommand) workerclient.Response {
+	w.starts.Add(1)
+	if w.silent {
+		<-ctx.Done()
+	}
+	return workerclient.Response{Verdict: workerclient.Accepted, Clock: int64(cmd.Fence)}
+}
+
+func (w *worker) Stop(context.Context, workerclient.Target, *workerclient.StopCommand) workerclient.Response {
+	w.stops.Add(1)
+	return workerclient.Response{Verdict: workerclient.Outdated, Reason: "old"}
+}
+
+func (w *worker) Poll(ctx context.Context, _ workerclient.Target, req *workerclient.PollRequest) (*workerclient.PollResponse, error) {
+	w.polls.Add(1)
+	w.lastPoll.Store(req)
+	if w.silent {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if w.pollErr != nil {
+		return nil, w.pollErr
+	}
+	resp := &workerclient.PollResponse{Clock: int64(req.Cursor), Ended: []workerclient.EndedAttempt{{Number: 7, Outcome: workerclient.Lapsed}}}
+	resp.Unreadable.Record(errors.New("row"))
+	return resp, nil
+}
+
+const region = "south"
+
+var target = workerclient.Target{Worker: "w1", Address: "127.0.0.1:1", Region: region}
+
+func newEndpoint(t *testing.T) *wire.Endpoint {
+	t.Helper()
+	e, err := wire.Listen(wire.Options{Address: "127.0.0.1:0", AcceptAnyCertificate: true, Logger: log.New(io.Discard), Registerer: prometheus.NewRegistry()})
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = e.Close() })
+	return e
+}
+
+// bootClock is the time since the tests began.
+func bootClock() time.Duration { return time.Since(began) }
+
+var began = time.Now()
+
+// newRelayed returns a client that calls workers through a relay, with the workers that the
+// client reaches directly and those that the relay reaches.
+func newRelayed(t *testing.T, clock func() time.Duration) (c *Client, direct, relayed *worker) {
+	direct, relayed = &worker{}, &worker{}
+	leader, relay := newEndpoint(t), newEndpoint(t)
+	Serve(relay, relayed, clock)
+	c = NewClient(leader, direct, bootClock, prometheus.NewRegistry())
+	c.Use([]Relay{{Address: relay.Address(), Region: region}, {Address: "127.0.0.1:9", Region: "north"}})
+	return c, direct, relayed
+}
+
+func callContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestCallsGoThroughRelayInRegionOfWorker(t *testing.T) {
+	c, direct, relayed := newRelayed(t, bootClock)
+	ctx := callContext(t)
+	assert.DeepEqual(t, c.Start(ctx, target, &workerclient.StartCommand{Fence: 9}), workerclient.Response{Verdict: workerclient.Accepted, Clock: 9})
+	assert.DeepEqual(t, c.Stop(ctx, target, &workerclient.StopCommand{}), workerclient.Response{Verdict: workerclient.Outdated, Reason: "old"})
+	resp, err := c.Poll(ctx, target, &workerclient.PollRequest{Cursor: 11})
+	assert.NilError(t, err)
+	assert.Equal(t, resp.Clock, int64(11))
+	assert.DeepEqual(t, resp.Ended, []workerclient.EndedAttempt{{Number: 7, Outcome: workerclient.Lapsed}})
+	assert.Error(t, resp.Unreadable.First, "row")
+	assert.Equal(t, direct.starts.Load()+direct.stops.Load()+direct.polls.Load(), int32(0))
+	assert.Equal(t, relayed.starts.Load()+relayed.stops.Load()+relayed.polls.Load(), int32(3))
+}
+
+func TestWorkerOfRegionWithoutRelayIsCalledDirectly(t *testing.T) {
+	c, direct, _ := newRelayed(t, bootClock)
+	elsewhere := target
+	elsewhere.Region = "west"
+	c.Start(callContext(t), elsewhere, &workerclient.StartCommand{})
+	assert.Equal(t, direct.starts.Load(), int32(1))
+}
+
+func TestErrorsOfPollsKeepTheirKinds(t *testing.T) {
+	for _, want := range []error{workerclient.ErrFenced, workerclient.ErrOtherIncarnation, workerclient.ErrConnectionEnded} {
+		c, _, relayed := newRelayed(t, bootClock)
+		relayed.pollErr = want
+		_, err := c.Poll(callContext(t), target, &workerclient.PollRequest{})
+		assert.ErrorIs(t, err, want)
+	}
+}
+
+// Guards against workers that lose their leases together with the process that calls them for the leader.
+func TestPollIsSentDirectlyOnceItsRelayIsSilent(t *testing.T) {
+	c, direct, relayed := newRelayed(t, bootClock)
+	relayed.silent = true
+	sent := time.Now()
+	_, err := c.Poll(callContext(t), target, &workerclient.PollRequest{Cursor: 5, LeaseUntil: 6})
+	assert.NilError(t, err)
+	assert.Assert(t, time.Since(sent) < 2*time.Second)
+	assert.DeepEqual(t, *direct.lastPoll.Load(), workerclient.PollRequest{})
+	c.Start(callContext(t), target, &workerclient.StartCommand{})
+	assert.Equal(t, direct.starts.Load(), int32(1), "the relay still gets calls")
+}
+
+// Guards against a start that counts as not executed although the relay may have sent it.
+func TestStartThroughSilentRelayMayHaveBeenExecuted(t *testing.T) {
+	c, _, relayed := newRelayed(t, bootClock)
+	relayed.silent = true
+	resp := c.Start(callContext(t), target, &workerclient.StartCommand{})
+	assert.Equal(t, resp.Verdict, workerclient.Unknown)
+	assert.Assert(t, !resp.NotSent)
+}
+
+// Guards against a start that a suspended relay makes seconds later, when its worker may have restarted.
+func TestRelayRefusesCallsThatTookLong(t *testing.T) {
+	var suspended atomic.Int64
+	c, _, relayed := newRelayed(t, func() time.Duration { return bootClock() + time.Duration(suspended.Load()) })
+	assert.Equal(t, c.Start(callContext(t), target, &workerclient.StartCommand{}).Verdict, workerclient.Accepted)
+	suspended.Store(int64(time.Second))
+	resp := c.Start(callContext(t), target, &workerclient.StartCommand{})
+	assert.Equal(t, resp.Verdict, workerclient.Unknown)
+	assert.Assert(t, resp.NotSent)
+	assert.Equal(t, relayed.starts.Load(), int32(1))
+	_, err := c.Poll(callContext(t), target, &workerclient.PollRequest{})
+	assert.NilError(t, err, "the worker must not count as unresponsive")
+	assert.Equal(t, relayed.polls.Load(), int32(0))
+}
+
+func TestAgesFollowClocksThatDrift(t *testing.T) {
+	var a ages
+	const offset, drift = 77 * time.Hour, 100 * time.Microsecond // a second
+	for s := range 600 {
+		now := time.Duration(s) * time.Second
+		assert.Assert(t, !a.tooOld(now, now+offset+time.Duration(s)*drift))
+		assert.Assert(t, a.tooOld(now, now+offset+time.Duration(s)*drift+maxAge+10*time.Millisecond) || s == 0)
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -25,12 +25,14 @@
 	"github.com/filbertmast/filbertmast/internal/link"
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/obs"
+	"github.com/filbertmast/filbertmast/internal/relay"
 	"github.com/filbertmast/filbertmast/internal/replica"
 	"github.com/filbertmast/filbertmast/internal/schedule"
 	"github.com/filbertmast/filbertmast/internal/settings"
 	"github.com/filbertmast/filbertmast/internal/state"
 	"github.com/filbertmast/filbertmast/internal/storage"
 	"github.com/filbertmast/filbertmast/internal/wire"
+	"github.com/filbertmast/filbertmast/internal/workerclient"
 )
 
 // Options are the options of Run and Start that do not come from the settings.
@@ -170,6 +172,7 @@
 	}
 	p.node = node
 	handleReplicaMessages(p.endpoint, node)
+	workers, relays := p.relayedClient(workerClientOf(o.Adapter))
 	p.control = control.NewServer(control.Options{
 		Log:             node,
 		Endpoint:        p.endpoint,
@@ -180,7 +183,8 @@
 		SnapshotEntries: uint64(p.settings.Data.SnapshotEntries),
 		Times:           controlTimes(p.settings),
 		Tolerate:        p.settings.Control.Tolerate,
-		WorkerClient:    workerClientOf(o.Adapter),
+		WorkerClient:    workers,
+		Relays:          relays,
 		Scheduling:      schedulingOptions(p.settings),
 	})
 	p.spawn(func() { p.control.Run(ctx) })
@@ -197,6 +201,17 @@
 	return nil
 }
 
+// relayedClient makes this process a relay and returns a client that may call workers through
+// others. Both results are nil if the process has no client of workers.
+func (p *Process) relayedClient(direct workerclient.Client) (workerclient.Client, control.Relays) {
+	if direct == nil {
+		return nil, nil
+	}
+	relay.Serve(p.endpoint, direct, replica.BootTime)
+	c := relay.NewClient(p.endpoint, direct, replica.BootTime, p.registry)
+	return c, c
+}
+
 // wipeIfRemoved empties the data folder when err is replica.ErrRemoved and the
 // settings name seeds, so that the process joins as a new replica after a
 // restart. It returns err, joined with the error of the wipe if that fails.
--- a/internal/wire/kinds.go
+++ b/internal/wire/kinds.go
@@ -41,6 +41,9 @@
 	KindHeartbeat      Kind = 37 // entry to leader: heartbeat of a polled worker
 	KindPolicyQuery    Kind = 38 // leader to entry: query the policy service
 	KindDocument       Kind = 39 // entry to leader: read the configuration as the operator sent it
+	KindRelayCalls     Kind = 40 // leader to control process, one-way: calls to workers to make
+	KindRelayResults   Kind = 41 // control process to leader, one-way: results of such calls
+	KindHeartbeats     Kind = 42 // entry to leader: heartbeats of polled workers that may need no action
 )
 
 // Class is the traffic class of a kind, used for counters and for link budgets
@@ -72,7 +75,8 @@
 // would reject all requests.
 func ClassOf(k Kind) Class {
 	switch k {
-	case KindReplica, KindRegister, KindRenew, KindCommands, KindPermits, KindOwners, KindProbe, KindPing, KindHeartbeat:
+	case KindReplica, KindRegister, KindRenew, KindCommands, KindPermits, KindOwners, KindProbe, KindPing, KindHeartbeat,
+		KindHeartbeats, KindRelayCalls, KindRelayResults:
 		return ClassConsensus
 	case KindSnapshot:
 		return ClassSnapshot
--- a/internal/workerclient/client.go
+++ b/internal/workerclient/client.go
@@ -14,9 +14,18 @@
 
 // Target is one incarnation of a polled worker.
 type Target struct {
-	Worker      model.WorkerID
-	Address     string // IP:port
-	Incarnation uint64
+	Worker      model.WorkerID `cbor:"1,keyasint,omitempty"`
+	Address     string         `cbor:"2,keyasint,omitempty"` // IP:port
+	Incarnation uint64         `cbor:"3,keyasint,omitempty"`
+	Region      string         `cbor:"4,keyasint,omitempty"` // where the worker is; empty: unknown
+	Direct      bool           `cbor:"-"`                    // it is called by this process itself
+}
+
+// Directly returns the target for a call that no other process makes for this one, as the
+// repetition of one that has no response yet.
+func (t Target) Directly() Target {
+	t.Direct = true
+	return t
 }
 
 // TaskName identifies a task in calls to workers and to the policy service.
@@ -29,54 +38,54 @@
 
 // Attempt identifies one attempt to run a task.
 type Attempt struct {
-	Task   TaskName
-	Number uint32
+	Task   TaskName `cbor:"1,keyasint,omitempty"`
+	Number uint32   `cbor:"2,keyasint,omitempty"`
 }
 
 // StartCommand starts an attempt on a worker.
 type StartCommand struct {
-	Attempt    Attempt
-	Payload    string
-	Fence      uint64 // rises with the term of the leader and with the incarnation of the worker
-	LeaseUntil int64  // milliseconds on the worker's clock
-	Checkpoint string // to resume from; empty: start from the beginning
-	Permit     string // issued by the policy service; empty: none is needed
+	Attempt    Attempt `cbor:"1,keyasint,omitempty"`
+	Payload    string  `cbor:"2,keyasint,omitempty"`
+	Fence      uint64  `cbor:"3,keyasint,omitempty"` // rises with the term of the leader and with the incarnation of the worker
+	LeaseUntil int64   `cbor:"4,keyasint,omitempty"` // milliseconds on the worker's clock
+	Checkpoint string  `cbor:"5,keyasint,omitempty"` // to resume from; empty: start from the beginning
+	Permit     string  `cbor:"6,keyasint,omitempty"` // issued by the policy service; empty: none is needed
 }
 
 // StopCommand stops an attempt on a worker. A start of the same attempt that
 // arrives after it has no effect.
 type StopCommand struct {
-	Attempt Attempt
-	Fence   uint64
+	Attempt Attempt `cbor:"1,keyasint,omitempty"`
+	Fence   uint64  `cbor:"2,keyasint,omitempty"`
 }
 
 // PollRequest renews a worker's lease and asks which attempts run and which have
 // ended.
 type PollRequest struct {
-	Fence      uint64
-	LeaseUntil int64         // milliseconds on the worker's clock; zero renews nothing
-	Cursor     uint64        // acknowledges the ended attempts up to this number: the worker may forget them
-	Wait       time.Duration // how long the worker may wait for an attempt to end before it responds
+	Fence      uint64        `cbor:"1,keyasint,omitempty"`
+	LeaseUntil int64         `cbor:"2,keyasint,omitempty"` // milliseconds on the worker's clock; zero renews nothing
+	Cursor     uint64        `cbor:"3,keyasint,omitempty"` // acknowledges the ended attempts up to this number: the worker may forget them
+	Wait       time.Duration `cbor:"4,keyasint,omitempty"` // how long the worker may wait for an attempt to end before it responds
 }
 
 // PollResponse is the response to a PollRequest.
 type PollResponse struct {
-	Clock       int64 // milliseconds on the worker's clock
-	Incarnation uint64
-	Active      []ActiveAttempt
-	Ended       []EndedAttempt
-	MoreEnds    bool // the lists are incomplete: further ended attempts are listed once these are acknowledged
-	Unreadable  UnreadableRows
+	Clock       int64           `cbor:"1,keyasint,omitempty"` // milliseconds on the worker's clock
+	Incarnation uint64          `cbor:"2,keyasint,omitempty"`
+	Active      []ActiveAttempt `cbor:"3,keyasint,omitempty"`
+	Ended       []EndedAttempt  `cbor:"4,keyasint,omitempty"`
+	MoreEnds    bool            `cbor:"5,keyasint,omitempty"` // the lists are incomplete: further ended attempts are listed once these are acknowledged
+	Unreadable  UnreadableRows  `cbor:"6,keyasint,omitempty"`
 	// ConnectionEnded is set if the connection of the poll ended and it was sent again.
-	ConnectionEnded bool
+	ConnectionEnded bool `cbor:"7,keyasint,omitempty"`
 }
 
 // UnreadableRows are the rows of a response that cannot be read. They are in no list.
 type UnreadableRows struct {
-	Active     int      // number of rows about active attempts
-	Ended      int      // number of rows about ended attempts
-	EndNumbers []uint64 // of those rows about ended attempts of which no more than the number can be read
-	First      error    // why the first row cannot be read; nil if every row can be
+	Active     int      `cbor:"1,keyasint,omitempty"` // number of rows about active attempts
+	Ended      int      `cbor:"2,keyasint,omitempty"` // number of rows about ended attempts
+	EndNumbers []uint64 `cbor:"3,keyasint,omitempty"` // of those rows about ended attempts of which no more than the number can be read
+	First      error    `cbor:"-"`                    // why the first row cannot be read; nil if every row can be
 }
 
 // Record records why a row cannot be read.
@@ -88,16 +97,16 @@
 
 // ActiveAttempt is an attempt that runs on a worker.
 type ActiveAttempt struct {
-	Attempt    Attempt
-	Checkpoint string
+	Attempt    Attempt `cbor:"1,keyasint,omitempty"`
+	Checkpoint string  `cbor:"2,keyasint,omitempty"`
 }
 
 // EndedAttempt is an attempt that has ended on a worker.
 type EndedAttempt struct {
-	Number     uint64 // counts the ended attempts of one incarnation of the worker
-	Attempt    Attempt
-	Outcome    Outcome
-	Checkpoint string
+	Number     uint64  `cbor:"1,keyasint,omitempty"` // counts the ended attempts of one incarnation of the worker
+	Attempt    Attempt `cbor:"2,keyasint,omitempty"`
+	Outcome    Outcome `cbor:"3,keyasint,omitempty"`
+	Checkpoint string  `cbor:"4,keyasint,omitempty"`
 }
 
 // Outcome is how an attempt ended.
@@ -150,11 +159,11 @@
 // Response is the result of a command, with the worker's clock. Clock is zero if
 // the worker did not report it.
 type Response struct {
-	Verdict Verdict
-	Clock   int64 // milliseconds
-	Reason  string
-	NotSent bool // the verdict is Unknown and the worker got nothing of the command
-	Broken  bool // the verdict is Unknown and the connection ended after the command was sent
+	Verdict Verdict `cbor:"1,keyasint,omitempty"`
+	Clock   int64   `cbor:"2,keyasint,omitempty"` // milliseconds
+	Reason  string  `cbor:"3,keyasint,omitempty"`
+	NotSent bool    `cbor:"4,keyasint,omitempty"` // the verdict is Unknown and the worker got nothing of the command
+	Broken  bool    `cbor:"5,keyasint,omitempty"` // the verdict is Unknown and the connection ended after the command was sent
 }
 
 // Client implements the protocol of the workers. Its methods are safe for
