entry: send the heartbeats of workers to the leader together

Cause, one of several, of a leader short of processor time: each heartbeat that another control process gets was a call, 235 a second with 350 workers, and nearly all of them need no action. The leader confirms those of known workers that report nothing new; any other is sent as a call of its own, as is each one if the call for all fails.

--- a/internal/control/capacity_test.go
+++ b/internal/control/capacity_test.go
@@ -360,3 +360,25 @@
 	h.apply(&state.Command{Declare: &state.Declare{Base: version, ApplyID: "limit", Declarations: next}})
 	assert.Equal(h.t, h.c.machine.Team("stands").MaxRunning, limit.MaxRunning)
 }
+
+// Guards against heartbeats of a batch that are taken for recorded although they report something new.
+func TestBatchRecordsHeartbeatsThatNeedNoActionOnly(t *testing.T) {
+	h := newLeaderTest(t)
+	h.heartbeat(7, 1, 4000)
+	heartbeat := func(id model.WorkerID, incarnation, sequence uint64, cpu int64, leaving bool) proto.Heartbeat {
+		return proto.Heartbeat{Sequence: sequence, Leaving: leaving, Spec: model.WorkerSpec{ID: id, Incarnation: incarnation, Capacity: model.Resources{CPU: cpu}}}
+	}
+	req := &proto.Heartbeats{Heartbeats: []proto.Heartbeat{
+		heartbeat("w1", 7, 2, 4000, false),
+		heartbeat("unknown", 7, 1, 4000, false),
+		heartbeat("w1", 7, 3, 2000, false),
+		heartbeat("w1", 7, 4, 4000, true),
+		heartbeat("w1", 8, 1, 4000, false),
+	}}
+	h.c.leader.heartbeatsReceived(wire.Peer{}, req, func(resp *proto.HeartbeatsRecorded, err error) {
+		assert.NilError(t, err)
+		assert.DeepEqual(t, resp.Recorded, []bool{true, false, false, false, false})
+	})
+	assert.Equal(t, h.commit(), 0)
+	assert.Equal(t, h.cpu(), int64(4000))
+}
--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -48,6 +48,7 @@
 	onLeader(s, wire.KindCancelWorkflow, (*leader).cancelWorkflow)
 	onLeader(s, wire.KindQueue, (*leader).queue)
 	onLeader(s, wire.KindHeartbeat, (*leader).heartbeat)
+	onLeader(s, wire.KindHeartbeats, (*leader).heartbeatsReceived)
 	onLeader(s, wire.KindDocument, (*leader).document)
 	onLeader(s, wire.KindGetJob, (*leader).getJob)
 	onLeader(s, wire.KindListJobs, (*leader).listJobs)
--- a/internal/control/workflows.go
+++ b/internal/control/workflows.go
@@ -131,6 +131,27 @@
 	l.updatePolled(req, order, finish)
 }
 
+// heartbeatsReceived records the heartbeats that need no action.
+func (l *leader) heartbeatsReceived(_ wire.Peer, req *proto.Heartbeats, done reply[proto.HeartbeatsRecorded]) {
+	out := &proto.HeartbeatsRecorded{Recorded: make([]bool, len(req.Heartbeats))}
+	for i := range req.Heartbeats {
+		out.Recorded[i] = l.recordHeartbeat(&req.Heartbeats[i])
+	}
+	replyIfLeading(l.c, done, out)
+}
+
+// recordHeartbeat records a heartbeat and reports whether it needs no action: its worker is
+// known, and it reports neither another capacity nor for the first time that the worker leaves.
+func (l *leader) recordHeartbeat(hb *proto.Heartbeat) bool {
+	order := l.heartbeats.Add(hb)
+	w := l.c.machine.Worker(hb.Spec.ID)
+	if w == nil || w.Mode == model.WorkerLost || w.Spec.Incarnation != hb.Spec.Incarnation {
+		return false
+	}
+	return exchange.NewCapacity(w.Spec.Capacity, hb.Spec.Capacity, order) == w.Spec.Capacity &&
+		(!hb.Leaving || w.Mode == model.WorkerLeaving)
+}
+
 // announcePolled settles what became of the tasks of an earlier incarnation of a worker
 // and commits the new one, and then what else the heartbeat reports.
 func (l *leader) announcePolled(req *proto.Heartbeat, order exchange.HeartbeatOrder, finish func(error)) {
--- a/internal/entry/adapter.go
+++ b/internal/entry/adapter.go
@@ -95,6 +95,9 @@
 	if err := b.Validate(time.Now()); err != nil {
 		return errkind.Wrap(errkind.BadRequest, err, "worker")
 	}
+	if s.heartbeats.record(ctx, b) {
+		return nil
+	}
 	_, err := callLeader[proto.Heartbeat, proto.Empty](ctx, s.leader, wire.KindHeartbeat, b, 0)
 	return err
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -43,6 +43,7 @@
 	metrics     *metrics
 	self        state.Member
 	leader      *leaderClient
+	heartbeats  *heartbeats
 	config      *configCopy
 	sessions    *session.Manager
 	permits     *limit.Pool
@@ -79,6 +80,7 @@
 		renewNow: make(chan struct{}, 1),
 	}
 	s.leader = newLeaderClient(o.Endpoint, set.Control.Founders, s.metrics)
+	s.heartbeats = newHeartbeats(s.leader)
 	s.buildSessions()
 	s.buildRequests()
 	s.buildHTTP()
--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -127,6 +127,17 @@
 	Sequence uint64 `cbor:"4,keyasint,omitempty"`
 }
 
+// Heartbeats are heartbeats of different workers.
+type Heartbeats struct {
+	Heartbeats []Heartbeat `cbor:"1,keyasint"`
+}
+
+// HeartbeatsRecorded is the response to Heartbeats. Recorded has one element for each of
+// them: whether it needed no action. Any other must be sent as a call of its own.
+type HeartbeatsRecorded struct {
+	Recorded []bool `cbor:"1,keyasint"`
+}
+
 // Advise asks an entry process to query the policy service about a step.
 type Advise struct {
 	Step    workerclient.TaskName `cbor:"1,keyasint"`
