--- a/internal/permit/balancer.go
+++ b/internal/permit/balancer.go
@@ -69,11 +69,11 @@
 	return best, ok && b.outstanding[best] < saturationCost
 }
 
-// Available reports whether a short query may be sent at now, and whether a long one may.
+// Available reports whether a short query may be sent at now, and whether a long one may. The
+// entry that a long one goes to would take a short one, too.
 func (b *Balancer) Available(entries []string, now model.Time) (short, long bool) {
 	_, short = b.Choose(entries, 0, now)
-	_, long = b.Choose(entries, longQueryCost, now)
-	return short, long
+	return short, short && b.takesLong(entries)
 }
 
 // IsLong reports whether a query of the given service time is a long one.
--- a/internal/permit/room.go
+++ b/internal/permit/room.go
@@ -139,8 +139,8 @@
 	return workersOf(fresh[:n])
 }
 
-// filter returns the candidates of whose state keep approves, n in number, in the order
-// in which they are queried. Each query in flight about a worker is counted as taking
+// filter returns the candidates of whose state keep approves, n in number. The first
+// d.maxWorkers of them are in the order in which they are queried. Each query in flight about a worker is counted as taking
 // room for one task there, so that jobs are not sent to the same workers.
 func (j *jobPermits) filter(candidates []schedule.Candidate, d Demand, r *room, n int, keep func(w workerState, queried bool) bool) []schedule.Candidate {
 	out := make([]schedule.Candidate, 0, n)
@@ -150,7 +150,7 @@
 			out = append(out, c)
 		}
 	}
-	d.sortCandidates(out)
+	d.sortFirst(out, d.maxWorkers())
 	return out
 }
 
@@ -195,26 +195,61 @@
 	return workersOf(allowed[:n])
 }
 
-// sortCandidates puts reserved workers first and full ones last. For tasks that start
-// together the workers with the most room come first, for others the tightest ones: tasks
-// go where their permits are, and idle workers are kept for those that need them.
+// sortCandidates sorts candidates in the order in which they are queried.
 func (d Demand) sortCandidates(candidates []schedule.Candidate) {
-	slices.SortFunc(candidates, func(a, b schedule.Candidate) int {
-		tightest := !d.AllAtOnce && a.Room > 0 && b.Room > 0
-		switch {
-		case a.Reserved && !b.Reserved:
-			return -1
-		case b.Reserved && !a.Reserved:
-			return 1
-		case tightest && a.FreeCPU != b.FreeCPU:
-			return cmp.Compare(a.FreeCPU, b.FreeCPU)
-		case a.Room != b.Room:
-			return cmp.Compare(b.Room, a.Room)
-		case a.FreeCPU != b.FreeCPU:
-			return cmp.Compare(b.FreeCPU, a.FreeCPU)
+	slices.SortFunc(candidates, func(a, b schedule.Candidate) int { return d.compareCandidates(&a, &b) })
+}
+
+// sortFirst moves the first n candidates in the order in which they are queried to the front
+// and sorts them. The others are in no order.
+func (d Demand) sortFirst(candidates []schedule.Candidate, n int) {
+	low, high := 0, len(candidates)
+	for low < n && n < high {
+		middle := d.partition(candidates[low:high]) + low
+		if middle < n {
+			low = middle + 1
+		} else {
+			high = middle
+		}
+	}
+	d.sortCandidates(candidates[:min(n, len(candidates))])
+}
+
+// partition moves the candidates that are queried before one of them to the front and the
+// others behind it, and returns its place. It takes the one in the middle.
+func (d Demand) partition(candidates []schedule.Candidate) int {
+	last := len(candidates) - 1
+	swap := func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] }
+	swap(len(candidates)/2, last)
+	place := 0
+	for i := range last {
+		if d.compareCandidates(&candidates[i], &candidates[last]) < 0 {
+			swap(i, place)
+			place++
 		}
-		return cmp.Compare(a.Worker, b.Worker)
-	})
+	}
+	swap(place, last)
+	return place
+}
+
+// compareCandidates puts reserved workers first and full ones last. For tasks that start
+// together the workers with the most room come first, for others the tightest ones: tasks
+// go where their permits are, and idle workers are kept for those that need them.
+func (d Demand) compareCandidates(a, b *schedule.Candidate) int {
+	tightest := !d.AllAtOnce && a.Room > 0 && b.Room > 0
+	switch {
+	case a.Reserved && !b.Reserved:
+		return -1
+	case b.Reserved && !a.Reserved:
+		return 1
+	case tightest && a.FreeCPU != b.FreeCPU:
+		return cmp.Compare(a.FreeCPU, b.FreeCPU)
+	case a.Room != b.Room:
+		return cmp.Compare(b.Room, a.Room)
+	case a.FreeCPU != b.FreeCPU:
+		return cmp.Compare(b.FreeCPU, a.FreeCPU)
+	}
+	return cmp.Compare(a.Worker, b.Worker)
 }
 
 func workersOf(candidates []schedule.Candidate) []model.WorkerID {
