--- a/internal/control/dispatch.go
+++ b/internal/control/dispatch.go
@@ -168,7 +168,7 @@
 		}
 		p.l.c.log.Info("Command is sent a second time.", pw.fields(&call.attempt, "order", call.name)...)
 		cmd.maybeStarted = true
-		send(pw.target.Directly())
+		send(pw.target.Repeated())
 	})
 }
 
--- a/internal/control/polls.go
+++ b/internal/control/polls.go
@@ -148,7 +148,7 @@
 	if unanswered >= maxUnanswered {
 		p.recordPollResult(pw, errOverdue)
 	}
-	p.sendPoll(pw, pw.target.Directly(), next, 0, 0)
+	p.sendPoll(pw, pw.target.Repeated(), next, 0, 0)
 }
 
 func (p *polledWorkers) sendPoll(pw *polledWorker, to workerclient.Target, number uint64, wait time.Duration, cursor uint64) {
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -82,7 +82,7 @@
 	var best *path
 	var highest uint64
 	for _, r := range c.relays {
-		if r.Region != to.Region || to.Direct {
+		if r.Region != to.Region {
 			continue
 		}
 		p := c.paths[r.Address]
@@ -90,7 +90,7 @@
 			p = newPath(c.endpoint, r.Address, c.clock)
 			c.paths[r.Address] = p
 		}
-		if weight := c.weight(r.Address, string(to.Worker)); p.usable() && (best == nil || weight > highest) {
+		if weight := c.weight(r.Address, string(to.Worker)); p.usable(to.Again) && (best == nil || weight > highest) {
 			best, highest = p, weight
 		}
 	}
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -13,6 +13,44 @@
 type calls struct {
 	SentAt time.Duration `cbor:"1,keyasint"` // by the leader's clock, which counts suspension
 	Calls  []call        `cbor:"2,keyasint"`
+	// Payloads are those of the starts, each once: the tasks of a job have the same.
+	Payloads []string `cbor:"3,keyasint,omitempty"`
+}
+
+// newCalls returns a message of calls whose starts share their payloads.
+func newCalls(sentAt time.Duration, cs []call) *calls {
+	m := &calls{SentAt: sentAt, Calls: cs}
+	known := map[string]int{}
+	for i := range cs {
+		c := &cs[i]
+		if c.Start == nil || c.Start.Payload == "" {
+			continue
+		}
+		n := known[c.Start.Payload]
+		if n == 0 {
+			m.Payloads = append(m.Payloads, c.Start.Payload)
+			n = len(m.Payloads)
+			known[c.Start.Payload] = n
+		}
+		start := *c.Start
+		start.Payload = ""
+		c.Start, c.Payload = &start, n
+	}
+	return m
+}
+
+// unshare gives each start its payload back. It returns false if one is missing.
+func (m *calls) unshare() bool {
+	for i := range m.Calls {
+		c := &m.Calls[i]
+		if c.Payload < 0 || c.Payload > len(m.Payloads) || c.Payload > 0 && c.Start == nil {
+			return false
+		}
+		if c.Payload > 0 {
+			c.Start.Payload = m.Payloads[c.Payload-1]
+		}
+	}
+	return true
 }
 
 // call is one call to a worker. One of Start, Stop and Poll is set.
@@ -23,6 +61,7 @@
 	Start   *workerclient.StartCommand `cbor:"4,keyasint,omitempty"`
 	Stop    *workerclient.StopCommand  `cbor:"5,keyasint,omitempty"`
 	Poll    *workerclient.PollRequest  `cbor:"6,keyasint,omitempty"`
+	Payload int                        `cbor:"7,keyasint,omitempty"` // number of the start's payload; zero: it has none
 }
 
 // results are the results of calls, in no order.
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -18,6 +18,9 @@
 	overdueAfter = 180 * time.Millisecond
 	// maxSilence is how long a relay may send nothing while results are overdue.
 	maxSilence = 300 * time.Millisecond
+	// suspectSilence is how long a relay may send nothing before calls that are repeated take
+	// another way.
+	suspectSilence = 100 * time.Millisecond
 	// lostPause is how long a relay that has gone silent gets no calls.
 	lostPause = 3 * time.Second
 )
@@ -50,7 +53,7 @@
 func newPath(e *wire.Endpoint, relay string, clock func() time.Duration) *path {
 	p := &path{clock: clock, waiting: map[uint64]chan<- outcome{}, heardAt: clock()}
 	p.queue = batch.Batch[call]{Linger: callLinger, Send: func(cs []call) {
-		if err := wire.Post(e, relay, wire.KindRelayCalls, &calls{SentAt: clock(), Calls: cs}); err != nil {
+		if err := wire.Post(e, relay, wire.KindRelayCalls, newCalls(clock(), cs)); err != nil {
 			for i := range cs {
 				p.end(cs[i].ID, outcome{err: errNotMade})
 			}
@@ -59,11 +62,13 @@
 	return p
 }
 
-// usable reports whether the relay may get calls now.
-func (p *path) usable() bool {
+// usable reports whether the relay may get a call now. One that repeats another takes a
+// different way if the relay has sent nothing for some time.
+func (p *path) usable(again bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.clock() >= p.avoidEnd
+	now := p.clock()
+	return now >= p.avoidEnd && !(again && now-p.heardAt > suspectSilence)
 }
 
 // do makes a call, whose worker may wait before it responds.
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -45,24 +45,23 @@
 }
 
 func (s *Server) receive(from wire.Peer, m *calls) {
-	accepted := s.accept(from, m)
+	tooOld := s.tooOld(from, m) || !m.unshare()
 	for i := range m.Calls {
 		c := &m.Calls[i]
-		if i >= accepted {
+		if tooOld && c.Poll == nil || !s.begin() {
 			s.output(from.Address).Add(result{ID: c.ID, Refused: true})
 			continue
 		}
 		go func() {
+			defer s.end()
 			s.output(from.Address).Add(s.run(c))
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			s.running--
 		}()
 	}
 }
 
-// accept returns how many of the calls are made, and counts them as running.
-func (s *Server) accept(from wire.Peer, m *calls) int {
+// tooOld reports whether a message took so long that its commands are not sent any more. A
+// poll does no harm at any time.
+func (s *Server) tooOld(from wire.Peer, m *calls) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	key := leaderKey{from.Address, from.Started}
@@ -72,12 +71,24 @@
 		}
 		s.ages[key] = &ages{}
 	}
-	if s.ages[key].tooOld(m.SentAt, s.clock()) {
-		return 0
+	return s.ages[key].tooOld(m.SentAt, s.clock())
+}
+
+// begin counts a call as running, or returns false if too many are.
+func (s *Server) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running >= maxCalls {
+		return false
 	}
-	n := min(len(m.Calls), maxCalls-s.running)
-	s.running += n
-	return n
+	s.running++
+	return true
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
 }
 
 // run makes a call.
--- a/internal/workerclient/client.go
+++ b/internal/workerclient/client.go
@@ -18,13 +18,12 @@
 	Address     string         `cbor:"2,keyasint,omitempty"` // IP:port
 	Incarnation uint64         `cbor:"3,keyasint,omitempty"`
 	Region      string         `cbor:"4,keyasint,omitempty"` // where the worker is; empty: unknown
-	Direct      bool           `cbor:"-"`                    // it is called by this process itself
+	Again       bool           `cbor:"-"`                    // the call repeats one that has no response yet
 }
 
-// Directly returns the target for a call that no other process makes for this one, as the
-// repetition of one that has no response yet.
-func (t Target) Directly() Target {
-	t.Direct = true
+// Repeated returns the target for a call that repeats one which has no response yet.
+func (t Target) Repeated() Target {
+	t.Again = true
 	return t
 }
 
