--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -53,7 +53,7 @@
 func newPath(e *wire.Endpoint, relay string, clock func() time.Duration) *path {
 	p := &path{clock: clock, waiting: map[uint64]chan<- outcome{}, heardAt: clock()}
 	p.queue = batch.Batch[call]{Linger: callLinger, Send: func(cs []call) {
-		if err := wire.Post(e, relay, wire.KindRelayCalls, newCalls(clock(), cs)); err != nil {
+		if err := wire.PostBulk(e, relay, wire.KindRelayCalls, newCalls(clock(), cs)); err != nil {
 			for i := range cs {
 				p.end(cs[i].ID, outcome{err: errNotMade})
 			}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -117,7 +117,7 @@
 	if b == nil {
 		b = &batch.Batch[result]{Linger: resultLinger, Send: func(r []result) {
 			// A result that is not sent counts as lost.
-			_ = wire.Post(s.endpoint, leader, wire.KindRelayResults, &results{Results: r})
+			_ = wire.PostBulk(s.endpoint, leader, wire.KindRelayResults, &results{Results: r})
 		}}
 		if len(s.outputs) >= maxLeaders {
 			clear(s.outputs)
--- a/internal/wire/lane.go
+++ b/internal/wire/lane.go
@@ -9,6 +9,7 @@
 const (
 	laneMain   lane = 0 // calls, exchanges and ordered one-way messages
 	lanePrompt lane = 1 // small messages that must not wait: PostPrompt and PostDatagram
+	laneBulk   lane = 2 // messages that others must not wait for: PostBulk
 )
 
 // hello is the first message on the control stream of a connection. It describes the
--- a/internal/wire/lane_test.go
+++ b/internal/wire/lane_test.go
@@ -178,3 +178,19 @@
 	assert.NilError(t, PostPrompt(a, address, KindReplica, &echoRequest{Text: "prompt"}))
 	assert.Equal(t, <-messages, "prompt")
 }
+
+// Guards against messages of the replicated log that wait behind calls to workers.
+func TestOrderedMessagesDoNotShareConnectionWithBulk(t *testing.T) {
+	a, b := listen(t, "a", nil), listen(t, "b", nil)
+	received := make(chan string, 2)
+	HandlePost(b, KindReplica, func(_ Peer, m *echoRequest) { received <- m.Text })
+	assert.NilError(t, Post(a, b.Address(), KindReplica, &echoRequest{Text: "x"}))
+	assert.NilError(t, PostBulk(a, b.Address(), KindReplica, &echoRequest{Text: "x"}))
+	<-received
+	<-received
+	lanes := map[lane]int{}
+	for _, c := range a.allConns() {
+		lanes[c.lane]++
+	}
+	assert.DeepEqual(t, lanes, map[lane]int{laneMain: 1, laneBulk: 1})
+}
--- a/internal/wire/post.go
+++ b/internal/wire/post.go
@@ -68,6 +68,16 @@
 	return e.peerOf(peerKey{address: to, lane: lanePrompt}).post(queueKey{kind: k}, b)
 }
 
+// PostBulk is like Post for many messages that may wait: it sends them over a connection of
+// their own, so that those of Post do not wait for them.
+func PostBulk[T any](e *Endpoint, to string, k Kind, msg *T) error {
+	b, err := appendFrame(nil, msg)
+	if err != nil {
+		return err
+	}
+	return e.peerOf(peerKey{address: to, lane: laneBulk}).post(queueKey{kind: k}, b)
+}
+
 func (p *peer) post(key queueKey, b []byte) error {
 	k := key.kind
 	p.mu.Lock()
