control: repeat commands and polls after the time that responses take

The time after which a call is repeated now follows the measured times of responses, as TCP estimates round trips, from 250 ms for commands and 200 ms for polls to 600 ms.

--- a/internal/control/dispatch.go
+++ b/internal/control/dispatch.go
@@ -134,7 +134,7 @@
 }
 
 // dispatch sends a command, and sends it again if the worker does not respond within
-// commandRepeatAfter.
+// the time that responses take now.
 func (p *polledWorkers) dispatch(pw *polledWorker, id model.TaskID, cmd *workerCommand, call *commandCall) {
 	if cmd.repeatTimer != nil {
 		cmd.repeatTimer.Stop()
@@ -162,7 +162,7 @@
 		})
 	}
 	send(pw.target)
-	cmd.repeatTimer = p.after(commandRepeatAfter, func() {
+	cmd.repeatTimer = p.after(p.responses.Timeout(commandRepeatAfter, maxRepeatAfter), func() {
 		if _, err := p.l.c.leading(); err != nil || pw.replaced || !p.isCurrent(pw, id, cmd) || !cmd.dispatch.Repeat(round) {
 			return
 		}
@@ -192,11 +192,15 @@
 // clock and handles the response in it.
 func (p *polledWorkers) call(pw *polledWorker, to workerclient.Target, send sendFunc, onResponse func(workerclient.Response)) {
 	s := p.l.c.s
+	sentAt := s.clock()
 	go func() {
 		ctx, cancel := context.WithTimeout(p.ctx, commandTimeout)
 		defer cancel()
 		resp := send(ctx, s.opts.WorkerClient, to)
 		s.post(workCommands, func(*core) {
+			if resp.Verdict != workerclient.Unknown {
+				p.responses.Observe(s.clock() - sentAt)
+			}
 			pw.clock.Observe(resp.Clock, s.now())
 			onResponse(resp)
 		})
--- a/internal/control/polled.go
+++ b/internal/control/polled.go
@@ -20,9 +20,11 @@
 	// commandTimeout bounds one call of a command. The worker may still execute a
 	// command whose call has timed out.
 	commandTimeout = time.Second
-	// commandRepeatAfter is the time without a response after which a command is sent
+	// commandRepeatAfter is the least time without a response after which a command is sent
 	// a second time while the first call continues. Commands are idempotent.
 	commandRepeatAfter = 250 * time.Millisecond
+	// maxRepeatAfter bounds that time, and that of polls, while responses take long.
+	maxRepeatAfter = 600 * time.Millisecond
 	// startRetryAfter is the time before a start without a response is sent again.
 	startRetryAfter = 50 * time.Millisecond
 )
@@ -39,6 +41,7 @@
 
 	reports     exchange.ReportQueue[reportedEnd]
 	losses      workerclient.LossTracker // of responses to polls
+	responses   workerclient.ResponseTimes
 	settlements map[model.WorkerID]*settlement
 	outages     outage.Log
 }
--- a/internal/control/polls.go
+++ b/internal/control/polls.go
@@ -15,7 +15,7 @@
 const (
 	// pollSlack is the time that the call of a poll may take beyond its wait.
 	pollSlack = 700 * time.Millisecond
-	// pollRepeatAfter is the time beyond its wait after which an unanswered poll is
+	// pollRepeatAfter is the least time beyond its wait after which an unanswered poll is
 	// repeated, and the time between further repeats.
 	pollRepeatAfter = 200 * time.Millisecond
 	// maxUnanswered is the number of consecutive unanswered polls from which on a
@@ -158,7 +158,7 @@
 	if cursor != 0 {
 		pw.acknowledgedBy = pw.fence
 	}
-	pw.repeatTimer = p.after(wait+pollRepeatAfter, func() { p.repeatPoll(pw, number) })
+	pw.repeatTimer = p.after(wait+p.responses.Timeout(pollRepeatAfter, maxRepeatAfter), func() { p.repeatPoll(pw, number) })
 	go func() {
 		ctx, cancel := context.WithTimeout(p.ctx, req.Wait+pollSlack)
 		defer cancel()
