--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -50,6 +50,9 @@
 			Name: "filbertmast_relay_calls_total", Help: "Calls to workers, by the way that they took: through a relay, directly, or through one that did not answer."},
 			[]string{"way"}),
 	}
+	for _, way := range [...]string{wayRelay, wayDirect, wayLost} {
+		c.calls.WithLabelValues(way)
+	}
 	wire.HandlePost(e, wire.KindRelayResults, c.receive)
 	return c
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -204,11 +204,11 @@
 // relayedClient makes this process a relay and returns a client that may call workers through
 // others. Both results are nil if the process has no client of workers.
 func (p *Process) relayedClient(direct workerclient.Client) (workerclient.Client, control.Relays) {
+	c := relay.NewClient(p.endpoint, direct, replica.BootTime, p.registry)
 	if direct == nil {
 		return nil, nil
 	}
 	relay.Serve(p.endpoint, direct, replica.BootTime)
-	c := relay.NewClient(p.endpoint, direct, replica.BootTime, p.registry)
 	return c, c
 }
 
