relay: number the calls of all paths and runs of a process differently

Found by a review of the relays: the numbers began anew with each path and each run of the process, so that a late result of an earlier one, which a relay sends to the same address, would have been taken for that of another call: a start would have counted as accepted that was not sent. Numbers now go on from a random one across all paths.

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"hash/maphash"
+	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -28,6 +30,9 @@
 	clock    func() time.Duration
 	calls    *prometheus.CounterVec
 	seed     maphash.Seed
+	// ids numbers the calls, from a random number on: results of an earlier run of the process
+	// at this address may still arrive.
+	ids atomic.Uint64
 
 	mu     sync.Mutex
 	relays []Relay
@@ -50,6 +55,7 @@
 			Name: "filbertmast_relay_calls_total", Help: "Calls to workers, by the way that they took: through a relay, directly, or through one that did not answer."},
 			[]string{"way"}),
 	}
+	c.ids.Store(rand.Uint64())
 	for _, way := range [...]string{wayRelay, wayDirect, wayLost} {
 		c.calls.WithLabelValues(way)
 	}
@@ -90,7 +96,7 @@
 		}
 		p := c.paths[r.Address]
 		if p == nil {
-			p = newPath(c.endpoint, r.Address, c.clock)
+			p = newPath(c.endpoint, r.Address, c.clock, &c.ids)
 			c.paths[r.Address] = p
 		}
 		if weight := c.weight(r.Address, string(to.Worker)); p.usable(to.Again) && (best == nil || weight > highest) {
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/batch"
@@ -35,10 +36,10 @@
 // path holds the calls through one relay.
 type path struct {
 	clock func() time.Duration
+	ids   *atomic.Uint64 // number of the last call of the process
 	queue batch.Batch[call]
 
 	mu       sync.Mutex
-	lastID   uint64
 	waiting  map[uint64]chan<- outcome
 	heardAt  time.Duration // when the last message of the relay arrived
 	avoidEnd time.Duration // until then it gets no calls
@@ -50,8 +51,8 @@
 	err    error
 }
 
-func newPath(e *wire.Endpoint, relay string, clock func() time.Duration) *path {
-	p := &path{clock: clock, waiting: map[uint64]chan<- outcome{}, heardAt: clock()}
+func newPath(e *wire.Endpoint, relay string, clock func() time.Duration, ids *atomic.Uint64) *path {
+	p := &path{clock: clock, ids: ids, waiting: map[uint64]chan<- outcome{}, heardAt: clock()}
 	p.queue = batch.Batch[call]{Linger: callLinger, Send: func(cs []call) {
 		if err := wire.PostBulk(e, relay, wire.KindRelayCalls, newCalls(clock(), cs)); err != nil {
 			for i := range cs {
@@ -95,9 +96,8 @@
 }
 
 func (p *path) begin(c *call, ended chan<- outcome) {
+	c.ID = p.ids.Add(1)
 	p.mu.Lock()
-	p.lastID++
-	c.ID = p.lastID
 	if len(p.waiting) == 0 {
 		p.heardAt = p.clock() // it had nothing to answer
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -199,3 +199,23 @@
 		assert.Assert(t, !(&calls{Calls: []call{bad}, Payloads: m.Payloads}).unshare())
 	}
 }
+
+// Guards against a result of an earlier path or process that is taken for that of another call.
+func TestCallsOfDifferentPathsAndProcessesHaveDifferentNumbers(t *testing.T) {
+	seen := map[uint64]bool{}
+	for range 2 {
+		c, _, _ := newRelayed(t, bootClock)
+		for range 2 {
+			p := c.pathTo(target)
+			id := c.ids.Load() + 1
+			_, err := p.do(callContext(t), &call{Target: target, Stop: &workerclient.StopCommand{}}, 0)
+			assert.NilError(t, err)
+			assert.Assert(t, !seen[id])
+			seen[id] = true
+			relays := c.relays
+			c.Use(nil)
+			assert.Equal(t, len(c.paths), 0)
+			c.Use(relays)
+		}
+	}
+}
