--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -49,9 +49,9 @@
 	return at, any
 }
 
-// planIfDue makes a plan if one is due, proposes it and reports whether it made one. The scheduler counts the
-// resources of the plan as used at once, so that the next plan cannot use them again; a
-// refused placement or a failed proposal frees them.
+// planIfDue makes a plan if one is due, proposes it and reports whether it made one. The
+// scheduler counts the resources of the plan as used at once, so that the next plan cannot
+// use them again; a refused placement or a failed proposal frees them.
 func (l *leader) planIfDue(now model.Time) bool {
 	due := l.dirty || (l.nextPlan != 0 && now >= l.nextPlan)
 	if !due || !l.planPace.due(l.c.s.clock()) || l.plansInFlight >= maxPlansInFlight {
--- a/internal/permit/room.go
+++ b/internal/permit/room.go
@@ -140,8 +140,9 @@
 }
 
 // filter returns the candidates of whose state keep approves, n in number. The first
-// d.maxWorkers of them are in the order in which they are queried. Each query in flight about a worker is counted as taking
-// room for one task there, so that jobs are not sent to the same workers.
+// d.maxWorkers of them are in the order in which they are queried. Each query in flight about
+// a worker is counted as taking room for one task there, so that jobs are not sent to the same
+// workers.
 func (j *jobPermits) filter(candidates []schedule.Candidate, d Demand, r *room, n int, keep func(w workerState, queried bool) bool) []schedule.Candidate {
 	out := make([]schedule.Candidate, 0, n)
 	for _, c := range candidates {
