--- a/review/_kit2/cases.go
+++ b/review/_kit2/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand"
 	"time"
 )
 
@@ -93,33 +94,40 @@
 	return false, "", fmt.Errorf("the job has not ended")
 }
 
-// crashes: executors crash soon after they have begun a task of a job, and come back.
+// crashes: some executors crash while a gang runs on all, and come back.
 func crashes(k *Kit) (bool, string, error) {
-	const executors, waves, attempts = 16, 2, 4
-	const afterStart, down = 300 * time.Millisecond, 2200 * time.Millisecond
+	const executors, each, waves, attempts = 48, 6, 3, 4
+	const afterStart, down = 500 * time.Millisecond, 2200 * time.Millisecond
 	f, err := k.begin(manifest(1, service, []Route{{Name: "r-1", Host: host, Prefix: prefix, Attempts: attempts}}, []string{keyA}), service, executors)
 	if err != nil {
 		return false, "", err
 	}
 	id := "00000000000000a0"
-	out := k.cell.submit(host, prefix, id, keyA, job("ms=4000", step(map[string]any{"estimate_ms": 4000})))
+	out := k.cell.submit(host, prefix, id, keyA, job(fmt.Sprintf("ms=2000 gang=%d", executors), step(map[string]any{"count": executors, "gang": true, "anti_affinity": 1, "estimate_ms": 2000})))
 	if out.Status/100 != 2 {
 		return false, "", fmt.Errorf("the job is not accepted: %d", out.Status)
 	}
 	begun := time.Now()
-	crashed := 0
-	for i := 0; time.Since(begun) < 60*time.Second; i++ {
+	wave := 0
+	for i := 0; time.Since(begun) < 70*time.Second; i++ {
 		time.Sleep(50 * time.Millisecond)
 		runs := f.runsOf(id)
-		if k.trouble && crashed < waves && len(runs) > crashed && time.Since(runs[crashed].began) >= afterStart {
-			slot := runs[crashed].ex.slot
-			crashed++
-			slot.crash()
-			time.AfterFunc(down, func() {
-				if err := slot.start(); err != nil {
-					k.rec.add("slot %d cannot start: %v", slot.n, err)
+		if k.trouble && wave < waves && len(runs) > wave*executors && time.Since(runs[len(runs)-1].began) >= afterStart {
+			n := 0
+			for _, r := range runs {
+				if int(r.run) == wave+1 {
+					n++
+				}
+			}
+			if n == executors {
+				wave++
+				k.rec.add("wave %d", wave)
+				for _, n := range rand.Perm(executors)[:each] {
+					slot := f.slots[n]
+					slot.crash()
+					time.AfterFunc(down, func() { _ = slot.start() })
 				}
-			})
+			}
 		}
 		if i%10 != 0 {
 			continue
@@ -131,9 +139,9 @@
 		}
 		switch state {
 		case "failed", "cancelled":
-			return ends["failed"] < attempts, fmt.Sprintf("the job is shown as %s; ends of its runs: %v; max_attempts is %d", state, ends, attempts), nil
+			return ends["failed"] < attempts, fmt.Sprintf("the job is shown as %s after %d waves; ends of its runs: %v; max_attempts is %d", state, wave, ends, attempts), nil
 		case "completed":
-			return false, fmt.Sprintf("the job is completed; ends of its runs: %v", ends), nil
+			return false, fmt.Sprintf("the job is completed after %d waves; ends of its runs: %v", wave, ends), nil
 		}
 	}
 	return false, "", fmt.Errorf("the job has not ended")
--- a/review/_kit2/executor.go
+++ b/review/_kit2/executor.go
@@ -149,6 +149,7 @@
 	for _, r := range e.active {
 		s.fleet.mu.Lock()
 		r.how, r.ended = "crashed", time.Now()
+		s.fleet.breakGang(r)
 		s.fleet.mu.Unlock()
 	}
 	s.fleet.rec.add("executor %s crashes with %d tasks", e.id, len(e.active))
@@ -321,19 +322,22 @@
 
 // work lets a run end after its time. The caller holds mu of the executor.
 func (r *Run) work() {
-	if r.ex.slot.fails {
-		time.AfterFunc(startupMS*time.Millisecond, func() { r.end("failed") })
-		return
-	}
-	if specValue(r.spec, "lasts") != 0 {
-		return
-	}
 	length := time.Duration(specValue(r.spec, "ms")) * time.Millisecond
-	n := specValue(r.spec, "gang")
-	if n == 0 {
+	gang := specValue(r.spec, "gang")
+	if gang != 0 {
+		r.joinGang(gang, length)
+	}
+	switch {
+	case r.ex.slot.fails:
+		time.AfterFunc(startupMS*time.Millisecond, func() { r.end("failed") })
+	case gang == 0:
 		time.AfterFunc(length, func() { r.end("done") })
-		return
 	}
+}
+
+// joinGang adds the run to its gang of n members, which works for the given time once all
+// are there. A member that waits too long for the others ends.
+func (r *Run) joinGang(n int, length time.Duration) {
 	f := r.ex.slot.fleet
 	key := r.task[:strings.LastIndexByte(r.task, '.')] + "/" + strconv.Itoa(int(r.run))
 	f.mu.Lock()
@@ -350,12 +354,7 @@
 		time.AfterFunc(gangNotice, func() { r.end("broken") })
 	case len(g.members) == n:
 		g.working = true
-		all := append([]*Run{}, g.members...)
-		time.AfterFunc(length, func() {
-			for _, m := range all {
-				m.end("done")
-			}
-		})
+		time.AfterFunc(length, func() { f.finishGang(g) })
 	default:
 		time.AfterFunc(gangTimeoutMS*time.Millisecond, func() {
 			f.mu.Lock()
@@ -368,6 +367,18 @@
 	}
 }
 
+// finishGang ends all members as done, unless one has ended otherwise.
+func (f *Fleet) finishGang(g *gangRun) {
+	f.mu.Lock()
+	over, members := g.over, append([]*Run{}, g.members...)
+	f.mu.Unlock()
+	for _, m := range members {
+		if !over {
+			m.end("done")
+		}
+	}
+}
+
 // gangNotice is how long the other members of a gang take to notice that one has ended.
 const gangNotice = 100 * time.Millisecond
 
@@ -388,23 +399,8 @@
 	f := e.slot.fleet
 	f.mu.Lock()
 	r.how, r.ended = how, time.Now()
-	if key := r.task[:strings.LastIndexByte(r.task, '.')] + "/" + strconv.Itoa(int(r.run)); specValue(r.spec, "gang") != 0 && how != "done" {
-		g := f.gangs[key]
-		if g == nil {
-			g = &gangRun{}
-			f.gangs[key] = g
-		}
-		if !g.over {
-			g.over = true
-			time.AfterFunc(gangNotice, func() {
-				f.mu.Lock()
-				members := append([]*Run{}, g.members...)
-				f.mu.Unlock()
-				for _, m := range members {
-					m.end("broken")
-				}
-			})
-		}
+	if how != "done" {
+		f.breakGang(r)
 	}
 	f.mu.Unlock()
 	e.ends = append(e.ends, end{e.number, r})
@@ -413,6 +409,23 @@
 	f.rec.add("run %s %d ends %s on %s", r.task, r.run, how, e.id)
 }
 
+// breakGang ends the other members of a run's gang after gangNotice. The caller holds mu.
+func (f *Fleet) breakGang(r *Run) {
+	g := r.gang
+	if g == nil || g.over {
+		return
+	}
+	g.over = true
+	time.AfterFunc(gangNotice, func() {
+		f.mu.Lock()
+		members := append([]*Run{}, g.members...)
+		f.mu.Unlock()
+		for _, m := range members {
+			m.end("broken")
+		}
+	})
+}
+
 func (e *Executor) runStop(_ context.Context, o *order) (int, reply) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
