--- a/review/_kit2/cases.go
+++ b/review/_kit2/cases.go
@@ -12,6 +12,7 @@
 	"spread-gang":    spreadGang,
 	"crashes":        crashes,
 	"no-auth":        noAuth,
+	"checkpoint":     checkpoint,
 }
 
 const (
@@ -278,3 +279,42 @@
 	broken, seen := k.stuck(f, id, 45*time.Second)
 	return broken, "gang of 2 tasks that need kind b, 2 idle executors of that kind that work: " + seen, nil
 }
+
+// checkpoint: the checkpoints of tasks are long strings.
+func checkpoint(k *Kit) (bool, string, error) {
+	f, err := k.begin(manifest(1, service, []Route{{Name: "r-1", Host: host, Prefix: prefix, Attempts: 4}}, []string{keyA}), service, 8)
+	if err != nil {
+		return false, "", err
+	}
+	size := 16
+	if k.trouble {
+		size = 5000
+	}
+	id := "00000000000000a0"
+	out := k.cell.submit(host, prefix, id, keyA, job(fmt.Sprintf("ms=9000 saved=%d", size),
+		step(map[string]any{"count": 8, "cpu": 9000, "estimate_ms": 9000, "saves_progress": true})))
+	if out.Status/100 != 2 {
+		return false, "", fmt.Errorf("the job is not accepted: %d", out.Status)
+	}
+	state := ""
+	for i := 0; i < 40 && state != "completed"; i++ {
+		time.Sleep(time.Second)
+		state, _ = k.cell.state(i, host, prefix, id, keyA)
+	}
+	time.Sleep(3 * time.Second)
+	runs := f.runsOf(id)
+	both, again := 0, 0
+	for _, x := range runs {
+		for _, y := range runs {
+			if x.task != y.task || x.run >= y.run {
+				continue
+			}
+			if x.how == "" || y.began.Before(x.ended) {
+				both++
+			} else if x.how == "done" && x.acked {
+				again++
+			}
+		}
+	}
+	return both+again > 0, fmt.Sprintf("checkpoints of %d bytes: the 8 tasks have %d runs; %d times two runs of a task at once, %d times a run after an acknowledged end done; the job is %s", size, len(runs), both, again, state), nil
+}
--- a/review/_kit2/executor.go
+++ b/review/_kit2/executor.go
@@ -20,6 +20,7 @@
 	beatMS        = 1500
 	gangTimeoutMS = 3000
 	startupMS     = 20
+	checkpointMS  = 2000
 )
 
 // Slot is a place where executors live one after the other, at one address.
@@ -84,11 +85,13 @@
 	task  string
 	run   uint32
 	spec  string
-	saved string
+	saved string        // the last checkpoint
+	work0 time.Duration // of earlier runs, which the checkpoint of the start holds
 	began time.Time
 	ended time.Time
 	how   string // "" while it runs
 	gang  *gangRun
+	acked bool // its end is acknowledged
 }
 
 // end is a listed end of a run.
@@ -327,6 +330,10 @@
 	if gang != 0 {
 		r.joinGang(gang, length)
 	}
+	if size := specValue(r.spec, "saved"); size != 0 {
+		length -= r.resume()
+		time.AfterFunc(checkpointMS*time.Millisecond, func() { r.checkpoint(size) })
+	}
 	switch {
 	case r.ex.slot.fails:
 		time.AfterFunc(startupMS*time.Millisecond, func() { r.end("failed") })
@@ -335,6 +342,26 @@
 	}
 }
 
+// resume returns the work that the checkpoint of the start holds.
+func (r *Run) resume() time.Duration {
+	ms, _ := strconv.Atoi(strings.TrimRight(r.saved, "."))
+	r.work0 = time.Duration(ms) * time.Millisecond
+	return r.work0
+}
+
+// checkpoint makes a new checkpoint, a string of the given length, every checkpointMS while
+// the run is at work.
+func (r *Run) checkpoint(size int) {
+	r.ex.mu.Lock()
+	defer r.ex.mu.Unlock()
+	if r.ex.active[r.task] != r {
+		return
+	}
+	done := strconv.Itoa(int((r.work0 + time.Since(r.began)).Milliseconds()))
+	r.saved = done + strings.Repeat(".", max(size-len(done), 0))
+	time.AfterFunc(checkpointMS*time.Millisecond, func() { r.checkpoint(size) })
+}
+
 // joinGang adds the run to its gang of n members, which works for the given time once all
 // are there. A member that waits too long for the others ends.
 func (r *Run) joinGang(n int, length time.Duration) {
@@ -449,6 +476,9 @@
 		e.extend(o.Until)
 	}
 	for len(e.ends) > 0 && e.ends[0].number <= o.Cursor {
+		e.slot.fleet.mu.Lock()
+		e.ends[0].run.acked = true
+		e.slot.fleet.mu.Unlock()
 		e.ends = e.ends[1:]
 	}
 	if len(e.ends) == 0 && o.WaitMS > 0 {
