--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,4 +6,4 @@
 	echo "could not run: build the deploy file, then review/build-2.sh"
 	exit 2
 fi
-exec target/review-2/kit checkpoint review/7
+exec target/review-2/kit probation-gang review/7
