--- a/internal/control/capacity.go
+++ b/internal/control/capacity.go
@@ -45,13 +45,15 @@
 
 // The reasons for which a placed task is not started any more.
 const (
-	noRoom    = "the capacity of the worker was reduced"
-	overLimit = "the limit of the team was lowered"
+	noRoom      = "the capacity of the worker was reduced"
+	overLimit   = "the limit of the team was lowered"
+	otherWorker = "the queue is served by other workers now"
 )
 
 // startBarred returns the reason for which a task that was placed on a worker is not
-// started any more, or "": what may run on the worker exceeds its capacity, or what the
-// team may have running exceeds its limit. Either was then lowered after the placement.
+// started any more, or "": what may run on the worker exceeds its capacity, what the team
+// may have running exceeds its limit, or the worker does not serve the queue. Each has then
+// changed after the placement.
 func (p *polledWorkers) startBarred(pw *polledWorker, j *state.Job) string {
 	w := p.l.c.machine.Worker(pw.target.Worker)
 	switch {
@@ -59,6 +61,8 @@
 		return noRoom
 	case !p.l.c.machine.WithinLimit(j.Team):
 		return overLimit
+	case !p.l.sched.Serves(pw.target.Worker, j.ID):
+		return otherWorker
 	}
 	return ""
 }
--- a/internal/control/capacity_test.go
+++ b/internal/control/capacity_test.go
@@ -350,6 +350,35 @@
 	assert.Equal(t, h.workers.starts.Load(), int32(0))
 }
 
+// otherService declares that the queue of the harness is one of a service that w1 is not of.
+func (h *leaderTest) otherService() {
+	h.declareQueues(model.Queue{Name: "flows", Workspace: "plans", Shared: true, Service: "other", MaxAttempts: 3})
+}
+
+// Guards against a start that is sent to a worker of a service that its queue has left.
+func TestUnsentStartOnServiceThatItsQueueHasLeftIsNotSent(t *testing.T) {
+	for _, newLeader := range []bool{false, true} {
+		h := newLeaderTest(t)
+		h.heartbeat(7, 1, 4000)
+		job := h.place("f1", 1)
+		assert.Equal(t, h.phase(job, 0), model.TaskStarting, "the clock of the worker is not known, so that no start is sent")
+		h.otherService()
+		if newLeader {
+			h.lead(2)
+		}
+		h.answerPolls(idle, func() bool { h.commitReports(); return h.phase(job, 0) == model.TaskPending })
+		assert.Equal(t, h.workers.starts.Load(), int32(0), "new leader: %t", newLeader)
+	}
+}
+
+// Guards against a start without a response that is sent again to a worker of a service that its queue has left.
+func TestUnansweredStartOnServiceThatItsQueueHasLeftIsNotRepeated(t *testing.T) {
+	attempt := workerclient.Attempt{Task: workerclient.TaskName{Workflow: "f1"}, Number: 1}
+	running := &workerclient.PollResponse{Incarnation: 7, Active: []workerclient.ActiveAttempt{{Attempt: attempt}}}
+	assertUnansweredStartIsNotRepeated(t, (*leaderTest).otherService, running, model.TaskRunning)
+	assertUnansweredStartIsNotRepeated(t, (*leaderTest).otherService, idle, model.TaskStopping)
+}
+
 // limitTeam declares the limit of the harness's team.
 func (h *leaderTest) limitTeam(limit model.Team) {
 	h.t.Helper()
--- a/internal/control/queues_test.go
+++ b/internal/control/queues_test.go
@@ -146,3 +146,27 @@
 	}
 	assert.Equal(t, len(h.plan()), 0, "no permit is known yet")
 }
+
+// Guards against steps whose workers depend on when the leader changed: the service of their queue was read as they came.
+func TestStepThatWaitsFollowsItsQueueToOtherService(t *testing.T) {
+	for _, newLeader := range []bool{false, true} {
+		h := newLeaderTest(t)
+		h.announceService("w1", "planner", 1500)
+		h.announceService("w2", "billing", 8000)
+		queue := model.Queue{Name: "flows", Workspace: "plans", Shared: true, Service: "planner"}
+		h.declareQueues(queue)
+		jobs := h.submitSteps()
+		assert.Equal(t, len(h.plan()), 0, "w1 is full")
+		queue.Service = "billing"
+		h.declareQueues(queue)
+		h.endFirstStep(jobs)
+		if newLeader {
+			h.lead(2)
+		}
+		placed := h.plan()
+		assert.Equal(t, len(placed), 2)
+		for _, p := range placed {
+			assert.Equal(t, p.Worker, model.WorkerID("w2"), "new leader: %t", newLeader)
+		}
+	}
+}
--- a/internal/schedule/booking.go
+++ b/internal/schedule/booking.go
@@ -184,7 +184,10 @@
 	}
 	for _, c := range b.claims {
 		w := &p.s.workers[c.slot]
-		if !w.open() || w.onProbation() || w.isolatedFor.job != nil || !p.allowed(j, c.slot) || !b.size.Mul(c.tasks).Fits(w.free) {
+		if !w.open() || w.onProbation() || w.isolatedFor.job != nil || !p.s.matches(j.group.selector, w.class) {
+			return false
+		}
+		if !p.allowed(j, c.slot) || !b.size.Mul(c.tasks).Fits(w.free) {
 			return false
 		}
 	}
--- a/internal/schedule/differential_test.go
+++ b/internal/schedule/differential_test.go
@@ -25,6 +25,7 @@
 	fast         *Scheduler
 	reference    *Scheduler
 	teams        []model.Team
+	queue        model.Queue // the only one
 	permits      map[string]int64
 	workers      map[model.WorkerID]model.WorkerSpec
 	modes        map[model.WorkerID]model.WorkerMode
@@ -96,7 +97,8 @@
 			MaxResources: pick(h, "bound", model.Resources{}, model.Resources{}, cores(9)),
 		})
 	}
-	h.apply(ConfigChanged{Teams: h.teams, Queues: []model.Queue{{Name: "fast", Selector: "disk=ssd"}}})
+	h.queue = model.Queue{Name: "fast", Selector: pick(h, "fast", "disk=ssd", "disk=ssd", "disk=hdd", "", "own")}
+	h.apply(ConfigChanged{Teams: h.teams, Queues: []model.Queue{h.queue}})
 }
 
 func (h *diffTest) workerUp() {
@@ -368,6 +370,11 @@
 	sel, err := model.ParseSelector(spec.Selector)
 	assert.NilError(h.t, err)
 	assert.Assert(h.t, sel.Matches(h.workers[e.Worker].Labels))
+	if spec.Queue == h.queue.Name {
+		queue, err := model.ParseSelector(h.queue.Selector)
+		assert.NilError(h.t, err)
+		assert.Assert(h.t, queue.Matches(h.workers[e.Worker].Labels), "%s does not serve the queue of %s", e.Worker, e.Task)
+	}
 	sum := e.Size
 	for task, o := range h.assigned {
 		if o.Worker == e.Worker {
--- a/internal/schedule/group.go
+++ b/internal/schedule/group.go
@@ -12,7 +12,8 @@
 // others, but for those with permits of their own and exclusive ones.
 type groupKey struct {
 	team       int32
-	selector   int32
+	queue      string
+	labels     string // selector of the job over worker labels
 	class      uint64 // jobs of a class share learned sizes and run times
 	gang       int32  // number of tasks; zero for other policies
 	policy     policy
@@ -44,6 +45,8 @@
 // group is a set of jobs with equal keys.
 type group struct {
 	groupKey
+	selector   int32         // conjunction of the queue's selector and that of the job
+	served     string        // the queue's selector in it
 	jobs       []*job        // ordered by job.less; jobs without a ready task are skipped
 	readyJobs  int32         // queued jobs with a ready task
 	unfinished int32         // jobs that are not finished, waiting or not
--- a/internal/schedule/reservation.go
+++ b/internal/schedule/reservation.go
@@ -57,7 +57,7 @@
 	}
 	for _, c := range r.claims {
 		w := &s.workers[c.slot]
-		if !w.open() || w.onProbation() || w.reservation != r || !r.job.permits.allowed(w.id, now) {
+		if !w.open() || w.onProbation() || w.reservation != r || !r.job.permits.allowed(w.id, now) || !s.matches(r.job.group.selector, w.class) {
 			return false
 		}
 	}
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -158,10 +158,7 @@
 		t.share, t.maxRunning, t.maxResources = d.Share, d.MaxRunning, d.MaxResources
 		s.shares += max(d.Share, 0)
 	}
-	s.queues = make(map[string]string, len(e.Queues))
-	for i := range e.Queues {
-		s.queues[e.Queues[i].Name] = e.Queues[i].WorkerSelector()
-	}
+	s.setQueues(e.Queues)
 	s.prices = slices.Clone(e.Prices)
 	slices.SortFunc(s.prices, func(a, b model.PricePoint) int { return cmp.Compare(a.Patience, b.Patience) })
 }
@@ -180,14 +177,13 @@
 }
 
 // groupFor returns the group of a submitted job, which it creates if need be.
-// Workers must match both the selector of the queue and that of the job; a
-// malformed selector matches nothing.
 func (s *Scheduler) groupFor(e *JobSubmitted) *group {
 	spec := &e.Spec
 	team := s.teamIndex(e.Team)
 	key := groupKey{
 		team:       team,
-		selector:   s.selector(s.queues[spec.Queue], spec.Selector),
+		queue:      spec.Queue,
+		labels:     spec.Selector,
 		class:      s.classOf(e.Team, spec),
 		policy:     policyOf(spec.Policy),
 		exclusive:  spec.Exclusive,
@@ -202,7 +198,7 @@
 	if g == nil {
 		g = &group{groupKey: key, slot: -1, sizeCellVersion: noVersion, fitCellVersion: noVersion}
 		s.groups[key] = g
-		s.selectors.all[key.selector].uses++
+		s.useSelector(g, s.queues[key.queue])
 		s.byClass[key.class] = append(s.byClass[key.class], g)
 	}
 	return g
