--- a/internal/schedule/check.go
+++ b/internal/schedule/check.go
@@ -12,7 +12,7 @@
 func (s *Scheduler) Check(spec *model.JobSpec, q *model.Queue) error {
 	queue := ""
 	if q != nil {
-		queue = q.Selector
+		queue = q.WorkerSelector()
 	}
 	id := s.selector(queue, spec.Selector)
 	m := s.fitFailure(id, spec.Size, gangTasks(spec), spec.Exclusive)
--- a/internal/schedule/queue_test.go
+++ b/internal/schedule/queue_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/filbertmast/filbertmast/internal/errkind"
 	"github.com/filbertmast/filbertmast/internal/model"
 )
 
@@ -109,3 +110,12 @@
 	c.s.Apply(JobPermitsChanged{ID: id, Permits: []Permit{{Worker: "new1", Until: c.now.Add(time.Hour)}}})
 	assert.Equal(t, len(c.plan().Placements), 2)
 }
+
+// Guards against jobs that are admitted though no worker of their queue's service can run them.
+func TestJobThatNoWorkerOfItsServiceCanRunIsRejected(t *testing.T) {
+	c := twoServices(t)
+	spec := &model.JobSpec{Tasks: 1, Size: cores(1), Selector: "kind=b"}
+	assert.NilError(t, c.s.Check(spec, &model.Queue{Service: "new"}))
+	err := c.s.Check(spec, &model.Queue{Service: "old"})
+	assert.Equal(t, errkind.Of(err), errkind.NoMatchingWorker)
+}
