--- a/internal/schedule/apply.go
+++ b/internal/schedule/apply.go
@@ -269,6 +269,7 @@
 	tm.addTask(j.group, size)
 	w := &s.workers[slot]
 	w.tasks = append(w.tasks, taskRef{j, index})
+	s.countSuspect(taskRef{j, index}, 1)
 	s.isolate(slot, taskRef{j, index})
 	s.setFree(slot, w.free.Sub(size))
 	s.reserved = s.reserved.Add(size)
@@ -283,6 +284,7 @@
 // release frees the resources of an assigned task and makes it ready.
 func (s *Scheduler) release(j *job, index int32) {
 	t := &j.tasks[index]
+	s.countSuspect(taskRef{j, index}, -1)
 	s.clearOverUse(taskRef{j, index})
 	tm := s.teams[j.group.team]
 	switch t.state {
--- a/internal/schedule/audit_test.go
+++ b/internal/schedule/audit_test.go
@@ -25,7 +25,7 @@
 		check(services == t.services && tasks == t.serviceTasks, "services of team "+t.name)
 	}
 	check(assigned == s.assignedTasks && reserved == s.reserved, "totals of the cell")
-	isolated := int64(0)
+	isolated, alone := 0, int64(0)
 	for i := range s.workers {
 		w := &s.workers[i]
 		if !w.known {
@@ -33,15 +33,19 @@
 		}
 		if r := w.isolatedFor; r.job != nil {
 			isolated++
-			check(slices.Contains(w.tasks, r), "task for which "+string(w.id)+" is kept")
+			check(slices.Contains(w.tasks, r) && slices.Contains(s.isolated, int32(i)), "task for which "+string(w.id)+" is kept")
 		}
+		if w.keptAlone {
+			alone++
+		}
+		check(n.tasksOn(int32(i), true) == int(w.suspects), "suspects on "+string(w.id))
 		check(n.booked(int32(i)) == w.booked, "booked resources of "+string(w.id))
 		check(n.free(int32(i)) == w.free, "free resources of "+string(w.id))
 		slot, key, found := s.free.Best(s.bins.of(w.class, w.domain), w.free, func(o int32) bool { return o == int32(i) })
 		check(found == w.available(), "index entry of "+string(w.id))
 		check(!found || slot == int32(i) && key == capacity.KeyOf(w.free, w.tie), "index key of "+string(w.id))
 	}
-	check(isolated == s.isolated, "number of workers kept for suspects")
+	check(isolated == len(s.isolated) && alone == s.keptAlone, "number of workers kept for suspects")
 	for _, b := range s.bookings {
 		check(s.jobs[b.job.id] == b.job && b.job.booking == b && b.job.group.policy == gang, "booking of "+b.job.id.String())
 	}
--- a/internal/schedule/booking.go
+++ b/internal/schedule/booking.go
@@ -184,7 +184,7 @@
 	}
 	for _, c := range b.claims {
 		w := &p.s.workers[c.slot]
-		if !w.open() || w.isolatedFor.job != nil || w.onProbation() && !p.mayHoldGang(w) || !p.s.matches(j.group.selector, w.class) {
+		if !w.open() || p.keptFromGang(j.group, w) || !p.s.matches(j.group.selector, w.class) {
 			return false
 		}
 		if !p.allowed(j, c.slot) || !b.size.Mul(c.tasks).Fits(w.free) {
--- a/internal/schedule/gang.go
+++ b/internal/schedule/gang.go
@@ -93,12 +93,12 @@
 
 // findFurtherRacks chooses racks for the ready tasks of a gang, found of which fit on the
 // available workers and those reserved for it: with workers that are lent to it, or else with
-// workers on probation. It returns nil if the tasks do not fit.
+// those that are the last choice. It returns nil if the tasks do not fit.
 func (p *planner) findFurtherRacks(j *job, size model.Resources, found int64, permitted permitCheck) []gangRack {
 	if chosen := p.findBorrowedRacks(j, size, permitted); chosen != nil {
 		return chosen
 	}
-	return p.findRacksOnProbation(j, size, found, permitted)
+	return p.findLastRacks(j, size, found, permitted)
 }
 
 // fitsPlan reports whether the plan may place all ready tasks of j in addition.
--- a/internal/schedule/health.go
+++ b/internal/schedule/health.go
@@ -206,7 +206,6 @@
 		}
 		if r := h.probe; r.job != nil {
 			after(r.task().since.Add(probeSettled))
-			continue
 		}
 		after(h.nextProbe)
 		after(h.nextTry)
@@ -224,16 +223,6 @@
 	return a
 }
 
-// mayProbe reports whether a worker on probation may be given another task: the last one has
-// ended or has run for probeSettled.
-func (w *worker) mayProbe(now model.Time) bool {
-	if !w.open() || w.reservation != nil || w.isolatedFor.job != nil {
-		return false
-	}
-	r := w.health.probe
-	return r.job == nil || r.task().state == taskRunning && now.Sub(r.task().since) >= probeSettled
-}
-
 // findProbe returns a worker on probation that is due for a probe and on which a task of j
 // fits, or noSlot. Only tasks that may fail once more are used as probes.
 func (p *planner) findProbe(j *job, index int32, size model.Resources) int32 {
@@ -243,28 +232,6 @@
 	return p.bestProbe(j, size, func(h *health) model.Time { return h.nextProbe })
 }
 
-// findLastResort returns a worker on probation for a task of j that fits on no other worker,
-// or noSlot. One that may not fail once more waits for other work to show whether the worker
-// is sound.
-func (p *planner) findLastResort(j *job, index int32, size model.Resources) int32 {
-	if len(p.s.probation) == 0 {
-		return noSlot
-	}
-	wait := p.tryWait(j, index)
-	return p.bestProbe(j, size, func(h *health) model.Time { return h.nextTry.Add(wait) })
-}
-
-// tryWait returns how long a task of j waits for other work to be tried first.
-func (p *planner) tryWait(j *job, index int32) time.Duration {
-	switch {
-	case !j.group.repeatable:
-		return 2 * p.s.opts.ProbeWait
-	case !j.mayFail(index):
-		return p.s.opts.ProbeWait
-	}
-	return 0
-}
-
 // bestProbe returns a worker on probation on which a task of j fits and which may be given a
 // task by now, or noSlot.
 func (p *planner) bestProbe(j *job, size model.Resources, from func(*health) model.Time) int32 {
@@ -281,40 +248,6 @@
 	return best
 }
 
-// mayHoldGang reports whether the members of a gang may be placed on a worker on probation.
-// They wait a little for other work, since one failure ends the run of the whole gang.
-func (p *planner) mayHoldGang(w *worker) bool {
-	return p.now >= w.health.nextTry.Add(p.s.opts.ProbeWait) && w.mayProbe(p.now)
-}
-
-// roomOnProbation returns an upper bound on how many tasks of g fit on the workers on
-// probation that may be given one now.
-func (p *planner) roomOnProbation(g *group, size model.Resources) (n int64) {
-	for _, slot := range p.s.probation {
-		w := &p.s.workers[slot]
-		if p.now >= w.health.nextTry && w.mayProbe(p.now) && p.s.matches(g.selector, w.class) {
-			n += copies(size, w.free)
-		}
-	}
-	return n
-}
-
-// findRacksOnProbation chooses racks for the ready tasks of a gang, with workers on probation;
-// nil if they do not fit. At most found tasks fit on other workers. A gang may have several
-// tasks on such a worker: their run is one probe.
-func (p *planner) findRacksOnProbation(j *job, size model.Resources, found int64, permitted permitCheck) []gangRack {
-	if len(p.s.probation) == 0 || found+p.roomOnProbation(j.group, size) < int64(j.ready) {
-		return nil
-	}
-	claims := slices.Clone(j.claims())
-	for _, slot := range p.s.probation {
-		if p.mayHoldGang(&p.s.workers[slot]) {
-			claims = append(claims, claim{slot: slot})
-		}
-	}
-	return p.findRacks(j, size, claims, permitted)
-}
-
 // mayFail reports whether a task of j may fail once more without failing its job.
 func (j *job) mayFail(index int32) bool {
 	return j.group.repeatable && !j.restartsExhausted(&j.tasks[index])
--- a/internal/schedule/naive_booking_test.go
+++ b/internal/schedule/naive_booking_test.go
@@ -127,7 +127,7 @@
 	for _, c := range b.claims {
 		count += c.tasks
 		w := &n.s.workers[c.slot]
-		if !w.open() || w.onProbation() && !n.mayTryGang(w) || w.isolatedFor.job != nil || !n.matches(j.group, w) {
+		if kept := w.onProbation() || w.isolatedFor.job != nil; !w.open() || kept && !n.mayTryGang(j, w, true) || !n.matches(j.group, w) {
 			return false
 		}
 		if n.permittedUntil(j, c.slot, true) <= n.now || !b.size.Mul(c.tasks).Fits(n.free(c.slot)) {
--- a/internal/schedule/naive_hold_test.go
+++ b/internal/schedule/naive_hold_test.go
@@ -108,6 +108,7 @@
 
 // recordUse records what is free and reserved when the plan begins.
 func (n *naive) recordUse() {
+	n.isolatedBefore = len(n.s.isolated) > 0
 	for i := range n.s.workers {
 		n.freeBefore = append(n.freeBefore, n.free(int32(i)))
 		if r := n.s.workers[i].reservation; r != nil && r.advance {
@@ -118,19 +119,26 @@
 
 // mayLendTo reports whether jobs of the group of j may be lent reserved workers.
 func (n *naive) mayLendTo(j *job, size model.Resources) bool {
-	var most, used, total model.Resources
+	var most model.Resources
 	for _, slot := range n.reservedBefore {
 		most = most.Max(n.freeBefore[slot])
 	}
 	if len(n.reservedBefore) == 0 || !size.Fits(most) {
 		return false
 	}
+	return j.group.policy == service || n.mostlyIdleBefore(j)
+}
+
+// mostlyIdleBefore reports whether less than half was in use on the workers that match j when
+// the plan began.
+func (n *naive) mostlyIdleBefore(j *job) bool {
+	var used, total model.Resources
 	for i := range n.s.workers {
 		if w := &n.s.workers[i]; w.known && w.mode != model.WorkerLost && n.matches(j.group, w) {
 			used, total = used.Add(w.capacity.Sub(n.freeBefore[i])), total.Add(w.capacity)
 		}
 	}
-	return j.group.policy == service || withinHalf(used, total)
+	return withinHalf(used, total)
 }
 
 func (n *naive) borrows(j *job, size model.Resources) bool {
--- a/internal/schedule/naive_test.go
+++ b/internal/schedule/naive_test.go
@@ -18,12 +18,13 @@
 	skippedHeads      map[*job]bool
 	freeBefore        []model.Resources // free capacity of each worker when the plan began
 	reservedBefore    []int32           // workers reserved in advance when the plan began
+	isolatedBefore    bool              // a worker was kept for a suspect when the plan began
 }
 
 func naivePlan(s *Scheduler, now model.Time, max int) Plan {
 	s.endBackoffs(now)
 	s.passProbes(now)
-	n := &naive{planner{s: s, now: now, max: max, spread: &s.spread}, map[*group]bool{}, map[int32]bool{}, map[*reservation]model.Time{}, map[*job]bool{}, nil, nil}
+	n := &naive{planner{s: s, now: now, max: max, spread: &s.spread}, map[*group]bool{}, map[int32]bool{}, map[*reservation]model.Time{}, map[*job]bool{}, nil, nil, false}
 	s.planSeq++
 	for _, t := range s.teams {
 		t.plannedStops = model.Resources{}
@@ -204,11 +205,11 @@
 		}
 		return
 	}
-	fits := func(slot int32) bool { return n.s.workers[slot].available() && n.fits(j, slot, size) }
-	waits := g.policy == batch && j.suspects[j.nextReady(0)].aloneUntil > n.now && n.findAlone(j, size) == noSlot
-	if waits && n.best(fits, n.tighter) != noSlot {
+	until := j.suspects[j.nextReady(0)].aloneUntil
+	waits := g.policy == batch && until > n.now && n.findAlone(j, size) == noSlot
+	if waits && n.findAmongSuspects(j, size) != noSlot {
 		n.skippedHeads[j] = true
-		n.wakeAt(n.now.Add(aloneRetry))
+		n.wakeAt(min(n.now.Add(aloneRetry), until))
 		return
 	}
 	if g.policy == gang && n.tryGang(j, size) || g.policy != gang && n.tryOne(j, size) || n.full || n.tryBooking(j, size) {
@@ -270,14 +271,43 @@
 }
 
 // findAlone returns an available worker without tasks, or else one on which every task
-// has run past its start, or noSlot.
+// has run past its start, or else such a one that is kept for another suspect, or noSlot.
 func (n *naive) findAlone(j *job, size model.Resources) int32 {
 	available := func(slot int32) bool { return n.s.workers[slot].available() && n.fits(j, slot, size) }
 	slot := n.best(func(slot int32) bool { return available(slot) && n.tasksOn(slot, false) == 0 }, n.tighter)
-	if slot != noSlot {
-		return slot
+	if slot == noSlot {
+		slot = n.best(func(slot int32) bool { return available(slot) && n.quiet(&n.s.workers[slot]) }, n.tighter)
+	}
+	if slot == noSlot {
+		slot = n.best(func(slot int32) bool {
+			return n.shared(j, slot) && n.fits(j, slot, size) && n.quiet(&n.s.workers[slot])
+		}, n.tighter)
+	}
+	return slot
+}
+
+// shared reports whether a worker is kept for a suspect and may be shared with tasks of j.
+func (n *naive) shared(j *job, slot int32) bool {
+	w := &n.s.workers[slot]
+	r := w.isolatedFor
+	if r.job == nil || w.reservation != nil || w.onProbation() {
+		return false
 	}
-	return n.best(func(slot int32) bool { return available(slot) && n.quiet(&n.s.workers[slot]) }, n.tighter)
+	if determined := n.isolatedBefore || len(n.reservedBefore) > 0; j.group.policy != service && !(determined && n.mostlyIdleBefore(j)) {
+		return false
+	}
+	v := r.job.suspects[r.index]
+	settled := r.task().state == taskRunning && n.now.Sub(r.task().since) >= model.StartSpan
+	return !w.keptAlone || v.suspicion != KeepAlone || v.aloneUntil <= n.now || settled
+}
+
+// findAmongSuspects returns the worker with the fewest suspects for another one, or noSlot.
+func (n *naive) findAmongSuspects(j *job, size model.Resources) int32 {
+	return n.best(func(slot int32) bool {
+		return (n.s.workers[slot].available() || n.shared(j, slot)) && n.fits(j, slot, size)
+	}, func(a, b int32) bool {
+		return cmp.Or(cmp.Compare(n.tasksOn(a, true), n.tasksOn(b, true)), n.compareTight(a, b)) < 0
+	})
 }
 
 // tasksOn returns the number of tasks, or of suspects, that are assigned to a worker.
@@ -332,7 +362,7 @@
 	if j.suspects[index].suspicion != NotSuspected {
 		slot = n.findAlone(j, size)
 		if slot == noSlot {
-			slot = n.best(func(slot int32) bool { return available(slot) && n.tasksOn(slot, true) == 0 }, n.tighter)
+			slot = n.findAmongSuspects(j, size)
 		}
 	} else {
 		slot = n.findProbe(j, index, size)
@@ -356,7 +386,13 @@
 		}
 	}
 	if slot == noSlot {
-		slot = n.findLastResort(j, index, size)
+		slot = n.best(func(slot int32) bool { return n.shared(j, slot) && n.fits(j, slot, size) }, func(a, b int32) bool {
+			qa, qb := n.quiet(&n.s.workers[a]), n.quiet(&n.s.workers[b])
+			return qa && !qb || qa == qb && n.tighter(a, b)
+		})
+	}
+	if slot == noSlot {
+		slot = n.findTry(j, index, size)
 	}
 	if slot == noSlot {
 		return false
@@ -404,33 +440,58 @@
 // gangClaims returns the workers for all tasks of a gang, in order, among those that may
 // accepts; nil if they do not suffice.
 func (n *naive) gangClaims(j *job, size model.Resources, may func(int32) bool) []claim {
-	claims := n.gangClaimsOn(j, size, may, false, false)
+	claims := n.gangClaimsOn(j, size, may, false)
 	if claims == nil && n.borrows(j, size) {
-		claims = n.gangClaimsOn(j, size, may, true, false)
+		claims = n.gangClaimsOn(j, size, may, true)
 	}
 	if claims == nil {
-		claims = n.gangClaimsOn(j, size, may, false, true)
+		claims = n.gangClaimsAmong(j, size, may)
 	}
 	return claims
 }
 
-// mayTryGang reports whether a worker on probation may be given tasks of a gang.
-func (n *naive) mayTryGang(w *worker) bool {
+// mayTryGang reports whether a gang may be placed on a worker that is kept for a suspect, or
+// with probes on one on probation.
+func (n *naive) mayTryGang(j *job, w *worker, probes bool) bool {
 	h := w.health
-	if h == nil || !h.probation || n.now < h.nextTry.Add(n.s.opts.ProbeWait) || w.reservation != nil || w.isolatedFor.job != nil {
+	if w.reservation != nil {
+		return false
+	}
+	if w.isolatedFor.job != nil {
+		return n.shared(j, n.s.workerByID[w.id])
+	}
+	if !probes || h == nil || !h.probation || n.now < h.nextTry.Add(n.s.opts.ProbeWait) {
 		return false
 	}
 	t := h.probe
 	return t.job == nil || t.task().state == taskRunning && n.now.Sub(t.task().since) >= probeSettled
 }
 
-func (n *naive) gangClaimsOn(j *job, size model.Resources, may func(int32) bool, borrow, probes bool) (claims []claim) {
+// gangClaimsAmong returns claims like gangClaimsOn with workers that are the last choice, too.
+func (n *naive) gangClaimsAmong(j *job, size model.Resources, may func(int32) bool) []claim {
+	for _, probes := range []bool{false, true} {
+		claims := n.gangClaimsFrom(j, size, may, false, func(w *worker) bool {
+			return w.available() || w.reservation != nil && w.reservation.job == j || n.mayTryGang(j, w, probes)
+		})
+		if claims != nil {
+			return claims
+		}
+	}
+	return nil
+}
+
+func (n *naive) gangClaimsOn(j *job, size model.Resources, may func(int32) bool, borrow bool) []claim {
+	return n.gangClaimsFrom(j, size, may, borrow, func(w *worker) bool {
+		return w.available() || w.reservation != nil && (w.reservation.job == j || borrow && w.reservation.advance)
+	})
+}
+
+func (n *naive) gangClaimsFrom(j *job, size model.Resources, may func(int32) bool, borrow bool, usable func(*worker) bool) (claims []claim) {
 	byRack := map[int32]*gangRack{}
 	on := map[int32][]gangWorker{}
 	for i := range n.s.workers {
 		slot, w := int32(i), &n.s.workers[i]
-		usable := w.available() || w.reservation != nil && (w.reservation.job == j || borrow && w.reservation.advance) || probes && n.mayTryGang(w)
-		if !usable || !may(slot) {
+		if !usable(w) || !may(slot) {
 			continue
 		}
 		if byRack[w.rack] == nil {
--- a/internal/schedule/order.go
+++ b/internal/schedule/order.go
@@ -12,6 +12,9 @@
 	}
 	p.beginBackfill()
 	p.beginLending()
+	if len(p.s.isolated) > 0 && p.lending.classes == nil {
+		p.countUse()
+	}
 }
 
 // nextGroup returns the group whose head comes first: that of the team with the
@@ -99,7 +102,7 @@
 		return false
 	}
 	g := e.group
-	if p.mayBackfill(g, g.taskSize) || p.mayLend(g, g.taskSize) || e.fit.maxTasks+p.roomOnProbation(g, g.taskSize) >= n {
+	if p.mayBackfill(g, g.taskSize) || p.mayLend(g, g.taskSize) || e.fit.maxTasks+p.lastResortRoom(g, g.taskSize) >= n {
 		return false
 	}
 	if p.now < e.pressing {
--- a/internal/schedule/permit.go
+++ b/internal/schedule/permit.go
@@ -124,8 +124,8 @@
 
 // Candidates returns the open and responsive workers that match the selectors of a
 // job and are large enough for one of its tasks, in no order. A worker that is reserved for
-// another job, and may not be lent, has no room, nor has one that is on probation, unless the
-// other workers could not hold the job if they were empty. It returns nil if the job is unknown.
+// another job, and may not be lent, has no room, nor has one that is the last choice, unless the
+// job needs it. It returns nil if the job is unknown.
 // The result is valid until the next call.
 func (s *Scheduler) Candidates(id model.JobID) []Candidate {
 	j := s.jobs[id]
@@ -141,7 +141,7 @@
 	p := planner{s: s}
 	p.beginLending()
 	borrows := p.mayBorrow(j, size)
-	probes := s.needsProbation(j, size)
+	isolated, probation := s.lastResorts(j, size)
 	out := s.candidates[:0]
 	for slot := range s.workers {
 		w := &s.workers[slot]
@@ -159,7 +159,8 @@
 		}
 		free := s.freeFor(j, int32(slot))
 		taken := j.group.exclusive && placed.onWorker[slot]
-		if !taken && size.Fits(free) && (c.Reserved || w.available() || borrows && w.reservedInAdvance() || probes && w.onProbation()) {
+		usable := w.available() || borrows && w.reservedInAdvance() || probation && w.onProbation() || isolated && w.isolatedFor.job != nil
+		if !taken && size.Fits(free) && (c.Reserved || usable) {
 			c.Room = j.tasksThatFit(size, free)
 		}
 		out = append(out, c)
@@ -167,21 +168,3 @@
 	s.candidates = out
 	return out
 }
-
-// needsProbation reports whether j can run with workers on probation only.
-func (s *Scheduler) needsProbation(j *job, size model.Resources) bool {
-	if len(s.probation) == 0 {
-		return false
-	}
-	need := j.tasksAtOnce()
-	for slot := range s.workers {
-		w := &s.workers[slot]
-		if w.open() && !w.onProbation() && size.Fits(w.capacity) && s.matches(j.group.selector, w.class) {
-			need -= j.tasksThatFit(size, w.capacity)
-		}
-		if need <= 0 {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/schedule/planner.go
+++ b/internal/schedule/planner.go
@@ -56,6 +56,7 @@
 func (p *planner) nextWake() model.Time {
 	next := earlier(p.wake, p.s.timers.next())
 	next = earlier(next, p.s.nextProbeTime(p.now))
+	next = earlier(next, p.s.nextShareTime(p.now))
 	if d := p.s.deadlines; len(d) > 0 {
 		next = earlier(next, max(d[0].promisedStart, p.now)+1)
 	}
@@ -175,7 +176,7 @@
 	index := j.nextReady(j.next)
 	slot := noSlot
 	if j.suspects[index].suspicion != NotSuspected {
-		slot = p.findApart(j, size, p.apartFilters())
+		slot = p.findSuspectPlace(j, size)
 	} else {
 		slot = p.findProbe(j, index, size)
 	}
@@ -201,7 +202,7 @@
 	return true
 }
 
-// findAvailable searches the workers that are neither reserved nor on probation.
+// findAvailable searches the workers that are neither reserved nor the last choice.
 func (p *planner) findAvailable(j *job, size model.Resources) int32 {
 	if j.group.policy == service {
 		return p.findSpread(j, size)
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -66,7 +66,8 @@
 	overUses       map[taskRef]overUse
 	probation      []int32 // slots of workers on probation
 	draining       []int32 // slots of workers to be drained
-	isolated       int64   // number of workers kept for a suspect
+	isolated       []int32 // slots of workers kept for a suspect
+	keptAlone      int64   // number of those that are kept for the suspect alone
 	pendingReports planReports
 	readyTasks     int64
 	waitingTasks   int64
--- a/internal/schedule/worker.go
+++ b/internal/schedule/worker.go
@@ -35,11 +35,13 @@
 	health       *health      // nil without early failures
 	reservation  *reservation // reservation of this worker, or nil
 	isolatedFor  taskRef      // the suspect that it is kept for, while that is assigned
+	keptAlone    bool         // no other task is placed on it in the start of the suspect
+	suspects     int32        // assigned tasks that are suspected
 }
 
 // available reports whether w is in the index of free capacity.
 func (w *worker) available() bool {
-	return w.open() && w.reservation == nil && !w.onProbation() && w.isolatedFor.job == nil
+	return w.open() && w.reservation == nil && !w.lastChoice()
 }
 
 // reservedInAdvance reports whether w is reserved for a job that waits for tasks to end.
