--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -29,6 +29,7 @@
 			StartBy:     e.Job.StartBy,
 			Price:       e.Job.Price,
 			NeedsPermit: l.policy.add(e.Job),
+			Restarts:    restartsOf(e.Job),
 
 			RestartBudgetOnly: e.Job.Step != nil,
 		})
@@ -51,6 +52,22 @@
 	}
 }
 
+// restartsOf returns the failures of the tasks of a job up to the last that has failed. It
+// returns nil for a service, which has no restart budget.
+func restartsOf(j *state.Job) []uint16 {
+	if j.Spec.Policy == model.PolicyService {
+		return nil
+	}
+	var out []uint16
+	for i := range j.Tasks {
+		if n := j.Tasks[i].Restarts; n > 0 {
+			out = append(out, make([]uint16, i-len(out))...)
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
 func (l *leader) applyConfig(e *state.ConfigChanged) {
 	d := e.Declarations
 	queues := e.ServedQueues()
@@ -93,6 +110,8 @@
 			Used:    e.Used,
 			At:      e.At,
 			Final:   e.To.Done(),
+
+			FailureCounted: e.FailureCounted,
 		})
 		l.policy.tracker.Wake(e.Task.Job)
 	}
--- a/internal/schedule/apply.go
+++ b/internal/schedule/apply.go
@@ -64,6 +64,9 @@
 		permits:       newPermitSet(e.NeedsPermit),
 		budgetOnly:    e.RestartBudgetOnly,
 	}
+	for i, n := range e.Restarts {
+		j.tasks[i].restarts = n
+	}
 	s.jobs[e.ID] = j
 	heap.Push(&s.deadlines, j)
 	if s.opts.LateShift > 0 {
@@ -150,13 +153,12 @@
 	}
 	s.evaluateOutcome(j, e.Task.Index, &e)
 	s.learnFromEnd(j, &e)
-	onProbation := s.workers[t.worker].onProbation()
 	s.release(j, e.Task.Index)
 	if e.Final || j.cancelled {
 		s.finish(j, e.Task.Index)
 		return
 	}
-	s.delayRestart(j, e.Task.Index, &e, onProbation)
+	s.delayRestart(j, e.Task.Index, &e)
 }
 
 // learnFromEnd records the usage and the run time of a successful attempt.
@@ -190,10 +192,10 @@
 
 // delayRestart puts a released task into backoff if it failed, was stopped or did
 // not start, or if it succeeded and is a service. A task that failed or was stopped,
-// such as for exceeding its size, uses up one restart of its budget, unless its worker
-// was on probation; once the budget is exhausted the task stays waiting and a failure
-// is reported. The backoff of a service begins anew after a long run.
-func (s *Scheduler) delayRestart(j *job, index int32, e *TaskEnded, onProbation bool) {
+// such as for exceeding its size, uses up one restart of its budget; once that is
+// exhausted the task stays waiting and a failure is reported. The backoff of a service
+// begins anew after a long run.
+func (s *Scheduler) delayRestart(j *job, index int32, e *TaskEnded) {
 	atFault := e.Outcome == Failed || e.Outcome == Stopped || e.Outcome == Succeeded && j.group.policy == service
 	if !atFault && e.Outcome != NotStarted {
 		return
@@ -207,17 +209,30 @@
 	t.since = 0
 	j.waiting++
 	s.waitingTasks++
-	if atFault && !onProbation {
-		if j.restartsExhausted(t) {
-			s.pendingReports.failures = append(s.pendingReports.failures, Failure{Job: j.id, Task: index, Reason: ReasonRestartBudget})
-			return
-		}
-		t.restarts = min(t.restarts, maxRestartCount-1) + 1
+	if atFault && !e.FailureCounted && !j.countFailure(t) {
+		s.pendingReports.failures = append(s.pendingReports.failures, Failure{Job: j.id, Task: index, Reason: ReasonRestartBudget})
+		return
 	}
 	t.since = e.At.Add(s.backoff(j, index))
 	s.timers.push(timer{at: t.since, job: j, index: index})
 }
 
+// countFailure uses up one restart of t, or of all members of a gang, and reports whether one
+// was left.
+func (j *job) countFailure(t *task) bool {
+	if j.restartsExhausted(t) {
+		return false
+	}
+	n := min(t.restarts, maxRestartCount-1) + 1
+	t.restarts = n
+	for i := range j.tasks {
+		if j.group.policy == gang {
+			j.tasks[i].restarts = n
+		}
+	}
+	return true
+}
+
 // restartsExhausted reports whether t may not be started again after a failure.
 func (j *job) restartsExhausted(t *task) bool {
 	return !j.unlimitedRestarts() && int32(t.restarts) >= min(j.maxRestarts, maxRestartCount)
--- a/internal/schedule/event.go
+++ b/internal/schedule/event.go
@@ -60,6 +60,8 @@
 	StartBy     model.Time // submission time plus patience
 	Price       int64      // micro-units per core-second
 	NeedsPermit bool       // placed only on workers named by a JobPermitsChanged
+	// Restarts are the failures of the first tasks so far; the others have not failed.
+	Restarts []uint16
 	// RestartBudgetOnly jobs fail only by exhausting the restart budget of a task.
 	// They are not reported with ReasonBadJob, on however many workers their tasks
 	// fail.
@@ -118,6 +120,9 @@
 	Used    model.Resources // peak usage; zero if unknown
 	At      model.Time
 	Final   bool // if false, the task becomes pending again, for some outcomes after a backoff
+	// FailureCounted is set for a failure that uses up no restart, since another member of the
+	// gang has failed in the same run.
+	FailureCounted bool
 }
 
 // Suspicion is how a task is kept apart from others since it may crash its worker.
--- a/internal/schedule/job.go
+++ b/internal/schedule/job.go
@@ -27,7 +27,7 @@
 	size     model.Resources // reserved size, while assigned
 	since    model.Time      // placement, then confirmed start; in taskWaiting, end of the backoff or zero for never
 	worker   int32           // slot, while assigned
-	restarts uint16          // failures so far
+	restarts uint16          // failures so far, of a gang those of all members, once a run
 	state    taskState
 	over     overState
 }
--- a/internal/schedule/policy_test.go
+++ b/internal/schedule/policy_test.go
@@ -499,3 +499,18 @@
 	}
 	t.Error("the large task has not started")
 }
+
+// Guards against a run of a gang that uses up a restart for each member that fails in it.
+func TestRunOfGangUsesUpOneRestart(t *testing.T) {
+	c := newCell()
+	c.workers(4, cores(4))
+	id := c.job(model.JobSpec{Policy: model.PolicyGang, Tasks: 4, Size: cores(4), MaxRestarts: 2})
+	for run := range 3 {
+		assert.Equal(t, len(c.plan().Placements), 4, "run %d", run)
+		for i := range int32(4) {
+			c.s.Apply(TaskEnded{Task: model.TaskID{Job: id, Index: i}, Outcome: Failed, RanFor: time.Second, At: c.now, FailureCounted: i > 0})
+		}
+		c.now = c.now.Add(time.Minute)
+		assert.Equal(t, len(c.s.pendingReports.failures) > 0, run == 2)
+	}
+}
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -89,6 +89,9 @@
 	RanFor  time.Duration   // set if To holds no resources
 	Used    model.Resources // peak usage, if reported
 	At      model.Time
+	// FailureCounted is set for a failure that uses up no restart, since another member of the
+	// gang has failed in the same attempt.
+	FailureCounted bool
 }
 
 // WorkerCrashed reports the certain crash of a worker under tasks.
--- a/internal/state/gang.go
+++ b/internal/state/gang.go
@@ -6,17 +6,55 @@
 )
 
 // The members of a gang run together or not at all: when one member ends, the
-// attempt ends for all. A new attempt starts once no member holds resources.
+// attempt ends for all. A new attempt starts once no member holds resources. An attempt counts
+// against the restart budget once, however many members fail in it.
 
-// restarts returns how often tasks of the job were restarted after a failure.
-func (j *Job) restarts() int32 {
-	n := int32(0)
+// gangRestarts returns how often the gang was restarted after an attempt in which members have
+// failed. All members have the same number.
+func (j *Job) gangRestarts() uint16 {
+	n := uint16(0)
 	for i := range j.Tasks {
-		n += int32(j.Tasks[i].Restarts)
+		n = max(n, j.Tasks[i].Restarts)
 	}
 	return n
 }
 
+// failureCounted reports whether the current attempt of t counts as failed already, since
+// another member of the gang has failed in it.
+func (j *Job) failureCounted(t *Task) bool {
+	return j.Spec.Policy == model.PolicyGang && j.FailedRun == t.Attempt
+}
+
+// countRestart counts a restart after the failure of t: of all members of a gang, or of t.
+func (j *Job) countRestart(t *Task) {
+	if j.Spec.Policy != model.PolicyGang {
+		t.Restarts = addSaturating(t.Restarts)
+		return
+	}
+	n := addSaturating(j.gangRestarts())
+	for i := range j.Tasks {
+		j.Tasks[i].Restarts = n
+	}
+	j.FailedRun = t.Attempt
+}
+
+// upgradeRestarts counts the restarts of a gang in the state of an earlier build for all of its
+// members. An attempt that is ending counts as failed if a member with the most restarts has
+// ended.
+func (j *Job) upgradeRestarts() {
+	n := j.gangRestarts()
+	if j.Spec.Policy != model.PolicyGang || j.FailedRun != 0 || n == 0 {
+		return
+	}
+	for i := range j.Tasks {
+		t := &j.Tasks[i]
+		if j.held() > 0 && t.Phase == model.TaskPending && t.Restarts == n {
+			j.FailedRun = t.Attempt
+		}
+		t.Restarts = n
+	}
+}
+
 // handleSucceeded ends a task as succeeded, also if its attempt was released before. The
 // members of a gang succeed together, including a member whose worker has been marked as
 // lost meanwhile. A task of a service is pending again.
--- a/internal/state/job.go
+++ b/internal/state/job.go
@@ -42,6 +42,8 @@
 	Checkpoints map[int32]string `cbor:"21,keyasint,omitempty"`
 	// Suspicions holds, by index, the tasks under which workers were lost.
 	Suspicions map[int32]suspicion `cbor:"22,keyasint,omitempty"`
+	// FailedRun is the last attempt of a gang in which a member has failed; zero: none.
+	FailedRun uint32 `cbor:"23,keyasint,omitempty"`
 
 	counts [model.TaskCancelled + 1]int32
 }
@@ -69,7 +71,7 @@
 	Fence    model.Fence     `cbor:"2,keyasint"` // of the last attempt
 	Since    model.Time      `cbor:"3,keyasint"` // start of the running attempt
 	Worker   int32           `cbor:"4,keyasint"` // number in the worker table, or noWorker
-	Restarts uint16          `cbor:"5,keyasint"` // after failures
+	Restarts uint16          `cbor:"5,keyasint"` // after failures; of a gang those of all members, once an attempt
 	Losses   uint16          `cbor:"6,keyasint"` // attempts that ended with a lost worker or lease
 	Phase    model.TaskPhase `cbor:"7,keyasint"`
 	Stop     StopCause       `cbor:"8,keyasint"`
--- a/internal/state/report.go
+++ b/internal/state/report.go
@@ -105,13 +105,16 @@
 func (m *Machine) handleFailed(j *Job, r *api.Report) {
 	t := &j.Tasks[r.Task.Index]
 	j.recordReason(r.Task.Index, r.Reason)
-	if j.Cancelled || t.Stop == StopFailed || j.Spec.NotRepeatable || !m.mayRestart(j, t) {
+	counted := j.failureCounted(t)
+	if j.Cancelled || t.Stop == StopFailed || j.Spec.NotRepeatable || !counted && !m.mayRestart(j, t) {
 		m.endAttempt(j, r.Task, model.TaskFailed, model.OutcomeFailed, r)
 		m.failGang(j)
 		return
 	}
-	t.Restarts = addSaturating(t.Restarts)
 	m.endAttempt(j, r.Task, model.TaskPending, model.OutcomeFailed, r)
+	if !counted {
+		j.countRestart(t)
+	}
 	m.stopGang(j, "another member failed")
 }
 
@@ -120,7 +123,7 @@
 // backoff.
 func (m *Machine) mayRestart(j *Job, t *Task) bool {
 	if j.Spec.Policy == model.PolicyGang {
-		return j.restarts() < j.Spec.MaxRestarts
+		return int32(j.gangRestarts()) < j.Spec.MaxRestarts
 	}
 	return j.Spec.Policy == model.PolicyService || int32(t.Restarts) < j.Spec.MaxRestarts
 }
@@ -172,6 +175,7 @@
 	ev := m.taskEvent(id, t)
 	ev.To = to
 	ev.Outcome = outcome
+	ev.FailureCounted = outcome == model.OutcomeFailed && j.failureCounted(t)
 	ev.Used = r.Used
 	if t.Phase != model.TaskStarting {
 		ev.RanFor = m.now.Sub(t.Since)
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -133,6 +133,7 @@
 		return errkind.Wrap(errkind.Internal, err, "read snapshot job")
 	}
 	j.recount()
+	j.upgradeRestarts()
 	m.updatePending(j, false)
 	m.jobs[j.ID] = j
 	if j.IdempotencyKey != "" {
