--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -53,9 +53,9 @@
 }
 
 // restartsOf returns the failures of the tasks of a job up to the last that has failed. It
-// returns nil for a service, which has no restart budget.
+// returns nil for tasks that last, which have no restart budget.
 func restartsOf(j *state.Job) []uint16 {
-	if j.Spec.Policy == model.PolicyService {
+	if j.Spec.Lasts() {
 		return nil
 	}
 	var out []uint16
--- a/internal/model/job.go
+++ b/internal/model/job.go
@@ -86,8 +86,13 @@
 	MaxRestarts    int32     `json:"max_restarts,omitempty" cbor:"15,keyasint,omitempty"`   // per task
 	Service        string    `json:"service,omitempty" cbor:"16,keyasint,omitempty"`        // service name for requests, only with PolicyService
 	Payload        string    `json:"payload,omitempty" cbor:"17,keyasint,omitempty"`        // passed to the worker without interpretation
+	Lasting        bool      `json:"lasting,omitempty" cbor:"18,keyasint,omitempty"`        // a gang that is started again however it ends, only with PolicyGang
 }
 
+// Lasts reports whether the tasks of a job run until it is cancelled: they are started again
+// however they end.
+func (s *JobSpec) Lasts() bool { return s.Policy == PolicyService || s.Lasting }
+
 // StartSpan is longer than the start of a task takes: a task that has run for as long
 // did not crash its worker by starting.
 const StartSpan = time.Second
--- a/internal/model/validate.go
+++ b/internal/model/validate.go
@@ -45,6 +45,9 @@
 	if len(s.Payload) > MaxPayloadBytes {
 		addError("payload must be at most %d bytes, got %d", MaxPayloadBytes, len(s.Payload))
 	}
+	if s.Lasting && s.Policy != PolicyGang {
+		addError("lasting requires policy %q", PolicyGang)
+	}
 	if s.Service != "" && s.Policy != PolicyService {
 		addError("service %q needs policy service", s.Service)
 	}
--- a/internal/model/workflow.go
+++ b/internal/model/workflow.go
@@ -67,6 +67,7 @@
 	Selector       string  `json:"selector,omitempty" cbor:"6,keyasint,omitempty"` // over worker labels
 	Exclusive      bool    `json:"exclusive,omitempty" cbor:"7,keyasint,omitempty"`
 	Checkpointable bool    `json:"checkpointable,omitempty" cbor:"8,keyasint,omitempty"`
+	Lasting        bool    `json:"lasting,omitempty" cbor:"9,keyasint,omitempty"` // a gang that is started again however it ends
 }
 
 // StepRef identifies the workflow and step of a job.
@@ -118,6 +119,7 @@
 		Selector:       step.Selector,
 		Exclusive:      step.Exclusive,
 		Checkpointable: step.Checkpointable,
+		Lasting:        step.Lasting,
 	}
 }
 
--- a/internal/schedule/apply.go
+++ b/internal/schedule/apply.go
@@ -168,7 +168,7 @@
 		return
 	}
 	s.learned.ObserveSize(j.group.class, e.Used)
-	if j.group.policy != service {
+	if !j.group.lasts() {
 		s.learned.ObserveRunTime(j.group.class, e.RanFor)
 	}
 }
@@ -196,7 +196,7 @@
 // exhausted the task stays waiting and a failure is reported. The backoff of a service
 // begins anew after a long run.
 func (s *Scheduler) delayRestart(j *job, index int32, e *TaskEnded) {
-	atFault := e.Outcome == Failed || e.Outcome == Stopped || e.Outcome == Succeeded && j.group.policy == service
+	atFault := e.Outcome == Failed || e.Outcome == Stopped || e.Outcome == Succeeded && j.group.lasts()
 	if !atFault && e.Outcome != NotStarted {
 		return
 	}
@@ -239,7 +239,7 @@
 }
 
 // unlimitedRestarts reports whether j is a service without a declared budget.
-func (j *job) unlimitedRestarts() bool { return j.group.policy == service && j.maxRestarts == 0 }
+func (j *job) unlimitedRestarts() bool { return j.group.lasts() && j.maxRestarts == 0 }
 
 // maxRestartCount is the largest number of failures counted for a task.
 const maxRestartCount = 1<<16 - 1
@@ -284,6 +284,9 @@
 	tm.addTask(j.group, size)
 	w := &s.workers[slot]
 	w.tasks = append(w.tasks, taskRef{j, index})
+	if r := w.reservation; r != nil && r.job != j && j.group.lasts() {
+		r.lastingBorrow = true
+	}
 	s.countSuspect(taskRef{j, index}, 1)
 	s.isolate(slot, taskRef{j, index})
 	s.setFree(slot, w.free.Sub(size))
--- a/internal/schedule/backfill.go
+++ b/internal/schedule/backfill.go
@@ -120,7 +120,7 @@
 func (s *Scheduler) expectedEnds(w *worker, now model.Time) []expectedEnd {
 	var out []expectedEnd
 	for _, r := range w.tasks {
-		if at := s.expectedEndOf(r.job, r.task(), now); at != 0 && r.job.group.policy != service {
+		if at := s.expectedEndOf(r.job, r.task(), now); at != 0 && !r.job.group.lasts() {
 			out = append(out, expectedEnd{at, r.task().size})
 		}
 	}
--- a/internal/schedule/differential_test.go
+++ b/internal/schedule/differential_test.go
@@ -174,6 +174,7 @@
 		MaxRestarts: int32(h.draw("restarts", 3)), Checkpointable: pick(h, "checkpoint", false, true),
 		NotRepeatable: pick(h, "once", false, false, false, true),
 	}
+	spec.Lasting = spec.Policy == model.PolicyGang && pick(h, "lasting", false, false, true)
 	if gangs {
 		spec.Policy, spec.Queue, spec.Selector, spec.Size = model.PolicyGang, "", "", cores(int64(1+h.draw("cores", 2)))
 	}
--- a/internal/schedule/drain.go
+++ b/internal/schedule/drain.go
@@ -111,7 +111,7 @@
 // lostRunTime returns the run time that is lost when a task is stopped.
 func (p *planner) lostRunTime(r taskRef) time.Duration {
 	t := &r.job.tasks[r.index]
-	if r.job.group.checkpoint || t.state != taskRunning || r.job.group.policy == service {
+	if r.job.group.checkpoint || t.state != taskRunning || r.job.group.lasts() {
 		return 0
 	}
 	return max(p.now.Sub(t.since), 0)
--- a/internal/schedule/group.go
+++ b/internal/schedule/group.go
@@ -17,12 +17,16 @@
 	class      uint64 // jobs of a class share learned sizes and run times
 	gang       int32  // number of tasks; zero for other policies
 	policy     policy
+	lasting    bool // a gang that does not end by itself
 	exclusive  bool
 	repeatable bool
 	checkpoint bool
 	size       model.Resources // declared
 }
 
+// lasts reports whether the tasks do not end by themselves.
+func (k *groupKey) lasts() bool { return k.policy == service || k.lasting }
+
 // policy is a compact form of model.Policy.
 type policy uint8
 
--- a/internal/schedule/lastresort.go
+++ b/internal/schedule/lastresort.go
@@ -17,7 +17,7 @@
 	if !w.open() || w.reservation != nil || w.onProbation() {
 		return false
 	}
-	if g.policy != service && (p.lending.classes == nil || !p.mostlyIdle(g.selector)) {
+	if !g.lasts() && (p.lending.classes == nil || !p.mostlyIdle(g.selector)) {
 		return false
 	}
 	r := w.isolatedFor
--- a/internal/schedule/lend.go
+++ b/internal/schedule/lend.go
@@ -59,7 +59,7 @@
 	if !p.lending.any || !size.Fits(p.lending.most) {
 		return false
 	}
-	return g.policy == service || p.mostlyIdle(g.selector)
+	return g.lasts() || p.mostlyIdle(g.selector)
 }
 
 // mostlyIdle reports whether less than half of each resource was in use on the workers that
@@ -87,7 +87,7 @@
 
 // mayBorrow reports whether j may be lent reserved workers.
 func (p *planner) mayBorrow(j *job, size model.Resources) bool {
-	return (j.assigned == 0 || j.group.policy == service) && p.mayLend(j.group, size)
+	return (j.assigned == 0 || j.group.lasts()) && p.mayLend(j.group, size)
 }
 
 // findBorrowed returns the tightest worker that is lent to j, or noSlot.
@@ -106,9 +106,6 @@
 			}
 		}
 	}
-	if best != noSlot && j.group.policy == service {
-		p.s.workers[best].reservation.servicesBorrow = true
-	}
 	return best
 }
 
--- a/internal/schedule/limithold.go
+++ b/internal/schedule/limithold.go
@@ -137,7 +137,7 @@
 func (s *Scheduler) expectedEndsOf(t *team, now model.Time) []expectedEnd {
 	var out []expectedEnd
 	for _, j := range s.jobs {
-		if j.assigned == 0 || j.group.policy == service || s.teams[j.group.team] != t {
+		if j.assigned == 0 || j.group.lasts() || s.teams[j.group.team] != t {
 			continue
 		}
 		for i := range j.tasks {
--- a/internal/schedule/naive_hold_test.go
+++ b/internal/schedule/naive_hold_test.go
@@ -86,7 +86,7 @@
 	var ends []expectedEnd
 	for _, o := range n.jobs() {
 		for i := range o.tasks {
-			if k := &o.tasks[i]; k.state.assigned() && o.group.team == j.group.team && o.group.policy != service {
+			if k := &o.tasks[i]; k.state.assigned() && o.group.team == j.group.team && !n.lasts(o) {
 				at := n.now
 				if run, ok := n.s.learned.Class(o.group.class).RunTime(); ok && k.since.Add(run) >= n.now {
 					at = k.since.Add(run)
@@ -126,7 +126,7 @@
 	if len(n.reservedBefore) == 0 || !size.Fits(most) {
 		return false
 	}
-	return j.group.policy == service || n.mostlyIdleBefore(j)
+	return n.lasts(j) || n.mostlyIdleBefore(j)
 }
 
 // mostlyIdleBefore reports whether less than half was in use on the workers that match j when
@@ -142,7 +142,7 @@
 }
 
 func (n *naive) borrows(j *job, size model.Resources) bool {
-	return (j.group.policy == service || n.countOn(j, func(*worker) bool { return true }) == 0) && n.mayLendTo(j, size)
+	return (n.lasts(j) || n.countOn(j, func(*worker) bool { return true }) == 0) && n.mayLendTo(j, size)
 }
 
 // lentAll reports whether all reserved workers of the racks are reserved for j or lent to it.
--- a/internal/schedule/naive_test.go
+++ b/internal/schedule/naive_test.go
@@ -132,9 +132,12 @@
 
 // servicesOf returns what use returns, for the services of the team only.
 func (n *naive) servicesOf(team int32) (sum model.Resources, running int64) {
-	return n.useOf(func(j *job) bool { return j.group.team == team && j.group.policy == service })
+	return n.useOf(func(j *job) bool { return j.group.team == team && n.lasts(j) })
 }
 
+// lasts reports whether the tasks of j do not end by themselves.
+func (n *naive) lasts(j *job) bool { return j.group.policy == service || j.group.lasting }
+
 func (n *naive) useOf(counts func(*job) bool) (sum model.Resources, running int64) {
 	for _, j := range n.s.jobs {
 		for i := range j.tasks {
@@ -293,7 +296,7 @@
 	if r.job == nil || w.reservation != nil || w.onProbation() {
 		return false
 	}
-	if determined := n.isolatedBefore || len(n.reservedBefore) > 0; j.group.policy != service && !(determined && n.mostlyIdleBefore(j)) {
+	if determined := n.isolatedBefore || len(n.reservedBefore) > 0; !n.lasts(j) && !(determined && n.mostlyIdleBefore(j)) {
 		return false
 	}
 	v := r.job.suspects[r.index]
@@ -381,9 +384,6 @@
 			r := n.s.workers[slot].reservation
 			return r != nil && r.advance && r.job != j && n.fits(j, slot, size) && n.lends(r)
 		}, n.tighter)
-		if slot != noSlot && j.group.policy == service {
-			n.s.workers[slot].reservation.servicesBorrow = true
-		}
 	}
 	if slot == noSlot {
 		slot = n.best(func(slot int32) bool { return n.shared(j, slot) && n.fits(j, slot, size) }, func(a, b int32) bool {
--- a/internal/schedule/preempt.go
+++ b/internal/schedule/preempt.go
@@ -26,7 +26,7 @@
 // with checkpoints first, then the most patient, then the most recent.
 func compareVictims(a, b *job) int {
 	return cmp.Or(
-		compareBool(a.group.policy == service, b.group.policy == service),
+		compareBool(a.group.lasts(), b.group.lasts()),
 		compareBool(b.group.checkpoint, a.group.checkpoint),
 		cmp.Compare(b.patience(), a.patience()),
 		cmp.Compare(b.id, a.id),
@@ -328,7 +328,7 @@
 		if r.job.group.policy == gang {
 			members = int(r.job.assigned)
 		}
-		if r.job.group.policy == service {
+		if r.job.group.lasts() {
 			o.services++
 		}
 		o.tasks += members
--- a/internal/schedule/reservation.go
+++ b/internal/schedule/reservation.go
@@ -22,10 +22,10 @@
 	startValidUntil model.Time // start is valid until then, since a task is expected to end
 	startVersion    uint64     // version of the learned table that start is based on
 
-	keptSince      model.Time // since when it keeps a job waiting that may borrow its workers; zero: it does not
-	keptLast       model.Time // last plan in which it did
-	lent           bool       // the current plan lends its workers
-	servicesBorrow bool       // a service, which does not end, has borrowed a worker
+	keptSince     model.Time // since when it keeps a job waiting that may borrow its workers; zero: it does not
+	keptLast      model.Time // last plan in which it did
+	lent          bool       // the current plan lends its workers
+	lastingBorrow bool       // tasks that do not end have borrowed a worker
 }
 
 // claim is the part of a reservation on one worker.
@@ -65,11 +65,11 @@
 }
 
 // holdsTasks reports whether the reserved workers still hold the claimed tasks once their
-// batch tasks have ended, after the size of a task may have been learned anew or a service
-// has borrowed a worker.
+// batch tasks have ended, after the size of a task may have been learned anew or tasks that
+// last have borrowed a worker.
 func (s *Scheduler) holdsTasks(r *reservation) bool {
 	size := s.sizeFor(r.job.group)
-	if size.Fits(r.size) && !r.servicesBorrow {
+	if size.Fits(r.size) && !r.lastingBorrow {
 		return true
 	}
 	for _, c := range r.claims {
@@ -337,7 +337,7 @@
 	w := &s.workers[slot]
 	free := w.capacity
 	for _, r := range w.tasks {
-		if r.job.group.policy == service {
+		if r.job.group.lasts() {
 			free = free.Sub(r.job.tasks[r.index].size)
 		}
 	}
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -187,6 +187,7 @@
 		labels:     spec.Selector,
 		class:      s.classOf(e.Team, spec),
 		policy:     policyOf(spec.Policy),
+		lasting:    spec.Lasting,
 		exclusive:  spec.Exclusive,
 		repeatable: !spec.NotRepeatable,
 		checkpoint: spec.Checkpointable,
--- a/internal/schedule/team.go
+++ b/internal/schedule/team.go
@@ -66,7 +66,7 @@
 func (t *team) addTask(g *group, size model.Resources) {
 	t.running++
 	t.reserved = t.reserved.Add(size)
-	if g.policy == service {
+	if g.lasts() {
 		t.serviceTasks++
 		t.services = t.services.Add(size)
 	}
@@ -76,7 +76,7 @@
 func (t *team) removeTask(g *group, size model.Resources) {
 	t.running--
 	t.reserved = t.reserved.Sub(size)
-	if g.policy == service {
+	if g.lasts() {
 		t.serviceTasks--
 		t.services = t.services.Sub(size)
 	}
--- a/internal/state/crash.go
+++ b/internal/state/crash.go
@@ -99,10 +99,10 @@
 	j.Suspicions[index] = s
 }
 
-// mayGiveUp reports whether tasks of j are given up after crashes. A service is always
+// mayGiveUp reports whether tasks of j are given up after crashes. Tasks that last are always
 // restarted, and a task that is not repeatable fails with its first loss.
 func (j *Job) mayGiveUp() bool {
-	return j.Spec.Policy != model.PolicyService && !j.Spec.NotRepeatable
+	return !j.Spec.Lasts() && !j.Spec.NotRepeatable
 }
 
 // unconfirmedStart returns when the current attempt of t was placed, or zero if its worker
--- a/internal/state/gang.go
+++ b/internal/state/gang.go
@@ -57,9 +57,9 @@
 
 // handleSucceeded ends a task as succeeded, also if its attempt was released before. The
 // members of a gang succeed together, including a member whose worker has been marked as
-// lost meanwhile. A task of a service is pending again.
+// lost meanwhile. A task that lasts is pending again.
 func (m *Machine) handleSucceeded(j *Job, r *api.Report) {
-	if j.Spec.Policy == model.PolicyService && m.restartService(j, r) {
+	if j.Spec.Lasts() && m.restartLasting(j, r) {
 		return
 	}
 	attempt := j.Tasks[r.Task.Index].Attempt
@@ -78,15 +78,16 @@
 	}
 }
 
-// restartService makes a task of a service pending after its attempt has succeeded. It
-// returns false if the task is to end.
-func (m *Machine) restartService(j *Job, r *api.Report) bool {
+// restartLasting makes a task that lasts pending after its attempt has succeeded, and ends the
+// attempts of the other members of its gang. It returns false if the task is to end.
+func (m *Machine) restartLasting(j *Job, r *api.Report) bool {
 	t := &j.Tasks[r.Task.Index]
 	if j.Cancelled || t.Stop == StopFailed {
 		return false
 	}
 	if t.Phase.HoldsResources() {
 		m.endAttempt(j, r.Task, model.TaskPending, model.OutcomeSucceeded, r)
+		m.stopGang(j, "another member ended")
 	}
 	return true
 }
--- a/internal/state/gang_test.go
+++ b/internal/state/gang_test.go
@@ -125,3 +125,39 @@
 		})
 	}
 }
+
+// Guards against a gang of tasks that last whose members are started one by one after a crash, so that it never works again, and against one that ends before it is cancelled.
+func TestGangThatLastsIsStartedAgainAsWhole(t *testing.T) {
+	ends := []api.ReportState{api.ReportSucceeded, api.ReportFailed, api.ReportStopped, api.ReportLapsed, api.ReportBroken}
+	for _, end := range ends {
+		for _, crash := range []bool{false, true} {
+			s := newCrashHarness(t)
+			step := newStep(model.PolicyGang, gangWidth)
+			step.Lasting = true
+			assert.NilError(t, s.submit("f", step).Err)
+			job := s.m.Workflow("f").Jobs[0]
+			for run := uint32(1); run <= 2*gangAttempts; run++ {
+				s.at = s.at.Add(crashHold)
+				s.place("f", 0)
+				for i := range int32(gangWidth) {
+					s.report(job, i, api.ReportStarted)
+					assert.Equal(t, s.m.Job(job).Task(i).Attempt, run)
+				}
+				if crash {
+					s.restart("w1") // with two members
+				} else {
+					s.report(job, 0, end)
+				}
+				part := &Place{Placements: []Placement{placement(job, 0, "w1", 1000)}}
+				assert.Equal(t, s.apply(&Command{Place: part}).Count, 0, "a member starts without the others")
+				s.endRun(job, [gangWidth]api.ReportState{api.ReportStopped, api.ReportBroken, end, api.ReportStopped})
+				assert.Equal(t, s.m.Job(job).Finished, model.Time(0), "%v", end)
+				checkInvariants(t, s.m)
+			}
+			s.place("f", 0)
+			s.apply(&Command{CancelWorkflow: &CancelWorkflow{Team: "stands", ID: "f"}})
+			s.endRun(job, [gangWidth]api.ReportState{end, api.ReportStopped, api.ReportStopped, api.ReportStopped})
+			assert.Equal(t, s.m.Workflow("f").Phase(), model.PhaseCancelled, "%v", end)
+		}
+	}
+}
--- a/internal/state/report.go
+++ b/internal/state/report.go
@@ -119,13 +119,16 @@
 }
 
 // mayRestart reports whether the restart budget allows one more start after a
-// failure. A service has no budget: it is always restarted, with the scheduler's
-// backoff.
+// failure. Tasks that last have no budget: they are always restarted, with the
+// scheduler's backoff.
 func (m *Machine) mayRestart(j *Job, t *Task) bool {
-	if j.Spec.Policy == model.PolicyGang {
+	switch {
+	case j.Spec.Lasts():
+		return true
+	case j.Spec.Policy == model.PolicyGang:
 		return int32(j.gangRestarts()) < j.Spec.MaxRestarts
 	}
-	return j.Spec.Policy == model.PolicyService || int32(t.Restarts) < j.Spec.MaxRestarts
+	return int32(t.Restarts) < j.Spec.MaxRestarts
 }
 
 // handleStopped handles a confirmed stop. The cause of the stop determines the
--- a/internal/state/workflow.go
+++ b/internal/state/workflow.go
@@ -146,7 +146,7 @@
 func (m *Machine) createStepJob(w *Workflow, i int32) {
 	q := m.ServedQueue(w.Spec.Queue)
 	spec := w.Spec.StepJob(int(i))
-	if q != nil && spec.Policy != model.PolicyService { // a service is restarted without limit
+	if q != nil && !spec.Lasts() { // else it is restarted without limit
 		spec.MaxRestarts = max(q.MaxAttempts-1, 0)
 	}
 	startBy := w.DueBy.Add(-w.Spec.CriticalPaths()[i])
