--- a/internal/model/job.go
+++ b/internal/model/job.go
@@ -87,6 +87,15 @@
 	Service        string    `json:"service,omitempty" cbor:"16,keyasint,omitempty"`        // service name for requests, only with PolicyService
 	Payload        string    `json:"payload,omitempty" cbor:"17,keyasint,omitempty"`        // passed to the worker without interpretation
 	Lasting        bool      `json:"lasting,omitempty" cbor:"18,keyasint,omitempty"`        // a gang that is started again however it ends, only with PolicyGang
+	MaxPerWorker   int32     `json:"max_per_worker,omitempty" cbor:"19,keyasint,omitempty"` // at most so many tasks of the job on a worker; zero: any number
+}
+
+// PerWorker returns how many tasks of a job may be on one worker at once; zero: any number.
+func (s *JobSpec) PerWorker() int32 {
+	if s.Exclusive {
+		return 1
+	}
+	return s.MaxPerWorker
 }
 
 // Lasts reports whether the tasks of a job run until it is cancelled: they are started again
--- a/internal/model/validate.go
+++ b/internal/model/validate.go
@@ -45,6 +45,9 @@
 	if len(s.Payload) > MaxPayloadBytes {
 		addError("payload must be at most %d bytes, got %d", MaxPayloadBytes, len(s.Payload))
 	}
+	if s.MaxPerWorker < 0 {
+		addError("max_per_worker must be at least 0, got %d", s.MaxPerWorker)
+	}
 	if s.Lasting && s.Policy != PolicyGang {
 		addError("lasting requires policy %q", PolicyGang)
 	}
--- a/internal/model/workflow.go
+++ b/internal/model/workflow.go
@@ -68,6 +68,7 @@
 	Exclusive      bool    `json:"exclusive,omitempty" cbor:"7,keyasint,omitempty"`
 	Checkpointable bool    `json:"checkpointable,omitempty" cbor:"8,keyasint,omitempty"`
 	Lasting        bool    `json:"lasting,omitempty" cbor:"9,keyasint,omitempty"` // a gang that is started again however it ends
+	MaxPerWorker   int32   `json:"max_per_worker,omitempty" cbor:"10,keyasint,omitempty"`
 }
 
 // StepRef identifies the workflow and step of a job.
@@ -120,6 +121,7 @@
 		Exclusive:      step.Exclusive,
 		Checkpointable: step.Checkpointable,
 		Lasting:        step.Lasting,
+		MaxPerWorker:   step.MaxPerWorker,
 	}
 }
 
--- a/internal/schedule/check.go
+++ b/internal/schedule/check.go
@@ -15,7 +15,7 @@
 		queue = q.WorkerSelector()
 	}
 	id := s.selector(queue, spec.Selector)
-	m := s.fitFailure(id, spec.Size, gangTasks(spec), spec.Exclusive)
+	m := s.fitFailure(id, spec.Size, gangTasks(spec), spec.PerWorker())
 	s.selectors.dropUnused(id)
 	return m.Err
 }
@@ -29,11 +29,11 @@
 
 // fitFailure returns why n tasks cannot run anywhere at once; its Err is nil if
 // they can, or if no known worker may be given tasks.
-func (s *Scheduler) fitFailure(selector int32, size model.Resources, n int64, exclusive bool) FitFailure {
+func (s *Scheduler) fitFailure(selector int32, size model.Resources, n int64, limit int32) FitFailure {
 	if len(s.shapes) == 0 {
 		return FitFailure{}
 	}
-	if s.slotsFor(selector, size, exclusive) >= n {
+	if s.slotsFor(selector, size, limit) >= n {
 		return FitFailure{}
 	}
 	closest, matched := s.closest(selector, size)
@@ -44,7 +44,7 @@
 	missing := size.Sub(w.capacity).Max(model.Resources{})
 	f := FitFailure{Closest: w.id, Missing: missing}
 	if missing.IsZero() {
-		f.Missing = size.Mul(n - s.slotsFor(selector, size, exclusive))
+		f.Missing = size.Mul(n - s.slotsFor(selector, size, limit))
 		f.Err = errkind.New(errkind.NeverFits, "%d tasks at once do not fit on the %d matching workers; %s more is needed", n, matched, f.Missing)
 		return f
 	}
@@ -53,18 +53,14 @@
 }
 
 // slotsFor returns how many tasks would fit on the matching workers if those were
-// empty.
-func (s *Scheduler) slotsFor(selector int32, size model.Resources, exclusive bool) int64 {
+// empty, at most limit on each; zero: any number.
+func (s *Scheduler) slotsFor(selector int32, size model.Resources, limit int32) int64 {
 	var n int64
 	for k, count := range s.shapes {
 		if !size.Fits(k.capacity) || !s.matches(selector, k.class) {
 			continue
 		}
-		if exclusive {
-			n += count
-		} else {
-			n += count * copies(size, k.capacity)
-		}
+		n += count * perWorker(copies(size, k.capacity), limit)
 	}
 	return n
 }
--- a/internal/schedule/differential_test.go
+++ b/internal/schedule/differential_test.go
@@ -174,6 +174,9 @@
 		MaxRestarts: int32(h.draw("restarts", 3)), Checkpointable: pick(h, "checkpoint", false, true),
 		NotRepeatable: pick(h, "once", false, false, false, true),
 	}
+	if !spec.Exclusive {
+		spec.MaxPerWorker = pick(h, "per worker", 0, 0, 0, int32(2), 3)
+	}
 	spec.Lasting = spec.Policy == model.PolicyGang && pick(h, "lasting", false, false, true)
 	if gangs {
 		spec.Policy, spec.Queue, spec.Selector, spec.Size = model.PolicyGang, "", "", cores(int64(1+h.draw("cores", 2)))
@@ -376,13 +379,16 @@
 		assert.NilError(h.t, err)
 		assert.Assert(h.t, queue.Matches(h.workers[e.Worker].Labels), "%s does not serve the queue of %s", e.Worker, e.Task)
 	}
-	sum := e.Size
+	sum, together := e.Size, int32(1)
 	for task, o := range h.assigned {
 		if o.Worker == e.Worker {
 			sum = sum.Add(o.Size)
-			assert.Assert(h.t, !spec.Exclusive || task.Job != e.Task.Job, "two tasks of an exclusive job on %s", e.Worker)
+			if task.Job == e.Task.Job {
+				together++
+			}
 		}
 	}
+	assert.Assert(h.t, spec.PerWorker() == 0 || together <= spec.PerWorker(), "%d tasks of %s on %s", together, e.Task.Job, e.Worker)
 	assert.Assert(h.t, sum.Fits(h.workers[e.Worker].Capacity), "%s is overcommitted", e.Worker)
 }
 
@@ -435,7 +441,7 @@
 		n := int64(0)
 		for _, c := range b.claims {
 			id := h.fast.workers[c.slot].id
-			assert.Assert(h.t, !on[id] && (c.tasks == 1 || !spec.Exclusive), "tasks of an exclusive job on %s", id)
+			assert.Assert(h.t, !on[id] && (spec.PerWorker() == 0 || c.tasks <= int64(spec.PerWorker())), "%d tasks of a job on %s", c.tasks, id)
 			on[id] = true
 			valid = valid && (!gated || h.now < grants[id])
 			use[id] = use[id].Add(b.size.Mul(c.tasks))
--- a/internal/schedule/find.go
+++ b/internal/schedule/find.go
@@ -50,7 +50,7 @@
 
 func (s *Scheduler) canFit(g *group, size model.Resources) bool {
 	n := int64(max(g.gang, 1))
-	return s.slotsFor(g.selector, size, g.exclusive) >= n && within(size.Mul(n), s.teams[g.team].maxResources)
+	return s.slotsFor(g.selector, size, g.perWorker) >= n && within(size.Mul(n), s.teams[g.team].maxResources)
 }
 
 // findBest returns the tightest available worker on which a task of j fits, or
@@ -89,19 +89,19 @@
 // acceptWithoutPermit returns the filter of accept without the check for permits.
 func (p *planner) acceptWithoutPermit(j *job, exact bool) func(int32) bool {
 	g := j.group
-	if g.exclusive {
+	if g.perWorker > 0 {
 		p.spread.load(p.s, j)
 	}
 	switch {
-	case exact && !g.exclusive:
+	case exact && g.perWorker == 0:
 		return nil
 	case exact:
-		return func(slot int32) bool { return !p.spread.onWorker[slot] }
-	case !g.exclusive:
+		return func(slot int32) bool { return p.spread.onWorker[slot] < g.perWorker }
+	case g.perWorker == 0:
 		return func(slot int32) bool { return p.s.matches(g.selector, p.s.workers[slot].class) }
 	}
 	return func(slot int32) bool {
-		return !p.spread.onWorker[slot] && p.s.matches(g.selector, p.s.workers[slot].class)
+		return p.spread.onWorker[slot] < g.perWorker && p.s.matches(g.selector, p.s.workers[slot].class)
 	}
 }
 
--- a/internal/schedule/fitbound.go
+++ b/internal/schedule/fitbound.go
@@ -119,10 +119,10 @@
 }
 
 // recordSearch records the result of a search for one task. When nothing was
-// found, no task fits; but for an exclusive job or one that needs permits, the
+// found, no task fits; but for a job with a limit per worker or one that needs permits, the
 // cause may be other than a lack of free capacity.
 func (p *planner) recordSearch(j *job, found int32) {
-	if found == noSlot && !j.group.exclusive && j.permits == nil {
+	if found == noSlot && j.group.perWorker == 0 && j.permits == nil {
 		p.s.fitBounds.lower(j.group.fit, 0)
 	}
 }
--- a/internal/schedule/gang.go
+++ b/internal/schedule/gang.go
@@ -72,7 +72,7 @@
 func (p *planner) placeGang(j *job, size model.Resources) bool {
 	c := &p.s.gangWorkers
 	chosen := p.findRacks(j, size, j.claims(), p.permitted)
-	if chosen == nil && !j.group.exclusive && j.reservation == nil && j.permits == nil {
+	if chosen == nil && j.group.perWorker == 0 && j.reservation == nil && j.permits == nil {
 		p.s.fitBounds.lower(j.group.fit, tasksIn(c.racks))
 	}
 	if chosen == nil {
@@ -179,12 +179,17 @@
 	}
 }
 
-// tasksThatFit returns how many tasks of j fit into free on one worker.
+// tasksThatFit returns how many tasks of j fit into free on a worker without others of j.
 func (j *job) tasksThatFit(size, free model.Resources) int64 {
-	if j.group.exclusive {
-		return 1
+	return perWorker(copies(size, free), j.group.perWorker)
+}
+
+// perWorker returns n, but at most the limit of tasks per worker; zero: none.
+func perWorker(n int64, limit int32) int64 {
+	if limit == 0 {
+		return n
 	}
-	return copies(size, free)
+	return min(n, int64(limit))
 }
 
 // sortGangWorkers orders workers from the tightest to the emptiest, those on probation last.
--- a/internal/schedule/group.go
+++ b/internal/schedule/group.go
@@ -9,7 +9,7 @@
 
 // groupKey holds all that determines where a task of a job may run. Jobs with
 // equal keys wait in one group: when the first one does not fit, neither do the
-// others, but for those with permits of their own and exclusive ones.
+// others, but for those with permits of their own or a limit of tasks per worker.
 type groupKey struct {
 	team       int32
 	queue      string
@@ -17,8 +17,8 @@
 	class      uint64 // jobs of a class share learned sizes and run times
 	gang       int32  // number of tasks; zero for other policies
 	policy     policy
-	lasting    bool // a gang that does not end by itself
-	exclusive  bool
+	lasting    bool  // a gang that does not end by itself
+	perWorker  int32 // tasks of a job that may be on one worker; zero: any number
 	repeatable bool
 	checkpoint bool
 	size       model.Resources // declared
--- a/internal/schedule/health.go
+++ b/internal/schedule/health.go
@@ -264,11 +264,11 @@
 	if !p.hasRoom(j, slot, size) || !permitted(j, slot) {
 		return false
 	}
-	if !j.group.exclusive {
+	if j.group.perWorker == 0 {
 		return true
 	}
 	p.spread.load(p.s, j)
-	return !p.spread.onWorker[slot]
+	return p.spread.onWorker[slot] < j.group.perWorker
 }
 
 // hasRoom reports whether a task of j fits on an open worker that its selectors match.
--- a/internal/schedule/job.go
+++ b/internal/schedule/job.go
@@ -92,8 +92,8 @@
 }
 
 // fitsAsGroup reports whether no other job of the group fits where j does not. Permits, and
-// the workers that an exclusive job is on, differ from job to job.
-func (j *job) fitsAsGroup() bool { return j.permits == nil && !j.group.exclusive }
+// the workers on which a job has as many tasks as it may, differ from job to job.
+func (j *job) fitsAsGroup() bool { return j.permits == nil && j.group.perWorker == 0 }
 
 // less orders the jobs of a team by startBy, then by submission.
 func (j *job) less(o *job) bool {
--- a/internal/schedule/naive_test.go
+++ b/internal/schedule/naive_test.go
@@ -101,11 +101,11 @@
 		if !w.mayRun() || !n.matches(g, w) || !size.Fits(w.capacity) {
 			continue
 		}
-		if g.exclusive {
-			count++
-		} else {
-			count += copies(size, w.capacity)
+		fit := copies(size, w.capacity)
+		if g.perWorker > 0 {
+			fit = min(fit, int64(g.perWorker))
 		}
+		count += fit
 	}
 	return count
 }
@@ -219,7 +219,7 @@
 		return
 	}
 	n.handleUnplacedJob(j, size)
-	if j.reservation != nil && !j.reservation.advance || g.exclusive || j.permits != nil || n.mayLendTo(j, size) {
+	if j.reservation != nil && !j.reservation.advance || g.perWorker > 0 || j.permits != nil || n.mayLendTo(j, size) {
 		n.skippedHeads[j] = true
 		return
 	}
@@ -256,7 +256,7 @@
 	if !w.open() || !n.matches(j.group, w) {
 		return false
 	}
-	return !j.group.exclusive || n.countOn(j, func(o *worker) bool { return o == w }) == 0
+	return j.group.perWorker == 0 || n.countOn(j, func(o *worker) bool { return o == w }) < int(j.group.perWorker)
 }
 
 // free returns the capacity of a worker less what ends there and the sizes of all tasks
--- a/internal/schedule/permit.go
+++ b/internal/schedule/permit.go
@@ -133,7 +133,7 @@
 		return nil
 	}
 	var placed spread
-	if j.group.exclusive {
+	if j.group.perWorker > 0 {
 		placed.load(s, j)
 	}
 	size := s.sizeFor(j.group)
@@ -158,10 +158,13 @@
 			Reserved:     w.reservation != nil && w.reservation.job == j,
 		}
 		free := s.freeFor(j, int32(slot))
-		taken := j.group.exclusive && placed.onWorker[slot]
+		room := j.tasksThatFit(size, free)
+		if j.group.perWorker > 0 {
+			room = min(room, int64(j.group.perWorker-placed.onWorker[slot]))
+		}
 		usable := w.available() || borrows && w.reservedInAdvance() || probation && w.onProbation() || isolated && w.isolatedFor.job != nil
-		if !taken && size.Fits(free) && (c.Reserved || usable) {
-			c.Room = j.tasksThatFit(size, free)
+		if room > 0 && (c.Reserved || usable) {
+			c.Room = room
 		}
 		out = append(out, c)
 	}
--- a/internal/schedule/preempt.go
+++ b/internal/schedule/preempt.go
@@ -260,14 +260,14 @@
 	if !q.p.s.matches(q.j.group.selector, w.class) || !q.p.permitted(q.j, slot) {
 		return false
 	}
-	if w.reservation != nil && (w.reservation != q.j.reservation || q.j.group.exclusive) {
+	if w.reservation != nil && (w.reservation != q.j.reservation || q.j.group.perWorker > 0) {
 		return false
 	}
-	if !q.j.group.exclusive {
+	if q.j.group.perWorker == 0 {
 		return true
 	}
 	q.p.spread.load(q.p.s, q.j)
-	return !q.p.spread.onWorker[slot]
+	return q.p.spread.onWorker[slot] < q.j.group.perWorker
 }
 
 // victimsOn returns the tasks to preempt on a worker so that need fits, given the
--- a/internal/schedule/report.go
+++ b/internal/schedule/report.go
@@ -167,7 +167,7 @@
 	n := int64(max(g.gang, 1))
 	f := s.teamFitFailure(g, n)
 	if f.Err == nil {
-		f = s.fitFailure(g.selector, g.size, n, g.exclusive)
+		f = s.fitFailure(g.selector, g.size, n, g.perWorker)
 	}
 	same := sameFitFailure(f, g.fitFailure)
 	g.fitFailure = f // the number of matching workers in its text may have changed
--- a/internal/schedule/reservation.go
+++ b/internal/schedule/reservation.go
@@ -315,8 +315,9 @@
 	var out []claim
 	for _, slot := range slots {
 		n := copies(size, p.s.freeWithoutBatch(slot))
-		if j.group.exclusive {
-			n = min(n, 1)
+		if j.group.perWorker > 0 {
+			p.spread.load(p.s, j)
+			n = min(n, int64(j.group.perWorker-p.spread.onWorker[slot]))
 		}
 		n = min(n, need)
 		if n <= 0 {
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -188,7 +188,7 @@
 		class:      s.classOf(e.Team, spec),
 		policy:     policyOf(spec.Policy),
 		lasting:    spec.Lasting,
-		exclusive:  spec.Exclusive,
+		perWorker:  spec.PerWorker(),
 		repeatable: !spec.NotRepeatable,
 		checkpoint: spec.Checkpointable,
 		size:       spec.Size,
--- a/internal/schedule/spread.go
+++ b/internal/schedule/spread.go
@@ -5,7 +5,7 @@
 // spread counts the assigned tasks of one job by worker, rack and failure domain.
 type spread struct {
 	job      *job
-	onWorker []bool
+	onWorker []int32
 	onRack   []int32
 	onDomain []int32
 }
@@ -43,7 +43,7 @@
 
 func (c *spread) count(s *Scheduler, slot int32) {
 	w := &s.workers[slot]
-	c.onWorker[slot] = true
+	c.onWorker[slot]++
 	c.onRack[w.rack]++
 	c.onDomain[w.domain]++
 }
--- a/internal/schedule/waitreason.go
+++ b/internal/schedule/waitreason.go
@@ -23,7 +23,7 @@
 	waitReservation  = "reservation"      // workers reserved for another job
 	waitBooked       = "booked"           // workers that are booked for the job
 	waitOthersBooked = "booked_by_others" // workers whose room is booked for others
-	waitExclusive    = "exclusive"        // workers that run a task of the job
+	waitExclusive    = "exclusive"        // workers that run as many tasks of the job as they may
 	waitShare        = "share"            // workers that are full
 	waitPermit       = "permit"           // workers with room for a task but without a valid permit
 	waitGang         = "gang"             // tasks for which the workers of waitNext have no room at the same time
@@ -170,7 +170,7 @@
 	w.add(waitMode, n.byReason[waitMode], "workers are not open to new tasks")
 	w.add(waitUnresponsive, n.byReason[waitUnresponsive], "workers do not respond to commands, or have just refused one")
 	w.add(waitProbation, n.byReason[waitProbation], "workers are on probation")
-	w.add(waitExclusive, n.byReason[waitExclusive], "workers already run a task of this exclusive job")
+	w.add(waitExclusive, n.byReason[waitExclusive], "workers already run as many tasks of the job as one may")
 	w.add(waitReservation, n.byReason[waitReservation], "workers are reserved for other waiting jobs and have room for %d tasks now: %s", n.reservedRoom, w.reservingJobs())
 	w.add(waitOthersBooked, n.byReason[waitOthersBooked], "workers have room that is booked for gangs whose permits are being renewed")
 	w.add(waitShare, n.byReason[waitShare], "workers have too little free capacity; team %s uses %d%% of its share", t.name, w.s.load(t, model.Resources{})/(ppm/100))
@@ -243,7 +243,7 @@
 		return waitUnresponsive
 	case at.onProbation():
 		return waitProbation
-	case w.j.group.exclusive && c.onWorker[slot]:
+	case w.j.group.perWorker > 0 && c.onWorker[slot] >= w.j.group.perWorker:
 		return waitExclusive
 	case at.reservation != nil && at.reservation.job != w.j:
 		return waitReservation
--- a/internal/state/place.go
+++ b/internal/state/place.go
@@ -81,7 +81,7 @@
 		return RefusedBelowDeclared
 	case !w.InUse().Add(p.Size).Fits(w.Spec.Capacity):
 		return RefusedNoRoom
-	case j.Spec.Exclusive && m.holdsJob(w, n, j):
+	case j.Spec.PerWorker() > 0 && j.heldOn(w, n) >= j.Spec.PerWorker():
 		return RefusedNotDistinctWorker
 	case !m.withinLimit(j.Team, p.Size):
 		return RefusedTeamLimit
@@ -89,13 +89,14 @@
 	return ""
 }
 
-func (m *Machine) holdsJob(w *Worker, n int32, j *Job) bool {
+// heldOn returns how many tasks of j hold resources on the worker with the number n.
+func (j *Job) heldOn(w *Worker, n int32) (count int32) {
 	for _, id := range w.Held {
 		if id.Job == j.ID && j.Tasks[id.Index].Worker == n {
-			return true
+			count++
 		}
 	}
-	return false
+	return count
 }
 
 // withinLimit reports whether the team may run one more task of the given size.
--- a/internal/state/workflow_test.go
+++ b/internal/state/workflow_test.go
@@ -350,3 +350,22 @@
 		checkInvariants(t, s.m)
 	}
 }
+
+// Guards against more tasks of a step on one worker than it allows.
+func TestPlacementBeyondLimitOfTasksPerWorkerIsRefused(t *testing.T) {
+	s := newWorkflowHarness(t)
+	step := newStep(model.PolicyBatch, 4)
+	step.MaxPerWorker = 2
+	assert.NilError(t, s.submit("f", step).Err)
+	job := s.m.Workflow("f").Jobs[0]
+	cmd := &Place{}
+	for i := range int32(4) {
+		cmd.Placements = append(cmd.Placements, placement(job, i, "w1", 1000))
+	}
+	assert.Equal(t, s.apply(&Command{Place: cmd}).Count, 2)
+	cmd.Placements = cmd.Placements[2:]
+	for i := range cmd.Placements {
+		cmd.Placements[i].Worker = "w2"
+	}
+	assert.Equal(t, s.apply(&Command{Place: cmd}).Count, 2)
+}
