--- a/internal/control/capacity_test.go
+++ b/internal/control/capacity_test.go
@@ -107,13 +107,19 @@
 // answerPolls runs the control goroutine and answers every poll that is sent with resp,
 // until done.
 func (h *leaderTest) answerPolls(resp *workerclient.PollResponse, done func() bool) {
+	h.t.Helper()
+	h.answerEachPoll(func() *workerclient.PollResponse { return resp }, done)
+}
+
+// answerEachPoll is answerPolls with a response that is made for each poll.
+func (h *leaderTest) answerEachPoll(respond func() *workerclient.PollResponse, done func() bool) {
 	h.t.Helper()
 	timeout := time.After(responseTimeout)
 	for !done() {
 		select {
 		case next := <-h.c.s.calls:
 			h.c.run(next)
-		case h.workers.polls <- resp:
+		case h.workers.polls <- respond():
 		case <-timeout:
 			h.t.Fatal("the leader did not act on the responses to its polls")
 		}
@@ -262,7 +268,13 @@
 	h.placeTasks(job)
 	assert.Equal(t, h.phase(job, 0), model.TaskStarting)
 	assert.Equal(t, h.phase(job, 1), model.TaskPending, "the state admits one")
-	h.answerPolls(idle, func() bool { h.commitReports(); return h.phase(job, 0) == model.TaskRunning })
+	h.answerEachPoll(func() *workerclient.PollResponse {
+		if h.workers.starts.Load() == 0 {
+			return idle
+		}
+		attempt := workerclient.Attempt{Task: workerclient.TaskName{Workflow: "f1"}, Number: h.c.machine.Job(job).Task(0).Attempt}
+		return &workerclient.PollResponse{Incarnation: idle.Incarnation, Active: []workerclient.ActiveAttempt{{Attempt: attempt}}}
+	}, func() bool { h.commitReports(); return h.phase(job, 0) == model.TaskRunning })
 	assert.Equal(t, h.workers.starts.Load(), int32(1))
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -20,13 +20,13 @@
 type worker struct {
 	starts, stops, polls atomic.Int32
 	lastPoll             atomic.Pointer[workerclient.PollRequest]
-	silent               bool
-	pollErr              error
+	silent               atomic.Bool
+	pollErr              atomic.Pointer[error] // of each poll; nil: none
 }
 
 func (w *worker) Start(ctx context.Context, _ workerclient.Target, cmd *workerclient.StartCommand) workerclient.Response {
 	w.starts.Add(1)
-	if w.silent {
+	if w.silent.Load() {
 		<-ctx.Done()
 	}
 	return workerclient.Response{Verdict: workerclient.Accepted, Clock: int64(cmd.Fence)}
@@ -40,12 +40,12 @@
 func (w *worker) Poll(ctx context.Context, _ workerclient.Target, req *workerclient.PollRequest) (*workerclient.PollResponse, error) {
 	w.polls.Add(1)
 	w.lastPoll.Store(req)
-	if w.silent {
+	if w.silent.Load() {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	if w.pollErr != nil {
-		return nil, w.pollErr
+	if err := w.pollErr.Load(); err != nil {
+		return nil, *err
 	}
 	resp := &workerclient.PollResponse{Clock: int64(req.Cursor), Ended: []workerclient.EndedAttempt{{Number: 7, Outcome: workerclient.Lapsed}}}
 	resp.Unreadable.Record(errors.New("row"))
@@ -111,7 +111,7 @@
 func TestErrorsOfPollsKeepTheirKinds(t *testing.T) {
 	for _, want := range []error{workerclient.ErrFenced, workerclient.ErrOtherIncarnation, workerclient.ErrConnectionEnded} {
 		c, _, relayed := newRelayed(t, bootClock)
-		relayed.pollErr = want
+		relayed.pollErr.Store(&want)
 		_, err := c.Poll(callContext(t), target, &workerclient.PollRequest{})
 		assert.ErrorIs(t, err, want)
 	}
@@ -120,7 +120,7 @@
 // Guards against workers that lose their leases together with the process that calls them for the leader.
 func TestPollIsSentDirectlyOnceItsRelayIsSilent(t *testing.T) {
 	c, direct, relayed := newRelayed(t, bootClock)
-	relayed.silent = true
+	relayed.silent.Store(true)
 	sent := time.Now()
 	_, err := c.Poll(callContext(t), target, &workerclient.PollRequest{Cursor: 5, LeaseUntil: 6})
 	assert.NilError(t, err)
@@ -133,7 +133,7 @@
 // Guards against a start that counts as not executed although the relay may have sent it.
 func TestStartThroughSilentRelayMayHaveBeenExecuted(t *testing.T) {
 	c, _, relayed := newRelayed(t, bootClock)
-	relayed.silent = true
+	relayed.silent.Store(true)
 	resp := c.Start(callContext(t), target, &workerclient.StartCommand{})
 	assert.Equal(t, resp.Verdict, workerclient.Unknown)
 	assert.Assert(t, !resp.NotSent)
