--- a/internal/control/unreadable.go
+++ b/internal/control/unreadable.go
@@ -22,6 +22,8 @@
 	listActive  = "active"
 	listEnded   = "ended"
 	listPermits = "permits"
+	// listCheckpoints counts checkpoints that are too long to be kept; their rows are read.
+	listCheckpoints = "checkpoints"
 )
 
 // recordUnreadable counts the rows of a response that cannot be read, and marks its lists as
@@ -29,6 +31,7 @@
 func (p *polledWorkers) recordUnreadable(pw *polledWorker, resp *workerclient.PollResponse) {
 	rows := &resp.Unreadable
 	pw.ends.SetUnreadable(rows.EndNumbers)
+	p.l.c.s.metrics.unreadableRows.WithLabelValues(listCheckpoints).Add(float64(resp.LongCheckpoints))
 	if rows.Active+rows.Ended == 0 {
 		pw.unreadableSince = 0
 		return
--- a/internal/workerclient/client.go
+++ b/internal/workerclient/client.go
@@ -77,6 +77,9 @@
 	Unreadable  UnreadableRows  `cbor:"6,keyasint,omitempty"`
 	// ConnectionEnded is set if the connection of the poll ended and it was sent again.
 	ConnectionEnded bool `cbor:"7,keyasint,omitempty"`
+	// LongCheckpoints is the number of checkpoints that are too long to be kept. Their rows
+	// are listed without them.
+	LongCheckpoints int `cbor:"8,keyasint,omitempty"`
 }
 
 // UnreadableRows are the rows of a response that cannot be read. They are in no list.
