--- a/internal/schedule/apply.go
+++ b/internal/schedule/apply.go
@@ -191,10 +191,10 @@
 }
 
 // delayRestart puts a released task into backoff if it failed, was stopped or did
-// not start, or if it succeeded and is a service. A task that failed or was stopped,
+// not start, or if it succeeded and is to last. A task that failed or was stopped,
 // such as for exceeding its size, uses up one restart of its budget; once that is
-// exhausted the task stays waiting and a failure is reported. The backoff of a service
-// begins anew after a long run.
+// exhausted the task stays waiting and a failure is reported. The backoff of a task that
+// lasts begins anew after a long run.
 func (s *Scheduler) delayRestart(j *job, index int32, e *TaskEnded) {
 	atFault := e.Outcome == Failed || e.Outcome == Stopped || e.Outcome == Succeeded && j.group.lasts()
 	if !atFault && e.Outcome != NotStarted {
@@ -238,7 +238,7 @@
 	return !j.unlimitedRestarts() && int32(t.restarts) >= min(j.maxRestarts, maxRestartCount)
 }
 
-// unlimitedRestarts reports whether j is a service without a declared budget.
+// unlimitedRestarts reports whether the tasks of j last and have no declared budget.
 func (j *job) unlimitedRestarts() bool { return j.group.lasts() && j.maxRestarts == 0 }
 
 // maxRestartCount is the largest number of failures counted for a task.
--- a/internal/schedule/group.go
+++ b/internal/schedule/group.go
@@ -11,17 +11,17 @@
 // equal keys wait in one group: when the first one does not fit, neither do the
 // others, but for those with permits of their own or a limit of tasks per worker.
 type groupKey struct {
-	team       int32
-	queue      string
-	labels     string // selector of the job over worker labels
-	class      uint64 // jobs of a class share learned sizes and run times
-	gang       int32  // number of tasks; zero for other policies
-	policy     policy
-	lasting    bool  // a gang that does not end by itself
-	perWorker  int32 // tasks of a job that may be on one worker; zero: any number
-	repeatable bool
-	checkpoint bool
-	size       model.Resources // declared
+	team        int32
+	queue       string
+	jobSelector string // over worker labels
+	class       uint64 // jobs of a class share learned sizes and run times
+	gang        int32  // number of tasks; zero for other policies
+	policy      policy
+	lasting     bool  // a gang that does not end by itself
+	perWorker   int32 // tasks of a job that may be on one worker; zero: any number
+	repeatable  bool
+	checkpoint  bool
+	size        model.Resources // declared
 }
 
 // lasts reports whether the tasks do not end by themselves.
@@ -49,16 +49,16 @@
 // group is a set of jobs with equal keys.
 type group struct {
 	groupKey
-	selector   int32         // conjunction of the queue's selector and that of the job
-	served     string        // the queue's selector in it
-	jobs       []*job        // ordered by job.less; jobs without a ready task are skipped
-	readyJobs  int32         // queued jobs with a ready task
-	unfinished int32         // jobs that are not finished, waiting or not
-	slot       int32         // position in the queue of the team; -1 when no job has a ready task
-	cursor     int           // first job that the current plan has not handled yet
-	cursorPlan uint64        // plan that cursor belongs to
-	runTime    time.Duration // learned run time; zero if there are too few observations
-	fit        *fitBound     // bound for taskSize
+	selector      int32         // conjunction of the queue's selector and that of the job
+	queueSelector string        // the queue's, as it is part of selector
+	jobs          []*job        // ordered by job.less; jobs without a ready task are skipped
+	readyJobs     int32         // queued jobs with a ready task
+	unfinished    int32         // jobs that are not finished, waiting or not
+	slot          int32         // position in the queue of the team; -1 when no job has a ready task
+	cursor        int           // first job that the current plan has not handled yet
+	cursorPlan    uint64        // plan that cursor belongs to
+	runTime       time.Duration // learned run time; zero if there are too few observations
+	fit           *fitBound     // bound for taskSize
 
 	fitFailure           FitFailure // why no task of the group can run; its Err is nil if they can
 	fitFailureVersion    uint32
--- a/internal/schedule/lastresort.go
+++ b/internal/schedule/lastresort.go
@@ -12,7 +12,7 @@
 
 // mayShare reports whether tasks of g that fit nowhere else may be placed beside the suspect that
 // w is kept for: it need not be alone, or its start is over. While most of the room is in use,
-// only those of a service are, each of which is missing until it runs.
+// only tasks that last are, each of which is missing until it runs.
 func (p *planner) mayShare(g *group, w *worker) bool {
 	if !w.open() || w.reservation != nil || w.onProbation() {
 		return false
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -18,24 +18,24 @@
 	}
 	s.queues = next
 	for _, g := range s.groups {
-		if served, known := next[g.queue]; known && served != g.served {
-			s.changeSelector(g, served)
+		if selector, known := next[g.queue]; known && selector != g.queueSelector {
+			s.changeSelector(g, selector)
 		}
 	}
 }
 
 // useSelector makes the workers of g those that match both the given selector of its queue
 // and that of its jobs. A malformed selector matches nothing.
-func (s *Scheduler) useSelector(g *group, served string) {
-	g.selector, g.served = s.selector(served, g.labels), served
+func (s *Scheduler) useSelector(g *group, ofQueue string) {
+	g.selector, g.queueSelector = s.selector(ofQueue, g.jobSelector), ofQueue
 	s.selectors.all[g.selector].uses++
 }
 
 // changeSelector replaces the selector of the queue of g, and drops what is known of whether
 // its jobs fit. The next plan drops what they hold on workers that no longer match.
-func (s *Scheduler) changeSelector(g *group, served string) {
+func (s *Scheduler) changeSelector(g *group, ofQueue string) {
 	before := g.selector
-	s.useSelector(g, served)
+	s.useSelector(g, ofQueue)
 	s.selectors.drop(before)
 	s.fitBounds.release(g)
 	g.sizeCellVersion, g.fitCellVersion = noVersion, noVersion
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -182,16 +182,16 @@
 	spec := &e.Spec
 	team := s.teamIndex(e.Team)
 	key := groupKey{
-		team:       team,
-		queue:      spec.Queue,
-		labels:     spec.Selector,
-		class:      s.classOf(e.Team, spec),
-		policy:     policyOf(spec.Policy),
-		lasting:    spec.Lasting,
-		perWorker:  spec.PerWorker(),
-		repeatable: !spec.NotRepeatable,
-		checkpoint: spec.Checkpointable,
-		size:       spec.Size,
+		team:        team,
+		queue:       spec.Queue,
+		jobSelector: spec.Selector,
+		class:       s.classOf(e.Team, spec),
+		policy:      policyOf(spec.Policy),
+		lasting:     spec.Lasting,
+		perWorker:   spec.PerWorker(),
+		repeatable:  !spec.NotRepeatable,
+		checkpoint:  spec.Checkpointable,
+		size:        spec.Size,
 	}
 	if key.policy == gang {
 		key.gang = spec.Tasks
--- a/internal/schedule/suspect_test.go
+++ b/internal/schedule/suspect_test.go
@@ -1,11 +1,13 @@
 package schedule
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/filbertmast/filbertmast/internal/api"
 	"github.com/filbertmast/filbertmast/internal/model"
 )
 
@@ -91,6 +93,8 @@
 			row.spec.Selector = "kind=b"
 			id := c.job(row.spec)
 			assert.Equal(t, len(c.plan().Placements), 0, "the suspect is alone in its start")
+			reasons := c.s.WaitReasons(id, c.now)
+			assert.Assert(t, slices.ContainsFunc(reasons, func(r api.WhyNot) bool { return r.Reason == waitSuspect && r.Count == 1 }), "%v", reasons)
 			for _, at := range c.s.Candidates(id) {
 				assert.Assert(t, at.Room > 0, "permits are not queried in time")
 			}
--- a/internal/schedule/waitreason.go
+++ b/internal/schedule/waitreason.go
@@ -20,6 +20,7 @@
 	waitMode         = "mode"             // workers that are not open to new tasks
 	waitUnresponsive = "silent"           // workers that do not respond to commands, or have just refused one
 	waitProbation    = "probation"        // workers on probation
+	waitSuspect      = "suspect"          // workers kept for a task that may have crashed others
 	waitReservation  = "reservation"      // workers reserved for another job
 	waitBooked       = "booked"           // workers that are booked for the job
 	waitOthersBooked = "booked_by_others" // workers whose room is booked for others
@@ -169,7 +170,8 @@
 	w.add(waitSize, n.byReason[waitSize], "workers are smaller than a task, which needs %s", size)
 	w.add(waitMode, n.byReason[waitMode], "workers are not open to new tasks")
 	w.add(waitUnresponsive, n.byReason[waitUnresponsive], "workers do not respond to commands, or have just refused one")
-	w.add(waitProbation, n.byReason[waitProbation], "workers are on probation")
+	w.add(waitProbation, n.byReason[waitProbation], "workers are on probation, the last choice")
+	w.add(waitSuspect, n.byReason[waitSuspect], "workers are kept for tasks that may have crashed others, the last choice")
 	w.add(waitExclusive, n.byReason[waitExclusive], "workers already run as many tasks of the job as one may")
 	w.add(waitReservation, n.byReason[waitReservation], "workers are reserved for other waiting jobs and have room for %d tasks now: %s", n.reservedRoom, w.reservingJobs())
 	w.add(waitOthersBooked, n.byReason[waitOthersBooked], "workers have room that is booked for gangs whose permits are being renewed")
@@ -243,6 +245,8 @@
 		return waitUnresponsive
 	case at.onProbation():
 		return waitProbation
+	case at.isolatedFor.job != nil:
+		return waitSuspect
 	case w.j.group.perWorker > 0 && c.onWorker[slot] >= w.j.group.perWorker:
 		return waitExclusive
 	case at.reservation != nil && at.reservation.job != w.j:
