--- a/internal/schedule/lastresort.go
+++ b/internal/schedule/lastresort.go
@@ -11,14 +11,15 @@
 // other workers goes there, and work that fits on no other does not wait beside idle room.
 
 // mayShare reports whether tasks of g that fit nowhere else may be placed beside the suspect that
-// w is kept for: it need not be alone, or its start is over. While most of the room is in use,
-// only tasks that last are, each of which is missing until it runs.
+// w is kept for: while most of the room is in use, once every suspect on w has run past its start,
+// else also if the suspect need not be alone. Tasks that last, each of which is missing until it
+// runs, are placed as if most of the room was free.
 func (p *planner) mayShare(g *group, w *worker) bool {
 	if !w.open() || w.reservation != nil || w.onProbation() {
 		return false
 	}
 	if !g.lasts() && (p.lending.classes == nil || !p.mostlyIdle(g.selector)) {
-		return false
+		return p.suspectsStarted(w)
 	}
 	r := w.isolatedFor
 	v, t := r.job.suspects[r.index], r.task()
--- a/internal/schedule/suspect.go
+++ b/internal/schedule/suspect.go
@@ -89,9 +89,13 @@
 	if r.job.group.policy != batch || v.suspicion < KeepIsolated || w.isolatedFor.job != nil {
 		return
 	}
+	bound := max(1, s.workerCount*maxAlonePermille/1000)
+	if v.suspicion < KeepAlone && int64(len(s.isolated)) >= bound {
+		return
+	}
 	w.isolatedFor = r
 	s.isolated = append(s.isolated, slot)
-	if v.suspicion == KeepAlone && s.keptAlone < max(1, s.workerCount*maxAlonePermille/1000) {
+	if v.suspicion == KeepAlone && s.keptAlone < bound {
 		w.keptAlone = true
 		s.keptAlone++
 	}
@@ -99,7 +103,7 @@
 
 // countSuspect adds n to the suspects on the worker of a task that is assigned and suspected.
 func (s *Scheduler) countSuspect(r taskRef, n int32) {
-	if t := r.task(); t.state.assigned() && r.job.suspects[r.index].suspicion != NotSuspected {
+	if t := r.task(); t.state.assigned() && r.suspected() {
 		s.workers[t.worker].suspects += n
 	}
 }
@@ -136,12 +140,16 @@
 // may be shared; zero for never.
 func (s *Scheduler) nextShareTime(now model.Time) model.Time {
 	var next model.Time
+	after := func(at model.Time) {
+		if at > now {
+			next = earlier(next, at)
+		}
+	}
 	for _, slot := range s.isolated {
-		r := s.workers[slot].isolatedFor
-		for _, at := range [...]model.Time{r.task().since.Add(model.StartSpan), r.job.suspects[r.index].aloneUntil} {
-			if at > now {
-				next = earlier(next, at)
-			}
+		w := &s.workers[slot]
+		after(w.isolatedFor.job.suspects[w.isolatedFor.index].aloneUntil)
+		for _, r := range w.tasks {
+			after(r.task().since.Add(model.StartSpan))
 		}
 	}
 	return next
@@ -203,14 +211,22 @@
 
 // quiet reports whether every task on w has run past its start.
 func (p *planner) quiet(w *worker) bool {
-	for _, r := range w.tasks {
-		if t := r.task(); t.state != taskRunning || p.now.Sub(t.since) < model.StartSpan {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(w.tasks, p.starting)
+}
+
+// suspectsStarted reports whether every suspect on w has run past its start.
+func (p *planner) suspectsStarted(w *worker) bool {
+	return !slices.ContainsFunc(w.tasks, func(r taskRef) bool { return r.suspected() && p.starting(r) })
 }
 
+// starting reports whether an assigned task has not run past its start.
+func (p *planner) starting(r taskRef) bool {
+	t := r.task()
+	return t.state != taskRunning || p.now.Sub(t.since) < model.StartSpan
+}
+
+func (r taskRef) suspected() bool { return r.job.suspects[r.index].suspicion != NotSuspected }
+
 // findAmongSuspects returns the worker for a suspect with the fewest other suspects, the
 // tightest of several, or noSlot. A further crash then leaves few of them suspected.
 func (p *planner) findAmongSuspects(j *job, size model.Resources) int32 {
