replica, control: let a region with most voters lead

The priority in elections depended on the failure domains of the settings alone. With three domains in each of two regions and five voters, a leader in the region with two voters was as likely as any, and each of its commits waits for a round trip between regions.

The regions of the voters are known from their registration as entries. A replica in a region with fewer voters than another delays its candidacy, and a leader there resigns while no job is unfinished.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -33,6 +33,7 @@
 	load            *load
 	processor       obs.ProcessorTime // at the last line about the load
 	taskLines       *obs.Sampler      // of the log lines about each start and end of a task
+	priority        electionPriority
 }
 
 func newCore(s *Server) *core {
@@ -192,6 +193,7 @@
 }
 
 func (c *core) tick() {
+	c.updateElectionPriority(c.s.now())
 	if c.leader != nil {
 		c.leader.tick(c.s.now())
 	}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -38,6 +38,8 @@
 	Promote(ctx context.Context, id replica.ID) error
 	Remove(ctx context.Context, id replica.ID) error
 	TransferLeadership(ctx context.Context) error
+	SetLowElectionPriority(low bool)
+	Resign()
 }
 
 // Options configures a Server.
--- a/internal/control/simlog_test.go
+++ b/internal/control/simlog_test.go
@@ -80,6 +80,12 @@
 // Remove implements Log.
 func (n *nodeLog) Remove(context.Context, replica.ID) error { return nil }
 
+// SetLowElectionPriority implements Log.
+func (n *nodeLog) SetLowElectionPriority(bool) {}
+
+// Resign implements Log.
+func (n *nodeLog) Resign() {}
+
 // TransferLeadership implements Log.
 func (n *nodeLog) TransferLeadership(context.Context) error { return nil }
 
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -216,6 +216,25 @@
 // owner must then end the process.
 func (n *Node) Fatal() <-chan error { return n.fatal }
 
+// SetLowElectionPriority replaces Options.LowElectionPriority.
+func (n *Node) SetLowElectionPriority(low bool) {
+	n.inbox.addCall(func() { n.core.SetElectionDelay(electionDelay(low)) })
+}
+
+// Resign makes a leader step down, so that a replica with a higher priority in elections can
+// lead. It does nothing on another replica.
+func (n *Node) Resign() {
+	n.inbox.addCall(func() { n.core.StepDown() })
+}
+
+// electionDelay returns the additional election delay of a replica in ticks.
+func electionDelay(lowPriority bool) int {
+	if lowPriority {
+		return lowPriorityDelayTicks
+	}
+	return 0
+}
+
 // Close stops the replica. Everything that was acknowledged is durable.
 func (n *Node) Close() error {
 	n.halt()
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -310,3 +310,15 @@
 	assert.Equal(t, errkind.Of(leader.ProposeInTerm(term-1, []byte("then"))), errkind.NotLeader)
 	leader.awaitEntries(1)
 }
+
+// Guards against a group that keeps a badly placed leader until it fails.
+func TestLeaderThatResignsIsFollowedByReplicaWithHigherPriority(t *testing.T) {
+	group := startStableGroup(t, newNetwork(), 3)
+	first := awaitLeader(group...)
+	first.SetLowElectionPriority(true)
+	term := first.Status().Term
+	first.Resign()
+	next := awaitLeader(others(group, first)...)
+	assert.Assert(t, next.Status().Term > term)
+	assert.Assert(t, next != first)
+}
--- a/internal/replica/raft/election.go
+++ b/internal/replica/raft/election.go
@@ -41,6 +41,10 @@
 	c.electionTimeout = c.opts.ElectionTicks + c.opts.ElectionDelayTicks + c.rng.IntN(c.opts.ElectionTicks)
 }
 
+// SetElectionDelay replaces Options.ElectionDelayTicks. A follower uses the new delay once it
+// hears from the leader again.
+func (c *Core) SetElectionDelay(ticks int) { c.opts.ElectionDelayTicks = ticks }
+
 // StepDown makes a leader a follower in the same term. The owner calls it if its
 // clock shows that no quorum has answered for an election timeout. Ticks alone do
 // not show that after the process was frozen.
--- a/internal/replica/restore.go
+++ b/internal/replica/restore.go
@@ -34,10 +34,7 @@
 	if n.identity.Formed && n.log.Last().Index == 0 {
 		return &storage.CorruptError{File: n.opts.Dir, Reason: "the log has no entries although the replica belongs to a group"}
 	}
-	o := raft.Options{ID: n.identity.ID, Seed: n.opts.Seed}
-	if n.opts.LowElectionPriority {
-		o.ElectionDelayTicks = lowPriorityDelayTicks
-	}
+	o := raft.Options{ID: n.identity.ID, Seed: n.opts.Seed, ElectionDelayTicks: electionDelay(n.opts.LowElectionPriority)}
 	n.core = raft.New(o, r)
 	n.compactCore(r.Snapshot.Index)
 	n.formed.Store(n.identity.Formed)
