schedule, permit: one order of late jobs, with a margin and a last useful start

Ordered by promised start, with late jobs moved back half a second after they missed it, each short job is started when it has just become late: in a burst of four times the capacity nearly all of them are a little late. The order stood twice, in plans and in the queries for permits.

Package schedule/lateness holds it now. A margin before the promised start lets jobs that cannot be in time make way for those that can. A late job whose result is still of use moves only to its last useful start, in place of late_shift. Both are settings, off by default.

--- a/internal/control/policy.go
+++ b/internal/control/policy.go
@@ -9,6 +9,7 @@
 	"github.com/filbertmast/filbertmast/internal/permit"
 	"github.com/filbertmast/filbertmast/internal/proto"
 	"github.com/filbertmast/filbertmast/internal/schedule"
+	"github.com/filbertmast/filbertmast/internal/schedule/lateness"
 	"github.com/filbertmast/filbertmast/internal/state"
 	"github.com/filbertmast/filbertmast/internal/wire"
 	"github.com/filbertmast/filbertmast/internal/workerclient"
@@ -45,7 +46,7 @@
 	scheduling := &l.c.s.opts.Scheduling
 	return &policy{
 		l:        l,
-		tracker:  permit.NewTracker(permit.Options{LateShift: scheduling.LateShift, LateGrace: scheduling.LateGrace}),
+		tracker:  permit.NewTracker(permit.Options{Lateness: scheduling.Lateness}),
 		costs:    map[model.JobID]model.PolicyCosts{},
 		answered: map[model.JobID]model.Time{},
 		balancer: permit.NewBalancer(l.c.s.now()),
@@ -63,7 +64,7 @@
 	if q == nil || !q.Policy.Required() {
 		return false
 	}
-	p.tracker.Add(j.ID, p.l.stepName(j), j.StartBy)
+	p.tracker.Add(j.ID, p.l.stepName(j), lateness.Job{PromisedStart: j.StartBy, Patience: j.StartBy.Sub(j.Submitted), RunTime: j.Spec.RunTime.Std()})
 	p.costs[j.ID] = q.Policy
 	return true
 }
--- a/internal/permit/bench_test.go
+++ b/internal/permit/bench_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/schedule/lateness"
 	"github.com/filbertmast/filbertmast/internal/workerclient"
 )
 
@@ -43,7 +44,7 @@
 	const jobs = 1000
 	c := newPermitCell(b, benchmarkWorkers)
 	for id := range model.JobID(jobs) {
-		c.tracker.Add(id+1, workerclient.TaskName{}, c.now)
+		c.tracker.Add(id+1, workerclient.TaskName{}, lateness.Job{PromisedStart: c.now})
 	}
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/permit/booked_test.go
+++ b/internal/permit/booked_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/schedule"
+	"github.com/filbertmast/filbertmast/internal/schedule/lateness"
 	"github.com/filbertmast/filbertmast/internal/workerclient"
 )
 
@@ -34,9 +35,9 @@
 // bookedTracker returns a Tracker with a job that is late and booked on two workers, and one
 // that is in time.
 func bookedTracker() (*Tracker, *bookingScheduler) {
-	tracker := NewTracker(Options{LateShift: time.Minute})
-	tracker.Add(bookedID, workerclient.TaskName{}, 1000)
-	tracker.Add(otherID, workerclient.TaskName{}, 9000)
+	tracker := NewTracker(Options{Lateness: lateness.Options{Shift: time.Minute}})
+	tracker.Add(bookedID, workerclient.TaskName{}, lateness.Job{PromisedStart: 1000})
+	tracker.Add(otherID, workerclient.TaskName{}, lateness.Job{PromisedStart: 9000})
 	return tracker, &bookingScheduler{newFakeScheduler(4), []model.WorkerID{"w01", "w02"}}
 }
 
--- a/internal/permit/gang_test.go
+++ b/internal/permit/gang_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/schedule"
+	"github.com/filbertmast/filbertmast/internal/schedule/lateness"
 	"github.com/filbertmast/filbertmast/internal/workerclient"
 )
 
@@ -58,7 +59,7 @@
 	c := &permitCell{
 		t:       t,
 		now:     cellStart,
-		tracker: NewTracker(Options{LateShift: lateShift}),
+		tracker: NewTracker(Options{Lateness: lateness.Options{Shift: lateShift}}),
 		sched:   schedule.New(schedule.Options{Seed: 1, KeepRunning: true, MaxReservations: maxReservations, PressingSlack: 4 * time.Second}),
 		pending: map[model.JobID]bool{},
 		answers: map[model.Time][]Query{},
@@ -112,7 +113,7 @@
 	if needsPermit {
 		c.pending[id] = true
 		c.specs[id] = spec
-		c.tracker.Add(id, workerclient.TaskName{Workflow: model.WorkflowID(spec.Name)}, startBy)
+		c.tracker.Add(id, workerclient.TaskName{Workflow: model.WorkflowID(spec.Name)}, lateness.Job{PromisedStart: startBy})
 	}
 }
 
--- a/internal/permit/liveness_test.go
+++ b/internal/permit/liveness_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/schedule"
+	"github.com/filbertmast/filbertmast/internal/schedule/lateness"
 	"github.com/filbertmast/filbertmast/internal/workerclient"
 )
 
@@ -179,9 +180,9 @@
 // has not sent are taken back.
 func (c *livenessCell) elect() {
 	c.term++
-	c.tracker = NewTracker(Options{LateShift: lateShift, LateGrace: 500 * time.Millisecond})
+	c.tracker = NewTracker(Options{Lateness: lateness.Options{Shift: lateShift, Grace: 500 * time.Millisecond}})
 	c.sched = schedule.New(schedule.Options{Seed: uint64(c.term), KeepRunning: true, MaxReservations: maxReservations, PressingSlack: 4 * time.Second,
-		BackoffBase: 20 * time.Millisecond, LateShift: lateShift, LateGrace: 500 * time.Millisecond})
+		BackoffBase: 20 * time.Millisecond, Lateness: lateness.Options{Shift: lateShift, Grace: 500 * time.Millisecond}})
 	c.balancer, c.busy = NewBalancer(c.now), map[string]model.Time{}
 	c.sched.Apply(schedule.ConfigChanged{Teams: []model.Team{{Name: "a", Share: 1, MaxRunning: math.MaxInt32}}})
 	for i, w := range c.workers {
@@ -224,7 +225,7 @@
 
 func (c *livenessCell) track(j *livenessJob) {
 	c.sched.Apply(schedule.JobSubmitted{ID: j.id, Spec: j.spec, Team: "a", At: c.now, StartBy: j.startBy, NeedsPermit: true})
-	c.tracker.Add(j.id, workerclient.TaskName{Workflow: "f"}, j.startBy)
+	c.tracker.Add(j.id, workerclient.TaskName{Workflow: "f"}, lateness.Job{PromisedStart: j.startBy})
 }
 
 // submit adds a job of a random class.
--- a/internal/permit/load_test.go
+++ b/internal/permit/load_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/schedule"
+	"github.com/filbertmast/filbertmast/internal/schedule/lateness"
 	"github.com/filbertmast/filbertmast/internal/workerclient"
 )
 
@@ -121,10 +122,10 @@
 func newHeavyLoad(t testing.TB, seed uint64, lateShift time.Duration) *heavyLoad {
 	c := newPermitCell(t, 0)
 	const lateGrace = 500 * time.Millisecond
-	c.tracker = NewTracker(Options{LateShift: lateShift, LateGrace: lateGrace})
+	c.tracker = NewTracker(Options{Lateness: lateness.Options{Shift: lateShift, Grace: lateGrace}})
 	c.sched = schedule.New(schedule.Options{
 		Seed: seed, KeepRunning: true, MaxReservations: maxReservations, PressingSlack: 4 * time.Second,
-		AgeingSpan: time.Second, LateShift: lateShift, LateGrace: lateGrace,
+		AgeingSpan: time.Second, Lateness: lateness.Options{Shift: lateShift, Grace: lateGrace},
 	})
 	c.addWorkers(loadWorkers)
 	l := &heavyLoad{
@@ -183,7 +184,7 @@
 	l.jobs = append(l.jobs, j)
 	startBy := l.now.Add(j.spec.Patience.Std())
 	l.sched.Apply(schedule.JobSubmitted{ID: id, Spec: j.spec, Team: j.spec.Team, At: l.now, StartBy: startBy, NeedsPermit: true})
-	l.tracker.Add(id, workerclient.TaskName{Workflow: "f"}, startBy)
+	l.tracker.Add(id, workerclient.TaskName{Workflow: "f"}, lateness.Job{PromisedStart: startBy})
 }
 
 // Demand implements Scheduler.
--- a/internal/permit/query.go
+++ b/internal/permit/query.go
@@ -1,10 +1,8 @@
 package permit
 
 import (
-	"cmp"
 	"iter"
 	"slices"
-	"time"
 
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/schedule"
@@ -42,14 +40,15 @@
 
 // EachDueQuery calls send for each query that is due at now, until send returns
 // false. If send takes a query it must call MarkSent. Jobs come in the order of their
-// deadlines, late ones as if their deadlines were LateShift later. After a change of
-// the leader every waiting job must be queried again; with this order the queries for
-// jobs that can still start in time go first, and those for late jobs wait LateShift at
-// most. Booked jobs keep their deadlines, since the room that is held for them idles.
+// promised starts, and late ones in their place by Options.Lateness. After a change of the
+// leader every waiting job must be queried again; with this order the queries for jobs that
+// can still start in time go first. Booked jobs keep their place when they become late, since
+// the room that is held for them idles.
 func (t *Tracker) EachDueQuery(now model.Time, scheduler Scheduler, send func(Query) bool) {
 	defer t.dropIdle()
+	t.moveLate(now)
 	t.updateBooked(scheduler.Booked())
-	for j := range t.inOrder(now) {
+	for j := range t.inOrder() {
 		due := j.dueQueries
 		if j.booked != nil {
 			due = j.bookedQueries
@@ -75,46 +74,43 @@
 			t.booked = append(t.booked, j)
 		}
 	}
-	slices.SortFunc(t.booked, compareJobs)
+	slices.SortFunc(t.booked, compareDeadlines)
 }
 
-// inOrder returns the waiting jobs in the order in which their queries are sent.
-func (t *Tracker) inOrder(now model.Time) iter.Seq[*jobPermits] {
-	graceEnd := now.Add(-t.opts.LateGrace)
-	n, _ := slices.BinarySearchFunc(t.waiting, graceEnd, func(j *jobPermits, at model.Time) int {
-		return cmp.Compare(j.startBy, at)
+// moveLate updates the places of the waiting jobs at now.
+func (t *Tracker) moveLate(now model.Time) {
+	t.now = max(t.now, now)
+	var moved []*jobPermits
+	t.waiting = slices.DeleteFunc(t.waiting, func(j *jobPermits) bool {
+		if j.until == 0 || now < j.until {
+			return false
+		}
+		moved = append(moved, j)
+		return true
 	})
-	queues := [...]jobQueue{{t.booked, 0}, {t.unbooked(t.waiting[:n]), t.opts.LateShift}, {t.unbooked(t.waiting[n:]), 0}}
+	for _, j := range moved {
+		j.startBy, j.until = t.opts.Lateness.Position(j.order, now)
+		t.addWaiting(j)
+	}
+}
+
+// inOrder returns the waiting jobs in the order in which their queries are sent.
+func (t *Tracker) inOrder() iter.Seq[*jobPermits] {
+	booked, waiting := t.booked, t.unbooked(t.waiting)
 	return func(yield func(*jobPermits) bool) {
-		for {
-			from := &queues[0]
-			for i := range queues[1:] {
-				if queues[i+1].before(from) {
-					from = &queues[i+1]
-				}
+		for len(booked)+len(waiting) > 0 {
+			from := &waiting
+			if len(waiting) == 0 || len(booked) > 0 && booked[0].order.PromisedStart < waiting[0].startBy {
+				from = &booked
 			}
-			if len(from.jobs) == 0 || !yield(from.jobs[0]) {
+			if !yield((*from)[0]) {
 				return
 			}
-			from.jobs = from.jobs[1:]
+			*from = (*from)[1:]
 		}
 	}
 }
 
-// jobQueue holds jobs in the order of their deadlines, which count as later by shift.
-type jobQueue struct {
-	jobs  []*jobPermits
-	shift time.Duration
-}
-
-// before reports whether the first job of q comes before that of o.
-func (q *jobQueue) before(o *jobQueue) bool {
-	if len(q.jobs) == 0 || len(o.jobs) == 0 {
-		return len(q.jobs) > 0
-	}
-	return q.jobs[0].startBy.Add(q.shift) < o.jobs[0].startBy.Add(o.shift)
-}
-
 // unbooked returns the jobs that are not booked.
 func (t *Tracker) unbooked(jobs []*jobPermits) []*jobPermits {
 	if len(t.booked) == 0 {
--- a/internal/permit/refused_test.go
+++ b/internal/permit/refused_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/schedule/lateness"
 	"github.com/filbertmast/filbertmast/internal/workerclient"
 )
 
@@ -26,7 +27,7 @@
 // Guards against a job that never starts in an idle cell because one response permitted no worker.
 func TestJobWhoseWorkersWereAllRefusedIsQueriedAgain(t *testing.T) {
 	tracker, scheduler := NewTracker(Options{}), newFakeScheduler(20)
-	tracker.Add(1, workerclient.TaskName{}, 0)
+	tracker.Add(1, workerclient.TaskName{}, lateness.Job{PromisedStart: 0})
 	q := sendQueries(tracker, 1000, scheduler, 1)
 	tracker.ApplyAdvice(&q[0], adviceOf(2*time.Second), 1000)
 	permitted := func(*Query) *workerclient.Advice { return adviceOf(2*time.Second, "w03") }
@@ -48,7 +49,7 @@
 	for name, d := range map[string]Demand{"one by one": {Tasks: 100}, "together": {Tasks: 15, AllAtOnce: true}} {
 		t.Run(name, func(t *testing.T) {
 			tracker, scheduler := NewTracker(Options{}), demandScheduler{newFakeScheduler(20), d}
-			tracker.Add(1, workerclient.TaskName{}, 0)
+			tracker.Add(1, workerclient.TaskName{}, lateness.Job{PromisedStart: 0})
 			q := sendQueries(tracker, 1000, scheduler, 1)
 			tracker.ApplyAdvice(&q[0], adviceOf(2*time.Second), 1000)
 			asked := queriesOver(tracker, 1000, startLimit, scheduler, refuseAll)
@@ -59,7 +60,7 @@
 
 func TestChecksOfRefusedWorkersAreBoundedInRate(t *testing.T) {
 	tracker, scheduler := NewTracker(Options{}), newFakeScheduler(20)
-	tracker.Add(1, workerclient.TaskName{}, 0)
+	tracker.Add(1, workerclient.TaskName{}, lateness.Job{PromisedStart: 0})
 	asked := queriesOver(tracker, 1000, time.Minute, scheduler, refuseAll)
 	for i := range asked[1:] {
 		gap := asked[i+1].Sub(asked[i])
@@ -114,7 +115,7 @@
 // Guards against endless queries about a worker that the policy service no longer permits.
 func TestWorkerThatIsNoLongerPermittedCountsAsRefused(t *testing.T) {
 	tracker, scheduler := NewTracker(Options{}), newFakeScheduler(1)
-	tracker.Add(1, workerclient.TaskName{}, 0)
+	tracker.Add(1, workerclient.TaskName{}, lateness.Job{PromisedStart: 0})
 	q := sendQueries(tracker, 1000, scheduler, 9)
 	tracker.ApplyAdvice(&q[0], adviceOf(time.Second, "w00"), 1000)
 	asked := queriesOver(tracker, 1000, 10*time.Second, scheduler, refuseAll)
--- a/internal/permit/room_test.go
+++ b/internal/permit/room_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/schedule"
+	"github.com/filbertmast/filbertmast/internal/schedule/lateness"
 	"github.com/filbertmast/filbertmast/internal/workerclient"
 )
 
@@ -148,7 +149,7 @@
 func TestQueryNamesLeastContendedWorkers(t *testing.T) {
 	tracker, scheduler := NewTracker(Options{}), newFakeScheduler(2*minFreshWorkers)
 	for id := range model.JobID(2) {
-		tracker.Add(id+1, workerclient.TaskName{}, 0)
+		tracker.Add(id+1, workerclient.TaskName{}, lateness.Job{PromisedStart: 0})
 	}
 	first := sendQueries(tracker, 1000, scheduler, 1)
 	second := sendQueries(tracker, 1000, scheduler, 1)
--- a/internal/permit/status.go
+++ b/internal/permit/status.go
@@ -68,13 +68,14 @@
 	if j == nil {
 		return Position{}
 	}
+	t.moveLate(now)
 	var at Position
-	for o := range t.inOrder(now) {
+	for o := range t.inOrder() {
 		if o == j {
 			return at
 		}
 		at.Ahead++
-		if o.startBy > j.startBy {
+		if o.order.PromisedStart > j.order.PromisedStart {
 			at.Overtaken++
 		}
 	}
--- a/internal/permit/status_test.go
+++ b/internal/permit/status_test.go
@@ -8,13 +8,14 @@
 
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/schedule"
+	"github.com/filbertmast/filbertmast/internal/schedule/lateness"
 	"github.com/filbertmast/filbertmast/internal/workerclient"
 )
 
 // Guards against a gang whose permits end one after the other and that looks as if it had no room.
 func TestRoomTellsExpiredPermitsFromMissingRoom(t *testing.T) {
 	tracker, scheduler := NewTracker(Options{}), newFakeScheduler(4)
-	tracker.Add(1, workerclient.TaskName{}, 0)
+	tracker.Add(1, workerclient.TaskName{}, lateness.Job{PromisedStart: 0})
 	apply := func(q Query, at int64, valid time.Duration, answer ...int) {
 		tracker.MarkSent(&q)
 		advice := adviceOf(valid)
@@ -32,9 +33,9 @@
 }
 
 func TestPositionCountsTheJobsThatOvertakeALateOne(t *testing.T) {
-	tracker := NewTracker(Options{LateShift: 30 * time.Second, LateGrace: 500 * time.Millisecond})
+	tracker := NewTracker(Options{Lateness: lateness.Options{Shift: 30 * time.Second, Grace: 500 * time.Millisecond}})
 	for id, startBy := range map[int64]int64{1: 10_000, 2: 9_000, 3: 39_000, 4: 41_000} {
-		tracker.Add(model.JobID(id), workerclient.TaskName{}, model.Time(startBy))
+		tracker.Add(model.JobID(id), workerclient.TaskName{}, lateness.Job{PromisedStart: model.Time(startBy)})
 	}
 	assert.Equal(t, tracker.Position(1, 9_000), Position{Ahead: 1})
 	assert.Equal(t, tracker.Position(1, 10_501), Position{Ahead: 2, Overtaken: 1}, "it is late, and job 3 comes first")
--- a/internal/permit/tracker.go
+++ b/internal/permit/tracker.go
@@ -12,6 +12,7 @@
 
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/schedule"
+	"github.com/filbertmast/filbertmast/internal/schedule/lateness"
 	"github.com/filbertmast/filbertmast/internal/workerclient"
 )
 
@@ -53,10 +54,7 @@
 // Options configure a Tracker. They are those of the scheduler with the same names, so
 // that queries are sent in the order in which jobs are placed.
 type Options struct {
-	// LateShift is added to the deadline of a job in the order of queries once the job
-	// has missed it by LateGrace.
-	LateShift time.Duration
-	LateGrace time.Duration
+	Lateness lateness.Options // the place of late jobs in the order of queries
 }
 
 // Tracker holds the permits of the jobs that need them.
@@ -68,6 +66,7 @@
 	booked     []*jobPermits // jobs with a booking, in the same order
 	contended  contention    // by the queries of all jobs
 
+	now       model.Time                // of the last check
 	inFlight  int                       // queries of all jobs in flight
 	forgets   uint64                    // calls of ForgetWorker so far
 	forgotten map[model.WorkerID]uint64 // number of the last call, of the workers forgotten while queries are in flight
@@ -77,7 +76,9 @@
 type jobPermits struct {
 	id        model.JobID
 	step      workerclient.TaskName
-	startBy   model.Time                     // deadline of the start
+	order     lateness.Job                   // what its place among the waiting jobs depends on
+	startBy   model.Time                     // orders the waiting jobs
+	until     model.Time                     // when startBy changes; zero: never
 	workers   map[model.WorkerID]workerState // that the policy service was queried about
 	inFlight  int                            // queries in flight
 	queried   contention                     // the queries in flight about each worker
@@ -113,25 +114,27 @@
 	return &Tracker{opts: o, jobs: map[model.JobID]*jobPermits{}, contended: contention{}, forgotten: map[model.WorkerID]uint64{}}
 }
 
-// Add adds a job that needs permits and must start by startBy. It does nothing if
-// the job is tracked already.
-func (t *Tracker) Add(id model.JobID, step workerclient.TaskName, startBy model.Time) {
+// Add adds a job that needs permits. It does nothing if the job is tracked already.
+func (t *Tracker) Add(id model.JobID, step workerclient.TaskName, order lateness.Job) {
 	if t.jobs[id] != nil {
 		return
 	}
-	j := &jobPermits{id: id, step: step, startBy: startBy, workers: map[model.WorkerID]workerState{}, queried: contention{}, contended: t.contended}
+	j := &jobPermits{id: id, step: step, order: order, workers: map[model.WorkerID]workerState{}, queried: contention{}, contended: t.contended}
+	j.startBy, j.until = t.opts.Lateness.Position(order, t.now)
 	t.jobs[id] = j
-	at, _ := slices.BinarySearchFunc(t.byDeadline, j, func(id model.JobID, j *jobPermits) int { return compareJobs(t.jobs[id], j) })
+	at, _ := slices.BinarySearchFunc(t.byDeadline, j, func(id model.JobID, j *jobPermits) int { return compareDeadlines(t.jobs[id], j) })
 	t.byDeadline = slices.Insert(t.byDeadline, at, id)
 	t.addWaiting(j)
 }
 
-// compareJobs orders jobs by the deadline of their start, then by age.
+// compareJobs orders jobs by their place, then by age.
 func compareJobs(a, b *jobPermits) int {
-	if a.startBy != b.startBy {
-		return cmp.Compare(a.startBy, b.startBy)
-	}
-	return cmp.Compare(a.id, b.id)
+	return cmp.Or(cmp.Compare(a.startBy, b.startBy), cmp.Compare(a.id, b.id))
+}
+
+// compareDeadlines orders jobs by their promised start, then by age.
+func compareDeadlines(a, b *jobPermits) int {
+	return cmp.Or(cmp.Compare(a.order.PromisedStart, b.order.PromisedStart), cmp.Compare(a.id, b.id))
 }
 
 func (t *Tracker) addWaiting(j *jobPermits) {
--- a/internal/permit/tracker_test.go
+++ b/internal/permit/tracker_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/schedule"
+	"github.com/filbertmast/filbertmast/internal/schedule/lateness"
 	"github.com/filbertmast/filbertmast/internal/workerclient"
 )
 
@@ -67,7 +68,7 @@
 
 func TestStepIsQueriedAgainBeforePermitsExpire(t *testing.T) {
 	tracker, scheduler := NewTracker(Options{}), newFakeScheduler(20)
-	tracker.Add(1, workerclient.TaskName{Workflow: "f"}, 0)
+	tracker.Add(1, workerclient.TaskName{Workflow: "f"}, lateness.Job{PromisedStart: 0})
 	q := sendQueries(tracker, 1000, scheduler, 9)
 	assert.Equal(t, len(q), 1)
 	assert.Equal(t, len(q[0].Workers), 20)
@@ -84,7 +85,7 @@
 
 func TestJobWithoutPendingTasksIsNotQueried(t *testing.T) {
 	tracker, scheduler := NewTracker(Options{}), newFakeScheduler(4)
-	tracker.Add(1, workerclient.TaskName{}, 0)
+	tracker.Add(1, workerclient.TaskName{}, lateness.Job{PromisedStart: 0})
 	scheduler.idle[1] = true
 	assert.Equal(t, len(sendQueries(tracker, 1, scheduler, 9)), 0)
 	scheduler.idle[1] = false
@@ -98,7 +99,7 @@
 
 func TestFailedQueryIsRetried(t *testing.T) {
 	tracker, scheduler := NewTracker(Options{}), newFakeScheduler(4)
-	tracker.Add(1, workerclient.TaskName{}, 0)
+	tracker.Add(1, workerclient.TaskName{}, lateness.Job{PromisedStart: 0})
 	q := sendQueries(tracker, 1000, scheduler, 9)
 	tracker.MarkFailed(&q[0], 1500)
 	assert.Equal(t, len(sendQueries(tracker, 1500, scheduler, 9)), 0)
@@ -108,7 +109,7 @@
 // If no known worker may run the step, workers that register later are queried.
 func TestNewWorkersAreQueried(t *testing.T) {
 	tracker, scheduler := NewTracker(Options{}), newFakeScheduler(2)
-	tracker.Add(1, workerclient.TaskName{}, 0)
+	tracker.Add(1, workerclient.TaskName{}, lateness.Job{PromisedStart: 0})
 	q := sendQueries(tracker, 1000, scheduler, 9)
 	tracker.ApplyAdvice(&q[0], adviceOf(2*time.Second), 1000)
 	assert.Equal(t, len(sendQueries(tracker, 2000, scheduler, 9)), 0, "all known workers have been queried")
@@ -119,7 +120,7 @@
 
 func TestRestartedWorkerIsQueriedAgain(t *testing.T) {
 	tracker, scheduler := NewTracker(Options{}), newFakeScheduler(1)
-	tracker.Add(1, workerclient.TaskName{}, 0)
+	tracker.Add(1, workerclient.TaskName{}, lateness.Job{PromisedStart: 0})
 	q := sendQueries(tracker, 1000, scheduler, 9)
 	tracker.ApplyAdvice(&q[0], adviceOf(time.Minute, "w00"), 1000)
 	assert.DeepEqual(t, tracker.ForgetWorker("w00"), []model.JobID{1})
@@ -141,7 +142,7 @@
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
 			tracker, scheduler := NewTracker(Options{}), newFakeScheduler(2)
-			tracker.Add(1, workerclient.TaskName{}, 0)
+			tracker.Add(1, workerclient.TaskName{}, lateness.Job{PromisedStart: 0})
 			q := sendQueries(tracker, 1000, scheduler, 9)
 			tracker.ForgetWorker("w00")
 			tracker.ApplyAdvice(&q[0], adviceOf(time.Minute, row.permitted...), 1100)
@@ -159,7 +160,7 @@
 
 func TestPermitsExpireAndCanBeInvalidated(t *testing.T) {
 	tracker, scheduler := NewTracker(Options{}), newFakeScheduler(3)
-	tracker.Add(1, workerclient.TaskName{}, 0)
+	tracker.Add(1, workerclient.TaskName{}, lateness.Job{PromisedStart: 0})
 	q := sendQueries(tracker, 1000, scheduler, 9)
 	tracker.ApplyAdvice(&q[0], adviceOf(2*time.Second, "w01"), 1000)
 	assert.DeepEqual(t, tracker.Permits(1), []Grant{{Worker: "w01", Until: model.Time(1000).Add(2*time.Second - placementMargin)}})
@@ -170,7 +171,7 @@
 func TestOldestJobsAreQueriedFirst(t *testing.T) {
 	tracker, scheduler := NewTracker(Options{}), newFakeScheduler(3)
 	for id := model.JobID(1); id <= 5; id++ {
-		tracker.Add(id, workerclient.TaskName{}, 0)
+		tracker.Add(id, workerclient.TaskName{}, lateness.Job{PromisedStart: 0})
 	}
 	q := sendQueries(tracker, 1000, scheduler, 2)
 	assert.Equal(t, len(q), 2)
@@ -189,9 +190,9 @@
 		{"without a shift by deadline", 0, []model.JobID{1, 4, 3, 5, 2}},
 	} {
 		t.Run(row.name, func(t *testing.T) {
-			tracker, scheduler := NewTracker(Options{LateShift: row.lateShift}), newFakeScheduler(3)
+			tracker, scheduler := NewTracker(Options{Lateness: lateness.Options{Shift: row.lateShift}}), newFakeScheduler(3)
 			for id, by := range map[model.JobID]model.Time{1: 400, 2: 9000, 3: 1200, 4: 900, 5: 5000} {
-				tracker.Add(id, workerclient.TaskName{}, by)
+				tracker.Add(id, workerclient.TaskName{}, lateness.Job{PromisedStart: by})
 			}
 			var order []model.JobID
 			for _, q := range sendQueries(tracker, 1000, scheduler, 9) {
@@ -227,13 +228,13 @@
 		})
 	}
 	for id := model.JobID(1); id <= 20; id++ {
-		tracker.Add(id, workerclient.TaskName{}, 9000)
+		tracker.Add(id, workerclient.TaskName{}, lateness.Job{PromisedStart: 9000})
 	}
 	step(1000)
 	assert.Equal(t, len(sent), 3, "long queries leave an entry to short ones")
 	busy := map[string]bool{sent[1]: true, sent[2]: true, sent[3]: true}
 	for id := model.JobID(21); id <= 30; id++ {
-		tracker.Add(id, workerclient.TaskName{}, 1500)
+		tracker.Add(id, workerclient.TaskName{}, lateness.Job{PromisedStart: 1500})
 	}
 	step(1020)
 	for id := model.JobID(21); id <= 30; id++ {
@@ -276,7 +277,7 @@
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
 			tracker := NewTracker(Options{})
-			tracker.Add(1, workerclient.TaskName{Workflow: "f"}, 0)
+			tracker.Add(1, workerclient.TaskName{Workflow: "f"}, lateness.Job{PromisedStart: 0})
 			row.prepare(tracker)
 			assert.Equal(t, tracker.Status(1, row.now), row.want)
 		})
--- a/internal/schedule/apply.go
+++ b/internal/schedule/apply.go
@@ -69,7 +69,9 @@
 	}
 	s.jobs[e.ID] = j
 	heap.Push(&s.deadlines, j)
-	if s.opts.LateShift > 0 {
+	j.runTime = e.Spec.RunTime.Std()
+	j.startBy, j.startByUntil = s.opts.Lateness.Position(j.lateness(), e.At)
+	if j.startByUntil != 0 {
 		heap.Push(&s.late, j)
 	}
 	g.unfinished++
--- a/internal/schedule/booking.go
+++ b/internal/schedule/booking.go
@@ -115,7 +115,7 @@
 	}
 	p.wakeAt(p.pressingFrom(j))
 	if len(p.s.late) > 0 {
-		p.wakeAt(p.s.late[0].promisedStart.Add(p.s.opts.LateGrace) + 1)
+		p.wakeAt(p.s.late[0].startByUntil)
 	}
 	return false
 }
--- a/internal/schedule/booking_test.go
+++ b/internal/schedule/booking_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/filbertmast/filbertmast/internal/api"
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/schedule/lateness"
 )
 
 // bookedGang returns a cell of four workers, and a gang that needs three of them and is booked
@@ -207,7 +208,7 @@
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			c := newCell()
-			c.s.opts.LateGrace, c.s.opts.LateShift = grace, shift
+			c.s.opts.Lateness = lateness.Options{Shift: shift, Grace: grace}
 			c.workers(8, cores(4))
 			c.job(model.JobSpec{Name: "fill", Tasks: row.fill, Size: cores(4)})
 			c.plan()
--- a/internal/schedule/job.go
+++ b/internal/schedule/job.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"time"
+
 	"github.com/filbertmast/filbertmast/internal/model"
 )
 
@@ -46,8 +48,10 @@
 	id            model.JobID
 	group         *group
 	submittedAt   model.Time
-	promisedStart model.Time // time by which the caller was promised a start
-	startBy       model.Time // orders jobs: the promised start, or later once that was missed
+	promisedStart model.Time    // time by which the caller was promised a start
+	startBy       model.Time    // orders jobs: the promised start, or later once that cannot be kept
+	startByUntil  model.Time    // when startBy changes
+	runTime       time.Duration // declared
 	tasks         []task
 	failures      *jobFailures // failure record; nil without failures
 	suspects      map[int32]suspect
--- a/internal/schedule/late.go
+++ b/internal/schedule/late.go
@@ -6,20 +6,54 @@
 	"slices"
 
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/schedule/lateness"
 )
 
-// shiftLate moves jobs that missed their promised start behind those that can
-// still start in time. Each job is moved once, by LateShift, so that none waits
-// forever.
+// lateness returns what the place of j in the order depends on.
+func (j *job) lateness() lateness.Job {
+	return lateness.Job{
+		PromisedStart: j.promisedStart,
+		Patience:      j.promisedStart.Sub(j.submittedAt),
+		RunTime:       j.runTime,
+	}
+}
+
+// shiftLate moves jobs that cannot start in time any more behind those that can.
 func (s *Scheduler) shiftLate(now model.Time) {
-	for len(s.late) > 0 && s.late[0].promisedStart.Add(s.opts.LateGrace) < now {
+	for len(s.late) > 0 && s.late[0].startByUntil <= now {
 		j := heap.Pop(&s.late).(*job)
-		if !j.cancelled && int(j.done) < len(j.tasks) {
-			s.reorder(j, j.promisedStart.Add(s.opts.LateShift))
+		if j.cancelled || int(j.done) == len(j.tasks) {
+			continue
+		}
+		startBy, until := s.opts.Lateness.Position(j.lateness(), now)
+		s.reorder(j, startBy)
+		j.startByUntil = until
+		if until != 0 {
+			heap.Push(&s.late, j)
 		}
 	}
 }
 
+// lateMoves is a heap of jobs, ordered by when their place in the order changes.
+type lateMoves []*job
+
+func (m lateMoves) Len() int { return len(m) }
+func (m lateMoves) Less(i, k int) bool {
+	if m[i].startByUntil != m[k].startByUntil {
+		return m[i].startByUntil < m[k].startByUntil
+	}
+	return m[i].id < m[k].id
+}
+func (m lateMoves) Swap(i, k int) { m[i], m[k] = m[k], m[i] }
+func (m *lateMoves) Push(v any)   { *m = append(*m, v.(*job)) }
+func (m *lateMoves) Pop() any {
+	last := len(*m) - 1
+	j := (*m)[last]
+	(*m)[last] = nil
+	*m = (*m)[:last]
+	return j
+}
+
 // reorder changes the position of a job in the order of its group and team. It
 // drops the reservation of the job, since others come first now.
 func (s *Scheduler) reorder(j *job, startBy model.Time) {
--- a/internal/schedule/options.go
+++ b/internal/schedule/options.go
@@ -1,6 +1,10 @@
 package schedule
 
-import "time"
+import (
+	"time"
+
+	"github.com/filbertmast/filbertmast/internal/schedule/lateness"
+)
 
 // Options configure a Scheduler. A zero field takes its default.
 type Options struct {
@@ -25,12 +29,8 @@
 	MaxPreemptors          int           // jobs at once for which tasks are being preempted
 	MaxClasses             int           // job classes whose sizes and run times are learned at once
 
-	// LateShift is added to the promised start of a job once it was missed by
-	// LateGrace, so that jobs that can still start in time go first for that long. It
-	// is meant for a load above capacity, under which ordering by promised start alone
-	// makes every job late. Zero disables it.
-	LateShift time.Duration
-	LateGrace time.Duration
+	// Lateness is the order of jobs that cannot start in time.
+	Lateness lateness.Options
 	// KeepRunning disables the preemption of tasks for tasks of other jobs.
 	KeepRunning bool
 }
--- a/internal/schedule/permit_test.go
+++ b/internal/schedule/permit_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/filbertmast/filbertmast/internal/api"
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/schedule/lateness"
 )
 
 func (c *fakeLeader) jobNeedingPermit(spec model.JobSpec) model.JobID {
@@ -198,13 +199,58 @@
 		return startedInTime, started
 	}
 	withoutShift, allWithoutShift := inTime(Options{})
-	withShift, allWithShift := inTime(Options{LateShift: 15 * time.Second, LateGrace: 100 * time.Millisecond})
+	withShift, allWithShift := inTime(Options{Lateness: lateness.Options{Shift: 15 * time.Second, Grace: 100 * time.Millisecond}})
 	assert.Equal(t, allWithoutShift, 320, "every job starts in the end")
 	assert.Equal(t, allWithShift, 320)
 	t.Logf("in time: %d ordered by promised start alone, %d with LateShift", withoutShift, withShift)
 	assert.Assert(t, withShift >= 2*withoutShift)
 }
 
+// A burst of four times the capacity of the cell comes for 4 s. A start takes 200 ms, each job
+// runs for 600 ms and is in time if it ends within 1.5 s, of use within 4.5 s. Ordered by
+// promised start with a grace alone, each job is started when it has just become late.
+func TestMarginServesShortWorkInTimeThroughBurst(t *testing.T) {
+	const step, delay, run = 20, 200, 600 // ms
+	const allowed, useful = 1500, 4500    // ms from the submission
+	play := func(o lateness.Options) (inTime, ofUse int) {
+		c := newCell()
+		c.s = New(Options{Seed: 1, KeepRunning: true, AgeingSpan: time.Second, Lateness: o})
+		c.s.Apply(ConfigChanged{Teams: []model.Team{{Name: "a", Share: 1, MaxRunning: 1000}}})
+		c.workers(16, cores(1))
+		submitted := map[model.JobID]model.Time{}
+		ends := map[model.Time][]model.TaskID{}
+		for n := range 1000 {
+			c.now += step
+			for _, id := range ends[c.now] {
+				c.end(id, Succeeded, run*time.Millisecond, true)
+				switch took := c.now - submitted[id.Job]; {
+				case took <= allowed:
+					inTime++
+					ofUse++
+				case took <= useful:
+					ofUse++
+				}
+			}
+			if n < 200 && n%5 == 0 { // eight jobs in 100 ms, of which the cell serves two
+				for range 8 {
+					spec := model.JobSpec{Tasks: 1, Size: cores(1), RunTime: model.Duration(run * time.Millisecond), Patience: model.Duration((allowed - run) * time.Millisecond)}
+					submitted[c.job(spec)] = c.now
+				}
+			}
+			for _, e := range c.plan().Placements {
+				at := c.now + delay + run
+				ends[at] = append(ends[at], e.Task)
+			}
+		}
+		return inTime, ofUse
+	}
+	graceInTime, graceOfUse := play(lateness.Options{Shift: 30 * time.Second, Grace: 500 * time.Millisecond})
+	inTime, ofUse := play(lateness.Options{Shift: 30 * time.Second, Margin: 250 * time.Millisecond, UsefulFactor: 3})
+	t.Logf("in time %d, of use %d; with a grace alone %d and %d", inTime, ofUse, graceInTime, graceOfUse)
+	assert.Assert(t, inTime >= 2*graceInTime)
+	assert.Assert(t, ofUse >= graceOfUse)
+}
+
 func TestCandidatesReportRoomForTasks(t *testing.T) {
 	c := newCell()
 	c.worker("empty", "d0", "r0", cores(8), nil)
@@ -280,7 +326,7 @@
 // Guards against a job that missed its promised start and looks as if only older jobs came first.
 func TestWaitReasonsNameTheMoveOfLateJob(t *testing.T) {
 	c := newCell()
-	c.s.opts.LateShift, c.s.opts.LateGrace = 30*time.Second, 500*time.Millisecond
+	c.s.opts.Lateness = lateness.Options{Shift: 30 * time.Second, Grace: 500 * time.Millisecond}
 	c.workers(1, cores(4))
 	c.job(model.JobSpec{Tasks: 1, Size: cores(4), Patience: hour})
 	c.plan()
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -57,7 +57,7 @@
 	byClass        map[uint64][]*group // groups that share learned sizes and run times, by class
 	timers         timers
 	deadlines      deadlines
-	late           deadlines // jobs not yet deferred by LateShift, ordered by promised start
+	late           lateMoves // jobs whose place in the order changes with time
 	reservations   []*reservation
 	bookings       []*booking   // oldest first
 	slotsVersion   uint64       // counts changes of which worker has which slot
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -28,6 +28,7 @@
 	"github.com/filbertmast/filbertmast/internal/relay"
 	"github.com/filbertmast/filbertmast/internal/replica"
 	"github.com/filbertmast/filbertmast/internal/schedule"
+	"github.com/filbertmast/filbertmast/internal/schedule/lateness"
 	"github.com/filbertmast/filbertmast/internal/settings"
 	"github.com/filbertmast/filbertmast/internal/state"
 	"github.com/filbertmast/filbertmast/internal/storage"
@@ -230,12 +231,16 @@
 func schedulingOptions(set *settings.Settings) schedule.Options {
 	s := set.Scheduling
 	return schedule.Options{
-		Seed:            1,
-		BackoffBase:     set.Limits.RestartBackoff.Std(),
-		PressingSlack:   s.PressingSlack.Std(),
-		AgeingSpan:      s.AgeingSpan.Std(),
-		LateShift:       s.LateShift.Std(),
-		LateGrace:       s.LateGrace.Std(),
+		Seed:          1,
+		BackoffBase:   set.Limits.RestartBackoff.Std(),
+		PressingSlack: s.PressingSlack.Std(),
+		AgeingSpan:    s.AgeingSpan.Std(),
+		Lateness: lateness.Options{
+			Margin:       s.LateMargin.Std(),
+			Grace:        s.LateGrace.Std(),
+			UsefulFactor: s.UsefulFactor,
+			Shift:        s.LateShift.Std(),
+		},
 		KeepRunning:     s.KeepRunning,
 		MaxReservations: s.MaxReservations,
 	}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -67,6 +67,8 @@
 	c.duration("$.scheduling.late_shift", s.LateShift, durationRange{0, time.Hour})
 	c.between("$.scheduling.max_reservations", int64(s.MaxReservations), 1, 1024)
 	c.duration("$.scheduling.late_grace", s.LateGrace, durationRange{0, time.Hour})
+	c.duration("$.scheduling.late_margin", s.LateMargin, durationRange{0, time.Hour})
+	c.between("$.scheduling.useful_factor", s.UsefulFactor, 0, 1000)
 }
 
 func (c *checker) platform(s *Settings) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -62,11 +62,17 @@
 type Scheduling struct {
 	PressingSlack model.Duration `json:"pressing_slack"` // jobs with less slack may reserve and preempt
 	AgeingSpan    model.Duration `json:"ageing_span"`    // lateness that counts as much as one whole share between teams
-	// LateShift is the time by which the promised start of a job moves, once, after the
-	// job missed it by more than LateGrace. Until then, jobs that can still be in time
-	// go first. Zero: the promised start does not move.
+	// LateShift is the time by which the promised start of a job moves after the job missed
+	// it by more than LateGrace. Until then, jobs that can still be in time go first. Zero:
+	// the promised start does not move.
 	LateShift model.Duration `json:"late_shift"`
 	LateGrace model.Duration `json:"late_grace"`
+	// LateMargin is how long before its promised start a job counts as one that is too late to
+	// be in time, at most a third of its patience.
+	LateMargin model.Duration `json:"late_margin"`
+	// UsefulFactor is for how many times its allowed time a job is of use to its caller. A late
+	// job that can still be of use moves no further than that. Zero: by LateShift alone.
+	UsefulFactor int64 `json:"useful_factor"`
 	// KeepRunning disables preemption.
 	KeepRunning bool `json:"keep_running"`
 	// MaxReservations is the maximum number of jobs with reservations at a time.
