permit: let the bound of queries in flight grow with the entries

48 queries in flight and responses after 90 ms are at most 530 answers a second, whatever the number of entries. A burst of short jobs then waits for permits beside idle workers. Each entry now adds eight to the bound; what is outstanding at one entry stays bounded by its service time, and a new leader grows to the bound by one query in 25 ms as before.

--- a/internal/permit/balancer.go
+++ b/internal/permit/balancer.go
@@ -12,11 +12,15 @@
 	querySlack = 400 * time.Millisecond
 	// saturationCost is the service time outstanding at an entry from which on it
 	// gets no further query: a query that has been sent cannot be reordered.
-	saturationCost = longQueryCost
+	saturationCost = 100 * time.Millisecond
 	// longQueryCost is the service time from which on a query is a long one.
 	longQueryCost = 100 * time.Millisecond
-	// maxQueries bounds the queries in flight, unless there are more entries.
+	// maxQueries bounds the queries in flight if there are few entries.
 	maxQueries = 48
+	// maxEntryQueries is the number of queries in flight that each entry adds to the bound if
+	// there are many. With one for each, an entry idles while a query and its response are on
+	// their way, which takes several times as long as a short query itself.
+	maxEntryQueries = 8
 	// firstQueries is the bound when a Balancer is new, and rampInterval the time after
 	// which it grows by one query. A new leader has a query to send for each waiting job,
 	// and must keep time for the messages of its group.
@@ -50,7 +54,7 @@
 // bound returns how many queries may be in flight at now.
 func (b *Balancer) bound(entries []string, now model.Time) int {
 	ramp := firstQueries + int(now.Sub(b.since)/rampInterval)
-	return min(ramp, max(maxQueries, len(entries)))
+	return min(ramp, max(maxQueries, maxEntryQueries*len(entries)))
 }
 
 // Choose returns the entry for a query of the given service time, or false if the
