permit, control: send short queries through entries of the leader's region

Queries went to the entry with the least service time outstanding, and of equal ones to the first by name: to control processes, in either region. A round trip between regions is 40 ms, as long as four short queries take.

Short queries prefer entries of the region of the leader until the wait there is longer than the way, long ones prefer the others. Control processes come last among equals, since they have other work.

--- a/internal/control/policy.go
+++ b/internal/control/policy.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/member"
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/permit"
 	"github.com/filbertmast/filbertmast/internal/proto"
@@ -138,7 +139,7 @@
 }
 
 // sendTo sends the queries that are due to the given entries.
-func (p *policy) sendTo(entries []string, now model.Time) {
+func (p *policy) sendTo(entries []permit.Entry, now model.Time) {
 	p.shortWaits, p.longWaits = false, false
 	p.tracker.EachDueQuery(now, p, func(q permit.Query) bool {
 		cost := p.cost(&q)
@@ -171,7 +172,7 @@
 
 // updateAvailable determines which queries the entries can take, and reports whether
 // they can take any.
-func (p *policy) updateAvailable(entries []string, now model.Time) (anyQuery bool) {
+func (p *policy) updateAvailable(entries []permit.Entry, now model.Time) (anyQuery bool) {
 	p.takesShort, p.takesLong = p.balancer.Available(entries, now)
 	return p.takesShort || p.takesLong
 }
@@ -182,16 +183,39 @@
 	return c.Base.Std() + time.Duration(len(q.Workers))*c.PerWorker.Std()
 }
 
-// entries returns the inner addresses of the entries that have renewed within half a
-// lease and are not leaving.
-func (p *policy) entries(now model.Time) []string {
-	var out []string
-	for _, e := range p.l.members.Entries(now) {
-		if !e.Leaving && e.Age < p.l.c.s.opts.Times.RequestLease/2 {
-			out = append(out, e.Member.Inner)
+// entries returns the entries that have renewed within half a lease and are not leaving. Those
+// of control processes, which have other work, come last: of equally loaded ones the first is
+// chosen.
+func (p *policy) entries(now model.Time) []permit.Entry {
+	members := p.l.members.Entries(now)
+	region := regionOf(members, p.l.c.s.opts.Endpoint.Address())
+	control := map[string]bool{}
+	for _, m := range p.l.c.s.opts.Log.Status().Members {
+		control[m.Address] = true
+	}
+	var out, last []permit.Entry
+	for _, e := range members {
+		if e.Leaving || e.Age >= p.l.c.s.opts.Times.RequestLease/2 {
+			continue
+		}
+		entry := permit.Entry{Address: e.Member.Inner, Far: region != "" && e.Member.Region != region}
+		if control[entry.Address] {
+			last = append(last, entry)
+			continue
+		}
+		out = append(out, entry)
+	}
+	return append(out, last...)
+}
+
+// regionOf returns the region of the process with an inner address, or "" if it is not registered.
+func regionOf(members []member.EntryStatus, address string) string {
+	for i := range members {
+		if members[i].Member.Inner == address {
+			return members[i].Member.Region
 		}
 	}
-	return out
+	return ""
 }
 
 func (p *policy) send(q *permit.Query, entry string, cost time.Duration) {
--- a/internal/permit/balancer.go
+++ b/internal/permit/balancer.go
@@ -26,10 +26,18 @@
 	// and must keep time for the messages of its group.
 	firstQueries = 4
 	rampInterval = 25 * time.Millisecond
+	// farDelay is about how much longer a query takes through an entry of another region.
+	farDelay = 40 * time.Millisecond
 	// failureCooldown is how long an entry gets no query after one has failed.
 	failureCooldown = 2 * time.Second
 )
 
+// Entry is an entry that can send queries.
+type Entry struct {
+	Address string
+	Far     bool // in another region than the leader
+}
+
 // Balancer chooses the entry that sends a query to the policy service. The service
 // answers the queries of one entry one after the other, so each query goes to the
 // entry with the least service time outstanding. An entry whose query has failed is
@@ -47,35 +55,36 @@
 }
 
 // Full reports whether as many queries are in flight as may be at now.
-func (b *Balancer) Full(entries []string, now model.Time) bool {
+func (b *Balancer) Full(entries []Entry, now model.Time) bool {
 	return b.inFlight >= b.bound(entries, now)
 }
 
 // bound returns how many queries may be in flight at now.
-func (b *Balancer) bound(entries []string, now model.Time) int {
+func (b *Balancer) bound(entries []Entry, now model.Time) int {
 	ramp := firstQueries + int(now.Sub(b.since)/rampInterval)
 	return min(ramp, max(maxQueries, maxEntryQueries*len(entries)))
 }
 
 // Choose returns the entry for a query of the given service time, or false if the
 // query must wait. If all entries have failed recently, it chooses among them all.
-func (b *Balancer) Choose(entries []string, cost time.Duration, now model.Time) (string, bool) {
-	if IsLong(cost) && !b.takesLong(entries) {
+func (b *Balancer) Choose(entries []Entry, cost time.Duration, now model.Time) (string, bool) {
+	long := IsLong(cost)
+	if long && !b.takesLong(entries) {
 		return "", false
 	}
 	if b.Full(entries, now) {
 		return "", false
 	}
-	best, ok := b.leastLoaded(entries, func(e string) bool { return now >= b.avoidUntil[e] })
+	best, ok := b.leastLoaded(entries, long, func(e string) bool { return now >= b.avoidUntil[e] })
 	if !ok {
-		best, ok = b.leastLoaded(entries, func(string) bool { return true })
+		best, ok = b.leastLoaded(entries, long, func(string) bool { return true })
 	}
 	return best, ok && b.outstanding[best] < saturationCost
 }
 
 // Available reports whether a short query may be sent at now, and whether a long one may. The
 // entry that a long one goes to would take a short one, too.
-func (b *Balancer) Available(entries []string, now model.Time) (short, long bool) {
+func (b *Balancer) Available(entries []Entry, now model.Time) (short, long bool) {
 	_, short = b.Choose(entries, 0, now)
 	return short, short && b.takesLong(entries)
 }
@@ -86,10 +95,10 @@
 // takesLong reports whether a long query may occupy another entry. Short ones, which would
 // wait behind it, are left as many entries as they are in flight at, and one more. The first
 // long query may always be sent.
-func (b *Balancer) takesLong(entries []string) bool {
+func (b *Balancer) takesLong(entries []Entry) bool {
 	short := 0
 	for _, e := range entries {
-		if o := b.outstanding[e]; o > 0 && o < saturationCost {
+		if o := b.outstanding[e.Address]; o > 0 && o < saturationCost {
 			short++
 		}
 	}
@@ -98,9 +107,9 @@
 }
 
 // saturated returns how many entries get no further query.
-func (b *Balancer) saturated(entries []string) (n int) {
+func (b *Balancer) saturated(entries []Entry) (n int) {
 	for _, e := range entries {
-		if b.outstanding[e] >= saturationCost {
+		if b.outstanding[e.Address] >= saturationCost {
 			n++
 		}
 	}
@@ -108,9 +117,9 @@
 }
 
 // avoided returns how many entries are avoided at now, since a query of theirs has failed.
-func (b *Balancer) avoided(entries []string, now model.Time) (n int) {
+func (b *Balancer) avoided(entries []Entry, now model.Time) (n int) {
 	for _, e := range entries {
-		if now < b.avoidUntil[e] {
+		if now < b.avoidUntil[e.Address] {
 			n++
 		}
 	}
@@ -125,14 +134,22 @@
 }
 
 // Count counts entries at now.
-func (b *Balancer) Count(entries []string, now model.Time) EntryCounts {
+func (b *Balancer) Count(entries []Entry, now model.Time) EntryCounts {
 	return EntryCounts{All: len(entries), Saturated: b.saturated(entries), Avoided: b.avoided(entries, now)}
 }
 
-func (b *Balancer) leastLoaded(entries []string, eligible func(string) bool) (best string, found bool) {
+// leastLoaded returns the eligible entry with the least service time outstanding. Among those that
+// take a query at once, a short one prefers an entry of the region of the leader, since it waits for
+// the way more than for the service. A long one leaves these to short ones.
+func (b *Balancer) leastLoaded(entries []Entry, long bool, eligible func(string) bool) (best string, found bool) {
+	var least time.Duration
 	for _, e := range entries {
-		if eligible(e) && (!found || b.outstanding[e] < b.outstanding[best]) {
-			best, found = e, true
+		load := b.outstanding[e.Address]
+		if e.Far != long && load < saturationCost {
+			load += farDelay
+		}
+		if eligible(e.Address) && (!found || load < least) {
+			best, found, least = e.Address, true, load
 		}
 	}
 	return best, found
--- a/internal/permit/balancer_test.go
+++ b/internal/permit/balancer_test.go
@@ -11,9 +11,18 @@
 	"github.com/filbertmast/filbertmast/internal/model"
 )
 
+// near returns entries in the region of the leader.
+func near(addresses ...string) []Entry {
+	var out []Entry
+	for _, a := range addresses {
+		out = append(out, Entry{Address: a})
+	}
+	return out
+}
+
 func choose(t *testing.T, b *Balancer, now model.Time, entries ...string) string {
 	t.Helper()
-	e, ok := b.Choose(entries, 10*time.Millisecond, now)
+	e, ok := b.Choose(near(entries...), 10*time.Millisecond, now)
 	assert.Assert(t, ok)
 	return e
 }
@@ -69,12 +78,47 @@
 func TestSaturatedEntryGetsNoQuery(t *testing.T) {
 	b := NewBalancer(0)
 	b.Begin("a", saturationCost)
-	_, ok := b.Choose([]string{"a"}, time.Millisecond, 1000)
+	_, ok := b.Choose(near("a"), time.Millisecond, 1000)
 	assert.Assert(t, !ok, "a saturated entry must get no query")
 	b.End("a", saturationCost, true, 1000)
 	assert.Equal(t, choose(t, b, 1000, "a"), "a")
 }
 
+// Guards against short queries that take the way to another region although an entry is near, and
+// long ones that occupy the near entries.
+func TestShortQueriesPreferNearEntriesAndLongOnesFarOnes(t *testing.T) {
+	entries := []Entry{{Address: "far", Far: true}, {Address: "near"}}
+	const short = 10 * time.Millisecond
+	for _, row := range []struct {
+		name        string
+		cost        time.Duration
+		near, far   time.Duration // service time outstanding
+		want        string
+		notAccepted bool
+	}{
+		{name: "a short query", cost: short, want: "near"},
+		{name: "a short query behind few others", cost: short, near: 30 * time.Millisecond, want: "near"},
+		{name: "a short query if the wait is longer than the way", cost: short, near: 50 * time.Millisecond, want: "far"},
+		{name: "a short query beside a long one", cost: short, near: longQueryCost, want: "far"},
+		{name: "a long query", cost: longQueryCost, want: "far"},
+		{name: "a short query when all are saturated", cost: short, near: longQueryCost, far: longQueryCost, notAccepted: true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			b := NewBalancer(0)
+			for address, cost := range map[string]time.Duration{"near": row.near, "far": row.far} {
+				if cost > 0 {
+					b.Begin(address, cost)
+				}
+			}
+			got, ok := b.Choose(entries, row.cost, 10_000)
+			assert.Equal(t, ok, !row.notAccepted)
+			if ok {
+				assert.Equal(t, got, row.want)
+			}
+		})
+	}
+}
+
 // Guards against entries that stand idle while long queries wait, and short ones that wait behind them.
 func TestLongQueriesLeaveShortOnesTheEntriesThatTheyNeed(t *testing.T) {
 	const now = model.Time(10_000)
@@ -88,9 +132,9 @@
 		{entries: 44, short: 30, long: 13},
 	} {
 		b := NewBalancer(0)
-		entries := make([]string, row.entries)
+		entries := make([]Entry, row.entries)
 		for i := range entries {
-			entries[i] = strconv.Itoa(i)
+			entries[i].Address = strconv.Itoa(i)
 		}
 		for range row.short {
 			e, ok := b.Choose(entries, time.Millisecond, now)
@@ -134,21 +178,21 @@
 				entries = append(entries, fmt.Sprint(i))
 			}
 			for range row.want {
-				assert.Assert(t, !b.Full(entries, row.now))
+				assert.Assert(t, !b.Full(near(entries...), row.now))
 				b.Begin(choose(t, b, row.now, entries...), time.Millisecond)
 			}
-			assert.Assert(t, b.Full(entries, row.now))
-			short, long := b.Available(entries, row.now)
+			assert.Assert(t, b.Full(near(entries...), row.now))
+			short, long := b.Available(near(entries...), row.now)
 			assert.Assert(t, !short && !long)
 			b.End("0", time.Millisecond, true, row.now)
-			assert.Assert(t, !b.Full(entries, row.now))
+			assert.Assert(t, !b.Full(near(entries...), row.now))
 		})
 	}
 }
 
 func TestEntriesAreCountedByWhatKeepsThemFromQueries(t *testing.T) {
 	b := NewBalancer(0)
-	entries := []string{"a", "b", "c", "d"}
+	entries := near("a", "b", "c", "d")
 	b.Begin("a", saturationCost)
 	b.Begin("b", time.Millisecond)
 	b.Begin("c", time.Millisecond)
--- a/internal/permit/liveness_test.go
+++ b/internal/permit/liveness_test.go
@@ -128,7 +128,7 @@
 	tracker  *Tracker
 	sched    *schedule.Scheduler
 	balancer *Balancer
-	entries  []string
+	entries  []Entry
 	busy     map[string]model.Time // when the last query of an entry is answered
 	workers  []*livenessWorker
 	byID     map[model.WorkerID]*livenessWorker
@@ -146,7 +146,7 @@
 		c.workers, c.byID[w.id] = append(c.workers, w), w
 	}
 	for i := range livenessEntries {
-		c.entries = append(c.entries, strconv.Itoa(i))
+		c.entries = append(c.entries, Entry{Address: strconv.Itoa(i)})
 	}
 	c.elect()
 	return c
--- a/internal/permit/load_test.go
+++ b/internal/permit/load_test.go
@@ -79,7 +79,7 @@
 	rand     *rand.Rand
 	jobs     []*loadJob // by ID, from 1 on
 	balancer *Balancer
-	entries  []string
+	entries  []Entry
 	busy     map[string]model.Time // when the last query of an entry is answered
 	replies  map[model.Time][]reply
 	ends     taskEnds
@@ -138,7 +138,7 @@
 	}
 	c.sched.Apply(schedule.ConfigChanged{Teams: teams})
 	for i := range loadEntries {
-		l.entries = append(l.entries, strconv.Itoa(i))
+		l.entries = append(l.entries, Entry{Address: strconv.Itoa(i)})
 	}
 	return l
 }
--- a/internal/permit/tracker_test.go
+++ b/internal/permit/tracker_test.go
@@ -209,7 +209,7 @@
 func TestShortQueriesDoNotWaitForLongOnes(t *testing.T) {
 	const longCost, shortCost = 500 * time.Millisecond, 10 * time.Millisecond
 	tracker, scheduler, balancer := NewTracker(Options{}), newFakeScheduler(3), NewBalancer(0)
-	entries := []string{"a", "b", "c", "d"}
+	entries := near("a", "b", "c", "d")
 	cost := func(id model.JobID) time.Duration {
 		if id <= 20 {
 			return longCost
