permit: let large gangs query more workers at first, and take more entries

A gang needs room on permitted workers at one moment. Its queries named 40 to 60 workers, each for more than half a second whatever their number, so that it learned its permitted workers in four queries one after the other, while each entry with any short query in flight was left to these.

A gang of eight tasks or more names at least 90 workers in its first query. Short queries are left as many entries as they need to wait for 20 ms only, once they are in flight at more than three.

--- a/internal/permit/balancer.go
+++ b/internal/permit/balancer.go
@@ -26,6 +26,10 @@
 	// and must keep time for the messages of its group.
 	firstQueries = 4
 	rampInterval = 25 * time.Millisecond
+	// sharedCost is the service time of short queries for which an entry is left to them if they
+	// are in flight at more than minShared.
+	sharedCost = 20 * time.Millisecond
+	minShared  = 3
 	// farDelay is about how much longer a query takes through an entry of another region.
 	farDelay = 40 * time.Millisecond
 	// failureCooldown is how long an entry gets no query after one has failed.
@@ -46,6 +50,8 @@
 	outstanding map[string]time.Duration // service time of queries in flight, by entry
 	avoidUntil  map[string]model.Time    // end of the cooldown, by entry
 	inFlight    int                      // queries in flight
+	short       int                      // short queries in flight
+	shortCost   time.Duration            // their service time
 	since       model.Time               // when the Balancer was made
 }
 
@@ -93,17 +99,13 @@
 func IsLong(cost time.Duration) bool { return cost >= longQueryCost }
 
 // takesLong reports whether a long query may occupy another entry. Short ones, which would
-// wait behind it, are left as many entries as they are in flight at, and one more. The first
-// long query may always be sent.
+// wait behind it, are left as many entries as there are of them in flight, and one more; but if
+// they are many, no more than they need to wait for sharedCost only. The first long query may
+// always be sent.
 func (b *Balancer) takesLong(entries []Entry) bool {
-	short := 0
-	for _, e := range entries {
-		if o := b.outstanding[e.Address]; o > 0 && o < saturationCost {
-			short++
-		}
-	}
+	left := min(b.short, minShared+int(b.shortCost/sharedCost)) + 1
 	saturated := b.saturated(entries)
-	return saturated == 0 || len(entries)-saturated > short+1
+	return saturated == 0 || len(entries)-saturated > left
 }
 
 // saturated returns how many entries get no further query.
@@ -158,13 +160,22 @@
 // Begin records a query of the given service time and returns its timeout.
 func (b *Balancer) Begin(entry string, cost time.Duration) time.Duration {
 	b.outstanding[entry] += cost
-	b.inFlight++
+	b.count(cost, 1)
 	return b.outstanding[entry]*3/2 + querySlack
 }
 
+// count adds n queries in flight of the given service time.
+func (b *Balancer) count(cost time.Duration, n int) {
+	b.inFlight += n
+	if !IsLong(cost) {
+		b.short += n
+		b.shortCost += time.Duration(n) * cost
+	}
+}
+
 // End records that a query was answered or has failed.
 func (b *Balancer) End(entry string, cost time.Duration, answered bool, now model.Time) {
-	b.inFlight--
+	b.count(cost, -1)
 	b.outstanding[entry] -= cost
 	if b.outstanding[entry] <= 0 {
 		delete(b.outstanding, entry)
--- a/internal/permit/room.go
+++ b/internal/permit/room.go
@@ -120,6 +120,14 @@
 	return MaxQueryWorkers
 }
 
+// minFresh returns the least number of workers in a query about workers not queried yet.
+func (d Demand) minFresh() int {
+	if d.AllAtOnce && d.Tasks >= manyTasks {
+		return minFreshForGang
+	}
+	return minFreshWorkers
+}
+
 // selectWorkers returns the workers to query: allowed ones if they have room for all
 // pending tasks or if no others are left, else those not queried yet. For tasks that start
 // together, reserved workers whose permits must be renewed come before them all.
@@ -132,7 +140,7 @@
 		return cover(j.filter(candidates, d, r, r.allowedWorkers, func(w workerState, _ bool) bool { return w.allowed }), target, d.maxWorkers())
 	}
 	fresh := j.filter(candidates, d, r, r.freshWorkers, func(_ workerState, queried bool) bool { return !queried })
-	n, enough := r.freshWithRoom(fresh, target, d.maxWorkers())
+	n, enough := r.freshWithRoom(fresh, target, d)
 	if !enough && d.AllAtOnce {
 		n = max(n, r.freshToReserve(fresh, reservableFactor*d.Tasks, d.maxWorkers()))
 	}
@@ -157,15 +165,16 @@
 
 // freshWithRoom returns how many of the workers not queried yet to query: as many as
 // probably have the missing room, judged by the share of the workers queried so far that are
-// allowed (a third if none was), but at least minFreshWorkers and at most limit. It reports
+// allowed (a third if none was), but at least d.minFresh and at most d.maxWorkers. It reports
 // whether they have it.
-func (r *room) freshWithRoom(fresh []schedule.Candidate, target int64, limit int) (n int, enough bool) {
+func (r *room) freshWithRoom(fresh []schedule.Candidate, target int64, d Demand) (n int, enough bool) {
+	limit := d.maxWorkers()
 	missing := (target - r.allowed) * int64(r.queriedWorkers+3)
 	for n < min(len(fresh), limit) && missing > 0 && fresh[n].Room > 0 {
 		missing -= fresh[n].Room * int64(r.allowedWorkers+1)
 		n++
 	}
-	return max(n, min(len(fresh), minFreshWorkers)), missing <= 0
+	return max(n, min(len(fresh), d.minFresh())), missing <= 0
 }
 
 // freshToReserve returns how many of the workers not queried yet to query for tasks that
--- a/internal/permit/tracker.go
+++ b/internal/permit/tracker.go
@@ -28,6 +28,11 @@
 	// minFreshWorkers is the least number of workers in a first query, if there are as
 	// many: some of them are not permitted, and others fill up before the response.
 	minFreshWorkers = 40
+	// minFreshForGang is the same for at least manyTasks tasks that start together. They need
+	// room on permitted workers at one moment, which comes the sooner the more of these are
+	// known, and most of the time of a long query does not depend on the number of workers.
+	minFreshForGang = 90
+	manyTasks       = 8
 	// reservableFactor is how many times the tasks that start together the workers known to
 	// be permitted should hold when idle, if there is no room now: workers are reserved among
 	// them, and those that are free soonest are few.
