state: estimate the speed of workers while a command has enabled it

The estimates must survive a change of the leader. They are part of the workers in the state and follow from the ends of tasks that ran from their beginning on.

--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -47,6 +47,8 @@
 	CancelWorkflow *CancelWorkflow `cbor:"30,keyasint,omitempty"`
 	StartRuns      *StartRuns      `cbor:"31,keyasint,omitempty"`
 	SetCapacity    *SetCapacity    `cbor:"32,keyasint,omitempty"`
+	// 33 and 34 are reserved.
+	SetWorkerSpeed *SetWorkerSpeed `cbor:"35,keyasint,omitempty"`
 }
 
 // Declare replaces the whole configuration if Base is the current version.
@@ -268,6 +270,12 @@
 	Ceilings []Ceiling `cbor:"1,keyasint"`
 }
 
+// SetWorkerSpeed sets whether the speed of workers is estimated. The value is part of the state,
+// so that replicas that restart one by one with another setting compute the same estimates.
+type SetWorkerSpeed struct {
+	Enabled bool `cbor:"1,keyasint"`
+}
+
 // Ceiling is the upper bound of one team's outstanding request permits.
 type Ceiling struct {
 	Team    string `cbor:"1,keyasint"`
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -40,6 +40,12 @@
 	Size   model.Resources
 }
 
+// WorkerSpeedChanged reports a new estimate of a worker's speed. Small changes are not reported.
+type WorkerSpeedChanged struct {
+	Worker   model.WorkerID
+	Permille int64 // thousandths of the normal speed
+}
+
 // WorkersRemoved reports lost workers that have been removed from the state.
 type WorkersRemoved struct {
 	IDs []model.WorkerID
@@ -145,23 +151,24 @@
 	Permits int64
 }
 
-func (ConfigChanged) isEvent()    {}
-func (CeilingChanged) isEvent()   {}
-func (EndingChanged) isEvent()    {}
-func (MembersChanged) isEvent()   {}
-func (WorkersRemoved) isEvent()   {}
-func (WorkerChanged) isEvent()    {}
-func (JobSubmitted) isEvent()     {}
-func (JobsCancelled) isEvent()    {}
-func (JobFinished) isEvent()      {}
-func (JobRemoved) isEvent()       {}
-func (WorkflowChanged) isEvent()  {}
-func (TaskChanged) isEvent()      {}
-func (WorkerCrashed) isEvent()    {}
-func (TaskSuspected) isEvent()    {}
-func (TaskGivenUp) isEvent()      {}
-func (PlacementRefused) isEvent() {}
-func (ExecutorChanged) isEvent()  {}
+func (ConfigChanged) isEvent()      {}
+func (CeilingChanged) isEvent()     {}
+func (EndingChanged) isEvent()      {}
+func (MembersChanged) isEvent()     {}
+func (WorkerSpeedChanged) isEvent() {}
+func (WorkersRemoved) isEvent()     {}
+func (WorkerChanged) isEvent()      {}
+func (JobSubmitted) isEvent()       {}
+func (JobsCancelled) isEvent()      {}
+func (JobFinished) isEvent()        {}
+func (JobRemoved) isEvent()         {}
+func (WorkflowChanged) isEvent()    {}
+func (TaskChanged) isEvent()        {}
+func (WorkerCrashed) isEvent()      {}
+func (TaskSuspected) isEvent()      {}
+func (TaskGivenUp) isEvent()        {}
+func (PlacementRefused) isEvent()   {}
+func (ExecutorChanged) isEvent()    {}
 
 // RefusalReason is the reason for which a placement was not admitted.
 type RefusalReason string
--- a/internal/state/gang.go
+++ b/internal/state/gang.go
@@ -64,6 +64,7 @@
 	}
 	attempt := j.Tasks[r.Task.Index].Attempt
 	if j.Tasks[r.Task.Index].Phase.HoldsResources() {
+		m.observeRun(j, r.Task.Index)
 		m.endAttempt(j, r.Task, model.TaskSucceeded, model.OutcomeSucceeded, r)
 	} else {
 		m.succeedMember(j, r.Task)
--- a/internal/state/job.go
+++ b/internal/state/job.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/filbertmast/filbertmast/internal/ledger"
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/speed"
 )
 
 // noWorker is the worker number of a task that has not been placed yet.
@@ -44,6 +45,9 @@
 	Suspicions map[int32]suspicion `cbor:"22,keyasint,omitempty"`
 	// FailedRun is the last attempt of a gang in which a member has failed; zero: none.
 	FailedRun uint32 `cbor:"23,keyasint,omitempty"`
+	// Runs holds the latest runs that are evidence of the speed of workers; nil: none. Keys 25
+	// and 26 are reserved for the same.
+	Runs *speed.Sample `cbor:"24,keyasint,omitempty"`
 
 	counts [model.TaskCancelled + 1]int32
 }
@@ -301,6 +305,7 @@
 	j.Tasks = nil
 	j.Checkpoints = nil
 	j.Suspicions = nil
+	j.Runs = nil
 	m.finishedJobs = append(m.finishedJobs, j.ID)
 	m.emit(JobFinished{ID: j.ID, At: m.now})
 	if j.Step != nil {
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -14,6 +14,7 @@
 	"github.com/filbertmast/filbertmast/internal/journal"
 	"github.com/filbertmast/filbertmast/internal/ledger"
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/speed"
 )
 
 // Options limits what a Machine retains. It must be equal on every replica.
@@ -49,6 +50,7 @@
 	pendingJobs        map[string]int64    // number of jobs with pending tasks, by queue
 	ceilings           map[string]int64    // upper bounds of request permits, by team
 	withdrawnExecutors []WithdrawnExecutor // oldest first
+	speeds             workerSpeeds
 
 	events []Event // of the command being applied
 }
@@ -146,6 +148,8 @@
 		return m.leave(c.Leave)
 	case c.SetCeilings != nil:
 		return m.setCeilings(c.SetCeilings)
+	case c.SetWorkerSpeed != nil:
+		return m.setWorkerSpeed(c.SetWorkerSpeed)
 	}
 	return Result{Err: errkind.New(errkind.BadRequest, "empty command")}
 }
@@ -177,6 +181,9 @@
 	}
 	for _, w := range m.Workers() {
 		fn(WorkerChanged{Spec: w.Spec, Mode: w.Mode, Session: w.Session, At: m.now})
+		if permille := w.Speed.PublishedPermille(); permille != speed.Normal {
+			fn(WorkerSpeedChanged{Worker: w.Spec.ID, Permille: permille})
+		}
 		if len(w.Ending) > 0 {
 			fn(m.endingEvent(w))
 		}
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -36,6 +36,8 @@
 	LastJob           model.JobID        `cbor:"14,keyasint,omitempty"`
 	Workflows         []*Workflow        `cbor:"15,keyasint,omitempty"` // by ID
 	FinishedWorkflows []model.WorkflowID `cbor:"16,keyasint,omitempty"`
+	// 17 and 18 are reserved.
+	WorkerSpeed bool `cbor:"19,keyasint,omitempty"`
 }
 
 // accountRecord is one team's account in a snapshot.
@@ -66,6 +68,7 @@
 		LastJob:            m.lastJob,
 		Workflows:          m.workflowRecords(),
 		FinishedWorkflows:  m.finishedWorkflows,
+		WorkerSpeed:        m.speeds.enabled,
 	}
 	if err := enc.Encode(&header); err != nil {
 		return errkind.Wrap(errkind.Internal, err, "write snapshot header")
@@ -105,6 +108,7 @@
 	m.members = header.Members
 	m.withdrawnExecutors = header.WithdrawnExecutors
 	m.lastJob = header.LastJob
+	m.speeds.enabled = header.WorkerSpeed
 	m.restoreWorkflows(header.Workflows, header.FinishedWorkflows)
 	for _, c := range header.Ceilings {
 		m.ceilings[c.Team] = c.Permits
@@ -117,6 +121,7 @@
 		m.workers.list = append(m.workers.list, w)
 		if w != nil {
 			m.workers.index[w.Spec.ID] = int32(n)
+			m.speeds.add(w.Speed)
 		}
 	}
 	for range header.Jobs {
--- a/internal/state/worker.go
+++ b/internal/state/worker.go
@@ -6,6 +6,7 @@
 
 	"github.com/filbertmast/filbertmast/internal/errkind"
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/speed"
 )
 
 // Worker is one worker with its tasks and executors.
@@ -30,6 +31,8 @@
 	// Ending lists the attempts that have ended in the state and may still run on the
 	// worker. Held and Reserved do not include them.
 	Ending []EndingAttempt `cbor:"10,keyasint,omitempty"`
+	// Speed is the estimated speed; nil before the first observation.
+	Speed *speed.Estimate `cbor:"11,keyasint,omitempty"`
 }
 
 // taskExecutor is an executor that exists as long as its task.
@@ -104,7 +107,8 @@
 func (m *Machine) removeWorkers() {
 	removed := m.removableWorkers(m.now)
 	for _, id := range removed {
-		_, n := m.workers.get(id)
+		w, n := m.workers.get(id)
+		m.speeds.remove(w.Speed)
 		m.workers.list[n] = nil
 		delete(m.workers.index, id)
 	}
@@ -136,6 +140,9 @@
 		m.recordCrash(w.Spec.ID, suspects)
 	}
 	m.withdrawWorkerExecutors(w)
+	if w.Speed != nil && (c.Spec.Incarnation == 0 || c.Spec.Incarnation != w.Spec.Incarnation) {
+		w.Speed.Restart()
+	}
 	mode := model.WorkerOpen
 	if w.Mode == model.WorkerCordoned || w.Mode == model.WorkerDraining {
 		mode = w.Mode // the mode set by an operator persists across restarts of the worker
