schedule, permit: prefer workers by their speed

Work with a short target was late on slow workers, a gang was as slow as its slowest member, and learned run times mixed slow and fast workers. Workers are indexed by three classes of speed. Jobs with little patience take the fastest class in which a task fits, others the slowest, and gangs the fastest classes that hold all of them. Queries to the policy service are about the same workers. Learned run times are at normal speed. Without speeds there is one class and plans are as before.

--- a/internal/permit/room.go
+++ b/internal/permit/room.go
@@ -233,7 +233,8 @@
 	return place
 }
 
-// compareCandidates puts reserved workers first and full ones last. For tasks that start
+// compareCandidates puts reserved workers first and full ones last. Of those with room, the ones
+// of the speed that the job prefers come first. For tasks that start
 // together the workers with the most room come first, for others the tightest ones: tasks
 // go where their permits are, and idle workers are kept for those that need them.
 func (d Demand) compareCandidates(a, b *schedule.Candidate) int {
@@ -243,6 +244,10 @@
 		return -1
 	case b.Reserved && !a.Reserved:
 		return 1
+	case (a.Room > 0) != (b.Room > 0):
+		return cmp.Compare(b.Room, a.Room)
+	case a.Room > 0 && a.Rank != b.Rank:
+		return cmp.Compare(a.Rank, b.Rank)
 	case tightest && a.FreeCPU != b.FreeCPU:
 		return cmp.Compare(a.FreeCPU, b.FreeCPU)
 	case a.Room != b.Room:
--- a/internal/schedule/apply.go
+++ b/internal/schedule/apply.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/speed"
 )
 
 // Apply updates the view of the cell with one event.
@@ -21,6 +22,8 @@
 		s.setWorkerResponsive(e)
 	case EndingChanged:
 		s.setEnding(e)
+	case WorkerSpeedChanged:
+		s.setSpeed(e)
 	case WorkersRemoved:
 		s.removeWorkers(e.Workers)
 	case JobSubmitted:
@@ -62,6 +65,7 @@
 		tasks:         make([]task, e.Spec.Tasks),
 		maxRestarts:   e.Spec.MaxRestarts,
 		permits:       newPermitSet(e.NeedsPermit),
+		preferred:     preferenceOf(g, e.StartBy.Sub(e.At), e.Spec.RunTime.Std()),
 		budgetOnly:    e.RestartBudgetOnly,
 	}
 	for i, n := range e.Restarts {
@@ -161,15 +165,15 @@
 	s.delayRestart(j, e.Task.Index, &e)
 }
 
-// learnFromEnd records the usage and the run time of a successful attempt.
-// Attempts that were cut short are no evidence of either.
+// learnFromEnd records the usage and the run time, at normal speed, of a successful attempt
+// that is still assigned. Attempts that were cut short are no evidence of either.
 func (s *Scheduler) learnFromEnd(j *job, e *TaskEnded) {
 	if e.Outcome != Succeeded {
 		return
 	}
 	s.learned.ObserveSize(j.group.class, e.Used)
 	if !j.group.lasts() {
-		s.learned.ObserveRunTime(j.group.class, e.RanFor)
+		s.learned.ObserveRunTime(j.group.class, speed.Normalize(e.RanFor, s.workers[j.tasks[e.Task.Index].worker].speed))
 	}
 }
 
--- a/internal/schedule/audit_test.go
+++ b/internal/schedule/audit_test.go
@@ -41,7 +41,7 @@
 		check(n.tasksOn(int32(i), true) == int(w.suspects), "suspects on "+string(w.id))
 		check(n.booked(int32(i)) == w.booked, "booked resources of "+string(w.id))
 		check(n.free(int32(i)) == w.free, "free resources of "+string(w.id))
-		slot, key, found := s.free.Best(s.bins.of(w.class, w.domain), w.free, func(o int32) bool { return o == int32(i) })
+		slot, key, found := s.free.Best(s.bins.of(w.class, w.domain, w.pace), w.free, func(o int32) bool { return o == int32(i) })
 		check(found == w.available(), "index entry of "+string(w.id))
 		check(!found || slot == int32(i) && key == capacity.KeyOf(w.free, w.tie), "index key of "+string(w.id))
 	}
--- a/internal/schedule/backfill.go
+++ b/internal/schedule/backfill.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/speed"
 )
 
 // backfill holds the reservations whose workers may be given other tasks in one
@@ -15,6 +16,7 @@
 	reservations []*reservation  // those with a known start in the future
 	latest       model.Time      // latest of their starts
 	most         model.Resources // largest free amount of each component on their workers
+	fastest      int64           // speed of the fastest of their workers
 }
 
 func (p *planner) beginBackfill() {
@@ -28,6 +30,7 @@
 		b.latest = max(b.latest, start)
 		for _, c := range r.claims {
 			b.most = b.most.Max(p.s.workers[c.slot].free)
+			b.fastest = max(b.fastest, p.s.workers[c.slot].speed)
 		}
 	}
 }
@@ -38,7 +41,7 @@
 	if len(b.reservations) == 0 || g.runTime == 0 || g.policy != batch {
 		return false
 	}
-	return size.Fits(b.most) && p.now.Add(g.runTime) <= b.latest
+	return size.Fits(b.most) && p.now.Add(speed.Scale(g.runTime, b.fastest)) <= b.latest
 }
 
 // findBackfill returns the tightest worker that is reserved for another job and on
@@ -50,10 +53,13 @@
 		return best
 	}
 	for _, r := range p.backfill.reservations {
-		if r.job == j || p.now.Add(j.group.runTime) > r.start {
+		if r.job == j {
 			continue
 		}
 		for _, c := range r.claims {
+			if p.now.Add(speed.Scale(j.group.runTime, p.s.workers[c.slot].speed)) > r.start {
+				continue
+			}
 			if p.usable(j, c.slot, size) && (best == noSlot || p.compareTight(c.slot, best) < 0) {
 				best = c.slot
 			}
@@ -131,14 +137,14 @@
 // expectedEndOf returns when an assigned task is expected to end. It returns zero if that is
 // unknown: its class has no learned run time, or it already runs for longer.
 func (s *Scheduler) expectedEndOf(j *job, t *task, now model.Time) model.Time {
-	run := s.learnedRunTime(j.group)
+	run := speed.Scale(s.learnedRunTime(j.group), s.workers[t.worker].speed)
 	if at := t.since.Add(run); run > 0 && at >= now {
 		return at
 	}
 	return 0
 }
 
-// learnedRunTime returns the learned run time of g, or zero if there are too few
+// learnedRunTime returns the learned run time of g at normal speed, or zero if there are too few
 // observations.
 func (s *Scheduler) learnedRunTime(g *group) time.Duration {
 	s.sizeFor(g)
--- a/internal/schedule/cell.go
+++ b/internal/schedule/cell.go
@@ -4,6 +4,7 @@
 	"strings"
 
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/speed"
 )
 
 // maxSeparateClasses is the number of label classes that get bins of their own.
@@ -11,7 +12,10 @@
 const maxSeparateClasses = 64
 
 // binKey identifies a bin of the index of free capacity.
-type binKey struct{ class, domain int32 }
+type binKey struct {
+	class, domain int32
+	pace          speed.Class
+}
 
 // bins assigns numbers to bins.
 type bins struct {
@@ -19,10 +23,11 @@
 	ids     map[binKey]int32
 	keys    []binKey  // by bin
 	byClass [][]int32 // bins of each class, ascending
+	paced   bool      // there is a bin for workers of another class of speed than the average
 }
 
-func (b *bins) of(class, domain int32) int32 {
-	key := binKey{min(class, b.shared), domain}
+func (b *bins) of(class, domain int32, pace speed.Class) int32 {
+	key := binKey{min(class, b.shared), domain, pace}
 	if id, ok := b.ids[key]; ok {
 		return id
 	}
@@ -31,6 +36,7 @@
 	}
 	id := int32(len(b.keys))
 	b.ids[key] = id
+	b.paced = b.paced || pace != speed.Average
 	b.keys = append(b.keys, key)
 	for int(key.class) >= len(b.byClass) {
 		b.byClass = append(b.byClass, nil)
@@ -100,7 +106,7 @@
 		slot = int32(len(s.workers))
 		s.workers = append(s.workers, worker{})
 	}
-	s.workers[slot] = worker{id: id, known: true, mode: model.WorkerLost, tie: s.hashString(string(id))}
+	s.workers[slot] = worker{id: id, known: true, mode: model.WorkerLost, tie: s.hashString(string(id)), speed: speed.Normal}
 	s.workerByID[id] = slot
 	return slot
 }
@@ -237,7 +243,7 @@
 		s.free.Remove(slot)
 		return
 	}
-	s.free.Put(slot, s.bins.of(w.class, w.domain), w.free, w.tie)
+	s.free.Put(slot, s.bins.of(w.class, w.domain, w.pace), w.free, w.tie)
 }
 
 // binsFor appends to out the bins that may contain workers matching a selector.
--- a/internal/schedule/differential_test.go
+++ b/internal/schedule/differential_test.go
@@ -158,6 +158,13 @@
 	}
 }
 
+// workerSpeed changes the speed of a worker, also by amounts that do not change its class.
+func (h *diffTest) workerSpeed() {
+	if keys := sortedKeys(h.modes, cmp.Compare[model.WorkerID]); len(keys) > 0 {
+		h.apply(WorkerSpeedChanged{Worker: pick(h, "which", keys...), Permille: pick(h, "speed", int64(125), 550, 880, 990, 1000, 1060, 1200, 3000)})
+	}
+}
+
 func (h *diffTest) submit() {
 	h.nextJob++
 	gangs := h.gatedGangs && h.draw("mixed", 5) > 0
@@ -168,6 +175,7 @@
 		Tasks:  int32(1 + h.draw("tasks", 6)),
 		Size:   pick(h, "size", cores(1), cores(1), cores(2), cores(4), model.Resources{CPU: 500, Memory: 2048}, model.Resources{CPU: 1, Accelerators: 1}),
 
+		RunTime:     model.Duration(pick(h, "declared", 0, 0, 30*time.Second, 2*time.Minute)),
 		Patience:    model.Duration(pick(h, "patience", 0, time.Second, time.Minute, time.Hour)),
 		Selector:    pick(h, "selector", "", "", "", "disk!=hdd", "disk in (ssd,hdd)", "!own"),
 		Exclusive:   pick(h, "exclusive", false, false, true),
@@ -480,7 +488,7 @@
 func (h *diffTest) step() {
 	step := pick(h, "step",
 		h.submit, h.submit, h.submit, h.endSome, h.endSome, h.endMany, h.endPreempted, h.removeWorkers, h.workerUp,
-		h.workerMode, h.workerResponsive, h.workerEnding, h.cancel, h.reportUsage, h.permit, h.suspect, h.configure, h.grant, h.grant, h.grant, h.permitNeed, func() {})
+		h.workerMode, h.workerResponsive, h.workerEnding, h.workerSpeed, h.workerSpeed, h.cancel, h.reportUsage, h.permit, h.suspect, h.configure, h.grant, h.grant, h.grant, h.permitNeed, func() {})
 	step()
 }
 
--- a/internal/schedule/event.go
+++ b/internal/schedule/event.go
@@ -47,6 +47,12 @@
 	Size   model.Resources
 }
 
+// WorkerSpeedChanged sets the speed of a worker. Until then it is speed.Normal.
+type WorkerSpeedChanged struct {
+	Worker   model.WorkerID
+	Permille int64 // thousandths of the normal speed
+}
+
 // WorkersRemoved removes workers. Tasks that are still assigned to them are
 // released as lost.
 type WorkersRemoved struct{ Workers []model.WorkerID }
@@ -164,6 +170,7 @@
 func (WorkerModeChanged) isEvent()           {}
 func (WorkerResponsivenessChanged) isEvent() {}
 func (EndingChanged) isEvent()               {}
+func (WorkerSpeedChanged) isEvent()          {}
 func (WorkersRemoved) isEvent()              {}
 func (JobSubmitted) isEvent()                {}
 func (JobPermitsChanged) isEvent()           {}
--- a/internal/schedule/find.go
+++ b/internal/schedule/find.go
@@ -53,12 +53,12 @@
 	return s.slotsFor(g.selector, size, g.perWorker) >= n && within(size.Mul(n), s.teams[g.team].maxResources)
 }
 
-// findBest returns the tightest available worker on which a task of j fits, or
-// noSlot.
+// findBest returns the tightest available worker on which a task of j fits, of those of the
+// class of speed that j prefers most, or noSlot.
 func (p *planner) findBest(j *job, size model.Resources) int32 {
 	bins, exact := p.s.binsFor(p.bins[:0], j.group.selector)
 	p.bins = bins
-	slot := p.bestOf(bins, size, p.accept(j, exact))
+	slot := p.bestOf(bins, size, p.accept(j, exact), j.preferred)
 	p.recordSearch(j, slot)
 	return slot
 }
@@ -105,10 +105,30 @@
 	}
 }
 
-func (p *planner) bestOf(bins []int32, size model.Resources, accept func(int32) bool) int32 {
+// bestOf returns the tightest worker of bins on which size fits and that accept does not refuse,
+// of those of the class of speed that is preferred most, or noSlot.
+func (p *planner) bestOf(bins []int32, size model.Resources, accept func(int32) bool, preferred preference) int32 {
+	if preferred == preferNone || !p.s.bins.paced {
+		return p.tightestOf(bins, size, accept, func(int32) bool { return true })
+	}
+	for rank := range ranks {
+		slot := p.tightestOf(bins, size, accept, func(bin int32) bool { return preferred.rank(p.s.bins.keys[bin].pace) == rank })
+		if slot != noSlot {
+			return slot
+		}
+	}
+	return noSlot
+}
+
+// tightestOf returns the tightest worker of those bins that in accepts on which size fits and
+// that accept does not refuse, or noSlot.
+func (p *planner) tightestOf(bins []int32, size model.Resources, accept, in func(int32) bool) int32 {
 	best := noSlot
 	var bestKey capacity.Key
 	for _, bin := range bins {
+		if !in(bin) {
+			continue
+		}
 		slot, key, ok := p.s.free.Best(bin, size, accept)
 		if ok && (best == noSlot || key.Less(bestKey)) {
 			best, bestKey = slot, key
@@ -169,7 +189,7 @@
 		accept := func(slot int32) bool {
 			return p.spread.onRack[p.s.workers[slot].rack] == level && (base == nil || base(slot))
 		}
-		if slot := p.bestOf(bins, size, accept); slot != noSlot {
+		if slot := p.bestOf(bins, size, accept, preferNone); slot != noSlot {
 			return slot
 		}
 	}
--- a/internal/schedule/gang.go
+++ b/internal/schedule/gang.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/speed"
 )
 
 // gangWorker is a worker on which some tasks of a gang fit.
@@ -118,18 +119,45 @@
 	}
 }
 
-// findRacks chooses racks for the ready tasks of j; nil if they do not fit.
+// findRacks chooses racks for the ready tasks of j; nil if they do not fit. A gang is as slow
+// as its slowest member: it gets the workers of the fastest classes that hold all of it, unless
+// it would be spread over regions for that alone. A gang that does not fit at all takes one
+// search.
+func (p *planner) findRacks(j *job, size model.Resources, claims []claim, permitted permitCheck) []gangRack {
+	all := p.findRacksAmong(j, size, claims, permitted, speed.Slow)
+	if all == nil || !p.s.bins.paced {
+		return all
+	}
+	split := !inOneRegion(all)
+	for _, slowest := range [...]speed.Class{speed.Fast, speed.Average} {
+		if chosen := p.findRacksAmong(j, size, claims, permitted, slowest); chosen != nil && (split || inOneRegion(chosen)) {
+			return chosen
+		}
+	}
+	return p.findRacksAmong(j, size, claims, permitted, speed.Slow)
+}
+
+func inOneRegion(racks []gangRack) bool {
+	return !slices.ContainsFunc(racks, func(r gangRack) bool { return r.region != racks[0].region })
+}
+
+// findRacksAmong chooses racks for the ready tasks of j, without workers of a class below
+// slowest; nil if they do not fit.
 // Failure domains are searched in an order specific to the job. The first one in
 // which a single rack holds all tasks is chosen, since no choice uses fewer racks.
 // Reserved workers count if claims list them, and permitted says which workers the
 // permits of j allow.
-func (p *planner) findRacks(j *job, size model.Resources, claims []claim, permitted permitCheck) []gangRack {
+func (p *planner) findRacksAmong(j *job, size model.Resources, claims []claim, permitted permitCheck, slowest speed.Class) []gangRack {
 	bins, exact := p.s.binsFor(p.bins[:0], j.group.selector)
 	p.bins = bins
+	bins = slices.DeleteFunc(bins, func(bin int32) bool { return p.s.bins.keys[bin].pace < slowest })
 	accept := p.acceptWith(j, exact, permitted)
 	c := &p.s.gangWorkers
 	c.clear(len(p.s.racks.byName))
 	add := func(slot int32, free model.Resources) {
+		if p.s.workers[slot].pace < slowest {
+			return
+		}
 		if accept == nil || accept(slot) {
 			c.add(&p.s.workers[slot], slot, j.tasksThatFit(size, free))
 		}
@@ -192,11 +220,13 @@
 	return min(n, int64(limit))
 }
 
-// sortGangWorkers orders workers from the tightest to the emptiest, those on probation last.
+// sortGangWorkers orders workers from the tightest to the emptiest, those of a faster class
+// first and those on probation last.
 func (p *planner) sortGangWorkers(workers []gangWorker) {
 	slices.SortFunc(workers, func(a, b gangWorker) int {
 		return cmp.Or(
 			compareBool(p.s.workers[a.slot].onProbation(), p.s.workers[b.slot].onProbation()),
+			cmp.Compare(p.s.workers[b.slot].pace, p.s.workers[a.slot].pace),
 			p.compareTight(a.slot, b.slot),
 		)
 	})
--- a/internal/schedule/group.go
+++ b/internal/schedule/group.go
@@ -57,7 +57,7 @@
 	slot          int32         // position in the queue of the team; -1 when no job has a ready task
 	cursor        int           // first job that the current plan has not handled yet
 	cursorPlan    uint64        // plan that cursor belongs to
-	runTime       time.Duration // learned run time; zero if there are too few observations
+	runTime       time.Duration // learned run time at normal speed; zero if there are too few observations
 	fit           *fitBound     // bound for taskSize
 
 	fitFailure           FitFailure // why no task of the group can run; its Err is nil if they can
--- a/internal/schedule/job.go
+++ b/internal/schedule/job.go
@@ -53,6 +53,7 @@
 	suspects      map[int32]suspect
 	reservation   *reservation // workers reserved for it, or nil
 	permits       *permitSet   // nil if it needs none
+	preferred     preference   // of workers, by their speed
 	booking       *booking     // room held for it, or nil
 	reserveAfter  model.Time   // earliest next attempt to reserve workers, if it needs permits
 	lapses        uint8        // bookings that have lapsed since a task was placed
--- a/internal/schedule/lastresort.go
+++ b/internal/schedule/lastresort.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/speed"
 )
 
 // A worker that is kept for a suspect or on probation is the last choice: work that fits on
@@ -138,7 +139,7 @@
 		if len(claims) == before {
 			continue
 		}
-		if chosen := p.findRacks(j, size, claims, permitted); chosen != nil {
+		if chosen := p.findRacksAmong(j, size, claims, permitted, speed.Slow); chosen != nil {
 			return chosen
 		}
 	}
--- a/internal/schedule/lend.go
+++ b/internal/schedule/lend.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/speed"
 )
 
 // A reservation keeps its workers from other jobs until its own can start. While less than
@@ -121,7 +122,7 @@
 			claims = append(claims, r.claims...)
 		}
 	}
-	chosen := p.findRacks(j, size, claims, permitted)
+	chosen := p.findRacksAmong(j, size, claims, permitted, speed.Slow)
 	lent := true
 	for i := range chosen {
 		for _, at := range p.s.gangWorkers.of(&chosen[i]) {
--- a/internal/schedule/naive_hold_test.go
+++ b/internal/schedule/naive_hold_test.go
@@ -88,8 +88,8 @@
 		for i := range o.tasks {
 			if k := &o.tasks[i]; k.state.assigned() && o.group.team == j.group.team && !n.lasts(o) {
 				at := n.now
-				if run, ok := n.s.learned.Class(o.group.class).RunTime(); ok && k.since.Add(run) >= n.now {
-					at = k.since.Add(run)
+				if run, ok := n.s.learned.Class(o.group.class).RunTime(); ok && k.since.Add(n.runOn(run, k.worker)) >= n.now {
+					at = k.since.Add(n.runOn(run, k.worker))
 				}
 				ends = append(ends, expectedEnd{at, k.size})
 			}
--- a/internal/schedule/naive_test.go
+++ b/internal/schedule/naive_test.go
@@ -299,7 +299,7 @@
 
 func (n *naive) tryOne(j *job, size model.Resources) bool {
 	index := j.nextReady(0)
-	less := n.tighter
+	less := n.preferring(j)
 	if j.group.policy == service {
 		less = n.spreadLess(j)
 	}
@@ -358,7 +358,7 @@
 		if r == nil || r.job == j || !n.fits(j, slot, size) {
 			return false
 		}
-		return n.reservationStarts[r] > n.now && n.now.Add(run) <= n.reservationStarts[r]
+		return n.reservationStarts[r] > n.now && n.now.Add(n.runOn(run, slot)) <= n.reservationStarts[r]
 	}, n.tighter)
 }
 
@@ -387,7 +387,7 @@
 // gangClaims returns the workers for all tasks of a gang, in order, among those that may
 // accepts; nil if they do not suffice.
 func (n *naive) gangClaims(j *job, size model.Resources, may func(int32) bool) []claim {
-	claims := n.gangClaimsOn(j, size, may, false)
+	claims := n.fastGangClaims(j, size, may)
 	if claims == nil && n.borrows(j, size) {
 		claims = n.gangClaimsOn(j, size, may, true)
 	}
--- a/internal/schedule/permit.go
+++ b/internal/schedule/permit.go
@@ -120,6 +120,7 @@
 	RoomWhenIdle int64 // number of tasks of the job that fit into its whole capacity
 	FreeCPU      int64 // in thousandths of a core
 	Reserved     bool  // reserved for the job
+	Rank         int   // by the speed that the job prefers; a lower one is better
 }
 
 // Candidates returns the open and responsive workers that match the selectors of a
@@ -155,6 +156,7 @@
 			Worker:       w.id,
 			RoomWhenIdle: j.tasksThatFit(size, w.capacity),
 			FreeCPU:      w.free.CPU,
+			Rank:         j.preferred.rank(w.pace),
 			Reserved:     w.reservation != nil && w.reservation.job == j,
 		}
 		free := s.freeFor(j, int32(slot))
--- a/internal/schedule/suspect.go
+++ b/internal/schedule/suspect.go
@@ -198,7 +198,7 @@
 	bins, exact := p.s.binsFor(p.bins[:0], j.group.selector)
 	p.bins = bins
 	base := p.accept(j, exact)
-	return p.bestOf(bins, size, func(slot int32) bool { return fits(&p.s.workers[slot]) && (base == nil || base(slot)) })
+	return p.bestOf(bins, size, func(slot int32) bool { return fits(&p.s.workers[slot]) && (base == nil || base(slot)) }, preferNone)
 }
 
 // quieter orders workers on which every task has run past its start before others, then from the
--- a/internal/schedule/worker.go
+++ b/internal/schedule/worker.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/speed"
 )
 
 // taskRef refers to one task.
@@ -37,6 +38,8 @@
 	isolatedFor  taskRef      // the suspect that it is kept for, while that is assigned
 	keptAlone    bool         // no other task is placed on it in the start of the suspect
 	suspects     int32        // assigned tasks that are suspected
+	speed        int64        // in thousandths of the normal speed
+	pace         speed.Class  // of speed
 }
 
 // available reports whether w is in the index of free capacity.
