control, settings, api: scheduling.worker_speed

A leader whose setting differs from the state proposes it. The view of a worker and `filbertmast workers` show its speed; a gauge counts the workers by class, and a line tells when the class of a worker changes.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -213,6 +213,9 @@
 	Reserved    model.Resources  `json:"reserved"`
 	Tasks       int32            `json:"tasks"`
 	OnProbation bool             `json:"on_probation,omitempty"`
+	// SpeedPermille is the estimated speed in thousandths of that of an average worker. Zero:
+	// there is no estimate.
+	SpeedPermille int64 `json:"speed_permille,omitempty"`
 }
 
 // Status is the response to GET /v1/status.
--- a/internal/command/workers.go
+++ b/internal/command/workers.go
@@ -20,7 +20,7 @@
 
 func (*workersCommand) describe() string {
 	return `Lists workers with what they have, what is reserved on them and whether they take
-new work. Needs an operator's key.
+new work. SPEED is relative to an average worker, if it is estimated. Needs an operator's key.
 `
 }
 
@@ -45,21 +45,37 @@
 		return a.writeJSON(api.WorkerList{Workers: workers})
 	}
 	rows := make([][]string, 0, len(workers))
+	anySpeed := slices.ContainsFunc(workers, func(w api.WorkerView) bool { return w.SpeedPermille != 0 })
 	for _, w := range workers {
 		mode := w.Mode
 		if w.OnProbation {
 			mode += ", on probation"
 		}
-		rows = append(rows, []string{
+		row := []string{
 			string(w.Spec.ID), mode, w.Spec.FailureDomain, w.Spec.Rack,
 			formatUsage(w.Reserved.CPU, w.Spec.Capacity.CPU), formatUsage(w.Reserved.Memory, w.Spec.Capacity.Memory),
 			formatUsage(w.Reserved.Accelerators, w.Spec.Capacity.Accelerators), strconv.Itoa(int(w.Tasks)),
-		})
+		}
+		if anySpeed {
+			row = append(row, formatSpeed(w.SpeedPermille))
+		}
+		rows = append(rows, row)
 	}
 	header := []string{"WORKER", "MODE", "FAILURE DOMAIN", "RACK", "CPU MILLI", "MEMORY MIB", "ACCELERATORS", "TASKS"}
+	if anySpeed {
+		header = append(header, "SPEED")
+	}
 	return a.table(header, rows)
 }
 
+// formatSpeed formats a speed relative to that of an average worker.
+func formatSpeed(permille int64) string {
+	if permille == 0 {
+		return "-"
+	}
+	return strconv.FormatFloat(float64(permille)/1000, 'f', 2, 64)
+}
+
 func formatUsage(reserved, capacity int64) string { return fmt.Sprintf("%d/%d", reserved, capacity) }
 
 // applyWorkerAction applies one action to the workers in turn and prints their
--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -50,13 +50,17 @@
 
 func (l *leader) workerView(w *state.Worker) api.WorkerView {
 	_, _, probation, _ := l.sched.Worker(w.Spec.ID)
-	return api.WorkerView{
+	view := api.WorkerView{
 		Spec:        w.Spec,
 		Mode:        w.Mode.String(),
 		Reserved:    w.Reserved,
 		Tasks:       int32(len(w.Held)),
 		OnProbation: probation,
 	}
+	if w.Speed != nil {
+		view.SpeedPermille = w.Speed.Permille()
+	}
+	return view
 }
 
 func (l *leader) setMode(_ wire.Peer, req *proto.SetMode, done reply[api.WorkerView]) {
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -18,6 +18,8 @@
 		l.applyWorker(&e)
 	case state.EndingChanged:
 		l.sched.Apply(schedule.EndingChanged{Worker: e.Worker, Size: e.Size})
+	case state.WorkerSpeedChanged:
+		l.sched.Apply(schedule.WorkerSpeedChanged{Worker: e.Worker, Permille: e.Permille})
 	case state.WorkersRemoved:
 		l.sched.Apply(schedule.WorkersRemoved{Workers: e.IDs})
 	case state.JobSubmitted:
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -11,6 +11,7 @@
 	"github.com/filbertmast/filbertmast/internal/owner"
 	"github.com/filbertmast/filbertmast/internal/proto"
 	"github.com/filbertmast/filbertmast/internal/schedule"
+	"github.com/filbertmast/filbertmast/internal/speed"
 	"github.com/filbertmast/filbertmast/internal/state"
 )
 
@@ -47,7 +48,9 @@
 	stalled        stalledJobs
 	// proposedCeilings are the teams whose ceilings are proposed and not committed yet.
 	proposedCeilings map[string]struct{}
-	startingRuns     bool // a proposal to start due runs is not committed yet
+	startingRuns     bool                           // a proposal to start due runs is not committed yet
+	settingSpeed     bool                           // a proposal of whether the speed of workers is estimated is not committed yet
+	speedClasses     map[model.WorkerID]speed.Class // as last logged
 }
 
 // attachment is a worker's session and the entry that holds it.
@@ -85,6 +88,7 @@
 
 		jobSubmissions:   sharedCalls[jobSubmissionKey, proto.Submitted]{},
 		proposedCeilings: map[string]struct{}{},
+		speedClasses:     map[model.WorkerID]speed.Class{},
 	}
 	l.polled = newPolledWorkers(l)
 	l.policy = newPolicy(l)
@@ -95,6 +99,7 @@
 			holders = append(holders, lease.Holder{Worker: w.Spec.ID, Session: w.Session})
 		}
 	})
+	l.inheritSpeedClasses()
 	l.assumeEarlierGrants(now)
 	l.syncLimits()
 	l.syncAllRequestPermits()
@@ -123,6 +128,7 @@
 func (l *leader) stop() {
 	l.c.s.metrics.lateSteps.Set(0)
 	l.c.s.metrics.setStalled(nil)
+	l.c.s.metrics.workerSpeeds.Reset()
 	l.polled.stop()
 	l.waits.failAll()
 }
@@ -143,6 +149,9 @@
 		l.workerChanged(&e)
 	case state.WorkersRemoved:
 		l.heartbeats.Forget(e.IDs)
+		l.forgetSpeedClasses(e.IDs)
+	case state.WorkerSpeedChanged:
+		l.logSpeedClass(e.Worker, e.Permille)
 	case state.TaskChanged:
 		l.sendTaskCommand(&e)
 		l.polled.taskChanged(&e)
@@ -214,6 +223,7 @@
 	l.expireEntries(now)
 	l.permits.Tick(now)
 	l.proposeCeilings()
+	l.proposeWorkerSpeed()
 	l.owners.Tick(now)
 	l.waits.expire(l.c, now)
 	l.startDueRuns(now)
@@ -227,6 +237,7 @@
 		l.policy.logQueryLoad(now)
 		l.c.s.metrics.lateSteps.Set(float64(l.sched.LateJobs(now)))
 		l.countStalled(now)
+		l.countWorkerSpeeds()
 		if l.c.machine.ExpireDue(now) {
 			l.c.propose(&state.Command{Expire: &state.Expire{}}, func(state.Result, error) {})
 		}
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -32,6 +32,8 @@
 	policyInFlight    prometheus.Gauge
 	lateSteps         prometheus.Gauge
 	stalledJobs       *prometheus.GaugeVec
+	workerSpeeds      *prometheus.GaugeVec
+	speedChanges      prometheus.Counter
 	unresponsive      prometheus.Gauge
 	lostPolls         prometheus.Counter
 	workerPauses      prometheus.Counter
@@ -100,6 +102,11 @@
 		stalledJobs: f.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "filbertmast_control_stalled_jobs", Help: "Jobs of which no task runs although at most half of the cell is in use, by reason."},
 			[]string{"reason"}),
+		workerSpeeds: f.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "filbertmast_control_workers_by_speed", Help: "Workers that are not lost, by class of their estimated speed."},
+			[]string{"class"}),
+		speedChanges: f.NewCounter(prometheus.CounterOpts{
+			Name: "filbertmast_control_worker_speed_changes_total", Help: "Estimates of a worker's speed that the scheduler was given."}),
 		unresponsive: f.NewGauge(prometheus.GaugeOpts{
 			Name: "filbertmast_control_workers_silent", Help: "Called workers that did not answer the last call."}),
 		lostPolls: f.NewCounter(prometheus.CounterOpts{
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -55,6 +55,8 @@
 	SnapshotEntries uint64
 	Times           Times
 	Scheduling      schedule.Options
+	// WorkerSpeed enables the estimation of the speed of workers, and its use in placements.
+	WorkerSpeed bool
 	// Tolerate is how many voters may be lost at once. Voters beyond the number that
 	// this needs are removed if they stay unresponsive. Zero: none are.
 	Tolerate int
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -71,6 +71,8 @@
 	KeepRunning bool `json:"keep_running"`
 	// MaxReservations is the maximum number of jobs with reservations at a time.
 	MaxReservations int `json:"max_reservations"`
+	// WorkerSpeed enables the estimation of how fast each worker is, and its use in placements.
+	WorkerSpeed bool `json:"worker_speed"`
 }
 
 // Platform configures the adapter to the users' platform. A part of the adapter whose
