--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -247,6 +247,7 @@
 // checkSums recomputes the sums and counts of the machine and compares them with those
 // stored.
 func checkSums(t assert.TestingT, m *Machine) {
+	checkSpeeds(t, m)
 	held := make(map[string]int64)
 	reserved := make(map[string]model.Resources)
 	charged := make(map[string]int64)
