--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -40,8 +40,10 @@
 	maxLog = 3 * One
 	// fullWeight is the weight of a comparison with many tasks.
 	fullWeight = 64
-	// priorWeight is the weight of the assumption that a worker is of normal speed.
-	priorWeight = 32
+	// priorWeight is the weight of the assumption that a worker is of normal speed. With twice
+	// as much, 90% rather than 94% of the workers of a mixed cell are within 15% of their speed
+	// after 15 tasks.
+	priorWeight = 48
 	// maxWeight bounds the weight of the past, so that a worker whose speed changes is
 	// estimated anew within some fifty tasks.
 	maxWeight = 4096
