--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -168,6 +168,20 @@
 	assert.Assert(t, strings.Contains(run(t, "workers").out, "0/4000"))
 }
 
+// TestWorkersShowsSpeedsIfTheyAreEstimated guards against a column that says nothing, and
+// against a worker without an estimate that looks as if it stood still.
+func TestWorkersShowsSpeedsIfTheyAreEstimated(t *testing.T) {
+	f := newFakeEntry(t)
+	list := api.WorkerList{Workers: []api.WorkerView{{Spec: model.WorkerSpec{ID: "w-1"}}, {Spec: model.WorkerSpec{ID: "w-2"}}}}
+	f.HandleFunc("GET /v1/workers", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(list) })
+	assert.Assert(t, !strings.Contains(run(t, "workers").out, "SPEED"))
+	list.Workers[0].SpeedPermille = 552
+	lines := strings.Split(run(t, "workers").out, "\n")
+	assert.Assert(t, strings.HasSuffix(strings.TrimSpace(lines[0]), "SPEED"), lines[0])
+	assert.Assert(t, strings.HasSuffix(strings.TrimSpace(lines[1]), "0.55"), lines[1])
+	assert.Assert(t, strings.HasSuffix(strings.TrimSpace(lines[2]), "-"), lines[2])
+}
+
 func TestStatusShowsAllParts(t *testing.T) {
 	f := newFakeEntry(t)
 	f.respond("GET /v1/status", api.Status{
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -49,6 +49,7 @@
 	assert.Equal(t, s.Inner.Key, "/etc/fm/k.pem")
 	assert.Equal(t, s.Data.Dir, "/etc/fm/data")
 	assert.Equal(t, s.AdvertisedAddress(), "10.1.0.1:8080")
+	assert.Assert(t, !s.Scheduling.WorkerSpeed)
 	assert.Assert(t, s.Has(RoleControl) && !s.Outer.TLS())
 }
 
@@ -83,6 +84,7 @@
 		{"a link to the same region", "limits.links", []any{map[string]any{"from": "a", "to": "a", "bytes_per_second": 3750000}}, "$.limits.links[0].to"},
 		{"an unknown log level", "log.level", "loud", `$.log.level: got "loud": must be one of debug`},
 		{"an unknown field", "limits.lease", "1s", "$.limits.lease: unknown field; known here: worker_lease"},
+		{"a word in place of a truth value", "scheduling.worker_speed", "on", `$.scheduling.worker_speed: got "on": must be`},
 		{"a wrong type", "limits", 3, "$.limits: got 3: must be an object"},
 	}
 	for _, row := range rows {
