Evacuation of a failure domain: state, calls, and the checks that withhold work

Cause: an operator could only cordon single workers; nothing kept the starts that were committed before, their retries, reservations, permits and executors of a whole failure domain from being used.

The state machine refuses placements there and reports the executors there as leaving. In the scheduler, worker.open includes the domain; an evacuated worker contributes no capacity, and its reservation and its bookings end. The leader does not send starts in such a domain, nor repeat them; starts of workers with a session are revoked. Operators begin and end an evacuation by POST and DELETE /v1/evacuations/{domain}, by the command evacuate, and by the platform's calls; status lists the evacuated domains, and `why` names the reason.

The check that tells apart the executors of stopping tasks is now shared by the replay, which reported them as serving.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -229,6 +229,17 @@
 	Waiting  int64         `json:"waiting_tasks"`
 	Workers  int64         `json:"workers"`
 	Teams    []TeamView    `json:"teams"`
+	// Evacuations are the failure domains that are being evacuated.
+	Evacuations []EvacuationView `json:"evacuations,omitempty"`
+}
+
+// EvacuationView is the evacuation of a failure domain.
+type EvacuationView struct {
+	Domain    string     `json:"domain"`
+	Evacuated bool       `json:"evacuated"`
+	Since     model.Time `json:"since_unix_ms,omitempty"` // when it began
+	Workers   int64      `json:"workers"`                 // of the domain, without those that are lost
+	Running   int64      `json:"running_tasks"`           // that hold resources there
 }
 
 // ReplicaView is one replica of the replicated state.
--- a/internal/api/page_test.go
+++ b/internal/api/page_test.go
@@ -39,6 +39,7 @@
 	"api.Applied":          func() any { return new(Applied) },
 	"api.DeclarationsView": func() any { return new(DeclarationsView) },
 	"api.Status":           func() any { return new(Status) },
+	"api.EvacuationView":   func() any { return new(EvacuationView) },
 }
 
 var (
--- a/internal/client/operator.go
+++ b/internal/client/operator.go
@@ -78,6 +78,22 @@
 	return view, err
 }
 
+// Evacuate begins the evacuation of a failure domain. It is idempotent.
+func (c *Client) Evacuate(ctx context.Context, domain string) (api.EvacuationView, error) {
+	return c.setEvacuation(ctx, http.MethodPost, domain)
+}
+
+// FinishEvacuation ends the evacuation of a failure domain. It is idempotent.
+func (c *Client) FinishEvacuation(ctx context.Context, domain string) (api.EvacuationView, error) {
+	return c.setEvacuation(ctx, http.MethodDelete, domain)
+}
+
+func (c *Client) setEvacuation(ctx context.Context, method, domain string) (api.EvacuationView, error) {
+	var view api.EvacuationView
+	err := c.call(ctx, call{method: method, path: "/v1/evacuations/" + url.PathEscape(domain)}, nil, &view)
+	return view, err
+}
+
 // Ready returns nil if the entry accepts callers, or an error with the reason why it
 // does not.
 func (c *Client) Ready(ctx context.Context) error {
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -41,6 +41,7 @@
 	Cordon       *cordonCommand       `arg:"subcommand:cordon" help:"give workers no new work"`
 	Drain        *drainCommand        `arg:"subcommand:drain" help:"move all work away from workers"`
 	Open         *openCommand         `arg:"subcommand:open" help:"give workers new work again"`
+	Evacuate     *evacuateCommand     `arg:"subcommand:evacuate" help:"send no new work to a failure domain"`
 	Status       *statusCommand       `arg:"subcommand:status" help:"show the state of a deployment"`
 	Keys         *keysCommand         `arg:"subcommand:keys" help:"make, digest and withdraw keys"`
 	Certificates *certificatesCommand `arg:"subcommand:certs" help:"make certificates for the processes"`
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -16,7 +16,8 @@
 
 func (*statusCommand) describe() string {
 	return `Shows the leader, the replicas, the entry processes with the configuration in
-force there, and what each team uses. Needs an operator's key.
+force there, the failure domains that are evacuated, and what each team uses. Needs
+an operator's key.
 `
 }
 
@@ -48,6 +49,12 @@
 		return err
 	}
 	a.printf("\n")
+	if len(s.Evacuations) > 0 {
+		if err := a.printEvacuations(s.Evacuations); err != nil {
+			return err
+		}
+		a.printf("\n")
+	}
 	return a.table([]string{"TEAM", "RUNNING", "LIMIT", "PERMITS", "RESERVED", "CHARGED", "REFUNDED"}, teamRows(s.Teams))
 }
 
--- a/internal/control/capacity.go
+++ b/internal/control/capacity.go
@@ -51,12 +51,14 @@
 )
 
 // startBarred returns the reason for which a task that was placed on a worker is not
-// started any more, or "": what may run on the worker exceeds its capacity, what the team
-// may have running exceeds its limit, or the worker does not serve the queue. Each has then
-// changed after the placement.
+// started any more, or "": its failure domain is evacuated, what may run on the worker
+// exceeds its capacity, what the team may have running exceeds its limit, or the worker does
+// not serve the queue. Each has then changed after the placement.
 func (p *polledWorkers) startBarred(pw *polledWorker, j *state.Job) string {
 	w := p.l.c.machine.Worker(pw.target.Worker)
 	switch {
+	case p.l.evacuatedWorker(pw.target.Worker):
+		return evacuated
 	case w != nil && !w.InUse().Fits(w.Spec.Capacity):
 		return noRoom
 	case !p.l.c.machine.WithinLimit(j.Team):
@@ -70,6 +72,7 @@
 // dropStart handles a start that is barred. A start that was never sent is reported as
 // not executed. For any other, the next poll response shows whether it runs.
 func (p *polledWorkers) dropStart(pw *polledWorker, id model.TaskID, cmd *workerCommand, t *state.Task, reason string) {
+	p.countWithheld(reason)
 	if !cmd.maybeStarted && !p.inherited(t) {
 		p.release(pw, id, t, &release{basis: basisNotSent, state: api.ReportStopped, reason: reason})
 	}
@@ -78,6 +81,7 @@
 // withdrawStart handles a start that is barred and that its worker has not executed by
 // the response to a poll. One that may still be executed is stopped first.
 func (p *polledWorkers) withdrawStart(pw *polledWorker, view *polledView, id model.TaskID, cmd *workerCommand, t *state.Task, reason string) {
+	p.countWithheld(reason)
 	switch {
 	case cmd != nil && cmd.maybeStarted:
 		if cmd.unansweredAt < view.poll.sentAt {
--- a/internal/control/capacity_test.go
+++ b/internal/control/capacity_test.go
@@ -25,14 +25,19 @@
 	verdict workerclient.Verdict
 	refuses func(model.WorkerID) bool // nil: no worker does
 	starts  atomic.Int32              // starts sent
+	holds   atomic.Bool               // starts have no response
 	begun   time.Time
 }
 
 // clock returns the workers' clock, which every response reports.
 func (w *fakeWorkers) clock() int64 { return 1000 + time.Since(w.begun).Milliseconds() }
 
-func (w *fakeWorkers) Start(_ context.Context, to workerclient.Target, _ *workerclient.StartCommand) workerclient.Response {
+func (w *fakeWorkers) Start(ctx context.Context, to workerclient.Target, _ *workerclient.StartCommand) workerclient.Response {
 	w.starts.Add(1)
+	if w.holds.Load() {
+		<-ctx.Done()
+		return workerclient.Response{Verdict: workerclient.Unknown}
+	}
 	if w.refuses != nil && w.refuses(to.Worker) {
 		return workerclient.Response{Verdict: workerclient.Unavailable, Clock: w.clock(), Reason: "503"}
 	}
--- a/internal/control/commands.go
+++ b/internal/control/commands.go
@@ -29,6 +29,10 @@
 	}
 	switch t.Phase {
 	case model.TaskStarting:
+		if l.evacuatedWorker(l.c.machine.TaskWorker(t)) {
+			l.c.s.metrics.startsWithheld.Inc()
+			return api.Command{}, false // it is revoked
+		}
 		return api.Command{
 			Op:      api.CommandStart,
 			Task:    id,
--- a/internal/control/dispatch.go
+++ b/internal/control/dispatch.go
@@ -163,7 +163,7 @@
 	}
 	send(pw.target)
 	cmd.repeatTimer = p.after(p.responses.Timeout(commandRepeatAfter, maxRepeatAfter), func() {
-		if _, err := p.l.c.leading(); err != nil || pw.replaced || !p.isCurrent(pw, id, cmd) || !cmd.dispatch.Repeat(round) {
+		if _, err := p.l.c.leading(); err != nil || pw.replaced || !p.isCurrent(pw, id, cmd) || p.withholdsRepeat(pw, call) || !cmd.dispatch.Repeat(round) {
 			return
 		}
 		p.l.c.log.Info("Command is sent a second time.", pw.fields(&call.attempt, "order", call.name)...)
--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -16,6 +16,8 @@
 		l.recordConfig(e.Version)
 	case state.WorkerChanged:
 		l.applyWorker(&e)
+	case state.EvacuationChanged:
+		l.sched.Apply(schedule.EvacuationChanged{Domain: e.Domain, Evacuated: e.Evacuated})
 	case state.EndingChanged:
 		l.sched.Apply(schedule.EndingChanged{Worker: e.Worker, Size: e.Size})
 	case state.WorkersRemoved:
--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -58,6 +58,7 @@
 	onLeader(s, wire.KindKey, (*leader).key)
 	onLeader(s, wire.KindWorkers, (*leader).workers)
 	onLeader(s, wire.KindSetMode, (*leader).setMode)
+	onLeader(s, wire.KindSetEvacuation, (*leader).setEvacuation)
 	onLeader(s, wire.KindStatus, (*leader).status)
 	onLeader(s, wire.KindRegister, (*leader).register)
 	onLeader(s, wire.KindAnnounce, (*leader).announce)
@@ -149,6 +150,7 @@
 	}
 	out.Entries = l.entryViews()
 	out.Teams = l.teamViews()
+	out.Evacuations = l.evacuationViews()
 	return out
 }
 
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -32,7 +32,7 @@
 	dirty          bool // something has changed since the last plan
 	nextPlan       model.Time
 	uncommitted    []*state.Command // decisions of the scheduler whose proposals have failed
-	unrevoked      []model.WorkerID // leaving workers whose unconfirmed starts could not be stopped
+	unrevoked      []model.WorkerID // workers whose unconfirmed starts are still to be stopped
 	plansInFlight  int              // proposed placement commands that are not committed yet
 	reportPace     pace
 	planPace       pace
@@ -99,6 +99,8 @@
 	l.syncLimits()
 	l.syncAllRequestPermits()
 	l.leases.BeginTerm(now, holders)
+	l.revokeInheritedStarts()
+	l.countEvacuated()
 	return l
 }
 
@@ -123,6 +125,8 @@
 func (l *leader) stop() {
 	l.c.s.metrics.lateSteps.Set(0)
 	l.c.s.metrics.setStalled(nil)
+	l.c.s.metrics.evacuatedDomains.Set(0)
+	l.c.s.metrics.evacuatedTasks.Set(0)
 	l.polled.stop()
 	l.waits.failAll()
 }
@@ -141,6 +145,8 @@
 	switch e := ev.(type) {
 	case state.WorkerChanged:
 		l.workerChanged(&e)
+	case state.EvacuationChanged:
+		l.evacuationChanged(&e)
 	case state.WorkersRemoved:
 		l.heartbeats.Forget(e.IDs)
 	case state.TaskChanged:
@@ -179,17 +185,18 @@
 	}
 }
 
-// revokeUnconfirmedStarts stops the starts that a leaving worker has not confirmed. Its
-// entry no longer forwards them, so they would never be confirmed.
+// revokeUnconfirmedStarts stops the starts that a worker has not confirmed which leaves, or
+// whose failure domain is evacuated.
 func (l *leader) revokeUnconfirmedStarts(id model.WorkerID) {
 	cmd := &state.Stop{}
 	w := l.c.machine.Worker(id)
-	if w == nil || w.Mode != model.WorkerLeaving {
+	reason := l.revocation(w)
+	if reason == "" {
 		return
 	}
 	for _, task := range w.Held {
 		if _, t := l.task(task); t != nil && t.Phase == model.TaskStarting {
-			cmd.Tasks = append(cmd.Tasks, state.TaskStop{Task: task, Cause: state.StopDrained, Reason: "the worker leaves"})
+			cmd.Tasks = append(cmd.Tasks, state.TaskStop{Task: task, Cause: state.StopDrained, Reason: reason})
 		}
 	}
 	if len(cmd.Tasks) > 0 {
@@ -227,6 +234,7 @@
 		l.policy.logQueryLoad(now)
 		l.c.s.metrics.lateSteps.Set(float64(l.sched.LateJobs(now)))
 		l.countStalled(now)
+		l.countEvacuated()
 		if l.c.machine.ExpireDue(now) {
 			l.c.propose(&state.Command{Expire: &state.Expire{}}, func(state.Result, error) {})
 		}
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -32,6 +32,9 @@
 	policyInFlight    prometheus.Gauge
 	lateSteps         prometheus.Gauge
 	stalledJobs       *prometheus.GaugeVec
+	evacuatedDomains  prometheus.Gauge
+	evacuatedTasks    prometheus.Gauge
+	startsWithheld    prometheus.Counter
 	unresponsive      prometheus.Gauge
 	lostPolls         prometheus.Counter
 	workerPauses      prometheus.Counter
@@ -100,6 +103,12 @@
 		stalledJobs: f.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "filbertmast_control_stalled_jobs", Help: "Jobs of which no task runs although at most half of the cell is in use, by reason."},
 			[]string{"reason"}),
+		evacuatedDomains: f.NewGauge(prometheus.GaugeOpts{
+			Name: "filbertmast_control_evacuated_domains", Help: "Failure domains that are evacuated."}),
+		evacuatedTasks: f.NewGauge(prometheus.GaugeOpts{
+			Name: "filbertmast_control_evacuated_tasks", Help: "Tasks that hold resources in evacuated failure domains."}),
+		startsWithheld: f.NewCounter(prometheus.CounterOpts{
+			Name: "filbertmast_control_starts_withheld_total", Help: "Starts and repeats of starts that were not sent, since the failure domain is evacuated."}),
 		unresponsive: f.NewGauge(prometheus.GaugeOpts{
 			Name: "filbertmast_control_workers_silent", Help: "Called workers that did not answer the last call."}),
 		lostPolls: f.NewCounter(prometheus.CounterOpts{
--- a/internal/control/stalled.go
+++ b/internal/control/stalled.go
@@ -24,7 +24,7 @@
 
 // stalledReasons are the reasons of waitReasons that explain a stalled job, the one that
 // rules out the others first.
-var stalledReasons = [...]string{whyStarting, whyStopping, "backoff", "budget", whyRefused, "limit", "queue", "booked", whyRenewal, "gang", "permit", "booked_by_others", "reservation", "probation", "suspect", "silent"}
+var stalledReasons = [...]string{whyStarting, whyStopping, "backoff", "budget", whyRefused, "limit", "queue", "booked", whyRenewal, "gang", "permit", "booked_by_others", "reservation", "probation", "suspect", "silent", "evacuated"}
 
 // stalledJobs counts the jobs of which no task runs although at most half of the cell is
 // in use. A job counts if two successive counts find it so.
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -53,6 +53,8 @@
 	v1.POST("/workers/:id/cordon", s.withOperatorKey(s.setMode(model.WorkerCordoned)))
 	v1.POST("/workers/:id/drain", s.withOperatorKey(s.setMode(model.WorkerDraining)))
 	v1.POST("/workers/:id/open", s.withOperatorKey(s.setMode(model.WorkerOpen)))
+	v1.POST("/evacuations/:domain", s.withOperatorKey(s.evacuate(true)))
+	v1.DELETE("/evacuations/:domain", s.withOperatorKey(s.evacuate(false)))
 	v1.PUT("/declarations", s.withOperatorKey(s.applyDeclarations))
 	v1.GET("/declarations", s.withOperatorKey(s.getDeclarations))
 	v1.POST("/keys", s.withOperatorKey(s.grantKey))
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -27,6 +27,7 @@
 	UnknownService      Kind = "unknown_service"
 	UnknownJob          Kind = "unknown_job"
 	UnknownWorker       Kind = "unknown_worker"
+	UnknownDomain       Kind = "unknown_domain"
 	UnknownPath         Kind = "unknown_path"
 	NoMatchingWorker    Kind = "no_matching_worker"
 	NeverFits           Kind = "never_fits"
--- a/internal/errkind/table.go
+++ b/internal/errkind/table.go
@@ -46,6 +46,7 @@
 	UnknownService:      {http.StatusNotFound, true, 0, ExitUsage, "Name a declared service."},
 	UnknownJob:          {http.StatusNotFound, true, 0, ExitUsage, "Name a job of the team that is still kept."},
 	UnknownWorker:       {http.StatusNotFound, true, retrySoon, ExitUsage, "Announce the worker, or name one that is known."},
+	UnknownDomain:       {http.StatusNotFound, true, 0, ExitUsage, "Name a failure domain that has workers or that the settings name."},
 	UnknownPath:         {http.StatusNotFound, true, 0, ExitUsage, "Use a path of the API page."},
 	NoMatchingWorker:    {http.StatusUnprocessableEntity, true, 0, ExitRefused, "Change the selector: no worker has such labels."},
 	NeverFits:           {http.StatusUnprocessableEntity, true, 0, ExitRefused, "Ask for less: no worker is large enough."},
--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -169,6 +169,16 @@
 	Mode   model.WorkerMode `cbor:"2,keyasint"`
 }
 
+// SetEvacuation begins or ends the evacuation of a failure domain.
+type SetEvacuation struct {
+	Caller    Caller `cbor:"1,keyasint"`
+	Domain    string `cbor:"2,keyasint"`
+	Evacuated bool   `cbor:"3,keyasint,omitempty"`
+	// Named is set if the settings of the entry process name the domain, which is then
+	// known even if no worker belongs to it.
+	Named bool `cbor:"4,keyasint,omitempty"`
+}
+
 // Announce registers a worker through the calling entry process.
 type Announce struct {
 	Spec model.WorkerSpec `cbor:"1,keyasint"`
@@ -330,3 +340,6 @@
 
 // From returns the client on whose behalf the call is made.
 func (r *SetMode) From() Caller { return r.Caller }
+
+// From returns the client on whose behalf the call is made.
+func (r *SetEvacuation) From() Caller { return r.Caller }
--- a/internal/schedule/apply.go
+++ b/internal/schedule/apply.go
@@ -19,6 +19,8 @@
 		s.setWorkerMode(e)
 	case WorkerResponsivenessChanged:
 		s.setWorkerResponsive(e)
+	case EvacuationChanged:
+		s.setEvacuation(e)
 	case EndingChanged:
 		s.setEnding(e)
 	case WorkersRemoved:
--- a/internal/schedule/booking.go
+++ b/internal/schedule/booking.go
@@ -109,7 +109,7 @@
 	if !j.movedBack() || p.now >= p.pressingFrom(j) || p.mostlyIdle(j.group.selector) {
 		return true
 	}
-	free := p.s.total.Sub(p.s.reserved)
+	free := p.s.total.Sub(p.s.inUse())
 	if size.Mul(j.tasksAtOnce()).Add(p.neededInTime()).Fits(free) {
 		return true
 	}
--- a/internal/schedule/cell.go
+++ b/internal/schedule/cell.go
@@ -83,6 +83,7 @@
 	w.rack = s.racks.intern(e.Spec.FailureDomain + "/" + e.Spec.Rack)
 	w.region = s.regions.intern(e.Spec.Region)
 	s.addDomainTie(w.domain, e.Spec.FailureDomain)
+	s.setEvacuated(slot)
 	s.setMode(slot, e.Mode)
 	s.count(w)
 	s.reindex(slot)
@@ -116,7 +117,9 @@
 	if w.mode == model.WorkerLost {
 		return
 	}
-	s.total = s.total.Add(w.capacity.Mul(n))
+	if !w.evacuated {
+		s.total = s.total.Add(w.capacity.Mul(n))
+	}
 	if s.workerCount == 0 || s.workerCount+n == 0 {
 		s.cellVersion++
 	}
--- a/internal/schedule/differential_test.go
+++ b/internal/schedule/differential_test.go
@@ -30,6 +30,7 @@
 	workers      map[model.WorkerID]model.WorkerSpec
 	modes        map[model.WorkerID]model.WorkerMode
 	unresponsive map[model.WorkerID]bool
+	evacuated    map[string]bool // failure domains
 	jobs         map[model.JobID]model.JobSpec
 	pending      map[model.TaskID]bool
 	assigned     map[model.TaskID]Placement
@@ -47,6 +48,7 @@
 		permits: map[string]int64{},
 		workers: map[model.WorkerID]model.WorkerSpec{}, modes: map[model.WorkerID]model.WorkerMode{},
 		unresponsive: map[model.WorkerID]bool{},
+		evacuated:    map[string]bool{},
 		jobs:         map[model.JobID]model.JobSpec{}, pending: map[model.TaskID]bool{},
 		assigned: map[model.TaskID]Placement{}, preempted: map[model.TaskID]bool{}, held: map[model.TaskID]model.Time{},
 		grants: map[model.JobID]map[model.WorkerID]model.Time{},
@@ -158,6 +160,13 @@
 	}
 }
 
+// evacuate begins or ends the evacuation of a failure domain.
+func (h *diffTest) evacuate() {
+	domain := fmt.Sprint("d", h.draw("domain", 3))
+	h.evacuated[domain] = pick(h, "evacuated", true, false, false)
+	h.apply(EvacuationChanged{Domain: domain, Evacuated: h.evacuated[domain]})
+}
+
 func (h *diffTest) submit() {
 	h.nextJob++
 	gangs := h.gatedGangs && h.draw("mixed", 5) > 0
@@ -368,6 +377,7 @@
 		assert.Assert(h.t, h.now < grants[e.Worker], "%s has no valid permit for %s", e.Task, e.Worker)
 	}
 	assert.Equal(h.t, h.modes[e.Worker], model.WorkerOpen)
+	assert.Assert(h.t, !h.evacuated[h.workers[e.Worker].FailureDomain], "the domain of %s is evacuated", e.Worker)
 	assert.Assert(h.t, !h.unresponsive[e.Worker], "%s is unresponsive", e.Worker)
 	spec := h.jobs[e.Task.Job]
 	assert.Assert(h.t, spec.Size.Fits(e.Size))
@@ -480,7 +490,7 @@
 func (h *diffTest) step() {
 	step := pick(h, "step",
 		h.submit, h.submit, h.submit, h.endSome, h.endSome, h.endMany, h.endPreempted, h.removeWorkers, h.workerUp,
-		h.workerMode, h.workerResponsive, h.workerEnding, h.cancel, h.reportUsage, h.permit, h.suspect, h.configure, h.grant, h.grant, h.grant, h.permitNeed, func() {})
+		h.workerMode, h.workerResponsive, h.workerEnding, h.evacuate, h.cancel, h.reportUsage, h.permit, h.suspect, h.configure, h.grant, h.grant, h.grant, h.permitNeed, func() {})
 	step()
 }
 
--- a/internal/schedule/drain.go
+++ b/internal/schedule/drain.go
@@ -20,13 +20,16 @@
 	s := p.s
 	s.draining = slices.DeleteFunc(s.draining, func(slot int32) bool {
 		w := &s.workers[slot]
-		return !w.draining() || len(w.tasks) == 0
+		return !w.draining() && !w.evacuated || len(w.tasks) == 0
 	})
 	slices.SortFunc(s.draining, func(a, b int32) int {
 		return cmp.Compare(s.workers[a].tie, s.workers[b].tie)
 	})
 	s.draining = slices.Compact(s.draining)
 	for _, slot := range s.draining {
+		if !s.workers[slot].draining() {
+			continue
+		}
 		for _, r := range sortedTasks(s.workers[slot].tasks) {
 			if len(p.plan.Preemptions) >= p.max {
 				return
--- a/internal/schedule/lend.go
+++ b/internal/schedule/lend.go
@@ -43,7 +43,7 @@
 func (p *planner) countUse() {
 	for i := range p.s.workers {
 		w := &p.s.workers[i]
-		if !w.known || w.mode == model.WorkerLost {
+		if !w.known || w.mode == model.WorkerLost || w.evacuated {
 			continue
 		}
 		p.lending.classes = extend(p.lending.classes, int(w.class)+1)
--- a/internal/schedule/naive_hold_test.go
+++ b/internal/schedule/naive_hold_test.go
@@ -134,7 +134,7 @@
 func (n *naive) mostlyIdleBefore(j *job) bool {
 	var used, total model.Resources
 	for i := range n.s.workers {
-		if w := &n.s.workers[i]; w.known && w.mode != model.WorkerLost && n.matches(j.group, w) {
+		if w := &n.s.workers[i]; w.known && w.mode != model.WorkerLost && !w.evacuated && n.matches(j.group, w) {
 			used, total = used.Add(w.capacity.Sub(n.freeBefore[i])), total.Add(w.capacity)
 		}
 	}
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -30,7 +30,8 @@
 	freeSlots             []int32 // slots of removed workers, for reuse
 	regions               interner
 	domains               interner
-	domainTies            []uint64 // hash of the name, by failure domain
+	domainTies            []uint64       // hash of the name, by failure domain
+	evacuated             map[int32]bool // evacuated failure domains
 	racks                 interner
 	labels                labelClasses
 	bins                  bins
@@ -48,7 +49,7 @@
 	selectors             selectors
 	free                  capacity.Index
 	fitBounds             fitBounds
-	total                 model.Resources // capacity of the workers that are not lost
+	total                 model.Resources // capacity of the workers that are neither lost nor evacuated
 	reserved              model.Resources
 	workerCount           int64
 
@@ -79,9 +80,9 @@
 	Running      int64 // tasks assigned to a worker
 	Waiting      int64 // pending tasks, including those in backoff
 	Jobs         int64
-	Workers      int64 // known and not lost
-	Reserved     model.Resources
-	Total        model.Resources // capacity of the workers that are not lost
+	Workers      int64           // known and not lost
+	Reserved     model.Resources // on the workers of Total
+	Total        model.Resources // capacity of the workers that are neither lost nor evacuated
 	Reservations int             // jobs for which workers are reserved
 }
 
@@ -111,7 +112,7 @@
 		Waiting:      s.readyTasks + s.waitingTasks,
 		Jobs:         int64(len(s.jobs)),
 		Workers:      s.workerCount,
-		Reserved:     s.reserved,
+		Reserved:     s.inUse(),
 		Total:        s.total,
 		Reservations: len(s.reservations),
 	}
--- a/internal/schedule/waitreason.go
+++ b/internal/schedule/waitreason.go
@@ -17,6 +17,7 @@
 	waitMoved        = "moved"            // jobs with a later promised start that come first
 	waitSelector     = "selector"         // workers whose labels do not match
 	waitSize         = "size"             // workers that are too small
+	waitEvacuated    = "evacuated"        // workers in an evacuated failure domain
 	waitMode         = "mode"             // workers that are not open to new tasks
 	waitUnresponsive = "silent"           // workers that do not respond to commands, or have just refused one
 	waitProbation    = "probation"        // workers on probation
@@ -168,6 +169,7 @@
 	t := w.s.teams[w.j.group.team]
 	w.add(waitSelector, n.byReason[waitSelector], "workers do not match the selector")
 	w.add(waitSize, n.byReason[waitSize], "workers are smaller than a task, which needs %s", size)
+	w.add(waitEvacuated, n.byReason[waitEvacuated], "workers are in an evacuated failure domain")
 	w.add(waitMode, n.byReason[waitMode], "workers are not open to new tasks")
 	w.add(waitUnresponsive, n.byReason[waitUnresponsive], "workers do not respond to commands, or have just refused one")
 	w.add(waitProbation, n.byReason[waitProbation], "workers are on probation, the last choice")
@@ -239,6 +241,8 @@
 		return waitSelector
 	case !size.Fits(at.capacity):
 		return waitSize
+	case at.evacuated:
+		return waitEvacuated
 	case at.mode != model.WorkerOpen:
 		return waitMode
 	case at.unresponsive:
--- a/internal/schedule/worker.go
+++ b/internal/schedule/worker.go
@@ -32,6 +32,7 @@
 	mode         model.WorkerMode
 	known        bool
 	unresponsive bool         // does not respond to commands
+	evacuated    bool         // its failure domain is evacuated
 	health       *health      // nil without early failures
 	reservation  *reservation // reservation of this worker, or nil
 	isolatedFor  taskRef      // the suspect that it is kept for, while that is assigned
@@ -58,7 +59,9 @@
 }
 
 // open reports whether w may be given tasks.
-func (w *worker) open() bool { return w.known && w.mode == model.WorkerOpen && !w.unresponsive }
+func (w *worker) open() bool {
+	return w.known && w.mode == model.WorkerOpen && !w.unresponsive && !w.evacuated
+}
 
 func (w *worker) removeTask(j *job, index int32) {
 	i := slices.Index(w.tasks, taskRef{j, index})
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -47,6 +47,7 @@
 	CancelWorkflow *CancelWorkflow `cbor:"30,keyasint,omitempty"`
 	StartRuns      *StartRuns      `cbor:"31,keyasint,omitempty"`
 	SetCapacity    *SetCapacity    `cbor:"32,keyasint,omitempty"`
+	SetEvacuation  *SetEvacuation  `cbor:"33,keyasint,omitempty"`
 }
 
 // Declare replaces the whole configuration if Base is the current version.
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -172,6 +172,7 @@
 	RefusedHeld              RefusalReason = "held"
 	RefusedWorkerUnknown     RefusalReason = "worker_unknown"
 	RefusedWorkerNotOpen     RefusalReason = "worker_not_open"
+	RefusedEvacuated         RefusalReason = "evacuated"
 	RefusedNoRoom            RefusalReason = "no_room"
 	RefusedTeamLimit         RefusalReason = "team_limit"
 	RefusedGangIncomplete    RefusalReason = "gang_incomplete"
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -49,6 +49,7 @@
 	pendingJobs        map[string]int64    // number of jobs with pending tasks, by queue
 	ceilings           map[string]int64    // upper bounds of request permits, by team
 	withdrawnExecutors []WithdrawnExecutor // oldest first
+	evacuations        []Evacuation        // sorted by domain
 
 	events []Event // of the command being applied
 }
@@ -146,6 +147,8 @@
 		return m.leave(c.Leave)
 	case c.SetCeilings != nil:
 		return m.setCeilings(c.SetCeilings)
+	case c.SetEvacuation != nil:
+		return m.setEvacuation(c.SetEvacuation)
 	}
 	return Result{Err: errkind.New(errkind.BadRequest, "empty command")}
 }
@@ -175,6 +178,7 @@
 	for _, team := range sortedKeys(m.ceilings) {
 		fn(CeilingChanged{Team: team, Permits: m.ceilings[team]})
 	}
+	m.replayEvacuations(fn)
 	for _, w := range m.Workers() {
 		fn(WorkerChanged{Spec: w.Spec, Mode: w.Mode, Session: w.Session, At: m.now})
 		if len(w.Ending) > 0 {
--- a/internal/state/place.go
+++ b/internal/state/place.go
@@ -77,6 +77,8 @@
 		return RefusedWorkerUnknown
 	case w.Mode != model.WorkerOpen:
 		return RefusedWorkerNotOpen
+	case m.Evacuated(w.Spec.FailureDomain):
+		return RefusedEvacuated
 	case !j.Spec.Size.Fits(p.Size):
 		return RefusedBelowDeclared
 	case !w.InUse().Add(p.Size).Fits(w.Spec.Capacity):
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -36,6 +36,7 @@
 	LastJob           model.JobID        `cbor:"14,keyasint,omitempty"`
 	Workflows         []*Workflow        `cbor:"15,keyasint,omitempty"` // by ID
 	FinishedWorkflows []model.WorkflowID `cbor:"16,keyasint,omitempty"`
+	Evacuations       []Evacuation       `cbor:"17,keyasint,omitempty"` // by domain
 }
 
 // accountRecord is one team's account in a snapshot.
@@ -66,6 +67,7 @@
 		LastJob:            m.lastJob,
 		Workflows:          m.workflowRecords(),
 		FinishedWorkflows:  m.finishedWorkflows,
+		Evacuations:        m.evacuations,
 	}
 	if err := enc.Encode(&header); err != nil {
 		return errkind.Wrap(errkind.Internal, err, "write snapshot header")
@@ -105,6 +107,7 @@
 	m.members = header.Members
 	m.withdrawnExecutors = header.WithdrawnExecutors
 	m.lastJob = header.LastJob
+	m.evacuations = header.Evacuations
 	m.restoreWorkflows(header.Workflows, header.FinishedWorkflows)
 	for _, c := range header.Ceilings {
 		m.ceilings[c.Team] = c.Permits
--- a/internal/state/worker.go
+++ b/internal/state/worker.go
@@ -146,7 +146,7 @@
 	w.LostAt = 0
 	m.emit(WorkerChanged{Spec: w.Spec, Mode: w.Mode, Session: w.Session, At: m.now})
 	for _, e := range w.Spec.Executors {
-		m.serveExecutor(e, w.Spec.Region, mode != model.WorkerOpen)
+		m.serveExecutor(e, w.Spec.Region, !m.receives(w))
 	}
 	return Result{Session: w.Session}
 }
@@ -167,7 +167,7 @@
 	}
 	w.Mode = c.Mode
 	m.emit(WorkerChanged{Spec: w.Spec, Mode: w.Mode, Session: w.Session, At: m.now})
-	m.reportExecutors(w, c.Mode != model.WorkerOpen)
+	m.reportExecutors(w)
 	return Result{}
 }
 
@@ -204,15 +204,27 @@
 	}
 }
 
-func (m *Machine) reportExecutors(w *Worker, leaving bool) {
+// reportExecutors reports the executors of a worker anew.
+func (m *Machine) reportExecutors(w *Worker) { m.eachExecutor(w, m.emit) }
+
+// eachExecutor calls fn with the event of each executor of a worker. Those that get no new
+// requests are leaving.
+func (m *Machine) eachExecutor(w *Worker, fn func(Event)) {
+	leaving := !m.receives(w)
 	for _, e := range w.Spec.Executors {
-		m.emit(ExecutorChanged{Spec: e, Region: w.Spec.Region, Leaving: leaving})
+		fn(ExecutorChanged{Spec: e, Region: w.Spec.Region, Leaving: leaving})
 	}
 	for _, s := range w.TaskExecutors {
-		m.emit(ExecutorChanged{Spec: s.Spec, Region: w.Spec.Region, Leaving: leaving})
+		fn(ExecutorChanged{Spec: s.Spec, Region: w.Spec.Region, Leaving: leaving || m.stopping(s.Task)})
 	}
 }
 
+// stopping reports whether a task is being stopped.
+func (m *Machine) stopping(id model.TaskID) bool {
+	j := m.jobs[id.Job]
+	return j != nil && j.Task(id.Index) != nil && j.Task(id.Index).Phase == model.TaskStopping
+}
+
 func (m *Machine) withdrawWorkerExecutors(w *Worker) {
 	if w.Mode != model.WorkerLost {
 		for _, e := range w.Spec.Executors {
@@ -226,15 +238,8 @@
 }
 
 func (m *Machine) replayExecutors(w *Worker, fn func(Event)) {
-	if w.Mode == model.WorkerLost {
-		return
-	}
-	leaving := w.Mode != model.WorkerOpen
-	for _, e := range w.Spec.Executors {
-		fn(ExecutorChanged{Spec: e, Region: w.Spec.Region, Leaving: leaving})
-	}
-	for _, s := range w.TaskExecutors {
-		fn(ExecutorChanged{Spec: s.Spec, Region: w.Spec.Region, Leaving: leaving})
+	if w.Mode != model.WorkerLost {
+		m.eachExecutor(w, fn)
 	}
 }
 
@@ -244,7 +249,7 @@
 		return
 	}
 	w.TaskExecutors = append(w.TaskExecutors, taskExecutor{Task: id, Spec: spec})
-	m.serveExecutor(spec, w.Spec.Region, w.Mode != model.WorkerOpen)
+	m.serveExecutor(spec, w.Spec.Region, !m.receives(w))
 }
 
 // endTaskExecutor withdraws the executor of a task that has ended, or reports it
--- a/internal/wire/kinds.go
+++ b/internal/wire/kinds.go
@@ -44,6 +44,7 @@
 	KindRelayCalls     Kind = 40 // leader to control process, one-way: calls to workers to make
 	KindRelayResults   Kind = 41 // control process to leader, one-way: results of such calls
 	KindHeartbeats     Kind = 42 // entry to leader: heartbeats of polled workers that may need no action
+	KindSetEvacuation  Kind = 43 // entry to leader: begin or end the evacuation of a failure domain
 )
 
 // Class is the traffic class of a kind, used for counters and for link budgets
@@ -72,11 +73,11 @@
 // ClassOf returns the class of kind k. Lease renewals and the messages that keep
 // keys and routes fresh belong to ClassConsensus: if they were refused while
 // requests fill the link, workers would stop their tasks and entry processes
-// would reject all requests.
+// would reject all requests. An evacuation is called for when links may be full.
 func ClassOf(k Kind) Class {
 	switch k {
 	case KindReplica, KindRegister, KindRenew, KindCommands, KindPermits, KindOwners, KindProbe, KindPing, KindHeartbeat,
-		KindHeartbeats, KindRelayCalls, KindRelayResults:
+		KindHeartbeats, KindRelayCalls, KindRelayResults, KindSetEvacuation:
 		return ClassConsensus
 	case KindSnapshot:
 		return ClassSnapshot
