session: send a start only while its delivery by the leader is recent

Cause: an entry repeats a start to its worker every two seconds until a report acknowledges it, for as long as the session lasts (15 s). One that is cut off from the leader would send starts long after the leader has revoked them, such as those in an evacuated failure domain, which may start nothing after 5 s.

Change: a start is sent within 4 s of its last delivery. The leader delivers an unconfirmed start again with each renewal.

--- a/internal/session/commands.go
+++ b/internal/session/commands.go
@@ -47,7 +47,7 @@
 			m.countDropped(reasonRepeated, 1)
 			continue
 		}
-		if reason := s.pending.add(c); reason != "" {
+		if reason := s.pending.add(c, m.opts.Now()); reason != "" {
 			m.countDropped(reason, 1)
 			continue
 		}
--- a/internal/session/options.go
+++ b/internal/session/options.go
@@ -20,7 +20,11 @@
 	DefaultLease                = 15 * time.Second
 	DefaultMaxSessions          = 8192
 
-	resendAfter        = 2 * time.Second // before a command that no report has acknowledged is sent again
+	resendAfter = 2 * time.Second // before a command that no report has acknowledged is sent again
+	// startValid is how long after its delivery a start may be sent. The leader delivers it
+	// again with later renewals; an entry that is cut off would otherwise go on sending
+	// starts that the leader has revoked, such as those in an evacuated failure domain.
+	startValid         = 4 * time.Second
 	maxPollWait        = 30 * time.Second
 	upstreamTimeout    = 5 * time.Second
 	sweepPeriod        = time.Second
--- a/internal/session/pending.go
+++ b/internal/session/pending.go
@@ -15,6 +15,7 @@
 	cmd      api.Command
 	seq      uint64    // order of arrival, in which commands are sent
 	sentAt   time.Time // zero: not sent yet
+	heardAt  time.Time // when the leader last delivered it
 	throttle *api.Command
 }
 
@@ -38,8 +39,9 @@
 	return 0
 }
 
-// add accepts a command and returns "", or the reason for dropping it.
-func (o *pendingCommands) add(c api.Command) string {
+// add accepts a command that was delivered at now and returns "", or the reason for dropping
+// it. A repeated delivery confirms the command.
+func (o *pendingCommands) add(c api.Command, now time.Time) string {
 	if o.byTask == nil {
 		o.byTask = make(map[model.TaskID]*pendingCommand)
 	}
@@ -54,10 +56,13 @@
 		return o.addThrottle(old, c)
 	}
 	if old != nil && c.Fence == old.cmd.Fence && precedence(c.Op) <= precedence(old.cmd.Op) {
+		if c.Op == old.cmd.Op {
+			old.heardAt = now
+		}
 		return reasonRepeated
 	}
 	o.lastSeq++
-	o.byTask[c.Task] = &pendingCommand{cmd: c, seq: o.lastSeq}
+	o.byTask[c.Task] = &pendingCommand{cmd: c, seq: o.lastSeq, heardAt: now}
 	return ""
 }
 
@@ -91,7 +96,7 @@
 
 // due returns the commands to send now, in order of arrival, and marks them as
 // sent. Starts are withheld from a worker that is leaving; the leader replaces
-// them with stops.
+// them with stops. So are starts that the leader has not delivered again for startValid.
 func (o *pendingCommands) due(now time.Time, leaving bool) []api.Command {
 	var ready []*pendingCommand
 	for _, x := range o.byTask {
@@ -109,7 +114,7 @@
 }
 
 func (x *pendingCommand) isDue(now time.Time, leaving bool) bool {
-	if leaving && x.cmd.Op == api.CommandStart {
+	if x.cmd.Op == api.CommandStart && (leaving || now.Sub(x.heardAt) >= startValid) {
 		return false
 	}
 	if x.throttle != nil {
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -345,6 +345,23 @@
 	assert.DeepEqual(t, poll(t, m, session), []string{"stop 5"})
 }
 
+// Guards against a start that an entry without contact to the leader sends long after the leader
+// has revoked it, and against one that is never sent although the leader delivers it again.
+func TestStartIsNotSentLongAfterItsDelivery(t *testing.T) {
+	m, _, c := newManager(nil)
+	session := announce(t, m, "w")
+	m.Deliver("w", session, []api.Command{command(api.CommandStart, 5)})
+	c.advance(startValid)
+	assert.DeepEqual(t, poll(t, m, session), []string{})
+	m.Deliver("w", session, []api.Command{command(api.CommandStart, 5)})
+	assert.DeepEqual(t, poll(t, m, session), []string{"start 5"})
+	c.advance(startValid)
+	assert.DeepEqual(t, poll(t, m, session), []string{})
+	m.Deliver("w", session, []api.Command{command(api.CommandStop, 5)})
+	c.advance(startValid)
+	assert.DeepEqual(t, poll(t, m, session), []string{"stop 5"})
+}
+
 func TestAnnouncementsAreRateLimitedWithSpreadRetryAfter(t *testing.T) {
 	m, _, _ := newManager(func(o *Options) { o.AnnounceRate = 10 })
 	advice := make(map[time.Duration]bool)
