schedule: move services and lasting gangs out of an evacuated domain

Cause: tasks that last would stay in an evacuated domain until they fail, while a drain would stop all other work there, too.

Change: a plan stops tasks of a service in an evacuated domain while no more of it is down than a drain may stop and the tasks that are down have room elsewhere. A gang that lasts is stopped only if all of it has room on other workers at that moment, one gang at a time, since the same room would let several be stopped. Other work runs to its end.

--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -112,7 +112,7 @@
 	cmd := &state.Stop{}
 	for _, v := range p.Preemptions {
 		cause := state.StopPreempted
-		if v.Reason == schedule.ReasonDrain {
+		if v.Reason == schedule.ReasonDrain || v.Reason == schedule.ReasonEvacuation {
 			cause = state.StopDrained
 		}
 		l.c.s.metrics.preemptions.WithLabelValues(string(v.Reason)).Inc()
--- a/internal/schedule/differential_test.go
+++ b/internal/schedule/differential_test.go
@@ -406,6 +406,13 @@
 	assert.Equal(h.t, h.assigned[e.Task].Worker, e.Worker)
 	assert.Assert(h.t, !h.jobs[e.Task.Job].NotRepeatable, "%s is not repeatable", e.Task)
 	assert.Assert(h.t, !h.preempted[e.Task], "%s is stopping already", e.Task)
+	if e.Reason == ReasonEvacuation {
+		spec := h.jobs[e.Task.Job]
+		assert.Assert(h.t, spec.Lasting || spec.Policy == model.PolicyService, "%s does not last and is moved", e.Task)
+		assert.Assert(h.t, spec.Policy == model.PolicyGang || h.evacuated[h.workers[e.Worker].FailureDomain], "%s is moved from an open domain", e.Task)
+	} else if e.Reason != ReasonDrain {
+		assert.Assert(h.t, !h.evacuated[h.workers[e.Worker].FailureDomain], "%s makes room in an evacuated domain", e.Task)
+	}
 }
 
 func (h *diffTest) running() map[string]int64 {
@@ -443,6 +450,11 @@
 		use[p.Worker] = use[p.Worker].Add(p.Size)
 	}
 	tasks := h.running()
+	for i := range h.fast.workers {
+		w := &h.fast.workers[i]
+		held := w.reservation != nil || !w.booked.IsZero()
+		assert.Assert(h.t, !w.known || !held || !h.evacuated[h.workers[w.id].FailureDomain], "%s is held in an evacuated domain", w.id)
+	}
 	for _, b := range h.fast.bookings {
 		grants, gated := h.grants[b.job.id]
 		valid := true // then only the size of the plan keeps the gang waiting
--- a/internal/schedule/drain.go
+++ b/internal/schedule/drain.go
@@ -13,7 +13,7 @@
 	return w.known && (w.mode == model.WorkerDraining || w.mode == model.WorkerLeaving)
 }
 
-// drain evicts tasks from draining workers. Tasks of a service are evicted a few
+// drain evicts tasks from draining workers, and moves those that last away from evacuated ones. Tasks of a service are evicted a few
 // at a time, so that most of the service stays available; tasks that are not
 // repeatable are left to end.
 func (p *planner) drain() {
@@ -27,7 +27,8 @@
 	})
 	s.draining = slices.Compact(s.draining)
 	for _, slot := range s.draining {
-		if !s.workers[slot].draining() {
+		if w := &s.workers[slot]; !w.draining() {
+			p.moveTasks(w)
 			continue
 		}
 		for _, r := range sortedTasks(s.workers[slot].tasks) {
--- a/internal/schedule/evacuation.go
+++ b/internal/schedule/evacuation.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"slices"
+
 	"github.com/filbertmast/filbertmast/internal/model"
 )
 
@@ -66,3 +68,97 @@
 	}
 	return sum
 }
+
+// moveTasks moves the tasks that last away from an evacuated worker. Other tasks run to their
+// ends.
+func (p *planner) moveTasks(w *worker) {
+	for _, r := range sortedTasks(w.tasks) {
+		if len(p.plan.Preemptions) >= p.max {
+			return
+		}
+		j := r.job
+		if !j.group.lasts() || !j.group.repeatable || p.stopping(r) || p.immovable[j] {
+			continue
+		}
+		if !p.mayMove(j) {
+			p.keepInPlace(j)
+			continue
+		}
+		p.preempt(r, 0, ReasonEvacuation)
+		if j.group.policy == gang {
+			p.s.moving = j.id
+		}
+	}
+}
+
+// keepInPlace records that the plan moves no further task of j.
+func (p *planner) keepInPlace(j *job) {
+	if p.immovable == nil {
+		p.immovable = map[*job]bool{}
+	}
+	p.immovable[j] = true
+}
+
+// mayMove reports whether one more task of a service may be stopped, or the whole of a gang that
+// lasts, since what is then to be started has room on other workers.
+func (p *planner) mayMove(j *job) bool {
+	size := p.s.sizeFor(j.group)
+	if j.group.policy == service {
+		down := p.unavailable(j)
+		return down < p.maxUnavailable(j) && p.roomElsewhere(j, size) > int64(down)
+	}
+	return !p.gangIsMoving() && p.roomElsewhere(j, size) >= int64(int32(len(j.tasks))-j.done)
+}
+
+// gangIsMoving reports whether a gang that was stopped for an evacuation has not been started
+// elsewhere. Gangs are moved one at a time: the same room would let several be stopped.
+func (p *planner) gangIsMoving() bool {
+	j := p.s.jobs[p.s.moving]
+	if j == nil || j.cancelled {
+		return false
+	}
+	return j.ready+j.waiting > 0 || slices.ContainsFunc(j.tasks, func(t task) bool { return t.state == taskStopping }) || p.stopsTaskOf(j)
+}
+
+// stopsTaskOf reports whether the plan stops a task of j.
+func (p *planner) stopsTaskOf(j *job) bool {
+	for i := range j.tasks {
+		if p.preempted[taskRef{j, int32(i)}] {
+			return true
+		}
+	}
+	return false
+}
+
+// roomElsewhere returns how many tasks of j fit on the available workers. What a gang uses
+// there counts as free, since the whole gang is stopped. Permits are left aside: the policy
+// service is queried about pending tasks only.
+func (p *planner) roomElsewhere(j *job, size model.Resources) (n int64) {
+	p.spread.load(p.s, j)
+	for i := range p.s.workers {
+		w := &p.s.workers[i]
+		if !w.available() || !p.s.matches(j.group.selector, w.class) {
+			continue
+		}
+		free, on := p.s.freeFor(j, int32(i)), p.spread.onWorker[i]
+		if j.group.policy == gang && on > 0 {
+			free, on = free.Add(usedBy(j, w)), 0
+		}
+		fit := copies(size, free)
+		if j.group.perWorker > 0 {
+			fit = min(fit, int64(j.group.perWorker-on))
+		}
+		n += fit
+	}
+	return n
+}
+
+// usedBy returns what the tasks of j use on a worker.
+func usedBy(j *job, w *worker) (sum model.Resources) {
+	for _, r := range w.tasks {
+		if r.job == j {
+			sum = sum.Add(r.task().size)
+		}
+	}
+	return sum
+}
--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -14,6 +14,7 @@
 	ReasonReclaim       Reason = "reclaim"        // a team reclaims its share
 	ReasonUrgent        Reason = "urgent"         // a less patient job of the same team needs the capacity
 	ReasonDrain         Reason = "drain"          // the worker is being drained
+	ReasonEvacuation    Reason = "evacuation"     // the failure domain of the worker is evacuated
 	ReasonOverSize      Reason = "over_size"      // the task used more than its reserved size
 	ReasonRestartBudget Reason = "restart_budget" // the task has no restart left
 	ReasonBadJob        Reason = "bad_job"        // the job failed on many good workers
@@ -48,7 +49,7 @@
 type Preemption struct {
 	Task        model.TaskID
 	Worker      model.WorkerID
-	For         model.JobID // the job that needs the capacity; zero for a drain
+	For         model.JobID // the job that needs the capacity; zero for a drain or an evacuation
 	Reason      Reason
 	Checkpoint  bool
 	LostRunTime time.Duration // run time that is lost; zero with a checkpoint
--- a/internal/schedule/planner.go
+++ b/internal/schedule/planner.go
@@ -18,6 +18,7 @@
 
 	preempted        map[taskRef]bool // tasks that the plan stops
 	preemptedRunning map[*job]int32   // number of running tasks that the plan stops, by job
+	immovable        map[*job]bool    // jobs of which the plan moves no further task out of an evacuated domain
 	skippedHeads     []*group         // groups whose head was skipped
 	searches         int
 	backfill         backfill
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -65,10 +65,11 @@
 	pauseEnds      []model.Time // when jobs whose bookings have lapsed may book again
 	learned        *learn.Table
 	overUses       map[taskRef]overUse
-	probation      []int32 // slots of workers on probation
-	draining       []int32 // slots of workers to be drained
-	isolated       []int32 // slots of workers kept for a suspect
-	keptAlone      int64   // number of those that are kept for the suspect alone
+	probation      []int32     // slots of workers on probation
+	draining       []int32     // slots of workers to be drained or evacuated
+	moving         model.JobID // the last gang that was stopped for an evacuation
+	isolated       []int32     // slots of workers kept for a suspect
+	keptAlone      int64       // number of those that are kept for the suspect alone
 	pendingReports planReports
 	readyTasks     int64
 	waitingTasks   int64
