--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -34,6 +34,9 @@
 	stalledJobs       *prometheus.GaugeVec
 	workerSpeeds      *prometheus.GaugeVec
 	speedChanges      prometheus.Counter
+	evacuatedDomains  prometheus.Gauge
+	evacuatedTasks    prometheus.Gauge
+	startsWithheld    prometheus.Counter
 	unresponsive      prometheus.Gauge
 	lostPolls         prometheus.Counter
 	workerPauses      prometheus.Counter
@@ -107,6 +110,12 @@
 			[]string{"class"}),
 		speedChanges: f.NewCounter(prometheus.CounterOpts{
 			Name: "filbertmast_control_worker_speed_changes_total", Help: "Estimates of a worker's speed that the scheduler was given."}),
+		evacuatedDomains: f.NewGauge(prometheus.GaugeOpts{
+			Name: "filbertmast_control_evacuated_domains", Help: "Failure domains that are evacuated."}),
+		evacuatedTasks: f.NewGauge(prometheus.GaugeOpts{
+			Name: "filbertmast_control_evacuated_tasks", Help: "Tasks that hold resources in evacuated failure domains."}),
+		startsWithheld: f.NewCounter(prometheus.CounterOpts{
+			Name: "filbertmast_control_starts_withheld_total", Help: "Starts and repeats of starts that were not sent, since the failure domain is evacuated."}),
 		unresponsive: f.NewGauge(prometheus.GaugeOpts{
 			Name: "filbertmast_control_workers_silent", Help: "Called workers that did not answer the last call."}),
 		lostPolls: f.NewCounter(prometheus.CounterOpts{
--- a/internal/schedule/drain.go
+++ b/internal/schedule/drain.go
@@ -13,20 +13,24 @@
 	return w.known && (w.mode == model.WorkerDraining || w.mode == model.WorkerLeaving)
 }
 
-// drain evicts tasks from draining workers. Tasks of a service are evicted a few
+// drain evicts tasks from draining workers, and moves those that last away from evacuated ones. Tasks of a service are evicted a few
 // at a time, so that most of the service stays available; tasks that are not
 // repeatable are left to end.
 func (p *planner) drain() {
 	s := p.s
 	s.draining = slices.DeleteFunc(s.draining, func(slot int32) bool {
 		w := &s.workers[slot]
-		return !w.draining() || len(w.tasks) == 0
+		return !w.draining() && !w.evacuated || len(w.tasks) == 0
 	})
 	slices.SortFunc(s.draining, func(a, b int32) int {
 		return cmp.Compare(s.workers[a].tie, s.workers[b].tie)
 	})
 	s.draining = slices.Compact(s.draining)
 	for _, slot := range s.draining {
+		if w := &s.workers[slot]; !w.draining() {
+			p.moveTasks(w)
+			continue
+		}
 		for _, r := range sortedTasks(s.workers[slot].tasks) {
 			if len(p.plan.Preemptions) >= p.max {
 				return
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -51,6 +51,7 @@
 	ceilings           map[string]int64    // upper bounds of request permits, by team
 	withdrawnExecutors []WithdrawnExecutor // oldest first
 	speeds             workerSpeeds
+	evacuations        []Evacuation // sorted by domain
 
 	events []Event // of the command being applied
 }
@@ -150,6 +151,8 @@
 		return m.setCeilings(c.SetCeilings)
 	case c.SetWorkerSpeed != nil:
 		return m.setWorkerSpeed(c.SetWorkerSpeed)
+	case c.SetEvacuation != nil:
+		return m.setEvacuation(c.SetEvacuation)
 	}
 	return Result{Err: errkind.New(errkind.BadRequest, "empty command")}
 }
@@ -179,6 +182,7 @@
 	for _, team := range sortedKeys(m.ceilings) {
 		fn(CeilingChanged{Team: team, Permits: m.ceilings[team]})
 	}
+	m.replayEvacuations(fn)
 	for _, w := range m.Workers() {
 		fn(WorkerChanged{Spec: w.Spec, Mode: w.Mode, Session: w.Session, At: m.now})
 		if permille := w.Speed.PublishedPermille(); permille != speed.Normal {
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -36,8 +36,9 @@
 	LastJob           model.JobID        `cbor:"14,keyasint,omitempty"`
 	Workflows         []*Workflow        `cbor:"15,keyasint,omitempty"` // by ID
 	FinishedWorkflows []model.WorkflowID `cbor:"16,keyasint,omitempty"`
-	// 17 and 18 are reserved.
-	WorkerSpeed bool `cbor:"19,keyasint,omitempty"`
+	// 18 is reserved.
+	WorkerSpeed bool         `cbor:"19,keyasint,omitempty"`
+	Evacuations []Evacuation `cbor:"17,keyasint,omitempty"` // by domain
 }
 
 // accountRecord is one team's account in a snapshot.
@@ -69,6 +70,7 @@
 		Workflows:          m.workflowRecords(),
 		FinishedWorkflows:  m.finishedWorkflows,
 		WorkerSpeed:        m.speeds.enabled,
+		Evacuations:        m.evacuations,
 	}
 	if err := enc.Encode(&header); err != nil {
 		return errkind.Wrap(errkind.Internal, err, "write snapshot header")
@@ -109,6 +111,7 @@
 	m.withdrawnExecutors = header.WithdrawnExecutors
 	m.lastJob = header.LastJob
 	m.speeds.enabled = header.WorkerSpeed
+	m.evacuations = header.Evacuations
 	m.restoreWorkflows(header.Workflows, header.FinishedWorkflows)
 	for _, c := range header.Ceilings {
 		m.ceilings[c.Team] = c.Permits
