--- a/internal/control/policy.go
+++ b/internal/control/policy.go
@@ -188,6 +188,9 @@
 // chosen.
 func (p *policy) entries(now model.Time) []permit.Entry {
 	members := p.l.members.Entries(now)
+	if len(members) == 0 {
+		return nil
+	}
 	region := regionOf(members, p.l.c.s.opts.Endpoint.Address())
 	control := map[string]bool{}
 	for _, m := range p.l.c.s.opts.Log.Status().Members {
