e2e: compare the requests of a leaving target by the ID of its executor

Cause: TestLeavingTargetReceivesNoNewRequests looked for events of the executor "x0". That is the ID of the stand-in's worker; its executor is "x0-x". No event matched, so that the test could not fail.

Change: it compares with the ID of the executor.

--- a/internal/e2e/requests_test.go
+++ b/internal/e2e/requests_test.go
@@ -297,7 +297,7 @@
 		assert.NilError(t, v.err, v.key)
 	}
 	for _, e := range c.checkHistory() {
-		if e.Kind == standin.EventRequestBegin && e.Executor == "x0" {
+		if e.Kind == standin.EventRequestBegin && e.Executor == "x0-x" {
 			assert.Assert(t, e.At < left.Add(2*time.Second).UnixNano(), "a request began more than two seconds after the target began to leave")
 		}
 	}
