--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -140,6 +140,25 @@
 	assert.Equal(t, r.err, "error: the executor answered with status 418\n")
 }
 
+// Guards against an end that is sent as a begin, and against a domain that status does not list.
+func TestEvacuate(t *testing.T) {
+	f := newFakeEntry(t)
+	begun := api.EvacuationView{Domain: "selfoss 1", Evacuated: true, Workers: 58, Running: 212}
+	f.respond("POST /v1/evacuations/{domain}", begun)
+	f.respond("DELETE /v1/evacuations/{domain}", api.EvacuationView{Domain: "selfoss 1", Workers: 58})
+	f.respond("GET /v1/status", api.Status{Evacuations: []api.EvacuationView{begun}})
+	const row = "selfoss 1       true       58       212"
+	r := run(t, "evacuate", "selfoss 1")
+	assert.Equal(t, r.code, 0, r.err)
+	assert.Assert(t, strings.Contains(r.out, row), r.out)
+	assert.Assert(t, strings.Contains(run(t, "status").out, row))
+	r = run(t, "evacuate", "--finish", "selfoss 1")
+	assert.Assert(t, strings.Contains(r.out, "selfoss 1       false"), r.out)
+	f.respondError("POST /v1/evacuations/none", errkind.UnknownDomain)
+	assert.Equal(t, run(t, "evacuate", "none").code, errkind.ExitUsage)
+	assert.Equal(t, run(t, "evacuate").code, errkind.ExitUsage)
+}
+
 func TestWorkersCordonDrainOpen(t *testing.T) {
 	f := newFakeEntry(t)
 	view := api.WorkerView{Spec: model.WorkerSpec{ID: "w-1", Capacity: model.Resources{CPU: 4000}}, Mode: "draining", Tasks: 2}
