--- a/internal/discover/discover.go
+++ b/internal/discover/discover.go
@@ -18,6 +18,9 @@
 type Result struct {
 	Leader string   // inner address
 	Peers  []string // inner addresses of all replicas that the responses name
+	// Ready reports that Leader itself has confirmed that it leads and is in contact with
+	// its quorum. Otherwise others name it, which may be dead.
+	Ready bool
 }
 
 // Leader probes the control processes at the inner addresses in parallel. It
@@ -25,7 +28,12 @@
 // the leader that the response with the highest term names. The error is of kind
 // NoLeader.
 func Leader(ctx context.Context, e *wire.Endpoint, addresses []string) (Result, error) {
-	ctx, cancel := context.WithTimeout(ctx, Timeout)
+	return LeaderWithin(ctx, Timeout, e, addresses)
+}
+
+// LeaderWithin is like Leader with another timeout of the round.
+func LeaderWithin(ctx context.Context, timeout time.Duration, e *wire.Endpoint, addresses []string) (Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	answers := make(chan *proto.Probe, len(addresses))
 	for _, addr := range addresses {
@@ -46,6 +54,7 @@
 			term, found.Leader = p.Term, p.Leader
 		}
 		if p.Ready {
+			found.Leader, found.Ready = p.Leader, true
 			break
 		}
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -79,7 +79,7 @@
 		dir:      newDirectory(),
 		renewNow: make(chan struct{}, 1),
 	}
-	s.leader = newLeaderClient(o.Endpoint, set.Control.Founders, s.metrics)
+	s.leader = newLeaderClient(o.Endpoint, set.Control.Founders, s.metrics, s.log)
 	s.heartbeats = newHeartbeats(s.leader)
 	s.buildSessions()
 	s.buildRequests()
--- a/internal/entry/leader_test.go
+++ b/internal/entry/leader_test.go
@@ -46,7 +46,7 @@
 	wire.Handle(c.control, wire.KindQueue, func(context.Context, wire.Peer, *proto.Queue) (*proto.QueueView, error) {
 		return &proto.QueueView{Waiting: 7}, nil
 	})
-	c.client = newLeaderClient(listen(t, "front-1"), []string{c.control.Address()}, newMetrics(prometheus.NewRegistry()))
+	c.client = newLeaderClient(listen(t, "front-1"), []string{c.control.Address()}, newMetrics(prometheus.NewRegistry()), log.New(io.Discard))
 	return c
 }
 
--- a/internal/wire/endpoint.go
+++ b/internal/wire/endpoint.go
@@ -111,7 +111,7 @@
 
 func quicConfig() *quic.Config {
 	return &quic.Config{
-		HandshakeIdleTimeout:  handshakeTimeout,
+		HandshakeIdleTimeout:  handshakeSilence,
 		MaxIdleTimeout:        idleTimeout,
 		KeepAlivePeriod:       keepAlivePeriod,
 		MaxIncomingStreams:    unlimitedStreams,
--- a/internal/wire/options.go
+++ b/internal/wire/options.go
@@ -16,6 +16,10 @@
 
 	protocolName     = "filbertmast/1"
 	handshakeTimeout = 2 * time.Second
+	// handshakeSilence is how long a peer may send no packet during a handshake. A dial
+	// repeats its first packet after 0.2, 0.6 and 1.4 s, so that a peer that has come back
+	// would wait up to 0.8 s for it; a new dial begins anew.
+	handshakeSilence = time.Second
 	// idleTimeout is how long a connection may be without packets before it counts
 	// as dead. Messages of the replicated log may wait this long, so it must be
 	// shorter than a lease.
--- a/internal/wire/path.go
+++ b/internal/wire/path.go
@@ -46,6 +46,26 @@
 	return s
 }
 
+// Reception tells whether packets have arrived from a peer on its connection for calls: two
+// values are equal if none has arrived, and no other connection was made, between them.
+type Reception struct {
+	conn    *conn
+	packets uint64
+}
+
+// Reception returns the present Reception of the peer at address and the smoothed
+// round-trip time to it, which is zero if there is no connection.
+func (e *Endpoint) Reception(address string) (Reception, time.Duration) {
+	p := e.peer(address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn == nil {
+		return Reception{}, 0
+	}
+	st := p.conn.qc.ConnectionStats()
+	return Reception{conn: p.conn, packets: st.PacketsReceived}, st.SmoothedRTT
+}
+
 // takeReport returns the report of a queue since its last call.
 func (p *peer) takeReport(key queueKey) postReport {
 	p.mu.Lock()
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -29,9 +29,10 @@
 
 // dial is one dial attempt, shared by all callers that wait for the connection.
 type dial struct {
-	done chan struct{}
-	conn *conn
-	err  error
+	began time.Time
+	done  chan struct{}
+	conn  *conn
+	err   error
 }
 
 // acquireConn returns a connection on which one call may be opened. The caller
@@ -84,7 +85,7 @@
 		err := errkind.New(errkind.Unreachable, "no connection to %s; next dial attempt in %s", p.address, left.Round(time.Millisecond))
 		return nil, nil, errkind.WithRetryAfter(err, left)
 	}
-	p.dialling = &dial{done: make(chan struct{})}
+	p.dialling = &dial{began: time.Now(), done: make(chan struct{})}
 	go p.dial(p.dialling)
 	return nil, p.dialling, nil
 }
@@ -106,7 +107,7 @@
 	if d.err != nil {
 		p.e.metrics.dials.WithLabelValues(reasonDialFailed).Inc()
 		p.failures++
-		p.nextDial = time.Now().Add(redialDelay(p.failures))
+		p.nextDial = d.began.Add(redialDelay(p.failures))
 		return
 	}
 	p.e.metrics.dials.WithLabelValues("ok").Inc()
@@ -115,7 +116,9 @@
 	p.conn = d.conn
 }
 
-// redialDelay returns an exponential backoff up to redialMax. Its upper half is
+// redialDelay returns the time from the begin of a dial that has failed to the next: an
+// exponential backoff up to redialMax. A dial to a silent peer takes that long by itself, and
+// a further pause would delay the discovery that the peer is back. Its upper half is
 // random, so that the peers of a returning process do not all dial at once.
 func redialDelay(failures int) time.Duration {
 	d := redialMax
