control: release young attempts of a crashed worker with its lease

A start without a response may run on a later incarnation of its worker, so that the loss of the worker is deferred until the longest lease has ended: 14.2 s if that is 10 s. All attempts that had run for less than 5 s waited with it, since only the loss of the worker recorded under which tasks it may have crashed. A job without another running task stood still meanwhile, beside free capacity.

Attempts with a confirmed start that is not unclear are now lost by a command of their own, LoseAttempts (field 35), once the lease of the worker has ended. The state records at once that the worker may have crashed under them, and settles it when the worker starts again, is replaced, is lost or answers.

The generated logs of the state's tests draw the new command, too.

--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -17,6 +17,7 @@
 	placementsRefused *prometheus.CounterVec
 	preemptions       *prometheus.CounterVec
 	workersLost       prometheus.Counter
+	attemptsLost      prometheus.Counter
 	capacityChanges   *prometheus.CounterVec
 	workerCrashes     prometheus.Counter
 	tasksGivenUp      *prometheus.CounterVec
@@ -60,6 +61,8 @@
 		preemptions: f.NewCounterVec(prometheus.CounterOpts{
 			Name: "filbertmast_control_preemptions_total", Help: "Tasks told to stop for other work, by reason."},
 			[]string{"reason"}),
+		attemptsLost: f.NewCounter(prometheus.CounterOpts{
+			Name: "filbertmast_control_attempts_lost_total", Help: "Attempts lost with the lease of their worker while the loss of the worker is deferred."}),
 		workersLost: f.NewCounter(prometheus.CounterOpts{
 			Name: "filbertmast_control_workers_lost_total", Help: "Workers whose leases have expired."}),
 		capacityChanges: f.NewCounterVec(prometheus.CounterOpts{
--- a/internal/control/misdirected.go
+++ b/internal/control/misdirected.go
@@ -53,14 +53,16 @@
 	}
 	p.l.c.log.Warn("Worker lease expired; starts may run on a later incarnation, so that it is not declared lost yet.",
 		"worker", h.Worker, "held", len(w.Held), "until", until.Sub(now))
-	p.releaseSettled(pw, w)
+	p.releaseExpired(pw, w)
 	return true
 }
 
-// releaseSettled releases the attempts of a worker whose lease has expired, except those
-// that may run on a later incarnation, and those that may have crashed the worker, which
-// its loss tells.
-func (p *polledWorkers) releaseSettled(pw *polledWorker, w *state.Worker) {
+// releaseExpired releases the attempts of a worker whose lease has expired, except those that
+// may run on a later incarnation. Those that may have crashed the worker are lost, which
+// counts as a loss of the worker under them. Without that, they would wait for the longest
+// lease because of another task's start.
+func (p *polledWorkers) releaseExpired(pw *polledWorker, w *state.Worker) {
+	lose := &state.LoseAttempts{Worker: w.Spec.ID, Session: w.Session, CommonCause: p.commonCause(w.Spec.ID)}
 	for _, id := range w.Held {
 		_, t := p.l.task(id)
 		if t == nil || t.Phase != model.TaskRunning || p.isEnding(pw, id) || p.mayBeMisdirected(pw, id, t) {
@@ -68,6 +70,41 @@
 		}
 		if pw.grantedAt.Sub(t.Since) >= state.SettledAfter {
 			p.release(pw, id, t, &release{basis: basisLeaseExpired, state: api.ReportLapsed})
+		} else {
+			lose.Attempts = append(lose.Attempts, state.HeldAttempt{Task: id, Fence: t.Fence})
 		}
 	}
+	if len(lose.Attempts) > 0 {
+		p.l.c.log.Warn("Attempts are lost with the lease of their worker.", "worker", w.Spec.ID, "attempts", len(lose.Attempts))
+		pw.attemptsLostAt = p.l.c.s.now()
+		p.proposeLoss(pw, lose)
+	}
+}
+
+// proposeLoss proposes the loss of attempts until it is committed or the worker has another
+// incarnation. They do not run, whatever happens meanwhile: their lease has expired.
+func (p *polledWorkers) proposeLoss(pw *polledWorker, lose *state.LoseAttempts) {
+	p.l.c.propose(&state.Command{LoseAttempts: lose}, func(r state.Result, err error) {
+		if err == nil {
+			p.l.c.s.metrics.attemptsLost.Add(float64(r.Count))
+			return
+		}
+		p.after(pollRetryAfter, func() {
+			if p.current(pw) {
+				p.proposeLoss(pw, lose)
+			}
+		})
+	})
+}
+
+// explainLostAttempts records that a worker under which attempts were lost has answered a poll
+// that was sent since, so that it has not crashed under them.
+func (p *polledWorkers) explainLostAttempts(pw *polledWorker, sentAt model.Time) {
+	w := p.l.c.machine.Worker(pw.target.Worker)
+	if pw.explaining || sentAt <= pw.attemptsLostAt || pw.replaced || w == nil || len(w.Lost) == 0 || w.Mode == model.WorkerLost || w.Session != pw.session {
+		return
+	}
+	pw.explaining = true
+	heard := &state.LoseAttempts{Worker: w.Spec.ID, Session: w.Session, Heard: true}
+	p.l.c.propose(&state.Command{LoseAttempts: heard}, func(state.Result, error) { pw.explaining = false })
 }
--- a/internal/control/misdirected_test.go
+++ b/internal/control/misdirected_test.go
@@ -74,6 +74,28 @@
 	assert.Equal(t, h.phase(task), model.TaskPending)
 }
 
+// Guards against a task that waits for the longest lease, 14 s, because the start of another task on its crashed worker
+// had no response: a job without another running task makes no progress meanwhile. After a second crash it waits longer still.
+func TestTaskOfCrashedWorkerDoesNotWaitForUnansweredStartOfAnother(t *testing.T) {
+	h, running := newLeaderHarness(t)
+	h.report(running, api.ReportStarted)
+	pass := h.shortLeases()
+	poll := h.nextPoll()
+	listed := workerclient.ActiveAttempt{Attempt: workerclient.Attempt{Task: workerclient.TaskName{Workflow: "f"}, Number: 1}}
+	poll.answer <- &workerclient.PollResponse{Clock: 9000, Incarnation: 1, Active: []workerclient.ActiveAttempt{listed}}
+	h.nextPoll()
+	task := h.placeAnother("g")
+	assert.Assert(t, h.core.leader.polled.workers["w"].commands[task].dispatch.InFlight(), "its start is sent")
+	pass(6 * time.Second) // the lease has ended, and the task had run for less than state.SettledAfter
+	h.commitAll()
+	assert.Equal(t, h.phase(running), model.TaskPending)
+	assert.Equal(t, h.phase(task), model.TaskStarting, "it may run on a later incarnation")
+	assert.Assert(t, h.core.machine.Job(running.Job).Suspected(0), "the worker may have crashed under it")
+	pass(h.core.s.opts.Times.longestLease() - 6*time.Second + 500*time.Millisecond)
+	h.commitAll()
+	assert.Equal(t, h.phase(task), model.TaskPending)
+}
+
 // Guards against a lost worker whose tasks wait longer than its lease although all of its starts are known.
 func TestTasksOfLostWorkerAreReleasedWithItsLeaseIfNoStartIsUnclear(t *testing.T) {
 	h, task := newLeaderHarness(t)
--- a/internal/control/polled.go
+++ b/internal/control/polled.go
@@ -81,7 +81,9 @@
 	// fence of the last poll with one.
 	acknowledged   uint64
 	acknowledgedBy uint64
-	postponed      bool // its next poll waits, since its ends cannot be acknowledged yet
+	postponed      bool       // its next poll waits, since its ends cannot be acknowledged yet
+	attemptsLostAt model.Time // when attempts were lost although the worker was not; zero: never
+	explaining     bool       // it is proposed that it has not crashed under attempts that were lost
 	commands       map[model.TaskID]*workerCommand
 }
 
--- a/internal/control/polls.go
+++ b/internal/control/polls.go
@@ -190,6 +190,7 @@
 		pw.clock.ObserveResponse(resp.Clock, poll.sentAt, p.l.c.s.now())
 		pw.answeredAt, pw.heardAt = max(pw.answeredAt, poll.sentAt), p.l.c.s.now()
 		pw.acknowledged = max(pw.acknowledged, poll.cursor)
+		p.explainLostAttempts(pw, poll.sentAt)
 		p.recordUnreadable(pw, resp)
 		p.recordEnds(pw, resp.Ended)
 		p.passUnreadable(pw, &resp.Unreadable)
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -47,6 +47,9 @@
 	CancelWorkflow *CancelWorkflow `cbor:"30,keyasint,omitempty"`
 	StartRuns      *StartRuns      `cbor:"31,keyasint,omitempty"`
 	SetCapacity    *SetCapacity    `cbor:"32,keyasint,omitempty"`
+
+	// 33 and 34 are reserved.
+	LoseAttempts *LoseAttempts `cbor:"35,keyasint,omitempty"`
 }
 
 // Declare replaces the whole configuration if Base is the current version.
@@ -152,6 +155,25 @@
 	CommonCause []model.JobID `cbor:"4,keyasint,omitempty"`
 }
 
+// LoseAttempts ends attempts on a worker whose lease has expired and which is not lost yet,
+// because other starts may run on a later incarnation of it.
+type LoseAttempts struct {
+	Worker   model.WorkerID `cbor:"1,keyasint"`
+	Session  uint64         `cbor:"2,keyasint"`
+	Attempts []HeldAttempt  `cbor:"3,keyasint,omitempty"`
+	// CommonCause is as in LostWorker.
+	CommonCause []model.JobID `cbor:"4,keyasint,omitempty"`
+	// Heard, without attempts, records that the worker has answered since, so that it has not
+	// crashed under attempts that were lost.
+	Heard bool `cbor:"5,keyasint,omitempty"`
+}
+
+// HeldAttempt is an attempt that holds resources on a worker.
+type HeldAttempt struct {
+	Task  model.TaskID `cbor:"1,keyasint"`
+	Fence model.Fence  `cbor:"2,keyasint"`
+}
+
 // Place starts tasks on workers. The placements of a gang must be complete and
 // adjacent.
 type Place struct {
--- a/internal/state/crash.go
+++ b/internal/state/crash.go
@@ -141,6 +141,12 @@
 // crash may have a cause that it shares with other workers rather than a task of the
 // given jobs.
 func (m *Machine) suspectsOn(w *Worker, commonCause []model.JobID) []lostAttempt {
+	return m.suspectsBeside(w, commonCause, w.Lost)
+}
+
+// suspectsBeside is suspectsOn with the attempts on w that were lost before, which may have
+// crashed it as well.
+func (m *Machine) suspectsBeside(w *Worker, commonCause []model.JobID, earlier []lostAttempt) []lostAttempt {
 	if len(w.Held) == 0 || w.Mode == model.WorkerLeaving || w.Mode == model.WorkerDraining {
 		return nil
 	}
@@ -152,7 +158,7 @@
 			out = append(out, lostAttempt{id, e})
 		}
 	}
-	markSole(out) // a task whose start may not have been received may be the cause, too
+	markSole(out, earlier) // a task whose start may not have been received may be the cause, too
 	for i := range out {
 		a := &out[i]
 		t := &m.jobs[a.Task.Job].Tasks[a.Task.Index]
@@ -201,11 +207,11 @@
 	return evidenceNear
 }
 
-// markSole marks the likely causes of a crash if they all belong to one job.
-func markSole(attempts []lostAttempt) {
+// markSole marks the likely causes of a crash if they and those of the earlier attempts all
+// belong to one job.
+func markSole(attempts, earlier []lostAttempt) {
 	job := model.JobID(0)
-	for i := range attempts {
-		a := &attempts[i]
+	for _, a := range slices.Concat(attempts, earlier) {
 		if a.Evidence == evidenceNear {
 			continue
 		}
@@ -257,7 +263,7 @@
 
 // recordUnexplained records that w was lost and may have crashed under its tasks.
 func (m *Machine) recordUnexplained(w *Worker, attempts []lostAttempt) {
-	w.Lost = attempts
+	w.Lost = append(w.Lost, attempts...)
 	for _, a := range received(attempts) {
 		m.updateSuspicion(a.Task, evidenceNear, func(s *suspicion) {
 			s.addUnexplained(a.Evidence)
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -128,6 +128,8 @@
 		return m.setCapacity(c.SetCapacity)
 	case c.MarkWorkersLost != nil:
 		return m.markWorkersLost(c.MarkWorkersLost)
+	case c.LoseAttempts != nil:
+		return m.loseAttempts(c.LoseAttempts)
 	case c.Declare != nil:
 		return m.declare(c.Declare)
 	case c.GrantKey != nil:
--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -315,7 +315,7 @@
 		task.Job = rapid.SampledFrom(ids).Draw(t, "job")
 		task.Index = rapid.Int32Range(0, m.Job(task.Job).Spec.Tasks-1).Draw(t, "task")
 	}
-	switch rapid.IntRange(0, 8).Draw(t, "command") {
+	switch rapid.IntRange(0, 9).Draw(t, "command") {
 	case 0:
 		team := rapid.SampledFrom([]string{"guards", "stands"}).Draw(t, "team")
 		policy := rapid.SampledFrom([]model.Policy{model.PolicyBatch, model.PolicyGang, model.PolicyService}).Draw(t, "policy")
@@ -339,6 +339,12 @@
 		return &Command{Refund: &Refund{Jobs: []model.JobID{task.Job}}}
 	case 6, 7:
 		return drawReport(t, m, task)
+	case 8:
+		lose := &LoseAttempts{Worker: worker, Session: session, Heard: rapid.Bool().Draw(t, "heard")}
+		if j := m.Job(task.Job); j != nil && j.Task(task.Index) != nil {
+			lose.Attempts = []HeldAttempt{{Task: task, Fence: j.Task(task.Index).Fence}}
+		}
+		return &Command{LoseAttempts: lose}
 	}
 	j := m.Job(task.Job)
 	if j == nil {
--- a/internal/state/worker.go
+++ b/internal/state/worker.go
@@ -22,7 +22,9 @@
 	// TaskExecutors lists the executors that service tasks on the worker opened.
 	TaskExecutors []taskExecutor `cbor:"6,keyasint,omitempty"`
 	LostAt        model.Time     `cbor:"7,keyasint,omitempty"`
-	// Lost lists the tasks under which the worker may have crashed when its lease expired.
+	// Lost lists the tasks under which the worker may have crashed when its lease expired,
+	// until it is known whether it has. A worker that is not lost may have some, see
+	// LoseAttempts.
 	Lost []lostAttempt `cbor:"8,keyasint,omitempty"`
 	// CapacitySequence is that of the heartbeat that reported Spec.Capacity; zero if it
 	// is unknown.
@@ -128,9 +130,10 @@
 		}
 	}
 	crashed := known && w.Spec.Incarnation != 0 && c.Spec.Incarnation > w.Spec.Incarnation
+	earlier := w.Lost
 	m.explainLoss(w, crashed)
 	m.explainLossesAt(c.Spec.Address, w)
-	suspects := m.suspectsOn(w, c.CommonCause)
+	suspects := m.suspectsBeside(w, c.CommonCause, earlier)
 	m.loseTasks(w, "the worker started again")
 	if crashed {
 		m.recordCrash(w.Spec.ID, suspects)
@@ -184,6 +187,7 @@
 		suspects := m.suspectsOn(w, lost.CommonCause)
 		m.loseTasks(w, "the worker was lost")
 		if lost.Replaced {
+			m.explainLoss(w, true)
 			m.recordCrash(w.Spec.ID, suspects)
 		} else {
 			m.recordUnexplained(w, suspects)
@@ -196,6 +200,29 @@
 	return Result{Count: n}
 }
 
+// loseAttempts ends attempts on a worker whose lease has expired. The worker keeps the others
+// and is not marked as lost.
+func (m *Machine) loseAttempts(c *LoseAttempts) Result {
+	w, _ := m.workers.get(c.Worker)
+	if w == nil || w.Session != c.Session || w.Mode == model.WorkerLost {
+		return Result{}
+	}
+	if c.Heard {
+		m.explainLoss(w, false)
+		return Result{}
+	}
+	suspects := m.suspectsOn(w, c.CommonCause)
+	lost := make(map[model.TaskID]bool, len(c.Attempts))
+	for _, a := range c.Attempts {
+		if slices.Contains(w.Held, a.Task) && m.jobs[a.Task.Job].Tasks[a.Task.Index].Fence == a.Fence {
+			m.loseTask(a.Task, "the lease of its worker has expired")
+			lost[a.Task] = true
+		}
+	}
+	m.recordUnexplained(w, slices.DeleteFunc(suspects, func(a lostAttempt) bool { return !lost[a.Task] }))
+	return Result{Count: len(lost)}
+}
+
 // loseTasks ends all attempts on w as lost, for the given reason.
 func (m *Machine) loseTasks(w *Worker, reason string) {
 	m.removeAllEnding(w)
