--- a/internal/command/check.go
+++ b/internal/command/check.go
@@ -7,6 +7,7 @@
 
 	"github.com/filbertmast/filbertmast/internal/certs"
 	"github.com/filbertmast/filbertmast/internal/declare"
+	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/settings"
 	"github.com/filbertmast/filbertmast/internal/strict"
 )
@@ -16,7 +17,10 @@
 	Settings     []string `arg:"-s,--settings,separate" placeholder:"FILE" help:"settings of one process; may be repeated"`
 	Declarations string   `arg:"-f,--declarations" placeholder:"DIR" help:"folder of declarations"`
 	NoFiles      bool     `arg:"--no-files" help:"do not look for the certificates and folders that settings name"`
+	findingsOptions
 	output
+
+	bounds declare.Bounds // the lowest of the settings
 }
 
 func (*checkCommand) describe() string {
@@ -24,6 +28,11 @@
 at once, with its file, JSON path, value and the rule broken. Settings that are
 checked together must also agree with each other: one name and one set of
 addresses for each process, the same founders and leases.
+
+Declarations that break no rule may have entries without an effect: selectors
+that no worker can match, routes that no call can have, limits that others take
+precedence over (those of the settings, if both are given). They are shown as
+findings; "diff" also compares with the version in force and its workers.
 `
 }
 
@@ -33,14 +42,20 @@
 		return usageErrorf("nothing to check: give --settings FILE, --declarations DIR or both")
 	}
 	problems := c.checkSettings()
+	var d model.Declarations
+	var findings strict.Problems
 	if c.Declarations != "" {
-		_, found := declare.LoadDir(c.Declarations)
+		var found strict.Problems
+		d, found, findings = declare.ReviewDir(c.Declarations, c.bounds)
 		problems = append(problems, found...)
 	}
 	if err := problems.Err(); err != nil {
 		return err
 	}
-	return c.printResult(a)
+	if err := c.printResult(a, &d, findings); err != nil {
+		return err
+	}
+	return c.result(findings)
 }
 
 func (c *checkCommand) checkSettings() strict.Problems {
@@ -58,10 +73,21 @@
 			problems = append(problems, checkNamedFiles(name, s)...)
 		}
 		files = append(files, settings.File{Name: name, Settings: s})
+		c.bound(s)
 	}
 	return append(problems, settings.CheckDeployment(files)...)
 }
 
+// bound lowers the bounds to those of one process.
+func (c *checkCommand) bound(s *settings.Settings) {
+	if b := s.Outer.MaxBodyBytes; b > 0 && (c.bounds.MaxBodyBytes == 0 || b < c.bounds.MaxBodyBytes) {
+		c.bounds.MaxBodyBytes = b
+	}
+	if b := s.Limits.MaxDeadline; b > 0 && (c.bounds.MaxDeadline == 0 || b < c.bounds.MaxDeadline) {
+		c.bounds.MaxDeadline = b
+	}
+}
+
 // checkNamedFiles checks that the files which the settings name exist. If they
 // all do, it also loads the certificates.
 func checkNamedFiles(name string, s *settings.Settings) strict.Problems {
@@ -85,21 +111,22 @@
 
 // checkJSON is the JSON output of a check that found no problems.
 type checkJSON struct {
-	Settings     int  `json:"settings"` // number of files
-	Declarations bool `json:"declarations"`
+	Settings     int             `json:"settings"` // number of files
+	Declarations bool            `json:"declarations"`
+	Findings     strict.Problems `json:"findings,omitempty"`
 }
 
-func (c *checkCommand) printResult(a *app) error {
+func (c *checkCommand) printResult(a *app, d *model.Declarations, findings strict.Problems) error {
 	if a.json {
-		return a.writeJSON(checkJSON{Settings: len(c.Settings), Declarations: c.Declarations != ""})
+		return a.writeJSON(checkJSON{Settings: len(c.Settings), Declarations: c.Declarations != "", Findings: findings})
 	}
 	if len(c.Settings) > 0 {
 		a.printf("settings: %d file(s) without problems\n", len(c.Settings))
 	}
 	if c.Declarations != "" {
-		d, _ := declare.LoadDir(c.Declarations)
-		a.printf("declarations: %s, digest %.12s\n", declarationCounts(d), declare.Digest(&d))
+		a.printf("declarations: %s, digest %.12s\n", declarationCounts(*d), declare.Digest(d))
 	}
+	a.printFindings(findings)
 	return nil
 }
 
--- a/internal/command/declarations.go
+++ b/internal/command/declarations.go
@@ -8,6 +8,7 @@
 	"github.com/filbertmast/filbertmast/internal/client"
 	"github.com/filbertmast/filbertmast/internal/declare"
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/strict"
 )
 
 // declarationsOptions holds the option for a folder of declarations.
@@ -18,19 +19,20 @@
 // comparison is the difference between a folder of declarations and the
 // declarations in force.
 type comparison struct {
-	wanted  model.Declarations
-	view    api.DeclarationsView
-	changes []declare.Change
+	wanted   model.Declarations
+	findings strict.Problems // of wanted
+	view     api.DeclarationsView
+	changes  []declare.Change
 }
 
-func (o declarationsOptions) load() (model.Declarations, error) {
-	d, problems := declare.LoadDir(o.Dir)
-	return d, problems.Err()
+func (o declarationsOptions) load() (model.Declarations, strict.Problems, error) {
+	d, problems, findings := declare.ReviewDir(o.Dir, declare.Bounds{})
+	return d, findings, problems.Err()
 }
 
 // compare loads the folder and compares it with the declarations in force.
 func (o declarationsOptions) compare(ctx context.Context, cl *client.Client) (comparison, error) {
-	wanted, err := o.load()
+	wanted, findings, err := o.load()
 	if err != nil {
 		return comparison{}, err
 	}
@@ -38,7 +40,7 @@
 	if err != nil {
 		return comparison{}, err
 	}
-	return comparison{wanted, view, declare.Diff(&view.Declarations, &wanted)}, nil
+	return comparison{wanted, findings, view, declare.Diff(&view.Declarations, &wanted)}, nil
 }
 
 func (a *app) printChanges(changes []declare.Change) {
