entry: hold calls that are attempted once back for 0.3 s only

What a renewal is granted counts from when it was made. Held back until the next leader was found, the registration of an entry was stale again as soon as it was confirmed, and the entry refused its callers after the return of the leader. Such calls fail after 0.3 s now, as they did before calls were held back, and are made again.

A test with a whole deployment whose control processes lose power found it.

--- a/internal/entry/leader.go
+++ b/internal/entry/leader.go
@@ -11,6 +11,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/filbertmast/filbertmast/internal/discover"
 	"github.com/filbertmast/filbertmast/internal/errkind"
 	"github.com/filbertmast/filbertmast/internal/wire"
 )
@@ -24,6 +25,7 @@
 	// in time, and the caller would not know whether it arrived.
 	sendReservePart = 10
 	maxSendReserve  = 300 * time.Millisecond
+	maxTryHold      = discover.Timeout // of a call that is attempted once
 )
 
 // leaderClient finds the leader among the control processes and calls it. It
@@ -67,7 +69,7 @@
 	reserve := sendReserve(ctx)
 	mayHaveArrived := false
 	for pause := minRetryDelay; ; pause = min(2*pause, maxRetryDelay) {
-		resp, err := attemptCall[Req, Resp](ctx, l, k, req, wait, reserve)
+		resp, err := attemptCall[Req, Resp](ctx, l, k, req, wait, timeLeft(ctx)-reserve)
 		if err == nil {
 			l.metrics.confirmed(mayHaveArrived)
 			return resp, nil
@@ -87,15 +89,15 @@
 	}
 }
 
-// tryLeader makes one attempt of a call to the leader.
+// tryLeader makes one attempt of a call to the leader. The call is held back for a short time
+// only: what these callers are granted counts from when they made the call.
 func tryLeader[Req, Resp any](ctx context.Context, l *leaderClient, k wire.Kind, req *Req, wait time.Duration) (*Resp, error) {
-	return attemptCall[Req, Resp](ctx, l, k, req, wait, 0)
+	return attemptCall[Req, Resp](ctx, l, k, req, wait, maxTryHold)
 }
 
-// attemptCall makes one attempt of a call, unless less time than reserve is left once a
-// leader is known.
-func attemptCall[Req, Resp any](ctx context.Context, l *leaderClient, k wire.Kind, req *Req, wait, reserve time.Duration) (*Resp, error) {
-	current, err := l.find(ctx, k, reserve)
+// attemptCall makes one attempt of a call, which is held back for at most hold.
+func attemptCall[Req, Resp any](ctx context.Context, l *leaderClient, k wire.Kind, req *Req, wait, hold time.Duration) (*Resp, error) {
+	current, err := l.find(ctx, k, hold)
 	if err != nil {
 		return nil, err
 	}
@@ -154,14 +156,11 @@
 }
 
 // find returns the leadership that a call of kind k goes to. While none is known, or the
-// leader is suspected, it holds the call back. The error is NoLeader if less than reserve
-// is left before a leader is found.
-func (l *leaderClient) find(ctx context.Context, k wire.Kind, reserve time.Duration) (leadership, error) {
-	if left := timeLeft(ctx); reserve > 0 && left < math.MaxInt64 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, left-reserve)
-		defer cancel()
-	}
+// leader is suspected, it holds the call back. The error is NoLeader if no leader is found
+// within hold.
+func (l *leaderClient) find(ctx context.Context, k wire.Kind, hold time.Duration) (leadership, error) {
+	ctx, cancel := context.WithTimeout(ctx, hold)
+	defer cancel()
 	for {
 		l.mu.Lock()
 		if l.suspected != notSuspected {
--- a/internal/entry/leaderloss_test.go
+++ b/internal/entry/leaderloss_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -8,7 +9,9 @@
 
 	"github.com/filbertmast/filbertmast/internal/errkind"
 	"github.com/filbertmast/filbertmast/internal/model"
+	"github.com/filbertmast/filbertmast/internal/proto"
 	"github.com/filbertmast/filbertmast/internal/testwait"
+	"github.com/filbertmast/filbertmast/internal/wire"
 )
 
 const (
@@ -162,3 +165,20 @@
 	assert.NilError(t, before.ctx.Err())
 	assert.NilError(t, <-other)
 }
+
+// What a renewal is granted counts from when it was sent. Held back until the next leader is found, the configuration of an
+// entry was stale again as soon as it was confirmed.
+func TestSingleAttemptIsHeldBackBriefly(t *testing.T) {
+	c := newFakeCell(t, 1)
+	e := c.newEntry(1)
+	e.reach(t)
+	c.elect(-1)
+	time.Sleep(2 * contactFreshness)
+	assert.Equal(t, errkind.Of(e.submit("suspect", 300*time.Millisecond)), errkind.NoLeader)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	began := time.Now()
+	_, err := tryLeader[proto.Heartbeats, proto.HeartbeatsRecorded](ctx, e.client, wire.KindHeartbeats, &proto.Heartbeats{}, 0)
+	assert.Equal(t, errkind.Of(err), errkind.NoLeader)
+	assert.Assert(t, time.Since(began) < 5*time.Second)
+}
