--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -93,7 +93,7 @@
 		Logger:     o.Logger,
 	})
 	s.documents.fetching = make(chan struct{}, 1)
-	s.leader = newLeaderClient(o.Endpoint, set.Control.Founders, s.metrics)
+	s.leader = newLeaderClient(o.Endpoint, set.Control.Founders, s.metrics, s.log)
 	s.heartbeats = newHeartbeats(s.leader)
 	s.buildSessions()
 	s.buildRequests()
--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -316,7 +316,7 @@
 		task.Job = rapid.SampledFrom(ids).Draw(t, "job")
 		task.Index = rapid.Int32Range(0, m.Job(task.Job).Spec.Tasks-1).Draw(t, "task")
 	}
-	switch rapid.IntRange(0, 9).Draw(t, "command") {
+	switch rapid.IntRange(0, 10).Draw(t, "command") {
 	case 0:
 		team := rapid.SampledFrom([]string{"guards", "stands"}).Draw(t, "team")
 		policy := rapid.SampledFrom([]model.Policy{model.PolicyBatch, model.PolicyGang, model.PolicyService}).Draw(t, "policy")
@@ -342,6 +342,12 @@
 		return drawReport(t, m, task)
 	case 9:
 		return evacuation(rapid.SampledFrom([]string{"", "d1"}).Draw(t, "domain"), rapid.Bool().Draw(t, "evacuated"))
+	case 8:
+		lose := &LoseAttempts{Worker: worker, Session: session, Heard: rapid.Bool().Draw(t, "heard")}
+		if j := m.Job(task.Job); j != nil && j.Task(task.Index) != nil {
+			lose.Attempts = []HeldAttempt{{Task: task, Fence: j.Task(task.Index).Fence}}
+		}
+		return &Command{LoseAttempts: lose}
 	}
 	j := m.Job(task.Job)
 	if j == nil {
