bodylimit, connlimit: bound the memory of request bodies and the connections of all listeners

Bodies now have a budget each for callers, workers and operators, derived from memory.limit_mb. A buffer grows with the bytes received. When a budget is exhausted, the body that is in reading for the longest is given up and its connection closed, if that is longer than a second; else the new body is refused as overloaded. The first 4 KiB of a body are free, so that ordinary requests are served while others hold the budget. A body slower than outer.min_body_rate after outer.body_grace is given up, too. What a JSON text is decoded into is charged by its objects.

All listeners have a limit of connections, derived from the files and the memory of the process; that of workers and operators is separate. At the limit a connection that serves nobody for a second is closed: one whose request has not arrived, whose client does not read, or that is idle. The adapter's listeners have the write timeout, too.

Calls that read the configuration back fetch it one at a time and share equal ones: each had its own copy of up to 8 MiB for as long as its client did not read.

--- /dev/null
+++ b/internal/connlimit/listener.go
@@ -0,0 +1,318 @@
+// Package connlimit bounds the open connections of a listener. When no further one may be
+// open, it closes one that serves nobody: whose request has not arrived after a second, whose
+// client does not read, or that is idle. A connection whose request is being served stays open,
+// and the next one waits.
+package connlimit
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/filbertmast/filbertmast/internal/obs"
+)
+
+const (
+	// ordinaryTime is how long a request, or a part of a response, takes at most to arrive at
+	// an ordinary client, and how long an idle connection is kept at least.
+	ordinaryTime = time.Second
+	// roomPoll is the time between two searches for a connection that can be closed.
+	roomPoll = 20 * time.Millisecond
+)
+
+const listenerLabel = "listener"
+
+// state is what a connection does.
+type state int32
+
+const (
+	stateBusy     state = iota // its request is being served
+	stateArriving              // its request has not arrived completely
+	stateIdle
+)
+
+// Options configures a Listener.
+type Options struct {
+	Max     int // open connections
+	Metrics *Metrics
+	Name    string // label of the metrics
+}
+
+// Listener accepts a bounded number of connections. It must be bound to the server that it is
+// used with (Bind).
+type Listener struct {
+	net.Listener
+	max     int
+	metrics *listenerMetrics
+	freed   chan struct{} // has an element after a connection was closed
+	done    chan struct{}
+	close   func() error
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+// New returns a listener that accepts the connections of inner.
+func New(inner net.Listener, o Options) *Listener {
+	l := &Listener{
+		Listener: inner,
+		max:      max(o.Max, 1),
+		freed:    make(chan struct{}, 1),
+		done:     make(chan struct{}),
+		conns:    make(map[*conn]struct{}),
+	}
+	l.metrics = o.Metrics.of(o.Name, l)
+	l.close = sync.OnceValue(func() error {
+		close(l.done)
+		return inner.Close()
+	})
+	return l
+}
+
+// Close implements net.Listener.
+func (l *Listener) Close() error { return l.close() }
+
+// Accept implements net.Listener. Before it returns a connection above the limit, it closes
+// another one.
+func (l *Listener) Accept() (net.Conn, error) {
+	inner, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: inner, l: l}
+	c.set(stateArriving)
+	for !l.add(c) {
+		l.metrics.waits.Inc()
+		select {
+		case <-l.freed:
+		case <-time.After(roomPoll):
+		case <-l.done:
+			_ = inner.Close()
+			return nil, net.ErrClosed
+		}
+	}
+	return c, nil
+}
+
+// add adds a connection if there is room for it, or if another one could be closed.
+func (l *Listener) add(c *conn) bool {
+	l.mu.Lock()
+	full := len(l.conns) >= l.max
+	var victim *conn
+	if full {
+		victim = l.leastUseful(time.Now())
+	}
+	if !full || victim != nil {
+		l.conns[c] = struct{}{}
+	}
+	l.mu.Unlock()
+	if victim != nil {
+		l.metrics.closed(victim.state())
+		_ = victim.Close()
+	}
+	return !full || victim != nil
+}
+
+// leastUseful returns the connection to close for another one, or nil: the one that keeps the
+// process waiting for the longest, else the one that is idle for the longest.
+func (l *Listener) leastUseful(now time.Time) *conn {
+	var best *conn
+	var bestIdle bool
+	var bestSince time.Time
+	for c := range l.conns {
+		since, idle, ok := c.closable()
+		if !ok || now.Sub(since) <= ordinaryTime {
+			continue
+		}
+		if best == nil || (bestIdle && !idle) || (bestIdle == idle && since.Before(bestSince)) {
+			best, bestIdle, bestSince = c, idle, since
+		}
+	}
+	return best
+}
+
+// open returns the number of open connections.
+func (l *Listener) open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
+func (l *Listener) remove(c *conn) {
+	l.mu.Lock()
+	delete(l.conns, c)
+	l.mu.Unlock()
+	select {
+	case l.freed <- struct{}{}:
+	default:
+	}
+}
+
+// connKey is the key of a connection in the context of its requests.
+type connKey struct{}
+
+// Bind makes srv report what its connections do.
+func (l *Listener) Bind(srv *http.Server) {
+	srv.ConnState = func(inner net.Conn, s http.ConnState) {
+		switch c := unwrap(inner); {
+		case c == nil:
+		case s == http.StateActive:
+			c.set(stateBusy)
+		case s == http.StateIdle:
+			c.set(stateIdle)
+		}
+	}
+	srv.ConnContext = func(ctx context.Context, inner net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, unwrap(inner))
+	}
+	next := srv.Handler
+	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		trackBody(r)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// trackBody makes the connection of r count as one whose request has not arrived until the
+// body has been read. A connection of HTTP/2 carries several requests at once.
+func trackBody(r *http.Request) {
+	if r.ContentLength == 0 || r.ProtoMajor != 1 {
+		return
+	}
+	if c, _ := r.Context().Value(connKey{}).(*conn); c != nil {
+		c.set(stateArriving)
+		r.Body = &trackedBody{ReadCloser: r.Body, c: c}
+	}
+}
+
+// trackedBody tells its connection when it has been read.
+type trackedBody struct {
+	io.ReadCloser
+	c *conn
+}
+
+// Read implements io.Reader.
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.c.set(stateBusy)
+	}
+	return n, err
+}
+
+func unwrap(inner net.Conn) *conn {
+	if t, ok := inner.(interface{ NetConn() net.Conn }); ok { // TLS
+		inner = t.NetConn()
+	}
+	c, _ := inner.(*conn)
+	return c
+}
+
+// conn is one connection. Its fields are read while the connection is in use.
+type conn struct {
+	net.Conn
+	l       *Listener
+	current atomic.Int32
+	since   atomic.Int64 // of the current state, Unix time in nanoseconds
+	writing atomic.Int64 // since when a write is blocked; zero: none is
+	closed  sync.Once
+}
+
+func (c *conn) set(s state) {
+	c.since.Store(time.Now().UnixNano())
+	c.current.Store(int32(s))
+}
+
+func (c *conn) state() state { return state(c.current.Load()) }
+
+// closable returns since when the connection serves nobody, and whether it is idle. It is not
+// ok if the connection serves a request.
+func (c *conn) closable() (since time.Time, idle, ok bool) {
+	if w := c.writing.Load(); w != 0 {
+		return time.Unix(0, w), false, true
+	}
+	s := c.state()
+	return time.Unix(0, c.since.Load()), s == stateIdle, s != stateBusy
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	c.writing.Store(time.Now().UnixNano())
+	defer c.writing.Store(0)
+	return c.Conn.Write(p)
+}
+
+// CloseWrite lets net/http send a response completely before it closes the connection.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	err := c.Conn.Close()
+	c.closed.Do(func() { c.l.remove(c) })
+	return err
+}
+
+// Metrics holds the metrics of all listeners of a process.
+type Metrics struct {
+	open, limit *obs.GaugeFuncs
+	closed      *prometheus.CounterVec
+	waits       *prometheus.CounterVec
+}
+
+// NewMetrics registers the metrics.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		open:  obs.NewGaugeFuncs(r, "filbertmast_connections_open", "Open connections of a listener.", listenerLabel),
+		limit: obs.NewGaugeFuncs(r, "filbertmast_connections_limit", "Limit of the open connections of a listener.", listenerLabel),
+		closed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertmast_connections_closed_total",
+			Help: "Connections closed for others at the limit of their listener, by what they did.",
+		}, []string{listenerLabel, "reason"}),
+		waits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertmast_connections_waits_total",
+			Help: "Searches at the limit of a listener that found no connection to close.",
+		}, []string{listenerLabel}),
+	}
+	r.MustRegister(m.closed, m.waits)
+	return m
+}
+
+// listenerMetrics holds the metrics of one listener.
+type listenerMetrics struct {
+	incomplete, unread, idle prometheus.Counter
+	waits                    prometheus.Counter
+}
+
+func (m *Metrics) of(name string, l *Listener) *listenerMetrics {
+	m.open.Add(name, func() float64 { return float64(l.open()) })
+	m.limit.Add(name, func() float64 { return float64(l.max) })
+	return &listenerMetrics{
+		incomplete: m.closed.WithLabelValues(name, "incomplete"),
+		unread:     m.closed.WithLabelValues(name, "unread"),
+		idle:       m.closed.WithLabelValues(name, "idle"),
+		waits:      m.waits.WithLabelValues(name),
+	}
+}
+
+// closed counts a connection that was closed in the given state.
+func (m *listenerMetrics) closed(s state) {
+	switch s {
+	case stateArriving:
+		m.incomplete.Inc()
+	case stateIdle:
+		m.idle.Inc()
+	default:
+		m.unread.Inc()
+	}
+}
--- a/internal/e2e/untrusted/bodies_test.go
+++ b/internal/e2e/untrusted/bodies_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"fmt"
 	"net"
+	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -142,3 +144,45 @@
 		}
 	}
 }
+
+// The smallest machine of the deployments, and more clients than its listener of callers may
+// have connections.
+const (
+	smallMemoryMB = 144
+	smallFiles    = 3075
+	smallMaxBody  = 256 << 10
+	smallClients  = 1200
+	// proposalOverhead is for what is committed beside the text of a configuration; both
+	// together have a limit of 8 MiB (internal/replica).
+	proposalOverhead = 64 << 10
+)
+
+// The default limits must keep the smallest machine within its memory, too.
+func TestDefaultLimitsHoldOnSmallestMachine(t *testing.T) {
+	p := startProcess(t, smallFiles, lowered(smallMemoryMB, smallMaxBody), "")
+	address, head := targets[0].head(p)
+	for _, l := range loads[:2] {
+		first, repeated, times := l.make(smallMaxBody)
+		openClients(t, address, smallClients, []byte(head+first), repeated, times)
+		p.serveOrdinary()
+	}
+	time.Sleep(holdTime)
+	p.serveOrdinary()
+	peak, descriptors := p.peakMB(), p.descriptors()
+	t.Logf("peak memory %d MiB; %d descriptors", peak, descriptors)
+	assert.Assert(t, peak <= smallMemoryMB, "%d MiB, limit %d", peak, smallMemoryMB)
+	assert.Assert(t, descriptors < smallFiles/2)
+}
+
+// A configuration of the largest size must be accepted on the smallest machine while nothing
+// else is read, and be read back.
+func TestLargestConfigurationIsAcceptedOnSmallestMachine(t *testing.T) {
+	p := startProcess(t, smallFiles, lowered(smallMemoryMB, smallMaxBody), strings.Repeat("x", maxConfig-proposalOverhead))
+	p.await("the configuration", func() error {
+		return p.call(http.MethodGet, p.set.Platform.Control, "/api/config/read", "", "")
+	})
+	p.serveOrdinary()
+	peak := p.peakMB()
+	t.Logf("peak memory %d MiB", peak)
+	assert.Assert(t, peak <= smallMemoryMB, "%d MiB, limit %d", peak, smallMemoryMB)
+}
--- a/internal/entry/adapter.go
+++ b/internal/entry/adapter.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/bodylimit"
 	"github.com/filbertmast/filbertmast/internal/declare"
 	"github.com/filbertmast/filbertmast/internal/errkind"
 	"github.com/filbertmast/filbertmast/internal/model"
@@ -113,9 +114,15 @@
 	return err
 }
 
-// Document returns the current configuration as the operator sent it.
+// Bodies returns the limiter of request bodies.
+func (s *Server) Bodies() *bodylimit.Limiter { return s.bodies }
+
+// Document returns the current configuration as the operator sent it. The result is shared
+// with other callers and must not be changed.
 func (s *Server) Document(ctx context.Context) (*proto.Document, error) {
-	return callLeader[proto.Empty, proto.Document](ctx, s.leader, wire.KindDocument, &proto.Empty{}, 0)
+	return s.documents.get(ctx, func() (*proto.Document, error) {
+		return callLeader[proto.Empty, proto.Document](ctx, s.leader, wire.KindDocument, &proto.Empty{}, 0)
+	})
 }
 
 // advise queries the policy service on behalf of the leader.
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -4,47 +4,57 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/filbertmast/filbertmast/internal/bodylimit"
 	"github.com/filbertmast/filbertmast/internal/errkind"
 )
 
-// readBody reads the request body. It returns an *http.MaxBytesError if the body
-// is larger than the settings allow.
-func (s *Server) readBody(c echo.Context) ([]byte, error) {
-	body := http.MaxBytesReader(c.Response(), c.Request().Body, s.set.Outer.MaxBodyBytes)
-	data, err := io.ReadAll(body)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, err
+// readBody reads the request body, which has at most the size of the settings. It stays charged
+// until the request ends.
+func (s *Server) readBody(c echo.Context, class bodylimit.Class) ([]byte, *bodylimit.Body, error) {
+	body, err := s.bodies.Open(class, c.Response(), c.Request(), s.set.Outer.MaxBodyBytes)
+	if err != nil {
+		return nil, nil, err
 	}
+	data, err := body.ReadAll()
 	if err != nil {
-		return nil, errkind.Wrap(errkind.BadRequest, err, "cannot read the body")
+		body.Release()
+		return nil, nil, err
 	}
-	return data, nil
+	return data, body, nil
 }
 
-// readJSON decodes the request body into out and returns the body. It rejects
-// unknown fields and data after the JSON value.
-func (s *Server) readJSON(c echo.Context, out any) ([]byte, error) {
-	data, err := s.readBody(c)
+// readJSON decodes the request body into out and returns the body and a function that must be
+// called at the end of the request. It rejects unknown fields and data after the JSON value.
+func (s *Server) readJSON(c echo.Context, class bodylimit.Class, out any) ([]byte, func(), error) {
+	data, body, err := s.readBody(c, class)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
+	}
+	if err := decodeJSON(body, data, out); err != nil {
+		body.Release()
+		return nil, nil, err
+	}
+	return data, body.Release, nil
+}
+
+func decodeJSON(body *bodylimit.Body, data []byte, out any) error {
+	if err := body.ChargeDecoding(data); err != nil {
+		return err
 	}
 	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(out); err != nil {
-		return nil, errkind.Wrap(errkind.BadRequest, err, "the body is not valid JSON for this call")
+		return errkind.Wrap(errkind.BadRequest, err, "the body is not valid JSON for this call")
 	}
 	if _, err := dec.Token(); err != io.EOF {
-		return nil, errkind.New(errkind.BadRequest, "the body has data after the JSON value")
+		return errkind.New(errkind.BadRequest, "the body has data after the JSON value")
 	}
-	return data, nil
+	return nil
 }
 
 // parseDuration parses an optional Go duration and caps it at limit. The name is
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/filbertmast/filbertmast/internal/bodylimit"
 	"github.com/filbertmast/filbertmast/internal/limit"
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/obs"
@@ -53,6 +54,8 @@
 	dir         *directory
 	renewNow    chan struct{} // requests an early renewal of ownership
 	configStale bool          // whether staleness was logged; used only by the goroutine of keepRegistered
+	bodies      *bodylimit.Limiter
+	documents   documents
 	echo        *echo.Echo
 	ready       atomic.Bool
 	draining    atomic.Bool
@@ -79,6 +82,17 @@
 		dir:      newDirectory(),
 		renewNow: make(chan struct{}, 1),
 	}
+	budgets := set.BodyBudgets()
+	s.bodies = bodylimit.New(bodylimit.Options{
+		Budgets: map[bodylimit.Class]int64{
+			bodylimit.Callers: budgets.Callers, bodylimit.Workers: budgets.Workers, bodylimit.Operators: budgets.Operators,
+		},
+		MinRate:    set.Outer.MinBodyRate,
+		Grace:      set.Outer.BodyGrace.Std(),
+		Registerer: o.Registerer,
+		Logger:     o.Logger,
+	})
+	s.documents.fetching = make(chan struct{}, 1)
 	s.leader = newLeaderClient(o.Endpoint, set.Control.Founders, s.metrics)
 	s.heartbeats = newHeartbeats(s.leader)
 	s.buildSessions()
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -10,6 +10,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/bodylimit"
 	"github.com/filbertmast/filbertmast/internal/errkind"
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/proto"
@@ -21,10 +22,11 @@
 
 func (s *Server) submitJob(c echo.Context, caller proto.Caller) error {
 	var spec model.JobSpec
-	body, err := s.readJSON(c, &spec)
+	body, release, err := s.readJSON(c, bodylimit.Callers, &spec)
 	if err != nil {
 		return err
 	}
+	defer release()
 	if err := prepareJob(&spec, caller); err != nil {
 		return err
 	}
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -6,6 +6,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/bodylimit"
 	"github.com/filbertmast/filbertmast/internal/declare"
 	"github.com/filbertmast/filbertmast/internal/errkind"
 	"github.com/filbertmast/filbertmast/internal/model"
@@ -42,9 +43,11 @@
 
 func (s *Server) applyDeclarations(c echo.Context, caller proto.Caller) error {
 	req := &proto.Declare{Caller: caller}
-	if _, err := s.readJSON(c, &req.Apply); err != nil {
+	_, release, err := s.readJSON(c, bodylimit.Operators, &req.Apply)
+	if err != nil {
 		return err
 	}
+	defer release()
 	if req.Apply.ApplyID == "" && req.Apply.Revision == 0 {
 		return errkind.New(errkind.BadRequest, "apply_id or revision must be set, so that a repeated apply is recognised")
 	}
@@ -60,9 +63,11 @@
 
 func (s *Server) grantKey(c echo.Context, caller proto.Caller) error {
 	req := &proto.Key{Caller: caller}
-	if _, err := s.readJSON(c, &req.Key); err != nil {
+	_, release, err := s.readJSON(c, bodylimit.Operators, &req.Key)
+	if err != nil {
 		return err
 	}
+	defer release()
 	return changeConfig(s, c, wire.KindKey, req)
 }
 
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -11,6 +11,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/bodylimit"
 	"github.com/filbertmast/filbertmast/internal/errkind"
 	"github.com/filbertmast/filbertmast/internal/limit"
 	"github.com/filbertmast/filbertmast/internal/model"
@@ -66,10 +67,11 @@
 
 // serveRequest routes a caller's request to an executor.
 func (s *Server) serveRequest(c echo.Context, caller proto.Caller) error {
-	req, err := s.newRequest(c, caller)
+	req, release, err := s.newRequest(c, caller)
 	if err != nil {
 		return err
 	}
+	defer release()
 	ctx, cancel := context.WithDeadline(c.Request().Context(), req.Deadline)
 	defer cancel()
 	answer, err := s.router.Serve(ctx, req)
@@ -81,39 +83,41 @@
 }
 
 // newRequest returns the request that c describes. It validates the headers and
-// the size of the body.
-func (s *Server) newRequest(c echo.Context, caller proto.Caller) (*route.Request, error) {
+// the size of the body. The function that it returns must be called at the end of the request.
+func (s *Server) newRequest(c echo.Context, caller proto.Caller) (*route.Request, func(), error) {
 	r := c.Request()
 	svc, err := s.config.service(c.Param("service"), caller.Team)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if caller.Team == "" {
-		return nil, errkind.New(errkind.Forbidden, "requests need the key of a team")
+		return nil, nil, errkind.New(errkind.Forbidden, "requests need the key of a team")
 	}
 	deadline, err := s.requestTimeout(r, svc)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	patience, err := parseDuration(api.HeaderPatience, r.Header.Get(api.HeaderPatience), s.set.Limits.MaxDeadline.Std())
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	maxBody := s.set.Outer.MaxBodyBytes
 	if svc.MaxRequest > 0 {
 		maxBody = min(maxBody, svc.MaxRequest)
 	}
-	if r.ContentLength > maxBody {
-		return nil, errkind.New(errkind.BodyTooLarge, "the body has %d bytes, the limit is %d", r.ContentLength, maxBody)
-	}
 	key := r.Header.Get(api.HeaderIdempotencyKey)
 	if len(key) > model.MaxNameLength {
-		return nil, errkind.New(errkind.BadRequest, "%s has more than %d characters", api.HeaderIdempotencyKey, model.MaxNameLength)
+		return nil, nil, errkind.New(errkind.BadRequest, "%s has more than %d characters", api.HeaderIdempotencyKey, model.MaxNameLength)
 	}
 	id := key
 	if id == "" {
 		id = requestIDOf(c)
 	}
+	repeatable := !strings.EqualFold(r.Header.Get(api.HeaderRepeatable), "false")
+	body, err := s.bodies.Stream(bodylimit.Callers, c.Response(), r, maxBody, bufferedBytes(repeatable))
+	if err != nil {
+		return nil, nil, err
+	}
 	return &route.Request{
 		ID:         id,
 		Keyed:      key != "",
@@ -121,12 +125,20 @@
 		Service:    svc.Name,
 		Path:       strings.TrimPrefix(c.Param("*"), "/"),
 		Header:     r.Header,
-		Body:       http.MaxBytesReader(c.Response(), r.Body, maxBody),
+		Body:       body,
 		Size:       r.ContentLength,
 		Deadline:   time.Now().Add(deadline),
 		Patience:   patience,
-		Repeatable: !strings.EqualFold(r.Header.Get(api.HeaderRepeatable), "false"),
-	}, nil
+		Repeatable: repeatable,
+	}, body.Release, nil
+}
+
+// bufferedBytes returns how many bytes of a body the router keeps at most.
+func bufferedBytes(repeatable bool) int64 {
+	if repeatable {
+		return route.DefaultReplayBytes
+	}
+	return route.DefaultJournalBytes
 }
 
 // requestTimeout returns the timeout that the caller has set, or else that of the
--- a/internal/entry/workers.go
+++ b/internal/entry/workers.go
@@ -9,6 +9,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/bodylimit"
 	"github.com/filbertmast/filbertmast/internal/errkind"
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/proto"
@@ -34,9 +35,11 @@
 
 func (s *Server) announceWorker(c echo.Context, _ proto.Caller) error {
 	var spec model.WorkerSpec
-	if _, err := s.readJSON(c, &spec); err != nil {
+	_, release, err := s.readJSON(c, bodylimit.Workers, &spec)
+	if err != nil {
 		return err
 	}
+	defer release()
 	if err := spec.Validate(); err != nil {
 		return errkind.Wrap(errkind.BadRequest, err, "worker")
 	}
@@ -54,9 +57,11 @@
 
 func (s *Server) workerHeartbeat(c echo.Context, _ proto.Caller) error {
 	var hb api.Heartbeat
-	if _, err := s.readJSON(c, &hb); err != nil {
+	_, release, err := s.readJSON(c, bodylimit.Workers, &hb)
+	if err != nil {
 		return err
 	}
+	defer release()
 	ctx, cancel := leaderContext(c, 0)
 	defer cancel()
 	answer, err := s.sessions.Heartbeat(ctx, workerID(c), &hb)
@@ -84,9 +89,11 @@
 
 func (s *Server) workerReports(c echo.Context, _ proto.Caller) error {
 	var reports api.Reports
-	if _, err := s.readJSON(c, &reports); err != nil {
+	_, release, err := s.readJSON(c, bodylimit.Workers, &reports)
+	if err != nil {
 		return err
 	}
+	defer release()
 	ctx, cancel := leaderContext(c, 0)
 	defer cancel()
 	if err := s.sessions.Report(ctx, workerID(c), &reports); err != nil {
--- a/internal/entry/workflows.go
+++ b/internal/entry/workflows.go
@@ -7,15 +7,18 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/filbertmast/filbertmast/internal/api"
+	"github.com/filbertmast/filbertmast/internal/bodylimit"
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/proto"
 )
 
 func (s *Server) postWorkflow(c echo.Context, caller proto.Caller) error {
 	var spec model.WorkflowSpec
-	if _, err := s.readJSON(c, &spec); err != nil {
+	_, release, err := s.readJSON(c, bodylimit.Callers, &spec)
+	if err != nil {
 		return err
 	}
+	defer release()
 	ctx, cancel := leaderContext(c, 0)
 	defer cancel()
 	view, err := s.SubmitWorkflow(ctx, caller, &spec)
--- a/internal/obs/metrics.go
+++ b/internal/obs/metrics.go
@@ -1,6 +1,9 @@
 package obs
 
 import (
+	"maps"
+	"sync"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
@@ -58,3 +61,38 @@
 		c.Inc(errkind.Of(err))
 	}
 }
+
+// GaugeFuncs is a gauge with one label, whose values are read when it is collected.
+type GaugeFuncs struct {
+	desc *prometheus.Desc
+
+	mu    sync.Mutex
+	funcs map[string]func() float64 // by label value
+}
+
+// NewGaugeFuncs registers a gauge without series. The name is the full metric name.
+func NewGaugeFuncs(reg prometheus.Registerer, name, help, label string) *GaugeFuncs {
+	g := &GaugeFuncs{desc: prometheus.NewDesc(name, help, []string{label}, nil), funcs: make(map[string]func() float64)}
+	reg.MustRegister(g)
+	return g
+}
+
+// Add adds the series of a label value.
+func (g *GaugeFuncs) Add(value string, fn func() float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.funcs[value] = fn
+}
+
+// Describe implements prometheus.Collector.
+func (g *GaugeFuncs) Describe(ch chan<- *prometheus.Desc) { ch <- g.desc }
+
+// Collect implements prometheus.Collector.
+func (g *GaugeFuncs) Collect(ch chan<- prometheus.Metric) {
+	g.mu.Lock()
+	funcs := maps.Clone(g.funcs)
+	g.mu.Unlock()
+	for value, fn := range funcs {
+		ch <- prometheus.MustNewConstMetric(g.desc, prometheus.GaugeValue, fn(), value)
+	}
+}
--- a/internal/route/body.go
+++ b/internal/route/body.go
@@ -18,13 +18,16 @@
 }
 
 // newReplayBody buffers up to maxBuffered bytes, and one more to detect a
-// longer body. It fails with BadRequest if the body cannot be read or is
-// shorter than size.
+// longer body. It fails with the kind of the reader's error, or with BadRequest if the body
+// cannot be read or is shorter than size.
 func newReplayBody(r io.Reader, size, maxBuffered int64) (*replayBody, error) {
 	if r == nil || size == 0 {
 		return &replayBody{}, nil
 	}
 	buf, err := io.ReadAll(io.LimitReader(r, maxBuffered+1))
+	if err != nil && errkind.Of(err) != errkind.Internal {
+		return nil, err // the limiter of bodies has refused it
+	}
 	if err != nil {
 		return nil, errkind.Wrap(errkind.BadRequest, err, "the request body could not be read to its end")
 	}
--- a/internal/server/adapter.go
+++ b/internal/server/adapter.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 
+	"github.com/filbertmast/filbertmast/internal/connlimit"
 	"github.com/filbertmast/filbertmast/internal/entry"
 	"github.com/filbertmast/filbertmast/internal/errkind"
 	"github.com/filbertmast/filbertmast/internal/workerclient"
@@ -22,9 +23,24 @@
 // Listener is one address on which an adapter serves HTTP.
 type Listener struct {
 	Address string // IP:port
+	Serves  Clients
 	Handler http.Handler
 }
 
+// Clients says whose calls a listener serves. Its value is the listener's label in metrics.
+type Clients string
+
+// The clients of a listener.
+const (
+	ServesCallers   Clients = "callers"
+	ServesWorkers   Clients = "control" // workers and operators
+	ServesReadiness Clients = "readiness"
+	servesAll       Clients = "outer"
+)
+
+// readinessConnections is the limit of connections of the load balancer's checks.
+const readinessConnections = 64
+
 func workerClientOf(a Adapter) workerclient.Client {
 	if a == nil {
 		return nil
@@ -51,8 +67,41 @@
 			return errkind.Wrap(errkind.Internal, err, "listen on an address of the adapter")
 		}
 		srv := p.newHTTPServer(l.Handler)
+		limited := p.limitConnections(listener, srv, l.Serves)
 		p.adapterServers = append(p.adapterServers, srv)
-		p.serveHTTP(func() error { return srv.Serve(listener) })
+		p.serveHTTP(func() error { return srv.Serve(limited) })
 	}
 	return nil
 }
+
+// limitConnections bounds the connections of listener, which srv will serve.
+func (p *Process) limitConnections(listener net.Listener, srv *http.Server, serves Clients) net.Listener {
+	l := connlimit.New(listener, connlimit.Options{
+		Max:     p.maxConnections(serves),
+		Name:    string(serves),
+		Metrics: p.connections,
+	})
+	l.Bind(srv)
+	return l
+}
+
+// maxConnections returns how many connections a listener may have open.
+func (p *Process) maxConnections(serves Clients) int {
+	o := &p.settings.Outer
+	share := func(part connlimit.Eighths) int {
+		return connlimit.Share(part, p.openFiles, p.settings.Memory.LimitMB<<20)
+	}
+	switch {
+	case serves == ServesReadiness:
+		return readinessConnections
+	case serves == ServesCallers && o.MaxCallerConnections > 0:
+		return o.MaxCallerConnections
+	case serves == ServesCallers:
+		return share(connlimit.ForCallers)
+	case serves == ServesWorkers && o.MaxWorkerConnections > 0:
+		return o.MaxWorkerConnections
+	case serves == ServesWorkers:
+		return share(connlimit.ForWorkers)
+	}
+	return min(o.MaxConnections, share(connlimit.ForAll))
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -15,9 +15,9 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/prometheus/client_golang/prometheus"
-	"golang.org/x/net/netutil"
 
 	"github.com/filbertmast/filbertmast/internal/certs"
+	"github.com/filbertmast/filbertmast/internal/connlimit"
 	"github.com/filbertmast/filbertmast/internal/control"
 	"github.com/filbertmast/filbertmast/internal/entry"
 	"github.com/filbertmast/filbertmast/internal/errkind"
@@ -57,6 +57,8 @@
 	http           *http.Server
 	outer          net.Listener
 	adapterServers []*http.Server
+	connections    *connlimit.Metrics
+	openFiles      int // limit of the process
 	failed         chan error
 	running        sync.WaitGroup
 	stop           context.CancelFunc
@@ -85,6 +87,11 @@
 		registry: obs.NewRegistry(),
 		failed:   make(chan error, 4),
 	}
+	var err error
+	if p.openFiles, err = connlimit.OpenFiles(); err != nil {
+		return nil, err
+	}
+	p.connections = connlimit.NewMetrics(p.registry)
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
 	steps := []func(context.Context, Options) error{p.openEndpoint, p.startControl, p.startEntry, p.startHTTP, p.startAdapter}
@@ -304,9 +311,8 @@
 		return errkind.Wrap(errkind.Internal, err, "listen on the outer address")
 	}
 	p.outer = listener
-	limited := netutil.LimitListener(listener, o.MaxConnections)
 	p.http = p.newHTTPServer(p.handler())
-	p.http.WriteTimeout = o.WriteTimeout.Std()
+	limited := p.limitConnections(listener, p.http, servesAll)
 	serve := func() error { return p.http.Serve(limited) }
 	if o.TLS() {
 		conf, err := certs.LoadServerTLS(o.Certificate, o.Key)
@@ -328,6 +334,7 @@
 		Handler:           handler,
 		ReadHeaderTimeout: o.ReadHeaderTimeout.Std(),
 		ReadTimeout:       o.ReadTimeout.Std(),
+		WriteTimeout:      o.WriteTimeout.Std(),
 		IdleTimeout:       o.IdleTimeout.Std(),
 		MaxHeaderBytes:    o.MaxHeaderBytes,
 		ErrorLog:          p.log.WithPrefix(obs.PrefixServer).StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -178,6 +178,13 @@
 	c.between("$.outer.max_body_bytes", o.MaxBodyBytes, 1<<10, 1<<30)
 	c.between("$.outer.max_header_bytes", int64(o.MaxHeaderBytes), 1<<10, 1<<20)
 	c.between("$.outer.max_connections", int64(o.MaxConnections), 1, 1<<20)
+	c.between("$.outer.max_caller_connections", int64(o.MaxCallerConnections), 0, 1<<20)
+	c.between("$.outer.max_worker_connections", int64(o.MaxWorkerConnections), 0, 1<<20)
+	c.between("$.outer.min_body_rate", o.MinBodyRate, 0, 1<<20)
+	c.duration("$.outer.body_grace", o.BodyGrace, durationRange{time.Second, time.Minute})
+	if o.BodyBudgetBytes != 0 {
+		c.between("$.outer.body_budget_bytes", o.BodyBudgetBytes, o.minBodyBudget(), 1<<40)
+	}
 	timeout := durationRange{100 * time.Millisecond, time.Hour}
 	c.duration("$.outer.read_header_timeout", o.ReadHeaderTimeout, timeout)
 	c.duration("$.outer.read_timeout", o.ReadTimeout, timeout)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -106,11 +106,22 @@
 	Address   string `json:"address"`   // IP:port to listen on
 	Advertise string `json:"advertise"` // IP:port for workers to connect to; default: Address
 	// Certificate and Key enable TLS; both or neither must be set.
-	Certificate       string         `json:"certificate"`
-	Key               string         `json:"key"`
-	MaxBodyBytes      int64          `json:"max_body_bytes"`
-	MaxHeaderBytes    int            `json:"max_header_bytes"`
-	MaxConnections    int            `json:"max_connections"`
+	Certificate    string `json:"certificate"`
+	Key            string `json:"key"`
+	MaxBodyBytes   int64  `json:"max_body_bytes"`
+	MaxHeaderBytes int    `json:"max_header_bytes"`
+	MaxConnections int    `json:"max_connections"`
+	// MaxCallerConnections and MaxWorkerConnections bound the connections of the adapter's
+	// listeners. Zero: derived from the files and the memory of the process.
+	MaxCallerConnections int `json:"max_caller_connections"`
+	MaxWorkerConnections int `json:"max_worker_connections"`
+	// BodyBudgetBytes bounds the request bodies that are held at once. Zero: derived from
+	// Memory.LimitMB.
+	BodyBudgetBytes int64 `json:"body_budget_bytes"`
+	// MinBodyRate is the rate below which a body is given up, in bytes per second, on average
+	// since BodyGrace after its begin. Zero: none.
+	MinBodyRate       int64          `json:"min_body_rate"`
+	BodyGrace         model.Duration `json:"body_grace"`
 	ReadHeaderTimeout model.Duration `json:"read_header_timeout"`
 	ReadTimeout       model.Duration `json:"read_timeout"`
 	WriteTimeout      model.Duration `json:"write_timeout"` // also limits long polls
@@ -212,6 +223,8 @@
 			MaxBodyBytes:      4 << 20,
 			MaxHeaderBytes:    16 << 10,
 			MaxConnections:    4096,
+			MinBodyRate:       4 << 10,
+			BodyGrace:         model.Duration(5 * time.Second),
 			ReadHeaderTimeout: model.Duration(5 * time.Second),
 			ReadTimeout:       model.Duration(30 * time.Second),
 			WriteTimeout:      model.Duration(2 * time.Minute),
