bodylimit: charge responses to the budgets until their clients have read them

A client that does not read keeps its response in memory until the write timeout of two minutes: an encoded list of up to 16 MiB, or the first 256 KiB of an executor's answer, for each of up to 4,096 connections. Responses above 4 KiB now count in the budget of their class, and the oldest of them gives way as a body does, by closing its connection. A JSON response that has no room is refused before its head is sent; an answer of an executor becomes answer_cut_off, since the request ran. A long answer holds only its beginning, until that has been passed on.

--- a/internal/bodylimit/budget.go
+++ b/internal/bodylimit/budget.go
@@ -30,6 +30,7 @@
 	reasonBudget   reason = "budget"    // its bytes were needed for other bodies
 	reasonSlow     reason = "slow"      // slower than the minimum rate
 	reasonTooLarge reason = "too_large" // over the limit of one body
+	reasonUnread   reason = "unread"    // a response whose bytes were needed for other bodies
 )
 
 const (
@@ -41,7 +42,7 @@
 	freeBytes = 4 << 10
 )
 
-// transfer is one body that is being read or held.
+// transfer is one body that is being read or held, or a response that is being sent.
 type transfer struct {
 	class    Class
 	started  time.Time
@@ -51,15 +52,19 @@
 	paused    time.Duration
 	pausedAt  time.Time
 	charged   int64 // bytes
+	response  bool
 	givenUp   reason
 	interrupt func() // ends its current and later reads with an error
 
-	reading    bool
+	reading    bool      // or being sent
 	prev, next *transfer // in the order of started; only while reading
 }
 
-// waited returns how long the transfer has waited for bytes.
+// waited returns how long the transfer has waited for bytes. A response waits for none.
 func (t *transfer) waited(now time.Time) time.Duration {
+	if t.response {
+		return 0
+	}
 	d := now.Sub(t.started) - t.paused
 	if !t.pausedAt.IsZero() {
 		d -= now.Sub(t.pausedAt)
@@ -134,7 +139,11 @@
 		if oldest == nil || now.Sub(oldest.started) <= ordinaryTime {
 			return given, false
 		}
-		b.giveUp(oldest, reasonBudget)
+		why := reasonBudget
+		if oldest.response {
+			why = reasonUnread
+		}
+		b.giveUp(oldest, why)
 		given = append(given, oldest)
 	}
 	if t.givenUp != reasonNone {
--- a/internal/bodylimit/budget_test.go
+++ b/internal/bodylimit/budget_test.go
@@ -135,3 +135,17 @@
 	x.pausedAt = at(time.Second)
 	assert.Equal(t, len(b.sweep(at(time.Hour))), 0, "a reader that is busy now")
 }
+
+// A response that its client does not read must make room as a body does, and no rate applies
+// to it, since none of its bytes are received.
+func TestUnreadResponseIsGivenUp(t *testing.T) {
+	b := budgetOf(100_000)
+	r := &transfer{class: Callers, response: true}
+	b.begin(r, at(0))
+	_, ok := b.charge(r, 100_000, at(0))
+	assert.Assert(t, ok)
+	assert.Equal(t, len(b.sweep(at(time.Hour))), 0)
+	given, ok := b.charge(newTransfer(b, Callers, at(time.Hour)), 50_000, at(time.Hour))
+	assert.Assert(t, ok && len(given) == 1)
+	assert.Equal(t, r.givenUp, reasonUnread)
+}
--- a/internal/bodylimit/limiter_test.go
+++ b/internal/bodylimit/limiter_test.go
@@ -208,3 +208,42 @@
 	second.Release()
 	assert.Equal(t, l.held(Callers), int64(0))
 }
+
+// Clients that do not read their responses must lose them to others, one at a time.
+func TestUnreadResponsesStayWithinBudget(t *testing.T) {
+	const size, budget = 32 << 20, 48 << 20
+	l := New(Options{Budgets: map[Class]int64{Callers: budget}, Registerer: prometheus.NewRegistry(), Logger: log.New(io.Discard)})
+	ended := make(chan error, 1)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		held, err := l.Hold(Callers, w, size)
+		if err != nil {
+			w.WriteHeader(errkind.RowOf(errkind.Of(err)).Status)
+			return
+		}
+		defer held.Release()
+		_, err = w.Write(make([]byte, size))
+		if r.URL.Path == "/unread" {
+			ended <- err
+		}
+	}))
+	defer s.Close()
+	c, err := net.Dial("tcp", s.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "GET /unread HTTP/1.1\r\nHost: a\r\n\r\n")
+	assert.NilError(t, err)
+	l.awaitHeld(t, size-freeBytes)
+	testwait.Until(t, testTimeout, "a response", func() error {
+		resp, err := http.Get(s.URL)
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		n, err := io.Copy(io.Discard, resp.Body)
+		if err != nil || resp.StatusCode != http.StatusOK || n != size {
+			return fmt.Errorf("status %d, %d bytes, %v", resp.StatusCode, n, err)
+		}
+		return nil
+	})
+	assert.ErrorContains(t, <-ended, "timeout")
+}
--- a/internal/bodylimit/metrics.go
+++ b/internal/bodylimit/metrics.go
@@ -35,7 +35,7 @@
 			m.rejections[c][why] = rejected.WithLabelValues(c.String(), string(why))
 		}
 		m.abandonments[c] = map[reason]prometheus.Counter{}
-		for _, why := range []reason{reasonBudget, reasonSlow} {
+		for _, why := range []reason{reasonBudget, reasonSlow, reasonUnread} {
 			m.abandonments[c][why] = abandoned.WithLabelValues(c.String(), string(why))
 		}
 		held.Add(c.String(), func() float64 { return float64(l.held(c)) })
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -27,6 +27,7 @@
 	e := echo.New()
 	e.HideBanner = true
 	e.HTTPErrorHandler = s.writeError
+	e.JSONSerializer = limitedSerializer{bodies: s.bodies}
 	e.Use(requestID)
 	e.GET("/healthz", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
 	e.GET("/readyz", s.readyz)
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -79,6 +79,17 @@
 		return err
 	}
 	defer answer.Body.Close()
+	// The router has read a small answer, and the beginning of a large one.
+	size := int64(route.DefaultAnswerBytes)
+	if answer.Size >= 0 {
+		size = min(size, answer.Size)
+	}
+	held, err := s.bodies.Hold(bodylimit.Callers, c.Response(), size)
+	if err != nil {
+		return errkind.Wrap(errkind.AnswerCutOff, err, "the request ran")
+	}
+	defer held.Release()
+	answer.Body = &heldBody{ReadCloser: answer.Body, held: held, left: size}
 	return writeAnswer(c, answer)
 }
 
