server: keep the receive buffers of callers small where memory is limited

Bytes that have arrived and are unread are memory of the machine, too. The kernel lets the receive buffer of a connection grow to several megabytes while bodies are read quickly, and a client can fill it beside a request that is being served. With bodies of at most 256 KiB and a limited memory, callers' connections at the adapter get 64 KiB. Larger bodies would need more round trips, so the buffer is left alone there.

--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -43,6 +43,9 @@
 	Max     int // open connections
 	Metrics *Metrics
 	Name    string // label of the metrics
+	// ReadBuffer is the receive buffer of a connection in bytes; zero: as the kernel sets it,
+	// which lets it grow to several megabytes that nobody has read.
+	ReadBuffer int
 }
 
 // Listener accepts a bounded number of connections. It must be bound to the server that it is
@@ -50,6 +53,7 @@
 type Listener struct {
 	net.Listener
 	max     int
+	buffer  int
 	metrics *listenerMetrics
 	freed   chan struct{} // has an element after a connection was closed
 	done    chan struct{}
@@ -64,6 +68,7 @@
 	l := &Listener{
 		Listener: inner,
 		max:      max(o.Max, 1),
+		buffer:   o.ReadBuffer,
 		freed:    make(chan struct{}, 1),
 		done:     make(chan struct{}),
 		conns:    make(map[*conn]struct{}),
@@ -86,6 +91,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if tcp, ok := inner.(*net.TCPConn); ok && l.buffer > 0 {
+		_ = tcp.SetReadBuffer(l.buffer)
+	}
 	c := &conn{Conn: inner, l: l}
 	c.set(stateArriving)
 	for !l.add(c) {
--- a/internal/server/adapter.go
+++ b/internal/server/adapter.go
@@ -38,6 +38,15 @@
 	servesAll       Clients = "outer"
 )
 
+const (
+	// callerReadBuffer is the receive buffer of a caller's connection in bytes, where bodies
+	// have at most smallBody bytes and the memory is limited. What a client sends beside a
+	// request that is being served stays there unread. Larger bodies would need more round
+	// trips.
+	callerReadBuffer = 64 << 10
+	smallBody        = 256 << 10
+)
+
 // readinessConnections is the limit of connections of the load balancer's checks.
 const readinessConnections = 64
 
@@ -76,11 +85,15 @@
 
 // limitConnections bounds the connections of listener, which srv will serve.
 func (p *Process) limitConnections(listener net.Listener, srv *http.Server, serves Clients) net.Listener {
-	l := connlimit.New(listener, connlimit.Options{
+	o := connlimit.Options{
 		Max:     p.maxConnections(serves),
 		Name:    string(serves),
 		Metrics: p.connections,
-	})
+	}
+	if serves == ServesCallers && p.settings.Outer.MaxBodyBytes <= smallBody && p.settings.Memory.LimitMB > 0 {
+		o.ReadBuffer = callerReadBuffer
+	}
+	l := connlimit.New(listener, o)
 	l.Bind(srv)
 	return l
 }
