route: refuse the body of a request that is not repeatable as draining

A body without room is refused as overloaded. For requests that are not repeatable this kind promises that no earlier send has run (docs/CALLERS.md), which is only known after the lookup of the record; the body is read before it. Draining speaks of this send alone.

--- a/internal/route/at_most_once.go
+++ b/internal/route/at_most_once.go
@@ -27,7 +27,7 @@
 	body, err := newReplayBody(req.Body, req.Size, r.opts.JournalBytes)
 	if err != nil {
 		done()
-		return nil, err
+		return nil, beforeLookup(err)
 	}
 	if !body.fullyBuffered() {
 		done()
@@ -54,6 +54,15 @@
 	}
 }
 
+// beforeLookup replaces Overloaded, which promises that no send of the request has run: before
+// the lookup of its record that is not known. Draining speaks of this send alone.
+func beforeLookup(err error) error {
+	if !errkind.Is(err, errkind.Overloaded) {
+		return err
+	}
+	return errkind.WithRetryAfter(errkind.Wrap(errkind.Draining, err, "this entry has no room for the body; try another one"), errkind.RetryAfter(err))
+}
+
 // callResult is the result of a request that runs in a separate goroutine.
 type callResult struct {
 	ans *Answer
