wire: bound the large messages that are read and handled at once

A frame has at most 16 MiB and a connection at most 4,096 calls, but nothing bounded the frames of all calls together. Those above 64 KiB now take at most 64 MiB in a process; the stream of one more is refused unread, which its sender takes for unreachable: not run, tried again.

--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -176,18 +176,22 @@
 	}
 	ctx, cancel := handlerContext(s.Context(), p)
 	defer cancel()
-	b, err := readFrame(s)
+	b, release, err := c.e.frames.read(s)
 	if err != nil {
 		c.refuse(s, reasonOf(err))
 		return
 	}
+	defer release()
 	c.meter.countReceived(ClassOf(p.kind), frameHeader+len(b))
 	c.answer(s, p.kind, c.e.runCall(ctx, h, c.remote, b))
 }
 
 func reasonOf(err error) string {
-	if errkind.Is(err, errkind.BodyTooLarge) {
+	switch errkind.Of(err) {
+	case errkind.BodyTooLarge:
 		return reasonTooLarge
+	case errkind.Overloaded:
+		return reasonFrames
 	}
 	return reasonUndecodable
 }
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -114,6 +114,11 @@
 // readFrame reads one frame. It allocates memory as data arrives, and does not
 // trust the declared length.
 func readFrame(r io.Reader) ([]byte, error) {
+	return readAdmittedFrame(r, func(int) error { return nil })
+}
+
+// readAdmittedFrame reads one frame if admit returns nil for its declared length.
+func readAdmittedFrame(r io.Reader, admit func(n int) error) ([]byte, error) {
 	var h [frameHeader]byte
 	if _, err := io.ReadFull(r, h[:]); err != nil {
 		return nil, err
@@ -122,6 +127,9 @@
 	if n > MaxFrame {
 		return nil, errkind.New(errkind.BodyTooLarge, "frame of %d bytes exceeds the limit of %d", n, MaxFrame)
 	}
+	if err := admit(n); err != nil {
+		return nil, err
+	}
 	if n <= readStep {
 		b := make([]byte, n)
 		_, err := io.ReadFull(r, b)
--- a/internal/wire/endpoint.go
+++ b/internal/wire/endpoint.go
@@ -28,6 +28,7 @@
 	transport *quic.Transport
 	listener  *quic.Listener
 	handlers  handlers
+	frames    frameBudget
 	ctx       context.Context
 	cancel    context.CancelFunc
 	draining  atomic.Bool
@@ -100,6 +101,7 @@
 		metrics:   newMetrics(o.Registerer),
 		tls:       clientTLS(base, o.AcceptAnyCertificate),
 		quic:      quicConfig(),
+		frames:    frameBudget{limit: maxRequestFrames},
 		socket:    socket,
 		transport: &quic.Transport{Conn: socket, StatelessResetKey: resetKey(base, address)},
 		ctx:       ctx,
--- a/internal/wire/exchange.go
+++ b/internal/wire/exchange.go
@@ -204,11 +204,12 @@
 		reply.Fail(unknownKind(p.kind))
 		return
 	}
-	head, err := readFrame(s)
+	head, release, err := c.e.frames.read(s)
 	if err != nil {
 		c.refuse(s, reasonOf(err))
 		return
 	}
+	defer release()
 	c.meter.countReceived(ClassOf(p.kind), frameHeader+len(head))
 	body := &bodyReader{r: s, count: c.receivedCounter(p.kind)}
 	c.e.runExchange(ctx, h, c.remote, head, body, reply)
--- a/internal/wire/metrics.go
+++ b/internal/wire/metrics.go
@@ -32,6 +32,7 @@
 	reasonNoHello        = "no_hello"
 	reasonDraining       = "draining"
 	reasonTooManyStreams = "too_many_streams"
+	reasonFrames         = "frames"
 	reasonPanic          = "panic"
 	reasonQueueFull      = "queue_full"
 	reasonUnreachable    = "unreachable"
