model: bound the errors of a workflow's validation

A submission of 256 KiB can hold 100,000 steps or entries of after, and each got an error of its own; their joined text went into the response and the log, at many times the size of the body. Too many steps are now one error, a step has one error for its entries, and more entries than steps may exist are refused.

--- a/internal/model/workflow.go
+++ b/internal/model/workflow.go
@@ -89,12 +89,11 @@
 	}
 	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
 		addError("steps must be 1 to %d, got %d", MaxSteps, len(s.Steps))
+		return errors.Join(errs...) // a body may have a hundred thousand steps; their errors would take more than it
 	}
 	for i := range s.Steps {
-		for _, a := range s.Steps[i].After {
-			if a < 0 || int(a) >= i {
-				addError("steps[%d].after names step %d, which is not an earlier one", i, a)
-			}
+		if err := s.validateAfter(i); err != nil {
+			errs = append(errs, err)
 		}
 		spec := s.StepJob(i)
 		if err := spec.Validate(); err != nil {
@@ -104,6 +103,20 @@
 	return errors.Join(errs...)
 }
 
+// validateAfter returns the first violated rule of the steps that step i comes after, or nil.
+func (s *WorkflowSpec) validateAfter(i int) error {
+	after := s.Steps[i].After
+	if len(after) > MaxSteps {
+		return fmt.Errorf("steps[%d].after has %d entries, at most %d are allowed", i, len(after), MaxSteps)
+	}
+	for _, a := range after {
+		if a < 0 || int(a) >= i {
+			return fmt.Errorf("steps[%d].after names step %d, which is not an earlier one", i, a)
+		}
+	}
+	return nil
+}
+
 // StepJob returns the specification of the job that runs step i. The payload
 // is kept in the workflow only.
 func (s *WorkflowSpec) StepJob(i int) JobSpec {
