bodylimit, connlimit: charge decoding by elements, and log refusals

The charge for decoding counted objects alone; a list of numbers in place of objects costs as much for each of its elements. It now counts elements, and only while the text is decoded. Refused and abandoned bodies, and listeners at their limit, have a line every 2 s.

--- a/internal/bodylimit/limiter.go
+++ b/internal/bodylimit/limiter.go
@@ -41,6 +41,7 @@
 	mu       sync.Mutex
 	budget   budget
 	sweeping bool // a sweep is scheduled
+	report   report
 }
 
 // New returns a Limiter and registers its metrics.
@@ -133,7 +134,41 @@
 	for _, t := range given {
 		l.metrics.abandoned(t.class, t.givenUp)
 		t.interrupt()
+		l.report.abandoned++
 	}
+	if len(given) > 0 {
+		l.logReport()
+	}
+}
+
+// reportPeriod is the time between two lines about refused bodies.
+const reportPeriod = 2 * time.Second
+
+// report counts what was refused since the last line about it.
+type report struct {
+	refused, abandoned int
+	logged             time.Time
+}
+
+// countRefused counts a body or a response that was refused.
+func (l *Limiter) countRefused(c Class, why reason) {
+	l.metrics.refused(c, why)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.report.refused++
+	l.logReport()
+}
+
+// logReport writes a line, unless the last one was written within reportPeriod.
+func (l *Limiter) logReport() {
+	now := time.Now()
+	if now.Sub(l.report.logged) < reportPeriod {
+		return
+	}
+	a := &l.budget.accounts
+	l.log.Warn("Bodies are refused.", "refused", l.report.refused, "abandoned", l.report.abandoned,
+		"held_callers", a[Callers].held, "held_workers", a[Workers].held, "held_operators", a[Operators].held)
+	l.report = report{logged: now}
 }
 
 // charge makes the body hold the given number of bytes in all and reports whether it may.
@@ -239,27 +274,30 @@
 	}
 }
 
-// decodedBytes is the memory that is charged for each object of a JSON text while it is
-// decoded: the shortest object takes three bytes of text and some hundred when decoded.
-const decodedBytes = 512
-
-// freeObjects are not charged; an ordinary body has fewer.
-const freeObjects = 64
+const (
+	// decodedBytes is the memory that is charged for each element of a JSON text while it is
+	// decoded: the shortest takes two bytes of text, and as an element of a list of objects
+	// some hundred, twice while the list grows.
+	decodedBytes = 256
+	// freeElements are not charged; an ordinary body has fewer.
+	freeElements = 1024
+)
 
-// ChargeDecoding charges the memory for decoding a JSON text that was read from the body. It
-// charges at most half of the budget, so that no single body is too large. The error is
-// Overloaded.
-func (b *Body) ChargeDecoding(text []byte) error {
-	objects := int64(bytes.Count(text, []byte{'{'}))
-	if objects <= freeObjects {
-		return nil
+// Decode runs fn, which decodes a JSON text that was read from the body, and charges the
+// memory for that meanwhile, at most half of the budget, so that no single body is too large.
+// The error is that of fn, or Overloaded.
+func (b *Body) Decode(text []byte, fn func() error) error {
+	elements := int64(bytes.Count(text, []byte{','}) + bytes.Count(text, []byte{'{'}))
+	if elements <= freeElements {
+		return fn()
 	}
+	own := int64(cap(text))
 	limit := b.l.budget.accounts[b.t.class].limit
-	n := min(int64(cap(text))+objects*decodedBytes, max(limit/2, int64(cap(text))))
-	if !b.charge(n) {
+	if !b.charge(min(own+elements*decodedBytes, max(own, limit/2))) {
 		return b.refuse(reasonBudget)
 	}
-	return nil
+	defer b.charge(own)
+	return fn()
 }
 
 // Release returns the bytes of the body to the budget. It may be called more than once.
@@ -307,7 +345,7 @@
 	b.w.Header().Set("Connection", "close")
 	_ = http.NewResponseController(b.w).SetReadDeadline(time.Now().Add(lingerTime))
 	if already == reasonNone {
-		b.l.metrics.refused(b.t.class, why)
+		b.l.countRefused(b.t.class, why)
 		b.discard()
 	} else {
 		why = already
--- a/internal/bodylimit/limiter_test.go
+++ b/internal/bodylimit/limiter_test.go
@@ -186,26 +186,32 @@
 func TestDecodingIsCharged(t *testing.T) {
 	const limit = 1 << 20
 	l := New(Options{Budgets: map[Class]int64{Callers: limit}, Registerer: prometheus.NewRegistry(), Logger: log.New(io.Discard)})
-	open := func(text string) (*Body, error) {
+	decode := func(text string, fn func() error) error {
 		r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(text))
 		b, err := l.Open(Callers, httptest.NewRecorder(), r, limit)
 		assert.NilError(t, err)
+		defer b.Release()
 		data, err := b.ReadAll()
 		assert.NilError(t, err)
-		return b, b.ChargeDecoding(data)
+		before := l.held(Callers)
+		err = b.Decode(data, fn)
+		if err == nil {
+			assert.Equal(t, l.held(Callers), before, "charged only while it is decoded")
+		}
+		return err
+	}
+	none := func() error { return nil }
+	for _, many := range []string{"[" + strings.Repeat("{},", 50_000) + "{}]", "[" + strings.Repeat("0,", 70_000) + "0]"} {
+		assert.NilError(t, decode(many, func() error {
+			assert.Assert(t, l.held(Callers) >= limit/2-freeBytes)
+			assert.NilError(t, decode(`{"a":{}}`, none))
+			return decode(many, func() error {
+				err := decode(strings.Repeat("{}", freeElements+1), none)
+				assert.Assert(t, errkind.Is(err, errkind.Overloaded), "%v", err)
+				return nil
+			})
+		}))
 	}
-	many := "[" + strings.Repeat("{},", 50_000) + "{}]"
-	first, err := open(many)
-	assert.NilError(t, err)
-	assert.Assert(t, l.held(Callers) >= limit/2-freeBytes)
-	_, err = open(`{"a":{}}`)
-	assert.NilError(t, err)
-	second, err := open(many)
-	assert.NilError(t, err)
-	_, err = open(strings.Repeat("{}", freeObjects+1))
-	assert.Assert(t, errkind.Is(err, errkind.Overloaded), "%v", err)
-	first.Release()
-	second.Release()
 	assert.Equal(t, l.held(Callers), int64(0))
 }
 
@@ -247,3 +253,14 @@
 	})
 	assert.ErrorContains(t, <-ended, "timeout")
 }
+
+// Each refusal must be seen in the log, and a flood of them must not flood it.
+func TestRefusalsAreLoggedTogether(t *testing.T) {
+	var text bytes.Buffer
+	l := New(Options{Budgets: map[Class]int64{Callers: 1}, Registerer: prometheus.NewRegistry(), Logger: log.New(&text)})
+	for range 100 {
+		_, err := l.Open(Callers, httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", strings.NewReader("xx")), 1)
+		assert.Assert(t, errkind.Is(err, errkind.BodyTooLarge))
+	}
+	assert.Equal(t, strings.Count(text.String(), "Bodies are refused."), 1)
+}
--- a/internal/bodylimit/response.go
+++ b/internal/bodylimit/response.go
@@ -23,21 +23,29 @@
 	}
 	r.t.class, r.t.response = c, true
 	r.t.interrupt = func() { _ = http.NewResponseController(w).SetWriteDeadline(time.Unix(1, 0)) }
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := time.Now()
-	l.budget.begin(&r.t, now)
-	// A single response that is larger than the budget is sent while nothing else is held.
-	given, ok := l.budget.charge(&r.t, min(n, l.budget.accounts[c].limit), now)
-	l.interrupt(given)
-	if !ok {
-		l.budget.release(&r.t)
-		l.metrics.refused(c, reasonBudget)
+	if !r.begin(n) {
+		l.countRefused(c, reasonBudget)
 		return nil, errkind.New(errkind.Overloaded, "responses that are not read occupy the memory for others")
 	}
 	return r, nil
 }
 
+// begin charges n bytes and reports whether there was room. A single response that is larger
+// than the budget is sent while nothing else is held.
+func (r *Response) begin(n int64) bool {
+	r.l.mu.Lock()
+	defer r.l.mu.Unlock()
+	now := time.Now()
+	b := &r.l.budget
+	b.begin(&r.t, now)
+	given, ok := b.charge(&r.t, min(n, b.accounts[r.t.class].limit), now)
+	r.l.interrupt(given)
+	if !ok {
+		b.release(&r.t)
+	}
+	return ok
+}
+
 // Release returns the bytes of the response to the budget. It may be called more than once.
 func (r *Response) Release() {
 	r.l.mu.Lock()
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/filbertmast/filbertmast/internal/obs"
@@ -42,7 +43,8 @@
 type Options struct {
 	Max     int // open connections
 	Metrics *Metrics
-	Name    string // label of the metrics
+	Logger  *log.Logger
+	Name    string // label of the metrics, and field of log lines
 	// ReadBuffer is the receive buffer of a connection in bytes; zero: as the kernel sets it,
 	// which lets it grow to several megabytes that nobody has read.
 	ReadBuffer int
@@ -52,6 +54,8 @@
 // used with (Bind).
 type Listener struct {
 	net.Listener
+	name    string
+	log     *log.Logger
 	max     int
 	buffer  int
 	metrics *listenerMetrics
@@ -59,14 +63,17 @@
 	done    chan struct{}
 	close   func() error
 
-	mu    sync.Mutex
-	conns map[*conn]struct{}
+	mu     sync.Mutex
+	conns  map[*conn]struct{}
+	logged time.Time // when the last line about the limit was written
 }
 
 // New returns a listener that accepts the connections of inner.
 func New(inner net.Listener, o Options) *Listener {
 	l := &Listener{
 		Listener: inner,
+		name:     o.Name,
+		log:      o.Logger.WithPrefix(obs.PrefixServer),
 		max:      max(o.Max, 1),
 		buffer:   o.ReadBuffer,
 		freed:    make(chan struct{}, 1),
@@ -120,6 +127,9 @@
 	if !full || victim != nil {
 		l.conns[c] = struct{}{}
 	}
+	if full {
+		l.logLimit(victim != nil)
+	}
 	l.mu.Unlock()
 	if victim != nil {
 		l.metrics.closed(victim.state())
@@ -128,6 +138,16 @@
 	return !full || victim != nil
 }
 
+// logPeriod is the time between two lines about the limit.
+const logPeriod = 2 * time.Second
+
+func (l *Listener) logLimit(closed bool) {
+	if now := time.Now(); now.Sub(l.logged) >= logPeriod {
+		l.logged = now
+		l.log.Warn("A listener has as many connections as it may have.", "listener", l.name, "limit", l.max, "closed_another", closed)
+	}
+}
+
 // leastUseful returns the connection to close for another one, or nil: the one that keeps the
 // process waiting for the longest, else the one that is idle for the longest.
 func (l *Listener) leastUseful(now time.Time) *conn {
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -43,9 +43,10 @@
 }
 
 func decodeJSON(body *bodylimit.Body, data []byte, out any) error {
-	if err := body.ChargeDecoding(data); err != nil {
-		return err
-	}
+	return body.Decode(data, func() error { return strictDecode(data, out) })
+}
+
+func strictDecode(data []byte, out any) error {
 	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(out); err != nil {
