bodylimit: a body that is passed on may be read beside the response

The goroutine that sends a body to an executor runs beside the one that writes the response, and may outlive it. A refusal there changed the response's header, charged bytes that nothing returned, and could set a deadline on the connection of the next request. A body that is passed on now leaves the header alone, and one whose request has ended is not charged.

--- a/internal/bodylimit/budget.go
+++ b/internal/bodylimit/budget.go
@@ -54,6 +54,7 @@
 	charged   int64 // bytes
 	response  bool
 	givenUp   reason
+	ended     bool   // its request has ended
 	interrupt func() // ends its current and later reads with an error
 
 	reading    bool      // or being sent
@@ -131,7 +132,7 @@
 func (b *budget) charge(t *transfer, bytes int64, now time.Time) (given []*transfer, ok bool) {
 	a := &b.accounts[t.class]
 	bytes = max(bytes-freeBytes, 0)
-	if bytes > a.limit {
+	if bytes > a.limit || t.ended {
 		return nil, false
 	}
 	for t.givenUp == reasonNone && a.held+bytes-t.charged > a.limit {
--- a/internal/bodylimit/limiter.go
+++ b/internal/bodylimit/limiter.go
@@ -70,6 +70,7 @@
 	max     int64 // largest allowed size
 	maxHeld int64 // bytes that the reader of Read keeps at most
 	expects bool  // the client waits for 100 Continue
+	stream  bool  // passed on while it is read
 	t       transfer
 	err     error // after the end
 }
@@ -101,7 +102,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b.maxHeld = min(max, held)
+	b.maxHeld, b.stream = min(max, held), true
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b.t.pausedAt = time.Now()
@@ -300,11 +301,13 @@
 	return fn()
 }
 
-// Release returns the bytes of the body to the budget. It may be called more than once.
+// Release returns the bytes of the body to the budget at the end of the request. It may be
+// called more than once, and while another goroutine still reads a body that is passed on.
 func (b *Body) Release() {
 	b.l.mu.Lock()
 	defer b.l.mu.Unlock()
 	b.l.budget.release(&b.t)
+	b.t.ended = true
 }
 
 func (b *Body) endReading() {
@@ -330,6 +333,16 @@
 	return b.refuse(why)
 }
 
+// linger bounds the time for which the rest of the body is still read. After the end of the
+// request its connection may serve the next one.
+func (b *Body) linger() {
+	b.l.mu.Lock()
+	defer b.l.mu.Unlock()
+	if !b.t.ended {
+		_ = http.NewResponseController(b.w).SetReadDeadline(time.Now().Add(lingerTime))
+	}
+}
+
 // discard reads the rest of the body, up to the limit of its size. Clients send a body before
 // they read the response.
 func (b *Body) discard() {
@@ -342,14 +355,20 @@
 // refuse closes the connection after the response and returns the error to respond with.
 func (b *Body) refuse(why reason) error {
 	already := b.givenUp()
-	b.w.Header().Set("Connection", "close")
-	_ = http.NewResponseController(b.w).SetReadDeadline(time.Now().Add(lingerTime))
+	b.linger()
 	if already == reasonNone {
 		b.l.countRefused(b.t.class, why)
-		b.discard()
 	} else {
 		why = already
 	}
+	// The goroutine that passes a body on runs beside the one that responds, which alone may
+	// change the header. There net/http itself discards what is unread, and closes the connection.
+	if !b.stream {
+		b.w.Header().Set("Connection", "close")
+		if already == reasonNone {
+			b.discard()
+		}
+	}
 	b.l.log.Debug("Body refused.", "class", b.t.class, "reason", why, "received", b.t.received.Load(), "declared", b.size, "given_up", already != reasonNone)
 	switch why {
 	case reasonTooLarge:
--- a/internal/bodylimit/limiter_test.go
+++ b/internal/bodylimit/limiter_test.go
@@ -264,3 +264,57 @@
 	}
 	assert.Equal(t, strings.Count(text.String(), "Bodies are refused."), 1)
 }
+
+// A body that is passed on may be read beside the response, and after the end of its request.
+// It must then neither change the header nor be charged.
+func TestStreamedBodyMayBeReadBesideResponse(t *testing.T) {
+	const size = 300_000
+	l := New(Options{Budgets: map[Class]int64{Callers: 100_000}, Registerer: prometheus.NewRegistry(), Logger: log.New(io.Discard)})
+	results := make(chan error, 1)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := l.Stream(Callers, w, r, size, size)
+		if err != nil {
+			results <- err
+			return
+		}
+		defer body.Release()
+		go func() {
+			_, err := io.Copy(io.Discard, body)
+			results <- err
+		}()
+		for i := range 1000 {
+			w.Header().Set("X-Test", fmt.Sprint(i))
+		}
+	}))
+	defer s.Close()
+	for range 20 {
+		c := stall(t, s, size, size-1)
+		_, err := io.WriteString(c, "x")
+		assert.NilError(t, err)
+		assert.Assert(t, <-results != nil)
+		c.Close()
+	}
+	assert.Equal(t, l.held(Callers), int64(0))
+}
+
+// A body that is passed on and given up must get its response, and its connection must not
+// serve another request, which would begin in the middle of the body.
+func TestStreamedBodyThatIsGivenUpLosesItsConnection(t *testing.T) {
+	const size = 40_000
+	l := New(Options{Budgets: map[Class]int64{Callers: 2 * size}, MinRate: 1 << 20, Grace: 100 * time.Millisecond,
+		Registerer: prometheus.NewRegistry(), Logger: log.New(io.Discard)})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := l.Stream(Callers, w, r, size, size)
+		assert.NilError(t, err)
+		defer body.Release()
+		_, err = io.ReadAll(body)
+		w.WriteHeader(errkind.RowOf(errkind.Of(err)).Status)
+	}))
+	defer s.Close()
+	c := stall(t, s, size, size-1)
+	status, _, closed := response(t, c)
+	assert.Equal(t, status, http.StatusBadRequest)
+	assert.Assert(t, closed)
+	_, err := io.Copy(io.Discard, c)
+	assert.NilError(t, err, "the server closes the connection")
+}
