bodylimit: refuse a body that ends as it is given up

If the last bytes of a body arrive at the moment at which it is given up, the deadline of its connection has passed, so its request would end at once, with an unknown outcome after it had been sent to the leader. It is refused now, as not run.

--- a/internal/bodylimit/limiter.go
+++ b/internal/bodylimit/limiter.go
@@ -207,7 +207,9 @@
 			return nil, b.refuse(reasonTooLarge)
 		}
 		if err == io.EOF {
-			b.endReading()
+			if why := b.endReading(); why != reasonNone {
+				return nil, b.refuse(why)
+			}
 			return buf, nil
 		}
 		if err != nil {
@@ -250,8 +252,10 @@
 		b.err = b.refuse(reasonTooLarge)
 		return 0, b.err
 	case err == io.EOF:
-		b.endReading()
 		b.err = err
+		if why := b.endReading(); why != reasonNone {
+			b.err = b.refuse(why)
+		}
 	case err != nil:
 		b.err = b.readError(err)
 	}
@@ -310,10 +314,13 @@
 	b.t.ended = true
 }
 
-func (b *Body) endReading() {
+// endReading ends the reading of a complete body and returns why it was given up at the same
+// moment, if it was: the deadline of its connection has passed, which ends its request.
+func (b *Body) endReading() reason {
 	b.l.mu.Lock()
 	defer b.l.mu.Unlock()
 	b.l.budget.endReading(&b.t)
+	return b.t.givenUp
 }
 
 // givenUp ends the reading and returns why the body was given up meanwhile, if it was.
--- a/internal/bodylimit/limiter_test.go
+++ b/internal/bodylimit/limiter_test.go
@@ -318,3 +318,25 @@
 	_, err := io.Copy(io.Discard, c)
 	assert.NilError(t, err, "the server closes the connection")
 }
+
+// A body whose last bytes arrive as it is given up must be refused, and not be served with a
+// request that ends at once, whose outcome nobody would know.
+func TestBodyThatEndsAsItIsGivenUpIsRefused(t *testing.T) {
+	const size = 20_000
+	l := New(Options{Budgets: map[Class]int64{Callers: 2 * size}, Registerer: prometheus.NewRegistry(), Logger: log.New(io.Discard)})
+	for _, stream := range []bool{false, true} {
+		r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(strings.Repeat("x", size)))
+		b, err := l.Open(Callers, httptest.NewRecorder(), r, size)
+		assert.NilError(t, err)
+		l.budget.giveUp(&b.t, reasonBudget)
+		if stream {
+			b.stream = true
+			_, err = io.ReadAll(b)
+		} else {
+			_, err = b.ReadAll()
+		}
+		assert.Assert(t, errkind.Is(err, errkind.Overloaded), "%v", err)
+		b.Release()
+	}
+	assert.Equal(t, l.held(Callers), int64(0))
+}
