state: past use of each team as part of the replicated state

A new leader must order teams as the last one did, so past use is derived from committed commands: the average of a team is advanced before each change of what its tasks reserve, with the time of the command. The half-life is part of the state and is changed by a command (field 34), since replicas may be restarted one at a time with different settings.

--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -47,6 +47,7 @@
 	CancelWorkflow *CancelWorkflow `cbor:"30,keyasint,omitempty"`
 	StartRuns      *StartRuns      `cbor:"31,keyasint,omitempty"`
 	SetCapacity    *SetCapacity    `cbor:"32,keyasint,omitempty"`
+	SetPastUse     *SetPastUse     `cbor:"34,keyasint,omitempty"`
 }
 
 // Declare replaces the whole configuration if Base is the current version.
@@ -274,6 +275,12 @@
 	Permits int64  `cbor:"2,keyasint"`
 }
 
+// SetPastUse sets the half-life with which the past use of resources is recorded for each
+// team; zero: it is not recorded.
+type SetPastUse struct {
+	HalfLife model.Duration `cbor:"1,keyasint"`
+}
+
 // encMode encodes equal commands to equal bytes in every process.
 var encMode = func() cbor.EncMode {
 	m, err := cbor.CoreDetEncOptions().EncMode()
--- a/internal/state/config.go
+++ b/internal/state/config.go
@@ -199,6 +199,7 @@
 	m.config.rebuildIndexes()
 	m.config.Version++
 	m.config.Digest = declare.Digest(&d)
+	m.advanceAllPastUse()
 	m.emit(m.configEvent())
 }
 
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -145,7 +145,13 @@
 	Permits int64
 }
 
+// PastUseChanged reports a new half-life with which past use is recorded.
+type PastUseChanged struct {
+	HalfLife model.Duration // zero: it is not recorded
+}
+
 func (ConfigChanged) isEvent()    {}
+func (PastUseChanged) isEvent()   {}
 func (CeilingChanged) isEvent()   {}
 func (EndingChanged) isEvent()    {}
 func (MembersChanged) isEvent()   {}
--- a/internal/state/job.go
+++ b/internal/state/job.go
@@ -269,6 +269,7 @@
 	w := m.workers.list[t.Worker]
 	w.Held = append(w.Held, id)
 	w.Reserved = w.Reserved.Add(t.Size)
+	m.advancePastUse(j.Team)
 	team := m.team(j.Team)
 	team.held++
 	team.reserved = team.reserved.Add(t.Size)
@@ -286,6 +287,7 @@
 	}
 	w.Reserved = w.Reserved.Sub(t.Size)
 	m.endTaskExecutor(w, id, true)
+	m.advancePastUse(j.Team)
 	team := m.team(j.Team)
 	team.held--
 	team.reserved = team.reserved.Sub(t.Size)
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -49,6 +49,7 @@
 	pendingJobs        map[string]int64    // number of jobs with pending tasks, by queue
 	ceilings           map[string]int64    // upper bounds of request permits, by team
 	withdrawnExecutors []WithdrawnExecutor // oldest first
+	pastUse            pastUse
 
 	events []Event // of the command being applied
 }
@@ -72,6 +73,7 @@
 		journal:     journal.New(o.Journal),
 		pendingJobs: make(map[string]int64),
 		ceilings:    make(map[string]int64),
+		pastUse:     newPastUse(),
 	}
 }
 
@@ -146,6 +148,8 @@
 		return m.leave(c.Leave)
 	case c.SetCeilings != nil:
 		return m.setCeilings(c.SetCeilings)
+	case c.SetPastUse != nil:
+		return m.setPastUse(c.SetPastUse)
 	}
 	return Result{Err: errkind.New(errkind.BadRequest, "empty command")}
 }
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -36,6 +36,7 @@
 	LastJob           model.JobID        `cbor:"14,keyasint,omitempty"`
 	Workflows         []*Workflow        `cbor:"15,keyasint,omitempty"` // by ID
 	FinishedWorkflows []model.WorkflowID `cbor:"16,keyasint,omitempty"`
+	PastUse           *pastUseRecord     `cbor:"18,keyasint,omitempty"`
 }
 
 // accountRecord is one team's account in a snapshot.
@@ -66,6 +67,7 @@
 		LastJob:            m.lastJob,
 		Workflows:          m.workflowRecords(),
 		FinishedWorkflows:  m.finishedWorkflows,
+		PastUse:            m.pastUse.record(),
 	}
 	if err := enc.Encode(&header); err != nil {
 		return errkind.Wrap(errkind.Internal, err, "write snapshot header")
@@ -109,6 +111,7 @@
 	for _, c := range header.Ceilings {
 		m.ceilings[c.Team] = c.Permits
 	}
+	m.pastUse.restore(header.PastUse)
 	m.journal.Restore(header.Journal)
 	for i := range header.Accounts {
 		m.accounts[header.Accounts[i].Team] = &header.Accounts[i].Account
