schedule: past use in the order of teams

A team that has used far more than its share for hours still got its whole share at once, since only the current load counted between teams. The key of a team gains a term P/(P+1) for its past load P, in the unit of load. It stays below one share: with that bound past use alone leaves each team a part of its share and gives none twice its share, and lateness still wins.

The values come by an event. The terms are kept between plans, since a plan ranks hundreds of teams. why names the teams that come first for that reason.

--- a/internal/schedule/apply.go
+++ b/internal/schedule/apply.go
@@ -43,6 +43,8 @@
 		s.taskSuspected(e)
 	case TaskUsageReported:
 		s.taskUsageReported(e)
+	case PastUseChanged:
+		s.setPastUse(e)
 	case RequestPermitsChanged:
 		s.team(e.Team).requestPermits = e.Permits
 	}
--- a/internal/schedule/bench_test.go
+++ b/internal/schedule/bench_test.go
@@ -194,6 +194,46 @@
 	}
 }
 
+// BenchmarkDecisionWhenFullWithPastUse is the same with past use of every team, which is
+// renewed before every hundredth plan.
+func BenchmarkDecisionWhenFullWithPastUse(t *testing.B) {
+	for _, sc := range scales {
+		t.Run(sc.name, func(t *testing.B) {
+			b := newBench(sc)
+			b.overfill()
+			e := PastUseChanged{HalfLife: time.Hour}
+			for i := range sc.teams {
+				e.Teams = append(e.Teams, TeamPastUse{Team: benchTeam(i), Average: cores(int64(b.rng.IntN(1000)))})
+			}
+			h := newHistogram()
+			t.ResetTimer()
+			for i := range t.N {
+				b.endOne()
+				b.submit(b.spec())
+				if i%100 == 0 {
+					b.s.Apply(e)
+				}
+				b.decide(h)
+			}
+			reportLatency(t, h)
+		})
+	}
+}
+
+// BenchmarkPastUseChanged renews the past use of every team and computes the terms.
+func BenchmarkPastUseChanged(t *testing.B) {
+	b := newBench(scales[1])
+	e := PastUseChanged{HalfLife: time.Hour}
+	for i := range b.scale.teams {
+		e.Teams = append(e.Teams, TeamPastUse{Team: benchTeam(i), Average: cores(int64(b.rng.IntN(1000)))})
+	}
+	t.ResetTimer()
+	for range t.N {
+		b.s.Apply(e)
+		b.s.updatePastTerms()
+	}
+}
+
 // BenchmarkDecisionByPolicy places whole jobs of each policy in a cell with free
 // capacity, or preempts tasks for a job that does not fit. One decision is the
 // plan of one job and its application.
--- a/internal/schedule/event.go
+++ b/internal/schedule/event.go
@@ -159,7 +159,22 @@
 	Permits int64
 }
 
+// PastUseChanged replaces the past use of all teams. Teams that are not listed have used
+// nothing. The values change slowly beside the half-life, so an event from time to time
+// suffices.
+type PastUseChanged struct {
+	HalfLife time.Duration // zero: past use is not considered
+	Teams    []TeamPastUse
+}
+
+// TeamPastUse is the decayed average of what the tasks of a team have reserved.
+type TeamPastUse struct {
+	Team    string
+	Average model.Resources
+}
+
 func (ConfigChanged) isEvent()               {}
+func (PastUseChanged) isEvent()              {}
 func (WorkerUp) isEvent()                    {}
 func (WorkerModeChanged) isEvent()           {}
 func (WorkerResponsivenessChanged) isEvent() {}
--- a/internal/schedule/naive_test.go
+++ b/internal/schedule/naive_test.go
@@ -177,6 +177,21 @@
 	return best
 }
 
+// key returns the precedence key of a team, computed from its tasks and its past use.
+func (n *naive) key(t *team, startBy model.Time) int64 {
+	use, _ := n.use(n.s.teamByName[t.name])
+	key := n.s.loadOf(t, use)
+	if n.s.pastHalfLife != 0 {
+		past := min(n.s.loadOf(t, t.past), ppm*ppm)
+		term := ppm - (ppm*ppm+past+ppm-1)/(past+ppm) // one share times past/(past+1), rounded down
+		key = min(key, maxInt64-term) + term
+	}
+	if late := int64(n.now-startBy) + n.s.opts.PressingSlack.Milliseconds(); late > 0 {
+		key -= mulDiv(late, ppm, n.s.opts.AgeingSpan.Milliseconds())
+	}
+	return key
+}
+
 func (n *naive) try(j *job) {
 	g := j.group
 	size := n.size(g)
--- a/internal/schedule/order.go
+++ b/internal/schedule/order.go
@@ -5,6 +5,7 @@
 // begin prepares the teams for a plan.
 func (p *planner) begin() {
 	p.s.planSeq++
+	p.s.updatePastTerms()
 	for _, t := range p.s.teams {
 		t.blocked = false
 		t.plannedStops = model.Resources{}
@@ -80,10 +81,11 @@
 }
 
 // key returns the precedence key of a team whose head is to start by startBy: its
-// load relative to its share, less a credit for lateness. Lateness grows without
-// bound and load does not, so that each job comes first in the end.
+// load relative to its share, plus a term for its past use, less a credit for lateness.
+// Lateness grows without bound, and load and term do not, so that each job comes first in
+// the end. The load of a team without a share is the largest number; the sum stays in range.
 func (p *planner) key(t *team, startBy model.Time) int64 {
-	load := p.s.load(t, model.Resources{})
+	load := min(p.s.load(t, model.Resources{}), maxInt64-t.pastTerm) + t.pastTerm
 	late := p.now - startBy + model.Time(p.s.opts.PressingSlack.Milliseconds())
 	if late <= 0 {
 		return load
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -72,6 +73,10 @@
 	readyTasks     int64
 	waitingTasks   int64
 	assignedTasks  int64
+
+	pastHalfLife   time.Duration   // of the past use of teams; zero: it is not considered
+	pastTotal      model.Resources // total for which the terms of past use were computed
+	pastTermsStale bool            // the terms must be computed again
 }
 
 // Stats counts the tasks, jobs and workers of the cell and sums their resources.
@@ -151,6 +156,7 @@
 		t.share, t.maxRunning, t.maxResources = 0, 0, model.Resources{}
 	}
 	s.shares = 0
+	s.pastTermsStale = true
 	s.cellVersion++
 	for i := range e.Teams {
 		d := &e.Teams[i]
--- a/internal/schedule/team.go
+++ b/internal/schedule/team.go
@@ -30,6 +30,9 @@
 	first   int32               // index in queue; -1 for none
 	key     int64               // precedence; the least comes first
 
+	pastTerm int64           // part of key, for past use
+	past     model.Resources // decayed average of what was reserved
+
 	// The rest is not read for every team in every plan.
 	hold         limitHold       // the last turn of a job that the limits hold up
 	serviceTasks int64           // part of running, of services
@@ -127,7 +130,12 @@
 // load returns the dominant share of the team with size more, relative to its
 // entitlement, in ppm: a million is exactly its share of the cell.
 func (s *Scheduler) load(t *team, more model.Resources) int64 {
-	d := dominant(t.reserved.Add(more), s.total)
+	return s.loadOf(t, t.reserved.Add(more))
+}
+
+// loadOf returns the load that the team would have with the given use.
+func (s *Scheduler) loadOf(t *team, use model.Resources) int64 {
+	d := dominant(use, s.total)
 	if d == 0 {
 		return 0
 	}
--- a/internal/schedule/waitreason.go
+++ b/internal/schedule/waitreason.go
@@ -25,6 +25,7 @@
 	waitBooked       = "booked"           // workers that are booked for the job
 	waitOthersBooked = "booked_by_others" // workers whose room is booked for others
 	waitExclusive    = "exclusive"        // workers that run as many tasks of the job as they may
+	waitPastUse      = "past_use"         // teams that come first because of past use
 	waitShare        = "share"            // workers that are full
 	waitPermit       = "permit"           // workers with room for a task but without a valid permit
 	waitGang         = "gang"             // tasks for which the workers of waitNext have no room at the same time
@@ -44,6 +45,7 @@
 	w.booking()
 	if j.ready > 0 {
 		w.team()
+		w.pastUse()
 		w.moved()
 		w.workers()
 	}
@@ -175,7 +177,7 @@
 	w.add(waitExclusive, n.byReason[waitExclusive], "workers already run as many tasks of the job as one may")
 	w.add(waitReservation, n.byReason[waitReservation], "workers are reserved for other waiting jobs and have room for %d tasks now: %s", n.reservedRoom, w.reservingJobs())
 	w.add(waitOthersBooked, n.byReason[waitOthersBooked], "workers have room that is booked for gangs whose permits are being renewed")
-	w.add(waitShare, n.byReason[waitShare], "workers have too little free capacity; team %s uses %d%% of its share", t.name, w.s.load(t, model.Resources{})/(ppm/100))
+	w.add(waitShare, n.byReason[waitShare], "workers have too little free capacity; team %s uses %d%% of its share%s", t.name, w.s.load(t, model.Resources{})/(ppm/100), w.describePastUse(t))
 	w.permits(&n)
 	w.gangRoom(&n)
 	w.add(waitNext, n.byReason[""], "workers have enough free capacity for a task")
