control: the setting scheduling.past_use_half_life and the leader's part

The leader proposes the half-life of its settings if another one is in force, again with the next tick if the log refuses it, and passes the averages of the state on to the scheduler at the start of its term and every 2 s or 32nd part of the half-life. The status of a team has its past use, and a gauge a team its past load; both are left out while the setting is 0s, the default.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -229,6 +229,9 @@
 	Waiting  int64         `json:"waiting_tasks"`
 	Workers  int64         `json:"workers"`
 	Teams    []TeamView    `json:"teams"`
+	// PastUseHalfLife is the half-life in force with which past use counts in the order of
+	// teams. Zero: it does not count.
+	PastUseHalfLife model.Duration `json:"past_use_half_life,omitempty"`
 }
 
 // ReplicaView is one replica of the replicated state.
@@ -257,4 +260,12 @@
 	Charged        int64           `json:"charged_micro_units"`
 	Refunded       int64           `json:"refunded_micro_units"`
 	RequestPermits int64           `json:"request_permits"`
+	PastUse        *PastUse        `json:"past_use,omitempty"` // if it counts in the order of teams
+}
+
+// PastUse is what a team has used over the past. The weight of a moment halves with each
+// half-life since then.
+type PastUse struct {
+	Average      model.Resources `json:"average"`       // of what its tasks have reserved
+	LoadPermille int64           `json:"load_permille"` // of its share of the cell
 }
--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -78,6 +78,7 @@
 
 func (l *leader) teamViews() []api.TeamView {
 	_, _, d := l.c.machine.Config()
+	now := l.c.s.now()
 	out := make([]api.TeamView, 0, len(d.Teams))
 	for i := range d.Teams {
 		t := &d.Teams[i]
@@ -91,6 +92,7 @@
 			Charged:        account.Charged,
 			Refunded:       account.Refunded,
 			RequestPermits: l.permits.Outstanding(t.Name),
+			PastUse:        l.pastUse.view(t.Name, now),
 		})
 	}
 	return out
--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -142,6 +142,8 @@
 		Running: int64(stats.Running),
 		Waiting: int64(stats.Waiting),
 		Workers: int64(stats.Workers),
+
+		PastUseHalfLife: l.c.machine.PastUseHalfLife(),
 	}
 	for _, m := range st.Members {
 		out.Replicas = append(out.Replicas, api.ReplicaView{
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -45,6 +45,7 @@
 	submissions    sharedCalls[submissionKey, proto.WorkflowView]
 	jobSubmissions sharedCalls[jobSubmissionKey, proto.Submitted]
 	stalled        stalledJobs
+	pastUse        pastUse
 	// proposedCeilings are the teams whose ceilings are proposed and not committed yet.
 	proposedCeilings map[string]struct{}
 	startingRuns     bool // a proposal to start due runs is not committed yet
@@ -98,6 +99,8 @@
 	l.assumeEarlierGrants(now)
 	l.syncLimits()
 	l.syncAllRequestPermits()
+	l.pastUse = pastUse{l: l}
+	l.pastUse.refresh(now)
 	l.leases.BeginTerm(now, holders)
 	return l
 }
@@ -123,6 +126,7 @@
 func (l *leader) stop() {
 	l.c.s.metrics.lateSteps.Set(0)
 	l.c.s.metrics.setStalled(nil)
+	l.c.s.metrics.pastLoad.Reset()
 	l.polled.stop()
 	l.waits.failAll()
 }
@@ -165,6 +169,8 @@
 		l.waits.changed(l.c, e.ID)
 	case state.WorkflowChanged:
 		l.recordWorkflow(&e)
+	case state.PastUseChanged:
+		l.pastUse.halfLifeChanged(e.HalfLife)
 	}
 }
 
@@ -214,6 +220,7 @@
 	l.expireEntries(now)
 	l.permits.Tick(now)
 	l.proposeCeilings()
+	l.pastUse.tick(now)
 	l.owners.Tick(now)
 	l.waits.expire(l.c, now)
 	l.startDueRuns(now)
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -33,6 +33,7 @@
 	lateSteps         prometheus.Gauge
 	stalledJobs       *prometheus.GaugeVec
 	unresponsive      prometheus.Gauge
+	pastLoad          *prometheus.GaugeVec
 	lostPolls         prometheus.Counter
 	workerPauses      prometheus.Counter
 	unreadableRows    *prometheus.CounterVec
@@ -100,6 +101,9 @@
 		stalledJobs: f.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "filbertmast_control_stalled_jobs", Help: "Jobs of which no task runs although at most half of the cell is in use, by reason."},
 			[]string{"reason"}),
+		pastLoad: f.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "filbertmast_control_team_past_load", Help: "Decayed average of what a team has reserved, in multiples of its share of the cell."},
+			[]string{"team"}),
 		unresponsive: f.NewGauge(prometheus.GaugeOpts{
 			Name: "filbertmast_control_workers_silent", Help: "Called workers that did not answer the last call."}),
 		lostPolls: f.NewCounter(prometheus.CounterOpts{
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -55,6 +55,10 @@
 	SnapshotEntries uint64
 	Times           Times
 	Scheduling      schedule.Options
+	// PastUseHalfLife is the half-life with which the past use of teams counts in their
+	// order. Zero: it does not count. Replicas that are restarted one at a time may differ;
+	// the value of the leader is in force.
+	PastUseHalfLife model.Duration
 	// Tolerate is how many voters may be lost at once. Voters beyond the number that
 	// this needs are removed if they stay unresponsive. Zero: none are.
 	Tolerate int
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -186,6 +186,7 @@
 		WorkerClient:    workers,
 		Relays:          relays,
 		Scheduling:      schedulingOptions(p.settings),
+		PastUseHalfLife: p.settings.Scheduling.PastUseHalfLife,
 	})
 	p.spawn(func() { p.control.Run(ctx) })
 	if p.settings.Control.Join {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -9,6 +9,7 @@
 
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/strict"
+	"github.com/filbertmast/filbertmast/internal/usage"
 )
 
 const (
@@ -67,6 +68,9 @@
 	c.duration("$.scheduling.late_shift", s.LateShift, durationRange{0, time.Hour})
 	c.between("$.scheduling.max_reservations", int64(s.MaxReservations), 1, 1024)
 	c.duration("$.scheduling.late_grace", s.LateGrace, durationRange{0, time.Hour})
+	if s.PastUseHalfLife != 0 {
+		c.duration("$.scheduling.past_use_half_life", s.PastUseHalfLife, durationRange{usage.MinHalfLife.Std(), usage.MaxHalfLife.Std()})
+	}
 }
 
 func (c *checker) platform(s *Settings) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -71,6 +71,10 @@
 	KeepRunning bool `json:"keep_running"`
 	// MaxReservations is the maximum number of jobs with reservations at a time.
 	MaxReservations int `json:"max_reservations"`
+	// PastUseHalfLife is the time in which the weight of what a team has used halves in the
+	// order of teams. Zero: past use does not count. Unlike the rest, it may differ between
+	// control processes while they are restarted: the leader's value is in force.
+	PastUseHalfLife model.Duration `json:"past_use_half_life"`
 }
 
 // Platform configures the adapter to the users' platform. A part of the adapter whose
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -83,6 +83,9 @@
 		{"a link to the same region", "limits.links", []any{map[string]any{"from": "a", "to": "a", "bytes_per_second": 3750000}}, "$.limits.links[0].to"},
 		{"an unknown log level", "log.level", "loud", `$.log.level: got "loud": must be one of debug`},
 		{"an unknown field", "limits.lease", "1s", "$.limits.lease: unknown field; known here: worker_lease"},
+		{"a half-life of past use below a second", "scheduling.past_use_half_life", "999ms", "$.scheduling.past_use_half_life: got 999ms: must be from 1s to 8784h0m0s"},
+		{"a half-life of past use above a year", "scheduling.past_use_half_life", "8785h", "$.scheduling.past_use_half_life: got 8785h0m0s: must be from 1s to"},
+		{"a negative half-life of past use", "scheduling.past_use_half_life", "-1h", "$.scheduling.past_use_half_life: got -1h0m0s: must be from 1s to"},
 		{"a wrong type", "limits", 3, "$.limits: got 3: must be an object"},
 	}
 	for _, row := range rows {
