--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -182,6 +183,22 @@
 	}
 }
 
+// Guards against past use that is not shown, and against columns of a feature that is off.
+func TestStatusShowsPastUseWhileItCounts(t *testing.T) {
+	f := newFakeEntry(t)
+	status := api.Status{Teams: []api.TeamView{{Team: "workshop"}, {Team: "rota"}}}
+	f.respond("GET /v1/status", status)
+	assert.Assert(t, !strings.Contains(run(t, "status").out, "PAST"))
+	status.PastUseHalfLife = model.Duration(time.Hour)
+	status.Teams[0].PastUse = &api.PastUse{Average: model.Resources{CPU: 4000}, LoadPermille: 2250}
+	f = newFakeEntry(t)
+	f.respond("GET /v1/status", status)
+	out := run(t, "status").out
+	for _, want := range []string{"PAST LOAD  PAST USE", "2.25       4000m cpu", "half-life of 1h0m0s"} {
+		assert.Assert(t, strings.Contains(out, want), out)
+	}
+}
+
 func TestKeys(t *testing.T) {
 	f := newFakeEntry(t)
 	var granted model.Key
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 	"time"
 
@@ -48,7 +49,7 @@
 		return err
 	}
 	a.printf("\n")
-	return a.table([]string{"TEAM", "RUNNING", "LIMIT", "PERMITS", "RESERVED", "CHARGED", "REFUNDED"}, teamRows(s.Teams))
+	return a.printTeams(s)
 }
 
 func replicaRows(replicas []api.ReplicaView) [][]string {
@@ -68,6 +69,28 @@
 	return rows
 }
 
+// printTeams shows the teams, with their past use if it counts.
+func (a *app) printTeams(s api.Status) error {
+	header := []string{"TEAM", "RUNNING", "LIMIT", "PERMITS", "RESERVED", "CHARGED", "REFUNDED"}
+	rows := teamRows(s.Teams)
+	if s.PastUseHalfLife == 0 {
+		return a.table(header, rows)
+	}
+	header = append(header, "PAST LOAD", "PAST USE")
+	for i := range rows {
+		load, average := "-", "-"
+		if past := s.Teams[i].PastUse; past != nil {
+			load, average = fmt.Sprintf("%.2f", float64(past.LoadPermille)/1000), past.Average.String()
+		}
+		rows[i] = append(rows[i], load, average)
+	}
+	if err := a.table(header, rows); err != nil {
+		return err
+	}
+	a.printf("\npast use counts in the order of teams, with a half-life of %s\n", s.PastUseHalfLife)
+	return nil
+}
+
 func teamRows(teams []api.TeamView) [][]string {
 	rows := make([][]string, 0, len(teams))
 	for _, t := range teams {
