schedule: tests that terms of past use follow the cell, and its place in a team

With the terms not computed again after a change of capacity or of shares, all tests passed: the rows of the order now plan between two events, and one adds a worker that changes which resource is dominant. The average moves behind the fields that each plan reads for every team.

--- a/internal/schedule/event.go
+++ b/internal/schedule/event.go
@@ -160,8 +160,8 @@
 }
 
 // PastUseChanged replaces the past use of all teams. Teams that are not listed have used
-// nothing. The values change slowly beside the half-life, so an event from time to time
-// suffices.
+// nothing, and teams that are not known yet are ignored. The values change slowly beside the
+// half-life, so an event from time to time suffices.
 type PastUseChanged struct {
 	HalfLife time.Duration // zero: past use is not considered
 	Teams    []TeamPastUse
--- a/internal/schedule/pastuse_test.go
+++ b/internal/schedule/pastuse_test.go
@@ -33,6 +33,8 @@
 	teams := func(a, b int64) ConfigChanged {
 		return ConfigChanged{Teams: []model.Team{{Name: "a", Share: a, MaxRunning: 1000}, {Name: "b", Share: b, MaxRunning: 1000}, {Name: "c", Share: 1, MaxRunning: 1000}}}
 	}
+	processorsAndMemory := PastUseChanged{HalfLife: time.Hour, Teams: []TeamPastUse{
+		{Team: "a", Average: model.Resources{CPU: 4000}}, {Team: "b", Average: model.Resources{Memory: 16_384}}}}
 	rows := []struct {
 		name   string
 		events []Event
@@ -56,6 +58,8 @@
 		{"the share was lowered", []Event{pastOf(map[string]int64{"a": 8, "b": 8}), teams(1, 2)}, "", 0, "b"},
 		{"the team was removed and declared again", []Event{pastOf(map[string]int64{"a": 8, "b": 4}), ConfigChanged{Teams: teams(1, 1).Teams[1:]}, teams(1, 1)}, "", 0, "b"},
 		{"only memory was used", []Event{PastUseChanged{HalfLife: time.Hour, Teams: []TeamPastUse{{Team: "a", Average: model.Resources{Memory: 4096}}}}}, "", 0, "b"},
+		{"b has used a larger part of the memory than a of the processors", []Event{processorsAndMemory}, "", 0, "a"},
+		{"that, until a worker with more memory joins", []Event{processorsAndMemory, WorkerUp{Spec: model.WorkerSpec{ID: "large", Capacity: model.Resources{CPU: 1, Memory: 1 << 20}}}}, "", 0, "b"},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
@@ -72,6 +76,7 @@
 			c.s.Apply(JobSubmitted{ID: 100, Spec: model.JobSpec{Tasks: 1, Size: cores(4)}, Team: "a", At: startBy.Add(-time.Hour), StartBy: startBy})
 			c.s.Apply(JobSubmitted{ID: 101, Spec: model.JobSpec{Tasks: 1, Size: cores(4)}, Team: "b", At: c.now, StartBy: c.now.Add(2 * time.Hour)})
 			for _, e := range row.events {
+				c.s.Plan(c.now, 0) // computes the terms, which the event must make it compute again
 				c.s.Apply(e)
 			}
 			p := c.s.Plan(c.now, 1000)
--- a/internal/schedule/team.go
+++ b/internal/schedule/team.go
@@ -30,13 +30,13 @@
 	first   int32               // index in queue; -1 for none
 	key     int64               // precedence; the least comes first
 
-	pastTerm int64           // part of key, for past use
-	past     model.Resources // decayed average of what was reserved
+	pastTerm int64 // part of key, for past use
 
 	// The rest is not read for every team in every plan.
 	hold         limitHold       // the last turn of a job that the limits hold up
 	serviceTasks int64           // part of running, of services
 	services     model.Resources // part of reserved, of services
+	past         model.Resources // decayed average of reserved
 }
 
 // TeamUsage is the current usage of a team.
