--- a/internal/server/partition_test.go
+++ b/internal/server/partition_test.go
@@ -44,7 +44,8 @@
 	version     uint64
 }
 
-func startGroup(t *testing.T, n int) *group {
+// startGroup starts n processes with default settings, changed by adjust.
+func startGroup(t *testing.T, n int, adjust ...func(*settings.Settings)) *group {
 	t.Helper()
 	g := &group{t: t}
 	var digest model.KeyDigest
@@ -69,6 +70,9 @@
 		set.Limits.Freshness = model.Duration(2 * time.Second)
 		set.Limits.ShutdownDelay = 0
 		set.Bootstrap.OperatorKeyDigest = string(digest)
+		for _, fn := range adjust {
+			fn(set)
+		}
 		nd := &node{faults: &wire.Faults{}, inner: addr}
 		nd.process, err = Start(set, Options{TLS: conf, Log: &nd.log, Faults: nd.faults})
 		assert.NilError(t, err)
