--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -234,6 +234,9 @@
 	Teams    []TeamView    `json:"teams"`
 	// Evacuations are the failure domains that are being evacuated.
 	Evacuations []EvacuationView `json:"evacuations,omitempty"`
+	// PastUseHalfLife is the half-life in force with which past use counts in the order of
+	// teams. Zero: it does not count.
+	PastUseHalfLife model.Duration `json:"past_use_half_life,omitempty"`
 }
 
 // EvacuationView is the evacuation of a failure domain.
@@ -271,4 +274,12 @@
 	Charged        int64           `json:"charged_micro_units"`
 	Refunded       int64           `json:"refunded_micro_units"`
 	RequestPermits int64           `json:"request_permits"`
+	PastUse        *PastUse        `json:"past_use,omitempty"` // if it counts in the order of teams
+}
+
+// PastUse is what a team has used over the past. The weight of a moment halves with each
+// half-life since then.
+type PastUse struct {
+	Average      model.Resources `json:"average"`       // of what its tasks have reserved
+	LoadPermille int64           `json:"load_permille"` // of its share of the cell
 }
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -46,6 +46,7 @@
 	submissions    sharedCalls[submissionKey, proto.WorkflowView]
 	jobSubmissions sharedCalls[jobSubmissionKey, proto.Submitted]
 	stalled        stalledJobs
+	pastUse        pastUse
 	// proposedCeilings are the teams whose ceilings are proposed and not committed yet.
 	proposedCeilings map[string]struct{}
 	startingRuns     bool                           // a proposal to start due runs is not committed yet
@@ -103,6 +104,8 @@
 	l.assumeEarlierGrants(now)
 	l.syncLimits()
 	l.syncAllRequestPermits()
+	l.pastUse = pastUse{l: l}
+	l.pastUse.refresh(now)
 	l.leases.BeginTerm(now, holders)
 	l.revokeInheritedStarts()
 	l.countEvacuated()
@@ -133,6 +136,7 @@
 	l.c.s.metrics.workerSpeeds.Reset()
 	l.c.s.metrics.evacuatedDomains.Set(0)
 	l.c.s.metrics.evacuatedTasks.Set(0)
+	l.c.s.metrics.pastLoad.Reset()
 	l.polled.stop()
 	l.waits.failAll()
 }
@@ -180,6 +184,8 @@
 		l.waits.changed(l.c, e.ID)
 	case state.WorkflowChanged:
 		l.recordWorkflow(&e)
+	case state.PastUseChanged:
+		l.pastUse.halfLifeChanged(e.HalfLife)
 	}
 }
 
@@ -231,6 +237,7 @@
 	l.permits.Tick(now)
 	l.proposeCeilings()
 	l.proposeWorkerSpeed()
+	l.pastUse.tick(now)
 	l.owners.Tick(now)
 	l.waits.expire(l.c, now)
 	l.startDueRuns(now)
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -39,6 +39,7 @@
 	evacuatedTasks    prometheus.Gauge
 	startsWithheld    prometheus.Counter
 	unresponsive      prometheus.Gauge
+	pastLoad          *prometheus.GaugeVec
 	lostPolls         prometheus.Counter
 	workerPauses      prometheus.Counter
 	unreadableRows    *prometheus.CounterVec
@@ -119,6 +120,9 @@
 			Name: "filbertmast_control_evacuated_tasks", Help: "Tasks that hold resources in evacuated failure domains."}),
 		startsWithheld: f.NewCounter(prometheus.CounterOpts{
 			Name: "filbertmast_control_starts_withheld_total", Help: "Starts and repeats of starts that were not sent, since the failure domain is evacuated."}),
+		pastLoad: f.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "filbertmast_control_team_past_load", Help: "Decayed average of what a team has reserved, in multiples of its share of the cell."},
+			[]string{"team"}),
 		unresponsive: f.NewGauge(prometheus.GaugeOpts{
 			Name: "filbertmast_control_workers_silent", Help: "Called workers that did not answer the last call."}),
 		lostPolls: f.NewCounter(prometheus.CounterOpts{
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -195,6 +195,7 @@
 		Relays:          relays,
 		Scheduling:      schedulingOptions(p.settings),
 		WorkerSpeed:     p.settings.Scheduling.WorkerSpeed,
+		PastUseHalfLife: p.settings.Scheduling.PastUseHalfLife,
 	})
 	p.spawn(func() { p.control.Run(ctx) })
 	if p.settings.Control.Join {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -9,6 +9,7 @@
 
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/strict"
+	"github.com/filbertmast/filbertmast/internal/usage"
 )
 
 const (
@@ -69,6 +70,9 @@
 	c.duration("$.scheduling.late_grace", s.LateGrace, durationRange{0, time.Hour})
 	c.duration("$.scheduling.late_margin", s.LateMargin, durationRange{0, time.Hour})
 	c.between("$.scheduling.useful_factor", s.UsefulFactor, 0, 1000)
+	if s.PastUseHalfLife != 0 {
+		c.duration("$.scheduling.past_use_half_life", s.PastUseHalfLife, durationRange{usage.MinHalfLife.Std(), usage.MaxHalfLife.Std()})
+	}
 }
 
 func (c *checker) platform(s *Settings) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -79,6 +79,10 @@
 	MaxReservations int `json:"max_reservations"`
 	// WorkerSpeed enables the estimation of how fast each worker is, and its use in placements.
 	WorkerSpeed bool `json:"worker_speed"`
+	// PastUseHalfLife is the time in which the weight of what a team has used halves in the
+	// order of teams. Zero: past use does not count. Unlike the rest, it may differ between
+	// control processes while they are restarted: the leader's value is in force.
+	PastUseHalfLife model.Duration `json:"past_use_half_life"`
 }
 
 // Platform configures the adapter to the users' platform. A part of the adapter whose
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -48,7 +48,7 @@
 	StartRuns      *StartRuns      `cbor:"31,keyasint,omitempty"`
 	SetCapacity    *SetCapacity    `cbor:"32,keyasint,omitempty"`
 	SetEvacuation  *SetEvacuation  `cbor:"33,keyasint,omitempty"`
-	// 34 is reserved.
+	SetPastUse     *SetPastUse     `cbor:"34,keyasint,omitempty"`
 	SetWorkerSpeed *SetWorkerSpeed `cbor:"35,keyasint,omitempty"`
 	LoseAttempts   *LoseAttempts   `cbor:"36,keyasint,omitempty"`
 }
@@ -303,6 +303,12 @@
 	Permits int64  `cbor:"2,keyasint"`
 }
 
+// SetPastUse sets the half-life with which the past use of resources is recorded for each
+// team; zero: it is not recorded.
+type SetPastUse struct {
+	HalfLife model.Duration `cbor:"1,keyasint"`
+}
+
 // encMode encodes equal commands to equal bytes in every process.
 var encMode = func() cbor.EncMode {
 	m, err := cbor.CoreDetEncOptions().EncMode()
--- a/internal/state/event.go
+++ b/internal/state/event.go
@@ -151,6 +151,11 @@
 	Permits int64
 }
 
+// PastUseChanged reports a new half-life with which past use is recorded.
+type PastUseChanged struct {
+	HalfLife model.Duration // zero: it is not recorded
+}
+
 func (ConfigChanged) isEvent()      {}
 func (CeilingChanged) isEvent()     {}
 func (EndingChanged) isEvent()      {}
@@ -169,6 +174,7 @@
 func (TaskGivenUp) isEvent()        {}
 func (PlacementRefused) isEvent()   {}
 func (ExecutorChanged) isEvent()    {}
+func (PastUseChanged) isEvent()     {}
 
 // RefusalReason is the reason for which a placement was not admitted.
 type RefusalReason string
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -52,6 +52,7 @@
 	withdrawnExecutors []WithdrawnExecutor // oldest first
 	speeds             workerSpeeds
 	evacuations        []Evacuation // sorted by domain
+	pastUse            pastUse
 
 	events []Event // of the command being applied
 }
@@ -75,6 +76,7 @@
 		journal:     journal.New(o.Journal),
 		pendingJobs: make(map[string]int64),
 		ceilings:    make(map[string]int64),
+		pastUse:     newPastUse(),
 	}
 }
 
@@ -155,6 +157,8 @@
 		return m.setWorkerSpeed(c.SetWorkerSpeed)
 	case c.SetEvacuation != nil:
 		return m.setEvacuation(c.SetEvacuation)
+	case c.SetPastUse != nil:
+		return m.setPastUse(c.SetPastUse)
 	}
 	return Result{Err: errkind.New(errkind.BadRequest, "empty command")}
 }
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -36,9 +36,9 @@
 	LastJob           model.JobID        `cbor:"14,keyasint,omitempty"`
 	Workflows         []*Workflow        `cbor:"15,keyasint,omitempty"` // by ID
 	FinishedWorkflows []model.WorkflowID `cbor:"16,keyasint,omitempty"`
-	// 18 is reserved.
-	WorkerSpeed bool         `cbor:"19,keyasint,omitempty"`
-	Evacuations []Evacuation `cbor:"17,keyasint,omitempty"` // by domain
+	WorkerSpeed       bool               `cbor:"19,keyasint,omitempty"`
+	Evacuations       []Evacuation       `cbor:"17,keyasint,omitempty"` // by domain
+	PastUse           *pastUseRecord     `cbor:"18,keyasint,omitempty"`
 }
 
 // accountRecord is one team's account in a snapshot.
@@ -71,6 +71,7 @@
 		FinishedWorkflows:  m.finishedWorkflows,
 		WorkerSpeed:        m.speeds.enabled,
 		Evacuations:        m.evacuations,
+		PastUse:            m.pastUse.record(),
 	}
 	if err := enc.Encode(&header); err != nil {
 		return errkind.Wrap(errkind.Internal, err, "write snapshot header")
@@ -116,6 +117,7 @@
 	for _, c := range header.Ceilings {
 		m.ceilings[c.Team] = c.Permits
 	}
+	m.pastUse.restore(header.PastUse)
 	m.journal.Restore(header.Journal)
 	for i := range header.Accounts {
 		m.accounts[header.Accounts[i].Team] = &header.Accounts[i].Account
