schedule, permit: tests that notice more mutants of the use of speeds

Without them, no test noticed a gang that stays in one rack of slow workers, backfill on a slow worker beside a fast one, and full workers that are ordered by speed.

--- a/internal/permit/order_test.go
+++ b/internal/permit/order_test.go
@@ -35,6 +35,7 @@
 func TestQueryNamesWorkersOfPreferredSpeed(t *testing.T) {
 	candidates := []schedule.Candidate{
 		{Worker: "full fast", Room: 0, FreeCPU: 100, Rank: 0},
+		{Worker: "almost full slow", Room: 0, FreeCPU: 200, Rank: 2},
 		{Worker: "slow", Room: 3, FreeCPU: 3000, Rank: 2},
 		{Worker: "empty fast", Room: 9, FreeCPU: 9000, Rank: 0},
 		{Worker: "normal", Room: 1, FreeCPU: 1000, Rank: 1},
@@ -45,8 +46,8 @@
 		allAtOnce bool
 		want      []string
 	}{
-		{false, []string{"reserved slow", "tight fast", "empty fast", "normal", "slow", "full fast"}},
-		{true, []string{"reserved slow", "empty fast", "tight fast", "normal", "slow", "full fast"}},
+		{false, []string{"reserved slow", "tight fast", "empty fast", "normal", "slow", "almost full slow", "full fast"}},
+		{true, []string{"reserved slow", "empty fast", "tight fast", "normal", "slow", "almost full slow", "full fast"}},
 	} {
 		sorted := slices.Clone(candidates)
 		Demand{Tasks: 1, AllAtOnce: row.allAtOnce}.sortCandidates(sorted)
--- a/internal/schedule/speed_test.go
+++ b/internal/schedule/speed_test.go
@@ -97,6 +97,24 @@
 	assert.Equal(t, len(c.plan().Placements), 4, "the rest of the cell holds another one")
 }
 
+// TestGangTakesFastRacksBeforeOneSlowRack guards against a gang that is placed in one rack of slow
+// workers since that is the fewest racks.
+func TestGangTakesFastRacksBeforeOneSlowRack(t *testing.T) {
+	c := newCell()
+	for _, w := range []struct {
+		id, domain, rack string
+		cores            int64
+		permille         int64
+	}{{"slow", "d1", "r1", 6, 550}, {"fast-1", "d2", "r1", 2, 1200}, {"fast-2", "d2", "r2", 2, 1200}, {"fast-3", "d3", "r1", 2, 1200}} {
+		c.worker(w.id, w.domain, w.rack, cores(w.cores), nil)
+		c.speed(w.id, w.permille)
+	}
+	for _, want := range []string{"fast", "slow"} { // the fast workers hold no second gang
+		c.job(model.JobSpec{Tasks: 4, Policy: model.PolicyGang, Size: cores(1), Patience: hour})
+		assert.DeepEqual(t, c.classesOf(c.plan()), map[string]int{want: 4})
+	}
+}
+
 // TestNoTaskWaitsForFastWorker guards against an idle slow worker while short work waits, in a
 // cell whose fast workers are full.
 func TestNoTaskWaitsForFastWorker(t *testing.T) {
@@ -204,6 +222,31 @@
 	}
 }
 
+// TestBackfillChoosesWorkerThatIsFastEnough is the same with a fast worker beside the slow one,
+// both of which are reserved.
+func TestBackfillChoosesWorkerThatIsFastEnough(t *testing.T) {
+	c := newCell()
+	for id, permille := range map[string]int64{"slow": 550, "fast": 1200} {
+		c.worker(id, "d", "r", cores(4), nil)
+		c.speed(id, permille)
+	}
+	c.learnRunTime(t, 10*time.Second)
+	long := c.s.classOf("a", &model.JobSpec{Name: "long"})
+	for range 10 {
+		c.s.learned.ObserveRunTime(long, 15*time.Second)
+	}
+	c.job(model.JobSpec{Name: "long", Tasks: 2, Size: cores(3), Patience: hour})
+	assert.Equal(t, len(c.plan().Placements), 2)
+	for i := range c.s.workers {
+		w := &c.s.workers[i]
+		w.tasks[0].task().since = c.now.Add(15*time.Second - speed.Scale(15*time.Second, w.speed))
+	}
+	c.job(model.JobSpec{Name: "wide", Tasks: 2, Size: cores(4)})
+	assert.Equal(t, len(c.plan().Placements), 0)
+	c.job(model.JobSpec{Tasks: 2, Size: cores(1), Patience: hour})
+	assert.DeepEqual(t, c.classesOf(c.plan()), map[string]int{"fast": 1})
+}
+
 // TestSmallChangesOfSpeedMoveNoWorker guards against an index that is rebuilt with each estimate.
 func TestSmallChangesOfSpeedMoveNoWorker(t *testing.T) {
 	c := newPacedCell()
