--- a/internal/schedule/speed_test.go
+++ b/internal/schedule/speed_test.go
@@ -195,16 +195,18 @@
 }
 
 // TestBackfillExpectsLongerRunOnSlowWorker guards against backfill that delays a reservation,
-// since its task takes longer on a slow worker than it does on average.
+// since its task takes longer on a slow worker than it does on average, and against a reserved
+// fast worker that idles although a task would end in time there.
 func TestBackfillExpectsLongerRunOnSlowWorker(t *testing.T) {
 	for _, tt := range []struct {
 		permille int64
+		run      time.Duration // at normal speed
 		placed   int
-	}{{1000, 1}, {1200, 1}, {550, 0}} {
+	}{{1000, 10 * time.Second, 1}, {1000, 17 * time.Second, 0}, {1200, 17 * time.Second, 1}, {550, 10 * time.Second, 0}} {
 		c := newCell()
 		c.worker("w", "d", "r", cores(4), nil)
 		c.speed("w", tt.permille)
-		c.learnRunTime(t, 10*time.Second)
+		c.learnRunTime(t, tt.run)
 		long := c.s.classOf("a", &model.JobSpec{Name: "long"})
 		for range 10 {
 			c.s.learned.ObserveRunTime(long, 15*time.Second)
@@ -218,7 +220,7 @@
 		assert.Equal(t, len(c.plan().Placements), 0)
 		assert.Equal(t, len(c.s.reservations), 1)
 		c.job(model.JobSpec{Tasks: 1, Size: cores(1), Patience: hour})
-		assert.Equal(t, len(c.plan().Placements), tt.placed, "at a speed of %d", tt.permille)
+		assert.Equal(t, len(c.plan().Placements), tt.placed, "%s at a speed of %d", tt.run, tt.permille)
 	}
 }
 
