--- a/internal/schedule/cell.go
+++ b/internal/schedule/cell.go
@@ -17,25 +17,32 @@
 	pace          speed.Class
 }
 
+// packed returns k as one number. Each change of a worker looks it up, and a map finds a
+// number faster than a struct.
+func (k binKey) packed() uint64 {
+	return uint64(uint32(k.domain))<<32 | uint64(uint32(k.class))<<8 | uint64(uint8(k.pace))
+}
+
 // bins assigns numbers to bins.
 type bins struct {
-	shared  int32 // class that stands for itself and all higher ones
-	ids     map[binKey]int32
-	keys    []binKey  // by bin
-	byClass [][]int32 // bins of each class, ascending
-	paced   bool      // there is a bin for workers of another class of speed than the average
+	shared  int32            // class that stands for itself and all higher ones
+	ids     map[uint64]int32 // by binKey.packed
+	keys    []binKey         // by bin
+	byClass [][]int32        // bins of each class, ascending
+	paced   bool             // there is a bin for workers of another class of speed than the average
 }
 
 func (b *bins) of(class, domain int32, pace speed.Class) int32 {
 	key := binKey{min(class, b.shared), domain, pace}
-	if id, ok := b.ids[key]; ok {
+	packed := key.packed()
+	if id, ok := b.ids[packed]; ok {
 		return id
 	}
 	if b.ids == nil {
-		b.ids = map[binKey]int32{}
+		b.ids = map[uint64]int32{}
 	}
 	id := int32(len(b.keys))
-	b.ids[key] = id
+	b.ids[packed] = id
 	b.paced = b.paced || pace != speed.Average
 	b.keys = append(b.keys, key)
 	for int(key.class) >= len(b.byClass) {
--- a/internal/schedule/find.go
+++ b/internal/schedule/find.go
@@ -109,24 +109,23 @@
 // of those of the class of speed that is preferred most, or noSlot.
 func (p *planner) bestOf(bins []int32, size model.Resources, accept func(int32) bool, preferred preference) int32 {
 	if preferred == preferNone || !p.s.bins.paced {
-		return p.tightestOf(bins, size, accept, func(int32) bool { return true })
+		return p.tightestOf(bins, size, accept, preferNone, 0)
 	}
 	for rank := range ranks {
-		slot := p.tightestOf(bins, size, accept, func(bin int32) bool { return preferred.rank(p.s.bins.keys[bin].pace) == rank })
-		if slot != noSlot {
+		if slot := p.tightestOf(bins, size, accept, preferred, rank); slot != noSlot {
 			return slot
 		}
 	}
 	return noSlot
 }
 
-// tightestOf returns the tightest worker of those bins that in accepts on which size fits and
-// that accept does not refuse, or noSlot.
-func (p *planner) tightestOf(bins []int32, size model.Resources, accept, in func(int32) bool) int32 {
+// tightestOf returns the tightest worker of those bins whose class of speed has the given rank, on
+// which size fits and that accept does not refuse, or noSlot.
+func (p *planner) tightestOf(bins []int32, size model.Resources, accept func(int32) bool, preferred preference, rank int) int32 {
 	best := noSlot
 	var bestKey capacity.Key
 	for _, bin := range bins {
-		if !in(bin) {
+		if preferred != preferNone && preferred.rank(p.s.bins.keys[bin].pace) != rank {
 			continue
 		}
 		slot, key, ok := p.s.free.Best(bin, size, accept)
--- a/internal/schedule/gang.go
+++ b/internal/schedule/gang.go
@@ -150,14 +150,14 @@
 func (p *planner) findRacksAmong(j *job, size model.Resources, claims []claim, permitted permitCheck, slowest speed.Class) []gangRack {
 	bins, exact := p.s.binsFor(p.bins[:0], j.group.selector)
 	p.bins = bins
-	bins = slices.DeleteFunc(bins, func(bin int32) bool { return p.s.bins.keys[bin].pace < slowest })
+	if slowest > speed.Slow {
+		bins = slices.DeleteFunc(bins, func(bin int32) bool { return p.s.bins.keys[bin].pace < slowest })
+		claims = slices.DeleteFunc(slices.Clone(claims), func(c claim) bool { return p.s.workers[c.slot].pace < slowest })
+	}
 	accept := p.acceptWith(j, exact, permitted)
 	c := &p.s.gangWorkers
 	c.clear(len(p.s.racks.byName))
 	add := func(slot int32, free model.Resources) {
-		if p.s.workers[slot].pace < slowest {
-			return
-		}
 		if accept == nil || accept(slot) {
 			c.add(&p.s.workers[slot], slot, j.tasksThatFit(size, free))
 		}
--- a/internal/schedule/worker.go
+++ b/internal/schedule/worker.go
@@ -30,6 +30,7 @@
 	domain       int32
 	rack         int32
 	region       int32
+	pace         speed.Class // of speed
 	mode         model.WorkerMode
 	known        bool
 	unresponsive bool         // does not respond to commands
@@ -39,7 +40,6 @@
 	keptAlone    bool         // no other task is placed on it in the start of the suspect
 	suspects     int32        // assigned tasks that are suspected
 	speed        int64        // in thousandths of the normal speed
-	pace         speed.Class  // of speed
 }
 
 // available reports whether w is in the index of free capacity.
