--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -188,7 +188,7 @@
 		name   string
 		weight int32
 		times  float64
-		least  int64 // the estimate after it, from 1000
+		least  int64 // the estimate after it, from 1000, with one task to compare it with
 	}{
 		{"seven times as long, without evidence", 0, 7, 750},
 		{"a thousand times as long, without evidence", 0, 1000, 750},
@@ -205,6 +205,20 @@
 			assert.Equal(t, a.Log, -b.Log, "the average must not move")
 		})
 	}
+
+	// Many tasks to compare it with have more weight, which is bounded, too.
+	estimates := make([]Estimate, maxRuns+1)
+	var s Sample
+	for i := range estimates {
+		estimates[i].Weight = 1500 // that of some fifteen tasks
+		length := int64(1000)
+		if i == maxRuns {
+			length = 1_000_000
+		}
+		s.Add(Run{Worker: int32(i), Length: LogOf(length)}, 0, func(r *Run) *Estimate { return &estimates[r.Worker] })
+	}
+	assert.Assert(t, estimates[maxRuns].Permille() >= 970, "%d", estimates[maxRuns].Permille())
+	assert.Assert(t, estimates[0].Permille() <= 1002, "%d", estimates[0].Permille())
 }
 
 // TestEstimateIsShrunkTowardsOne guards against an estimate that trusts its first task.
