--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -316,7 +316,7 @@
 		task.Job = rapid.SampledFrom(ids).Draw(t, "job")
 		task.Index = rapid.Int32Range(0, m.Job(task.Job).Spec.Tasks-1).Draw(t, "task")
 	}
-	switch rapid.IntRange(0, 10).Draw(t, "command") {
+	switch rapid.IntRange(0, 11).Draw(t, "command") {
 	case 0:
 		team := rapid.SampledFrom([]string{"guards", "stands"}).Draw(t, "team")
 		policy := rapid.SampledFrom([]model.Policy{model.PolicyBatch, model.PolicyGang, model.PolicyService}).Draw(t, "policy")
@@ -348,6 +348,8 @@
 			lose.Attempts = []HeldAttempt{{Task: task, Fence: j.Task(task.Index).Fence}}
 		}
 		return &Command{LoseAttempts: lose}
+	case 10:
+		return &Command{SetPastUse: &SetPastUse{HalfLife: rapid.SampledFrom([]model.Duration{0, model.Duration(time.Minute)}).Draw(t, "half-life")}}
 	}
 	j := m.Job(task.Job)
 	if j == nil {
