control: evacuate failure domains in the simulation of faults

A profile begins and ends evacuations of two domains under elections, slow commits, late calls, lost answers and crashes. A start that a worker carries out more than 5 s after the commit is a violation, beside those of tasks that run twice.

--- a/internal/control/simcheck_test.go
+++ b/internal/control/simcheck_test.go
@@ -75,6 +75,7 @@
 			o.restarts = true
 		}
 	}
+	c.checkEvacuated(t, r)
 	t.runs = append(t.runs, r)
 }
 
--- a/internal/control/simulation_test.go
+++ b/internal/control/simulation_test.go
@@ -52,6 +52,7 @@
 	drain         float64       // of a step: a worker drains, leaves and returns, or another one takes its address
 	resize        float64       // of a step: a worker's capacity changes
 	preempt       float64       // of a step: tasks are preempted
+	evacuate      float64       // of a step: the evacuation of a failure domain begins or ends
 	restore       float64       // of a step: a follower continues from a snapshot
 	crossBoots    bool          // late calls are carried out by a later incarnation with the same ID and address
 	resend        bool          // the HTTP transport sends a call again whose connection broke
@@ -83,6 +84,7 @@
 	cuts      map[string]time.Duration
 	gangs     map[string]*simGang
 	gangSizes map[string]int
+	evacuated map[string]time.Duration // when the evacuation of a failure domain was committed
 	flows     int
 	moved     int  // workers that started again at another address
 	renamed   int  // workers that started again under another ID
@@ -134,7 +136,7 @@
 	s := &simulation{
 		seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), faults: faults, start: time.Now(),
 		byAddress: map[string]*simWorker{}, cuts: map[string]time.Duration{},
-		gangs: map[string]*simGang{}, gangSizes: map[string]int{},
+		gangs: map[string]*simGang{}, gangSizes: map[string]int{}, evacuated: map[string]time.Duration{},
 		verbose: os.Getenv("FILBERTMAST_SIM_VERBOSE") != "",
 	}
 	s.log.sim, s.log.state = s, state.New(state.Options{})
@@ -305,6 +307,9 @@
 	if s.chance(f.preempt) {
 		s.preempt()
 	}
+	if s.chance(f.evacuate) {
+		s.evacuate()
+	}
 	if s.chance(f.restore) {
 		s.restore()
 	}
@@ -521,6 +526,9 @@
 	{"workers restart at another address", func(f *simFaults) {
 		f.crash, f.sameID, f.otherAddress, f.resend, f.restore = 0.005, 0.8, 0.7, true, 0.01
 	}},
+	{"failure domains are evacuated", func(f *simFaults) {
+		f.evacuate, f.election, f.slowCommit, f.slowCall, f.lostAnswer, f.crash, f.longestRun = 0.001, 0.004, 0.3, 0.2, 0.2, 0.002, 400*time.Millisecond
+	}},
 	{"workers drain, leave and return", func(f *simFaults) { f.drain, f.crash, f.sameID, f.longestRun = 0.006, 0.001, 0.5, 4*time.Second }},
 	{"gangs lose workers while their success is committed", func(f *simFaults) {
 		f.gangs, f.gangSkew, f.slowCommit, f.crash, f.sameID, f.election = 0.9, 300*time.Millisecond, 0.5, 0.008, 0.5, 0.004
--- a/internal/control/simworker_test.go
+++ b/internal/control/simworker_test.go
@@ -57,7 +57,7 @@
 // spec returns what the worker announces about itself.
 func (w *simWorker) spec() model.WorkerSpec {
 	return model.WorkerSpec{
-		ID: w.id, Address: w.address, Incarnation: w.born, Region: "south", FailureDomain: "selfoss",
+		ID: w.id, Address: w.address, Incarnation: w.born, Region: "south", FailureDomain: w.domain(),
 		Capacity: model.Resources{CPU: int64(w.slots) * 1000, Memory: 1 << 14},
 	}
 }
