--- a/internal/schedule/evacuation.go
+++ b/internal/schedule/evacuation.go
@@ -72,6 +72,9 @@
 // moveTasks moves the tasks that last away from an evacuated worker. Other tasks run to their
 // ends.
 func (p *planner) moveTasks(w *worker) {
+	if !slices.ContainsFunc(w.tasks, func(r taskRef) bool { return r.job.group.lasts() }) {
+		return
+	}
 	for _, r := range sortedTasks(w.tasks) {
 		if len(p.plan.Preemptions) >= p.max {
 			return
