Correct comments and names after the merges

The comments of the permit tracker named an order that its lists no longer share, and suspicion constants now have the names of their metric labels. Types and fields are placed beside those that they belong to. No behaviour changes.

--- a/internal/bodylimit/budget.go
+++ b/internal/bodylimit/budget.go
@@ -86,7 +86,7 @@
 	grace    time.Duration
 }
 
-// begin adds a body whose reading starts now.
+// begin adds a body whose reading, or a response whose sending, starts now.
 func (b *budget) begin(t *transfer, now time.Time) {
 	a := &b.accounts[t.class]
 	t.started, t.reading = now, true
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -1,6 +1,6 @@
-// Package connlimit bounds the open connections of a listener. When no further one may be
-// open, it closes one that serves nobody: whose request has not arrived after a second, whose
-// client does not read, or that is idle. A connection whose request is being served stays open,
+// Package connlimit bounds the open connections of a listener. At the limit it
+// closes a connection whose request has not arrived after a second, whose client does not read
+// the response, or that is idle. A connection whose request is being served stays open,
 // and the next one waits.
 package connlimit
 
@@ -219,7 +219,7 @@
 	}
 }
 
-// trackedBody tells its connection when it has been read.
+// trackedBody marks its connection as busy once the body has been read.
 type trackedBody struct {
 	io.ReadCloser
 	c *conn
@@ -259,8 +259,8 @@
 
 func (c *conn) state() state { return state(c.current.Load()) }
 
-// closable returns since when the connection serves nobody, and whether it is idle. It is not
-// ok if the connection serves a request.
+// closable returns since when the connection could be closed, and whether it is idle. It is not
+// ok while a request is being served.
 func (c *conn) closable() (since time.Time, idle, ok bool) {
 	if w := c.writing.Load(); w != 0 {
 		return time.Unix(0, w), false, true
--- a/internal/entry/check.go
+++ b/internal/entry/check.go
@@ -42,7 +42,7 @@
 	case err != nil:
 		l.suspect(current.address, suspectSilent)
 	case !p.Ready:
-		l.suspect(current.address, suspectNotLead)
+		l.suspect(current.address, suspectNotLeader)
 	default:
 		l.heard(current)
 	}
--- a/internal/entry/leadership.go
+++ b/internal/entry/leadership.go
@@ -35,17 +35,17 @@
 type suspicion string
 
 const (
-	notSuspected    suspicion = ""
-	suspectUnknown  suspicion = "unknown"         // no leader has been found yet
-	suspectSilent   suspicion = "silent"          // no packet arrives from it while calls wait
-	suspectUnproven suspicion = "unconfirmed"     // no control process confirms that it leads
-	suspectNotLead  suspicion = "not_leader"      // it has answered that it does not lead
-	suspectNoConn   suspicion = "unreachable"     // no connection to it can be made
-	suspectBroken   suspicion = "outcome_unknown" // the connection broke, or it lost leadership during a call
+	notSuspected          suspicion = ""
+	suspectUnknown        suspicion = "unknown"         // no leader has been found yet
+	suspectSilent         suspicion = "silent"          // no packet arrives from it while calls wait
+	suspectUnconfirmed    suspicion = "unconfirmed"     // no control process confirms that it leads
+	suspectNotLeader      suspicion = "not_leader"      // it has answered that it does not lead
+	suspectUnreachable    suspicion = "unreachable"     // no connection to it can be made
+	suspectOutcomeUnknown suspicion = "outcome_unknown" // the connection broke, or it lost leadership during a call
 )
 
 // suspicions lists every reason for a suspicion.
-var suspicions = []suspicion{suspectUnknown, suspectSilent, suspectUnproven, suspectNotLead, suspectNoConn, suspectBroken}
+var suspicions = []suspicion{suspectUnknown, suspectSilent, suspectUnconfirmed, suspectNotLeader, suspectUnreachable, suspectOutcomeUnknown}
 
 // suspicionOf returns the suspicion that a call which failed with k gives rise to. A
 // timeout gives none: a busy leader lets calls time out, too, and one that can't be
@@ -53,11 +53,11 @@
 func suspicionOf(k errkind.Kind) suspicion {
 	switch k {
 	case errkind.NotLeader, errkind.NoLeader:
-		return suspectNotLead
+		return suspectNotLeader
 	case errkind.Unreachable:
-		return suspectNoConn
+		return suspectUnreachable
 	case errkind.OutcomeUnknown:
-		return suspectBroken
+		return suspectOutcomeUnknown
 	}
 	return notSuspected
 }
@@ -174,7 +174,7 @@
 			l.confirm(found)
 			return
 		case !found.Ready && ctx.Err() == nil:
-			l.suspect(current.address, suspectUnproven)
+			l.suspect(current.address, suspectUnconfirmed)
 		}
 		if !sleep(ctx, watchInterval) {
 			return
--- a/internal/permit/tracker.go
+++ b/internal/permit/tracker.go
@@ -60,19 +60,20 @@
 	unsentAfter = 100 * time.Millisecond
 )
 
-// Options configure a Tracker. They are those of the scheduler with the same names, so
-// that queries are sent in the order in which jobs are placed.
+// Options configure a Tracker.
 type Options struct {
-	Lateness lateness.Options // the place of late jobs in the order of queries
+	// Lateness is the order of jobs that cannot start in time. It must equal that of the
+	// scheduler, so that queries are sent in the order in which jobs are placed.
+	Lateness lateness.Options
 }
 
 // Tracker holds the permits of the jobs that need them.
 type Tracker struct {
 	opts       Options
 	jobs       map[model.JobID]*jobPermits
-	byDeadline []model.JobID // earliest deadline for the start first
-	waiting    []*jobPermits // jobs that may have tasks to place, in the same order
-	booked     []*jobPermits // jobs with a booking, in the same order
+	byDeadline []model.JobID // all jobs, earliest promised start first
+	waiting    []*jobPermits // jobs that may have tasks to place, in the order of startBy
+	booked     []*jobPermits // jobs with a booking, earliest promised start first
 	contended  contention    // by the queries of all jobs
 
 	now       model.Time                // of the last check
@@ -151,7 +152,7 @@
 	t.addWaiting(j)
 }
 
-// compareJobs orders jobs by their place, then by age.
+// compareJobs orders jobs by startBy, then by age.
 func compareJobs(a, b *jobPermits) int {
 	return cmp.Or(cmp.Compare(a.startBy, b.startBy), cmp.Compare(a.id, b.id))
 }
--- a/internal/schedule/drain.go
+++ b/internal/schedule/drain.go
@@ -13,9 +13,9 @@
 	return w.known && (w.mode == model.WorkerDraining || w.mode == model.WorkerLeaving)
 }
 
-// drain evicts tasks from draining workers, and moves those that last away from evacuated ones. Tasks of a service are evicted a few
-// at a time, so that most of the service stays available; tasks that are not
-// repeatable are left to end.
+// drain evicts tasks from draining workers, and moves tasks that last away from evacuated
+// ones. Tasks of a service are evicted a few at a time, so that most of the service stays
+// available; tasks that are not repeatable are left to end.
 func (p *planner) drain() {
 	s := p.s
 	s.draining = slices.DeleteFunc(s.draining, func(slot int32) bool {
--- a/internal/schedule/late.go
+++ b/internal/schedule/late.go
@@ -18,7 +18,7 @@
 	}
 }
 
-// shiftLate moves jobs that cannot start in time any more behind those that can.
+// shiftLate updates the place of each job whose place in the order has changed by now.
 func (s *Scheduler) shiftLate(now model.Time) {
 	for len(s.late) > 0 && s.late[0].startByUntil <= now {
 		j := heap.Pop(&s.late).(*job)
--- a/internal/schedule/permit_test.go
+++ b/internal/schedule/permit_test.go
@@ -167,7 +167,7 @@
 // Twice the capacity of the cell is submitted for 20 s, then nothing. Each job
 // runs for 1 s and is in time if it starts within 2 s. Ordering by promised start
 // alone makes nearly all jobs late; the test compares it with ordering by promised
-// start with LateShift.
+// start with Lateness.Shift.
 func TestLateShiftStartsMoreJobsInTimeUnderOverload(t *testing.T) {
 	inTime := func(o Options) (startedInTime, started int) {
 		c := newCell()
@@ -202,7 +202,7 @@
 	withShift, allWithShift := inTime(Options{Lateness: lateness.Options{Shift: 15 * time.Second, Grace: 100 * time.Millisecond}})
 	assert.Equal(t, allWithoutShift, 320, "every job starts in the end")
 	assert.Equal(t, allWithShift, 320)
-	t.Logf("in time: %d ordered by promised start alone, %d with LateShift", withoutShift, withShift)
+	t.Logf("in time: %d ordered by promised start alone, %d with Lateness.Shift", withoutShift, withShift)
 	assert.Assert(t, withShift >= 2*withoutShift)
 }
 
--- a/internal/schedule/worker.go
+++ b/internal/schedule/worker.go
@@ -30,7 +30,7 @@
 	domain       int32
 	rack         int32
 	region       int32
-	pace         speed.Class // of speed
+	pace         speed.Class // class of its speed
 	mode         model.WorkerMode
 	known        bool
 	unresponsive bool         // does not respond to commands
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -95,7 +95,7 @@
 
 // observe moves the estimate after an observation of the given weight: the work of a task,
 // by the estimate, was larger by difference than that of others. Center is the average of all
-// estimates. Each observation takes it off, since comparisons determine only ratios: without
+// estimates. Each observation subtracts it, since comparisons determine only ratios: without
 // that, the average would drift from one.
 //
 // It returns by how much the estimate has changed.
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -291,18 +291,18 @@
 	Ceilings []Ceiling `cbor:"1,keyasint"`
 }
 
-// SetWorkerSpeed sets whether the speed of workers is estimated. The value is part of the state,
-// so that replicas that restart one by one with another setting compute the same estimates.
-type SetWorkerSpeed struct {
-	Enabled bool `cbor:"1,keyasint"`
-}
-
 // Ceiling is the upper bound of one team's outstanding request permits.
 type Ceiling struct {
 	Team    string `cbor:"1,keyasint"`
 	Permits int64  `cbor:"2,keyasint"`
 }
 
+// SetWorkerSpeed sets whether the speed of workers is estimated. The value is part of the state,
+// so that replicas that restart one by one with another setting compute the same estimates.
+type SetWorkerSpeed struct {
+	Enabled bool `cbor:"1,keyasint"`
+}
+
 // SetPastUse sets the half-life with which the past use of resources is recorded for each
 // team; zero: it is not recorded.
 type SetPastUse struct {
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -36,9 +36,9 @@
 	LastJob           model.JobID        `cbor:"14,keyasint,omitempty"`
 	Workflows         []*Workflow        `cbor:"15,keyasint,omitempty"` // by ID
 	FinishedWorkflows []model.WorkflowID `cbor:"16,keyasint,omitempty"`
-	WorkerSpeed       bool               `cbor:"19,keyasint,omitempty"`
 	Evacuations       []Evacuation       `cbor:"17,keyasint,omitempty"` // by domain
 	PastUse           *pastUseRecord     `cbor:"18,keyasint,omitempty"`
+	WorkerSpeed       bool               `cbor:"19,keyasint,omitempty"`
 }
 
 // accountRecord is one team's account in a snapshot.
--- a/internal/state/worker.go
+++ b/internal/state/worker.go
@@ -238,7 +238,7 @@
 	}
 }
 
-// reportExecutors reports the executors of a worker anew.
+// reportExecutors reports the executors of a worker after a change of what it may receive.
 func (m *Machine) reportExecutors(w *Worker) { m.eachExecutor(w, m.emit) }
 
 // eachExecutor calls fn with the event of each executor of a worker. Those that get no new
