--- a/internal/schedule/lateness/lateness.go
+++ b/internal/schedule/lateness/lateness.go
@@ -49,8 +49,9 @@
 		return j.PromisedStart, late + 1
 	}
 	last := j.PromisedStart.Add(o.Shift)
-	if o.UsefulFactor > 1 {
-		useful := j.PromisedStart.Add(time.Duration(o.UsefulFactor-1) * (j.Patience + j.RunTime))
+	// The division keeps the product below from overflowing.
+	if factor := time.Duration(o.UsefulFactor - 1); factor > 0 && j.Patience+j.RunTime <= (o.Shift-1)/factor {
+		useful := j.PromisedStart.Add(factor * (j.Patience + j.RunTime))
 		if useful < last && now <= useful {
 			return useful, useful + 1
 		}
--- a/internal/schedule/lateness/lateness_test.go
+++ b/internal/schedule/lateness/lateness_test.go
@@ -16,6 +16,8 @@
 	shift := Options{Shift: 20 * time.Second, Grace: 500 * time.Millisecond}
 	margin := Options{Shift: 20 * time.Second, Margin: 400 * time.Millisecond}
 	useful := Options{Shift: 20 * time.Second, UsefulFactor: 3}
+	longest := Job{PromisedStart: promised, Patience: model.MaxDuration.Std(), RunTime: model.MaxDuration.Std()}
+	mostUseful := Options{Shift: 20 * time.Second, UsefulFactor: 1000}
 	rows := []struct {
 		name           string
 		options        Options
@@ -34,6 +36,7 @@
 		{"at the last start that is of use", useful, short, promised + 3000, promised + 3000, promised + 3001},
 		{"of no use any more", useful, short, promised + 3001, promised + 20_000, 0},
 		{"of use for longer than the shift", useful, long, promised + 1, promised + 20_000, 0},
+		{"of use for longer than a duration can be", mostUseful, longest, promised + 1, promised + 20_000, 0},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
--- a/internal/state/speed.go
+++ b/internal/state/speed.go
@@ -69,7 +69,7 @@
 	}
 	r := speed.Run{Worker: t.Worker, Session: m.workers.list[t.Worker].Session, Length: speed.LogOf(m.now.Sub(t.Since).Milliseconds())}
 	var changed []*Worker
-	m.speeds.sum += j.Runs.Add(r, m.speeds.center(), func(r *speed.Run) *speed.Estimate {
+	moved := j.Runs.Add(r, m.speeds.center(), func(r *speed.Run) *speed.Estimate {
 		w := m.workers.list[r.Worker]
 		if w == nil || w.Session != r.Session {
 			return nil // it may be another machine now
@@ -81,6 +81,7 @@
 		changed = append(changed, w)
 		return w.Speed
 	})
+	m.speeds.sum += moved
 	for _, w := range changed {
 		if w.Speed.Publish() {
 			m.emit(WorkerSpeedChanged{Worker: w.Spec.ID, Permille: w.Speed.PublishedPermille()})
