--- a/internal/permit/tracker_test.go
+++ b/internal/permit/tracker_test.go
@@ -118,15 +118,15 @@
 	}
 	scheduler.limit = 20
 	assert.Equal(t, check(1000, false), 1, "the size is not known yet")
-	for now := model.Time(1020); now < 1100; now += 20 {
+	for now := model.Time(1020); now < 1500; now += 20 {
 		assert.Equal(t, check(now, false), 0)
 	}
 	assert.Equal(t, scheduler.choices, 1)
-	assert.Equal(t, check(1100, false), 1, "the query may be smaller by now")
-	assert.Equal(t, check(1120, false), 0)
+	assert.Equal(t, check(1500, false), 1, "the query may be smaller by now")
+	assert.Equal(t, check(1520, false), 0)
 	scheduler.limit = 21
-	assert.Equal(t, check(1140, true), 1, "it can be sent")
-	assert.Equal(t, check(1160, true), 0, "it is in flight")
+	assert.Equal(t, check(1540, true), 1, "it can be sent")
+	assert.Equal(t, check(1560, true), 0, "it is in flight")
 	assert.Equal(t, scheduler.choices, 3)
 }
 
