server: small receive buffers of HTTP/2 connections

The defaults of net/http let each connection hold 1 MiB of bodies that no handler has read, which the budgets of request bodies do not count.

--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -333,6 +333,17 @@
 	return nil
 }
 
+// The limits of HTTP/2, which is used with TLS. A connection holds what its clients have sent and
+// no handler has read, before the budgets of package bodylimit count it: with the defaults of
+// net/http this is 1 MiB for each connection and stream, which the connections of one crowd
+// multiply beyond the memory of a small process.
+const (
+	http2Streams          = 64
+	http2ConnectionBuffer = 128 << 10
+	http2StreamBuffer     = 64 << 10
+	http2FrameSize        = 16 << 10
+)
+
 // newHTTPServer returns a server for handler with the timeouts and the header
 // limit of the settings.
 func (p *Process) newHTTPServer(handler http.Handler) *http.Server {
@@ -344,7 +355,13 @@
 		WriteTimeout:      o.WriteTimeout.Std(),
 		IdleTimeout:       o.IdleTimeout.Std(),
 		MaxHeaderBytes:    o.MaxHeaderBytes,
-		ErrorLog:          p.log.WithPrefix(obs.PrefixServer).StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams:          http2Streams,
+			MaxReceiveBufferPerConnection: http2ConnectionBuffer,
+			MaxReceiveBufferPerStream:     http2StreamBuffer,
+			MaxReadFrameSize:              http2FrameSize,
+		},
+		ErrorLog: p.log.WithPrefix(obs.PrefixServer).StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 }
 
