--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -202,21 +202,26 @@
 	}
 	next := srv.Handler
 	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		trackBody(r)
-		next.ServeHTTP(w, r)
+		next.ServeHTTP(w, trackBody(r))
 	})
 }
 
 // trackBody makes the connection of r count as one whose request has not arrived until the
-// body has been read. A connection of HTTP/2 carries several requests at once.
-func trackBody(r *http.Request) {
+// body has been read. A connection of HTTP/2 carries several requests at once. It returns a copy
+// of r: net/http recognizes by the body of r that a part is unread, and then closes the
+// connection in such a way that the response is not lost.
+func trackBody(r *http.Request) *http.Request {
 	if r.ContentLength == 0 || r.ProtoMajor != 1 {
-		return
+		return r
 	}
-	if c, _ := r.Context().Value(connKey{}).(*conn); c != nil {
-		c.set(stateArriving)
-		r.Body = &trackedBody{ReadCloser: r.Body, c: c}
+	c, _ := r.Context().Value(connKey{}).(*conn)
+	if c == nil {
+		return r
 	}
+	c.set(stateArriving)
+	tracked := r.WithContext(r.Context())
+	tracked.Body = &trackedBody{ReadCloser: r.Body, c: c}
+	return tracked
 }
 
 // trackedBody marks its connection as busy once the body has been read.
