model: bound the payload of a workflow like that of a job

Change: WorkflowSpec.Validate checks it; the answer is 400. TestPayloadOfWorkflowIsBounded fails before.

--- a/internal/model/workflow.go
+++ b/internal/model/workflow.go
@@ -87,6 +87,9 @@
 	if s.Runs < 0 || s.Runs > MaxRuns || s.FirstAt < 0 || s.FirstAt > MaxTime || !s.Every.InRange() {
 		addError("runs must be 0 to %d, first_at_ms 0 to %d and every 0 to %s", MaxRuns, MaxTime, MaxDuration)
 	}
+	if len(s.Payload) > MaxPayloadBytes {
+		addError("payload must be at most %d bytes, got %d", MaxPayloadBytes, len(s.Payload))
+	}
 	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
 		addError("steps must be 1 to %d, got %d", MaxSteps, len(s.Steps))
 		return errors.Join(errs...) // a body may have a hundred thousand steps; their errors would take more than it
--- a/internal/model/workflow_test.go
+++ b/internal/model/workflow_test.go
@@ -47,3 +47,10 @@
 	}
 	return err.Error()
 }
+
+func TestPayloadOfWorkflowIsBounded(t *testing.T) {
+	w := &WorkflowSpec{ID: "f", Queue: "q", Payload: string(make([]byte, MaxPayloadBytes)), Steps: []Step{{Policy: PolicyBatch, Tasks: 1, Size: Resources{CPU: 1}}}}
+	assert.NilError(t, w.Validate())
+	w.Payload += "x"
+	assert.ErrorContains(t, w.Validate(), "payload must be at most 16384 bytes, got 16385")
+}
