--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -29,6 +29,7 @@
 	leader          *leader // nil while this process does not lead
 	proposals       proposals
 	snapshotIndex   uint64 // index of the last snapshot
+	appliedBytes    int    // of the log entries since then
 	snapshotRunning bool   // a snapshot is being written
 	load            *load
 	processor       obs.ProcessorTime // at the last line about the load
@@ -70,7 +71,7 @@
 	}
 	c.stepDown("a snapshot was installed")
 	c.machine = m
-	c.snapshotIndex = snap.Index
+	c.snapshotIndex, c.appliedBytes = snap.Index, 0
 	c.log.Info("State restored from a snapshot.", "index", snap.Index)
 }
 
@@ -80,6 +81,7 @@
 		c.log.Error("Log entry was skipped: it is not a command.", "index", e.Index, "err", err)
 		return
 	}
+	c.appliedBytes += len(e.Data)
 	result, events := c.machine.Apply(e.Index, e.Term, cmd)
 	if c.leader != nil {
 		c.leader.handleEvents(events)
@@ -160,12 +162,17 @@
 	c.proposals.add(cmd.ID.Seq, onResult)
 }
 
-// snapshotIfDue starts a snapshot if SnapshotEntries have been applied since the last
-// one. It encodes the state here, since only the control goroutine may read it;
+// maxBytesBetweenSnapshots bounds the log entries between two snapshots in bytes. Entries of large
+// submissions would fill a small disk before they are as many as SnapshotEntries.
+const maxBytesBetweenSnapshots = 16 << 20
+
+// snapshotIfDue starts a snapshot if SnapshotEntries, or entries of so many bytes, have been
+// applied since the last one. It encodes the state here, since only the control goroutine may read it;
 // another goroutine writes and syncs it.
 func (c *core) snapshotIfDue() {
 	applied := c.machine.Index()
-	if c.snapshotRunning || applied < c.snapshotIndex+c.s.opts.SnapshotEntries {
+	due := applied >= c.snapshotIndex+c.s.opts.SnapshotEntries || c.appliedBytes >= maxBytesBetweenSnapshots
+	if c.snapshotRunning || !due {
 		return
 	}
 	var buf bytes.Buffer
@@ -174,7 +181,7 @@
 		return
 	}
 	c.snapshotRunning = true
-	c.snapshotIndex = applied
+	c.snapshotIndex, c.appliedBytes = applied, 0
 	go func() {
 		err := c.s.opts.Log.SaveSnapshot(applied, func(w io.Writer) error {
 			_, err := w.Write(buf.Bytes())
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -322,3 +323,20 @@
 	assert.Assert(t, next.Status().Term > term)
 	assert.Assert(t, next != first)
 }
+
+// Entries behind a snapshot must not take more of the disk than their limit in bytes, however few
+// they are.
+func TestLogBehindSnapshotIsBoundedInBytes(t *testing.T) {
+	o := groupOptions(1)[0]
+	o.TrailingEntries, o.SegmentBytes = 10_000, 1<<20
+	m := startMember(t, newNetwork(), o)
+	awaitLeader(m)
+	const large, entries = 1 << 20, 3 * maxTrailingBytes >> 20
+	for range entries {
+		proposeUntilAccepted(strings.Repeat("x", large), m)
+	}
+	m.awaitEntries(entries)
+	m.save(t)
+	kept := m.Status().Last - m.log.Start().Index
+	assert.Assert(t, kept*large <= maxTrailingBytes+2*large, "%d MiB of entries are kept", kept)
+}
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -15,8 +15,11 @@
 // space.
 const freeSpaceCheckTicks = 20
 
+// maxTrailingBytes bounds the entries in bytes that stay in the log behind a snapshot.
+const maxTrailingBytes = 16 << 20
+
 // SaveSnapshot stores the state at index, which write produces, and drops log
-// entries older than TrailingEntries before it. The owner of the state calls it
+// entries older than TrailingEntries or maxTrailingBytes before it. The owner of the state calls it
 // with a state that has applied exactly the entries up to index. If the disk is
 // full it returns StorageFull and the previous snapshot stays in place.
 func (n *Node) SaveSnapshot(index uint64, write func(io.Writer) error) error {
@@ -54,7 +57,7 @@
 // removes whole segments; a replica that lacks them is sent the snapshot, which is
 // smaller. Entries after a snapshot that is being sent are kept.
 func (n *Node) compactCore(index uint64) (keepAfter uint64) {
-	keepAfter = index - min(index, n.opts.TrailingEntries)
+	keepAfter = max(index-min(index, n.opts.TrailingEntries), n.log.StartOfLast(index, maxTrailingBytes))
 	for _, s := range n.senders {
 		keepAfter = min(keepAfter, s.file.Meta.Index)
 	}
--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -242,6 +242,21 @@
 	return l.start
 }
 
+// StartOfLast returns the index after which the entries up to index take at most limit bytes.
+func (l *Log) StartOfLast(index uint64, limit int64) uint64 {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	at := min(index, l.lastIndex())
+	for at > l.start.Index {
+		limit -= int64(l.locations[at-l.start.Index-1].size)
+		if limit < 0 {
+			break
+		}
+		at--
+	}
+	return at
+}
+
 // Last returns the position of the last entry, or Start if the log is empty.
 func (l *Log) Last() Position {
 	l.mu.RLock()
