admission: bound the memory of accepted work, in all and for each team

Cause: nothing bounded what accepted work holds. A step is a job of its own (1 KB and more), a task 80 bytes and more, in every replica, until some time after it has ended; occurrences start however much is there. The text is kept once a workflow. Change: package admission charges teams for the approximate memory of their workflows and jobs, until the records are removed. A submission, and the start of an occurrence, must leave as much of the limit free as its team holds, the dynamic threshold of shared-memory switches: one team gets half, and another always finds room. The limit is the least of what control processes report in their heartbeat replies: limits.accepted_bytes, or a quarter of memory.limit_mb, at most three quarters of the disk. Checked before the proposal and again when it is applied; refused at once with queue_full (429, never runs) and the time until the oldest ended record is removed, or bad_request if it could never fit. What is accepted stays. A repeat of a submission that waits for its commit joins it and is not refused. Gauges, counter, log lines, status.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -237,6 +237,10 @@
 	// PastUseHalfLife is the half-life in force with which past use counts in the order of
 	// teams. Zero: it does not count.
 	PastUseHalfLife model.Duration `json:"past_use_half_life,omitempty"`
+	// AcceptedBytes is the approximate memory that accepted work takes in each control process,
+	// until its records are removed, and AcceptedLimit the limit of that. Zero: none.
+	AcceptedBytes int64 `json:"accepted_bytes"`
+	AcceptedLimit int64 `json:"accepted_limit_bytes"`
 }
 
 // EvacuationView is the evacuation of a failure domain.
@@ -271,6 +275,7 @@
 	Running        int64           `json:"running"`
 	Limit          int64           `json:"max_running"`
 	Reserved       model.Resources `json:"reserved"`
+	AcceptedBytes  int64           `json:"accepted_bytes"` // of the memory that its accepted work takes
 	Charged        int64           `json:"charged_micro_units"`
 	Refunded       int64           `json:"refunded_micro_units"`
 	RequestPermits int64           `json:"request_permits"`
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -41,7 +41,8 @@
 func (a *app) printStatus(s api.Status) error {
 	a.printf("leader %s, term %d, index %d; seen from entry %s\n", s.Leader, s.Term, s.Index, s.Entry)
 	a.printf("declarations version %d\n", s.Version)
-	a.printf("%d jobs, %d tasks running, %d waiting, %d workers\n\n", s.Jobs, s.Running, s.Waiting, s.Workers)
+	a.printf("%d jobs, %d tasks running, %d waiting, %d workers\n", s.Jobs, s.Running, s.Waiting, s.Workers)
+	a.printf("accepted work takes %s of %s\n\n", mebibytes(s.AcceptedBytes), mebibytes(s.AcceptedLimit))
 	if err := a.table([]string{"REPLICA", "ADDRESS", "VOTER", "MATCH"}, replicaRows(s.Replicas)); err != nil {
 		return err
 	}
@@ -76,9 +77,12 @@
 	return rows
 }
 
+// mebibytes formats a number of bytes.
+func mebibytes(bytes int64) string { return fmt.Sprintf("%.1f MiB", float64(bytes)/(1<<20)) }
+
 // printTeams shows the teams, with their past use if it counts.
 func (a *app) printTeams(s api.Status) error {
-	header := []string{"TEAM", "RUNNING", "LIMIT", "PERMITS", "RESERVED", "CHARGED", "REFUNDED"}
+	header := []string{"TEAM", "RUNNING", "LIMIT", "PERMITS", "RESERVED", "CHARGED", "REFUNDED", "ACCEPTED"}
 	rows := teamRows(s.Teams)
 	if s.PastUseHalfLife == 0 {
 		return a.table(header, rows)
@@ -103,6 +107,7 @@
 	for _, t := range teams {
 		rows = append(rows, []string{
 			t.Team, formatInt(t.Running), formatInt(t.Limit), formatInt(t.RequestPermits), t.Reserved.String(), formatInt(t.Charged), formatInt(t.Refunded),
+			mebibytes(t.AcceptedBytes),
 		})
 	}
 	return rows
--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -93,6 +93,7 @@
 			Running:        held,
 			Limit:          t.MaxRunning,
 			Reserved:       reserved,
+			AcceptedBytes:  l.c.machine.TeamAcceptedBytes(t.Name),
 			Charged:        account.Charged,
 			Refunded:       account.Refunded,
 			RequestPermits: l.permits.Outstanding(t.Name),
--- a/internal/control/handlers.go
+++ b/internal/control/handlers.go
@@ -145,6 +145,8 @@
 		Workers: int64(stats.Workers),
 
 		PastUseHalfLife: l.c.machine.PastUseHalfLife(),
+		AcceptedBytes:   l.c.machine.AcceptedBytes(),
+		AcceptedLimit:   l.acceptedLimit(),
 	}
 	for _, m := range st.Members {
 		out.Replicas = append(out.Replicas, api.ReplicaView{
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -47,19 +47,29 @@
 		replyIfLeading(l.c, done, l.submitted(r))
 		return
 	}
+	key := jobSubmissionKey{cmd.Spec.Team, cmd.IdempotencyKey, cmd.Digest}
+	if cmd.IdempotencyKey != "" && l.jobSubmissions.proposed(key) {
+		l.jobSubmissions.join(key, done)
+		return
+	}
+	cmd.Limit = l.acceptedLimit()
+	if err := l.c.machine.AdmitJob(&cmd.Spec, cmd.Limit); err != nil {
+		l.recordNotAdmitted(cmd.Spec.Team, err)
+		done(nil, err)
+		return
+	}
 	if cmd.IdempotencyKey == "" {
 		l.proposeJob(cmd, func() []reply[proto.Submitted] { return []reply[proto.Submitted]{done} })
 		return
 	}
-	key := jobSubmissionKey{cmd.Spec.Team, cmd.IdempotencyKey, cmd.Digest}
-	if l.jobSubmissions.join(key, done) {
-		l.proposeJob(cmd, func() []reply[proto.Submitted] { return l.jobSubmissions.take(key) })
-	}
+	l.jobSubmissions.join(key, done)
+	l.proposeJob(cmd, func() []reply[proto.Submitted] { return l.jobSubmissions.take(key) })
 }
 
 // proposeJob proposes a job and answers the calls that wait for it then.
 func (l *leader) proposeJob(cmd *state.Submit, calls func() []reply[proto.Submitted]) {
 	l.c.propose(&state.Command{Submit: cmd}, func(r state.Result, err error) {
+		l.recordNotAdmitted(cmd.Spec.Team, err)
 		for _, done := range calls() {
 			if err != nil {
 				done(nil, err)
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -46,6 +46,7 @@
 	submissions    sharedCalls[submissionKey, proto.WorkflowView]
 	jobSubmissions sharedCalls[jobSubmissionKey, proto.Submitted]
 	stalled        stalledJobs
+	notAdmitted    notAdmitted
 	pastUse        pastUse
 	// proposedCeilings are the teams whose ceilings are proposed and not committed yet.
 	proposedCeilings map[string]struct{}
@@ -247,6 +248,7 @@
 		l.syncAllRequestPermits()
 		l.logBacklog()
 		l.c.logLoad()
+		l.reportAccepted()
 		l.policy.logLateSteps(now)
 		l.policy.logQueryLoad(now)
 		l.c.s.metrics.lateSteps.Set(float64(l.sched.LateJobs(now)))
@@ -267,12 +269,13 @@
 	if l.startingRuns {
 		return
 	}
-	due := l.c.machine.DueRuns(now, maxDueRuns)
+	limit := l.acceptedLimit()
+	due := l.c.machine.DueRuns(now, maxDueRuns, limit)
 	if len(due) == 0 {
 		return
 	}
 	l.startingRuns = true
-	l.c.propose(&state.Command{StartRuns: &state.StartRuns{Runs: due}}, func(r state.Result, err error) {
+	l.c.propose(&state.Command{StartRuns: &state.StartRuns{Runs: due, Limit: limit}}, func(r state.Result, err error) {
 		l.startingRuns = false
 		if err == nil {
 			l.c.log.Info("Workflow runs started.", "due", len(due), "begun", r.Count)
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -35,6 +35,9 @@
 	stalledJobs       *prometheus.GaugeVec
 	workerSpeeds      *prometheus.GaugeVec
 	speedChanges      prometheus.Counter
+	notAdmitted       *prometheus.CounterVec
+	acceptedBytes     prometheus.Gauge
+	acceptedLimit     prometheus.Gauge
 	evacuatedDomains  prometheus.Gauge
 	evacuatedTasks    prometheus.Gauge
 	startsWithheld    prometheus.Counter
@@ -114,6 +117,13 @@
 			[]string{"class"}),
 		speedChanges: f.NewCounter(prometheus.CounterOpts{
 			Name: "filbertmast_control_worker_speed_changes_total", Help: "Estimates of a worker's speed that the scheduler was given."}),
+		notAdmitted: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertmast_control_submissions_not_admitted_total", Help: "Submissions refused since there was no room for more accepted work, by team."},
+			[]string{"team"}),
+		acceptedBytes: f.NewGauge(prometheus.GaugeOpts{
+			Name: "filbertmast_control_accepted_bytes", Help: "Approximate memory of the accepted work that is still kept, at the leader."}),
+		acceptedLimit: f.NewGauge(prometheus.GaugeOpts{
+			Name: "filbertmast_control_accepted_limit_bytes", Help: "Limit of the memory of accepted work, at the leader. Zero: none."}),
 		evacuatedDomains: f.NewGauge(prometheus.GaugeOpts{
 			Name: "filbertmast_control_evacuated_domains", Help: "Failure domains that are evacuated."}),
 		evacuatedTasks: f.NewGauge(prometheus.GaugeOpts{
--- a/internal/control/workflows.go
+++ b/internal/control/workflows.go
@@ -18,16 +18,25 @@
 
 // submitWorkflow commits a workflow and responds after the commit. A submission that is
 // repeated is not proposed again: callers repeat what takes long, so that a busy log would
-// become busier.
+// become busier. It is never refused for want of room either, since the first may be accepted.
 func (l *leader) submitWorkflow(_ wire.Peer, req *proto.SubmitWorkflow, done reply[proto.WorkflowView]) {
 	if w := l.c.machine.Workflow(req.Spec.ID); w != nil && w.Spec.Team == req.Spec.Team {
 		replyIfLeading(l.c, done, &proto.WorkflowView{Phase: w.Phase(), Existing: true})
 		return
 	}
 	key := submissionKey{req.Spec.Team, req.Spec.ID}
-	if l.submissions.join(key, done) {
-		l.proposeSubmission(key, &state.SubmitWorkflow{Spec: req.Spec})
+	if l.submissions.proposed(key) {
+		l.submissions.join(key, done)
+		return
+	}
+	limit := l.acceptedLimit()
+	if err := l.c.machine.AdmitWorkflow(&req.Spec, limit); err != nil {
+		l.recordNotAdmitted(req.Spec.Team, err)
+		done(nil, err)
+		return
 	}
+	l.submissions.join(key, done)
+	l.proposeSubmission(key, &state.SubmitWorkflow{Spec: req.Spec, Limit: limit})
 }
 
 // proposeSubmission proposes a workflow and answers all calls that wait for it.
@@ -35,6 +44,7 @@
 	l.c.propose(&state.Command{SubmitWorkflow: cmd}, func(r state.Result, err error) {
 		waiting := l.submissions.take(key)
 		if err != nil {
+			l.recordNotAdmitted(key.team, err)
 			for _, done := range waiting {
 				done(nil, err)
 			}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -104,6 +104,9 @@
 	// MinFreeBytes is the free disk space in bytes below which proposals are
 	// refused, so that terms and votes can still be written. Zero means 64 MiB.
 	MinFreeBytes uint64
+	// StateLimit is the size of the state in bytes that this replica has memory and disk for.
+	// Zero: unknown. The leader learns those of the others.
+	StateLimit int64
 	// Now returns a monotonic time that keeps counting while the process or the
 	// machine is frozen. Nil means CLOCK_BOOTTIME.
 	Now func() time.Duration
@@ -194,6 +197,7 @@
 		n.closeFiles()
 		return nil, err
 	}
+	n.core.SetStateLimit(o.StateLimit)
 	n.addrs.self, n.addrs.selfAddress = n.identity.ID, o.Address
 	n.writer = newWriter(n)
 	n.deliver = newDeliverer(n)
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -5,12 +5,14 @@
 	"math/rand/v2"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/filbertmast/filbertmast/internal/errkind"
 	"github.com/filbertmast/filbertmast/internal/replica/raft"
 	"github.com/filbertmast/filbertmast/internal/storage/faultfs"
+	"github.com/filbertmast/filbertmast/internal/testwait"
 )
 
 func TestSoleFounderCommitsAndRestartsOnRealDisk(t *testing.T) {
@@ -340,3 +342,20 @@
 	kept := m.Status().Last - m.log.Start().Index
 	assert.Assert(t, kept*large <= maxTrailingBytes+2*large, "%d MiB of entries are kept", kept)
 }
+
+// The leader must know the least size of the state that a member has room for.
+func TestLeaderLearnsLeastStateLimit(t *testing.T) {
+	w := newNetwork()
+	options := groupOptions(3)
+	for i, limit := range []int64{300, 100, 0} {
+		options[i].StateLimit = limit
+	}
+	group := startAll(t, w, options)
+	leader := awaitLeader(group...)
+	testwait.Until(t, time.Minute, "the least limit", func() error {
+		if got := leader.Status().StateLimit; got != 100 {
+			return fmt.Errorf("limit %d", got)
+		}
+		return nil
+	})
+}
--- a/internal/replica/raft/change.go
+++ b/internal/replica/raft/change.go
@@ -129,6 +129,21 @@
 // SetLacksSpace sets whether the disk of this replica is full or nearly so.
 func (c *Core) SetLacksSpace(lacks bool) { c.lacksSpace = lacks }
 
+// SetStateLimit sets the size of the state in bytes that this replica has memory and disk for.
+func (c *Core) SetStateLimit(bytes int64) { c.stateLimit = bytes }
+
+// StateLimit returns the least size of the state in bytes that this replica and, on a leader, the
+// others have memory and disk for. Zero: none has reported one.
+func (c *Core) StateLimit() int64 {
+	least := c.stateLimit
+	for _, p := range c.progress {
+		if p.stateLimit > 0 && (least == 0 || p.stateLimit < least) {
+			least = p.stateLimit
+		}
+	}
+	return least
+}
+
 func (c *Core) transferToOneOf(eligible func(*progress) bool) error {
 	if c.role != Leader {
 		return ErrNotLeader
--- a/internal/replica/raft/core.go
+++ b/internal/replica/raft/core.go
@@ -101,6 +101,7 @@
 	configs []IndexedConfig
 
 	lacksSpace bool
+	stateLimit int64 // of this replica in bytes; zero: unknown
 
 	// Election state, in ticks.
 	electionElapsed  int
--- a/internal/replica/raft/leader.go
+++ b/internal/replica/raft/leader.go
@@ -175,7 +175,7 @@
 
 func (c *Core) stepHeartbeatReply(p *progress, m Message) {
 	p.ackSeq = max(p.ackSeq, min(m.Seq, c.seq))
-	p.lacksSpace = m.LacksSpace
+	p.lacksSpace, p.stateLimit = m.LacksSpace, m.StateLimit
 	if m.Durable > p.match {
 		c.recordMatch(p, m.Durable)
 	}
--- a/internal/replica/raft/message.go
+++ b/internal/replica/raft/message.go
@@ -55,6 +55,9 @@
 	// LacksSpace is set, in a HeartbeatReply, if the disk of the replica is full or
 	// nearly so.
 	LacksSpace bool `cbor:"17,keyasint,omitempty"`
+	// StateLimit is, in a HeartbeatReply, the size of the state in bytes that the replica has
+	// memory and disk for. Zero: unknown.
+	StateLimit int64 `cbor:"18,keyasint,omitempty"`
 }
 
 // Delivery is what a message asks of the transport. All messages may be lost, delayed,
--- a/internal/replica/raft/progress.go
+++ b/internal/replica/raft/progress.go
@@ -28,6 +28,7 @@
 	ackSeq       uint64 // highest heartbeat round acknowledged
 	sinceContact int    // ticks since the last message from the peer
 	lacksSpace   bool   // as of the last HeartbeatReply
+	stateLimit   int64  // as of the last HeartbeatReply
 
 	// promoteIndex is the commit index at the first attempt to promote the peer,
 	// or zero before that. Requiring the current commit index would be a race
--- a/internal/replica/raft/step.go
+++ b/internal/replica/raft/step.go
@@ -210,5 +210,6 @@
 
 		Unordered:  m.Unordered,
 		LacksSpace: c.lacksSpace,
+		StateLimit: c.stateLimit,
 	})
 }
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -19,6 +19,9 @@
 	Formed        bool // the replica belongs to a group
 	StorageFull   bool
 	Members       []Member
+	// StateLimit is the least size of the state in bytes that this replica and, on a leader, the
+	// others have memory and disk for. Zero: unknown.
+	StateLimit int64
 
 	uncommittedBytes int
 }
@@ -56,6 +59,7 @@
 		Deliverable:   n.core.Deliverable(),
 		Last:          n.core.Last().Index,
 		Formed:        n.core.Last().Index > 0,
+		StateLimit:    n.core.StateLimit(),
 
 		uncommittedBytes: n.core.UncommittedBytes(),
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"sync"
 	"time"
 
@@ -163,6 +164,7 @@
 	}
 	node, err := replica.Start(replica.Options{
 		Dir:                 p.settings.Data.Dir,
+		StateLimit:          p.settings.AcceptedLimit(diskBytes(p.settings.Data.Dir)),
 		MinFreeBytes:        uint64(p.settings.Data.MinFreeBytes),
 		TrailingEntries:     trailingEntries(p.settings),
 		Address:             p.settings.Inner.Address,
@@ -211,6 +213,29 @@
 	return nil
 }
 
+// diskBytes returns the bytes that a data folder takes or may take on its disk; zero if that
+// cannot be determined.
+func diskBytes(dir string) int64 {
+	if err := (storage.OS{}).MkdirAll(dir); err != nil {
+		return 0
+	}
+	free, err := storage.OS{}.FreeBytes(dir)
+	if err != nil {
+		return 0
+	}
+	total := int64(free)
+	names, err := storage.OS{}.List(dir)
+	if err != nil {
+		return total
+	}
+	for _, name := range names {
+		if info, err := os.Stat(filepath.Join(dir, name)); err == nil && info.Mode().IsRegular() {
+			total += info.Size()
+		}
+	}
+	return total
+}
+
 // relayedClient makes this process a relay and returns a client that may call workers through
 // others. Both results are nil if the process has no client of workers.
 func (p *Process) relayedClient(direct workerclient.Client) (workerclient.Client, control.Relays) {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -271,6 +271,9 @@
 	c.duration("$.limits.restart_backoff", l.RestartBackoff, durationRange{time.Millisecond, time.Minute})
 	c.duration("$.limits.journal_keep", l.JournalKeep, durationRange{time.Second, 24 * time.Hour})
 	c.between("$.limits.journal_bytes", l.JournalBytes, 1<<20, 1<<30)
+	if l.AcceptedBytes != 0 {
+		c.between("$.limits.accepted_bytes", l.AcceptedBytes, minAcceptedBytes, 1<<40)
+	}
 	c.between("$.limits.answer_bytes", l.AnswerBytes, 0, 1<<20)
 	c.links(l.Links)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -194,7 +194,10 @@
 	JournalKeep    model.Duration `json:"journal_keep"`    // retention of answers to requests that are not repeatable
 	JournalBytes   int64          `json:"journal_bytes"`   // maximum total size of stored answers
 	AnswerBytes    int64          `json:"answer_bytes"`    // maximum size of one stored answer
-	Links          []Link         `json:"links"`           // network budgets between regions
+	// AcceptedBytes bounds the memory that accepted work takes in each control process. Zero:
+	// derived from Memory.LimitMB and the disk. The least of all control processes counts.
+	AcceptedBytes int64  `json:"accepted_bytes"`
+	Links         []Link `json:"links"` // network budgets between regions
 }
 
 // Link is the network budget of one direction between two regions.
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -82,17 +82,22 @@
 	Spec           model.JobSpec `cbor:"1,keyasint"`
 	IdempotencyKey string        `cbor:"2,keyasint,omitempty"`
 	Digest         [32]byte      `cbor:"3,keyasint"` // of the submitted body
+	// Limit is that of the memory of accepted work in bytes. The leader sets it, so that every
+	// replica decides alike. Zero: none.
+	Limit int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // SubmitWorkflow adds a workflow. A resend with the same ID returns the first
 // workflow.
 type SubmitWorkflow struct {
-	Spec model.WorkflowSpec `cbor:"1,keyasint"`
+	Spec  model.WorkflowSpec `cbor:"1,keyasint"`
+	Limit int64              `cbor:"2,keyasint,omitempty"` // as in Submit
 }
 
 // StartRuns starts runs of recurring workflows that are due.
 type StartRuns struct {
-	Runs []DueRun `cbor:"1,keyasint"`
+	Runs  []DueRun `cbor:"1,keyasint"`
+	Limit int64    `cbor:"2,keyasint,omitempty"` // as in Submit
 }
 
 // DueRun is one run of a recurring workflow.
--- a/internal/state/job.go
+++ b/internal/state/job.go
@@ -49,7 +49,8 @@
 	// and 26 are reserved for the same.
 	Runs *speed.Sample `cbor:"24,keyasint,omitempty"`
 
-	counts [model.TaskCancelled + 1]int32
+	counts  [model.TaskCancelled + 1]int32
+	charged int64 // bytes, see Machine.chargeJob
 }
 
 // EndedTask is the record of one task of a finished job.
@@ -308,6 +309,7 @@
 	j.Checkpoints = nil
 	j.Suspicions = nil
 	j.Runs = nil
+	m.chargeJob(j)
 	m.finishedJobs = append(m.finishedJobs, j.ID)
 	m.emit(JobFinished{ID: j.ID, At: m.now})
 	if j.Step != nil {
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -10,6 +10,7 @@
 import (
 	"time"
 
+	"github.com/filbertmast/filbertmast/internal/admission"
 	"github.com/filbertmast/filbertmast/internal/errkind"
 	"github.com/filbertmast/filbertmast/internal/journal"
 	"github.com/filbertmast/filbertmast/internal/ledger"
@@ -53,6 +54,7 @@
 	speeds             workerSpeeds
 	evacuations        []Evacuation // sorted by domain
 	pastUse            pastUse
+	accepted           admission.Usage
 
 	events []Event // of the command being applied
 }
@@ -77,6 +79,7 @@
 		pendingJobs: make(map[string]int64),
 		ceilings:    make(map[string]int64),
 		pastUse:     newPastUse(),
+		accepted:    admission.NewUsage(),
 	}
 }
 
--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -248,6 +248,7 @@
 // stored.
 func checkSums(t assert.TestingT, m *Machine) {
 	checkSpeeds(t, m)
+	checkAccepted(t, m)
 	held := make(map[string]int64)
 	reserved := make(map[string]model.Resources)
 	charged := make(map[string]int64)
@@ -323,6 +324,7 @@
 		c := submitCommand(team, "rows", policy, rapid.Int32Range(1, 4).Draw(t, "tasks"), rapid.Int64Range(1, 4000).Draw(t, "cpu"))
 		c.Submit.Spec.NotRepeatable = rapid.Bool().Draw(t, "not repeatable")
 		c.Submit.Spec.MaxRestarts = 1
+		c.Submit.Limit = rapid.SampledFrom([]int64{0, 8 << 10}).Draw(t, "limit")
 		return c
 	case 1:
 		c := announceCommand(worker, 8000)
@@ -410,6 +412,7 @@
 	assert.Assert(t, bytes.Equal(want.Bytes(), got.Bytes()), "snapshots differ at index %d", a.Index())
 	restored, err := ReadSnapshot(testOptions(), &got)
 	assert.NilError(t, err)
+	assert.Equal(t, restored.AcceptedBytes(), a.AcceptedBytes())
 	return restored
 }
 
--- a/internal/state/runs.go
+++ b/internal/state/runs.go
@@ -1,6 +1,9 @@
 package state
 
-import "github.com/filbertmast/filbertmast/internal/model"
+import (
+	"github.com/filbertmast/filbertmast/internal/admission"
+	"github.com/filbertmast/filbertmast/internal/model"
+)
 
 // A recurring workflow, which runs at set times, has no jobs of its own: each run
 // is a workflow of its own with the ID that WorkflowID.RunID returns.
@@ -19,20 +22,41 @@
 	return m.workflows[id.RunID(run)]
 }
 
+// runSpec returns the specification of a run of a recurring workflow.
+func (w *Workflow) runSpec() *model.WorkflowSpec {
+	spec := w.Spec
+	spec.Runs = 0
+	return &spec
+}
+
 // DueRuns returns the runs that are due at the time now and have not started, in
-// a fixed order, at most max.
-func (m *Machine) DueRuns(now model.Time, max int) []DueRun {
+// a fixed order, at most max, as far as there is room for them within limit bytes of accepted
+// work; zero: no limit.
+func (m *Machine) DueRuns(now model.Time, max int, limit int64) []DueRun {
+	if len(m.recurring) == 0 {
+		return nil
+	}
 	var out []DueRun
+	planned := m.accepted.Clone()
 	for _, id := range sortedKeys(m.recurring) {
 		w := m.recurring[id]
-		for k := w.RunsStarted; w.hasRunsToStart() && k < w.Spec.Runs && w.Spec.DueAt(k) <= now && len(out) < max; k++ {
+		if !w.hasRunsToStart() || w.Spec.DueAt(w.RunsStarted) > now {
+			continue
+		}
+		bytes := admission.OfWorkflow(w.runSpec()).Unfinished
+		for k := w.RunsStarted; k < w.Spec.Runs && w.Spec.DueAt(k) <= now && len(out) < max; k++ {
+			if !planned.Fits(w.Team, bytes, limit) {
+				break
+			}
+			planned.Charge(w.Team, new(int64), bytes)
 			out = append(out, DueRun{Workflow: id, Run: k})
 		}
 	}
 	return out
 }
 
-// startRuns starts runs in order and ignores runs that have already started.
+// startRuns starts runs in order. It ignores runs that have already started, and leaves those
+// for which there is no room to be started later.
 func (m *Machine) startRuns(c *StartRuns) Result {
 	n := 0
 	for _, r := range c.Runs {
@@ -40,6 +64,9 @@
 		if w == nil || r.Run != w.RunsStarted || !w.hasRunsToStart() {
 			continue
 		}
+		if !m.accepted.Fits(w.Team, admission.OfWorkflow(w.runSpec()).Unfinished, c.Limit) {
+			continue
+		}
 		m.startRun(w, r.Run)
 		n++
 	}
@@ -56,8 +83,8 @@
 	if q == nil {
 		q = &model.Queue{Name: w.Spec.Queue}
 	}
-	run := &Workflow{Spec: w.Spec, Team: w.Team, Submitted: m.now, Parent: w.Spec.ID, Run: k}
-	run.Spec.Runs = 0
+	run := &Workflow{Spec: *w.runSpec(), Team: w.Team, Submitted: m.now, Parent: w.Spec.ID, Run: k}
+	m.chargeWorkflow(run)
 	m.startWorkflow(run, q, w.Spec.DueAt(k))
 }
 
--- a/internal/state/runs_test.go
+++ b/internal/state/runs_test.go
@@ -18,7 +18,7 @@
 		Steps: []model.Step{newStep(model.PolicyBatch, 1)}}
 	s.apply(&Command{SubmitWorkflow: &SubmitWorkflow{Spec: spec}})
 	s.at += runs
-	s.apply(&Command{StartRuns: &StartRuns{Runs: s.m.DueRuns(s.at, runs)}})
+	s.apply(&Command{StartRuns: &StartRuns{Runs: s.m.DueRuns(s.at, runs, 0)}})
 	begun := time.Now()
 	s.apply(&Command{CancelWorkflow: &CancelWorkflow{Team: "stands", ID: "f"}})
 	const longest = 2 * time.Second
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -146,6 +146,7 @@
 	j.upgradeRestarts()
 	m.updatePending(j, false)
 	m.jobs[j.ID] = j
+	m.chargeJob(j)
 	if j.IdempotencyKey != "" {
 		m.submissions[submissionKey{j.Spec.Team, j.IdempotencyKey}] = j.ID
 	}
--- a/internal/state/submit.go
+++ b/internal/state/submit.go
@@ -64,8 +64,12 @@
 	if c.Spec.Tasks <= 0 {
 		return Result{Err: errkind.New(errkind.BadRequest, "a job has at least one task")}
 	}
+	if err := m.AdmitJob(&c.Spec, c.Limit); err != nil {
+		return Result{Err: err}
+	}
 	j := m.newJob(c, q)
 	m.jobs[j.ID] = j
+	m.chargeJob(j)
 	if c.IdempotencyKey != "" {
 		m.submissions[submissionKey{c.Spec.Team, c.IdempotencyKey}] = j.ID
 	}
@@ -223,6 +227,7 @@
 		if j.Finished > before {
 			break
 		}
+		m.releaseJob(j)
 		delete(m.jobs, id)
 		if j.IdempotencyKey != "" {
 			delete(m.submissions, submissionKey{j.Spec.Team, j.IdempotencyKey})
--- a/internal/state/workflow.go
+++ b/internal/state/workflow.go
@@ -30,6 +30,7 @@
 	Parent model.WorkflowID `cbor:"13,keyasint,omitempty"`
 	Run    int32            `cbor:"14,keyasint,omitempty"`
 
+	charged        int64 // bytes, see Machine.chargeWorkflow
 	unfinishedRuns int32 // of a recurring workflow
 }
 
@@ -78,7 +79,11 @@
 	if !q.Admits(c.Spec.Team) {
 		return Result{Err: errkind.New(errkind.QueueClosed, "queue %q does not admit team %q", q.Name, c.Spec.Team)}
 	}
+	if err := m.AdmitWorkflow(&c.Spec, c.Limit); err != nil {
+		return Result{Err: err}
+	}
 	w := &Workflow{Spec: c.Spec, Team: q.ChargedTeam(c.Spec.Team), Submitted: m.now}
+	m.chargeWorkflow(w)
 	m.unstarted[c.Spec.Queue]++
 	if c.Spec.Runs > 0 {
 		m.workflows[w.key()] = w
@@ -230,6 +235,7 @@
 	}
 	w.Finished = m.now
 	w.Spec.Payload = "" // no task starts any more
+	m.chargeWorkflow(w)
 	m.markStarted(w)
 	m.finishedWorkflows = append(m.finishedWorkflows, w.key())
 	if w.Parent != "" {
@@ -285,9 +291,11 @@
 func (m *Machine) expireWorkflows(before model.Time) {
 	n := 0
 	for _, id := range m.finishedWorkflows {
-		if m.workflows[id].Finished > before {
+		w := m.workflows[id]
+		if w.Finished > before {
 			break
 		}
+		m.releaseWorkflow(w)
 		delete(m.workflows, id)
 		n++
 	}
@@ -311,6 +319,7 @@
 		if parent := m.workflows[w.Parent]; w.Parent != "" && w.Finished == 0 && parent != nil {
 			parent.unfinishedRuns++
 		}
+		m.chargeWorkflow(w)
 		if !w.Started && w.Parent == "" {
 			m.unstarted[w.Spec.Queue]++
 		}
--- a/internal/state/workflow_test.go
+++ b/internal/state/workflow_test.go
@@ -186,8 +186,8 @@
 		Steps: []model.Step{newStep(model.PolicyBatch, 1)}}
 	assert.NilError(t, spec.Validate())
 	assert.NilError(t, s.apply(&Command{SubmitWorkflow: &SubmitWorkflow{Spec: spec}}).Err)
-	assert.Equal(t, len(s.m.DueRuns(spec.FirstAt-1, 9)), 0)
-	due := s.m.DueRuns(spec.FirstAt+1000, 9)
+	assert.Equal(t, len(s.m.DueRuns(spec.FirstAt-1, 9, 0)), 0)
+	due := s.m.DueRuns(spec.FirstAt+1000, 9, 0)
 	assert.DeepEqual(t, due, []DueRun{{"f", 0}, {"f", 1}})
 	assert.Equal(t, s.apply(&Command{StartRuns: &StartRuns{Runs: due}}).Count, 2)
 	assert.Equal(t, s.apply(&Command{StartRuns: &StartRuns{Runs: due}}).Count, 0, "each run starts once")
@@ -195,11 +195,11 @@
 		s.report(s.place(model.WorkflowID("f").RunID(k), 0), 0, api.ReportSucceeded)
 	}
 	assert.Equal(t, s.m.Workflow("f").Phase(), "running")
-	s.apply(&Command{StartRuns: &StartRuns{Runs: s.m.DueRuns(spec.FirstAt+2000, 9)}})
+	s.apply(&Command{StartRuns: &StartRuns{Runs: s.m.DueRuns(spec.FirstAt+2000, 9, 0)}})
 	assert.Assert(t, s.m.WorkflowRun("f", 2) != nil && s.m.WorkflowRun("f", 2).DueBy >= spec.DueAt(2))
 	s.report(s.place(model.WorkflowID("f").RunID(2), 0), 0, api.ReportSucceeded)
 	assert.Equal(t, s.m.Workflow("f").Phase(), "succeeded")
-	assert.Equal(t, len(s.m.DueRuns(spec.FirstAt+9000, 9)), 0)
+	assert.Equal(t, len(s.m.DueRuns(spec.FirstAt+9000, 9, 0)), 0)
 }
 
 func TestCancelledWorkflowStartsNoMoreRuns(t *testing.T) {
@@ -207,11 +207,11 @@
 	spec := model.WorkflowSpec{ID: "f", Team: "stands", Queue: "flows", Runs: 5, FirstAt: 1, Every: model.Duration(time.Hour),
 		Steps: []model.Step{newStep(model.PolicyBatch, 1)}}
 	s.apply(&Command{SubmitWorkflow: &SubmitWorkflow{Spec: spec}})
-	s.apply(&Command{StartRuns: &StartRuns{Runs: s.m.DueRuns(s.at, 9)}})
+	s.apply(&Command{StartRuns: &StartRuns{Runs: s.m.DueRuns(s.at, 9, 0)}})
 	job := s.place(model.WorkflowID("f").RunID(0), 0)
 	s.apply(&Command{CancelWorkflow: &CancelWorkflow{Team: "stands", ID: "f"}})
 	assert.Equal(t, s.m.Job(job).Task(0).Phase, model.TaskStopping)
-	assert.Equal(t, len(s.m.DueRuns(s.at+model.Time(100*time.Hour.Milliseconds()), 9)), 0)
+	assert.Equal(t, len(s.m.DueRuns(s.at+model.Time(100*time.Hour.Milliseconds()), 9, 0)), 0)
 	s.report(job, 0, api.ReportStopped)
 	assert.Assert(t, s.m.Workflow("f").Finished != 0)
 	assert.Equal(t, s.m.Workflow("f").Phase(), "cancelled")
