connlimit: bound the connections of all listeners together

Cause: each listener had a limit of its own, up to half of the files and a quarter of the memory; four of them have 3,136 connections. Change: a pool of all listeners of the process, of three eighths of the files and a quarter of the memory. Each listener is sure of a share in proportion to its own limit, and may have more while others do not use theirs. At the limit of the pool the connection to close is one of a listener above its share.

--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -41,7 +41,8 @@
 
 // Options configures a Listener.
 type Options struct {
-	Max     int // open connections
+	Max     int   // open connections
+	Pool    *Pool // of all listeners of the process
 	Metrics *Metrics
 	Logger  *log.Logger
 	Name    string // label of the metrics, and field of log lines
@@ -62,10 +63,10 @@
 	freed   chan struct{} // has an element after a connection was closed
 	done    chan struct{}
 	close   func() error
+	pool    *Pool
 
-	mu     sync.Mutex
-	conns  map[*conn]struct{}
-	logged time.Time // when the last line about the limit was written
+	conns  map[*conn]struct{} // guarded by the lock of the pool
+	logged time.Time          // when the last line about the limit was written; used by Accept only
 }
 
 // New returns a listener that accepts the connections of inner.
@@ -79,7 +80,9 @@
 		freed:    make(chan struct{}, 1),
 		done:     make(chan struct{}),
 		conns:    make(map[*conn]struct{}),
+		pool:     o.Pool,
 	}
+	l.pool.register(l)
 	l.metrics = o.Metrics.of(o.Name, l)
 	l.close = sync.OnceValue(func() error {
 		close(l.done)
@@ -118,24 +121,15 @@
 
 // add adds a connection if there is room for it, or if another one could be closed.
 func (l *Listener) add(c *conn) bool {
-	l.mu.Lock()
-	full := len(l.conns) >= l.max
-	var victim *conn
-	if full {
-		victim = l.leastUseful(time.Now())
-	}
-	if !full || victim != nil {
-		l.conns[c] = struct{}{}
-	}
-	if full {
+	victim, added := l.pool.add(c)
+	if !added || victim != nil {
 		l.logLimit(victim != nil)
 	}
-	l.mu.Unlock()
 	if victim != nil {
-		l.metrics.closed(victim.state())
+		victim.l.metrics.closed(victim.state())
 		_ = victim.Close()
 	}
-	return !full || victim != nil
+	return added
 }
 
 // logPeriod is the time between two lines about the limit.
@@ -148,35 +142,15 @@
 	}
 }
 
-// leastUseful returns the connection to close for another one, or nil: the one that keeps the
-// process waiting for the longest, else the one that is idle for the longest.
-func (l *Listener) leastUseful(now time.Time) *conn {
-	var best *conn
-	var bestIdle bool
-	var bestSince time.Time
-	for c := range l.conns {
-		since, idle, ok := c.closable()
-		if !ok || now.Sub(since) <= ordinaryTime {
-			continue
-		}
-		if best == nil || (bestIdle && !idle) || (bestIdle == idle && since.Before(bestSince)) {
-			best, bestIdle, bestSince = c, idle, since
-		}
-	}
-	return best
-}
-
 // open returns the number of open connections.
 func (l *Listener) open() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
 	return len(l.conns)
 }
 
 func (l *Listener) remove(c *conn) {
-	l.mu.Lock()
-	delete(l.conns, c)
-	l.mu.Unlock()
+	l.pool.remove(c)
 	select {
 	case l.freed <- struct{}{}:
 	default:
--- a/internal/connlimit/listener_test.go
+++ b/internal/connlimit/listener_test.go
@@ -23,7 +23,7 @@
 	t.Helper()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	l := New(inner, Options{Max: max, Name: "test", Metrics: NewMetrics(prometheus.NewRegistry()), Logger: log.New(io.Discard)})
+	l := New(inner, Options{Max: max, Pool: NewPool(max, prometheus.NewRegistry()), Name: "test", Metrics: NewMetrics(prometheus.NewRegistry()), Logger: log.New(io.Discard)})
 	srv := &http.Server{Handler: h}
 	l.Bind(srv)
 	go srv.Serve(l)
@@ -151,7 +151,7 @@
 func TestCloseEndsWaitForPlace(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	l := New(inner, Options{Max: 1, Name: "test", Metrics: NewMetrics(prometheus.NewRegistry()), Logger: log.New(io.Discard)})
+	l := New(inner, Options{Max: 1, Pool: NewPool(1, prometheus.NewRegistry()), Name: "test", Metrics: NewMetrics(prometheus.NewRegistry()), Logger: log.New(io.Discard)})
 	dial(t, l, "")
 	dial(t, l, "")
 	first, err := l.Accept()
--- a/internal/connlimit/share.go
+++ b/internal/connlimit/share.go
@@ -12,8 +12,8 @@
 	// connBytes is what a connection with an incomplete request costs: its goroutine, its
 	// buffers, a head of the default size and the free bytes of a body.
 	connBytes = 32 << 10
-	// memoryParts is the number of equal parts of the memory of which the connections of one
-	// listener may use one.
+	// memoryParts is the number of equal parts of the memory of which the connections of all
+	// listeners may use one.
 	memoryParts = 4
 	// defaultMax is the limit where neither files nor memory give a lower one.
 	defaultMax = 4096
@@ -40,9 +40,12 @@
 	ForCallers Eighths = 3
 	ForWorkers Eighths = 2
 	ForAll     Eighths = 4 // a listener for callers, workers and operators
+	// InAll is for all listeners together. Commands to workers may use half, and an eighth is
+	// left for the log, other processes and executors.
+	InAll Eighths = 3
 )
 
-// Share returns how many connections a listener may have open, from the files that the process
+// Share returns how many connections a listener, or all together, may have open, from the files that the process
 // may open and the memory that it may use in bytes (zero: unknown).
 func Share(part Eighths, openFiles int, memory int64) int {
 	const all = 8
--- a/internal/server/adapter.go
+++ b/internal/server/adapter.go
@@ -89,6 +89,7 @@
 		Max:     p.maxConnections(serves),
 		Name:    string(serves),
 		Metrics: p.connections,
+		Pool:    p.pool,
 		Logger:  p.log,
 	}
 	if serves == ServesCallers && p.settings.Outer.MaxBodyBytes <= smallBody && p.settings.Memory.LimitMB > 0 {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -60,6 +60,7 @@
 	outer          net.Listener
 	adapterServers []*http.Server
 	connections    *connlimit.Metrics
+	pool           *connlimit.Pool
 	openFiles      int // limit of the process
 	failed         chan error
 	running        sync.WaitGroup
@@ -94,6 +95,7 @@
 		return nil, err
 	}
 	p.connections = connlimit.NewMetrics(p.registry)
+	p.pool = connlimit.NewPool(connlimit.Share(connlimit.InAll, p.openFiles, set.Memory.LimitMB<<20), p.registry)
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
 	steps := []func(context.Context, Options) error{p.openEndpoint, p.startControl, p.startEntry, p.startHTTP, p.startAdapter}
