connlimit: bound the memory of the heads of requests

Cause: a head becomes a map of lists of strings. A byte of it takes up to 16.3 bytes of live memory (net/http's parser, 200 heads each of 1 to 16 KiB, lines of 5 to 8 bytes); a connection counted as 32 KiB with its whole head. Change: the bytes of a head beyond 1 KiB are charged 16-fold while they arrive, what they were parsed into while the request is served, and nothing after it; what the buffer of net/http may hold of the next head counts. The charges of all listeners have a sixteenth of the memory, at least one largest head. Beyond that the connections whose heads began to arrive first are closed, if over a second ago, else the new one. An ordinary head is far shorter than 1 KiB and takes no lock.

--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -67,6 +67,8 @@
 
 	conns  map[*conn]struct{} // guarded by the lock of the pool
 	logged time.Time          // when the last line about the limit was written; used by Accept only
+	// headsLogged is when the last line about heads was written, Unix time in nanoseconds.
+	headsLogged atomic.Int64
 }
 
 // New returns a listener that accepts the connections of inner.
@@ -106,6 +108,7 @@
 	}
 	c := &conn{Conn: inner, l: l}
 	c.set(stateArriving)
+	c.head.arriving.Store(true)
 	for !l.add(c) {
 		l.metrics.waits.Inc()
 		select {
@@ -142,6 +145,15 @@
 	}
 }
 
+// logHeads logs that connections are closed for want of room for heads.
+func (l *Listener) logHeads() {
+	now := time.Now().UnixNano()
+	last := l.headsLogged.Load()
+	if now-last >= int64(logPeriod) && l.headsLogged.CompareAndSwap(last, now) {
+		l.log.Warn("Connections are closed: the heads of requests take as much memory as they may.", "listener", l.name, "limit", l.pool.headLimit)
+	}
+}
+
 // open returns the number of open connections.
 func (l *Listener) open() int {
 	l.pool.mu.Lock()
@@ -166,9 +178,11 @@
 		switch c := unwrap(inner); {
 		case c == nil:
 		case s == http.StateActive:
+			c.head.arriving.Store(false)
 			c.set(stateBusy)
 		case s == http.StateIdle:
 			c.set(stateIdle)
+			c.beginHead()
 		}
 	}
 	srv.ConnContext = func(ctx context.Context, inner net.Conn) context.Context {
@@ -176,10 +190,22 @@
 	}
 	next := srv.Handler
 	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		chargeParsedHead(r)
 		next.ServeHTTP(w, trackBody(r))
 	})
 }
 
+// chargeParsedHead charges the connection of r for its head as it was parsed, which may be less
+// than what its bytes could have become.
+func chargeParsedHead(r *http.Request) {
+	c, _ := r.Context().Value(connKey{}).(*conn)
+	if c == nil || r.ProtoMajor != 1 {
+		return
+	}
+	c.head.body.Store(max(r.ContentLength, 0))
+	c.chargeHead(parsedCost(r.Header))
+}
+
 // trackBody makes the connection of r count as one whose request has not arrived until the
 // body has been read. A connection of HTTP/2 carries several requests at once. It returns a copy
 // of r: net/http recognizes by the body of r that a part is unread, and then closes the
@@ -228,6 +254,8 @@
 	current atomic.Int32
 	since   atomic.Int64 // of the current state, Unix time in nanoseconds
 	writing atomic.Int64 // since when a write is blocked; zero: none is
+	charged atomic.Bool  // for the head of its request
+	head    head
 	closed  sync.Once
 }
 
@@ -248,6 +276,46 @@
 	return time.Unix(0, c.since.Load()), s == stateIdle, s != stateBusy
 }
 
+// Read implements net.Conn. It closes the connection if there is no room for its head.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	c.head.read(p[:n])
+	if c.head.arriving.Load() && !c.chargeHead(headCost(c.head.received.Load())) {
+		c.l.metrics.heads.Inc()
+		c.l.logHeads()
+		_ = c.Close()
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// beginHead begins the next head of the connection.
+func (c *conn) beginHead() {
+	c.head.begin()
+	c.chargeHead(headCost(c.head.received.Load()))
+}
+
+// chargeHead charges the connection for the head of its request. For that it may close others.
+// It reports whether there is room.
+func (c *conn) chargeHead(bytes int64) bool {
+	if bytes == 0 && !c.charged.Load() {
+		return true // most requests take no lock
+	}
+	victims, ok := c.l.pool.charge(c, bytes)
+	c.charged.Store(bytes > 0)
+	for _, v := range victims {
+		v.l.metrics.heads.Inc()
+		_ = v.Close()
+	}
+	if len(victims) > 0 {
+		c.l.logHeads()
+	}
+	return ok
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	c.writing.Store(time.Now().UnixNano())
@@ -298,6 +366,7 @@
 // listenerMetrics holds the metrics of one listener.
 type listenerMetrics struct {
 	incomplete, unread, idle prometheus.Counter
+	heads                    prometheus.Counter
 	waits                    prometheus.Counter
 }
 
@@ -308,6 +377,7 @@
 		incomplete: m.closed.WithLabelValues(name, "incomplete"),
 		unread:     m.closed.WithLabelValues(name, "unread"),
 		idle:       m.closed.WithLabelValues(name, "idle"),
+		heads:      m.closed.WithLabelValues(name, "head"),
 		waits:      m.waits.WithLabelValues(name),
 	}
 }
--- a/internal/connlimit/pool.go
+++ b/internal/connlimit/pool.go
@@ -7,20 +7,24 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
-// Pool bounds the connections of all listeners of a process together. Each listener is sure of a share of the connections, in proportion to
+// Pool bounds the connections of all listeners of a process together, and the memory of the
+// heads of their requests. Each listener is sure of a share of the connections, in proportion to
 // its own limit; what others do not use it may have beyond that.
 type Pool struct {
-	max int // connections
+	max       int   // connections
+	headLimit int64 // bytes
 
 	mu        sync.Mutex
 	listeners []*Listener
 	open      int
-	limits    int // sum of the limits of the listeners
+	limits    int   // sum of the limits of the listeners
+	heads     int64 // bytes
 }
 
-// NewPool returns a Pool for at most max connections, and registers its metrics.
-func NewPool(max int, r prometheus.Registerer) *Pool {
-	p := &Pool{max: max}
+// NewPool returns a Pool for at most max connections and headLimit bytes of heads, and registers
+// its metrics.
+func NewPool(max int, headLimit int64, r prometheus.Registerer) *Pool {
+	p := &Pool{max: max, headLimit: headLimit}
 	locked := func(get func() float64) func() float64 {
 		return func() float64 {
 			p.mu.Lock()
@@ -33,6 +37,10 @@
 			Help: "Open connections of all listeners."}, locked(func() float64 { return float64(p.open) })),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "filbertmast_connections_all_limit",
 			Help: "Limit of the open connections of all listeners."}, func() float64 { return float64(p.max) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "filbertmast_heads_held_bytes",
+			Help: "Memory charged for the heads of requests."}, locked(func() float64 { return float64(p.heads) })),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "filbertmast_heads_limit_bytes",
+			Help: "Limit of the memory for the heads of requests."}, func() float64 { return float64(p.headLimit) }),
 	)
 	return p
 }
@@ -104,7 +112,7 @@
 	return best
 }
 
-// remove removes a closed connection.
+// remove removes a closed connection, and what it was charged for its head.
 func (p *Pool) remove(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -118,4 +126,58 @@
 	}
 	delete(c.l.conns, c)
 	p.open--
+	p.heads -= c.head.charged
+	c.head.charged = 0
+	c.head.closed = true
+}
+
+// charge replaces what a connection is charged for the head of its request by bytes. If there
+// is no room for them, other connections are returned, which the caller must close: those whose
+// requests have not arrived for the longest. It is not ok if none are old enough.
+func (p *Pool) charge(c *conn, bytes int64) (victims []*conn, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.head.closed {
+		return nil, false
+	}
+	excess := p.heads + bytes - c.head.charged - p.headLimit
+	if bytes > c.head.charged && excess > 0 {
+		if victims = p.longestHeads(c, excess); victims == nil {
+			return nil, false
+		}
+	}
+	for _, v := range victims {
+		p.detach(v)
+	}
+	p.heads += bytes - c.head.charged
+	c.head.charged = bytes
+	return victims, true
+}
+
+// longestHeads returns connections other than c that are charged at least bytes for their heads
+// together, the one first whose request has not arrived for the longest; nil if those that may be
+// closed are charged less.
+func (p *Pool) longestHeads(c *conn, bytes int64) []*conn {
+	begun := time.Now().Add(-ordinaryTime).UnixNano()
+	var old []*conn
+	var sum int64
+	for _, l := range p.listeners {
+		for other := range l.conns {
+			_, _, ok := other.closable()
+			if other != c && ok && other.head.charged > 0 && other.head.since.Load() < begun {
+				old = append(old, other)
+				sum += other.head.charged
+			}
+		}
+	}
+	if sum < bytes {
+		return nil
+	}
+	sortByHead(old)
+	for i, other := range old {
+		if bytes -= other.head.charged; bytes <= 0 {
+			return old[:i+1]
+		}
+	}
+	return old
 }
--- a/internal/connlimit/share.go
+++ b/internal/connlimit/share.go
@@ -10,11 +10,15 @@
 	// maxOpenFiles is the limit that counts where the process has a higher one or none.
 	maxOpenFiles = 1 << 20
 	// connBytes is what a connection with an incomplete request costs: its goroutine, its
-	// buffers, a head of the default size and the free bytes of a body.
-	connBytes = 32 << 10
+	// buffers, the free bytes of its head as they are parsed, and those of a body.
+	connBytes = 40 << 10
 	// memoryParts is the number of equal parts of the memory of which the connections of all
 	// listeners may use one.
 	memoryParts = 4
+	// headMemoryParts is the same for the heads of their requests.
+	headMemoryParts = 16
+	// unlimitedHeads is the limit of heads in bytes where the memory has none.
+	unlimitedHeads = 64 << 20
 	// defaultMax is the limit where neither files nor memory give a lower one.
 	defaultMax = 4096
 	// minMax lets a listener work on the smallest machines.
@@ -55,3 +59,14 @@
 	}
 	return max(n, minMax)
 }
+
+// HeadLimit returns how many bytes the heads of requests may take, from the memory that the
+// process may use in bytes (zero: unknown) and the largest head. One such head is always served.
+func HeadLimit(memory int64, maxHeader int) int64 {
+	limit := int64(unlimitedHeads)
+	if memory > 0 {
+		limit = memory / headMemoryParts
+	}
+	// net/http reads somewhat more than the largest head.
+	return max(limit, (int64(maxHeader)+2*readBuffer)*headByteCost)
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -95,7 +95,8 @@
 		return nil, err
 	}
 	p.connections = connlimit.NewMetrics(p.registry)
-	p.pool = connlimit.NewPool(connlimit.Share(connlimit.InAll, p.openFiles, set.Memory.LimitMB<<20), p.registry)
+	memory := set.Memory.LimitMB << 20
+	p.pool = connlimit.NewPool(connlimit.Share(connlimit.InAll, p.openFiles, memory), connlimit.HeadLimit(memory, set.Outer.MaxHeaderBytes), p.registry)
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
 	steps := []func(context.Context, Options) error{p.openEndpoint, p.startControl, p.startEntry, p.startHTTP, p.startAdapter}
