control: write nothing to the log for cancellations that change nothing

Each repeat of a DELETE of a workflow, or of a cancel of jobs that had ended, was proposed, committed and logged (from the code): a client with one accepted workflow could grow the log, and occupy the disk of the leader, as fast as it can call. Change: a workflow or jobs that have ended or are ending are answered from the leader's state, under its lease, like a read.

--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"slices"
+
 	"github.com/filbertmast/filbertmast/internal/api"
 	"github.com/filbertmast/filbertmast/internal/errkind"
 	"github.com/filbertmast/filbertmast/internal/ledger"
@@ -222,11 +224,17 @@
 			return
 		}
 		for _, j := range jobs {
-			if j.Finished == 0 && !j.Cancelled {
-				cmd.Jobs = append(cmd.Jobs, j.ID)
-			}
+			cmd.Jobs = append(cmd.Jobs, j.ID)
 		}
 	}
+	cmd.Jobs = slices.DeleteFunc(cmd.Jobs, func(id model.JobID) bool {
+		j := l.c.machine.Job(id)
+		return j.Finished != 0 || j.Cancelled
+	})
+	if len(cmd.Jobs) == 0 { // a repeat writes nothing to the log
+		replyIfLeading(l.c, done, &proto.Cancelled{})
+		return
+	}
 	l.c.propose(&state.Command{Cancel: cmd}, func(r state.Result, err error) {
 		done(&proto.Cancelled{Count: r.Count}, err)
 	})
--- a/internal/control/leader_test.go
+++ b/internal/control/leader_test.go
@@ -26,6 +26,8 @@
 	proposed [][]byte
 	full     bool // proposals are refused
 	refused  int
+
+	stateLimit int64
 }
 
 func (l *heldLog) ProposeInTerm(_ uint64, data []byte) error {
@@ -39,7 +41,9 @@
 
 func (l *heldLog) LeaseValid() bool { return true }
 
-func (l *heldLog) Status() replica.Status { return replica.Status{ID: 1} }
+func (l *heldLog) Status() replica.Status {
+	return replica.Status{ID: 1, StateLimit: l.stateLimit}
+}
 
 // heldPoll is a poll that a test answers.
 type heldPoll struct {
--- a/internal/control/workflows.go
+++ b/internal/control/workflows.go
@@ -79,10 +79,15 @@
 }
 
 func (l *leader) cancelWorkflow(_ wire.Peer, req *proto.Workflow, done reply[proto.WorkflowView]) {
-	if _, err := l.workflowOf(req); err != nil {
+	w, err := l.workflowOf(req)
+	if err != nil {
 		done(nil, err)
 		return
 	}
+	if w.Ends() { // a repeat writes nothing to the log
+		replyIfLeading(l.c, done, &proto.WorkflowView{Phase: w.Phase(), Existing: true})
+		return
+	}
 	cmd := &state.CancelWorkflow{Team: req.Caller.Team, ID: req.ID}
 	l.c.propose(&state.Command{CancelWorkflow: cmd}, func(r state.Result, err error) {
 		if err != nil {
--- a/internal/control/workflows_test.go
+++ b/internal/control/workflows_test.go
@@ -64,3 +64,43 @@
 	h.commitAll()
 	assert.NilError(t, again.err)
 }
+
+// A submission beyond the limit must be refused before it reaches the log, but not the repeat of
+// one that waits for its commit, which may be accepted.
+func TestSubmissionBeyondLimitIsRefusedUnproposed(t *testing.T) {
+	h, _ := newLeaderHarness(t)
+	h.lead()
+	h.submit("a", "stands")
+	h.commitAll()
+	h.log.stateLimit = 2*h.core.machine.AcceptedBytes() + 1
+	before := len(h.log.proposed)
+	refused := h.submit("b", "stands")
+	assert.Equal(t, errkind.Of(refused.err), errkind.QueueFull)
+	assert.Assert(t, errkind.RetryAfter(refused.err) > 0)
+	assert.Equal(t, len(h.log.proposed), before)
+
+	other := h.submit("c", "guards")
+	h.log.stateLimit = 1 // the limit falls meanwhile
+	again := h.submit("c", "guards")
+	h.commitAll()
+	assert.NilError(t, other.err)
+	assert.NilError(t, again.err)
+}
+
+// The repeats of a cancellation must not grow the log.
+func TestRepeatedCancellationIsProposedOnce(t *testing.T) {
+	h, _ := newLeaderHarness(t)
+	h.lead()
+	h.submit("g", "stands")
+	h.commitAll()
+	cancel := func() (err error) {
+		req := &proto.Workflow{Caller: proto.Caller{Team: "stands"}, ID: "g"}
+		h.core.leader.cancelWorkflow(wire.Peer{}, req, func(v *proto.WorkflowView, e error) { err = e })
+		h.commitAll()
+		return err
+	}
+	assert.NilError(t, cancel())
+	before := len(h.log.proposed)
+	assert.NilError(t, cancel())
+	assert.Equal(t, len(h.log.proposed), before)
+}
--- a/internal/state/workflow.go
+++ b/internal/state/workflow.go
@@ -57,6 +57,9 @@
 	return model.PhaseWaiting
 }
 
+// Ends reports whether the workflow has ended or is ending, so that cancelling it changes nothing.
+func (w *Workflow) Ends() bool { return w.Finished != 0 || w.Cancelled || w.Failed }
+
 // Workflow returns the workflow with the ID, or nil. The caller must not modify it.
 func (m *Machine) Workflow(id model.WorkflowID) *Workflow { return m.workflows[id] }
 
@@ -271,7 +274,7 @@
 	if w == nil || w.Spec.Team != c.Team {
 		return Result{Err: errkind.New(errkind.UnknownJob, "workflow %q is not known", c.ID)}
 	}
-	if w.Finished != 0 || w.Cancelled || w.Failed {
+	if w.Ends() {
 		return Result{Existing: true}
 	}
 	m.stopWorkflow(w)
