obs: bound the lines of a message in text format, too

Operators: each refused call writes a line, so that clients that are refused write as many as they can call. Lines in logfmt and JSON had a rate of 400 a second for each message; docs/LOGS.md excepted text 'which is for people', but it is the default of log.format, and a stranger decides how many lines there are. Change: the message of a text line is what follows time, level and prefix, up to the first field, and has the same rate. TestMessageOfFindsMessageInEachFormat asserted the exception; it asserts now that the message of a text line is found, also without a prefix, and that a line without a message has none.

--- a/internal/obs/ratelimit.go
+++ b/internal/obs/ratelimit.go
@@ -59,8 +59,7 @@
 	jsonPrefix   = []byte(`"msg":`)
 )
 
-// messageOf returns the message of a line in logfmt or JSON format, and nil for other
-// formats.
+// messageOf returns the message of a line.
 func messageOf(line []byte) []byte {
 	for _, prefix := range [][]byte{logfmtPrefix, jsonPrefix} {
 		at := bytes.Index(line, prefix)
@@ -77,5 +76,19 @@
 		}
 		return bytes.TrimSpace(text)
 	}
-	return nil
+	return textMessage(line)
+}
+
+// textMessage returns the message of a line in text format: what follows the time, the level and
+// the prefix, if there is one, up to the first field.
+func textMessage(line []byte) []byte {
+	_, text, _ := bytes.Cut(line, []byte(" "))
+	_, text, _ = bytes.Cut(text, []byte(" "))
+	if word, rest, ok := bytes.Cut(text, []byte(" ")); ok && bytes.HasSuffix(word, []byte(":")) {
+		text = rest
+	}
+	if equals := bytes.IndexByte(text, '='); equals >= 0 {
+		text = text[:max(bytes.LastIndexByte(text[:equals], ' '), 0)]
+	}
+	return bytes.TrimSpace(text)
 }
--- a/internal/obs/ratelimit_test.go
+++ b/internal/obs/ratelimit_test.go
@@ -42,14 +42,17 @@
 }
 
 func TestMessageOfFindsMessageInEachFormat(t *testing.T) {
-	for _, format := range []string{"logfmt", "json"} {
+	for _, format := range []string{"logfmt", "json", "text"} {
 		for _, message := range []string{"Start is sent.", "draining"} {
 			var out bytes.Buffer
 			NewLogger(&out, "info", format).WithPrefix(PrefixControl).Info(message, "msg2", "other", "worker", "i-1")
 			assert.Equal(t, string(messageOf(out.Bytes())), message, "%s: %s", format, out.String())
 		}
 	}
-	assert.Equal(t, len(messageOf([]byte("12:00 INFO control: Start is sent. worker=i-1\n"))), 0)
+	assert.Equal(t, string(messageOf([]byte("12:00 INFO control: Start is sent. worker=i-1\n"))), "Start is sent.")
+	assert.Equal(t, string(messageOf([]byte("12:00 INFO Start is sent.\n"))), "Start is sent.")
+	assert.Equal(t, len(messageOf([]byte("12:00 INFO control: worker=i-1\n"))), 0)
+	assert.Equal(t, len(messageOf([]byte("\n"))), 0)
 }
 
 func TestNextLineReportsDroppedLinesOfMessage(t *testing.T) {
