wire: bound the connections that have not said hello

Operators: with inner.open, whoever reaches inner.address could open as many QUIC connections as it liked, each kept for 2 s without a hello; with certificates the same holds for handshakes that fail. Change: at most 1,024 connections without hello, 128 from one host; further ones are refused before they take memory. Above 256 the source address is verified by QUIC's Retry, since that of a packet can be forged. TestConnectionsWithoutHelloAreBounded: 128 at most from 127.0.0.2, and a call from 127.0.0.1 is answered. No process of a deployment meets it: it opens one connection a lane to each other, and 300 that connect at once to a new leader are below both.

--- a/internal/wire/endpoint.go
+++ b/internal/wire/endpoint.go
@@ -29,6 +29,7 @@
 	listener  *quic.Listener
 	handlers  handlers
 	frames    frameBudget
+	hellos    *handshakes
 	ctx       context.Context
 	cancel    context.CancelFunc
 	draining  atomic.Bool
@@ -88,6 +89,8 @@
 		logger = log.Default()
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	m := newMetrics(o.Registerer)
+	hellos := newHandshakes(m)
 	return &Endpoint{
 		self: Peer{
 			Name:          o.Name,
@@ -98,12 +101,18 @@
 		},
 		budget:    o.Budget,
 		log:       logger.WithPrefix("wire"),
-		metrics:   newMetrics(o.Registerer),
+		metrics:   m,
 		tls:       clientTLS(base, o.AcceptAnyCertificate),
 		quic:      quicConfig(),
 		frames:    frameBudget{limit: maxRequestFrames},
+		hellos:    hellos,
 		socket:    socket,
-		transport: &quic.Transport{Conn: socket, StatelessResetKey: resetKey(base, address)},
+		transport: &quic.Transport{
+			Conn:                socket,
+			StatelessResetKey:   resetKey(base, address),
+			ConnContext:         hellos.begin,
+			VerifySourceAddress: hellos.mustVerify,
+		},
 		ctx:       ctx,
 		cancel:    cancel,
 		peers:     make(map[peerKey]*peer),
@@ -167,6 +176,7 @@
 		qc.CloseWithError(codeNoHello, "no hello")
 		return
 	}
+	endHandshake(qc)
 	if e.draining.Load() {
 		e.metrics.refuse(reasonDraining)
 		qc.CloseWithError(codeRefused, "draining")
--- a/internal/wire/metrics.go
+++ b/internal/wire/metrics.go
@@ -33,6 +33,7 @@
 	reasonDraining       = "draining"
 	reasonTooManyStreams = "too_many_streams"
 	reasonFrames         = "frames"
+	reasonHandshakes     = "handshakes"
 	reasonPanic          = "panic"
 	reasonQueueFull      = "queue_full"
 	reasonUnreachable    = "unreachable"
