connlimit: charge no body for the next head where its length is unknown

Callers: with chunked bodies, and with HTTP/2, up to 4 KiB that had arrived beside a request were taken for a part of the next head, so that an idle connection was charged 48 KiB and could be closed as one whose head does not arrive (from reading; no such client in the deployments in force). Change: of a body without a declared length what was read counts; connections of HTTP/2, whose heads are not counted, are not charged. The new row of TestChargesOfHeadsEndWithRequests fails without it.

--- a/internal/connlimit/head.go
+++ b/internal/connlimit/head.go
@@ -30,7 +30,8 @@
 	received atomic.Int64 // bytes of it, as far as they are known
 	after    atomic.Int64 // bytes that were received after its end
 	since    atomic.Int64 // when its first bytes arrived, Unix time in nanoseconds
-	body     atomic.Int64 // declared length of the body
+	body     atomic.Int64 // bytes of the body: declared or, without that, read so far
+	http2    atomic.Bool  // the connection carries several requests at once, whose heads are not counted
 
 	// Guarded by the lock of the pool.
 	charged int64 // bytes
@@ -41,6 +42,9 @@
 
 // begin begins the next head, of which the buffer of net/http may hold a part.
 func (h *head) begin() {
+	if h.http2.Load() {
+		return
+	}
 	h.received.Store(min(max(h.after.Load()-h.body.Load(), 0), readBuffer))
 	h.after.Store(0)
 	h.body.Store(0)
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -199,7 +199,11 @@
 // than what its bytes could have become.
 func chargeParsedHead(r *http.Request) {
 	c, _ := r.Context().Value(connKey{}).(*conn)
-	if c == nil || r.ProtoMajor != 1 {
+	if c == nil {
+		return
+	}
+	if r.ProtoMajor != 1 {
+		c.head.http2.Store(true)
 		return
 	}
 	c.head.body.Store(max(r.ContentLength, 0))
@@ -220,19 +224,23 @@
 	}
 	c.set(stateArriving)
 	tracked := r.WithContext(r.Context())
-	tracked.Body = &trackedBody{ReadCloser: r.Body, c: c}
+	tracked.Body = &trackedBody{ReadCloser: r.Body, c: c, declared: r.ContentLength > 0}
 	return tracked
 }
 
 // trackedBody marks its connection as busy once the body has been read.
 type trackedBody struct {
 	io.ReadCloser
-	c *conn
+	c        *conn
+	declared bool // its length is known
 }
 
 // Read implements io.Reader.
 func (b *trackedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if !b.declared {
+		b.c.head.body.Add(int64(n))
+	}
 	if errors.Is(err, io.EOF) {
 		b.c.set(stateBusy)
 	}
--- a/internal/connlimit/pool_test.go
+++ b/internal/connlimit/pool_test.go
@@ -1,6 +1,7 @@
 package connlimit
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -127,6 +128,7 @@
 		{"small", "GET / HTTP/1.1\r\nHost: a\r\n\r\n"},
 		{"large", "GET / HTTP/1.1\r\nHost: a\r\n" + large + "\r\n"},
 		{"with a body", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9000\r\n" + large + "\r\n" + strings.Repeat("x", 9000)},
+		{"with a body of unknown length", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2328\r\n" + strings.Repeat("x", 9000) + "\r\n0\r\n\r\n"},
 		{"several at once", strings.Repeat("GET / HTTP/1.1\r\nHost: a\r\n\r\n", 50)},
 	}
 	for _, row := range rows {
@@ -135,12 +137,18 @@
 			p := NewPool(100, HeadLimit(0, 0), r)
 			l := serveIn(t, p, NewMetrics(r), "test", 100, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
 			c := dial(t, l, row.text)
-			go io.Copy(io.Discard, c)
+			answers := bufio.NewReader(c)
+			first, err := http.ReadResponse(answers, nil)
+			assert.NilError(t, err)
+			_, err = io.Copy(io.Discard, first.Body)
+			assert.NilError(t, err)
+			go io.Copy(io.Discard, answers)
+			awaitHeads(t, p, "no charge while idle", func(n int64) bool { return n == 0 })
 			for range 3 {
 				_, err := io.WriteString(c, row.text)
 				assert.NilError(t, err)
 			}
-			_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n"+large)
+			_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n"+large)
 			assert.NilError(t, err)
 			awaitHeads(t, p, "the charge of the last head", func(n int64) bool { return n > int64(len(large)-2*readBuffer)*headByteCost })
 			_, err = io.WriteString(c, "\r\n")
