--- a/review/_kit4/cell.go
+++ b/review/_kit4/cell.go
@@ -61,6 +61,7 @@
 
 	mu     sync.Mutex
 	events []*startEvent
+
 }
 
 // newCell starts control processes and entry processes on loopback addresses of their own.
--- a/review/_kit4/executor.go
+++ b/review/_kit4/executor.go
@@ -46,26 +46,27 @@
 	labels  []string
 	cpu     int64
 
-	mu       sync.Mutex
-	up       bool
-	id       string
-	born     int64
-	began    time.Time
-	seq      int64
-	fence    uint64
-	until    int64 // end of the lease, on the executor's clock
-	active   map[string]*run
-	ends     []end
-	endN     int64
-	acked    int64
-	barred   map[string]int // highest run that was stopped or has ended here, by task
-	changed  chan struct{}
-	server   *http.Server
-	cancel   context.CancelFunc
-	lastHold time.Time
+	mu      sync.Mutex
+	up      bool
+	id      string
+	born    int64
+	began   time.Time
+	seq     int64
+	fence   uint64
+	until   int64 // end of the lease, on the executor's clock
+	active  map[string]*run
+	ends    []end
+	endN    int64
+	acked   int64
+	barred  map[string]int // highest run that was stopped or has ended here, by task
+	changed chan struct{}
+	server  *http.Server
+	cancel  context.CancelFunc
 
 	// onStart, if set, is called without the lock after a start was executed.
 	onStart func(e *executor, r *run)
+	// beatDelay is the time from a boot to the first liveness report.
+	beatDelay time.Duration
 	// intercept, if set, may take over a call before it is executed. It returns true if the call
 	// is to get no answer.
 	intercept func(e *executor, path string, body []byte) bool
@@ -120,6 +121,7 @@
 	running := ""
 	for _, r := range e.active {
 		r.gone = true
+		e.c.noteEnd(e, r, "crashed")
 		running += fmt.Sprintf(" %s run %d", r.task, r.number)
 	}
 	e.active = map[string]*run{}
@@ -137,6 +139,13 @@
 
 // beat sends the liveness reports of one life.
 func (e *executor) beat(ctx context.Context) {
+	if e.beatDelay > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(e.beatDelay):
+		}
+	}
 	for n := 0; ; n++ {
 		e.mu.Lock()
 		e.seq++
@@ -286,7 +295,7 @@
 	e.active[b.Task] = r
 	e.c.rec.add("%s starts %s run %d, fence %d, until %d at %d", e.name, b.Task, b.Run, b.Fence, b.Until, e.clock())
 	e.c.noteStart(e, r)
-	how, after := outcomeOf(b.Spec, r)
+	how, after := outcomeOf(b.Spec)
 	if after > 0 {
 		time.AfterFunc(after, func() {
 			e.mu.Lock()
@@ -302,7 +311,7 @@
 
 // outcomeOf returns how and after what time a run ends that nothing stops. A specification is
 // "work_ms=N", or "fail" before it for a task that fails.
-func outcomeOf(spec string, _ *run) (string, time.Duration) {
+func outcomeOf(spec string) (string, time.Duration) {
 	how := "done"
 	if rest, ok := strings.CutPrefix(spec, "fail "); ok {
 		how, spec = "failed", rest
@@ -351,6 +360,5 @@
 		x := &e.ends[i]
 		ends = append(ends, []any{x.n, x.task, x.number, x.how, ""})
 	}
-	e.lastHold = time.Now()
 	return http.StatusOK, map[string]any{"clock_ms": e.clock(), "born": e.born, "active": active, "finished_runs": ends}
 }
--- a/review/_kit4/main.go
+++ b/review/_kit4/main.go
@@ -4,10 +4,13 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 )
 
+var ctxBackground = context.Background()
+
 // A caseFunc plays a case and returns what was broken, or "".
 type caseFunc func(c *cell, trouble bool) (string, error)
 
@@ -17,7 +20,7 @@
 }
 
 var cases = map[string]caseSpec{
-	"crash": {cores: 3, fronts: 2, executors: 8, play: playCrash},
+	"crash":  {cores: 3, fronts: 2, executors: 8, play: playCrash},
 }
 
 func main() {
