--- a/review/_kit4/cell.go
+++ b/review/_kit4/cell.go
@@ -61,7 +61,6 @@
 
 	mu     sync.Mutex
 	events []*startEvent
-
 }
 
 // newCell starts control processes and entry processes on loopback addresses of their own.
--- a/review/_kit4/main.go
+++ b/review/_kit4/main.go
@@ -20,7 +20,7 @@
 }
 
 var cases = map[string]caseSpec{
-	"crash":  {cores: 3, fronts: 2, executors: 8, play: playCrash},
+	"crash": {cores: 3, fronts: 2, executors: 8, play: playCrash},
 }
 
 func main() {
