--- a/review/_kit4/executor.go
+++ b/review/_kit4/executor.go
@@ -62,6 +62,7 @@
 	changed chan struct{}
 	server  *http.Server
 	cancel  context.CancelFunc
+	conns   connTable
 
 	// onStart, if set, is called without the lock after a start was executed.
 	onStart func(e *executor, r *run)
@@ -100,9 +101,10 @@
 	}
 	e.server = &http.Server{Handler: mux}
 	server, born := e.server, e.born
+	e.conns.reset()
 	e.mu.Unlock()
 	e.c.rec.add("%s boots as %s, born %d", e.name, id, born)
-	go func() { _ = server.Serve(l) }()
+	go func() { _ = server.Serve(&cappedListener{Listener: l, e: e}) }()
 	go e.beat(ctx)
 	go e.watchLease(ctx, born)
 	return nil
--- a/review/_kit4/main.go
+++ b/review/_kit4/main.go
@@ -20,7 +20,8 @@
 }
 
 var cases = map[string]caseSpec{
-	"crash": {cores: 3, fronts: 2, executors: 8, play: playCrash},
+	"ghosts": {cores: 3, fronts: 2, executors: 8, play: playGhosts},
+	"crash":  {cores: 3, fronts: 2, executors: 8, play: playCrash},
 }
 
 func main() {
