--- a/review/_kit4/ghosts.go
+++ b/review/_kit4/ghosts.go
@@ -14,7 +14,7 @@
 
 const (
 	// maxLosses is how many leaders lose power, one after the other.
-	maxLosses = 10
+	maxLosses = 12
 	// offFor is the time from a loss of power to the start of the process.
 	offFor = 500 * time.Millisecond
 	// settle is the time from a start of a process to the next load: catch_up_s.
@@ -73,7 +73,7 @@
 			time.Sleep(settle / 2)
 			continue
 		}
-		if full > len(c.executors)/2 {
+		if full == len(c.executors) {
 			break
 		}
 		// The machine loses power: the executors are not told that its connections have ended.
