--- a/internal/storage/faultfs/faultfs.go
+++ b/internal/storage/faultfs/faultfs.go
@@ -1,12 +1,14 @@
 // Package faultfs is an in-memory file system for tests. It can run full, fail
-// or block syncs, and crash. A crash keeps synced data and an arbitrary subset
-// of the unsynced data, sector by sector.
+// or block syncs, lose its process and crash. A process that is killed leaves its
+// files as they are. A crash of the machine keeps synced data and an arbitrary
+// subset of the unsynced data, sector by sector and name by name.
 package faultfs
 
 import (
 	"errors"
 	"io"
 	"io/fs"
+	"maps"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -21,6 +23,9 @@
 // ErrSync is the error of an injected sync failure.
 var ErrSync = errors.New("faultfs: sync failed")
 
+// ErrKilled is the error of every change after the process was killed.
+var ErrKilled = errors.New("faultfs: process was killed")
+
 // inode is the current and the last synced content of a file.
 type inode struct {
 	data   []byte
@@ -44,6 +49,8 @@
 	failSync        bool
 	syncGate        chan struct{} // file syncs block until it is closed; nil: not blocked
 	syncs           int
+	changesLeft     int  // changes until the process is killed; negative: unlimited
+	cutWrite        bool // the next change was under way when the process was killed
 }
 
 // New returns an empty file system without a capacity limit.
@@ -53,9 +60,41 @@
 		durable:  map[string]*inode{},
 		locked:   map[string]bool{},
 		capacity: -1,
+
+		changesLeft: -1,
 	}
 }
 
+// KillAfter kills the process after n further changes and syncs: all later ones fail,
+// and the first of them, if it is a write, is cut short. Restart starts the next process.
+func (f *FS) KillAfter(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.changesLeft = n
+	f.cutWrite = true
+}
+
+// Restart starts the next process after a kill. It finds all files as the killed
+// one has left them, synced or not.
+func (f *FS) Restart() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.changesLeft = -1
+	f.locked = map[string]bool{}
+}
+
+// countChangeLocked returns ErrKilled if the process has been killed.
+func (f *FS) countChangeLocked() error {
+	if f.changesLeft == 0 {
+		f.cutWrite = false
+		return ErrKilled
+	}
+	if f.changesLeft > 0 {
+		f.changesLeft--
+	}
+	return nil
+}
+
 // SetCapacity limits the total size of all files to n bytes. A negative n
 // removes the limit.
 func (f *FS) SetCapacity(n int) {
@@ -116,37 +155,54 @@
 	return f.syncs
 }
 
-// Crash returns the file system as found on restart after a crash. choose
-// returns a number in [0, n) and thereby selects which unsynced changes survive.
+// Crash returns the file system as found on restart after a crash of the machine.
+// choose returns a number in [0, n) and thereby selects which unsynced changes survive.
+// Each name of a directory keeps or loses its changes independently of the others.
 func (f *FS) Crash(choose func(n int) int) *FS {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	next := New()
-	names := map[string]*inode{}
-	for name, node := range f.durable {
-		names[name] = node
+	names := maps.Clone(f.durable)
+	changes := map[string][]dirChange{}
+	for _, c := range f.unsyncedChanges {
+		changes[c.name] = append(changes[c.name], c)
 	}
-	for _, o := range f.unsyncedChanges[:choose(len(f.unsyncedChanges)+1)] {
-		if o.node == nil {
-			delete(names, o.name)
-		} else {
-			names[o.name] = o.node
+	for _, name := range slices.Sorted(maps.Keys(changes)) {
+		if kept := choose(len(changes[name]) + 1); kept > 0 {
+			setName(names, changes[name][kept-1])
 		}
 	}
-	sorted := make([]string, 0, len(names))
-	for name := range names {
-		sorted = append(sorted, name)
+	next := New()
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		next.addDurable(name, contentAfterCrash(names[name], choose))
 	}
-	slices.Sort(sorted)
-	for _, name := range sorted {
-		data := contentAfterCrash(names[name], choose)
-		node := &inode{data: data, synced: slices.Clone(data)}
-		next.files[name] = node
-		next.durable[name] = node
+	return next
+}
+
+// LosePower returns the file system after a crash that keeps nothing but what was synced.
+func (f *FS) LosePower() *FS {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	next := New()
+	for name, node := range f.durable {
+		next.addDurable(name, slices.Clone(node.synced))
 	}
 	return next
 }
 
+func setName(names map[string]*inode, c dirChange) {
+	if c.node == nil {
+		delete(names, c.name)
+	} else {
+		names[c.name] = c.node
+	}
+}
+
+func (f *FS) addDurable(name string, data []byte) {
+	node := &inode{data: data, synced: slices.Clone(data)}
+	f.files[name] = node
+	f.durable[name] = node
+}
+
 // contentAfterCrash mixes synced and unsynced content sector by sector.
 func contentAfterCrash(n *inode, choose func(int) int) []byte {
 	size := len(n.synced)
@@ -189,9 +245,7 @@
 	defer f.mu.Unlock()
 	next := New()
 	for name, node := range f.files {
-		c := &inode{data: slices.Clone(node.data), synced: slices.Clone(node.data)}
-		next.files[name] = c
-		next.durable[name] = c
+		next.addDurable(name, slices.Clone(node.data))
 	}
 	return next
 }
@@ -203,6 +257,9 @@
 func (f *FS) Create(name string) (storage.File, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err := f.countChangeLocked(); err != nil {
+		return nil, err
+	}
 	node := &inode{}
 	f.files[name] = node
 	f.unsyncedChanges = append(f.unsyncedChanges, dirChange{name: name, node: node})
@@ -228,6 +285,9 @@
 	if node == nil {
 		return &fs.PathError{Op: "rename", Path: from, Err: fs.ErrNotExist}
 	}
+	if err := f.countChangeLocked(); err != nil {
+		return err
+	}
 	delete(f.files, from)
 	f.files[to] = node
 	f.unsyncedChanges = append(f.unsyncedChanges, dirChange{name: to, node: node}, dirChange{name: from})
@@ -241,6 +301,9 @@
 	if f.files[name] == nil {
 		return &fs.PathError{Op: "remove", Path: name, Err: fs.ErrNotExist}
 	}
+	if err := f.countChangeLocked(); err != nil {
+		return err
+	}
 	delete(f.files, name)
 	f.unsyncedChanges = append(f.unsyncedChanges, dirChange{name: name})
 	return nil
@@ -264,14 +327,14 @@
 func (f *FS) SyncDir(string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err := f.countChangeLocked(); err != nil {
+		return err
+	}
 	if f.failSync {
 		return ErrSync
 	}
 	f.unsyncedChanges = nil
-	f.durable = map[string]*inode{}
-	for name, node := range f.files {
-		f.durable[name] = node
-	}
+	f.durable = maps.Clone(f.files)
 	return nil
 }
 
@@ -334,6 +397,13 @@
 func (f *file) WriteAt(p []byte, offset int64) (int, error) {
 	f.fs.mu.Lock()
 	defer f.fs.mu.Unlock()
+	cut := f.fs.cutWrite
+	if err := f.fs.countChangeLocked(); err != nil {
+		if cut {
+			f.writeLocked(p[:len(p)/2], offset)
+		}
+		return 0, err
+	}
 	grow := int(offset) + len(p) - len(f.node.data)
 	if f.fs.capacity >= 0 && grow > 0 {
 		if room := f.fs.capacity - f.fs.usedLocked(); grow > room {
@@ -357,6 +427,9 @@
 func (f *file) Truncate(size int64) error {
 	f.fs.mu.Lock()
 	defer f.fs.mu.Unlock()
+	if err := f.fs.countChangeLocked(); err != nil {
+		return err
+	}
 	f.node.data = slices.Clone(f.node.data[:min(int(size), len(f.node.data))])
 	return nil
 }
@@ -366,6 +439,9 @@
 	f.fs.waitForSyncGate()
 	f.fs.mu.Lock()
 	defer f.fs.mu.Unlock()
+	if err := f.fs.countChangeLocked(); err != nil {
+		return err
+	}
 	f.fs.syncs++
 	if f.fs.failSync {
 		return ErrSync
