storage: make what a start has read durable before the replica rests on it

Callers saw nothing of it but lost commits: a start of a task that had been committed and sent can be missing in the log of the next leader, which then places the task again while it runs (TWICE).

Cause: a killed process leaves bytes that it wrote and did not sync, and names that it renamed without syncing their folder. OpenLog read both, and the replica was restored with all of it as persisted. It acknowledged entries to the leader of the same term, or repeated a vote, without any sync, as there was nothing new to write. A loss of power then took the entry, the vote, or a whole segment that later appends had synced under a name that had not been. A frame appended behind an unsynced one could also survive it, so that the folder was refused as damaged.

A start costs one sync of a file and one of the folder; the sync after a torn frame is part of it.

--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -64,7 +64,8 @@
 
 // OpenLog opens and replays the log in opts.Dir, and starts an empty one if
 // there is none. It truncates a torn last frame and returns a *CorruptError for
-// any other corruption.
+// any other corruption. What it has read, and the name of every file in the
+// directory, is durable when it returns.
 func OpenLog(opts LogOptions) (*Log, error) {
 	if opts.FS == nil {
 		opts.FS = OS{}
@@ -80,6 +81,10 @@
 		_ = l.Close()
 		return nil, err
 	}
+	if err := l.syncReplayed(); err != nil {
+		_ = l.Close()
+		return nil, err
+	}
 	if len(l.segments) == 0 {
 		if err := l.roll(); err != nil {
 			return nil, err
--- a/internal/storage/replay.go
+++ b/internal/storage/replay.go
@@ -105,8 +105,21 @@
 	if err := s.f.Truncate(s.size); err != nil {
 		return fmt.Errorf("storage: truncate %s: %w", name, err)
 	}
-	if err := s.f.Sync(); err != nil {
-		return &SyncError{File: s.path, Err: err}
+	return nil
+}
+
+// syncReplayed makes durable what the previous process may have written or renamed
+// but not synced before it was killed. The owner will vote and acknowledge by it.
+// Only the last segment can hold unsynced bytes.
+func (l *Log) syncReplayed() error {
+	if n := len(l.segments); n > 0 {
+		last := l.segments[n-1]
+		if err := last.f.Sync(); err != nil {
+			return &SyncError{File: last.path, Err: err}
+		}
+	}
+	if err := l.opts.FS.SyncDir(l.opts.Dir); err != nil {
+		return &SyncError{File: l.opts.Dir, Err: err}
 	}
 	return nil
 }
