storage: leave no gap between segments if power is lost during a compaction

What callers saw: nothing yet; a replica that loses power while it drops two or more segments can refuse its folder at the next start ("segment is missing"), which is one disk lost more than the group has to bear.

Cause: the compaction removed all segments and then synced the folder once. After a loss of power each removal that is not synced may be undone by itself, the first one as well as the last, and a segment that is gone between two others is taken for damage, rightly.

Change: the folder is synced after each removal, oldest segment first. Appends no longer wait for the removals, only until the segments are out of the index, so that the further syncs delay no commit.

--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -48,7 +48,7 @@
 // from one goroutine, the read methods from any.
 type Log struct {
 	opts    LogOptions
-	writeMu sync.Mutex // held by Append and Compact
+	writeMu sync.Mutex // held by Append, and by Compact until it has detached the segments
 
 	mu        sync.RWMutex // guards what follows
 	segments  []*segment
@@ -185,6 +185,33 @@
 // Compact removes the segments whose entries all have an index of at most
 // index, and returns the position after which the log now starts.
 func (l *Log) Compact(index uint64) (Position, error) {
+	for _, s := range l.detachCompacted(index) {
+		if err := l.removeSegment(s); err != nil {
+			return l.Start(), err
+		}
+	}
+	return l.Start(), nil
+}
+
+// removeSegment removes the file of a detached segment. The removal is durable before the
+// next one: a loss of power may undo any removal that is not, and a gap between two
+// segments is damage.
+func (l *Log) removeSegment(s *segment) error {
+	if err := s.f.Close(); err != nil {
+		return fmt.Errorf("storage: close %s: %w", s.path, err)
+	}
+	if err := l.opts.FS.Remove(s.path); err != nil {
+		return fmt.Errorf("storage: remove %s: %w", s.path, err)
+	}
+	if err := l.opts.FS.SyncDir(l.opts.Dir); err != nil {
+		return &SyncError{File: l.opts.Dir, Err: err}
+	}
+	return nil
+}
+
+// detachCompacted takes the segments with entries up to index out of the log, oldest first.
+// Appends wait for it, and not for the removal of the files.
+func (l *Log) detachCompacted(index uint64) []*segment {
 	l.writeMu.Lock()
 	defer l.writeMu.Unlock()
 	n := 0
@@ -192,21 +219,9 @@
 		n++
 	}
 	if n == 0 {
-		return l.Start(), nil
+		return nil
 	}
-	dropped := l.detachSegments(n)
-	for _, s := range dropped {
-		if err := s.f.Close(); err != nil {
-			return l.Start(), fmt.Errorf("storage: close %s: %w", s.path, err)
-		}
-		if err := l.opts.FS.Remove(s.path); err != nil {
-			return l.Start(), fmt.Errorf("storage: remove %s: %w", s.path, err)
-		}
-	}
-	if err := l.opts.FS.SyncDir(l.opts.Dir); err != nil {
-		return l.Start(), &SyncError{File: l.opts.Dir, Err: err}
-	}
-	return l.Start(), nil
+	return l.detachSegments(n)
 }
 
 func (l *Log) detachSegments(n int) []*segment {
