--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -48,7 +48,7 @@
 // from one goroutine, the read methods from any.
 type Log struct {
 	opts    LogOptions
-	writeMu sync.Mutex // held by Append and Compact
+	writeMu sync.Mutex // held by Append, and by Compact until it has detached the segments
 
 	mu        sync.RWMutex // guards what follows
 	segments  []*segment
@@ -64,7 +64,8 @@
 
 // OpenLog opens and replays the log in opts.Dir, and starts an empty one if
 // there is none. It truncates a torn last frame and returns a *CorruptError for
-// any other corruption.
+// any other corruption. What it has read, and the name of every file in the
+// directory, is durable when it returns.
 func OpenLog(opts LogOptions) (*Log, error) {
 	if opts.FS == nil {
 		opts.FS = OS{}
@@ -80,6 +81,10 @@
 		_ = l.Close()
 		return nil, err
 	}
+	if err := l.syncReplayed(); err != nil {
+		_ = l.Close()
+		return nil, err
+	}
 	if len(l.segments) == 0 {
 		if err := l.roll(); err != nil {
 			return nil, err
@@ -180,6 +185,33 @@
 // Compact removes the segments whose entries all have an index of at most
 // index, and returns the position after which the log now starts.
 func (l *Log) Compact(index uint64) (Position, error) {
+	for _, s := range l.detachCompacted(index) {
+		if err := l.removeSegment(s); err != nil {
+			return l.Start(), err
+		}
+	}
+	return l.Start(), nil
+}
+
+// removeSegment removes the file of a detached segment. The removal is durable before the
+// next one: a loss of power may undo any removal that is not, and a gap between two
+// segments is damage.
+func (l *Log) removeSegment(s *segment) error {
+	if err := s.f.Close(); err != nil {
+		return fmt.Errorf("storage: close %s: %w", s.path, err)
+	}
+	if err := l.opts.FS.Remove(s.path); err != nil {
+		return fmt.Errorf("storage: remove %s: %w", s.path, err)
+	}
+	if err := l.opts.FS.SyncDir(l.opts.Dir); err != nil {
+		return &SyncError{File: l.opts.Dir, Err: err}
+	}
+	return nil
+}
+
+// detachCompacted takes the segments with entries up to index out of the log, oldest first.
+// Appends wait for it, and not for the removal of the files.
+func (l *Log) detachCompacted(index uint64) []*segment {
 	l.writeMu.Lock()
 	defer l.writeMu.Unlock()
 	n := 0
@@ -187,21 +219,9 @@
 		n++
 	}
 	if n == 0 {
-		return l.Start(), nil
-	}
-	dropped := l.detachSegments(n)
-	for _, s := range dropped {
-		if err := s.f.Close(); err != nil {
-			return l.Start(), fmt.Errorf("storage: close %s: %w", s.path, err)
-		}
-		if err := l.opts.FS.Remove(s.path); err != nil {
-			return l.Start(), fmt.Errorf("storage: remove %s: %w", s.path, err)
-		}
+		return nil
 	}
-	if err := l.opts.FS.SyncDir(l.opts.Dir); err != nil {
-		return l.Start(), &SyncError{File: l.opts.Dir, Err: err}
-	}
-	return l.Start(), nil
+	return l.detachSegments(n)
 }
 
 func (l *Log) detachSegments(n int) []*segment {
