--- a/internal/control/simulation_test.go
+++ b/internal/control/simulation_test.go
@@ -86,9 +86,10 @@
 	gangSizes map[string]int
 	evacuated map[string]time.Duration // when the evacuation of a failure domain was committed
 	flows     int
-	moved     int  // workers that started again at another address
-	renamed   int  // workers that started again under another ID
-	quiet     bool // no more faults
+	moved     int           // workers that started again at another address
+	renamed   int           // workers that started again under another ID
+	quiet     bool          // no more faults
+	holdMax   time.Duration // the longest lease that a worker holds
 	check     twiceChecker
 	lines     []simLine
 
@@ -136,7 +137,7 @@
 	s := &simulation{
 		seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), faults: faults, start: time.Now(),
 		byAddress: map[string]*simWorker{}, cuts: map[string]time.Duration{},
-		gangs: map[string]*simGang{}, gangSizes: map[string]int{}, evacuated: map[string]time.Duration{},
+		gangs: map[string]*simGang{}, gangSizes: map[string]int{}, evacuated: map[string]time.Duration{}, holdMax: simHoldMax,
 		verbose: os.Getenv("FILBERTMAST_SIM_VERBOSE") != "",
 	}
 	s.log.sim, s.log.state = s, state.New(state.Options{})
@@ -184,6 +185,14 @@
 	return n
 }
 
+// setHoldMax sets the longest lease that workers hold.
+func (s *simulation) setHoldMax(d time.Duration) {
+	s.holdMax = d
+	for _, n := range s.nodes {
+		n.server.opts.Times.MaxWorkerLease = d
+	}
+}
+
 // clock returns the time since the simulation began. Each call takes some time, so that
 // no two timers are due at the same time, in which case their order would be left to
 // the runtime.
--- a/internal/control/simworker_test.go
+++ b/internal/control/simworker_test.go
@@ -69,7 +69,7 @@
 
 // extend extends the lease.
 func (w *simWorker) extend(until int64) {
-	if until = min(until, w.clock()+simHoldMax.Milliseconds()); until > w.until {
+	if until = min(until, w.clock()+w.sim.holdMax.Milliseconds()); until > w.until {
 		w.until = until
 	}
 	if w.until > w.clock() {
