lease: let a lease that is granted until a deadline expire then

GrantUntil put the entry in the wheel's slot of a whole lease and changed the deadline afterwards, so that a deadline that is nearer than a whole lease was noticed late, by up to a lease. Its callers so far grant for longer than that.

--- a/internal/lease/table.go
+++ b/internal/lease/table.go
@@ -105,7 +105,7 @@
 	t.wheel = newTimingWheel(t.opts.Duration+t.opts.DriftMargin, now)
 	t.expiryBucket = newTokenBucket(t.opts.ExpiryRate, t.opts.ExpiryBatch, now)
 	for _, h := range holders {
-		t.insert(h)
+		t.insert(h, t.deadline())
 	}
 }
 
@@ -126,9 +126,13 @@
 // with StaleLease if a later session of the worker holds a lease.
 func (t *Table) Grant(h Holder, now model.Time) error {
 	t.advance(now)
+	return t.grant(h, t.deadline())
+}
+
+func (t *Table) grant(h Holder, deadline model.Time) error {
 	i, ok := t.byID[h.Worker]
 	if !ok {
-		t.insert(h)
+		t.insert(h, deadline)
 		return nil
 	}
 	e := &t.entries[i]
@@ -136,18 +140,15 @@
 		return staleLease(h)
 	}
 	e.holder = h
-	e.deadline = t.deadline()
+	e.deadline = deadline
 	return nil
 }
 
 // GrantUntil grants a lease with a deadline to a worker whose lease has expired and that
 // is not declared lost.
 func (t *Table) GrantUntil(h Holder, deadline, now model.Time) error {
-	if err := t.Grant(h, now); err != nil {
-		return err
-	}
-	t.entries[t.byID[h.Worker]].deadline = deadline
-	return nil
+	t.advance(now)
+	return t.grant(h, deadline)
 }
 
 // Renew extends the lease of h. It fails with UnknownWorker if the worker holds
@@ -246,7 +247,7 @@
 	})
 }
 
-func (t *Table) insert(h Holder) {
+func (t *Table) insert(h Holder, deadline model.Time) {
 	i := t.free
 	if i == noEntry {
 		i = int32(len(t.entries))
@@ -254,9 +255,9 @@
 	} else {
 		t.free = t.entries[i].next
 	}
-	t.entries[i] = entry{holder: h, deadline: t.deadline(), live: true}
+	t.entries[i] = entry{holder: h, deadline: deadline, live: true}
 	t.byID[h.Worker] = i
-	t.wheel.add(i, t.entries[i].deadline)
+	t.wheel.add(i, deadline)
 }
 
 // deactivate ends a lease at once. Its entry is freed later, when TakeExpired
--- a/internal/lease/table_test.go
+++ b/internal/lease/table_test.go
@@ -44,6 +44,18 @@
 	assert.Equal(t, len(table.TakeExpired(later.Add(11*time.Second+slotWidth))), 1)
 }
 
+// Guards against a worker that is declared lost long after the deadline that it was granted.
+func TestLeaseThatIsGrantedUntilDeadlineExpiresThen(t *testing.T) {
+	for _, deadline := range []time.Duration{13 * time.Second, 20 * time.Second, time.Minute} {
+		table := newTable(unbounded(), holder(1, 1))
+		expired := at(11*time.Second + slotWidth)
+		assert.Equal(t, len(table.TakeExpired(expired)), 1)
+		assert.NilError(t, table.GrantUntil(holder(1, 1), at(deadline), expired))
+		assert.Equal(t, len(table.TakeExpired(at(deadline))), 0)
+		assert.Equal(t, len(table.TakeExpired(at(deadline+slotWidth))), 1, "%s", deadline)
+	}
+}
+
 func TestRenewErrors(t *testing.T) {
 	for name, row := range map[string]struct {
 		claim Holder
