control: don't declare a restarted worker lost while it may hold a lease meant for its earlier incarnation

Callers saw tasks that ran twice at the same time: on a worker that was cut off soon after it had restarted under its ID, and on another one, where the leader, mostly a new one, had started all of that worker's tasks at one moment.

Cause: a lease end is a time on the clock of one incarnation, and a worker takes it from any call that names its ID, for all that it runs, and never shortens it. A poll or start that the leader sends before it knows of a restart reaches the next incarnation, whose clock has begun anew, so that it holds its longest lease (6 to 10 s). The attempts whose starts went astray like this were looked after, see maxCallDelay. Those that the next session started later were not: the leader counted its own grants only (4 s and drift), under a new leader from its first moment.

The leader now declares a restarted worker lost no earlier than the longest lease and the drift margin after its first response: from then on the worker refuses calls for earlier incarnations by their fence. A new leader, which doesn't know that moment, counts from its own beginning, if the restart is less than a minute old. The state records when another incarnation was announced under an ID. Other workers are lost with their lease as before, and so are restarted ones that have been heard for a few seconds.

That this is what the users saw is not shown: their record names no ground.

--- a/internal/control/foreignlease_test.go
+++ b/internal/control/foreignlease_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/filbertmast/filbertmast/internal/api"
 	"github.com/filbertmast/filbertmast/internal/model"
 )
 
@@ -98,3 +99,31 @@
 		})
 	}
 }
+
+// Guards against tasks that wait for the longest lease of a worker that restarted long before.
+func TestLossWaitsForLongestLeaseOnlySoonAfterRestart(t *testing.T) {
+	rows := []struct {
+		name string
+		ago  time.Duration // since the restart
+		held time.Duration // before the loss
+	}{
+		{"restarted just now", 0, 10500 * time.Millisecond},
+		{"restarted long ago", restartWindow, 4 * time.Second},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			h, _ := newLeaderHarness(t)
+			h.apply(incarnationOf(2))
+			h.advance(row.ago)
+			task := h.placeAnother("g")
+			h.report(task, api.ReportStarted)
+			pass := h.shortLeases()
+			pass(row.held)
+			h.commitAll()
+			assert.Equal(t, h.phase(task), model.TaskRunning)
+			pass(time.Second)
+			h.commitAll()
+			assert.Equal(t, h.phase(task), model.TaskPending)
+		})
+	}
+}
--- a/internal/control/misdirected.go
+++ b/internal/control/misdirected.go
@@ -40,11 +40,45 @@
 	return false
 }
 
-// deferLoss reports whether a worker whose lease has expired is not declared lost yet,
-// since some of its attempts may run on a later incarnation. The others are released.
+// A call for an earlier incarnation that reaches a later one may lengthen the lease of all that
+// the later one runs, up to the longest lease. It can do so until the worker has executed a call
+// of its own session, which has a higher fence.
+
+// restartWindow is how long after its announcement a restarted worker is taken to hold such a
+// lease when a new leader begins. The clocks of two leaders may differ by many seconds.
+const restartWindow = time.Minute
+
+// restartedRecently reports whether the lease of a worker may have been lengthened by calls for
+// an earlier incarnation.
+func (p *polledWorkers) restartedRecently(id model.WorkerID) bool {
+	w := p.l.c.machine.Worker(id)
+	now := min(p.l.c.s.now(), p.l.c.machine.Now())
+	return w != nil && w.RestartedAt != 0 && now.Sub(w.RestartedAt) < restartWindow
+}
+
+// foreignLeaseEnd returns the time until which a worker may hold a lease that a call for an
+// earlier incarnation has lengthened; zero: it holds none. What ran when this leader began had
+// been started before.
+func (p *polledWorkers) foreignLeaseEnd(pw *polledWorker) model.Time {
+	if !pw.restarted {
+		return 0
+	}
+	t := &p.l.c.s.opts.Times
+	return max(pw.addedAt, pw.firstHeard).Add(t.MaxWorkerLease*102/100 + t.Drift)
+}
+
+// deferLoss reports whether a worker whose lease has expired is not declared lost yet, since
+// it may hold a longer one, or since some of its attempts may run on a later incarnation. In
+// the second case the others are released.
 func (p *polledWorkers) deferLoss(h lease.Holder, now model.Time) bool {
 	pw, w := p.workers[h.Worker], p.l.c.machine.Worker(h.Worker)
-	if pw == nil || w == nil || pw.session != h.Session || w.Session != h.Session || !p.holdsMisdirected(pw, w) {
+	if pw == nil || w == nil || pw.session != h.Session || w.Session != h.Session {
+		return false
+	}
+	if end := p.foreignLeaseEnd(pw); now < end && len(w.Held) > 0 {
+		return p.deferToForeignLease(h, w, end, now)
+	}
+	if !p.holdsMisdirected(pw, w) {
 		return false
 	}
 	until := pw.grantedAt.Add(p.l.c.s.opts.Times.longestLease())
@@ -57,6 +91,15 @@
 	return true
 }
 
+func (p *polledWorkers) deferToForeignLease(h lease.Holder, w *state.Worker, end, now model.Time) bool {
+	if p.l.leases.GrantUntil(h, end, now) != nil {
+		return false
+	}
+	p.l.c.log.Warn("Worker lease expired; a call for its earlier incarnation may have lengthened it, so that it is not declared lost yet.",
+		"worker", h.Worker, "held", len(w.Held), "until", end.Sub(now))
+	return true
+}
+
 // releaseExpired releases the attempts of a worker whose lease has expired, except those that
 // may run on a later incarnation. Those that may have crashed the worker are lost, which
 // counts as a loss of the worker under them. Without that, they would wait for the longest
--- a/internal/control/misdirected_test.go
+++ b/internal/control/misdirected_test.go
@@ -8,20 +8,23 @@
 
 	"github.com/filbertmast/filbertmast/internal/api"
 	"github.com/filbertmast/filbertmast/internal/model"
-	"github.com/filbertmast/filbertmast/internal/replica"
 	"github.com/filbertmast/filbertmast/internal/state"
 	"github.com/filbertmast/filbertmast/internal/workerclient"
 )
 
+// advance lets time pass.
+func (h *leaderHarness) advance(d time.Duration) {
+	before := h.core.s.clock
+	h.core.s.clock = func() time.Duration { return before() + d }
+}
+
 // shortLeases lets the harness lead with worker leases that end before the longest lease. It
 // returns a function that lets time pass and runs what is due.
 func (h *leaderHarness) shortLeases() func(time.Duration) {
-	passed := time.Duration(0)
-	h.core.s.clock = func() time.Duration { return replica.BootTime() + passed }
 	h.core.s.opts.Times.WorkerLease, h.core.s.opts.Times.MaxWorkerLease = 4*time.Second, 10*time.Second
 	h.lead()
 	return func(d time.Duration) {
-		passed += d
+		h.advance(d)
 		h.core.tick()
 		h.core.scheduleDue()
 	}
--- a/internal/control/polled.go
+++ b/internal/control/polled.go
@@ -57,6 +57,9 @@
 	repeatTimer   *time.Timer // repeats the newest poll
 	clockReported bool        // the worker has answered a poll, and so reported its clock
 	addedAt       model.Time  // when this leader began to poll it
+	// restarted is set if an earlier incarnation, which may have been called until recently,
+	// had the same ID.
+	restarted bool
 	// unresponsive is set while the last poll has failed. The lease is not renewed
 	// meanwhile, since otherwise the lease of a dead worker would never expire.
 	unresponsive bool
@@ -73,6 +76,7 @@
 	refusals   exchange.Refusals
 	answeredAt model.Time // when the last poll was sent that it has answered; zero: none was
 	heardAt    model.Time // when its last response to a poll arrived; zero: none has
+	firstHeard model.Time // when its first response to a poll arrived; zero: none has
 	grantedAt  model.Time // the last time at which a lease may have been sent to it
 	// unreadableSince is since when each response has had rows that cannot be read; zero:
 	// the last one had none.
@@ -212,6 +216,7 @@
 		clock:      p.clockOf(spec),
 		unverified: unverified,
 		addedAt:    p.l.c.s.now(),
+		restarted:  p.restartedRecently(spec.ID),
 		grantedAt:  p.l.c.s.now(), // by an earlier leader
 		commands:   map[model.TaskID]*workerCommand{},
 	}
--- a/internal/control/polls.go
+++ b/internal/control/polls.go
@@ -189,6 +189,9 @@
 	if err == nil {
 		pw.clock.ObserveResponse(resp.Clock, poll.sentAt, p.l.c.s.now())
 		pw.answeredAt, pw.heardAt = max(pw.answeredAt, poll.sentAt), p.l.c.s.now()
+		if pw.firstHeard == 0 {
+			pw.firstHeard = pw.heardAt
+		}
 		pw.acknowledged = max(pw.acknowledged, poll.cursor)
 		p.explainLostAttempts(pw, poll.sentAt)
 		p.recordUnreadable(pw, resp)
--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -221,6 +221,24 @@
 	assert.Equal(t, s.m.TaskWorker(&s.m.Job(id).Tasks[0]), model.WorkerID("w1"))
 }
 
+// Guards against a leader that takes a restarted worker for one that has always held its ID.
+func TestRestartUnderSameIDIsRecorded(t *testing.T) {
+	s := newConfiguredHarness(t)
+	s.apply(announceIncarnation("w1", 7, 1, 8000))
+	assert.Equal(t, s.m.Worker("w2").RestartedAt, model.Time(0))
+	s.apply(announceIncarnation("w9", 7, 1, 8000))
+	assert.Equal(t, s.m.Worker("w9").RestartedAt, model.Time(0), "its first incarnation")
+	s.at = s.at.Add(time.Second)
+	s.apply(announceIncarnation("w9", 8, 1, 8000))
+	at := s.at
+	assert.Equal(t, s.m.Worker("w9").RestartedAt, at)
+	s.apply(&Command{MarkWorkersLost: &MarkWorkersLost{Workers: []LostWorker{{ID: "w9", Session: s.m.Worker("w9").Session}}}})
+	s.at = s.at.Add(time.Second)
+	s.apply(announceIncarnation("w9", 8, 2, 8000))
+	assert.Equal(t, s.m.Worker("w9").RestartedAt, at, "the same incarnation")
+	assert.Equal(t, restored(t, s.m).Worker("w9").RestartedAt, at)
+}
+
 func TestCancelEndsPartlyFinishedJob(t *testing.T) {
 	s := newConfiguredHarness(t)
 	id := s.apply(submitCommand("guards", "chairs", model.PolicyBatch, 3, 1000)).Job
--- a/internal/state/worker.go
+++ b/internal/state/worker.go
@@ -35,6 +35,9 @@
 	Ending []EndingAttempt `cbor:"10,keyasint,omitempty"`
 	// Speed is the estimated speed; nil before the first observation.
 	Speed *speed.Estimate `cbor:"11,keyasint,omitempty"`
+	// RestartedAt is when another incarnation than the one before was last announced under the
+	// ID; zero: never.
+	RestartedAt model.Time `cbor:"12,keyasint,omitempty"`
 }
 
 // taskExecutor is an executor that exists as long as its task.
@@ -146,6 +149,9 @@
 	if w.Speed != nil && (c.Spec.Incarnation == 0 || c.Spec.Incarnation != w.Spec.Incarnation) {
 		w.Speed.Restart()
 	}
+	if known && c.Spec.Incarnation != w.Spec.Incarnation {
+		w.RestartedAt = m.now
+	}
 	mode := model.WorkerOpen
 	if w.Mode == model.WorkerCordoned || w.Mode == model.WorkerDraining {
 		mode = w.Mode // the mode set by an operator persists across restarts of the worker
