control: simulate workers that lose power, restart under their ID and are cut off

Crashes so far ended every connection, so that the leader sent the next incarnation no renewal that was meant for the one before; a cut was drawn apart from a restart. A crash may now be silent, with a start soon after it, and a worker may be cut off soon after its first start of a task. The longest lease of workers is part of the faults: 10 s here, as some deployments have.

--- a/internal/control/foreignlease_test.go
+++ b/internal/control/foreignlease_test.go
@@ -75,8 +75,7 @@
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := newSimulation(1, simFaults{longestRun: time.Minute})
-				s.setHoldMax(row.leaseMax)
+				s := newSimulation(1, simFaults{longestRun: time.Minute, holdMax: row.leaseMax})
 				s.runFor(20 * time.Second)
 				w := s.losePower(s.workers[0], 1500*time.Millisecond)
 				s.setSlotsOfOthers(w, 0)
--- a/internal/control/simulation_test.go
+++ b/internal/control/simulation_test.go
@@ -48,6 +48,8 @@
 	cutWorker     float64       // of a step: a worker is cut off for a while
 	crash         float64       // of a step: a worker crashes
 	sameID        float64       // of a crash: the worker starts again under its ID
+	silentCrash   float64       // of a crash: no connection ends by it, and the next start is soon
+	cutAfterStart float64       // of a worker's first start of a task: the worker is cut off soon after
 	otherAddress  float64       // of such a start: at another address, and another worker takes the first one
 	drain         float64       // of a step: a worker drains, leaves and returns, or another one takes its address
 	resize        float64       // of a step: a worker's capacity changes
@@ -64,6 +66,7 @@
 	stickyCursor  bool          // a worker applies the highest cursor to later ends, too
 	longestRun    time.Duration
 	longestDelay  time.Duration
+	holdMax       time.Duration // the longest lease of a worker; zero: simHoldMax
 }
 
 // simulation runs the cores of several nodes, one of which leads, and simulated workers
@@ -147,6 +150,7 @@
 	for i := range simNodes {
 		s.nodes = append(s.nodes, s.newNode(i))
 	}
+	s.setHoldMax(max(faults.holdMax, simHoldMax))
 	s.log.elect(s.nodes[0])
 	for i := range simWorkers {
 		s.boot(model.WorkerID(fmt.Sprintf("w%d", i+1)), fmt.Sprintf("10.0.0.%d:80", i+1))
@@ -306,9 +310,7 @@
 		s.drainWorker()
 	}
 	if s.chance(f.cutWorker) {
-		w := s.workers[s.rng.IntN(len(s.workers))]
-		s.cuts[w.address] = s.now() + s.between(500*time.Millisecond, 6*time.Second)
-		s.trace("", "%s is cut off until %v", w.label(), s.cuts[w.address])
+		s.cutOff(s.workers[s.rng.IntN(len(s.workers))].address)
 	}
 	if s.chance(f.resize) {
 		s.workers[s.rng.IntN(len(s.workers))].slots = s.rng.IntN(simWorkerSlots + 1)
@@ -327,6 +329,12 @@
 	}
 }
 
+// cutOff cuts off the worker at an address for a while.
+func (s *simulation) cutOff(address string) {
+	s.cuts[address] = s.now() + s.between(500*time.Millisecond, 2*s.holdMax-6*time.Second)
+	s.trace("", "%s is cut off until %v", address, s.cuts[address])
+}
+
 // changeLeader elects another node that is not suspended.
 func (s *simulation) changeLeader() {
 	for range 2 * simNodes {
@@ -357,6 +365,10 @@
 	if !w.up {
 		return
 	}
+	longest := 1500 * time.Millisecond
+	if s.chance(s.faults.silentCrash) {
+		w.waiting, longest = nil, 200*time.Millisecond
+	}
 	w.crash()
 	id := w.id
 	if !s.chance(s.faults.sameID) {
@@ -368,7 +380,7 @@
 		s.after(s.between(20*time.Millisecond, 1500*time.Millisecond), func() { s.boot(id, address) })
 		return
 	}
-	s.after(s.between(20*time.Millisecond, 1500*time.Millisecond), func() { s.boot(id, w.address) })
+	s.after(s.between(20*time.Millisecond, longest), func() { s.boot(id, w.address) })
 }
 
 func (s *simulation) newName() model.WorkerID {
@@ -542,6 +554,10 @@
 	{"gangs lose workers while their success is committed", func(f *simFaults) {
 		f.gangs, f.gangSkew, f.slowCommit, f.crash, f.sameID, f.election = 0.9, 300*time.Millisecond, 0.5, 0.008, 0.5, 0.004
 	}},
+	{"workers lose power, restart under their ID and are cut off", func(f *simFaults) {
+		f.crash, f.sameID, f.silentCrash, f.cutAfterStart, f.holdMax = 0.003, 1, 1, 0.6, 10*time.Second
+		f.election, f.lateHeartbeat, f.longestRun, f.gangs = 0.002, 0.5, 12*time.Second, 0
+	}},
 	{"workers restart under their ID and calls are resent", func(f *simFaults) { f.crash, f.sameID, f.resend = 0.004, 1, true }},
 }
 
--- a/internal/control/simworker_test.go
+++ b/internal/control/simworker_test.go
@@ -37,6 +37,7 @@
 	highest map[string]uint32 // highest attempt that was stopped or has ended, by task
 	ended   []*simRun
 	numbers uint64
+	runs    int    // that have begun
 	cursor  uint64 // highest that it was told
 	waiting []*simCall
 
@@ -69,6 +70,9 @@
 
 // extend extends the lease.
 func (w *simWorker) extend(until int64) {
+	if longest := w.clock() + w.sim.holdMax.Milliseconds(); until > longest {
+		w.sim.trace("", "%s shortens a lease until %d to %d", w.label(), until, longest)
+	}
 	if until = min(until, w.clock()+w.sim.holdMax.Milliseconds()); until > w.until {
 		w.until = until
 	}
@@ -120,6 +124,9 @@
 // begin starts a run.
 func (w *simWorker) begin(name string, attempt workerclient.Attempt) {
 	r := &simRun{worker: w, attempt: attempt, started: w.sim.now()}
+	if w.runs++; w.runs == 1 && w.sim.chance(w.sim.faults.cutAfterStart) {
+		w.sim.after(w.sim.between(50*time.Millisecond, time.Second), func() { w.sim.cutOff(w.address) })
+	}
 	r.outcome = workerclient.Succeeded
 	if w.sim.chance(w.sim.faults.failure) {
 		r.outcome = workerclient.Failed
