--- a/internal/control/simcalls_test.go
+++ b/internal/control/simcalls_test.go
@@ -142,6 +142,13 @@
 // arrive lets the worker at the address carry out a call. A connection ends with the
 // incarnation to which it was opened.
 func (s *simulation) arrive(call *simCall) {
+	if call.node.frozen() && s.chance(s.faults.heldCall) {
+		s.after(call.node.frozenUntil-s.now()+time.Millisecond, func() {
+			call.boot = s.byAddress[call.to.Address] // the connection is opened only then
+			s.arrive(call)
+		})
+		return
+	}
 	w := s.byAddress[call.to.Address]
 	switch {
 	case w == nil || !w.up || w != call.boot && !s.faults.crossBoots:
--- a/internal/control/simulation_test.go
+++ b/internal/control/simulation_test.go
@@ -56,6 +56,7 @@
 	restore       float64       // of a step: a follower continues from a snapshot
 	crossBoots    bool          // late calls are carried out by a later incarnation with the same ID and address
 	resend        bool          // the HTTP transport sends a call again whose connection broke
+	heldCall      float64       // of a call of a node that is suspended meanwhile: it is sent once the node continues
 	sick          float64       // of a step: a worker rejects starts for a while
 	failure       float64       // of a run
 	gangs         float64       // of a workflow
@@ -534,6 +535,9 @@
 		f.gangs, f.gangSkew, f.slowCommit, f.crash, f.sameID, f.election = 0.9, 300*time.Millisecond, 0.5, 0.008, 0.5, 0.004
 	}},
 	{"workers restart under their ID and calls are resent", func(f *simFaults) { f.crash, f.sameID, f.resend = 0.004, 1, true }},
+	{"workers restart under their ID and suspended leaders send calls late", func(f *simFaults) {
+		f.crash, f.sameID, f.freeze, f.heldCall, f.slowCall, f.longestRun = 0.008, 1, 0.004, 0.7, 0.3, 4*time.Second
+	}},
 }
 
 // simDoubtfulProfiles are combinations of faults of which the protocol doesn't say
