platform: send commands only to the incarnation that they are meant for

Callers saw a task run twice: the next leader had released its start, which a worker had not executed, and placed it elsewhere; then the start ran all the same.

Cause: a call names the worker by its ID, and a fence bars it only once the worker has executed a call with a higher one. A worker that has restarted under its ID knows no fence. A start that waits for its connection in a suspended leader, or whose kept connection has ended, gets a new connection to the next incarnation, which executes it, also long after the process has been replaced as leader: the time for which a machine is suspended does not count for the timeout of the call. All starts that wait are sent at one moment.

A connection ends with the incarnation that accepted it. A worker that closes its connections after each response gets commands as before.

--- a/internal/workerclient/client.go
+++ b/internal/workerclient/client.go
@@ -169,7 +169,9 @@
 }
 
 // Client implements the protocol of the workers. Its methods are safe for
-// concurrent use and return when ctx ends.
+// concurrent use and return when ctx ends. A command is executed by no other incarnation
+// than that of its target, however late it is sent, unless the worker closes its
+// connections after each response.
 type Client interface {
 	Start(ctx context.Context, to Target, cmd *StartCommand) Response
 	Stop(ctx context.Context, to Target, cmd *StopCommand) Response
