platform: renew and acknowledge only on the incarnation that has answered

Callers could see a task run twice: a worker that has restarted under its ID held a longer lease than the leader knew of, or forgot ends that were not committed.

A poll for the earlier incarnation that is repeated, or sent late, over a new connection reaches the next one. The end of its lease is a time on another clock, so that the worker takes its longest lease for all that it runs; its acknowledgement counts other ends.

Polls that renew or acknowledge are bound to the incarnation as commands are.

That the leader waits for the longest lease of a restarted worker stays as it is: a worker that closes its connections after each response is still called without knowing who answers.

--- a/internal/control/simcalls_test.go
+++ b/internal/control/simcalls_test.go
@@ -161,13 +161,17 @@
 	}
 }
 
-// sendHeld sends a call over a new connection. The client sends a command only to the
-// incarnation that it is meant for.
+// sendHeld sends a call over a new connection. The client sends a command, a renewal or an
+// acknowledgement only to the incarnation that it is meant for.
 func (s *simulation) sendHeld(call *simCall) {
 	call.boot = s.byAddress[call.to.Address]
-	if call.poll == nil && call.boot != nil && call.boot.born != call.to.Incarnation {
+	switch {
+	case call.boot == nil || call.boot.born == call.to.Incarnation:
+	case call.poll == nil:
 		call.answer(simAnswer{command: workerclient.Response{Verdict: workerclient.OtherIncarnation}})
 		return
+	default:
+		call.poll = &workerclient.PollRequest{Fence: call.poll.Fence, Wait: call.poll.Wait}
 	}
 	s.arrive(call)
 }
