--- a/internal/control/simcalls_test.go
+++ b/internal/control/simcalls_test.go
@@ -142,6 +142,10 @@
 // arrive lets the worker at the address carry out a call. A connection ends with the
 // incarnation to which it was opened.
 func (s *simulation) arrive(call *simCall) {
+	if call.node.frozen() && s.chance(s.faults.heldCall) {
+		s.after(call.node.frozenUntil-s.now()+time.Millisecond, func() { s.sendHeld(call) })
+		return
+	}
 	w := s.byAddress[call.to.Address]
 	switch {
 	case w == nil || !w.up || w != call.boot && !s.faults.crossBoots:
@@ -157,6 +161,21 @@
 	}
 }
 
+// sendHeld sends a call over a new connection. The client sends a command, a renewal or an
+// acknowledgement only to the incarnation that it is meant for.
+func (s *simulation) sendHeld(call *simCall) {
+	call.boot = s.byAddress[call.to.Address]
+	switch {
+	case call.boot == nil || call.boot.born == call.to.Incarnation:
+	case call.poll == nil:
+		call.answer(simAnswer{command: workerclient.Response{Verdict: workerclient.OtherIncarnation}})
+		return
+	default:
+		call.poll = &workerclient.PollRequest{Fence: call.poll.Fence, Wait: call.poll.Wait}
+	}
+	s.arrive(call)
+}
+
 // breaks ends a call whose connection broke. The client sends it once more if a worker
 // accepts a new connection: never a start, and a poll without its acknowledgement
 // and renewal.
--- a/internal/control/simulation_test.go
+++ b/internal/control/simulation_test.go
@@ -58,6 +58,7 @@
 	restore       float64       // of a step: a follower continues from a snapshot
 	crossBoots    bool          // late calls are carried out by a later incarnation with the same ID and address
 	resend        bool          // the HTTP transport sends a call again whose connection broke
+	heldCall      float64       // of a call of a node that is suspended meanwhile: it is sent once the node continues
 	sick          float64       // of a step: a worker rejects starts for a while
 	failure       float64       // of a run
 	gangs         float64       // of a workflow
@@ -559,6 +560,9 @@
 		f.election, f.lateHeartbeat, f.longestRun, f.gangs = 0.002, 0.5, 12*time.Second, 0
 	}},
 	{"workers restart under their ID and calls are resent", func(f *simFaults) { f.crash, f.sameID, f.resend = 0.004, 1, true }},
+	{"workers restart under their ID and suspended leaders send calls late", func(f *simFaults) {
+		f.crash, f.sameID, f.freeze, f.heldCall, f.slowCall, f.longestRun = 0.008, 1, 0.004, 0.7, 0.3, 4*time.Second
+	}},
 }
 
 // simDoubtfulProfiles are combinations of faults of which the protocol doesn't say
