replica: tell at the start what the data folder held

Cause: a replica that comes back with an empty folder, or with a log that ends lower than what it had acknowledged, left no line, so that a committed entry that is missing cannot be told from one that was never committed.

--- a/internal/replica/identity.go
+++ b/internal/replica/identity.go
@@ -33,8 +33,9 @@
 // identityFile is the identity together with its place on disk.
 type identityFile struct {
 	identity
-	fs  storage.FS
-	dir string
+	fs      storage.FS
+	dir     string
+	created bool // the data folder was empty when it was opened
 }
 
 // openIdentity reads the identity, or creates a new one in an empty folder.
@@ -53,7 +54,7 @@
 	if err := requireNoLogFiles(fsys, dir); err != nil {
 		return nil, err
 	}
-	f.ID = newID()
+	f.ID, f.created = newID(), true
 	return f, f.save()
 }
 
--- a/internal/replica/restore.go
+++ b/internal/replica/restore.go
@@ -38,12 +38,24 @@
 	n.core = raft.New(o, r)
 	n.compactCore(r.Snapshot.Index)
 	n.formed.Store(n.identity.Formed)
+	n.logRestored(&r)
 	if !n.identity.Formed && r.Last == 0 && !n.opts.Join {
 		n.bootstrap, err = newBootstrap(n.opts)
 	}
 	return err
 }
 
+// logRestored logs what the data folder held. A replica that has lost its disk shows here as
+// one with an empty folder and a new identity.
+func (n *Node) logRestored(r *raft.Restored) {
+	n.logger.Info("data folder was read", "id", n.identity.ID, "empty", n.identity.created, "formed", n.identity.Formed,
+		"term", r.State.Term, "vote", r.State.Vote, "last", formatPosition(raft.Position(n.log.Last())), "commit", r.State.Commit,
+		"snapshot", formatPosition(r.Snapshot), "torn_bytes", n.log.TornBytes())
+}
+
+// formatPosition formats the term and the index of a log entry.
+func formatPosition(p raft.Position) string { return fmt.Sprintf("%d/%d", p.Term, p.Index) }
+
 func (n *Node) requireLog() error {
 	names, err := n.opts.FS.List(n.opts.Dir)
 	if err != nil {
--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -58,8 +58,9 @@
 	state     []byte
 	cache     entryCache
 
-	seq uint64 // of the last frame; guarded by writeMu
-	buf []byte
+	torn int64  // bytes that were cut off when the log was opened
+	seq  uint64 // of the last frame; guarded by writeMu
+	buf  []byte
 }
 
 // OpenLog opens and replays the log in opts.Dir, and starts an empty one if
@@ -279,6 +280,9 @@
 	return l.state
 }
 
+// TornBytes returns the size of the torn last frame that was cut off when the log was opened.
+func (l *Log) TornBytes() int64 { return l.torn }
+
 func (l *Log) lastIndex() uint64 { return l.start.Index + uint64(len(l.locations)) }
 
 func (l *Log) termAt(index uint64) uint64 {
--- a/internal/storage/replay.go
+++ b/internal/storage/replay.go
@@ -108,6 +108,7 @@
 	if err := s.f.Sync(); err != nil {
 		return &SyncError{File: s.path, Err: err}
 	}
+	l.torn = int64(len(data)) - s.size
 	return nil
 }
 
