control: log what ended the attempt before each further start of a task

Cause: after a task has run twice no line named it: starts and releases are sampled by workflow, the loss of a worker names no task, and a start does not tell why there is a second one. A committed start that is missing, a release on a false ground and an order of a process that does not lead look the same. Change: each replica remembers what ended the last attempt of a task that is started again (basis of the release, or the command that ended it, with its worker and the log entries that placed and ended it); the state is as before. "Start is sent." of an attempt above 1, or of one that an earlier leader has placed, is always logged, with that. Releases are no longer sampled. Two counters: further starts by what came before, attempts ended with their worker by cause.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -11,6 +11,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/obs"
 	"github.com/filbertmast/filbertmast/internal/replica"
 	"github.com/filbertmast/filbertmast/internal/replica/raft"
@@ -34,6 +35,8 @@
 	load            *load
 	processor       obs.ProcessorTime // at the last line about the load
 	taskLines       *obs.Sampler      // of the log lines about each start and end of a task
+	budgets         lineBudgets
+	ends            *attemptEnds
 	priority        electionPriority
 }
 
@@ -45,6 +48,8 @@
 		proposals: newProposals(uint64(s.opts.Log.Status().ID), uint64(s.startTime.UnixNano())),
 		load:      newLoad(s.metrics.busySeconds),
 		taskLines: obs.NewSampler(s.log, maxTaskLines),
+		budgets:   newLineBudgets(s.log),
+		ends:      newAttemptEnds(),
 	}
 }
 
@@ -71,6 +76,7 @@
 	}
 	c.stepDown("a snapshot was installed")
 	c.machine = m
+	c.ends = newAttemptEnds()
 	c.snapshotIndex, c.appliedBytes = snap.Index, 0
 	c.log.Info("State restored from a snapshot.", "index", snap.Index)
 }
@@ -83,6 +89,11 @@
 	}
 	c.appliedBytes += len(e.Data)
 	result, events := c.machine.Apply(e.Index, e.Term, cmd)
+	at := model.Fence{Term: e.Term, Index: e.Index}
+	if c.leader != nil {
+		c.leader.logCommitted(cmd, at, events)
+	}
+	c.recordEnds(cmd, at, events)
 	if c.leader != nil {
 		c.leader.handleEvents(events)
 	}
@@ -111,6 +122,7 @@
 		return
 	}
 	c.log.Info("This process leads no longer.", "term", c.leader.term, "reason", why)
+	c.budgets.report()
 	c.leader.stop()
 	c.leader = nil
 	c.proposals.failAll(errkind.New(errkind.OutcomeUnknown, "the process stopped leading before the change was confirmed: %s", why))
--- a/internal/control/dispatch.go
+++ b/internal/control/dispatch.go
@@ -93,9 +93,10 @@
 		Checkpoint: j.Checkpoint(id.Index),
 		Permit:     permit,
 	}
-	if p.logsTasks(&req.Attempt) {
-		p.l.c.log.Info("Start is sent.", pw.fields(&req.Attempt, "size", t.Size, "fence", req.Fence, "lease_until", until,
-			"checkpoint", req.Checkpoint != "", "again", cmd.maybeStarted)...)
+	if p.logsStart(&req.Attempt, t) {
+		more := append(p.earlierAttempt(id, t), "size", t.Size, "fence", req.Fence, "lease_until", until,
+			"checkpoint", req.Checkpoint != "", "again", cmd.maybeStarted, "placed", position(t.Fence))
+		p.l.c.log.Info("Start is sent.", pw.fields(&req.Attempt, more...)...)
 	}
 	cmd.isStop = false
 	p.dispatch(pw, id, cmd, &commandCall{
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -169,6 +169,7 @@
 		l.waits.changed(l.c, e.Task.Job)
 		if e.To == model.TaskStarting {
 			l.c.s.metrics.placements.Inc()
+			l.countFurtherStart(e.Task)
 		}
 	case state.PlacementRefused:
 		l.c.s.metrics.placementRefused(e.Reason)
@@ -248,6 +249,7 @@
 		l.syncAllRequestPermits()
 		l.logBacklog()
 		l.c.logLoad()
+		l.c.budgets.report()
 		l.reportAccepted()
 		l.policy.logLateSteps(now)
 		l.policy.logQueryLoad(now)
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -28,6 +28,8 @@
 	commands          *prometheus.CounterVec
 	ends              *prometheus.CounterVec
 	releases          *prometheus.CounterVec
+	furtherStarts     *prometheus.CounterVec
+	workerEnds        *prometheus.CounterVec
 	policyQueries     *prometheus.CounterVec
 	policyUnsent      *prometheus.CounterVec
 	policyInFlight    prometheus.Gauge
@@ -99,6 +101,12 @@
 		releases: f.NewCounterVec(prometheus.CounterOpts{
 			Name: "filbertmast_control_releases_total", Help: "Attempts that the leader reports as ended without an end that the worker has listed, by basis."},
 			[]string{"basis"}),
+		furtherStarts: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertmast_control_further_starts_total", Help: "Placements that are not the first of their task, by what ended the attempt before."},
+			[]string{"before"}),
+		workerEnds: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertmast_control_attempts_ended_with_worker_total", Help: "Attempts that ended with their worker or its lease, by cause."},
+			[]string{"cause"}),
 		policyQueries: f.NewCounterVec(prometheus.CounterOpts{
 			Name: "filbertmast_control_policy_questions_total", Help: "Questions to the policy service, by result."},
 			[]string{"result"}),
--- a/internal/control/release.go
+++ b/internal/control/release.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"time"
+
 	"github.com/filbertmast/filbertmast/internal/api"
 	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/state"
@@ -33,6 +35,7 @@
 func (p *polledWorkers) release(pw *polledWorker, id model.TaskID, t *state.Task, r *release) {
 	p.l.c.s.metrics.releases.WithLabelValues(string(r.basis)).Inc()
 	p.logRelease(pw, id, t, r)
+	p.l.c.ends.release(id, t.Fence, r.basis)
 	p.addReport(pw, api.Report{Task: id, Fence: t.Fence, State: r.state, Reason: r.reason})
 }
 
@@ -41,15 +44,15 @@
 	if j == nil || j.Step == nil {
 		return
 	}
-	attempt := p.attemptOf(id, j, t)
-	if !p.logsTasks(&attempt) {
+	if !p.l.c.budgets.releases.Take(time.Now()) {
 		return
 	}
+	attempt := p.attemptOf(id, j, t)
 	p.l.c.log.Info("Attempt is released.", pw.fields(&attempt, p.releaseFields(pw, t, r, &attempt)...)...)
 }
 
 func (p *polledWorkers) releaseFields(pw *polledWorker, t *state.Task, r *release, attempt *workerclient.Attempt) []any {
-	fields := []any{"basis", r.basis, "phase", t.Phase, "placed_in", t.Fence.Term, "fence", pw.fence, "cursor", pw.ends.Cursor()}
+	fields := []any{"basis", r.basis, "phase", t.Phase, "placed_in", t.Fence.Term, "placed", position(t.Fence), "fence", pw.fence, "cursor", pw.ends.Cursor()}
 	if r.view == nil {
 		return fields
 	}
