control: log what a new leader takes over and finds on each worker

Cause: a new leader told how many workers it inherits, and nothing of their attempts, nor where its log ended; so that a committed start that is missing in its log, and one that it took for not running, look the same. Change: "This process leads." has the last entry of an earlier term and the inherited attempts by phase; the end of a term has the last applied entry. One line a worker at its first answer names each attempt that an earlier leader placed there, the entry that placed it, and whether the answer lists it as running, as ended or not at all; a counter of the same, with those whose worker was lost unheard.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -37,6 +37,7 @@
 	taskLines       *obs.Sampler      // of the log lines about each start and end of a task
 	budgets         lineBudgets
 	ends            *attemptEnds
+	applied         appliedEntries
 	priority        electionPriority
 }
 
@@ -77,8 +78,9 @@
 	c.stepDown("a snapshot was installed")
 	c.machine = m
 	c.ends = newAttemptEnds()
+	c.applied.add(model.Fence{Term: snap.Term, Index: snap.Index})
 	c.snapshotIndex, c.appliedBytes = snap.Index, 0
-	c.log.Info("State restored from a snapshot.", "index", snap.Index)
+	c.log.Info("State restored from a snapshot.", "index", snap.Index, "term", snap.Term)
 }
 
 func (c *core) applyEntry(e *replica.Entry) {
@@ -90,6 +92,7 @@
 	c.appliedBytes += len(e.Data)
 	result, events := c.machine.Apply(e.Index, e.Term, cmd)
 	at := model.Fence{Term: e.Term, Index: e.Index}
+	c.applied.add(at)
 	if c.leader != nil {
 		c.leader.logCommitted(cmd, at, events)
 	}
@@ -112,7 +115,7 @@
 		c.leader = newLeader(c, l.Term)
 		c.load.take(time.Now()) // drops the load before this process led
 		c.leader.polled.addInherited()
-		c.log.Info("This process leads.", "term", l.Term, "index", c.machine.Index())
+		c.leader.logTakeover()
 	}
 	c.s.metrics.leads.Set(boolGauge(c.leader != nil))
 }
@@ -121,7 +124,7 @@
 	if c.leader == nil {
 		return
 	}
-	c.log.Info("This process leads no longer.", "term", c.leader.term, "reason", why)
+	c.log.Info("This process leads no longer.", "term", c.leader.term, "reason", why, "applied", position(c.applied.last), "last_index", c.s.opts.Log.Status().Last)
 	c.budgets.report()
 	c.leader.stop()
 	c.leader = nil
--- a/internal/control/dispatch.go
+++ b/internal/control/dispatch.go
@@ -300,6 +300,7 @@
 	if w == nil {
 		return
 	}
+	p.logFirstAnswer(pw, w, poll, resp)
 	running := make(map[model.TaskID]bool, len(resp.Active))
 	for i := range resp.Active {
 		a := &resp.Active[i]
--- a/internal/control/linebudgets.go
+++ b/internal/control/linebudgets.go
@@ -22,6 +22,7 @@
 	placements    *obs.LineBudget
 	releases      *obs.LineBudget
 	workerEnds    *obs.LineBudget
+	firstAnswers  *obs.LineBudget
 }
 
 func newLineBudgets(logger *log.Logger) lineBudgets {
@@ -30,12 +31,13 @@
 		placements:    obs.NewLineBudget(logger, "placements", 100, 400),
 		releases:      obs.NewLineBudget(logger, "releases", 100, 1000),
 		workerEnds:    obs.NewLineBudget(logger, "ends of workers", 50, 500),
+		firstAnswers:  obs.NewLineBudget(logger, "first answers of workers", 50, 1500),
 	}
 }
 
 // report logs how many lines of each kind were left out.
 func (b *lineBudgets) report() {
-	for _, budget := range []*obs.LineBudget{b.furtherStarts, b.placements, b.releases, b.workerEnds} {
+	for _, budget := range []*obs.LineBudget{b.furtherStarts, b.placements, b.releases, b.workerEnds, b.firstAnswers} {
 		budget.Report()
 	}
 }
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -30,6 +30,7 @@
 	releases          *prometheus.CounterVec
 	furtherStarts     *prometheus.CounterVec
 	workerEnds        *prometheus.CounterVec
+	inheritedAttempts *prometheus.CounterVec
 	policyQueries     *prometheus.CounterVec
 	policyUnsent      *prometheus.CounterVec
 	policyInFlight    prometheus.Gauge
@@ -107,6 +108,9 @@
 		workerEnds: f.NewCounterVec(prometheus.CounterOpts{
 			Name: "filbertmast_control_attempts_ended_with_worker_total", Help: "Attempts that ended with their worker or its lease, by cause."},
 			[]string{"cause"}),
+		inheritedAttempts: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertmast_control_inherited_attempts_total", Help: "Attempts that a new leader has inherited, by what the first answer of their worker tells about them."},
+			[]string{"found"}),
 		policyQueries: f.NewCounterVec(prometheus.CounterOpts{
 			Name: "filbertmast_control_policy_questions_total", Help: "Questions to the policy service, by result."},
 			[]string{"result"}),
--- a/internal/control/polled.go
+++ b/internal/control/polled.go
@@ -70,6 +70,8 @@
 	// unverified is set from an announcement to the first response. No task is placed
 	// on the worker meanwhile, nor while it is unresponsive.
 	unverified bool
+	// unheard is set for an inherited worker until its first response to a poll.
+	unheard    bool
 	refusals   exchange.Refusals
 	answeredAt model.Time // when the last poll was sent that it has answered; zero: none was
 	heardAt    model.Time // when its last response to a poll arrived; zero: none has
@@ -152,6 +154,9 @@
 	for _, w := range p.l.c.machine.Workers() {
 		if w.Mode != model.WorkerLost {
 			p.add(&w.Spec, w.Session, false)
+			if pw := p.workers[w.Spec.ID]; pw != nil {
+				pw.unheard = true
+			}
 		}
 	}
 	p.l.c.log.Info("Leader polls the inherited workers.", "workers", len(p.workers), "term", p.l.term)
--- a/internal/control/tasklines_test.go
+++ b/internal/control/tasklines_test.go
@@ -182,6 +182,7 @@
 				"last_answer=never", "attempts=1", "left_out=0", "list=f.0.0#1:starting:1/4")
 			assert.Assert(t, strings.Contains(lines[0], " last_grant="), lines[0])
 			assert.Equal(t, testutil.ToFloat64(h.core.s.metrics.workerEnds.WithLabelValues(c.cause)), 1.0)
+			assert.Equal(t, testutil.ToFloat64(h.core.s.metrics.inheritedAttempts.WithLabelValues(foundNever)), 1.0)
 		})
 	}
 }
--- a/internal/control/workerends.go
+++ b/internal/control/workerends.go
@@ -33,6 +33,7 @@
 				}
 				cause := l.c.endedBy(cmd, &e)
 				l.c.s.metrics.workerEnds.WithLabelValues(cause).Inc()
+				l.polled.countUnheard(e.Worker, e.Fence)
 				text := l.attemptText(e.Task, l.c.attemptNumber(e.Task))
 				ended[e.Worker] = append(ended[e.Worker], fmt.Sprintf("%s:%s:%s", text, e.From, position(e.Fence)))
 			}
