control: log what the state knows of an unknown attempt, and late responses

Cause: the line about an attempt that the state does not place on its worker told nothing of the task, so that a start missing in the log and a harmless response that was overtaken look the same. No line told whether an order of a process that had stopped leading was carried out. Change: that line has what the state knows (no such task, finished, fewer attempts placed, a later one, placed elsewhere, ended), the last attempt with its worker and entry, what ended the one before, fence and term; level warn where the state has never placed it. A response to an order that comes after the process stopped leading is logged with its verdict. Both have a budget and a counter.

--- a/internal/control/dispatch.go
+++ b/internal/control/dispatch.go
@@ -149,6 +149,7 @@
 		}
 		p.call(pw, to, call.send, func(resp workerclient.Response) {
 			p.countCommand(call.name, resp)
+			p.logLateResponse(pw, call, sentAt, &resp)
 			cmd.last = &resp
 			if call.name == commandStart {
 				cmd.calls.End(&pw.clock, &resp, sentAt, p.l.c.s.now())
@@ -390,7 +391,7 @@
 
 // stopUnknown stops an attempt that runs on the worker but not in the state.
 func (p *polledWorkers) stopUnknown(pw *polledWorker, attempt *workerclient.Attempt) {
-	p.l.c.log.Info("Leader stops an attempt that the state does not place on this worker.", pw.fields(attempt)...)
+	p.logUnknown(pw, attempt)
 	req := &workerclient.StopCommand{Attempt: *attempt, Fence: pw.fence}
 	p.call(pw, pw.target, func(ctx context.Context, client workerclient.Client, to workerclient.Target) workerclient.Response {
 		return client.Stop(ctx, to, req)
--- a/internal/control/linebudgets.go
+++ b/internal/control/linebudgets.go
@@ -23,6 +23,8 @@
 	releases      *obs.LineBudget
 	workerEnds    *obs.LineBudget
 	firstAnswers  *obs.LineBudget
+	unknown       *obs.LineBudget
+	lateResponses *obs.LineBudget
 }
 
 func newLineBudgets(logger *log.Logger) lineBudgets {
@@ -32,12 +34,14 @@
 		releases:      obs.NewLineBudget(logger, "releases", 100, 1000),
 		workerEnds:    obs.NewLineBudget(logger, "ends of workers", 50, 500),
 		firstAnswers:  obs.NewLineBudget(logger, "first answers of workers", 50, 1500),
+		unknown:       obs.NewLineBudget(logger, "unknown attempts", 50, 500),
+		lateResponses: obs.NewLineBudget(logger, "late responses", 50, 500),
 	}
 }
 
 // report logs how many lines of each kind were left out.
 func (b *lineBudgets) report() {
-	for _, budget := range []*obs.LineBudget{b.furtherStarts, b.placements, b.releases, b.workerEnds, b.firstAnswers} {
+	for _, budget := range []*obs.LineBudget{b.furtherStarts, b.placements, b.releases, b.workerEnds, b.firstAnswers, b.unknown, b.lateResponses} {
 		budget.Report()
 	}
 }
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -31,6 +31,8 @@
 	furtherStarts     *prometheus.CounterVec
 	workerEnds        *prometheus.CounterVec
 	inheritedAttempts *prometheus.CounterVec
+	unknownAttempts   *prometheus.CounterVec
+	lateResponses     *prometheus.CounterVec
 	policyQueries     *prometheus.CounterVec
 	policyUnsent      *prometheus.CounterVec
 	policyInFlight    prometheus.Gauge
@@ -111,6 +113,12 @@
 		inheritedAttempts: f.NewCounterVec(prometheus.CounterOpts{
 			Name: "filbertmast_control_inherited_attempts_total", Help: "Attempts that a new leader has inherited, by what the first answer of their worker tells about them."},
 			[]string{"found"}),
+		unknownAttempts: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertmast_control_unknown_attempts_total", Help: "Attempts that were told to stop since the state does not place them on their worker, by what it knows of them."},
+			[]string{"known"}),
+		lateResponses: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertmast_control_late_responses_total", Help: "Responses to orders that came after the process that sent them had stopped leading, by order and verdict."},
+			[]string{"order", "verdict"}),
 		policyQueries: f.NewCounterVec(prometheus.CounterOpts{
 			Name: "filbertmast_control_policy_questions_total", Help: "Questions to the policy service, by result."},
 			[]string{"result"}),
