--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -11,6 +11,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/filbertmast/filbertmast/internal/errkind"
+	"github.com/filbertmast/filbertmast/internal/model"
 	"github.com/filbertmast/filbertmast/internal/obs"
 	"github.com/filbertmast/filbertmast/internal/replica"
 	"github.com/filbertmast/filbertmast/internal/replica/raft"
@@ -34,6 +35,9 @@
 	load            *load
 	processor       obs.ProcessorTime // at the last line about the load
 	taskLines       *obs.Sampler      // of the log lines about each start and end of a task
+	budgets         lineBudgets
+	ends            *attemptEnds
+	applied         appliedEntries
 	priority        electionPriority
 }
 
@@ -45,6 +49,8 @@
 		proposals: newProposals(uint64(s.opts.Log.Status().ID), uint64(s.startTime.UnixNano())),
 		load:      newLoad(s.metrics.busySeconds),
 		taskLines: obs.NewSampler(s.log, maxTaskLines),
+		budgets:   newLineBudgets(s.log),
+		ends:      newAttemptEnds(),
 	}
 }
 
@@ -71,8 +77,10 @@
 	}
 	c.stepDown("a snapshot was installed")
 	c.machine = m
+	c.ends = newAttemptEnds()
+	c.applied.add(model.Fence{Term: snap.Term, Index: snap.Index})
 	c.snapshotIndex, c.appliedBytes = snap.Index, 0
-	c.log.Info("State restored from a snapshot.", "index", snap.Index)
+	c.log.Info("State restored from a snapshot.", "index", snap.Index, "term", snap.Term)
 }
 
 func (c *core) applyEntry(e *replica.Entry) {
@@ -83,6 +91,12 @@
 	}
 	c.appliedBytes += len(e.Data)
 	result, events := c.machine.Apply(e.Index, e.Term, cmd)
+	at := model.Fence{Term: e.Term, Index: e.Index}
+	c.applied.add(at)
+	if c.leader != nil {
+		c.leader.logCommitted(cmd, at, events)
+	}
+	c.recordEnds(cmd, at, events)
 	if c.leader != nil {
 		c.leader.handleEvents(events)
 	}
@@ -101,7 +115,7 @@
 		c.leader = newLeader(c, l.Term)
 		c.load.take(time.Now()) // drops the load before this process led
 		c.leader.polled.addInherited()
-		c.log.Info("This process leads.", "term", l.Term, "index", c.machine.Index())
+		c.leader.logTakeover()
 	}
 	c.s.metrics.leads.Set(boolGauge(c.leader != nil))
 }
@@ -110,7 +124,8 @@
 	if c.leader == nil {
 		return
 	}
-	c.log.Info("This process leads no longer.", "term", c.leader.term, "reason", why)
+	c.log.Info("This process leads no longer.", "term", c.leader.term, "reason", why, "applied", position(c.applied.last), "last_index", c.s.opts.Log.Status().Last)
+	c.budgets.report()
 	c.leader.stop()
 	c.leader = nil
 	c.proposals.failAll(errkind.New(errkind.OutcomeUnknown, "the process stopped leading before the change was confirmed: %s", why))
--- a/internal/control/dispatch.go
+++ b/internal/control/dispatch.go
@@ -93,9 +93,10 @@
 		Checkpoint: j.Checkpoint(id.Index),
 		Permit:     permit,
 	}
-	if p.logsTasks(&req.Attempt) {
-		p.l.c.log.Info("Start is sent.", pw.fields(&req.Attempt, "size", t.Size, "fence", req.Fence, "lease_until", until,
-			"checkpoint", req.Checkpoint != "", "again", cmd.maybeStarted)...)
+	if p.logsStart(&req.Attempt, t) {
+		more := append(p.earlierAttempt(id, t), "size", t.Size, "fence", req.Fence, "lease_until", until,
+			"checkpoint", req.Checkpoint != "", "again", cmd.maybeStarted, "placed", position(t.Fence))
+		p.l.c.log.Info("Start is sent.", pw.fields(&req.Attempt, more...)...)
 	}
 	cmd.isStop = false
 	p.dispatch(pw, id, cmd, &commandCall{
@@ -148,6 +149,7 @@
 		}
 		p.call(pw, to, call.send, func(resp workerclient.Response) {
 			p.countCommand(call.name, resp)
+			p.logLateResponse(pw, call, sentAt, &resp)
 			cmd.last = &resp
 			if call.name == commandStart {
 				cmd.calls.End(&pw.clock, &resp, sentAt, p.l.c.s.now())
@@ -299,6 +301,7 @@
 	if w == nil {
 		return
 	}
+	p.logFirstAnswer(pw, w, poll, resp)
 	running := make(map[model.TaskID]bool, len(resp.Active))
 	for i := range resp.Active {
 		a := &resp.Active[i]
@@ -388,7 +391,7 @@
 
 // stopUnknown stops an attempt that runs on the worker but not in the state.
 func (p *polledWorkers) stopUnknown(pw *polledWorker, attempt *workerclient.Attempt) {
-	p.l.c.log.Info("Leader stops an attempt that the state does not place on this worker.", pw.fields(attempt)...)
+	p.logUnknown(pw, attempt)
 	req := &workerclient.StopCommand{Attempt: *attempt, Fence: pw.fence}
 	p.call(pw, pw.target, func(ctx context.Context, client workerclient.Client, to workerclient.Target) workerclient.Response {
 		return client.Stop(ctx, to, req)
--- a/internal/storage/replay.go
+++ b/internal/storage/replay.go
@@ -121,6 +121,7 @@
 	if err := l.opts.FS.SyncDir(l.opts.Dir); err != nil {
 		return &SyncError{File: l.opts.Dir, Err: err}
 	}
+	l.torn = int64(len(data)) - s.size
 	return nil
 }
 
