--- a/internal/storage/replay.go
+++ b/internal/storage/replay.go
@@ -105,6 +105,7 @@
 	if err := s.f.Truncate(s.size); err != nil {
 		return fmt.Errorf("storage: truncate %s: %w", name, err)
 	}
+	l.torn = int64(len(data)) - s.size
 	return nil
 }
 
@@ -121,7 +122,6 @@
 	if err := l.opts.FS.SyncDir(l.opts.Dir); err != nil {
 		return &SyncError{File: l.opts.Dir, Err: err}
 	}
-	l.torn = int64(len(data)) - s.size
 	return nil
 }
 
