--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -28,6 +28,11 @@
 	commands          *prometheus.CounterVec
 	ends              *prometheus.CounterVec
 	releases          *prometheus.CounterVec
+	furtherStarts     *prometheus.CounterVec
+	workerEnds        *prometheus.CounterVec
+	inheritedAttempts *prometheus.CounterVec
+	unknownAttempts   *prometheus.CounterVec
+	lateResponses     *prometheus.CounterVec
 	policyQueries     *prometheus.CounterVec
 	policyUnsent      *prometheus.CounterVec
 	policyInFlight    prometheus.Gauge
@@ -99,6 +104,21 @@
 		releases: f.NewCounterVec(prometheus.CounterOpts{
 			Name: "filbertmast_control_releases_total", Help: "Attempts that the leader reports as ended without an end that the worker has listed, by basis."},
 			[]string{"basis"}),
+		furtherStarts: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertmast_control_further_starts_total", Help: "Placements that are not the first of their task, by what ended the attempt before."},
+			[]string{"before"}),
+		workerEnds: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertmast_control_attempts_ended_with_worker_total", Help: "Attempts that ended with their worker or its lease, by cause."},
+			[]string{"cause"}),
+		inheritedAttempts: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertmast_control_inherited_attempts_total", Help: "Attempts that a new leader has inherited, by what the first answer of their worker tells about them."},
+			[]string{"found"}),
+		unknownAttempts: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertmast_control_unknown_attempts_total", Help: "Attempts that were told to stop since the state does not place them on their worker, by what it knows of them."},
+			[]string{"known"}),
+		lateResponses: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "filbertmast_control_late_responses_total", Help: "Responses to orders that came after the process that sent them had stopped leading, by order and verdict."},
+			[]string{"order", "verdict"}),
 		policyQueries: f.NewCounterVec(prometheus.CounterOpts{
 			Name: "filbertmast_control_policy_questions_total", Help: "Questions to the policy service, by result."},
 			[]string{"result"}),
--- a/internal/storage/replay.go
+++ b/internal/storage/replay.go
@@ -105,6 +105,7 @@
 	if err := s.f.Truncate(s.size); err != nil {
 		return fmt.Errorf("storage: truncate %s: %w", name, err)
 	}
+	l.torn = int64(len(data)) - s.size
 	return nil
 }
 
