replica: hold an agreement or the mark of a begun log only once it is durable

What callers see: a founder whose disk fails while it agrees to the founding membership may tell the others so in the same turn. They form the group with it, and after its restart, with nothing agreed, it refuses to start: the group lacks one replica until its folder is emptied.

Cause: the identity in memory was changed before it was saved, and kept when the save failed.

Change: it is changed after the save.

--- a/internal/replica/identity.go
+++ b/internal/replica/identity.go
@@ -54,7 +54,7 @@
 		return nil, err
 	}
 	f.ID = newID()
-	return f, f.save()
+	return f, f.save(f.identity)
 }
 
 // requireNoLogFiles returns a *storage.CorruptError if dir holds a log or a
@@ -88,8 +88,10 @@
 	}
 }
 
-func (f *identityFile) save() error {
-	data, err := cbor.Marshal(f.identity)
+// save stores next. The caller changes its own copy only after that, so that nothing is
+// told to others that a restart forgets.
+func (f *identityFile) save(next identity) error {
+	data, err := cbor.Marshal(next)
 	if err != nil {
 		return fmt.Errorf("replica: encode identity: %w", err)
 	}
@@ -97,11 +99,21 @@
 }
 
 func (f *identityFile) agree(config raft.Config) error {
+	next := f.identity
+	next.Agreed = &config
+	if err := f.save(next); err != nil {
+		return err
+	}
 	f.Agreed = &config
-	return f.save()
+	return nil
 }
 
 func (f *identityFile) form() error {
+	next := f.identity
+	next.Formed = true
+	if err := f.save(next); err != nil {
+		return err
+	}
 	f.Formed = true
-	return f.save()
+	return nil
 }
