--- a/internal/control/simulation_test.go
+++ b/internal/control/simulation_test.go
@@ -67,6 +67,7 @@
 	longestRun    time.Duration
 	longestDelay  time.Duration
 	holdMax       time.Duration // the longest lease of a worker; zero: simHoldMax
+	clockSkew     time.Duration // of the clock of a node, at most, to either side
 }
 
 // simulation runs the cores of several nodes, one of which leads, and simulated workers
@@ -185,6 +186,9 @@
 		startTime: time.Now(),
 		clock:     s.clock,
 	}
+	if skew := s.faults.clockSkew; skew > 0 {
+		n.server.startTime = n.server.startTime.Add(s.between(-skew, skew))
+	}
 	n.core = newCore(n.server)
 	return n
 }
@@ -558,6 +562,10 @@
 		f.crash, f.sameID, f.silentCrash, f.cutAfterStart, f.holdMax = 0.003, 1, 1, 0.6, 10*time.Second
 		f.election, f.lateHeartbeat, f.longestRun, f.gangs = 0.002, 0.5, 12*time.Second, 0
 	}},
+	{"clocks of the nodes differ", func(f *simFaults) {
+		f.clockSkew, f.election, f.freeze, f.cutWorker, f.crash, f.sameID = 3*time.Second, 0.006, 0.002, 0.004, 0.003, 0.5
+		f.gangs, f.gangSkew, f.preempt, f.longestRun = 0.5, 300*time.Millisecond, 0.003, 3*time.Second
+	}},
 	{"workers restart under their ID and calls are resent", func(f *simFaults) { f.crash, f.sameID, f.resend = 0.004, 1, true }},
 }
 
