control: test heartbeats without an incarnation, and with an earlier one

No fault: they lose no task of a known worker, and what is announced together with a later incarnation is committed before anything is placed on it.

--- a/internal/control/restart_test.go
+++ b/internal/control/restart_test.go
@@ -255,3 +255,37 @@
 	next.answer <- &workerclient.PollResponse{Clock: 6, Incarnation: 2, Ended: ended}
 	assert.Assert(t, h.nextPoll().Cursor == 0 || h.phase(task) == model.TaskSucceeded, "acknowledged and not recorded; the task is %s", h.phase(task))
 }
+
+// Guards against a worker whose tasks are lost because of a heartbeat that names no incarnation or an earlier one.
+func TestHeartbeatOfNoLaterIncarnationLosesNoTask(t *testing.T) {
+	for _, incarnation := range []uint64{0, 1, 2} {
+		h, _ := newLeaderHarness(t)
+		h.apply(incarnationOf(2))
+		task := h.placeAnother("g")
+		h.report(task, api.ReportStarted)
+		h.lead()
+		session := h.core.machine.Worker("w").Session
+		answers := h.heartbeat(incarnation)
+		h.commitAll()
+		assert.Equal(t, len(*answers), 1)
+		assert.NilError(t, (*answers)[0])
+		assert.Equal(t, h.phase(task), model.TaskRunning, "incarnation %d", incarnation)
+		assert.Equal(t, h.core.machine.Worker("w").Session, session)
+	}
+}
+
+// Guards against a task that is started between two announcements, of which the later one has no incarnation.
+func TestNothingIsStartedBetweenAnnouncementsThatAreProposedTogether(t *testing.T) {
+	h, _ := newLeaderHarness(t)
+	h.lead()
+	for _, incarnation := range []uint64{5, 0} {
+		spec := incarnationOf(incarnation).Announce.Spec
+		spec.ID = "w9"
+		h.core.leader.heartbeat(wire.Peer{}, &proto.Heartbeat{Spec: spec, Clock: 5}, func(*proto.Empty, error) {})
+	}
+	h.commitAll()
+	w := h.core.machine.Worker("w9")
+	assert.Equal(t, w.Spec.Incarnation, uint64(0))
+	assert.Assert(t, h.core.leader.polled.workers["w9"].unverified, "its polls are answered by another incarnation")
+	assert.Equal(t, len(w.Held), 0)
+}
