--- a/internal/control/tasklines_test.go
+++ b/internal/control/tasklines_test.go
@@ -136,6 +136,23 @@
 	assertFields(t, lines[0], fmt.Sprintf("placed=2/%d", h.index), "attempts=1", "list=g.0.0#1@w")
 }
 
+// Guards against a task that no line names, as it was for those of a workflow that is sampled away.
+func TestTaskOfWorkflowThatIsSampledAwayIsNamed(t *testing.T) {
+	h, task := newLeaderHarness(t)
+	h.lead()
+	out := h.logTo()
+	h.core.taskLines = obs.NewSampler(obs.Discard(), 0)
+	h.announce("w2", 1)
+	h.lose(false)
+	h.apply(&state.Command{Place: &state.Place{Placements: []state.Placement{{Task: task, Worker: "w2", Size: model.Resources{CPU: 1000}}}}})
+	h.placeAnother("g")
+	assertFields(t, linesOf(out, "Attempts end with their worker.")[0], "list=f.0.0#1:starting:1/4")
+	assertFields(t, linesOf(out, "Attempts are placed.")[0], "list=f.0.0#2@w2")
+	starts := linesOf(out, "Start is sent.")
+	assert.Equal(t, len(starts), 1, "the first start of g is left out: %s", out.String())
+	assertFields(t, starts[0], "workflow=f", "attempt=2", "before=worker_lost")
+}
+
 func TestFloodOfFurtherStartsIsBoundedAndCounted(t *testing.T) {
 	h, task := newLeaderHarness(t)
 	h.lead()
