control: log the response to an order also if the leader has lost its quorum

Cause: a process that resumes after a suspension handles the responses to its orders before it learns that it has stopped leading, so that an order that was carried out late left no line. Change: the line and its counter also cover responses while the process cannot prove that it leads; stopped_leading tells the two apart.

--- a/internal/control/leader_test.go
+++ b/internal/control/leader_test.go
@@ -26,6 +26,7 @@
 	proposed [][]byte
 	full     bool // proposals are refused
 	refused  int
+	noQuorum bool // the leader has lost contact with its quorum
 
 	stateLimit int64
 }
@@ -39,7 +40,7 @@
 	return nil
 }
 
-func (l *heldLog) LeaseValid() bool { return true }
+func (l *heldLog) LeaseValid() bool { return !l.noQuorum }
 
 func (l *heldLog) Status() replica.Status {
 	return replica.Status{ID: 1, StateLimit: l.stateLimit}
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -117,7 +117,7 @@
 			Name: "filbertmast_control_unknown_attempts_total", Help: "Attempts that were told to stop since the state does not place them on their worker, by what it knows of them."},
 			[]string{"known"}),
 		lateResponses: f.NewCounterVec(prometheus.CounterOpts{
-			Name: "filbertmast_control_late_responses_total", Help: "Responses to orders that came after the process that sent them had stopped leading, by order and verdict."},
+			Name: "filbertmast_control_late_responses_total", Help: "Responses to orders that came while the process that sent them could not prove that it leads, by order and verdict."},
 			[]string{"order", "verdict"}),
 		policyQueries: f.NewCounterVec(prometheus.CounterOpts{
 			Name: "filbertmast_control_policy_questions_total", Help: "Questions to the policy service, by result."},
--- a/internal/control/unknownattempts.go
+++ b/internal/control/unknownattempts.go
@@ -63,14 +63,16 @@
 }
 
 // logLateResponse logs and counts the response to a command of a process that has stopped
-// leading since it sent it. The worker may have carried it out at any time until now.
+// leading since it sent it, or has lost contact with its quorum, as after a suspension. The
+// worker may have carried it out at any time until now.
 func (p *polledWorkers) logLateResponse(pw *polledWorker, call *commandCall, sentAt model.Time, resp *workerclient.Response) {
-	if p.l.c.leader == p.l {
+	stopped := p.l.c.leader != p.l
+	if _, err := p.l.c.leading(); err == nil && !stopped {
 		return
 	}
 	p.l.c.s.metrics.lateResponses.WithLabelValues(call.name, resp.Verdict.String()).Inc()
 	if p.l.c.budgets.lateResponses.Take(time.Now()) {
-		p.l.c.log.Warn("The response to a command came after this process stopped leading.", pw.fields(&call.attempt, "order", call.name,
-			"verdict", resp.Verdict, "term", p.l.term, "fence", pw.fence, "sent", age(sentAt, p.l.c.s.now()))...)
+		p.l.c.log.Warn("The response to a command came while this process could not prove that it leads.", pw.fields(&call.attempt, "order", call.name,
+			"verdict", resp.Verdict, "term", p.l.term, "fence", pw.fence, "stopped_leading", stopped, "sent", age(sentAt, p.l.c.s.now()))...)
 	}
 }
--- a/internal/control/unknownattempts_test.go
+++ b/internal/control/unknownattempts_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -59,23 +61,36 @@
 	}
 }
 
-func TestResponseAfterProcessStoppedLeadingIsLogged(t *testing.T) {
-	h, _ := newLeaderHarness(t)
-	h.lead()
-	h.answer(h.nextPoll())
-	h.placeAnother("g")
-	<-h.worker.starts
-	out := h.logTo()
-	h.core.stepDown("test")
-	timeout := time.After(responseTimeout)
-	for len(linesOf(out, "The response to a command came after this process stopped leading.")) == 0 {
-		select {
-		case next := <-h.core.s.calls:
-			h.core.run(next)
-		case <-timeout:
-			t.Fatal("the response was not handled")
-		}
+func TestResponseIsLoggedIfProcessCannotProveThatItLeads(t *testing.T) {
+	const message = "The response to a command came while this process could not prove that it leads."
+	for name, c := range map[string]struct {
+		lose    func(h *leaderHarness)
+		stopped bool
+	}{
+		"it has stopped leading":              {func(h *leaderHarness) { h.core.stepDown("test") }, true},
+		"it has lost contact with its quorum": {func(h *leaderHarness) { h.log.noQuorum = true }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, _ := newLeaderHarness(t)
+			h.lead()
+			h.answer(h.nextPoll())
+			h.placeAnother("g")
+			<-h.worker.starts
+			out := h.logTo()
+			c.lose(h)
+			ofG := func(line string) bool { return strings.Contains(line, " workflow=g ") }
+			timeout := time.After(responseTimeout)
+			for !slices.ContainsFunc(linesOf(out, message), ofG) {
+				select {
+				case next := <-h.core.s.calls:
+					h.core.run(next)
+				case <-timeout:
+					t.Fatal("the response was not handled")
+				}
+			}
+			lines := linesOf(out, message)
+			assertFields(t, lines[slices.IndexFunc(lines, ofG)], "attempt=1", "worker=w", "order=start", "verdict=unknown", "term=2",
+				fmt.Sprintf("stopped_leading=%t", c.stopped))
+		})
 	}
-	assertFields(t, linesOf(out, "The response to a command came after this process stopped leading.")[0],
-		"workflow=g", "attempt=1", "worker=w", "order=start", "verdict=unknown", "term=2")
 }
