control: give a worker that accepts no connection for commands no tasks for a while

Cause: only a refused start paused a worker. One that could not be sent made the task pending, and the next plan placed it on the same worker again.

Two new rows of TestJobIsNotHeldUpByOneWorkerThatRefusesStarts failed before, for batch jobs and gangs, and pass.

--- a/internal/control/capacity_test.go
+++ b/internal/control/capacity_test.go
@@ -24,6 +24,7 @@
 	polls   chan *workerclient.PollResponse
 	verdict workerclient.Verdict
 	refuses func(model.WorkerID) bool // nil: no worker does
+	noConns bool                      // a worker that refuses accepts no connection for commands
 	starts  atomic.Int32              // starts sent
 	holds   atomic.Bool               // starts have no response
 	begun   time.Time
@@ -38,7 +39,10 @@
 		<-ctx.Done()
 		return workerclient.Response{Verdict: workerclient.Unknown}
 	}
-	if w.refuses != nil && w.refuses(to.Worker) {
+	switch refused := w.refuses != nil && w.refuses(to.Worker); {
+	case refused && w.noConns:
+		return workerclient.Response{Verdict: workerclient.Unknown, NotSent: true, Reason: "connection reset"}
+	case refused:
 		return workerclient.Response{Verdict: workerclient.Unavailable, Clock: w.clock(), Reason: "503"}
 	}
 	return workerclient.Response{Verdict: w.verdict, Clock: w.clock()}
--- a/internal/control/dispatch.go
+++ b/internal/control/dispatch.go
@@ -242,8 +242,12 @@
 }
 
 // startUnanswered sends a start again whose call had no response, since starts are
-// idempotent. If the worker got nothing of any call, the task becomes pending again.
+// idempotent. If the worker got nothing of any call, the task becomes pending again. A worker
+// to which nothing could be sent may have no connection left although it answers polls.
 func (p *polledWorkers) startUnanswered(pw *polledWorker, id model.TaskID, cmd *workerCommand, t *state.Task, resp workerclient.Response) {
+	if resp.NotSent {
+		p.pauseWorker(pw, resp)
+	}
 	if resp.NotSent && !cmd.maybeStarted && !cmd.calls.MayBeExecuted() && !p.inherited(t) {
 		p.release(pw, id, t, &release{basis: basisNotSent, state: api.ReportStopped, reason: resp.Reason})
 		return
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -158,7 +158,7 @@
 		lostPolls: f.NewCounter(prometheus.CounterOpts{
 			Name: "filbertmast_control_looks_lost_total", Help: "Looks at called workers whose answer was lost: a second look was answered first."}),
 		workerPauses: f.NewCounter(prometheus.CounterOpts{
-			Name: "filbertmast_control_worker_pauses_total", Help: "Pauses in which a called worker is given no tasks, since it has refused a start."}),
+			Name: "filbertmast_control_worker_pauses_total", Help: "Pauses in which a called worker is given no tasks, since it has refused a start or accepted no connection for one."}),
 		unreadableRows: f.NewCounterVec(prometheus.CounterOpts{
 			Name: "filbertmast_control_unreadable_rows_total", Help: "Rows that could not be read in lists from outside, by list."},
 			[]string{"list"}),
--- a/internal/control/refusal.go
+++ b/internal/control/refusal.go
@@ -4,7 +4,7 @@
 	"github.com/filbertmast/filbertmast/internal/workerclient"
 )
 
-// pauseWorker gives a worker that has refused a start no tasks for a while. Without a
+// pauseWorker gives a worker that has refused a start, or could be sent none, no tasks for a while. Without a
 // pause, the same plan would be made again, and tasks that could run elsewhere would wait
 // for as long as the worker refuses them.
 func (p *polledWorkers) pauseWorker(pw *polledWorker, resp workerclient.Response) {
--- a/internal/control/refusal_test.go
+++ b/internal/control/refusal_test.go
@@ -18,9 +18,20 @@
 		startLimit = 3 * time.Second
 		tasks      = 2 // of the job; a worker holds both
 	)
-	for _, policy := range []model.Policy{model.PolicyBatch, model.PolicyGang} {
-		t.Run(string(policy), func(t *testing.T) {
+	rows := []struct {
+		name    string
+		policy  model.Policy
+		noConns bool
+	}{
+		{"batch", model.PolicyBatch, false},
+		{"gang", model.PolicyGang, false},
+		{"batch, the worker answers polls and accepts no further connection", model.PolicyBatch, true},
+		{"gang, the worker answers polls and accepts no further connection", model.PolicyGang, true},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
 			h := newLeaderTest(t)
+			h.workers.noConns = row.noConns
 			var refusing atomic.Value // the first worker that gets a start
 			h.workers.refuses = func(id model.WorkerID) bool {
 				refusing.CompareAndSwap(nil, id)
@@ -30,7 +41,7 @@
 				h.heartbeatOf(id, 7, 1, 4000)
 			}
 			h.apply(&state.Command{SubmitWorkflow: &state.SubmitWorkflow{Spec: model.WorkflowSpec{
-				ID: "f1", Team: "stands", Queue: "flows", Steps: []model.Step{{Policy: policy, Tasks: tasks, Size: model.Resources{CPU: 1500}}},
+				ID: "f1", Team: "stands", Queue: "flows", Steps: []model.Step{{Policy: row.policy, Tasks: tasks, Size: model.Resources{CPU: 1500}}},
 			}}})
 			job := h.c.machine.Workflow("f1").Jobs[0]
 			submitted := time.Now()
