control: a failing test of accepted starts that are sent again and refused

A start is accepted, and the report of it is not committed: the log is full, or the leader is about to lose its term. The response to a poll that was sent before the start lists no run, so the start is sent again. If that call is refused (the worker is unhealthy, has no room or has no valid permit), or is not sent at all (no permit, no connection, barred), the attempt is released, as if this had been the only call, and the task is started elsewhere while it runs.

--- a/internal/control/misdirected_test.go
+++ b/internal/control/misdirected_test.go
@@ -144,3 +144,61 @@
 		})
 	}
 }
+
+// Guards against a task that runs twice: its start was accepted, not recorded, sent again and refused.
+func TestAcceptedStartIsStoppedBeforeItIsReleased(t *testing.T) {
+	again := []struct {
+		name     string
+		withhold func(p *polledWorkers, pw *polledWorker, id model.TaskID, cmd *workerCommand, t *state.Task)
+	}{
+		{"refused", func(p *polledWorkers, pw *polledWorker, id model.TaskID, cmd *workerCommand, t *state.Task) {
+			p.startAnswered(pw, id, cmd, attemptOf("g"), workerclient.Response{Verdict: workerclient.Refused})
+		}},
+		{"worker unavailable", func(p *polledWorkers, pw *polledWorker, id model.TaskID, cmd *workerCommand, t *state.Task) {
+			p.startAnswered(pw, id, cmd, attemptOf("g"), workerclient.Response{Verdict: workerclient.Unavailable})
+		}},
+		{"permit has expired at the worker", func(p *polledWorkers, pw *polledWorker, id model.TaskID, cmd *workerCommand, t *state.Task) {
+			p.startAnswered(pw, id, cmd, attemptOf("g"), workerclient.Response{Verdict: workerclient.NoPermit})
+		}},
+		{"permit has expired", func(p *polledWorkers, pw *polledWorker, id model.TaskID, cmd *workerCommand, t *state.Task) {
+			p.startWithoutPermit(pw, id, cmd, t)
+		}},
+		{"no connection", func(p *polledWorkers, pw *polledWorker, id model.TaskID, cmd *workerCommand, t *state.Task) {
+			p.startAnswered(pw, id, cmd, attemptOf("g"), workerclient.Response{Verdict: workerclient.Unknown, NotSent: true})
+		}},
+		{"barred", func(p *polledWorkers, pw *polledWorker, id model.TaskID, cmd *workerCommand, t *state.Task) {
+			p.dropStart(pw, id, cmd, t, noRoom)
+		}},
+		{"barred by a poll that was sent before", func(p *polledWorkers, pw *polledWorker, id model.TaskID, cmd *workerCommand, t *state.Task) {
+			p.withdrawStart(pw, &polledView{poll: &sentPoll{}, resp: &workerclient.PollResponse{}}, id, cmd, t, noRoom)
+		}},
+	}
+	for _, row := range again {
+		t.Run(row.name, func(t *testing.T) {
+			h, _ := newLeaderHarness(t)
+			h.lead()
+			h.answer(h.nextPoll())
+			task := h.placeAnother("g")
+			p := h.core.leader.polled
+			pw := p.workers["w"]
+			cmd := pw.commands[task]
+			accepted := workerclient.Response{Verdict: workerclient.Accepted, Clock: h.worker.clock}
+			cmd.calls.End(&pw.clock, &accepted, h.core.s.now(), h.core.s.now())
+			p.startAnswered(pw, task, cmd, attemptOf("g"), accepted)
+			p.confirmAccepted(pw, task, cmd)
+			h.log.full = true
+			h.core.scheduleDue() // the report that it runs is refused
+			h.log.full = false
+			_, placed := p.l.task(task)
+			row.withhold(p, pw, task, cmd, placed)
+			h.core.scheduleDue()
+			h.commitAll()
+			assert.Assert(t, h.phase(task) != model.TaskPending, "it may run: %s", h.phase(task))
+		})
+	}
+}
+
+// attemptOf returns the first attempt of the only task of a workflow.
+func attemptOf(workflow model.WorkflowID) *workerclient.Attempt {
+	return &workerclient.Attempt{Task: workerclient.TaskName{Workflow: workflow}, Number: 1}
+}
--- a/internal/control/simulation_test.go
+++ b/internal/control/simulation_test.go
@@ -531,6 +531,10 @@
 		f.queueFull, f.lostAnswer, f.lostCall, f.sick, f.longestRun = 0.4, 0.2, 0.1, 0.05, 300*time.Millisecond
 		f.crash, f.freeze = 0, 0.001
 	}},
+	{"accepted starts are not recorded and sent again", func(f *simFaults) {
+		f.queueFull, f.slowAnswer, f.lostAnswer, f.sick, f.longestRun, f.election = 0.5, 0.4, 0.1, 0.08, 2*time.Second, 0.003
+		f.crash, f.freeze = 0, 0.001
+	}},
 	{"leases", func(f *simFaults) {
 		f.cutWorker, f.cutNode, f.freeze, f.lateCall, f.longestRun = 0.006, 0.004, 0.002, 1, 6*time.Second
 	}},
