control: don't take a refused start for the only one if an earlier call was accepted

Callers saw tasks that ran twice: on a worker that had accepted the start, and on another one, where the same leader or the next one started them; all that was sent to a worker which became unhealthy, or whose permits ended, at one moment.

Cause: a start that was accepted counts as executed only with its committed report. If that fails (a full log, a leader that loses its quorum), or waits because another incarnation may have accepted the start, a poll's response from before the start has it sent again. A refusal of this call, or a reason not to send it, then released the attempt at once, since no call had gone without a response: that one had been accepted was not asked. The grounds start_refused and start_not_sent were false, and so was inherited_not_started for a start that a new leader had sent again.

An accepted start now counts as one that may have been executed, as one without a response does: the attempt is stopped, and released once the worker says so.

That this is what the users saw is not shown.

--- a/internal/control/dispatch.go
+++ b/internal/control/dispatch.go
@@ -224,6 +224,7 @@
 	case workerclient.Accepted:
 		pw.refusals.Accepted()
 		cmd.accepted = true // and confirmed once no other incarnation can have accepted it
+		cmd.maybeStarted = true
 	case workerclient.NoPermit:
 		p.l.policy.invalidate(id.Job, pw.target.Worker)
 		p.startRefused(pw, id, cmd, t, resp)
--- a/internal/control/polled.go
+++ b/internal/control/polled.go
@@ -103,7 +103,7 @@
 	attempt      uint32
 	dispatch     workerclient.Dispatch
 	repeatTimer  *time.Timer // repeats the last command
-	maybeStarted bool        // a start had no response: the worker may have executed it or may still do so
+	maybeStarted bool        // a start was accepted or had no response: it may have been executed or may still be
 	unansweredAt model.Time  // when the last start without a response was given up; zero: none was
 	brokenAt     model.Time  // when the connection of a start ended before the response; zero: none did
 	confirmedAt  model.Time  // when the worker confirmed the last command; zero: it has not
