control: count a start that a poll lists as one that may have been executed

As for an accepted one: if the report that it runs is not committed, and the start is sent again and refused, the attempt was released as if that call had been the only one. That no poll sent before lists it later is not shown to happen: a series of polls begins after the response to the one before. 7 further cases of TestAcceptedStartIsStoppedBeforeItIsReleased failed before and pass.

--- a/internal/control/dispatch.go
+++ b/internal/control/dispatch.go
@@ -383,7 +383,7 @@
 
 // confirmStart records that a start without a response was executed.
 func (p *polledWorkers) confirmStart(pw *polledWorker, id model.TaskID, t *state.Task) {
-	pw.commands[id] = &workerCommand{attempt: t.Attempt, confirmedAt: p.l.c.s.now()}
+	pw.commands[id] = &workerCommand{attempt: t.Attempt, maybeStarted: true, confirmedAt: p.l.c.s.now()}
 	p.addReport(pw, api.Report{Task: id, Fence: t.Fence, State: api.ReportStarted})
 }
 
--- a/internal/control/misdirected_test.go
+++ b/internal/control/misdirected_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -145,7 +146,7 @@
 	}
 }
 
-// Guards against a task that runs twice: its start was accepted, not recorded, sent again and refused.
+// Guards against a task that runs twice: its start was accepted, or seen to run, not recorded, sent again and refused.
 func TestAcceptedStartIsStoppedBeforeItIsReleased(t *testing.T) {
 	again := []struct {
 		name     string
@@ -174,30 +175,43 @@
 		}},
 	}
 	for _, row := range again {
-		t.Run(row.name, func(t *testing.T) {
-			h, _ := newLeaderHarness(t)
-			h.lead()
-			h.answer(h.nextPoll())
-			task := h.placeAnother("g")
-			p := h.core.leader.polled
-			pw := p.workers["w"]
-			cmd := pw.commands[task]
-			accepted := workerclient.Response{Verdict: workerclient.Accepted, Clock: h.worker.clock}
-			cmd.calls.End(&pw.clock, &accepted, h.core.s.now(), h.core.s.now())
-			p.startAnswered(pw, task, cmd, attemptOf("g"), accepted)
-			p.confirmAccepted(pw, task, cmd)
-			h.log.full = true
-			h.core.scheduleDue() // the report that it runs is refused
-			h.log.full = false
-			_, placed := p.l.task(task)
-			row.withhold(p, pw, task, cmd, placed)
-			h.core.scheduleDue()
-			h.commitAll()
-			assert.Assert(t, h.phase(task) != model.TaskPending, "it may run: %s", h.phase(task))
-		})
+		for _, seen := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, seen by a poll %t", row.name, seen), func(t *testing.T) {
+				h, _ := newLeaderHarness(t)
+				h.lead()
+				h.answer(h.nextPoll())
+				task := h.placeAnother("g")
+				p := h.core.leader.polled
+				pw := p.workers["w"]
+				_, placed := p.l.task(task)
+				if seen {
+					p.confirmStart(pw, task, placed)
+				} else {
+					h.acceptStart(task)
+				}
+				h.log.full = true
+				h.core.scheduleDue() // the report that it runs is refused
+				h.log.full = false
+				row.withhold(p, pw, task, pw.commands[task], placed)
+				h.core.scheduleDue()
+				h.commitAll()
+				assert.Assert(t, h.phase(task) != model.TaskPending, "it may run: %s", h.phase(task))
+			})
+		}
 	}
 }
 
+// acceptStart answers the start of a task, which is the only one of workflow g.
+func (h *leaderHarness) acceptStart(task model.TaskID) {
+	p := h.core.leader.polled
+	pw := p.workers["w"]
+	cmd, now := pw.commands[task], h.core.s.now()
+	accepted := workerclient.Response{Verdict: workerclient.Accepted, Clock: h.worker.clock}
+	cmd.calls.End(&pw.clock, &accepted, now, now)
+	p.startAnswered(pw, task, cmd, attemptOf("g"), accepted)
+	p.confirmAccepted(pw, task, cmd)
+}
+
 // attemptOf returns the first attempt of the only task of a workflow.
 func attemptOf(workflow model.WorkflowID) *workerclient.Attempt {
 	return &workerclient.Attempt{Task: workerclient.TaskName{Workflow: workflow}, Number: 1}
