workerclient: take no clock reading from a command's response that the clock can't show

The reading of any response to a command raised the lower bound of the worker's clock, also that of another worker or a later incarnation that answered at the address; all later leases were too long by as much, until a poll was answered. By the protocol the worker has ended then, so that no task is known to have run on because of it: this is a precaution. Only readings within the bounds that polls give count now.

TestCommandDoesNotRaiseClockBeyondItsBound fails with the check taken out.

--- a/internal/control/dispatch.go
+++ b/internal/control/dispatch.go
@@ -201,7 +201,7 @@
 			if resp.Verdict != workerclient.Unknown {
 				p.responses.Observe(s.clock() - sentAt)
 			}
-			pw.clock.Observe(resp.Clock, s.now())
+			pw.clock.ObserveCommand(resp.Clock, s.now())
 			onResponse(resp)
 		})
 	}()
--- a/internal/workerclient/clock.go
+++ b/internal/workerclient/clock.go
@@ -31,7 +31,15 @@
 	}
 }
 
-// ObserveResponse records the reading of a response to a call that was sent at sentAt. It
+// ObserveCommand records the reading in the response to a command, which does not tell who
+// sent it. It ignores one that this clock cannot show, and any before the first bound.
+func (c *Clock) ObserveCommand(reading int64, now model.Time) {
+	if c.highest != 0 && reading <= c.atMost(now) {
+		c.Observe(reading, now)
+	}
+}
+
+// ObserveResponse records the reading of a response to a poll that was sent at sentAt. It
 // bounds the clock from above, too, since the worker read it after that. An earlier reading
 // that exceeds the bound was not the worker's and is dropped.
 func (c *Clock) ObserveResponse(reading int64, sentAt, now model.Time) {
--- a/internal/workerclient/clock_test.go
+++ b/internal/workerclient/clock_test.go
@@ -65,3 +65,15 @@
 	c.ObserveResponse(1500, 2000, 2020)
 	assert.Assert(t, c.AtLeast(2020) >= 1480 && c.AtLeast(2020) <= 1520)
 }
+
+// Guards against leases that are too long, by the reading of whatever else answered a command.
+func TestCommandDoesNotRaiseClockBeyondItsBound(t *testing.T) {
+	var c Clock
+	c.ObserveCommand(486_000, 900)
+	assert.Assert(t, !c.Known(), "no poll has been answered")
+	c.ObserveResponse(5000, 1000, 1040)
+	c.ObserveCommand(486_000, 1100)
+	assert.Equal(t, c.LeaseUntil(1100, time.Second), int64(5000+58+1000))
+	c.ObserveCommand(5100, 1100)
+	assert.Equal(t, c.LeaseUntil(1100, time.Second), int64(5100+1000))
+}
