control: test that no lease is renewed while the loss of its worker waits for its commit

No fault: a lease that has expired is taken from the table, so that the worker, which answers again, gets a renewal only after its loss and its next announcement.

--- a/internal/control/misdirected_test.go
+++ b/internal/control/misdirected_test.go
@@ -216,3 +216,27 @@
 func attemptOf(workflow model.WorkflowID) *workerclient.Attempt {
 	return &workerclient.Attempt{Task: workerclient.TaskName{Workflow: workflow}, Number: 1}
 }
+
+// Guards against a task that runs twice: its worker answers again, and its lease is renewed, while its loss is proposed again and again.
+func TestLeaseIsNotRenewedWhileLossOfWorkerIsNotCommitted(t *testing.T) {
+	h, task := newLeaderHarness(t)
+	h.report(task, api.ReportStarted)
+	pass := h.shortLeases()
+	lists := func(poll heldPoll) {
+		listed := workerclient.ActiveAttempt{Attempt: *attemptOf("f")}
+		poll.answer <- &workerclient.PollResponse{Clock: h.worker.clock, Incarnation: 1, Active: []workerclient.ActiveAttempt{listed}}
+	}
+	lists(h.nextPoll())
+	poll := h.nextPoll()
+	assert.Assert(t, poll.LeaseUntil != 0)
+	h.log.full = true
+	pass(5 * time.Second)
+	assert.Assert(t, h.log.refused > 0, "the loss is proposed")
+	h.worker.clock += 5000
+	lists(poll)
+	assert.Equal(t, h.nextPoll().LeaseUntil, int64(0))
+	h.log.full = false
+	pass(100 * time.Millisecond)
+	h.commitAll()
+	assert.Equal(t, h.phase(task), model.TaskPending)
+}
