--- a/internal/control/dispatch.go
+++ b/internal/control/dispatch.go
@@ -203,7 +203,7 @@
 			if resp.Verdict != workerclient.Unknown {
 				p.responses.Observe(s.clock() - sentAt)
 			}
-			pw.clock.Observe(resp.Clock, s.now())
+			pw.clock.ObserveCommand(resp.Clock, s.now())
 			onResponse(resp)
 		})
 	}()
@@ -226,6 +226,7 @@
 	case workerclient.Accepted:
 		pw.refusals.Accepted()
 		cmd.accepted = true // and confirmed once no other incarnation can have accepted it
+		cmd.maybeStarted = true
 	case workerclient.NoPermit:
 		p.l.policy.invalidate(id.Job, pw.target.Worker)
 		p.startRefused(pw, id, cmd, t, resp)
@@ -389,7 +390,7 @@
 
 // confirmStart records that a start without a response was executed.
 func (p *polledWorkers) confirmStart(pw *polledWorker, id model.TaskID, t *state.Task) {
-	pw.commands[id] = &workerCommand{attempt: t.Attempt, confirmedAt: p.l.c.s.now()}
+	pw.commands[id] = &workerCommand{attempt: t.Attempt, maybeStarted: true, confirmedAt: p.l.c.s.now()}
 	p.addReport(pw, api.Report{Task: id, Fence: t.Fence, State: api.ReportStarted})
 }
 
