control: tell runs of a recurring workflow apart in lists of attempts

Cause: the lists named an attempt by its workflow alone, so that the same task of two runs looked like one task that runs twice. Change: WORKFLOW/RUN in lists; logWorkerEnds is split, its lines come in order of the workers' IDs. Measured: TestPlacementsOfRunsOfRecurringWorkflowAreToldApart, and the package passes.

--- a/internal/control/attemptends.go
+++ b/internal/control/attemptends.go
@@ -125,10 +125,18 @@
 
 // endedBy returns what ended an attempt with a committed command.
 func (c *core) endedBy(cmd *state.Command, e *state.TaskChanged) string {
+	if cmd.Report != nil {
+		return c.endedByReport(cmd, e)
+	}
+	return workerEndCause(cmd, e.Worker)
+}
+
+// workerEndCause returns why a committed command ends attempts on a worker.
+func workerEndCause(cmd *state.Command, id model.WorkerID) string {
 	switch {
 	case cmd.MarkWorkersLost != nil:
 		for i := range cmd.MarkWorkersLost.Workers {
-			if w := &cmd.MarkWorkersLost.Workers[i]; w.ID == e.Worker && w.Replaced {
+			if w := &cmd.MarkWorkersLost.Workers[i]; w.ID == id && w.Replaced {
 				return endedWorkerReplaced
 			}
 		}
@@ -137,8 +145,6 @@
 		return endedWorkerRestarted
 	case cmd.LoseAttempts != nil:
 		return endedLeaseLost
-	case cmd.Report != nil:
-		return c.endedByReport(cmd, e)
 	}
 	return endedUnknown
 }
--- a/internal/control/linebudgets.go
+++ b/internal/control/linebudgets.go
@@ -52,7 +52,11 @@
 	if j == nil || j.Step == nil {
 		return fmt.Sprintf("%s#%d", id, number)
 	}
-	return fmt.Sprintf("%s.%d.%d#%d", l.stepName(j).Workflow, j.Step.Step, id.Index, number)
+	name := l.stepName(j)
+	if name.Run != 0 {
+		return fmt.Sprintf("%s/%d.%d.%d#%d", name.Workflow, name.Run, name.Step, id.Index, number)
+	}
+	return fmt.Sprintf("%s.%d.%d#%d", name.Workflow, name.Step, id.Index, number)
 }
 
 // attemptList formats attempts for one line, up to maxAttemptsOfLine.
--- a/internal/control/tasklines_test.go
+++ b/internal/control/tasklines_test.go
@@ -136,6 +136,23 @@
 	assertFields(t, lines[0], fmt.Sprintf("placed=2/%d", h.index), "attempts=1", "list=g.0.0#1@w")
 }
 
+func TestPlacementsOfRunsOfRecurringWorkflowAreToldApart(t *testing.T) {
+	h, _ := newLeaderHarness(t)
+	size := model.Resources{CPU: 100}
+	h.apply(&state.Command{SubmitWorkflow: &state.SubmitWorkflow{Spec: model.WorkflowSpec{ID: "r", Team: "stands", Queue: "flows",
+		Runs: 2, FirstAt: 1, Every: 1, Steps: []model.Step{{Policy: model.PolicyBatch, Tasks: 1, Size: size}}}}})
+	h.apply(&state.Command{StartRuns: &state.StartRuns{Runs: h.core.machine.DueRuns(h.core.s.now(), 2, 0)}})
+	h.lead()
+	out := h.logTo()
+	place := &state.Place{}
+	for run := range int32(2) {
+		job := h.core.machine.WorkflowRun("r", run).Jobs[0]
+		place.Placements = append(place.Placements, state.Placement{Task: model.TaskID{Job: job}, Worker: "w", Size: size})
+	}
+	h.apply(&state.Command{Place: place})
+	assertFields(t, linesOf(out, "Attempts are placed.")[0], "attempts=2", `list="r.0.0#1@w r/1.0.0#1@w"`)
+}
+
 // Guards against a task that no line names, as it was for those of a workflow that is sampled away.
 func TestTaskOfWorkflowThatIsSampledAwayIsNamed(t *testing.T) {
 	h, task := newLeaderHarness(t)
--- a/internal/control/workerends.go
+++ b/internal/control/workerends.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/filbertmast/filbertmast/internal/model"
@@ -23,36 +25,35 @@
 // or its lease, in one line for each worker.
 func (l *leader) logWorkerEnds(cmd *state.Command, at model.Fence, events []state.Event) {
 	ended := map[model.WorkerID][]string{}
-	var order []model.WorkerID
 	for _, ev := range events {
 		switch e := ev.(type) {
 		case state.TaskChanged:
 			if endsAttempt(&e) {
-				if ended[e.Worker] == nil {
-					order = append(order, e.Worker)
-				}
-				cause := l.c.endedBy(cmd, &e)
-				l.c.s.metrics.workerEnds.WithLabelValues(cause).Inc()
-				l.polled.countUnheard(e.Worker, e.Fence)
+				l.countWorkerEnd(cmd, &e)
 				text := l.attemptText(e.Task, l.c.attemptNumber(e.Task))
 				ended[e.Worker] = append(ended[e.Worker], fmt.Sprintf("%s:%s:%s", text, e.From, position(e.Fence)))
 			}
 		case state.WorkerChanged:
-			if e.Mode == model.WorkerLost && ended[e.Spec.ID] == nil {
-				order = append(order, e.Spec.ID)
+			if _, ok := ended[e.Spec.ID]; !ok && e.Mode == model.WorkerLost {
+				ended[e.Spec.ID] = nil // logged also without attempts
 			}
 		}
 	}
-	for _, id := range order {
+	for _, id := range slices.Sorted(maps.Keys(ended)) {
 		l.logWorkerEnd(cmd, at, id, ended[id])
 	}
 }
 
+func (l *leader) countWorkerEnd(cmd *state.Command, e *state.TaskChanged) {
+	l.c.s.metrics.workerEnds.WithLabelValues(workerEndCause(cmd, e.Worker)).Inc()
+	l.polled.countUnheard(e.Worker, e.Fence)
+}
+
 func (l *leader) logWorkerEnd(cmd *state.Command, at model.Fence, id model.WorkerID, attempts []string) {
 	if !l.c.budgets.workerEnds.Take(time.Now()) {
 		return
 	}
-	fields := []any{"worker", id, "cause", l.c.endedBy(cmd, &state.TaskChanged{Worker: id}), "ended", position(at)}
+	fields := []any{"worker", id, "cause", workerEndCause(cmd, id), "ended", position(at)}
 	if pw := l.polled.workers[id]; pw != nil {
 		now := l.c.s.now()
 		fields = append(fields, "session", pw.session, "incarnation", pw.target.Incarnation,
