control: don't take a report of before a restart for an end that the worker listed

What operators see: after a restart of a leader, a release that it committed before shows as before=listed_lapsed, as if the worker had listed the end. Cause: reports are told apart by the replica that proposed them, which a restart keeps; the bases of its releases are forgotten. Change: only numbers above those of earlier processes count as own; others show as reported_....

--- a/internal/control/attemptends.go
+++ b/internal/control/attemptends.go
@@ -156,7 +156,7 @@
 		return string(r.basis)
 	}
 	source := endedReported
-	if cmd.ID.Replica == c.proposals.replica {
+	if c.proposals.own(cmd.ID) {
 		source = endedListed
 	}
 	if s, ok := reportedState(cmd.Report, e); ok {
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -240,6 +240,7 @@
 // proposals are the proposals of this process that await their commit.
 type proposals struct {
 	replica uint64
+	before  uint64 // numbers up to this one are of earlier processes
 	seq     uint64
 	waiting map[uint64]func(state.Result, error)
 }
@@ -248,7 +249,7 @@
 // every number that an earlier process of this replica has used, since its commands
 // may still commit.
 func newProposals(id, start uint64) proposals {
-	return proposals{replica: id, seq: start, waiting: make(map[uint64]func(state.Result, error))}
+	return proposals{replica: id, before: start, seq: start, waiting: make(map[uint64]func(state.Result, error))}
 }
 
 func (p *proposals) next() state.ProposalID {
@@ -256,6 +257,9 @@
 	return state.ProposalID{Replica: p.replica, Seq: p.seq}
 }
 
+// own reports whether this process made a proposal, and not an earlier one of the replica.
+func (p *proposals) own(id state.ProposalID) bool { return id.Replica == p.replica && id.Seq > p.before }
+
 func (p *proposals) add(seq uint64, onResult func(state.Result, error)) { p.waiting[seq] = onResult }
 
 func (p *proposals) resolve(id state.ProposalID, r state.Result) {
--- a/internal/control/tasklines_test.go
+++ b/internal/control/tasklines_test.go
@@ -126,6 +126,17 @@
 	assertFields(t, linesOf(out, "Start is sent.")[0], "attempt=2", "before=worker_replaced", "before_worker=w", "before_placed=1/4", "before_ended=1/5")
 }
 
+// Guards against a release of this replica before its restart that is taken for an end that the worker listed.
+func TestReportOfEarlierProcessOfReplicaIsNotTakenForListedEnd(t *testing.T) {
+	h, task := newLeaderHarness(t)
+	e := &state.TaskChanged{Task: task, Worker: "w", Fence: model.Fence{Term: 1, Index: 4}}
+	cmd := &state.Command{ID: h.core.proposals.next(), Report: &state.Report{Reports: []state.WorkerReport{{Worker: "w",
+		Reports: []api.Report{{Task: task, Fence: e.Fence, State: api.ReportLapsed}}}}}}
+	assert.Equal(t, h.core.endedBy(cmd, e), "listed_lapsed")
+	cmd.ID.Seq = h.core.proposals.before
+	assert.Equal(t, h.core.endedBy(cmd, e), "reported_lapsed")
+}
+
 func TestPlacementsAreLoggedWithWorkerAndLogEntry(t *testing.T) {
 	h, _ := newLeaderHarness(t)
 	h.lead()
