--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -258,7 +258,9 @@
 }
 
 // own reports whether this process made a proposal, and not an earlier one of the replica.
-func (p *proposals) own(id state.ProposalID) bool { return id.Replica == p.replica && id.Seq > p.before }
+func (p *proposals) own(id state.ProposalID) bool {
+	return id.Replica == p.replica && id.Seq > p.before
+}
 
 func (p *proposals) add(seq uint64, onResult func(state.Result, error)) { p.waiting[seq] = onResult }
 
