control: tell an unknown attempt of a leader from one of a process that cannot prove that it leads

What operators see: known=not_placed, which is to mean that a committed start is missing, from a process that was frozen. Cause: it handles the answer to a poll before it learns that it leads no more; the answer lists what the next leader has placed. Change: known=behind at level info while the process cannot prove that it leads. Its orders are as before. Measured: case "leader has lost its quorum" of TestUnknownAttemptIsLoggedWithWhatTheStateKnows.

--- a/internal/control/unknownattempts.go
+++ b/internal/control/unknownattempts.go
@@ -15,6 +15,7 @@
 	knownLater       = "later"        // a later attempt was placed
 	knownElsewhere   = "elsewhere"    // the state places it on another worker
 	knownEnded       = "ended"        // it has ended in the state
+	knownBehind      = "behind"       // this process cannot prove that it leads, so that its state may lack the placement
 )
 
 // knownOf tells what the state knows of an attempt that it does not place on the worker that
@@ -50,6 +51,9 @@
 // its worker. Where the state has never placed it there, a committed start is missing.
 func (p *polledWorkers) logUnknown(pw *polledWorker, attempt *workerclient.Attempt) {
 	known, fields := p.knownOf(pw.target.Worker, attempt)
+	if _, err := p.l.c.leading(); err != nil {
+		known = knownBehind
+	}
 	p.l.c.s.metrics.unknownAttempts.WithLabelValues(known).Inc()
 	if !p.l.c.budgets.unknown.Take(time.Now()) {
 		return
--- a/internal/control/unknownattempts_test.go
+++ b/internal/control/unknownattempts_test.go
@@ -37,6 +37,8 @@
 				h.report(task, api.ReportLapsed)
 				h.apply(&state.Command{Place: &state.Place{Placements: []state.Placement{{Task: task, Worker: "w", Size: model.Resources{CPU: 1000}}}}})
 			}},
+		"leader has lost its quorum": {attempt: attempt("f", 2), known: knownBehind, fields: []string{"level=info", "last_attempt=1"},
+			prepare: func(h *leaderHarness, _ model.TaskID) { h.log.noQuorum = true }},
 		"job has finished": {attempt: attempt("f", 1), known: knownJobFinished,
 			prepare: func(h *leaderHarness, task model.TaskID) { h.report(task, api.ReportSucceeded) }},
 	} {
