replica: finish emptying a data folder after a kill or a loss of power

What callers see: a control process that was removed from its group and loses power while it empties its folder can refuse that folder at each start ("the log is missing", "identity is missing although ..."), until somebody empties it by hand: one replica less.

Cause: all files and the identity were removed with one sync of the folder at the end. After a loss of power each removal may be undone by itself.

--- a/internal/replica/identity.go
+++ b/internal/replica/identity.go
@@ -28,6 +28,9 @@
 	// Formed reports that the log has been started. From then on an empty log
 	// means data loss.
 	Formed bool `cbor:"3,keyasint,omitempty"`
+	// Removed reports that the replica is no longer a member and that its folder is
+	// being emptied.
+	Removed bool `cbor:"4,keyasint,omitempty"`
 }
 
 // identityFile is the identity together with its place on disk.
@@ -37,26 +40,38 @@
 	dir string
 }
 
-// openIdentity reads the identity, or creates a new one in an empty folder.
+// openIdentity reads the identity, or creates a new one in an empty folder. It empties the
+// folder of a replica that was removed.
 func openIdentity(fsys storage.FS, dir string) (*identityFile, error) {
-	f := &identityFile{fs: fsys, dir: dir}
-	data, ok, err := storage.ReadFile(fsys, dir, identityName)
-	if err != nil {
-		return nil, err
+	f, ok, err := readIdentity(fsys, dir)
+	if err != nil || ok && !f.Removed {
+		return f, err
 	}
 	if ok {
-		if err := cbor.Unmarshal(data, &f.identity); err != nil {
-			return nil, fmt.Errorf("replica: decode identity: %w", err)
+		if err := emptyFolder(fsys, dir); err != nil {
+			return nil, err
 		}
-		return f, nil
 	}
 	if err := requireNoLogFiles(fsys, dir); err != nil {
 		return nil, err
 	}
-	f.ID = newID()
+	f.identity = identity{ID: newID()}
 	return f, f.save(f.identity)
 }
 
+// readIdentity returns ok == false if the folder has no identity.
+func readIdentity(fsys storage.FS, dir string) (f *identityFile, ok bool, err error) {
+	f = &identityFile{fs: fsys, dir: dir}
+	data, ok, err := storage.ReadFile(fsys, dir, identityName)
+	if err != nil || !ok {
+		return f, false, err
+	}
+	if err := cbor.Unmarshal(data, &f.identity); err != nil {
+		return f, false, fmt.Errorf("replica: decode identity: %w", err)
+	}
+	return f, true, nil
+}
+
 // requireNoLogFiles returns a *storage.CorruptError if dir holds a log or a
 // snapshot but no identity.
 func requireNoLogFiles(fsys storage.FS, dir string) error {
@@ -117,3 +132,9 @@
 	f.Formed = true
 	return nil
 }
+
+func (f *identityFile) remove() error {
+	next := f.identity
+	next.Removed = true
+	return f.save(next)
+}
