--- a/internal/control/dispatch.go
+++ b/internal/control/dispatch.go
@@ -203,7 +203,7 @@
 			if resp.Verdict != workerclient.Unknown {
 				p.responses.Observe(s.clock() - sentAt)
 			}
-			pw.clock.Observe(resp.Clock, s.now())
+			pw.clock.ObserveCommand(resp.Clock, s.now())
 			onResponse(resp)
 		})
 	}()
@@ -226,6 +226,7 @@
 	case workerclient.Accepted:
 		pw.refusals.Accepted()
 		cmd.accepted = true // and confirmed once no other incarnation can have accepted it
+		cmd.maybeStarted = true
 	case workerclient.NoPermit:
 		p.l.policy.invalidate(id.Job, pw.target.Worker)
 		p.startRefused(pw, id, cmd, t, resp)
@@ -242,8 +243,12 @@
 }
 
 // startUnanswered sends a start again whose call had no response, since starts are
-// idempotent. If the worker got nothing of any call, the task becomes pending again.
+// idempotent. If the worker got nothing of any call, the task becomes pending again. A worker
+// to which nothing could be sent may have no connection left although it answers polls.
 func (p *polledWorkers) startUnanswered(pw *polledWorker, id model.TaskID, cmd *workerCommand, t *state.Task, resp workerclient.Response) {
+	if resp.NotSent {
+		p.pauseWorker(pw, resp)
+	}
 	if resp.NotSent && !cmd.maybeStarted && !cmd.calls.MayBeExecuted() && !p.inherited(t) {
 		p.release(pw, id, t, &release{basis: basisNotSent, state: api.ReportStopped, reason: resp.Reason})
 		return
@@ -385,7 +390,7 @@
 
 // confirmStart records that a start without a response was executed.
 func (p *polledWorkers) confirmStart(pw *polledWorker, id model.TaskID, t *state.Task) {
-	pw.commands[id] = &workerCommand{attempt: t.Attempt, confirmedAt: p.l.c.s.now()}
+	pw.commands[id] = &workerCommand{attempt: t.Attempt, maybeStarted: true, confirmedAt: p.l.c.s.now()}
 	p.addReport(pw, api.Report{Task: id, Fence: t.Fence, State: api.ReportStarted})
 }
 
--- a/internal/control/misdirected_test.go
+++ b/internal/control/misdirected_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -144,3 +145,98 @@
 		})
 	}
 }
+
+// Guards against a task that runs twice: its start was accepted, or seen to run, not recorded, sent again and refused.
+func TestAcceptedStartIsStoppedBeforeItIsReleased(t *testing.T) {
+	again := []struct {
+		name     string
+		withhold func(p *polledWorkers, pw *polledWorker, id model.TaskID, cmd *workerCommand, t *state.Task)
+	}{
+		{"refused", func(p *polledWorkers, pw *polledWorker, id model.TaskID, cmd *workerCommand, t *state.Task) {
+			p.startAnswered(pw, id, cmd, attemptOf("g"), workerclient.Response{Verdict: workerclient.Refused})
+		}},
+		{"worker unavailable", func(p *polledWorkers, pw *polledWorker, id model.TaskID, cmd *workerCommand, t *state.Task) {
+			p.startAnswered(pw, id, cmd, attemptOf("g"), workerclient.Response{Verdict: workerclient.Unavailable})
+		}},
+		{"permit has expired at the worker", func(p *polledWorkers, pw *polledWorker, id model.TaskID, cmd *workerCommand, t *state.Task) {
+			p.startAnswered(pw, id, cmd, attemptOf("g"), workerclient.Response{Verdict: workerclient.NoPermit})
+		}},
+		{"permit has expired", func(p *polledWorkers, pw *polledWorker, id model.TaskID, cmd *workerCommand, t *state.Task) {
+			p.startWithoutPermit(pw, id, cmd, t)
+		}},
+		{"no connection", func(p *polledWorkers, pw *polledWorker, id model.TaskID, cmd *workerCommand, t *state.Task) {
+			p.startAnswered(pw, id, cmd, attemptOf("g"), workerclient.Response{Verdict: workerclient.Unknown, NotSent: true})
+		}},
+		{"barred", func(p *polledWorkers, pw *polledWorker, id model.TaskID, cmd *workerCommand, t *state.Task) {
+			p.dropStart(pw, id, cmd, t, noRoom)
+		}},
+		{"barred by a poll that was sent before", func(p *polledWorkers, pw *polledWorker, id model.TaskID, cmd *workerCommand, t *state.Task) {
+			p.withdrawStart(pw, &polledView{poll: &sentPoll{}, resp: &workerclient.PollResponse{}}, id, cmd, t, noRoom)
+		}},
+	}
+	for _, row := range again {
+		for _, seen := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, seen by a poll %t", row.name, seen), func(t *testing.T) {
+				h, _ := newLeaderHarness(t)
+				h.lead()
+				h.answer(h.nextPoll())
+				task := h.placeAnother("g")
+				p := h.core.leader.polled
+				pw := p.workers["w"]
+				_, placed := p.l.task(task)
+				if seen {
+					p.confirmStart(pw, task, placed)
+				} else {
+					h.acceptStart(task)
+				}
+				h.log.full = true
+				h.core.scheduleDue() // the report that it runs is refused
+				h.log.full = false
+				row.withhold(p, pw, task, pw.commands[task], placed)
+				h.core.scheduleDue()
+				h.commitAll()
+				assert.Assert(t, h.phase(task) != model.TaskPending, "it may run: %s", h.phase(task))
+			})
+		}
+	}
+}
+
+// acceptStart answers the start of a task, which is the only one of workflow g.
+func (h *leaderHarness) acceptStart(task model.TaskID) {
+	p := h.core.leader.polled
+	pw := p.workers["w"]
+	cmd, now := pw.commands[task], h.core.s.now()
+	accepted := workerclient.Response{Verdict: workerclient.Accepted, Clock: h.worker.clock}
+	cmd.calls.End(&pw.clock, &accepted, now, now)
+	p.startAnswered(pw, task, cmd, attemptOf("g"), accepted)
+	p.confirmAccepted(pw, task, cmd)
+}
+
+// attemptOf returns the first attempt of the only task of a workflow.
+func attemptOf(workflow model.WorkflowID) *workerclient.Attempt {
+	return &workerclient.Attempt{Task: workerclient.TaskName{Workflow: workflow}, Number: 1}
+}
+
+// Guards against a task that runs twice: its worker answers again, and its lease is renewed, while its loss is proposed again and again.
+func TestLeaseIsNotRenewedWhileLossOfWorkerIsNotCommitted(t *testing.T) {
+	h, task := newLeaderHarness(t)
+	h.report(task, api.ReportStarted)
+	pass := h.shortLeases()
+	lists := func(poll heldPoll) {
+		listed := workerclient.ActiveAttempt{Attempt: *attemptOf("f")}
+		poll.answer <- &workerclient.PollResponse{Clock: h.worker.clock, Incarnation: 1, Active: []workerclient.ActiveAttempt{listed}}
+	}
+	lists(h.nextPoll())
+	poll := h.nextPoll()
+	assert.Assert(t, poll.LeaseUntil != 0)
+	h.log.full = true
+	pass(5 * time.Second)
+	assert.Assert(t, h.log.refused > 0, "the loss is proposed")
+	h.worker.clock += 5000
+	lists(poll)
+	assert.Equal(t, h.nextPoll().LeaseUntil, int64(0))
+	h.log.full = false
+	pass(100 * time.Millisecond)
+	h.commitAll()
+	assert.Equal(t, h.phase(task), model.TaskPending)
+}
