--- a/internal/control/tasklines_test.go
+++ b/internal/control/tasklines_test.go
@@ -137,6 +137,20 @@
 	assert.Equal(t, h.core.endedBy(cmd, e), "reported_lapsed")
 }
 
+// Guards against a release that was never committed and is named as what ended an attempt that another process ended.
+func TestReleaseThatWasNotCommittedDoesNotExplainReportOfAnotherProcess(t *testing.T) {
+	h, task := newLeaderHarness(t)
+	h.report(task, api.ReportStarted)
+	h.lead()
+	p := h.core.leader.polled
+	_, running := p.l.task(task)
+	p.release(p.workers["w"], task, running, &release{basis: basisNotRunning, state: api.ReportLapsed})
+	h.core.stepDown("a test")
+	h.report(task, api.ReportFailed)
+	assert.Equal(t, h.phase(task), model.TaskPending)
+	assert.Equal(t, h.core.ends.last(task, 2).by, "reported_failed")
+}
+
 func TestPlacementsAreLoggedWithWorkerAndLogEntry(t *testing.T) {
 	h, _ := newLeaderHarness(t)
 	h.lead()
