control: a release explains only a report of the process that proposed it

Readers of the log would be told a false ground for a further attempt, or see a restart of a worker in place of a failure that a later leader has recorded.

Cause: a release is remembered until its attempt ends. If the process stops leading before it is committed, the attempt may end by the report of another process, and was put down to it.

The basis counts only for a command of this process. TestReleaseThatWasNotCommittedDoesNotExplainReportOfAnotherProcess failed 3 of 3 before; it and the tests of the log lines and of misdirected calls pass 3 of 3 with -race (load 16). An own end after a release that was lost is still put down to it.

--- a/internal/control/attemptends.go
+++ b/internal/control/attemptends.go
@@ -152,11 +152,11 @@
 // endedByReport returns what a report rests on that ended an attempt: the basis of its
 // release if this process has proposed it, else an end that the worker listed.
 func (c *core) endedByReport(cmd *state.Command, e *state.TaskChanged) string {
-	if r, ok := c.ends.released[e.Task]; ok && r.placed == e.Fence {
-		return string(r.basis)
-	}
 	source := endedReported
 	if c.proposals.own(cmd.ID) {
+		if r, ok := c.ends.released[e.Task]; ok && r.placed == e.Fence {
+			return string(r.basis)
+		}
 		source = endedListed
 	}
 	if s, ok := reportedState(cmd.Report, e); ok {
