--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -179,6 +179,23 @@
 	assert.Assert(t, errors.As(err, &corrupt), "%v", err)
 }
 
+// Guards against a log that is refused as damaged: a segment could not be removed, and a later compaction removed those after it.
+func TestLogOpensAfterCompactionThatFollowsFailedRemoval(t *testing.T) {
+	fsys := faultfs.New()
+	l := open(t, fsys, 300)
+	fill(t, l, 60)
+	fsys.KillAfter(2) // the first segment is removed, the second is not
+	_, err := l.Compact(30)
+	assert.ErrorIs(t, err, faultfs.ErrKilled)
+	fsys.Restart()
+	start, err := l.Compact(45)
+	assert.NilError(t, err)
+	assert.Assert(t, start.Index > 30)
+	entries, err := readAll(open(t, fsys, 300))
+	assert.NilError(t, err)
+	assert.Equal(t, entries[len(entries)-1].Index, uint64(60))
+}
+
 func TestOpenLogRejectsTheLogOfAnotherOwner(t *testing.T) {
 	fsys := faultfs.New()
 	fill(t, open(t, fsys, 300), 30)
