storage: a compaction first removes what an earlier one could not

What callers saw: nothing; a replica whose folder fails to remove a file once can refuse the folder at its next start ("segment is missing").

Cause: segments leave the index before their files are removed. After an error, which ends the replica only if a sync failed, nothing remembered the files that remained, so that the next compaction removed later ones and left a gap.

What is out of the index and not removed is remembered, and removed first, oldest first.

--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -58,6 +58,9 @@
 	state     []byte
 	cache     entryCache
 
+	compactMu sync.Mutex // held by Compact
+	detached  []*segment // out of the log, and not removed yet, oldest first; guarded by compactMu
+
 	torn int64  // bytes that were cut off when the log was opened
 	seq  uint64 // of the last frame; guarded by writeMu
 	buf  []byte
@@ -184,12 +187,17 @@
 }
 
 // Compact removes the segments whose entries all have an index of at most
-// index, and returns the position after which the log now starts.
+// index, and returns the position after which the log now starts. After an error the next
+// Compact removes the remaining ones first.
 func (l *Log) Compact(index uint64) (Position, error) {
-	for _, s := range l.detachCompacted(index) {
-		if err := l.removeSegment(s); err != nil {
+	l.compactMu.Lock()
+	defer l.compactMu.Unlock()
+	l.detached = append(l.detached, l.detachCompacted(index)...)
+	for len(l.detached) > 0 {
+		if err := l.removeSegment(l.detached[0]); err != nil {
 			return l.Start(), err
 		}
+		l.detached = l.detached[1:]
 	}
 	return l.Start(), nil
 }
@@ -198,8 +206,11 @@
 // next one: a loss of power may undo any removal that is not, and a gap between two
 // segments is damage.
 func (l *Log) removeSegment(s *segment) error {
-	if err := s.f.Close(); err != nil {
-		return fmt.Errorf("storage: close %s: %w", s.path, err)
+	if !s.closed {
+		s.closed = true
+		if err := s.f.Close(); err != nil {
+			return fmt.Errorf("storage: close %s: %w", s.path, err)
+		}
 	}
 	if err := l.opts.FS.Remove(s.path); err != nil {
 		return fmt.Errorf("storage: remove %s: %w", s.path, err)
@@ -319,16 +330,21 @@
 
 // Close closes the segment files. No sync is needed, since Append syncs.
 func (l *Log) Close() error {
+	l.compactMu.Lock()
+	defer l.compactMu.Unlock()
 	l.writeMu.Lock()
 	defer l.writeMu.Unlock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var first error
-	for _, s := range l.segments {
+	for _, s := range append(l.detached, l.segments...) {
+		if s.closed {
+			continue
+		}
 		if err := s.f.Close(); err != nil && first == nil {
 			first = fmt.Errorf("storage: close %s: %w", filepath.Base(s.path), err)
 		}
 	}
-	l.segments = nil
+	l.segments, l.detached = nil, nil
 	return first
 }
--- a/internal/storage/segment.go
+++ b/internal/storage/segment.go
@@ -18,6 +18,7 @@
 	size     int64
 	header   segmentHeader
 	maxIndex uint64 // highest entry index in the file
+	closed   bool   // out of the log, and f is closed
 }
 
 func segmentName(number uint32) string {
